--- /dev/null
+++ b/src/protocol/messages.ts
@@ -0,0 +1,129 @@
+/** Every message between nodes, in one place. Fields carry their unit; times are milliseconds since the Unix epoch. */
+
+import { z } from 'zod'
+import { engineStatusSchema } from '../platform/engine.js'
+
+/** Raised when a message changes in a way that an older node would misread. */
+export const protocolVersion = 1
+
+export const memberStates = ['alive', 'suspect', 'dead', 'left'] as const
+
+/** What a node publishes of itself. Only the node itself raises `incarnation` or `sequence`. */
+export const memberEntrySchema = z.object({
+  name: z.string(),
+  /** `IP:PORT` of the peers' port. */
+  address: z.string(),
+  region: z.string(),
+  availabilityZone: z.string(),
+  /** Start time of the process; grows with each restart and each refuted suspicion. */
+  incarnation: z.number(),
+  state: z.enum(memberStates),
+  /** Version of the fleet configuration in force on this node; 0 if none. */
+  configVersion: z.number(),
+  /** Accepts callers. False while starting and in graceful shutdown. */
+  ready: z.boolean(),
+  sequence: z.number()
+})
+export type MemberEntry = z.infer<typeof memberEntrySchema>
+
+/** What the controller of an engine publishes of it. */
+export const engineEntrySchema = engineStatusSchema.extend({
+  pool: z.string(),
+  /** `IP:PORT` of the engine. */
+  address: z.string(),
+  region: z.string(),
+  availabilityZone: z.string(),
+  /** Name of the node that controls the engine. */
+  controller: z.string(),
+  /** Fencing number under which the controller writes; the higher one wins when two nodes publish. */
+  controlFence: z.number(),
+  /** False while the controller gets no answers from the engine. */
+  reachable: z.boolean()
+})
+export type EngineEntry = z.infer<typeof engineEntrySchema>
+
+/** A backend server of a plain service, published by the node that checks it. */
+export const serviceEntrySchema = z.object({
+  server: z.string(),
+  service: z.string(),
+  address: z.string(),
+  region: z.string(),
+  availabilityZone: z.string(),
+  draining: z.boolean(),
+  reachable: z.boolean()
+})
+export type ServiceEntry = z.infer<typeof serviceEntrySchema>
+
+/** Demand that one node saw, for the planner. Model names carry no version. */
+export const demandEntrySchema = z.object({
+  node: z.string(),
+  models: z.array(z.object({
+    model: z.string(),
+    /** Arrivals since the last report, by rank in the order urgent, live, browsing. */
+    arrivals: z.tuple([z.number(), z.number(), z.number()]),
+    /** Requests that wait for the model now. */
+    waiting: z.number(),
+    /** Work of the arrivals, in generated tokens. */
+    tokens: z.number(),
+    /** Earliest deadline among the waiting ones; 0 if none waits. */
+    earliestDeadlineMs: z.number()
+  })),
+  periodMs: z.number()
+})
+export type DemandEntry = z.infer<typeof demandEntrySchema>
+
+/** A replicated entry. The higher `(epoch, sequence)` wins; one writer at a time owns a key. */
+export const versionedEntrySchema = z.object({
+  key: z.string(),
+  epoch: z.number(),
+  sequence: z.number(),
+  value: z.unknown()
+})
+export type VersionedEntry = z.infer<typeof versionedEntrySchema>
+
+const entryVersionSchema = z.tuple([z.string(), z.number(), z.number()])
+
+/** One placement instruction of a planner to the controller of an engine. */
+export const moveSchema = z.object({
+  moveId: z.string(),
+  engine: z.string(),
+  load: z.string().optional(),
+  loadBytes: z.number().optional(),
+  /** Models to unload first to make room. */
+  unload: z.array(z.string()),
+  loadAdapters: z.array(z.object({ adapter: z.string(), baseModel: z.string(), memoryBytes: z.number() })),
+  reason: z.string()
+})
+export type Move = z.infer<typeof moveSchema>
+
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('ping'), from: memberEntrySchema, entries: z.array(versionedEntrySchema) }),
+  z.object({ kind: z.literal('ack'), from: memberEntrySchema, entries: z.array(versionedEntrySchema) }),
+  z.object({ kind: z.literal('pingRequest'), targetAddress: z.string() }),
+  z.object({ kind: z.literal('pingReply'), reached: z.boolean() }),
+  z.object({ kind: z.literal('entries'), entries: z.array(versionedEntrySchema) }),
+  z.object({ kind: z.literal('digest'), versions: z.array(entryVersionSchema) }),
+  z.object({ kind: z.literal('digestReply'), entries: z.array(versionedEntrySchema), wanted: z.array(z.string()) }),
+  z.object({ kind: z.literal('configVersion'), version: z.number(), fromAddress: z.string() }),
+  z.object({ kind: z.literal('configPull'), haveVersion: z.number() }),
+  z.object({ kind: z.literal('configBody'), version: z.number(), compressedText: z.instanceof(Uint8Array) }),
+  z.object({ kind: z.literal('move'), move: moveSchema }),
+  z.object({ kind: z.literal('moveReply'), accepted: z.boolean(), reason: z.string() }),
+  z.object({ kind: z.literal('wanted'), node: z.string(), demand: demandEntrySchema }),
+  z.object({ kind: z.literal('handOver'), engine: z.string(), fence: z.number(), record: z.string(), recordRevision: z.number() }),
+  z.object({ kind: z.literal('query'), query: z.enum(['burn', 'trace', 'status']), argument: z.string() }),
+  z.object({ kind: z.literal('queryReply'), json: z.string() }),
+  z.object({ kind: z.literal('ok') }),
+  z.object({ kind: z.literal('error'), message: z.string() })
+])
+export type PeerMessage = z.infer<typeof peerMessageSchema>
+export type PeerMessageOf<Kind extends PeerMessage['kind']> = Extract<PeerMessage, { kind: Kind }>
+
+/** Sends messages to other nodes. The daemon does so over TCP, tests in the same process. */
+export interface PeerNetwork {
+  /** Sends a message and waits for the reply. Rejects with the error classes of `base/errors`. */
+  request (address: string, message: PeerMessage, options: { timeoutMs: number }): Promise<PeerMessage>
+}
+
+/** Answers a message of another node. */
+export type PeerHandler = (message: PeerMessage) => Promise<PeerMessage>
