--- /dev/null
+++ b/src/policy/admission.ts
@@ -0,0 +1,155 @@
+/** Decides at arrival whether a request can be answered in time, and refuses early if not. */
+
+import type { Clock } from '../base/clock.js'
+import { ranks } from '../config/fleetConfig.js'
+import type { FleetConfig, Rank } from '../config/fleetConfig.js'
+import type { EngineEntry } from '../protocol/messages.js'
+import type { QueueItem, RequestQueue } from './queue.js'
+
+export type AdmissionDecision =
+  | { admitted: true, reason: string }
+  | { admitted: false, reason: string, retryAfterMs: number }
+
+export interface AdmissionState {
+  queue: RequestQueue<QueueItem>
+  /** All known engines, of which those with the model count. */
+  engines: EngineEntry[]
+  /** Recent mean time of a model load. */
+  loadTimeMs: number
+}
+
+/** Weight of a new sample in the moving averages. */
+const smoothing = 0.1
+/** The completion rate is measured over one to two of these windows. */
+const rateWindowMs = 5_000
+const minRetryAfterMs = 250
+const maxRetryAfterMs = 60_000
+/** Assumed until a model has completed a request. */
+const defaultServiceMs = 1_000
+
+interface ModelStatistics {
+  serviceMs: number
+  previousCount: number
+  currentCount: number
+  windowStartMs: number
+}
+
+interface Bucket {
+  tokens: number
+  updatedAtMs: number
+}
+
+/** Admission of one node. */
+export class Admission {
+  private readonly clock: Clock
+  private readonly config: () => FleetConfig
+  private readonly nodeCount: () => number
+  private readonly models = new Map<string, ModelStatistics>()
+  private readonly buckets = new Map<string, Bucket>()
+
+  /** `nodeCount` is the number of nodes over which the requests of a customer spread; ceilings are divided by it. */
+  constructor ({ clock, config, nodeCount = () => 1 }: { clock: Clock, config: () => FleetConfig, nodeCount?: () => number }) {
+    this.clock = clock
+    this.config = config
+    this.nodeCount = nodeCount
+  }
+
+  decide (request: QueueItem & { ceilingRequestsPerSecond?: number }, state: AdmissionState): AdmissionDecision {
+    const nowMs = this.clock.nowMs()
+    state.queue.noteDemand(request.rank)
+    if (request.deadlineMs <= nowMs) return refusal('deadline has passed', minRetryAfterMs)
+    const ceilingWaitMs = this.takeFromCeiling(request, nowMs)
+    if (ceilingWaitMs > 0) return refusal(`customer is above its ceiling of ${request.ceilingRequestsPerSecond} requests/s`, ceilingWaitMs)
+
+    const slackMs = request.deadlineMs - nowMs
+    const replicas = readyReplicas(request.model, state.engines, this.config())
+    if (replicas === 0) {
+      if (state.loadTimeMs > slackMs) return refusal(`model is not loaded, a load takes ${Math.round(state.loadTimeMs)} ms`, state.loadTimeMs)
+      return { admitted: true, reason: 'waits for a model load' }
+    }
+    const { rank } = request
+    if (state.queue.credit(rank) >= 1 && state.queue.size(rank) < state.queue.credit(rank)) {
+      return { admitted: true, reason: 'kept minimum of the rank' }
+    }
+    const waitMs = this.expectedWaitMs(request, state, nowMs)
+    const { firstTokenMs } = this.config().ranks[rank]
+    const targetSlackMs = (request.targetAtMs ?? Infinity) - nowMs
+    const neededMs = firstTokenMs > 0 ? 0 : this.models.get(request.model)?.serviceMs ?? defaultServiceMs
+    const usableMs = Math.min(slackMs - neededMs, targetSlackMs)
+    if (waitMs > usableMs) return refusal(`expected wait of ${Math.round(waitMs)} ms exceeds ${Math.round(usableMs)} ms`, waitMs - usableMs)
+    return { admitted: true, reason: waitMs > 0 ? `expected wait of ${Math.round(waitMs)} ms` : 'no wait' }
+  }
+
+  onCompleted ({ model, serviceMs }: { rank: Rank, model: string, serviceMs: number, tokens: number }): void {
+    const nowMs = this.clock.nowMs()
+    let statistics = this.models.get(model)
+    if (!statistics) {
+      this.models.set(model, statistics = { serviceMs, previousCount: 0, currentCount: 0, windowStartMs: nowMs })
+    }
+    rotate(statistics, nowMs)
+    statistics.serviceMs += smoothing * (serviceMs - statistics.serviceMs)
+    statistics.currentCount++
+  }
+
+  /** Time until the request would be dispatched, from the requests ahead of it and the recent completions of its model. */
+  private expectedWaitMs (request: QueueItem, { queue }: AdmissionState, nowMs: number): number {
+    const { ranks: rankConfigs } = this.config()
+    let ahead = 0
+    for (const rank of ranks) {
+      const waiting = queue.sizeOfModel(request.model, rank)
+      if (rank === request.rank) {
+        const share = queue.customerShare(rank, request.customer)
+        ahead += Math.min(waiting, (share.waiting + 1) * Math.max(1, share.customers))
+      } else if (rankConfigs[rank].requestValue > rankConfigs[request.rank].requestValue) {
+        ahead += waiting
+      }
+    }
+    if (ahead === 0) return 0
+    const statistics = this.models.get(request.model)
+    if (!statistics) return 0
+    rotate(statistics, nowMs)
+    const count = statistics.previousCount + statistics.currentCount
+    const spanMs = rateWindowMs + nowMs - statistics.windowStartMs
+    return ahead * spanMs / Math.max(1, count)
+  }
+
+  /** Time until the customer is below its ceiling again; 0 if it is, and the request is counted. */
+  private takeFromCeiling (request: { customer: string, ceilingRequestsPerSecond?: number }, nowMs: number): number {
+    const ceiling = request.ceilingRequestsPerSecond
+    if (ceiling === undefined) return 0
+    const rate = ceiling / Math.max(1, this.nodeCount())
+    const burst = Math.max(1, rate)
+    let bucket = this.buckets.get(request.customer)
+    if (!bucket) this.buckets.set(request.customer, bucket = { tokens: burst, updatedAtMs: nowMs })
+    bucket.tokens = Math.min(burst, bucket.tokens + (nowMs - bucket.updatedAtMs) / 1000 * rate)
+    bucket.updatedAtMs = nowMs
+    // The tolerance absorbs rounding, so that a caller that waits as told is admitted.
+    if (bucket.tokens < 1 - 1e-9) return Math.ceil((1 - bucket.tokens) / rate * 1000)
+    bucket.tokens--
+    return 0
+  }
+}
+
+function rotate (statistics: ModelStatistics, nowMs: number): void {
+  const elapsedMs = nowMs - statistics.windowStartMs
+  if (elapsedMs < rateWindowMs) return
+  statistics.previousCount = elapsedMs < 2 * rateWindowMs ? statistics.currentCount : 0
+  statistics.currentCount = 0
+  statistics.windowStartMs = nowMs - elapsedMs % rateWindowMs
+}
+
+function refusal (reason: string, retryAfterMs: number): AdmissionDecision {
+  return { admitted: false, reason, retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, retryAfterMs))) }
+}
+
+/** Number of engines on which any version of the model (or the adapter) is ready. */
+function readyReplicas (name: string, engines: readonly EngineEntry[], config: FleetConfig): number {
+  const model = config.adapters[name]?.baseModel ?? name
+  const prefix = `${model}@`
+  let count = 0
+  for (const engine of engines) {
+    if (engine.draining || !engine.reachable) continue
+    if (engine.models.some(loaded => loaded.state === 'ready' && (loaded.name.startsWith(prefix) || loaded.name === model))) count++
+  }
+  return count
+}
--- /dev/null
+++ b/src/policy/forecast.ts
@@ -0,0 +1,87 @@
+/** Forecast of demand for each model from the digests of all nodes. */
+
+import { ranks } from '../config/fleetConfig.js'
+import type { FleetConfig } from '../config/fleetConfig.js'
+import type { DemandEntry } from '../protocol/messages.js'
+import type { PlacementInput } from './placementInput.js'
+
+const fastTimeConstantMs = 20_000
+const slowTimeConstantMs = 300_000
+/** A model that was not asked for during this time is forgotten. */
+const forgetAfterMs = 3_600_000
+
+/** Rates in units per second: tokens, requests, then the requests of each rank. */
+type Rates = number[]
+
+interface ModelDemand {
+  fast: Rates
+  slow: Rates
+  updatedAtMs: number
+  firstSeenMs: number
+}
+
+const rateCount = 2 + ranks.length
+
+function decay (rates: Rates, elapsedMs: number, timeConstantMs: number): void {
+  const factor = Math.exp(-elapsedMs / timeConstantMs)
+  for (let index = 0; index < rateCount; index++) rates[index]! *= factor
+}
+
+/** Fast and slow moving averages of the demand, and their ratio. */
+export class DemandForecast {
+  private readonly models = new Map<string, ModelDemand>()
+
+  /** Adds the demand that one node reports. Each node's report covers its own arrivals since its last one. */
+  add (entry: DemandEntry, nowMs: number): void {
+    for (const { model, arrivals, tokens } of entry.models) {
+      let demand = this.models.get(model)
+      if (!demand) {
+        demand = { fast: new Array(rateCount).fill(0), slow: new Array(rateCount).fill(0), updatedAtMs: nowMs, firstSeenMs: nowMs }
+        this.models.set(model, demand)
+      }
+      this.advance(demand, nowMs)
+      const amounts = [tokens, arrivals[0] + arrivals[1] + arrivals[2], ...arrivals]
+      for (let index = 0; index < rateCount; index++) {
+        demand.fast[index]! += amounts[index]! / (fastTimeConstantMs / 1000)
+        demand.slow[index]! += amounts[index]! / (slowTimeConstantMs / 1000)
+      }
+    }
+  }
+
+  /** The larger of both averages for each model, so that demand is followed up quickly and down slowly. */
+  forecasts (nowMs: number, config: FleetConfig): PlacementInput['forecasts'] {
+    const result: PlacementInput['forecasts'] = new Map()
+    for (const [name, demand] of this.models) {
+      this.advance(demand, nowMs)
+      // A moving average that has seen less than its time constant is too low by this factor.
+      const seenMs = nowMs - demand.firstSeenMs
+      const slowScale = 1 / Math.max(0.05, 1 - Math.exp(-seenMs / slowTimeConstantMs))
+      const fastScale = 1 / Math.max(0.2, 1 - Math.exp(-seenMs / fastTimeConstantMs))
+      const fastRequests = demand.fast[1]! * fastScale
+      const slowRequests = demand.slow[1]! * slowScale
+      if (slowRequests * forgetAfterMs / 1000 < 0.01) {
+        this.models.delete(name)
+        continue
+      }
+      const rate = (index: number) => Math.max(demand.fast[index]! * fastScale, demand.slow[index]! * slowScale)
+      const weight = config.models[config.adapters[name]?.baseModel ?? name]?.weight ?? 1
+      let valuePerSecond = 0
+      for (const [index, rank] of ranks.entries()) valuePerSecond += rate(2 + index) * config.ranks[rank].requestValue * weight
+      result.set(name, {
+        tokensPerSecond: rate(0),
+        requestsPerSecond: rate(1),
+        valuePerSecond,
+        burstRatio: slowRequests > 0 ? fastRequests / slowRequests : 1
+      })
+    }
+    return result
+  }
+
+  private advance (demand: ModelDemand, nowMs: number): void {
+    const elapsedMs = nowMs - demand.updatedAtMs
+    if (elapsedMs <= 0) return
+    decay(demand.fast, elapsedMs, fastTimeConstantMs)
+    decay(demand.slow, elapsedMs, slowTimeConstantMs)
+    demand.updatedAtMs = nowMs
+  }
+}
--- /dev/null
+++ b/src/policy/placement.ts
@@ -0,0 +1,423 @@
+/** Decides which models and adapters are loaded where. */
+
+import { splitVersionedModel, versionedModel } from '../config/fleetConfig.js'
+import type { FleetConfig, ModelConfig } from '../config/fleetConfig.js'
+import type { EngineEntry, Move } from '../protocol/messages.js'
+import { exceptionHolds } from './patience.js'
+import type { PlacementInput } from './placementInput.js'
+
+export type { PlacementInput } from './placementInput.js'
+
+export interface PlacementPlan {
+  moves: Move[]
+  /** Models that are wanted and cannot be loaded now. */
+  unreachable: { model: string, reason: string }[]
+}
+
+/** A move must bring more value within this time than it costs. */
+const repaySeconds = 600
+/** Value that a move costs beyond what it displaces, in seconds of the displaced value. */
+const moveCostSeconds = 30
+/** A displaced model must be worth less than this part of the gain, so that two models do not displace each other in turn. */
+const displacementRatio = 0.7
+/** A copy stays for at least this time unless a waiting request needs its place. */
+const minimumResidenceMs = 60_000
+/** Capacity is planned up to this part, since bursts and unequal spread need the rest. */
+const plannedUtilisation = 0.85
+/** An engine's step at a full batch, as part of the tightest target for token gaps. */
+const fullBatchStepShare = 0.85
+const defaultStepMs = 35
+/** A cold model is loaded at the latest when the earliest deadline is this many load times away. */
+const coldLoadTimes = 4
+/** Part of a model's demand that may stay unmet without another copy. */
+const unmetTolerance = 0.05
+
+interface Rules {
+  pins: Set<string>
+  bans: Set<string>
+  minimumReplicas: number
+  maximumReplicas: number
+  weight: number
+}
+
+interface ModelDemand {
+  name: string
+  config: ModelConfig
+  rules: Rules
+  /** Demand in tokens per second, and its value for each token. */
+  tokensPerSecond: number
+  valuePerToken: number
+  waiting: number
+  earliestDeadlineMs: number
+  /** Demand that the present copies cannot serve. */
+  unmet: number
+}
+
+interface Copy {
+  /** Versioned name. */
+  name: string
+  model: string
+  memoryBytes: number
+  ready: boolean
+  current: boolean
+  /** Tokens per second that the copy serves by the present plan. */
+  load: number
+}
+
+interface EngineSpace {
+  entry: EngineEntry
+  copies: Copy[]
+  /** Bytes for weights, without KV cache and adapters. */
+  spaceBytes: number
+  /** Bytes of it that are kept for rarely used models. */
+  reserveBytes: number
+  usedBytes: number
+  capacity: number
+  spare: number
+  /** Whether models may be loaded and unloaded now. */
+  movable: boolean
+  /** Whether a move was decided for the engine in this plan. */
+  changed: boolean
+}
+
+/** Decides on moves, at most as many as the weight store can start now. Deterministic. */
+export function planMoves (input: PlacementInput): PlacementPlan {
+  return new Planning(input).plan()
+}
+
+class Planning {
+  private readonly input: PlacementInput
+  private readonly config: FleetConfig
+  private readonly demands = new Map<string, ModelDemand>()
+  private readonly engines: EngineSpace[]
+  private readonly loadTimeMs: number
+  private readonly moves: Move[] = []
+  private readonly unreachable: { model: string, reason: string }[] = []
+  private loadSlots: number
+
+  constructor (input: PlacementInput) {
+    this.input = input
+    this.config = input.config
+    const { storeLoadsPerSecond, storeLoadsInFlight } = input.config.fleet
+    this.loadTimeMs = storeLoadsInFlight / storeLoadsPerSecond * 1000
+    const startedLastSecond = input.recentMoves.filter(move => input.nowMs - move.atMs < 1000).length
+    this.loadSlots = Math.max(0, Math.min(
+      storeLoadsInFlight - input.loadsInFlight.length,
+      Math.max(1, Math.floor(storeLoadsPerSecond)) - startedLastSecond
+    ))
+    for (const [name, config] of Object.entries(input.config.models)) this.demands.set(name, this.demandOf(name, config))
+    this.engines = input.engines.filter(entry => entry.reachable && !entry.draining).map(entry => this.spaceOf(entry))
+    this.assignReserves()
+  }
+
+  plan (): PlacementPlan {
+    this.spreadLoad()
+    this.unloadObsolete()
+    this.loadRequired()
+    this.loadWaiting()
+    this.loadProfitable()
+    this.loadAdapters()
+    return { moves: this.moves, unreachable: this.unreachable }
+  }
+
+  private demandOf (name: string, config: ModelConfig): ModelDemand {
+    const rules: Rules = {
+      pins: new Set(), bans: new Set(), minimumReplicas: config.minimumReplicas, maximumReplicas: config.maximumReplicas ?? Infinity, weight: 1
+    }
+    for (const exception of this.config.exceptions) {
+      if (exception.target !== `model.${name}`) continue
+      if (!exceptionHolds(exception, this.input.nowMs, this.config.fleet.utcOffsetMinutes)) continue
+      if (exception.pin !== undefined) rules.pins.add(exception.pin)
+      if (exception.ban !== undefined) rules.bans.add(exception.ban)
+      if (exception.minimumReplicas !== undefined) rules.minimumReplicas = exception.minimumReplicas
+      if (exception.weight !== undefined) rules.weight = exception.weight / config.weight
+    }
+    const demand = { name, config, rules, tokensPerSecond: 0, valuePerToken: 0, waiting: 0, earliestDeadlineMs: Infinity, unmet: 0 }
+    let value = 0
+    const names = [name, ...Object.keys(this.config.adapters).filter(adapter => this.config.adapters[adapter]!.baseModel === name)]
+    for (const key of names) {
+      const forecast = this.input.forecasts.get(key)
+      if (forecast) {
+        demand.tokensPerSecond += forecast.tokensPerSecond
+        value += forecast.valuePerSecond * rules.weight
+      }
+      const waiting = this.input.waiting.get(key)
+      if (waiting && waiting.count > 0) {
+        demand.waiting += waiting.count
+        demand.earliestDeadlineMs = Math.min(demand.earliestDeadlineMs, waiting.earliestDeadlineMs)
+      }
+    }
+    demand.valuePerToken = demand.tokensPerSecond > 0 ? value / demand.tokensPerSecond : 0
+    return demand
+  }
+
+  private spaceOf (entry: EngineEntry): EngineSpace {
+    const pool = this.config.pools[entry.pool]
+    const copies: Copy[] = entry.models.map(({ name, state, memoryBytes }) => {
+      const { model, version } = splitVersionedModel(name)
+      return { name, model, memoryBytes, ready: state === 'ready', current: this.config.models[model]?.version === version, load: 0 }
+    })
+    for (const { engine, model } of this.input.loadsInFlight) {
+      if (engine !== entry.engine || copies.some(copy => copy.name === model)) continue
+      const { model: name, version } = splitVersionedModel(model)
+      const config = this.config.models[name]
+      copies.push({ name: model, model: name, memoryBytes: config?.memoryBytes ?? 0, ready: false, current: config?.version === version, load: 0 })
+    }
+    const gaps = Object.values(this.config.ranks).map(rank => rank.tokenGapMs).filter(gap => gap > 0)
+    const stepMs = Math.max(entry.stepMs, gaps.length > 0 ? Math.min(...gaps) * fullBatchStepShare : defaultStepMs)
+    const capacity = entry.maxBatch / stepMs * 1000 * plannedUtilisation
+    return {
+      entry,
+      copies,
+      spaceBytes: entry.memoryBytes - entry.kvCacheBytes - (pool?.adapterBytes ?? 0),
+      reserveBytes: 0,
+      usedBytes: copies.reduce((sum, copy) => sum + copy.memoryBytes, 0),
+      capacity,
+      spare: capacity,
+      movable: this.input.keyValueAvailable || this.honoursFence(entry),
+      changed: false
+    }
+  }
+
+  private honoursFence (entry: EngineEntry): boolean {
+    let honours = this.config.pools[entry.pool]?.honoursFence ?? false
+    for (const exception of this.config.exceptions) {
+      if (exception.target === `engine.${entry.engine}` && exception.honoursFence !== undefined) honours = exception.honoursFence
+    }
+    return honours
+  }
+
+  /**
+   * Concentrates the reserve of a pool on as few engines as hold the largest model, since a reserve spread evenly would
+   * hold no whole model. Engines that honour fencing come first: they can swap while the key-value service is down.
+   */
+  private assignReserves (): void {
+    for (const [pool, { reserveBytes }] of Object.entries(this.config.pools)) {
+      const engines = this.engines.filter(engine => engine.entry.pool === pool)
+        .sort((left, right) => Number(this.honoursFence(right.entry)) - Number(this.honoursFence(left.entry)) ||
+          (left.entry.engine < right.entry.engine ? -1 : 1))
+      const largest = Math.max(0, ...Object.values(this.config.models).filter(model => model.pool === pool).map(model => model.memoryBytes))
+      let remaining = reserveBytes * engines.length
+      for (const engine of engines) {
+        engine.reserveBytes = Math.min(remaining, largest, engine.spaceBytes)
+        remaining -= engine.reserveBytes
+      }
+    }
+  }
+
+  /** Copies that serve the model: those of the current version, or old ones while none of it is ready. */
+  private servingCopies (model: string): { engine: EngineSpace, copy: Copy }[] {
+    const all = this.engines.flatMap(engine => engine.copies.filter(copy => copy.model === model).map(copy => ({ engine, copy })))
+    const current = all.filter(({ copy }) => copy.current)
+    return current.some(({ copy }) => copy.ready) ? current : all
+  }
+
+  /** Spreads each model's demand over its copies, the most valuable first, as admission and routing will. */
+  private spreadLoad (): void {
+    for (const engine of this.engines) engine.spare = engine.capacity
+    const byValue = [...this.demands.values()].sort((left, right) => right.valuePerToken - left.valuePerToken || (left.name < right.name ? -1 : 1))
+    for (const demand of byValue) {
+      const serving = this.servingCopies(demand.name).sort((left, right) => left.engine.spare - right.engine.spare)
+      let rest = demand.tokensPerSecond
+      serving.forEach(({ engine, copy }, index) => {
+        copy.load = Math.max(0, Math.min(engine.spare, rest / (serving.length - index)))
+        engine.spare -= copy.load
+        rest -= copy.load
+      })
+      demand.unmet = rest
+    }
+  }
+
+  /** Unloads copies of old versions, removed models and bans once the model is ready elsewhere. */
+  private unloadObsolete (): void {
+    for (const engine of this.engines) {
+      if (!engine.movable) continue
+      for (const copy of engine.copies) {
+        if (!copy.ready) continue
+        const demand = this.demands.get(copy.model)
+        const banned = demand?.rules.bans.has(engine.entry.engine) ?? false
+        if (demand && copy.current && !banned) continue
+        const replaced = !demand || this.engines.some(other => other.copies.some(candidate => candidate.model === copy.model &&
+          candidate.current && candidate.ready && candidate !== copy && !demand.rules.bans.has(other.entry.engine)))
+        if (!replaced || engine.changed) continue
+        this.addMove(engine, undefined, [copy], !demand ? 'model is not configured' : banned ? 'banned here' : 'a newer version is ready')
+      }
+    }
+  }
+
+  /** Loads what the configuration demands: pins, minimum numbers of replicas and new versions. */
+  private loadRequired (): void {
+    for (const demand of this.demands.values()) {
+      for (const pin of demand.rules.pins) {
+        const engine = this.engines.find(candidate => candidate.entry.engine === pin)
+        if (engine && !this.holds(engine, demand)) this.tryLoad(demand, [engine], 'pinned', { force: true })
+      }
+      const copies = this.engines.filter(engine => this.holds(engine, demand) && !demand.rules.bans.has(engine.entry.engine)).length
+      const old = this.engines.some(engine => engine.copies.some(copy => copy.model === demand.name && !copy.current && copy.ready))
+      const wanted = Math.max(demand.rules.minimumReplicas, old ? 1 : 0)
+      for (let count = copies; count < wanted; count++) {
+        const reason = count < demand.rules.minimumReplicas ? `below minimum of ${demand.rules.minimumReplicas} replicas` : 'new version'
+        if (!this.tryLoad(demand, this.engines, reason, { force: true })) break
+      }
+    }
+  }
+
+  /** Loads models for which requests wait and that have no copy; the earliest deadline first. One load serves all of them. */
+  private loadWaiting (): void {
+    const cold = [...this.demands.values()].filter(demand => demand.waiting > 0 && this.servingCopies(demand.name).length === 0)
+    cold.sort((left, right) => left.earliestDeadlineMs - right.earliestDeadlineMs)
+    for (const demand of cold) {
+      const slackMs = demand.earliestDeadlineMs - this.input.nowMs
+      const due = slackMs < coldLoadTimes * this.loadTimeMs
+      const loaded = this.tryLoad(demand, this.engines, `${demand.waiting} requests wait for it`, { force: due })
+      if (!loaded && due) this.unreachable.push({ model: demand.name, reason: this.loadSlots <= 0 ? 'all load slots of the weight store are in use' : 'no engine can make room' })
+    }
+  }
+
+  /** Loads further copies as long as one brings clearly more value than it displaces. */
+  private loadProfitable (): void {
+    const refused = new Set<string>()
+    while (this.loadSlots > 0) {
+      const candidates = [...this.demands.values()]
+        .filter(demand => !refused.has(demand.name) && demand.unmet > unmetTolerance * demand.tokensPerSecond && demand.unmet > 0)
+        .sort((left, right) => right.unmet * right.valuePerToken / right.config.memoryBytes - left.unmet * left.valuePerToken / left.config.memoryBytes)
+      const demand = candidates[0]
+      if (!demand) return
+      if (this.tryLoad(demand, this.engines, `unmet demand of ${Math.round(demand.unmet)} tokens/s`, { force: false })) this.spreadLoad()
+      else refused.add(demand.name)
+    }
+  }
+
+  private holds (engine: EngineSpace, demand: ModelDemand): boolean {
+    return engine.copies.some(copy => copy.model === demand.name && copy.current)
+  }
+
+  /**
+   * Loads the model on the engine where it displaces the least value. Without `force`, the gain must exceed what is
+   * displaced and repay the move, and the reserve stays free for rarely used models.
+   */
+  private tryLoad (demand: ModelDemand, engines: readonly EngineSpace[], reason: string, { force }: { force: boolean }): boolean {
+    if (this.loadSlots <= 0) return false
+    const copies = this.engines.filter(engine => this.holds(engine, demand)).length
+    if (copies >= demand.rules.maximumReplicas) return false
+    let best: { engine: EngineSpace, evicted: Copy[], net: number } | undefined
+    for (const engine of engines) {
+      if (engine.entry.pool !== demand.config.pool || !engine.movable || engine.changed) continue
+      if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
+      const room = this.makeRoom(engine, demand, force, copies)
+      if (!room) continue
+      const gain = demand.valuePerToken * Math.min(demand.unmet, this.usableCapacity(engine, demand, room.evicted))
+      if (!force) {
+        if (room.loss > displacementRatio * gain) continue
+        if ((gain - room.loss) * repaySeconds <= moveCostSeconds * (room.loss + gain * 0.1)) continue
+      }
+      const net = gain - room.loss
+      if (!best || net > best.net) best = { engine, evicted: room.evicted, net }
+    }
+    if (!best) return false
+    this.addMove(best.engine, demand, best.evicted, reason)
+    return true
+  }
+
+  /** Capacity that a new copy could use: what is free, what leaves, and what less valuable models use. */
+  private usableCapacity (engine: EngineSpace, demand: ModelDemand, evicted: Copy[]): number {
+    let capacity = engine.spare
+    for (const copy of engine.copies) {
+      if (evicted.includes(copy) || (this.demands.get(copy.model)?.valuePerToken ?? 0) < demand.valuePerToken) capacity += copy.load
+    }
+    return capacity
+  }
+
+  /** The copies whose removal makes room at the least loss of value, or `undefined` if there is no room. */
+  private makeRoom (engine: EngineSpace, demand: ModelDemand, force: boolean, copies: number): { evicted: Copy[], loss: number } | undefined {
+    // A further replica leaves the reserve alone; a model without any copy may use it.
+    const limit = engine.spaceBytes - (force || copies === 0 ? 0 : engine.reserveBytes)
+    let needed = engine.usedBytes + demand.config.memoryBytes - limit
+    if (needed <= 0) return { evicted: [], loss: 0 }
+    const removable = engine.copies.filter(copy => this.removable(engine, copy, force))
+      .map(copy => ({ copy, loss: this.lossOf(engine, copy) }))
+      .sort((left, right) => left.loss / left.copy.memoryBytes - right.loss / right.copy.memoryBytes)
+    const evicted: Copy[] = []
+    let loss = 0
+    for (const candidate of removable) {
+      evicted.push(candidate.copy)
+      loss += candidate.loss
+      needed -= candidate.copy.memoryBytes
+      if (needed <= 0) return { evicted, loss }
+    }
+    return undefined
+  }
+
+  private removable (engine: EngineSpace, copy: Copy, force: boolean): boolean {
+    if (!copy.ready) return false
+    const demand = this.demands.get(copy.model)
+    if (!demand) return true
+    if (demand.rules.pins.has(engine.entry.engine)) return false
+    const count = this.engines.filter(other => this.holds(other, demand)).length
+    if (copy.current && count <= demand.rules.minimumReplicas) return false
+    if (!copy.current && count === 0) return false
+    if (force) return true
+    return !this.input.recentMoves.some(move => move.engine === engine.entry.engine && move.model === copy.name &&
+      this.input.nowMs - move.atMs < minimumResidenceMs)
+  }
+
+  /** Value per second that is lost with the copy: the load that the model's other copies cannot take over. */
+  private lossOf (engine: EngineSpace, copy: Copy): number {
+    const demand = this.demands.get(copy.model)
+    if (!demand) return 0
+    const others = this.servingCopies(copy.model).filter(other => other.engine !== engine && other.copy.ready)
+    const spare = others.reduce((sum, other) => sum + Math.max(0, other.engine.spare), 0)
+    return demand.valuePerToken * Math.max(0, copy.load - spare)
+  }
+
+  private addMove (engine: EngineSpace, demand: ModelDemand | undefined, evicted: Copy[], reason: string): void {
+    const load = demand && versionedModel(demand.name, demand.config.version)
+    this.moves.push({
+      moveId: `${this.input.nowMs}/${engine.entry.engine}/${load ?? evicted[0]?.name ?? ''}`,
+      engine: engine.entry.engine,
+      ...(demand ? { load: load!, loadBytes: demand.config.memoryBytes } : {}),
+      unload: evicted.map(copy => copy.name),
+      loadAdapters: [],
+      reason
+    })
+    engine.copies = engine.copies.filter(copy => !evicted.includes(copy))
+    engine.usedBytes -= evicted.reduce((sum, copy) => sum + copy.memoryBytes, 0)
+    engine.changed = true
+    if (demand) {
+      engine.copies.push({ name: load!, model: demand.name, memoryBytes: demand.config.memoryBytes, ready: false, current: true, load: 0 })
+      engine.usedBytes += demand.config.memoryBytes
+      this.loadSlots--
+    }
+  }
+
+  /** Loads adapters next to their base model, the most wanted first, as far as the space for adapters reaches. */
+  private loadAdapters (): void {
+    const wanted = Object.entries(this.config.adapters).map(([adapter, { baseModel, memoryBytes }]) => ({
+      adapter,
+      baseModel,
+      memoryBytes,
+      waiting: this.input.waiting.get(adapter)?.count ?? 0,
+      value: this.input.forecasts.get(adapter)?.valuePerSecond ?? 0
+    })).sort((left, right) => right.waiting - left.waiting || right.value - left.value || (left.adapter < right.adapter ? -1 : 1))
+    for (const { entry, copies, changed } of this.engines) {
+      if (changed) continue
+      let free = (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+      const loadAdapters: Move['loadAdapters'] = []
+      for (const { adapter, baseModel, memoryBytes } of wanted) {
+        const base = copies.find(copy => copy.model === baseModel && copy.ready)
+        if (!base || memoryBytes > free || entry.adapters.some(loaded => loaded.name === adapter)) continue
+        loadAdapters.push({ adapter, baseModel: base.name, memoryBytes })
+        free -= memoryBytes
+      }
+      if (loadAdapters.length > 0) {
+        this.moves.push({
+          moveId: `${this.input.nowMs}/${entry.engine}/adapters`,
+          engine: entry.engine,
+          unload: [],
+          loadAdapters,
+          reason: 'adapters of a resident base model'
+        })
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/policy/queue.ts
@@ -0,0 +1,226 @@
+/** The queue of one node: ranks by value with a kept minimum, customers by start-time fair queueing, then by deadline. */
+
+import { ranks } from '../config/fleetConfig.js'
+import type { FleetConfig, Rank } from '../config/fleetConfig.js'
+
+export interface QueueItem {
+  requestId: string
+  rank: Rank
+  customer: string
+  customerWeight: number
+  /** Name of the model without version, or of the adapter. */
+  model: string
+  deadlineMs: number
+  enqueuedAtMs: number
+  costTokens: number
+  /** Time until which the rank's target for the first token can be attained; absent if only the deadline counts. */
+  targetAtMs?: number
+}
+
+/** Credit of a rank is kept for this many requests at most, so that a rank cannot save up a burst that displaces others. */
+const maxCredit = 20
+/** After this many rejected items of one model in one call of `next`, the model counts as blocked. */
+const rejectionsUntilBlocked = 2
+
+interface CustomerQueue<Item> {
+  name: string
+  weight: number
+  /** Start tag of the item that is served next. */
+  startTag: number
+  /** By model, each ordered by deadline. */
+  byModel: Map<string, Item[]>
+  count: number
+}
+
+interface RankQueue<Item> {
+  customers: Map<string, CustomerQueue<Item>>
+  /** Finish tags of customers that have nothing waiting. */
+  finishTags: Map<string, number>
+  virtualTime: number
+  size: number
+  credit: number
+}
+
+/** Inserts by deadline; most arrivals belong at the end. */
+function insertByDeadline<Item extends QueueItem> (items: Item[], item: Item): void {
+  let index = items.length
+  while (index > 0 && items[index - 1]!.deadlineMs > item.deadlineMs) index--
+  items.splice(index, 0, item)
+}
+
+/** Waiting requests of one node. */
+export class RequestQueue<Item extends QueueItem> {
+  private readonly config: () => FleetConfig
+  private readonly rankQueues = new Map<Rank, RankQueue<Item>>()
+  private readonly byId = new Map<string, Item>()
+  private readonly modelCounts = new Map<string, Map<Rank, number>>()
+
+  constructor ({ config }: { config: () => FleetConfig }) {
+    this.config = config
+    for (const rank of ranks) {
+      this.rankQueues.set(rank, { customers: new Map(), finishTags: new Map(), virtualTime: 0, size: 0, credit: 0 })
+    }
+  }
+
+  /**
+   * Counts a request towards the demand of its rank, whether or not it is admitted afterwards. `Admission.decide` calls
+   * it, since the kept minimum is a share of the demand and not of what was admitted.
+   */
+  noteDemand (rank: Rank): void {
+    const queue = this.rankQueues.get(rank)!
+    queue.credit = Math.min(maxCredit, queue.credit + this.config().ranks[rank].minimumShare)
+  }
+
+  /** Requests of the rank that may be served ahead of more valuable ranks. */
+  credit (rank: Rank): number {
+    return this.rankQueues.get(rank)!.credit
+  }
+
+  add (item: Item): void {
+    const rankQueue = this.rankQueues.get(item.rank)!
+    let customer = rankQueue.customers.get(item.customer)
+    if (!customer) {
+      const startTag = Math.max(rankQueue.virtualTime, rankQueue.finishTags.get(item.customer) ?? 0)
+      customer = { name: item.customer, weight: item.customerWeight, startTag, byModel: new Map(), count: 0 }
+      rankQueue.customers.set(item.customer, customer)
+      rankQueue.finishTags.delete(item.customer)
+    }
+    customer.weight = item.customerWeight
+    let items = customer.byModel.get(item.model)
+    if (!items) customer.byModel.set(item.model, items = [])
+    insertByDeadline(items, item)
+    customer.count++
+    rankQueue.size++
+    this.byId.set(item.requestId, item)
+    this.countModel(item, 1)
+  }
+
+  /** Removes a request whose caller went away or that was dispatched; `undefined` if it does not wait. */
+  remove (requestId: string): Item | undefined {
+    const item = this.byId.get(requestId)
+    if (item) this.detach(item)
+    return item
+  }
+
+  /** Removes and returns the item that is served next among those that `canDispatch` accepts. */
+  next (canDispatch: (item: Item) => boolean): Item | undefined {
+    if (this.byId.size === 0) return undefined
+    const rejections = new Map<string, number>()
+    for (const rank of this.rankOrder()) {
+      const item = this.nextOfRank(this.rankQueues.get(rank)!, canDispatch, rejections)
+      if (item) return item
+    }
+    return undefined
+  }
+
+  /** Removes and returns the items whose deadline has passed. */
+  takeExpired (nowMs: number): Item[] {
+    const expired: Item[] = []
+    for (const rankQueue of this.rankQueues.values()) {
+      for (const customer of rankQueue.customers.values()) {
+        for (const items of customer.byModel.values()) {
+          for (const item of items) {
+            if (item.deadlineMs > nowMs) break
+            expired.push(item)
+          }
+        }
+      }
+    }
+    for (const item of expired) this.detach(item)
+    return expired
+  }
+
+  size (rank?: Rank): number {
+    return rank === undefined ? this.byId.size : this.rankQueues.get(rank)!.size
+  }
+
+  /** Waiting items of the customer in the rank, and the number of customers that wait in it. */
+  customerShare (rank: Rank, customer: string): { waiting: number, customers: number } {
+    const rankQueue = this.rankQueues.get(rank)!
+    return { waiting: rankQueue.customers.get(customer)?.count ?? 0, customers: rankQueue.customers.size }
+  }
+
+  /** Number of items that wait for the model, in one rank. */
+  sizeOfModel (model: string, rank: Rank): number {
+    return this.modelCounts.get(model)?.get(rank) ?? 0
+  }
+
+  waitingByModel (): Map<string, { count: number, earliestDeadlineMs: number }> {
+    const result = new Map<string, { count: number, earliestDeadlineMs: number }>()
+    for (const rankQueue of this.rankQueues.values()) {
+      for (const customer of rankQueue.customers.values()) {
+        for (const [model, items] of customer.byModel) {
+          if (items.length === 0) continue
+          const known = result.get(model)
+          const earliestDeadlineMs = Math.min(known?.earliestDeadlineMs ?? Infinity, items[0]!.deadlineMs)
+          result.set(model, { count: (known?.count ?? 0) + items.length, earliestDeadlineMs })
+        }
+      }
+    }
+    return result
+  }
+
+  /** Ranks below their kept minimum first, then by value. */
+  private rankOrder (): Rank[] {
+    const { ranks: rankConfigs } = this.config()
+    return ranks.filter(rank => this.rankQueues.get(rank)!.size > 0).sort((left, right) => {
+      const leftKept = this.credit(left) >= 1 ? 1 : 0
+      const rightKept = this.credit(right) >= 1 ? 1 : 0
+      return rightKept - leftKept || rankConfigs[right].requestValue - rankConfigs[left].requestValue
+    })
+  }
+
+  private nextOfRank (
+    rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean, rejections: Map<string, number>
+  ): Item | undefined {
+    const customers = [...rankQueue.customers.values()].sort((left, right) => left.startTag - right.startTag)
+    for (const customer of customers) {
+      const heads = [...customer.byModel.values()].filter(items => items.length > 0).map(items => items[0]!)
+      heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
+      for (const item of heads) {
+        if ((rejections.get(item.model) ?? 0) >= rejectionsUntilBlocked) continue
+        if (!canDispatch(item)) {
+          rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
+          continue
+        }
+        rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
+        customer.startTag += item.costTokens / customer.weight
+        rankQueue.credit = Math.max(0, rankQueue.credit - 1)
+        this.detach(item)
+        return item
+      }
+    }
+    return undefined
+  }
+
+  private detach (item: Item): void {
+    const rankQueue = this.rankQueues.get(item.rank)!
+    const customer = rankQueue.customers.get(item.customer)!
+    const items = customer.byModel.get(item.model)!
+    items.splice(items.indexOf(item), 1)
+    if (items.length === 0) customer.byModel.delete(item.model)
+    customer.count--
+    rankQueue.size--
+    if (customer.count === 0) {
+      rankQueue.customers.delete(customer.name)
+      if (customer.startTag > rankQueue.virtualTime) rankQueue.finishTags.set(customer.name, customer.startTag)
+      this.forgetOldTags(rankQueue)
+    }
+    this.byId.delete(item.requestId)
+    this.countModel(item, -1)
+  }
+
+  /** Drops tags that no longer matter, so that customers seen once do not fill the memory. */
+  private forgetOldTags (rankQueue: RankQueue<Item>): void {
+    if (rankQueue.finishTags.size < 256) return
+    for (const [customer, tag] of rankQueue.finishTags) {
+      if (tag <= rankQueue.virtualTime) rankQueue.finishTags.delete(customer)
+    }
+  }
+
+  private countModel (item: Item, change: number): void {
+    let counts = this.modelCounts.get(item.model)
+    if (!counts) this.modelCounts.set(item.model, counts = new Map())
+    counts.set(item.rank, (counts.get(item.rank) ?? 0) + change)
+  }
+}
--- /dev/null
+++ b/src/policy/retry.ts
@@ -0,0 +1,48 @@
+/** Limits on retries, so that a failing fleet is not loaded further by them. */
+
+import type { Clock } from '../base/clock.js'
+import type { Random } from '../base/random.js'
+
+const windowMs = 10_000
+const baseDelayMs = 50
+const maxDelayMs = 2_000
+/** Retries that a node with little traffic may make in a window. */
+const minimumRetries = 1
+
+/** Allows retries up to a part of the requests of the last 10 s. */
+export class RetryBudget {
+  private readonly clock: Clock
+  private readonly share: () => number
+  private requestTimes: number[] = []
+  private retryTimes: number[] = []
+
+  constructor ({ clock, share }: { clock: Clock, share: () => number }) {
+    this.clock = clock
+    this.share = share
+  }
+
+  onRequest (): void {
+    this.requestTimes.push(this.clock.nowMs())
+    if (this.requestTimes.length % 1024 === 0) this.trim()
+  }
+
+  /** Takes one retry out of the budget, or returns false if it is used up. */
+  tryRetry (): boolean {
+    this.trim()
+    const allowed = Math.max(minimumRetries, Math.floor(this.requestTimes.length * this.share()))
+    if (this.retryTimes.length >= allowed) return false
+    this.retryTimes.push(this.clock.nowMs())
+    return true
+  }
+
+  private trim (): void {
+    const sinceMs = this.clock.nowMs() - windowMs
+    this.requestTimes = this.requestTimes.filter(time => time > sinceMs)
+    this.retryTimes = this.retryTimes.filter(time => time > sinceMs)
+  }
+}
+
+/** Delay before retry `attempt` (1 or more): exponential backoff with full jitter. */
+export function retryDelayMs (random: Random, attempt: number): number {
+  return random.next() * Math.min(maxDelayMs, baseDelayMs * 2 ** (attempt - 1))
+}
