--- /dev/null
+++ b/src/platform/httpCall.ts
@@ -0,0 +1,81 @@
+/** One HTTP call to an external system, with the error classes of `base/errors`. */
+
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import { z } from 'zod'
+import { withTimeout } from '../base/clock.js'
+import type { Clock } from '../base/clock.js'
+import { CallError, FailedError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
+
+/** Time limits come from `Clock`, so undici's own are off. */
+export const agentOptions = { headersTimeout: 0, bodyTimeout: 0, connectTimeout: 5000 } as const
+
+// These errors occur before a connection exists, or in a client that was closed before it wrote the request.
+const notRunCodes = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+/** The error class that `error` of undici proves. A reset may follow the request's bytes, so it is unknown. */
+export function mapNetworkError (target: string, error: unknown): CallError {
+  if (error instanceof CallError) return error
+  const code = (error as { code?: string } | undefined)?.code ?? ''
+  if (notRunCodes.has(code)) return new NotRunError(target, `no connection: ${messageOf(error)}`, { cause: error })
+  return new UnknownOutcomeError(target, messageOf(error), { cause: error })
+}
+
+/** Throws `NotRunError` for a 503 with `x-not-run: true`, with the time of `retry-after`. */
+export function checkNotRun (target: string, status: number, headers: Record<string, string | string[] | undefined>, text = ''): void {
+  if (status !== 503 || headers['x-not-run'] !== 'true') return
+  const error = new NotRunError(target, text || 'refused before execution')
+  const retryAfterSeconds = Number(headers['retry-after'])
+  if (retryAfterSeconds > 0) error.retryAfterMs = retryAfterSeconds * 1000
+  throw error
+}
+
+export interface HttpCallOptions {
+  method?: Dispatcher.HttpMethod
+  body?: unknown
+  timeoutMs: number
+  signal?: AbortSignal
+  /** Replaces the caller's own connections. */
+  dispatcher?: Dispatcher
+}
+
+/** JSON calls to one address. */
+export class HttpCaller {
+  readonly agent = new Agent(agentOptions)
+
+  constructor (readonly target: string, readonly address: string, private readonly clock: Clock) {}
+
+  /** The parsed body of a successful answer; `undefined` for an empty one. */
+  async json (path: string, { method = 'GET', body, timeoutMs, signal, dispatcher = this.agent }: HttpCallOptions): Promise<unknown> {
+    try {
+      return await withTimeout(this.clock, timeoutMs, async timeoutSignal => {
+        const answer = await request(`http://${this.address}${path}`, {
+          method,
+          dispatcher,
+          signal: signal ? AbortSignal.any([signal, timeoutSignal]) : timeoutSignal,
+          headers: body === undefined ? {} : { 'content-type': 'application/json' },
+          body: body === undefined ? null : JSON.stringify(body)
+        })
+        const text = await answer.body.text()
+        checkNotRun(this.target, answer.statusCode, answer.headers, text)
+        if (answer.statusCode >= 300) throw new FailedError(this.target, `${method} ${path} answered ${answer.statusCode}: ${text}`)
+        return text === '' ? undefined : JSON.parse(text)
+      }, { action: `${method} ${path} at ${this.address}` })
+    } catch (error) {
+      throw mapNetworkError(this.target, error)
+    }
+  }
+
+  /** The answer checked against `schema`. An answer of another shape proves nothing. */
+  async parsed<T> (schema: z.ZodType<T>, path: string, options: HttpCallOptions): Promise<T> {
+    const result = schema.safeParse(await this.json(path, options))
+    if (result.success) return result.data
+    throw new UnknownOutcomeError(this.target, `${path} answered in an unknown shape: ${z.prettifyError(result.error)}`)
+  }
+
+  close (): Promise<void> {
+    return this.agent.destroy()
+  }
+}
--- /dev/null
+++ b/src/platform/httpEngine.ts
@@ -0,0 +1,190 @@
+/** Calls one engine over HTTP. */
+
+import { Client, request as send } from 'undici'
+import type { Dispatcher } from 'undici'
+import { z } from 'zod'
+import type { Clock } from '../base/clock.js'
+import { FailedError, NotRunError, UnknownOutcomeError } from '../base/errors.js'
+import { cacheEventSchema, commandReplySchema, engineStatusSchema, inferenceEventSchema, kvExportSchema } from './engine.js'
+import type { CacheEvent, CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent, InferenceRequest, KvExport } from './engine.js'
+import { agentOptions, checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
+
+// Calls without a time limit of their own; the largest carries an exported KV cache.
+const callTimeoutMs = 10_000
+
+export class HttpEngine implements EngineApi {
+  readonly engine: string
+  private readonly caller: HttpCaller
+
+  constructor ({ engine, address, clock }: { engine: string, address: string, clock: Clock }) {
+    this.engine = engine
+    this.caller = new HttpCaller(engine, address, clock)
+  }
+
+  async status ({ timeoutMs }: { timeoutMs: number }): Promise<EngineStatus> {
+    return this.caller.parsed(engineStatusSchema, '/status', { timeoutMs })
+  }
+
+  openSession ({ timeoutMs }: { timeoutMs: number }): Promise<HttpEngineSession> {
+    return HttpEngineSession.open(this.caller, timeoutMs)
+  }
+
+  infer (request: InferenceRequest, { signal }: { signal?: AbortSignal }): AsyncIterable<InferenceEvent> {
+    return this.stream(request.requestId, '/infer', request, signal)
+  }
+
+  resume (requestId: string, fromIndex: number, { attemptId, signal }: { attemptId: string, signal?: AbortSignal }): AsyncIterable<InferenceEvent> {
+    return this.stream(requestId, '/resume', { requestId, fromIndex, attemptId }, signal)
+  }
+
+  async cancel (requestId: string): Promise<void> {
+    await this.caller.json('/cancel', { method: 'POST', body: { requestId }, timeoutMs: callTimeoutMs })
+  }
+
+  async cacheEvents (afterSequence: number): Promise<CacheEvent[]> {
+    return this.caller.parsed(z.array(cacheEventSchema), `/cache-events?after=${afterSequence}`, { timeoutMs: callTimeoutMs })
+  }
+
+  async exportKv (requestId: string): Promise<KvExport> {
+    return this.caller.parsed(kvExportSchema, '/kv/export', { method: 'POST', body: { requestId }, timeoutMs: callTimeoutMs })
+  }
+
+  async importKv (kv: KvExport): Promise<void> {
+    await this.caller.json('/kv/import', { method: 'POST', body: kv, timeoutMs: callTimeoutMs })
+  }
+
+  close (): Promise<void> {
+    return this.caller.close()
+  }
+
+  private async * stream (requestId: string, path: string, body: unknown, signal?: AbortSignal): AsyncGenerator<InferenceEvent> {
+    // The engine cannot tell an abort from a cut connection, after which it keeps the request for a resume.
+    const cancel = () => { this.cancel(requestId).catch(() => {}) }
+    signal?.addEventListener('abort', cancel, { once: true })
+    try {
+      const answer = await this.post(path, body, signal)
+      for await (const line of lines(answer.body)) {
+        const event = inferenceEventSchema.parse(JSON.parse(line))
+        yield event
+        if (event.kind === 'end') return
+      }
+      throw new UnknownOutcomeError(this.engine, `the stream of request ${requestId} ended without its end marker`)
+    } catch (error) {
+      throw mapNetworkError(this.engine, error)
+    } finally {
+      signal?.removeEventListener('abort', cancel)
+    }
+  }
+
+  private async post (path: string, body: unknown, signal?: AbortSignal): Promise<Dispatcher.ResponseData> {
+    const answer = await send(`http://${this.caller.address}${path}`, {
+      method: 'POST', dispatcher: this.caller.agent, signal, headers: { 'content-type': 'application/json' }, body: JSON.stringify(body)
+    })
+    if (answer.statusCode !== 200) {
+      const text = await answer.body.text()
+      checkNotRun(this.engine, answer.statusCode, answer.headers, text)
+      throw new FailedError(this.engine, `POST ${path} answered ${answer.statusCode}: ${text}`)
+    }
+    return answer
+  }
+}
+
+async function * lines (chunks: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+  const decoder = new TextDecoder()
+  let rest = ''
+  for await (const chunk of chunks) {
+    const parts = (rest + decoder.decode(chunk, { stream: true })).split('\n')
+    rest = parts.pop()!
+    for (const part of parts) if (part !== '') yield part
+  }
+}
+
+/** One connection that is never replaced. Its peer is the process whose incarnation was read over it. */
+class SessionConnection {
+  readonly client: Client
+  busy = false
+  ended = false
+
+  constructor (address: string) {
+    this.client = new Client(`http://${address}`, { ...agentOptions, keepAliveTimeout: 600_000, keepAliveMaxTimeout: 600_000 })
+    this.client.on('disconnect', () => this.end())
+    this.client.on('connectionError', () => this.end())
+  }
+
+  end (): void {
+    this.ended = true
+    this.client.destroy().catch(() => {})
+  }
+}
+
+/**
+ * Commands over connections of their own. HTTP/1.1 answers in order, so a command sent during a model load takes
+ * another connection, which first reads the incarnation again. When a connection ends, the session ends.
+ */
+export class HttpEngineSession implements EngineSession {
+  readonly engine: string
+  private connections: SessionConnection[] = []
+  private ended = false
+
+  private constructor (private readonly caller: HttpCaller, readonly incarnation: string) {
+    this.engine = caller.target
+  }
+
+  static async open (caller: HttpCaller, timeoutMs: number): Promise<HttpEngineSession> {
+    const { connection, incarnation } = await connect(caller, timeoutMs)
+    const session = new HttpEngineSession(caller, incarnation)
+    session.connections.push(connection)
+    return session
+  }
+
+  async command (command: EngineCommand, { timeoutMs }: { timeoutMs: number }): Promise<CommandReply> {
+    const connection = await this.freeConnection(timeoutMs)
+    try {
+      return await this.caller.parsed(commandReplySchema, '/commands', { method: 'POST', body: command, timeoutMs, dispatcher: connection.client })
+    } catch (error) {
+      throw mapNetworkError(this.engine, error)
+    } finally {
+      connection.busy = false
+    }
+  }
+
+  /** Ends the session. Commands in progress become unknown. */
+  close (): void {
+    this.ended = true
+    for (const connection of this.connections) connection.end()
+  }
+
+  private async freeConnection (timeoutMs: number): Promise<SessionConnection> {
+    this.checkOpen()
+    const free = this.connections.find(connection => !connection.busy)
+    if (free) {
+      free.busy = true
+      return free
+    }
+    const { connection, incarnation } = await connect(this.caller, timeoutMs).catch(error => {
+      // Only the read of the incarnation was sent, so the command did not run.
+      throw new NotRunError(this.engine, 'no connection for the command', { cause: error })
+    })
+    connection.busy = true
+    this.connections.push(connection)
+    if (incarnation !== this.incarnation) connection.end()
+    this.checkOpen()
+    return connection
+  }
+
+  private checkOpen (): void {
+    this.ended ||= this.connections.some(connection => connection.ended)
+    if (this.ended) throw new NotRunError(this.engine, `the session to incarnation ${this.incarnation} has ended`)
+  }
+}
+
+async function connect (caller: HttpCaller, timeoutMs: number): Promise<{ connection: SessionConnection, incarnation: string }> {
+  const connection = new SessionConnection(caller.address)
+  try {
+    const { incarnation } = await caller.parsed(engineStatusSchema, '/status', { timeoutMs, dispatcher: connection.client })
+    return { connection, incarnation }
+  } catch (error) {
+    connection.end()
+    throw error
+  }
+}
