--- a/src/platform/httpEngine.ts
+++ b/src/platform/httpEngine.ts
@@ -15,6 +15,7 @@
 export class HttpEngine implements EngineApi {
   readonly engine: string
   private readonly caller: HttpCaller
+  private sessions: HttpEngineSession[] = []
 
   constructor ({ engine, address, clock }: { engine: string, address: string, clock: Clock }) {
     this.engine = engine
@@ -25,8 +26,10 @@
     return this.caller.parsed(engineStatusSchema, '/status', { timeoutMs })
   }
 
-  openSession ({ timeoutMs }: { timeoutMs: number }): Promise<HttpEngineSession> {
-    return HttpEngineSession.open(this.caller, timeoutMs)
+  async openSession ({ timeoutMs }: { timeoutMs: number }): Promise<HttpEngineSession> {
+    const session = await HttpEngineSession.open(this.caller, timeoutMs)
+    this.sessions = [...this.sessions.filter(other => other.isOpen()), session]
+    return session
   }
 
   infer (request: InferenceRequest, { signal }: { signal?: AbortSignal }): AsyncIterable<InferenceEvent> {
@@ -53,7 +56,9 @@
     await this.caller.json('/kv/import', { method: 'POST', body: kv, timeoutMs: callTimeoutMs })
   }
 
+  /** Ends all connections, also those of sessions. */
   close (): Promise<void> {
+    for (const session of this.sessions) session.close()
     return this.caller.close()
   }
 
@@ -61,16 +66,19 @@
     // The engine cannot tell an abort from a cut connection, after which it keeps the request for a resume.
     const cancel = () => { this.cancel(requestId).catch(() => {}) }
     signal?.addEventListener('abort', cancel, { once: true })
+    let complete = false
     try {
       const answer = await this.post(path, body, signal)
       for await (const line of lines(answer.body)) {
         const event = inferenceEventSchema.parse(JSON.parse(line))
+        complete ||= event.kind === 'end'
         yield event
-        if (event.kind === 'end') return
       }
+      if (complete) return
       throw new UnknownOutcomeError(this.engine, `the stream of request ${requestId} ended without its end marker`)
     } catch (error) {
-      throw mapNetworkError(this.engine, error)
+      // The answer is whole after its end marker, whatever happens to the connection.
+      if (!complete) throw mapNetworkError(this.engine, error)
     } finally {
       signal?.removeEventListener('abort', cancel)
     }
@@ -145,6 +153,7 @@
       throw mapNetworkError(this.engine, error)
     } finally {
       connection.busy = false
+      if (!this.isOpen()) this.endIdleConnections()
     }
   }
 
@@ -154,6 +163,10 @@
     for (const connection of this.connections) connection.end()
   }
 
+  private endIdleConnections (): void {
+    for (const connection of this.connections) if (!connection.busy) connection.end()
+  }
+
   private async freeConnection (timeoutMs: number): Promise<SessionConnection> {
     this.checkOpen()
     const free = this.connections.find(connection => !connection.busy)
@@ -172,9 +185,13 @@
     return connection
   }
 
-  private checkOpen (): void {
+  isOpen (): boolean {
     this.ended ||= this.connections.some(connection => connection.ended)
-    if (this.ended) throw new NotRunError(this.engine, `the session to incarnation ${this.incarnation} has ended`)
+    return !this.ended
+  }
+
+  private checkOpen (): void {
+    if (!this.isOpen()) throw new NotRunError(this.engine, `the session to incarnation ${this.incarnation} has ended`)
   }
 }
 
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -1,7 +1,7 @@
 /** Stand-in for a model engine. */
 
 import { z } from 'zod'
-import { sleep, withTimeout } from '../base/clock.js'
+import { withTimeout } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
 import { CallError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
 import type { CacheEvent, CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent, InferenceRequest, KvExport, LoadedAdapter, LoadedModel } from '../platform/engine.js'
@@ -17,14 +17,16 @@
 
 /** `command` limits a fault to one kind of command. */
 export const engineControlSchema = z.discriminatedUnion('fault', [
-  /** Never executed, never answered. */
-  z.object({ ...commandBase, fault: z.literal('commandLost') }),
-  /** Delivered to the same process after `delayMs`. */
+  /** Never executed. Not answered, or, with `cut`, the connection is cut at once. */
+  z.object({ ...commandBase, fault: z.literal('commandLost'), cut: z.boolean().default(false) }),
+  /** Delivered to the same process after `delayMs`, or at `deliverHeld`. */
   z.object({ ...commandBase, fault: z.literal('commandLate'), delayMs: z.number() }),
-  /** Delivered at once and again after `delayMs`. */
+  /** Delivered at once and again after `delayMs`, or at `deliverHeld`. */
   z.object({ ...commandBase, fault: z.literal('commandRepeated'), delayMs: z.number() }),
-  /** Executed, never answered. */
-  z.object({ ...commandBase, fault: z.literal('commandReplyLost') }),
+  /** Executed. Not answered, or, with `cut`, the connection is cut after the effect. */
+  z.object({ ...commandBase, fault: z.literal('commandReplyLost'), cut: z.boolean().default(false) }),
+  /** Delivers all late and repeated commands that are still held back. */
+  z.object({ ...callsBase, fault: z.literal('deliverHeld') }),
   z.object({ ...callsBase, fault: z.literal('silentStatus') }),
   /** The next statuses repeat the load figures of the status before. */
   z.object({ ...callsBase, fault: z.literal('missingLoadReport') }),
@@ -121,6 +123,7 @@
   private readonly clock: Clock
   private readonly faults = new FaultSwitches<EngineFault>()
   private process: EngineProcess | undefined
+  private readonly held = new Set<() => void>()
   private starts = 0
   private gate: Promise<void> | undefined
   private openGate = () => {}
@@ -154,6 +157,11 @@
     return this.process?.incarnation ?? ''
   }
 
+  /** Faults that still apply to some call. */
+  get activeFaults (): number {
+    return this.faults.activeCount
+  }
+
   control (control: EngineControlMessage): void {
     const fault = engineControlSchema.parse(control)
     switch (fault.fault) {
@@ -170,6 +178,10 @@
       case 'drain':
         if (this.process) this.process.draining = true
         return
+      case 'deliverHeld': {
+        for (const deliver of [...this.held]) deliver()
+        return
+      }
       case 'clear': return this.faults.clear()
       default: this.faults.add(fault)
     }
@@ -242,18 +254,40 @@
   async deliver (incarnation: string, command: EngineCommand): Promise<CommandReply> {
     const process = await this.running()
     if (process.incarnation !== incarnation) throw new NotRunError(this.engine, `the session to incarnation ${incarnation} has ended`)
+    return Promise.race([this.transmit(process, command), process.died])
+  }
+
+  /** What the network does with a command and with its reply. */
+  private async transmit (process: EngineProcess, command: EngineCommand): Promise<CommandReply> {
     const matches = (fault: { command?: string }) => fault.command === undefined || fault.command === command.kind
-    if (this.faults.take('commandLost', matches)) return never()
+    const lost = this.faults.take('commandLost', matches)
+    if (lost) return this.unanswered(lost.cut)
     const late = this.faults.take('commandLate', matches)
     if (late) {
-      await sleep(this.clock, late.delayMs)
+      await this.holdBack(late.delayMs)
       return this.execute(process, command, 'late')
     }
     const repeated = this.faults.take('commandRepeated', matches)
-    if (repeated) this.clock.setTimer(repeated.delayMs, () => { this.execute(process, command, 'repeated').catch(() => {}) })
+    if (repeated) this.holdBack(repeated.delayMs).then(() => this.execute(process, command, 'repeated')).catch(() => {})
     const replyLost = this.faults.take('commandReplyLost', matches)
     const reply = await this.execute(process, command, 'prompt')
-    return replyLost ? never() : reply
+    return replyLost ? this.unanswered(replyLost.cut) : reply
+  }
+
+  private unanswered (cut: boolean): Promise<never> {
+    return cut ? Promise.reject(new UnknownOutcomeError(this.engine, 'the connection was cut')) : never()
+  }
+
+  private holdBack (delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const deliver = () => {
+        cancel()
+        this.held.delete(deliver)
+        resolve()
+      }
+      const cancel = this.clock.setTimer(delayMs, deliver)
+      this.held.add(deliver)
+    })
   }
 
   private start (): void {
--- a/src/standins/engineApp.ts
+++ b/src/standins/engineApp.ts
@@ -8,7 +8,7 @@
 import type { InferenceEvent } from '../platform/engine.js'
 import { engineControlSchema } from './engine.js'
 import type { EngineStandIn } from './engine.js'
-import { addControl, createApp } from './httpServer.js'
+import { addControl, createApp, disconnectSignal } from './httpServer.js'
 import type { StandInApp } from './httpServer.js'
 
 const requestIdSchema = z.object({ requestId: z.string() })
@@ -52,13 +52,6 @@
   return app
 }
 
-/** Aborts when the connection or the answer is closed. */
-function disconnectSignal ({ outgoing }: HttpBindings): AbortSignal {
-  const disconnected = new AbortController()
-  outgoing.once('close', () => disconnected.abort())
-  return disconnected.signal
-}
-
 async function sendEvents (engine: EngineStandIn, { outgoing, incoming }: HttpBindings, events: AsyncIterable<InferenceEvent>): Promise<Response> {
   outgoing.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-engine-load': JSON.stringify(engine.presentLoad() ?? {}) })
   outgoing.flushHeaders()
--- a/src/standins/faultSwitches.ts
+++ b/src/standins/faultSwitches.ts
@@ -17,6 +17,11 @@
     this.active = []
   }
 
+  /** Faults that still apply to some call. */
+  get activeCount (): number {
+    return this.active.length
+  }
+
   /** The first active fault of the kind that `matches`. Counts it as used once. */
   take<Kind extends Fault['fault']> (kind: Kind, matches: (fault: Extract<Fault, { fault: Kind }>) => boolean = () => true): Extract<Fault, { fault: Kind }> | undefined {
     for (const fault of this.active) {
--- a/src/standins/httpServer.ts
+++ b/src/standins/httpServer.ts
@@ -41,6 +41,13 @@
   app.get('/log', context => context.json(standIn.log))
 }
 
+/** Aborts when the connection or the answer is closed. */
+export function disconnectSignal ({ outgoing }: HttpBindings): AbortSignal {
+  const disconnected = new AbortController()
+  outgoing.once('close', () => disconnected.abort())
+  return disconnected.signal
+}
+
 /** Listens on loopback; port 0 chooses a free one. */
 export function listen (app: StandInApp, port: number): Promise<StandInServer> {
   return new Promise((resolve, reject) => {
--- a/src/standins/keyValue.ts
+++ b/src/standins/keyValue.ts
@@ -6,7 +6,7 @@
 import { NotRunError, UnknownOutcomeError } from '../base/errors.js'
 import type { KeyValueEntry, KeyValueStore, SwapResult, WatchResult } from '../platform/keyValueStore.js'
 import { FaultSwitches } from './faultSwitches.js'
-import { addControl, createApp } from './httpServer.js'
+import { addControl, createApp, disconnectSignal } from './httpServer.js'
 import type { StandInApp } from './httpServer.js'
 
 export const maxValueBytes = 1_000_000
@@ -224,9 +224,7 @@
     const method = z.enum(methods).parse(context.req.param('method'))
     const args = z.array(z.unknown()).parse(await context.req.json())
     if (method === 'watch') {
-      const aborted = new AbortController()
-      context.env.incoming.socket.once('close', () => aborted.abort())
-      args[2] = { ...(args[2] as { timeoutMs: number }), signal: aborted.signal }
+      args[2] = { ...(args[2] as { timeoutMs: number }), signal: disconnectSignal(context.env) }
     }
     const call = store[method] as (...args: unknown[]) => Promise<unknown>
     return context.json({ result: await call.apply(store, args) })
