--- /dev/null
+++ b/src/fleet/controlAssignment.ts
@@ -0,0 +1,228 @@
+/** Decides which engines this node controls, starts and stops their controllers, and hands them over. */
+
+import { repeat, sleep } from '../base/clock.js'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { hash32, rendezvousOrder, rendezvousOwner } from '../base/hash.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import type { Vm } from '../platform/vmList.js'
+import type { MemberEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
+import type { EngineControl } from './engineControl.js'
+
+const tickMs = 500
+/** An owner must be the same for this long before anything moves. */
+const stableMs = 2_000
+/** Time that an alive previous controller gets to finish its commands and hand over. Loads of minutes are cut short. */
+const handOverWaitMs = 15_000
+/** Time in which a successor keeps an engine that its own member list still assigns to the sender of `handOver`. */
+const handOverGraceMs = 10_000
+/** Takeovers over the whole fleet. Each costs a read and a write of the key-value service, which takes several hundred a second. */
+const takeoversPerSecond = 20
+/** An engine missing from the lagging VM list for this long is gone. */
+const absentMs = 60_000
+const handOverAttempts = 3
+const handOverTimeoutMs = 2_000
+
+export interface ControlAssignmentOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  self: MemberEntry['name']
+  selfAddress: string
+  members: () => MemberEntry[]
+  vms: () => Vm[]
+  publishedController: (engine: string) => string | undefined
+  createControl: (vm: Vm) => EngineControl
+  network: PeerNetwork
+}
+
+interface Assignment {
+  vm: Vm
+  owner: string | undefined
+  ownerSinceMs: number
+  lastListedAtMs: number
+  /** When this node may take over; set once the owner is stable. */
+  takeoverAtMs?: number
+  control?: EngineControl
+  stopping?: boolean
+  keepUntilMs: number
+}
+
+/** See design.md 3.1. Safety does not depend on it: two controllers of an engine waste commands but break nothing. */
+export class ControlAssignment {
+  private readonly assignments = new Map<string, Assignment>()
+  private cancelTick: CancelTimer = () => {}
+  private stopped = false
+
+  constructor (private readonly options: ControlAssignmentOptions) {}
+
+  start (): void {
+    this.cancelTick = repeat(this.options.clock, tickMs, () => this.tick(), {
+      firstDelayMs: 0,
+      onError: error => this.options.log('error', 'control assignment failed', { reason: messageOf(error) })
+    })
+  }
+
+  /** Hands all engines over and resolves when their commands are answered and the successors were told. */
+  async stop (): Promise<void> {
+    this.stopped = true
+    this.cancelTick()
+    const controlled = [...this.assignments.values()].filter(assignment => assignment.control)
+    await Promise.all(controlled.map(assignment => this.release(assignment, this.successor(assignment.vm))))
+  }
+
+  control (engine: string): EngineControl | undefined {
+    return this.assignments.get(engine)?.control
+  }
+
+  async handle (message: PeerMessage): Promise<PeerMessage | undefined> {
+    if (message.kind !== 'handOver') return undefined
+    if (this.stopped) return { kind: 'error', message: `${this.options.self} is shutting down` }
+    this.refresh()
+    const assignment = this.assignments.get(message.engine)
+    if (!assignment) return { kind: 'error', message: `engine ${message.engine} is not in the VM list of ${this.options.self}` }
+    if (assignment.stopping) return { kind: 'error', message: `${this.options.self} is handing over ${message.engine} itself` }
+    assignment.keepUntilMs = this.options.clock.nowMs() + handOverGraceMs
+    if (assignment.control?.isLost()) await this.release(assignment, undefined)
+    if (!assignment.control) this.take(assignment)
+    return { kind: 'ok' }
+  }
+
+  private tick (): void {
+    this.refresh()
+    const nowMs = this.options.clock.nowMs()
+    const orphans = this.orphans()
+    for (const [engine, assignment] of this.assignments) {
+      if (assignment.stopping) continue
+      if (nowMs - assignment.lastListedAtMs >= absentMs) {
+        this.assignments.delete(engine)
+        if (assignment.control) this.inBackground(assignment.control.stop())
+        continue
+      }
+      const stable = nowMs - assignment.ownerSinceMs >= stableMs
+      if (assignment.owner === this.options.self) {
+        if (stable && !assignment.control) this.takeWhenDue(assignment, orphans)
+      } else {
+        assignment.takeoverAtMs = undefined
+        if (stable && assignment.control && nowMs >= assignment.keepUntilMs) this.inBackground(this.release(assignment, assignment.owner))
+      }
+    }
+  }
+
+  /** Brings owners and VMs up to date. */
+  private refresh (): void {
+    const nowMs = this.options.clock.nowMs()
+    const alive = this.alive()
+    for (const vm of this.options.vms()) {
+      if (vm.kind !== 'engine') continue
+      const owner = rendezvousOwner(vm.name, candidates(vm, alive))
+      const known = this.assignments.get(vm.name)
+      if (!known) {
+        this.assignments.set(vm.name, { vm, owner, ownerSinceMs: nowMs, lastListedAtMs: nowMs, keepUntilMs: 0 })
+        continue
+      }
+      known.vm = vm
+      known.lastListedAtMs = nowMs
+      known.control?.updateVm(vm)
+      if (known.owner !== owner) Object.assign(known, { owner, ownerSinceMs: nowMs, takeoverAtMs: undefined })
+    }
+  }
+
+  private takeWhenDue (assignment: Assignment, orphans: string[]): void {
+    const nowMs = this.options.clock.nowMs()
+    if (this.otherAliveController(assignment.vm.name)) {
+      if (nowMs - assignment.ownerSinceMs >= stableMs + handOverWaitMs) this.take(assignment)
+      return
+    }
+    if (assignment.takeoverAtMs === undefined) {
+      // All nodes order the engines without controller alike, so that their takeovers take turns.
+      const position = orphans.indexOf(assignment.vm.name)
+      const turnMs = 1_000 / takeoversPerSecond
+      assignment.takeoverAtMs = nowMs + (orphans.length > takeoversPerSecond ? position * turnMs : 0) + this.options.random.next() * turnMs
+    }
+    // The due time stays: computed anew from the shrinking list it would double the rate.
+    if (nowMs >= assignment.takeoverAtMs) return this.take(assignment)
+    const untilMs = assignment.takeoverAtMs - nowMs
+    // Due before the next tick: waits for its own turn, since ticks would bunch the takeovers.
+    if (untilMs < tickMs) {
+      this.options.clock.setTimer(untilMs, () => {
+        if (!this.stopped && !assignment.control && assignment.takeoverAtMs !== undefined && assignment.takeoverAtMs <= this.options.clock.nowMs()) this.take(assignment)
+      })
+    }
+  }
+
+  private take (assignment: Assignment): void {
+    const engine = assignment.vm.name
+    const control = this.options.createControl(assignment.vm)
+    control.setReclaimCondition(() => assignment.owner === this.options.self && !this.otherAliveController(engine))
+    assignment.control = control
+    assignment.takeoverAtMs = undefined
+    this.options.log('info', 'engine taken', { engine })
+    control.start()
+  }
+
+  private async release (assignment: Assignment, successor: string | undefined): Promise<void> {
+    const { control } = assignment
+    if (!control || assignment.stopping) return
+    assignment.stopping = true
+    try {
+      const held = control.controls()
+      await control.stop()
+      assignment.control = undefined
+      this.options.log('info', 'engine released', { engine: assignment.vm.name, successor })
+      if (held && successor !== undefined) await this.sendHandOver(assignment.vm.name, control, successor)
+    } finally {
+      assignment.stopping = false
+    }
+  }
+
+  private async sendHandOver (engine: string, control: EngineControl, successor: string): Promise<void> {
+    const message: PeerMessage = { kind: 'handOver', engine, ...control.handOver() }
+    for (let attempt = 1; attempt <= handOverAttempts; attempt++) {
+      const address = this.options.members().find(member => member.name === successor)?.address
+      if (address === undefined) return
+      try {
+        const reply = await this.options.network.request(address, message, { timeoutMs: handOverTimeoutMs })
+        if (reply.kind === 'ok') return
+        this.options.log('warn', 'handover refused', { engine, successor, reply: reply.kind === 'error' ? reply.message : reply.kind })
+      } catch (error) {
+        this.options.log('warn', 'handover failed', { engine, successor, reason: messageOf(error) })
+      }
+      if (attempt < handOverAttempts) await sleep(this.options.clock, 500 + 500 * this.options.random.next())
+    }
+  }
+
+  private alive (): MemberEntry[] {
+    // A suspect still counts, so that a short suspicion moves nothing.
+    return this.options.members().filter(member => member.state === 'alive' || member.state === 'suspect')
+  }
+
+  private successor (vm: Vm): string | undefined {
+    const others = this.alive().filter(member => member.name !== this.options.self)
+    return rendezvousOrder(vm.name, candidates(vm, others))[0]
+  }
+
+  private otherAliveController (engine: string): boolean {
+    const controller = this.options.publishedController(engine)
+    return controller !== undefined && controller !== this.options.self && this.alive().some(member => member.name === controller)
+  }
+
+  /** Engines whose published controller is missing or dead, in an order that all nodes share. */
+  private orphans (): string[] {
+    const alive = new Set(this.alive().map(member => member.name))
+    return [...this.assignments.keys()]
+      .filter(engine => !alive.has(this.options.publishedController(engine) ?? ''))
+      .sort((left, right) => hash32(left) - hash32(right) || (left < right ? -1 : 1))
+  }
+
+  private inBackground (task: Promise<void>): void {
+    task.catch(error => this.options.log('error', 'release of an engine failed', { reason: messageOf(error) }))
+  }
+}
+
+/** Names of the members that may control the engine: those of its region, or all if the region has none. */
+function candidates (vm: Vm, alive: readonly MemberEntry[]): string[] {
+  const regional = alive.filter(member => member.region === vm.region)
+  return (regional.length > 0 ? regional : alive).map(member => member.name)
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -1,7 +1,7 @@
 /** Every message between nodes, in one place. Fields carry their unit; times are milliseconds since the Unix epoch. */
 
 import { z } from 'zod'
-import { engineStatusSchema } from '../platform/engine.js'
+import { engineRoles, engineStatusSchema } from '../platform/engine.js'
 
 /** Raised when a message changes in a way that an older node would misread. */
 export const protocolVersion = 1
@@ -38,7 +38,11 @@
   /** Fencing number under which the controller writes; the higher one wins when two nodes publish. */
   controlFence: z.number(),
   /** False while the controller gets no answers from the engine. */
-  reachable: z.boolean()
+  reachable: z.boolean(),
+  /** Bytes for models by the controller's account, which also counts loads that may still take effect. */
+  freeModelBytes: z.number().optional(),
+  /** Models that cannot be unloaded until the engine restarts or an outstanding load is answered. */
+  stickyModels: z.array(z.string()).optional()
 })
 export type EngineEntry = z.infer<typeof engineEntrySchema>
 
@@ -92,6 +96,8 @@
   /** Models to unload first to make room. */
   unload: z.array(z.string()),
   loadAdapters: z.array(z.object({ adapter: z.string(), baseModel: z.string(), memoryBytes: z.number() })),
+  /** New role of the engine, set after the unloads and before the load. */
+  setRole: z.enum(engineRoles).optional(),
   reason: z.string()
 })
 export type Move = z.infer<typeof moveSchema>
--- /dev/null
+++ b/tests/engineControl.spec.ts
@@ -0,0 +1,242 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { silentLog } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
+import { EngineControl } from '../src/fleet/engineControl.js'
+import type { Arbiter } from '../src/fleet/arbiter.js'
+import type { EngineEntry, Move } from '../src/protocol/messages.js'
+import { adapterBytes, FakeEngine, FakeStore, faults, FaultyLink, memoryBytes, pauseMs } from './fixtures/controlFakes.js'
+import type { Fault } from './fixtures/controlFakes.js'
+
+const kinds = [{ honoursFence: true }, { honoursFence: false }]
+const modelBytes = 40 // Two of them fit beside the KV cache and the adapter space.
+
+function setUp ({ honoursFence, fault, faultAt, naive = false }: { honoursFence: boolean, fault?: Fault, faultAt?: number, naive?: boolean }) {
+  const clock = new VirtualClock()
+  const engine = new FakeEngine(clock, honoursFence && !naive)
+  const store = new FakeStore()
+  const published: EngineEntry[] = []
+  const create = (node: string, link: FaultyLink, seed: number) => new EngineControl({
+    clock,
+    random: new SeededRandom(seed),
+    log: silentLog,
+    node,
+    nodeAddress: `10.0.0.${seed}:7000`,
+    vm: { name: 'e1', kind: 'engine', group: 'pool', address: '10.1.0.1:8000', region: 'r', availabilityZone: 'a', state: 'live' },
+    engine: link.engine,
+    honoursFence,
+    adapterBytes: () => adapterBytes,
+    keyValueStore: link.keyValueStore,
+    publish: entry => { published.push(entry) },
+    createArbiter: naive ? () => naiveArbiter(link) : undefined
+  })
+  const firstLink = new FaultyLink(clock, engine, store, fault, faultAt)
+  const secondLink = new FaultyLink(clock, engine, store)
+  return { clock, engine, store, published, firstLink, first: create('n1', firstLink, 1), second: create('n2', secondLink, 2) }
+}
+
+/** Sends what it is told without claim or record, as long as the engine's status shows room. */
+function naiveArbiter (link: FaultyLink): Arbiter {
+  const send = async (command: object) => {
+    const session = await link.engine.openSession({ timeoutMs: 1_000 })
+    const reply = await session.command({ commandId: '', fence: 0, ...command } as never, { timeoutMs: 1_000 })
+    return { accepted: reply.accepted, reason: '' }
+  }
+  const done = async () => ({ accepted: true, reason: '' })
+  return {
+    fence: () => 0,
+    incarnation: () => undefined,
+    acquire: () => link.engine.status({ timeoutMs: 1_000 }),
+    misfit: () => undefined,
+    load: async (model, memoryBytes) => {
+      const status = await link.engine.status({ timeoutMs: 1_000 })
+      const fits = status.models.reduce((sum, loaded) => sum + loaded.memoryBytes, memoryBytes) <= 80
+      return fits ? await send({ kind: 'load', model, memoryBytes }) : { accepted: false, reason: 'full' }
+    },
+    unload: model => send({ kind: 'unload', model }),
+    prepareAdapters: done,
+    adaptersGranted: () => true,
+    loadAdapter: done,
+    setRole: done,
+    maintain: async () => {},
+    isLostBy: () => false,
+    account: () => ({ freeModelBytes: 0, stickyModels: [] }),
+    handOver: () => ({ fence: 0, record: '', recordRevision: 0 })
+  }
+}
+
+function load (model: string, unload: string[] = [], options: Partial<Move> = {}): Move {
+  return { moveId: model, engine: 'e1', load: model, loadBytes: modelBytes, unload, loadAdapters: [], reason: '', ...options }
+}
+
+/** Repeats a move until its model is ready, as the planner does, and makes room by the published account. */
+async function pursue (clock: VirtualClock, engine: FakeEngine, control: () => EngineControl, model: string, untilMs: number) {
+  while (clock.nowMs() < untilMs && !engine.isReady(model)) {
+    const { freeModelBytes = 0, stickyModels = [], models = [] } = control().entry() ?? {}
+    const victim = models.find(loaded => loaded.name !== model && !stickyModels.includes(loaded.name))
+    control().execute(load(model, freeModelBytes < modelBytes && victim ? [victim.name] : []))
+    await clock.advance(5_000)
+  }
+}
+
+/**
+ * Loads a and b, then swaps them for c and d, with one fault at one call. A second controller then takes over.
+ * Returns what the checks need.
+ */
+async function runScenario (options: { honoursFence: boolean, fault?: Fault, faultAt?: number, naive?: boolean }) {
+  const { clock, engine, firstLink, first, second } = setUp(options)
+  first.start()
+  await clock.advance(100)
+  const moves = [load('a@1'), load('b@1'), load('c@1', ['a@1']), load('d@1', ['b@1'])]
+  for (const move of moves) {
+    first.execute(move).catch(() => {})
+    await clock.advance(4_000)
+  }
+  await clock.advance(10_000)
+  const calls = firstLink.calls
+  second.start()
+  await clock.advance(1_000)
+  await pursue(clock, engine, () => second, 'x@1', clock.nowMs() + 120_000)
+  await clock.advance(pauseMs)
+  // The faults have ended; the controller that holds the engine must reach the wanted model.
+  await pursue(clock, engine, () => second.controls() ? second : first, 'y@1', clock.nowMs() + 200_000)
+  await clock.advance(100_000)
+  return { calls, engine, peakBytes: engine.peakBytes, first, second }
+}
+
+describe('engine control', () => {
+  for (const kind of kinds) {
+    const name = kind.honoursFence ? 'tokens' : 'record'
+
+    // Guards against overcommitment and against a model that stays unloadable after a fault at any call.
+    for (const fault of faults) {
+      it(`${name}: ${fault} at each call`, async () => {
+        const { calls } = await runScenario(kind)
+        expect(calls).to.be.greaterThan(4)
+        for (let faultAt = 1; faultAt <= calls; faultAt++) {
+          const { engine, peakBytes } = await runScenario({ ...kind, fault, faultAt })
+          expect(peakBytes, `peak with ${fault} at call ${faultAt}`).to.be.at.most(memoryBytes)
+          expect(engine.isReady('y@1'), `y@1 ready with ${fault} at call ${faultAt}`).to.equal(true)
+        }
+      })
+    }
+
+    // Guards against two controllers that both believe they own an engine.
+    it(`${name}: two controllers at once`, async () => {
+      const { clock, engine, first, second } = setUp(kind)
+      second.setReclaimCondition(() => false)
+      first.start()
+      second.start()
+      for (let round = 0; round < 30; round++) {
+        first.execute(load(`f${round % 3}@1`, [`f${(round + 1) % 3}@1`]))
+        second.execute(load(`s${round % 3}@1`, [`s${(round + 1) % 3}@1`]))
+        await clock.advance(2_500)
+      }
+      expect(engine.peakBytes).to.be.at.most(memoryBytes)
+      expect([first, second].filter(control => control.controls()).length).to.be.at.most(1)
+      await pursue(clock, engine, () => first.controls() ? first : second, 'y@1', clock.nowMs() + 200_000)
+      expect(engine.isReady('y@1')).to.equal(true)
+    })
+
+    // Guards against memory that stays counted, or commands that go to the old process, after an engine restart.
+    it(`${name}: engine restarted empty`, async () => {
+      const { clock, engine, first } = setUp(kind)
+      first.start()
+      await clock.advance(100)
+      for (const model of ['a@1', 'b@1']) {
+        first.execute(load(model))
+        await clock.advance(1_500)
+      }
+      first.execute(load('c@1', ['a@1']))
+      await clock.advance(500)
+      engine.restart()
+      await clock.advance(3_000)
+      for (const model of ['d@1', 'e@1']) {
+        first.execute(load(model))
+        await clock.advance(1_500)
+      }
+      expect([engine.isReady('d@1'), engine.isReady('e@1'), engine.peakBytes <= memoryBytes]).to.deep.equal([true, true, true])
+    })
+
+    // Guards against loads on an engine that drains, is silent, is full, or whose controller has stopped.
+    it(`${name}: refuses with a reason`, async () => {
+      const { clock, engine, first, published } = setUp(kind)
+      const reasons: string[] = []
+      const execute = async (move: Move) => {
+        first.execute(move).then(result => reasons.push(result.reason))
+        await clock.advance(2_000)
+      }
+      first.start()
+      await clock.advance(100)
+      await execute(load('a@1', [], { loadBytes: 90 }))
+      engine.draining = true
+      await clock.advance(1_000)
+      await execute(load('a@1'))
+      engine.draining = false
+      await clock.advance(1_000)
+      engine.down = true
+      await clock.advance(4_000)
+      await execute(load('a@1'))
+      expect(published.at(-1)?.reachable).to.equal(false)
+      engine.down = false
+      first.stop()
+      await execute(load('a@1'))
+      expect(reasons.map(reason => ['needs 90', 'draining', 'not answered', 'stopping'].find(part => reason.includes(part))))
+        .to.deep.equal(['needs 90', 'draining', 'not answered', 'stopping'])
+      expect(engine.commands.some(command => command.kind === 'load')).to.equal(false)
+    })
+
+    // Guards against adapters beyond the adapter space, and against lost role changes and adapters.
+    it(`${name}: adapters and role`, async () => {
+      const { clock, engine, first } = setUp(kind)
+      first.start()
+      await clock.advance(100)
+      const adapters = ['p', 'q', 'r'].map(adapter => ({ adapter, baseModel: 'a@1', memoryBytes: 5 }))
+      let last
+      first.execute(load('a@1', [], { setRole: 'decode', loadAdapters: adapters.slice(0, 2) }))
+      await clock.advance(3_000)
+      first.execute({ moveId: 'r', engine: 'e1', unload: [], loadAdapters: adapters.slice(2), reason: '' }).then(result => { last = result.accepted })
+      await clock.advance(3_000)
+      expect(engine.commands.some(command => command.kind === 'setRole')).to.equal(true)
+      // With tokens, an older adapter makes room; a granted set never shrinks.
+      expect([engine.hasAdapter('p'), engine.hasAdapter('q'), engine.hasAdapter('r'), last])
+        .to.deep.equal(kind.honoursFence ? [false, true, true, true] : [true, true, false, false])
+    })
+
+    // Guards against a loss of service or of memory accounting in an outage of the key-value service.
+    it(`${name}: key-value service down`, async () => {
+      const { clock, engine, store, first, published } = setUp(kind)
+      first.start()
+      await clock.advance(100)
+      first.execute(load('a@1', [], { loadAdapters: [{ adapter: 'p', baseModel: 'a@1', memoryBytes: 5 }] }))
+      await clock.advance(3_000)
+      store.down = true
+      let during, adapterDuring
+      first.execute(load('b@1')).then(result => { during = result.accepted })
+      await clock.advance(10_000)
+      first.execute({ moveId: 'p', engine: 'e1', unload: [], loadAdapters: [{ adapter: 'p', baseModel: 'a@1', memoryBytes: 5 }], reason: '' })
+        .then(result => { adapterDuring = result.accepted })
+      await clock.advance(1_000)
+      expect([during, adapterDuring]).to.deep.equal([kind.honoursFence, true])
+      expect(published.at(-1)?.models.some(model => model.name === 'a@1')).to.equal(true)
+      store.down = false
+      await clock.advance(5_000)
+      first.execute(load('b@1'))
+      await clock.advance(3_000)
+      expect([engine.isReady('b@1'), engine.peakBytes <= memoryBytes]).to.deep.equal([true, true])
+    })
+  }
+
+  // Guards against checks that cannot fail: a controller without claim and record must be caught by the same loop.
+  it('naive control is caught', async () => {
+    const { calls } = await runScenario({ honoursFence: true, naive: true })
+    let caught = 0
+    for (const fault of faults) {
+      for (let faultAt = 1; faultAt <= calls; faultAt++) {
+        const { peakBytes } = await runScenario({ honoursFence: true, naive: true, fault, faultAt })
+        if (peakBytes > memoryBytes) caught++
+      }
+    }
+    expect(caught).to.be.greaterThan(0)
+  })
+})
