Add the command line

Cause: operators check, compare and propose configurations and read reports from a terminal or a script, and nodes need a command that starts and drains them.

--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,116 @@
+#!/usr/bin/env node
+/** The `teaselrill` command. Exit codes: 0 success, 1 failure, 2 bad usage or input. */
+
+import { readFileSync } from 'node:fs'
+import sade from 'sade'
+import type { Sade } from 'sade'
+import { SystemClock } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { CommandError, exitBadInput, exitFailure, exitOk, UsageError } from './commandErrors.js'
+import { configCheck, configDiff, configGet, configHistory, configPropose } from './configCommands.js'
+import { runNode } from './nodeCommand.js'
+import { OperatorsClient } from './operatorsClient.js'
+import { nodeAccess, optionalText, print, printError, printJson, valueOptions } from './options.js'
+import type { CommandOptions } from './options.js'
+import { renderData } from './renderData.js'
+
+const clock = new SystemClock()
+
+/** Prints a report of a node. */
+async function printReport (path: Parameters<OperatorsClient['report']>[0], options: CommandOptions): Promise<number> {
+  const report = await new OperatorsClient(nodeAccess(options), clock).report(path)
+  if (report === undefined) throw new CommandError(path.startsWith('/v1/explain/') ? 'no node has a trace of the request' : `the node does not answer ${path}`)
+  if (options.json) printJson(report)
+  else print(renderData(report))
+  return exitOk
+}
+
+async function reportBurn (options: CommandOptions): Promise<number> {
+  // The page is rendered by burnReport.ts, which is not part of the command yet.
+  if (optionalText(options, 'html') !== undefined) throw new CommandError('--html is not implemented yet; use --json')
+  return await printReport('/v1/burn', options)
+}
+
+function withAccess (program: Sade): Sade {
+  return program
+    .option('--settings', 'Settings file of a node, or one with only [operators] listen and [deployment] key')
+    .option('--operators', 'Address IP:PORT of a node\'s operators\' port, with --key-file')
+    .option('--key-file', 'File that contains the deployment key')
+}
+
+function withJson (program: Sade): Sade {
+  return program.option('--json', 'Print data as JSON')
+}
+
+function packageVersion (): string {
+  return JSON.parse(readFileSync(new URL('../../../package.json', import.meta.url), 'utf8')).version
+}
+
+function createProgram (): Sade {
+  const program = sade('teaselrill').version(packageVersion()).describe('Serves many models on few accelerators. Exit codes: 0 success, 1 failure, 2 bad usage or input.')
+  program.command('node', 'Run a node until SIGTERM or SIGINT')
+    .option('--settings', 'Settings file of the node')
+    .action((options: CommandOptions) => runNode(options))
+  withJson(program.command('config check <file>', 'Check a fleet configuration and print all findings'))
+    .action((file: string, options: CommandOptions) => configCheck(file, options))
+  withAccess(withJson(program.command('config get', 'Print the fleet configuration in force')))
+    .action((options: CommandOptions) => configGet(clock, options))
+  withAccess(withJson(program.command('config diff <file>', 'Compare a file with the configuration in force, by section and key')))
+    .action((file: string, options: CommandOptions) => configDiff(clock, file, options))
+  withAccess(withJson(program.command('config propose <file>', 'Propose a file as the next version and wait until it is in force on each node')))
+    .option('--reason', 'Why the configuration changes (required)')
+    .option('--author', 'Name of the operator; by default the user name')
+    .option('--base', 'Version that the file is based on; by default the one in force')
+    .option('--timeout-ms', 'Time limit in milliseconds; by default 30000')
+    .option('--proposal-id', 'ID of an earlier proposal whose outcome is unknown')
+    .action((file: string, options: CommandOptions) => configPropose(clock, file, options))
+  withAccess(withJson(program.command('config history', 'List the kept versions')))
+    .action((options: CommandOptions) => configHistory(clock, options))
+  withAccess(withJson(program.command('status', 'Print the state of the fleet')))
+    .action((options: CommandOptions) => printReport('/v1/status', options))
+  withAccess(withJson(program.command('explain <requestId>', 'Print what happened to a request')))
+    .action((requestId: string, options: CommandOptions) => printReport(`/v1/explain/${encodeURIComponent(requestId)}`, options))
+  withAccess(withJson(program.command('report burn', 'Print the use of the error budgets')))
+    .option('--html', 'File to write as an HTML page')
+    .action((options: CommandOptions) => reportBurn(options))
+  return program
+}
+
+/** Thrown instead of the exit with code 1 with which sade ends bad usage, after it printed why. */
+class SadeExit extends Error {}
+
+function parseArguments (program: Sade, argv: string[]) {
+  const exit = process.exit
+  process.exit = () => { throw new SadeExit() }
+  try {
+    return program.parse(argv, {
+      lazy: true,
+      string: valueOptions,
+      boolean: ['json'],
+      // Only the name is printed, since a key that is given by mistake would be the value.
+      unknown: flag => `Unknown option: ${flag.split('=')[0]}`
+    })
+  } finally {
+    process.exit = exit
+  }
+}
+
+async function main (argv: string[]): Promise<number> {
+  try {
+    const command = parseArguments(createProgram(), argv)
+    // Help was printed.
+    if (!command) return exitOk
+    const rest = (command.args.at(-1) as unknown as { _: string[] })._
+    if (rest.length > 0) throw new UsageError(`${rest.length} unexpected arguments after "${command.name}"`)
+    const exitCode: number = await command.handler(...command.args.map(argument => typeof argument === 'number' ? String(argument) : argument))
+    // Connections that callers keep open must not hold the process once the node has stopped.
+    if (command.name === 'node') process.exit(exitCode)
+    return exitCode
+  } catch (error) {
+    if (error instanceof SadeExit) return exitBadInput
+    printError(messageOf(error))
+    return error instanceof UsageError ? exitBadInput : exitFailure
+  }
+}
+
+process.exitCode = await main(process.argv)
--- a/src/config/fields.ts
+++ b/src/config/fields.ts
@@ -163,7 +163,7 @@
   // Longer names are never near, and the distance of a very long line would be slow.
   if (name.length > 100) return undefined
   let best: string | undefined
-  let bestDistance = Math.ceil(name.length / 2) + 1
+  let bestDistance = Math.floor(name.length / 2) + 1
   for (const candidate of names) {
     const distance = editDistance(name.toLowerCase(), candidate.toLowerCase())
     if (distance < bestDistance) {
