--- a/src/config/fleetConfig.ts
+++ b/src/config/fleetConfig.ts
@@ -17,7 +17,9 @@
   /** Target for the first token; 0 means that only patience counts. */
   firstTokenMs: z.number().min(0),
   /** Target for 95 in 100 gaps between tokens; 0 means that only patience counts. */
-  tokenGapMs: z.number().min(0)
+  tokenGapMs: z.number().min(0),
+  /** Part of the requests that should attain the target, for the report on service-level burn. */
+  objective: z.number().min(0).max(1)
 })
 export type RankConfig = z.infer<typeof rankConfigSchema>
 
--- a/src/config/parseFleetConfig.ts
+++ b/src/config/parseFleetConfig.ts
@@ -34,15 +34,16 @@
 
 /** Values of the ranks that the configuration does not set. */
 export const defaultRanks: Readonly<Record<Rank, Readonly<RankConfig>>> = {
-  urgent: { requestValue: 100, minimumShare: 0.1, patienceMs: 10_000, firstTokenMs: 600, tokenGapMs: 42 },
-  live: { requestValue: 10, minimumShare: 0.1, patienceMs: 30_000, firstTokenMs: 600, tokenGapMs: 42 },
-  browsing: { requestValue: 1, minimumShare: 0.1, patienceMs: 120_000, firstTokenMs: 0, tokenGapMs: 0 }
+  urgent: { requestValue: 100, minimumShare: 0.1, patienceMs: 10_000, firstTokenMs: 600, tokenGapMs: 42, objective: 0.99 },
+  live: { requestValue: 10, minimumShare: 0.1, patienceMs: 30_000, firstTokenMs: 600, tokenGapMs: 42, objective: 0.95 },
+  browsing: { requestValue: 1, minimumShare: 0.1, patienceMs: 120_000, firstTokenMs: 0, tokenGapMs: 0, objective: 0.9 }
 }
 
 function rankFields (defaults: RankConfig) {
   return {
     requestValue: withDefault(weightField, defaults.requestValue),
     minimumShare: withDefault(shareField, defaults.minimumShare),
+    objective: withDefault(shareField, defaults.objective),
     patienceMs: withDefault(patienceField, defaults.patienceMs),
     firstTokenMs: withDefault(durationMsField({ min: 0 }), defaults.firstTokenMs),
     tokenGapMs: withDefault(durationMsField({ min: 0 }), defaults.tokenGapMs)
--- /dev/null
+++ b/src/gateway/nodeCore.ts
@@ -0,0 +1,523 @@
+/** One node of teaselrill without sockets: everything outside is passed in. */
+
+import { match } from 'ts-pattern'
+import { repeat, sleep } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { parseFleetConfig } from '../config/parseFleetConfig.js'
+import { FindingsError, hasErrors } from '../base/findings.js'
+import { propose } from '../config/proposal.js'
+import { ConfigDistribution } from '../fleet/configDistribution.js'
+import { ControlAssignment } from '../fleet/controlAssignment.js'
+import { Dissemination } from '../fleet/dissemination.js'
+import { EngineControl } from '../fleet/engineControl.js'
+import { IdempotencyStore } from '../fleet/idempotency.js'
+import { ObservedKeyValueStore } from '../fleet/observedKeyValueStore.js'
+import { Membership } from '../fleet/membership.js'
+import { Planner } from '../fleet/planner.js'
+import { ServiceMonitor } from '../fleet/serviceMonitor.js'
+import { VmDirectory } from '../fleet/vmDirectory.js'
+import { Admission } from '../policy/admission.js'
+import { DemandForecast } from '../policy/forecast.js'
+import { planMoves } from '../policy/placement.js'
+import { RequestQueue } from '../policy/queue.js'
+import { RetryBudget } from '../policy/retry.js'
+import { Router } from '../policy/routing.js'
+import { engineEntrySchema } from '../protocol/messages.js'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import type { FleetConfig } from '../config/fleetConfig.js'
+import type { ProposalResult } from '../config/proposal.js'
+import type { EngineApi } from '../platform/engine.js'
+import type { KeyValueStore } from '../platform/keyValueStore.js'
+import type { ServiceApi } from '../platform/service.js'
+import type { Vm, VmList } from '../platform/vmList.js'
+import type { EngineEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
+import { accountFilter } from './account.js'
+import type { OnFinished } from './account.js'
+import { BurnRecorder, mergeBurnGroups, RequestMeasure } from './burn.js'
+import type { BurnGroup } from './burn.js'
+import { classifyFilter } from './classify.js'
+import { deduplicateFilter } from './deduplicate.js'
+import { DemandMeter } from './demandMeter.js'
+import { composeFilters } from './exchange.js'
+import type { CallerRequest, CallerResponse, Exchange, Filter } from './exchange.js'
+import { identifyFilter } from './identify.js'
+import { inferenceFilter } from './inference.js'
+import { listModelsFilter } from './listModels.js'
+import { ProblemError, problemResponse } from './problem.js'
+import { rateLimitFilter } from './rateLimit.js'
+import { Scheduler } from './scheduler.js'
+import { serviceFilter } from './serviceCalls.js'
+import { TraceStore } from './trace.js'
+
+export interface NodeIdentity {
+  name: string
+  region: string
+  availabilityZone: string
+  /** `IP:PORT` of the peers' port as other nodes reach it. */
+  peersAddress: string
+}
+
+export interface NodeCoreOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  identity: NodeIdentity
+  /** Addresses of peers from the settings. */
+  seeds: readonly string[]
+  network: PeerNetwork
+  keyValueStore: KeyValueStore
+  vmList: VmList
+  engineApi: (engine: string, address: string) => EngineApi
+  serviceApi: (server: string, address: string) => ServiceApi
+  newId: () => string
+  onFinished?: OnFinished
+}
+
+/** Time for which a leaving node still takes new requests, since the balancer learns of it with a delay. */
+export const drainNoticeMs = 3_000
+const flushTimeoutMs = 10_000
+const demandPeriodMs = 2_000
+const queryTimeoutMs = 2_000
+// At 340 idle nodes the probes are 11 reads/s of the service's 2,000.
+const keyValueProbePeriodMs = 30_000
+const maxCachePolls = 4
+
+/** Assembles the parts of a node. `start` must be called before requests are handled. */
+export class NodeCore {
+  readonly membership: Membership
+  readonly dissemination: Dissemination
+  readonly configDistribution: ConfigDistribution
+  readonly assignment: ControlAssignment
+  readonly planner: Planner
+  readonly traces: TraceStore
+  readonly burn: BurnRecorder
+  private readonly options: NodeCoreOptions
+  private readonly vmDirectory: VmDirectory
+  private readonly serviceMonitor: ServiceMonitor
+  private readonly scheduler: Scheduler
+  private readonly idempotency: IdempotencyStore
+  private readonly demand: DemandMeter
+  private readonly handleExchange: (exchange: Exchange) => Promise<void>
+  private readonly engineApis = new Map<string, EngineApi>()
+  private readonly serviceApis = new Map<string, ServiceApi>()
+  private readonly timers: CancelTimer[] = []
+  private readonly cacheSequence = new Map<string, number>()
+  private inProgress = 0
+  private state: 'starting' | 'ready' | 'leaving' = 'starting'
+  private refusesAfterMs = Infinity
+  private readonly keyValueStore: ObservedKeyValueStore
+  /** Engines by the time of their last use, the latest last. */
+  private readonly recentEngines = new Set<string>()
+
+  constructor (options: NodeCoreOptions) {
+    this.options = options
+    const { clock, random, log, identity, network } = options
+    const keyValueStore = new ObservedKeyValueStore(clock, options.keyValueStore)
+    this.keyValueStore = keyValueStore
+    const base = { clock, random, log, network }
+    const seeds = () => this.seeds()
+    const self = { ...identity, address: identity.peersAddress }
+    this.traces = new TraceStore(clock)
+    this.burn = new BurnRecorder(clock)
+    this.dissemination = new Dissemination({ ...base, location: identity, members: () => this.membership.alive().filter(({ name }) => name !== identity.name) })
+    this.membership = new Membership({
+      ...base,
+      self,
+      seeds,
+      onEntries: entries => this.dissemination.merge(entries),
+      piggyback: () => []
+    })
+    this.configDistribution = new ConfigDistribution({
+      ...base,
+      keyValueStore,
+      members: () => this.membership.members(),
+      self: identity.name,
+      selfAddress: identity.peersAddress,
+      parse: parseAccepted,
+      seeds
+    })
+    this.vmDirectory = new VmDirectory({ clock, log, vmList: options.vmList, entries: this.dissemination, self: identity, alive: () => this.membership.alive() })
+    this.serviceMonitor = new ServiceMonitor({
+      clock,
+      entries: this.dissemination,
+      self: identity,
+      alive: () => this.membership.alive(),
+      vms: () => this.vmDirectory.vms(),
+      serviceApi: vm => this.serviceApi(vm.name, vm.address)
+    })
+    this.assignment = new ControlAssignment({
+      ...base,
+      self: identity.name,
+      selfAddress: identity.peersAddress,
+      members: () => this.membership.alive(),
+      vms: () => this.vmDirectory.vms().filter(({ kind }) => kind === 'engine'),
+      publishedController: engine => this.engineEntry(engine)?.controller,
+      createControl: vm => this.createControl(vm)
+    })
+    this.planner = new Planner({
+      clock,
+      random,
+      log,
+      network,
+      self: identity.name,
+      region: identity.region,
+      members: () => this.membership.alive(),
+      config: () => this.configDistribution.current(),
+      engines: () => this.engineEntries().filter(({ region }) => region === identity.region),
+      executeLocal: move => this.assignment.control(move.engine)?.execute(move),
+      keyValueAvailable: () => this.keyValueStore.available(),
+      plan: planMoves,
+      forecast: new DemandForecast()
+    })
+    this.demand = new DemandMeter(clock, identity.name)
+    this.idempotency = new IdempotencyStore({
+      clock, log, keyValueStore, node: identity.name, retentionMs: () => this.config().fleet.idempotencyRetentionMs, newId: options.newId
+    })
+    const retryBudget = new RetryBudget({ clock, share: () => this.config().fleet.retryBudget })
+    this.scheduler = new Scheduler({
+      clock,
+      log,
+      queue: new RequestQueue({ config: () => this.config() }),
+      admission: new Admission({ clock, config: () => this.config(), nodeCount: () => this.readyNodes() }),
+      router: new Router({ clock, random, location: identity, crossRegionPrice: () => this.config().fleet.crossRegionPrice }),
+      config: () => this.config(),
+      engines: () => this.routableEngines(),
+      engineApi: entry => {
+        this.recentEngines.delete(entry.engine)
+        this.recentEngines.add(entry.engine)
+        return this.engineApi(entry.engine, entry.address)
+      },
+      loadTimeMs: () => this.planner.loadTimeMs(),
+      onWanted: () => this.reportDemand()
+    })
+    const config = () => this.config()
+    this.handleExchange = composeFilters([
+      accountFilter(log, this.burn, options.onFinished ?? (() => {})),
+      identifyFilter(config),
+      classifyFilter(config),
+      rateLimitFilter(clock, () => this.readyNodes()),
+      listModelsFilter(config),
+      deduplicateFilter(clock, this.idempotency),
+      this.demandFilter(),
+      serviceFilter({
+        clock, random, retryBudget, location: identity,
+        servers: service => this.serviceMonitor.servers(service),
+        serviceApi: entry => this.serviceApi(entry.server, entry.address)
+      }),
+      inferenceFilter({ clock, random, scheduler: this.scheduler, retryBudget, newId: options.newId })
+    ])
+  }
+
+  /** Joins the fleet. Resolves once a configuration is in force, from which time requests are handled. */
+  async start (): Promise<void> {
+    const { clock, identity } = this.options
+    this.configDistribution.onApplied(config => {
+      this.membership.setConfigVersion(config.version)
+      this.scheduler.schedulePump()
+    })
+    this.dissemination.onChange((key, value) => {
+      if (!key.startsWith('engine/')) return
+      this.scheduler.schedulePump()
+      if (value === null) this.engineApis.delete(key.slice('engine/'.length))
+    })
+    this.membership.start()
+    this.dissemination.start()
+    this.timers.push(repeat(clock, keyValueProbePeriodMs, () => this.keyValueStore.probe(keyValueProbePeriodMs)))
+    await this.configDistribution.start()
+    if (this.state === 'leaving') return
+    this.vmDirectory.start()
+    this.serviceMonitor.start()
+    this.assignment.start()
+    this.planner.start()
+    this.scheduler.start()
+    this.timers.push(repeat(clock, demandPeriodMs, () => this.reportDemand()))
+    this.timers.push(repeat(clock, demandPeriodMs, () => this.readCacheEvents()))
+    this.state = 'ready'
+    this.membership.setReady(true)
+    this.options.log('info', 'node-ready', { node: identity.name, configVersion: this.configDistribution.version() })
+  }
+
+  /** Whether callers are served, and why not. */
+  readiness (): { ready: boolean, reasons: string[] } {
+    const reasons = match(this.state)
+      .with('starting', () => ['no configuration is in force yet'])
+      .with('leaving', () => ['the node is shutting down'])
+      .with('ready', () => [])
+      .exhaustive()
+    return { ready: reasons.length === 0, reasons }
+  }
+
+  /** Answers one caller. Never rejects. */
+  async handle (request: CallerRequest): Promise<CallerResponse> {
+    const requestId = this.options.newId()
+    if (this.configDistribution.current() === undefined) {
+      return problemResponse(new ProblemError(503, 'overloaded', 'not-run', 'the node is starting', { retryAfterMs: 1000 }), requestId)
+    }
+    const arrivedAtMs = this.options.clock.nowMs()
+    if (arrivedAtMs >= this.refusesAfterMs) {
+      const response = problemResponse(new ProblemError(503, 'shutting-down', 'not-run', 'use another node', { retryAfterMs: 0 }), requestId)
+      return { ...response, headers: { ...response.headers, connection: 'close' } }
+    }
+    const exchange: Exchange = {
+      requestId,
+      request,
+      arrivedAtMs,
+      trace: this.traces.start(requestId),
+      measure: new RequestMeasure(this.options.clock, arrivedAtMs)
+    }
+    this.inProgress++
+    await this.handleExchange(exchange)
+    return this.untilSent(exchange.response!)
+  }
+
+  /** Answers a message of another node. */
+  async handlePeer (message: PeerMessage): Promise<PeerMessage> {
+    const parts = [this.membership, this.dissemination, this.configDistribution, this.assignment, this.planner]
+    for (const part of parts) {
+      const reply = await part.handle(message)
+      if (reply) return reply
+    }
+    if (message.kind === 'query') return { kind: 'queryReply', json: JSON.stringify(this.answerQuery(message.query, message.argument) ?? null) }
+    return { kind: 'error', message: `no handler for ${message.kind}` }
+  }
+
+  /**
+   * Graceful shutdown: no new callers after the balancer's notice, roles handed over, requests in progress completed.
+   * Resolves when the process may end.
+   */
+  async stop (): Promise<void> {
+    const { clock, log, identity } = this.options
+    log('info', 'node-leaving', { node: identity.name, inProgress: this.inProgress })
+    this.state = 'leaving'
+    this.membership.setReady(false)
+    this.refusesAfterMs = clock.nowMs() + drainNoticeMs
+    this.planner.stop()
+    await this.assignment.stop()
+    while (clock.nowMs() < this.refusesAfterMs || this.inProgress > 0) await sleep(clock, 50)
+    await this.idempotency.flush(clock.nowMs() + flushTimeoutMs)
+    for (const cancel of this.timers) cancel()
+    this.scheduler.stop()
+    this.serviceMonitor.stop()
+    this.vmDirectory.stop()
+    this.configDistribution.stop()
+    await this.membership.leave()
+    this.membership.stop()
+    this.dissemination.stop()
+    log('info', 'node-left', { node: identity.name })
+  }
+
+  /** Proposes a change of the fleet configuration. */
+  async proposeConfig (change: { baseVersion: number, text: string, author: string, reason: string, proposalId: string }, { deadlineMs }: { deadlineMs: number }): Promise<ProposalResult> {
+    const result = await propose(this.keyValueStore, change, { clock: this.options.clock, deadlineMs, file: 'proposal' })
+    if (result.kind === 'accepted') this.configDistribution.offer(result.version, change.text)
+    return result
+  }
+
+  /** The configuration version in force on each node that is a member, and whether the node answers. */
+  inForce (): { version: number, nodes: { name: string, version: number, reachable: boolean }[] } {
+    const nodes = this.membership.members()
+      .filter(({ state }) => state !== 'left')
+      .map(({ name, configVersion, state }) => ({ name, version: configVersion, reachable: state === 'alive' }))
+    return { version: this.configDistribution.version(), nodes }
+  }
+
+  /** What this node sees of the fleet. */
+  status (): Record<string, unknown> {
+    return {
+      node: this.options.identity,
+      state: this.state,
+      inProgress: this.inProgress,
+      queued: this.scheduler.queue.size(),
+      configVersion: this.configDistribution.version(),
+      keyValueAvailable: this.keyValueStore.available(),
+      members: this.membership.members(),
+      engines: this.engineEntries(),
+      services: this.dissemination.list('service/').map(({ value }) => value),
+      vms: this.vmDirectory.vms()
+    }
+  }
+
+  /** The trace of a request, asked of all nodes. */
+  async explain (requestId: string): Promise<unknown> {
+    const own = this.traces.explain(requestId)
+    if (own) return { node: this.options.identity.name, ...own }
+    const { answers } = await this.queryAll('trace', requestId)
+    return answers.find(answer => answer !== null)
+  }
+
+  /** Burn of all nodes, with the names of the nodes that did not answer. */
+  async burnReport (): Promise<{ objectives: Record<string, number>, groups: BurnGroup[], nodes: string[], missing: string[] }> {
+    const { answers, missing, names } = await this.queryAll('burn', '')
+    const groups = mergeBurnGroups([this.burn.groups(), ...answers as BurnGroup[][]])
+    const objectives = Object.fromEntries(Object.entries(this.config().ranks).map(([rank, { objective }]) => [rank, objective]))
+    return { objectives, groups, nodes: [this.options.identity.name, ...names], missing }
+  }
+
+  /** Requests that wait for an engine. */
+  queuedRequests (): number {
+    return this.scheduler.queue.size()
+  }
+
+  /** Requests that are being answered. */
+  requestsInProgress (): number {
+    return this.inProgress
+  }
+
+  /** Engine entries as far as this node knows them. */
+  engineEntries (): EngineEntry[] {
+    return this.dissemination.list('engine/').flatMap(({ value }) => {
+      const result = engineEntrySchema.safeParse(value)
+      return result.success ? [result.data] : []
+    })
+  }
+
+  private async queryAll (query: 'burn' | 'trace', argument: string): Promise<{ answers: unknown[], names: string[], missing: string[] }> {
+    const others = this.membership.members().filter(({ name, state }) => name !== this.options.identity.name && state !== 'left')
+    const answers: unknown[] = []
+    const names: string[] = []
+    const missing: string[] = []
+    await Promise.all(others.map(async ({ name, address }) => {
+      try {
+        const reply = await this.options.network.request(address, { kind: 'query', query, argument }, { timeoutMs: queryTimeoutMs })
+        if (reply.kind !== 'queryReply') throw new Error(`unexpected ${reply.kind}`)
+        answers.push(JSON.parse(reply.json))
+        names.push(name)
+      } catch {
+        missing.push(name)
+      }
+    }))
+    return { answers, names: names.sort(), missing: missing.sort() }
+  }
+
+  private answerQuery (query: 'burn' | 'trace' | 'status', argument: string): unknown {
+    return match(query)
+      .with('burn', () => this.burn.groups())
+      .with('trace', () => {
+        const trace = this.traces.explain(argument)
+        return trace && { node: this.options.identity.name, ...trace }
+      })
+      .with('status', () => this.status())
+      .exhaustive()
+  }
+
+  /** Counts the request as in progress until its last byte was handed over. */
+  private untilSent (response: CallerResponse): CallerResponse {
+    const { body } = response
+    if (body instanceof Uint8Array) {
+      this.inProgress--
+      return response
+    }
+    const end = () => { this.inProgress-- }
+    return {
+      ...response,
+      body: (async function * () {
+        try {
+          yield * body
+        } finally {
+          end()
+        }
+      })()
+    }
+  }
+
+  private config (): FleetConfig {
+    return this.configDistribution.current()!
+  }
+
+  private readyNodes (): number {
+    return this.membership.alive().filter(({ ready }) => ready).length
+  }
+
+  private demandFilter (): Filter {
+    return async (exchange, next) => {
+      const { work, terms } = exchange
+      if (work?.kind === 'inference') this.demand.onArrival(work.requestedModel, terms!.rank, work.maxTokens)
+      exchange.measure.tokenGapMs = terms!.tokenGapMs
+      await next()
+    }
+  }
+
+  private reportDemand (): void {
+    this.planner.wanted(this.demand.report(this.scheduler.queue.waitingByModel()))
+  }
+
+  private engineEntry (engine: string): EngineEntry | undefined {
+    const result = engineEntrySchema.safeParse(this.dissemination.get(`engine/${engine}`))
+    return result.success ? result.data : undefined
+  }
+
+  private routableEngines (): EngineEntry[] {
+    const leaving = new Set(this.vmDirectory.vms().filter(({ state }) => state === 'leaving').map(({ name }) => name))
+    return this.engineEntries().filter(({ engine, draining, reachable }) => reachable && !draining && !leaving.has(engine))
+  }
+
+  private createControl (vm: Vm): EngineControl {
+    const { clock, random, log, identity } = this.options
+    const pool = () => this.config().pools[vm.group]
+    const exception = this.config().exceptions.find(({ target, honoursFence }) => target === `engine.${vm.name}` && honoursFence !== undefined)
+    return new EngineControl({
+      clock,
+      random,
+      log,
+      node: identity.name,
+      nodeAddress: identity.peersAddress,
+      vm,
+      engine: this.engineApi(vm.name, vm.address),
+      honoursFence: exception?.honoursFence ?? pool()?.honoursFence ?? false,
+      adapterBytes: () => pool()?.adapterBytes ?? 0,
+      keyValueStore: this.keyValueStore,
+      publish: entry => this.dissemination.publish(`engine/${vm.name}`, entry.controlFence, entry)
+    })
+  }
+
+  private engineApi (engine: string, address: string): EngineApi {
+    return cached(this.engineApis, `${engine} ${address}`, () => this.options.engineApi(engine, address))
+  }
+
+  private serviceApi (server: string, address: string): ServiceApi {
+    return cached(this.serviceApis, `${server} ${address}`, () => this.options.serviceApi(server, address))
+  }
+
+  /** Reads the VM list only when other nodes cannot tell, so that its rate does not grow with the fleet. */
+  private async seeds (): Promise<string[]> {
+    const isAlone = this.membership.alive().length <= 1
+    const listed = isAlone ? await this.options.vmList.list().catch(() => []) : this.vmDirectory.vms()
+    const addresses = listed.filter(({ kind }) => kind === 'entry').map(({ address }) => address)
+    return [...new Set([...this.options.seeds, ...addresses])].filter(address => address !== this.options.identity.peersAddress)
+  }
+
+  /** Reads cache events of the engines that this node used last; a bounded number, since every node does so. */
+  private async readCacheEvents (): Promise<void> {
+    const recent = [...this.recentEngines].slice(-maxCachePolls)
+    await Promise.all(this.routableEngines().filter(({ engine }) => recent.includes(engine)).map(async entry => {
+      const after = this.cacheSequence.get(entry.engine) ?? 0
+      try {
+        const events = await this.engineApi(entry.engine, entry.address).cacheEvents(after)
+        const last = events.at(-1)
+        if (!last) return
+        this.cacheSequence.set(entry.engine, last.sequence)
+        const isComplete = events[0]!.sequence === after + 1 && last.sequence - after === events.length
+        this.scheduler.onCacheEvents(entry.engine, events, isComplete)
+      } catch (error) {
+        this.options.log('debug', 'cache-events-unavailable', { engine: entry.engine, error: messageOf(error) })
+      }
+    }))
+  }
+}
+
+function cached<T> (cache: Map<string, T>, key: string, create: () => T): T {
+  const existing = cache.get(key)
+  if (existing !== undefined) return existing
+  const created = create()
+  cache.set(key, created)
+  return created
+}
+
+function parseAccepted (text: string, version: number): FleetConfig {
+  const { config, findings } = parseFleetConfig(text, { file: `configuration version ${version}`, version })
+  if (!config || hasErrors(findings)) throw new FindingsError(findings)
+  return config
+}
+
