Report an aborted call that was never sent as not run

A call whose signal had already aborted was reported as unknown, although nothing was sent, so that a non-idempotent request could not be tried again. The clients and the stand-ins now check the signal first. The service finds repeated requests by a set instead of a scan of its log, and the batcher keeps the prefix hashes of a request, since both grew with the length of a run.

A session over HTTP was only tested with a connection that the crash had cut; the test now also has an idle one, which the incarnation alone refuses.

--- a/src/platform/httpCall.ts
+++ b/src/platform/httpCall.ts
@@ -32,6 +32,11 @@
   throw error
 }
 
+/** Throws `NotRunError` if `signal` aborted before anything was sent. */
+export function checkNotAborted (target: string, signal: AbortSignal | undefined): void {
+  if (signal?.aborted) throw new NotRunError(target, 'aborted before the call')
+}
+
 export interface HttpCallOptions {
   method?: Dispatcher.HttpMethod
   body?: unknown
--- a/src/platform/httpEngine.ts
+++ b/src/platform/httpEngine.ts
@@ -7,7 +7,7 @@
 import { FailedError, NotRunError, UnknownOutcomeError } from '../base/errors.js'
 import { cacheEventSchema, commandReplySchema, engineStatusSchema, inferenceEventSchema, kvExportSchema } from './engine.js'
 import type { CacheEvent, CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent, InferenceRequest, KvExport } from './engine.js'
-import { agentOptions, checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
+import { agentOptions, checkNotAborted, checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
 
 // Calls without a time limit of their own; the largest carries an exported KV cache.
 const callTimeoutMs = 10_000
@@ -63,6 +63,7 @@
   }
 
   private async * stream (requestId: string, path: string, body: unknown, signal?: AbortSignal): AsyncGenerator<InferenceEvent> {
+    checkNotAborted(this.engine, signal)
     // The engine cannot tell an abort from a cut connection, after which it keeps the request for a resume.
     const cancel = () => { this.cancel(requestId).catch(() => {}) }
     signal?.addEventListener('abort', cancel, { once: true })
--- a/src/platform/httpService.ts
+++ b/src/platform/httpService.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from 'undici'
 import { z } from 'zod'
 import type { Clock } from '../base/clock.js'
-import { checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
+import { checkNotAborted, checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
 import type { ServiceApi, ServiceRequest, ServiceResponse } from './service.js'
 
 // These headers describe one connection and must not be passed on (RFC 9110, section 7.6.1).
@@ -26,6 +26,7 @@
   }
 
   async call ({ requestId, method, path, headers, body }: ServiceRequest, { signal }: { signal?: AbortSignal }): Promise<ServiceResponse> {
+    checkNotAborted(this.server, signal)
     try {
       const answer = await request(`http://${this.caller.address}${path}`, {
         method: method as Dispatcher.HttpMethod,
--- a/src/standins/batcher.ts
+++ b/src/standins/batcher.ts
@@ -44,6 +44,7 @@
   /** All tokens of the answer so far, also those that the request brought. */
   tokens: string[]
   state: 'queued' | 'running' | 'ended' | 'cancelled' | 'crashed'
+  prefixHashes: number[]
   promptTokens: number
   prefillTokens: number
   reservedTokens: number
@@ -92,11 +93,13 @@
     if (prompt + request.maxTokens > kvTokens) throw new NotRunError(engine, `request ${request.requestId} needs more than ${kvTokens} KV-cache tokens`)
     this.cancel(request.requestId)
     const tokens = [...request.generatedTokens ?? []]
-    const cachedTokens = Math.max(cache.cachedTokens(prefixHashes(request.model, request.adapter, request.prompt)), this.takeImported(request))
+    const hashes = prefixHashes(request.model, request.adapter, request.prompt)
+    const cachedTokens = Math.max(cache.cachedTokens(hashes), this.takeImported(request))
     const job: Job = {
       request,
       tokens,
       state: 'queued',
+      prefixHashes: hashes,
       promptTokens: prompt,
       prefillTokens: Math.max(0, prompt + tokens.length - cachedTokens),
       reservedTokens: prompt + request.maxTokens,
@@ -209,7 +212,7 @@
       this.reservedTokens += job.reservedTokens
       this.running.add(job)
       prefillTokens += job.prefillTokens
-      cache.store(job.request.model, prefixHashes(job.request.model, job.request.adapter, job.request.prompt))
+      cache.store(job.request.model, job.prefixHashes)
     }
     onLoadChange()
     if (this.running.size === 0) return
@@ -234,11 +237,11 @@
 
   private end (job: Job, state: 'ended' | 'cancelled' | 'crashed'): void {
     if (job.state === 'running') this.reservedTokens -= job.reservedTokens
+    else this.queue.splice(this.queue.indexOf(job), 1)
     job.state = state
     job.entry.endMs = this.options.clock.nowMs()
     job.entry.result = state === 'ended' ? 'completed' : state
     this.running.delete(job)
-    this.queue = this.queue.filter(other => other !== job)
     notify(job.listeners)
     notify(this.idleListeners)
     this.options.onLoadChange()
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -4,6 +4,7 @@
 import { withTimeout } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
 import { CallError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
+import { checkNotAborted } from '../platform/httpCall.js'
 import type { CacheEvent, CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent, InferenceRequest, KvExport, LoadedAdapter, LoadedModel } from '../platform/engine.js'
 import type { WeightStore } from '../platform/weightStore.js'
 import { Batcher } from './batcher.js'
@@ -201,10 +202,12 @@
   }
 
   async * infer (request: InferenceRequest, { signal }: { signal?: AbortSignal }): AsyncGenerator<InferenceEvent> {
+    checkNotAborted(this.engine, signal)
     yield * this.cancelledBy(signal, request.requestId, await this.startInference(request, signal))
   }
 
   async * resume (requestId: string, fromIndex: number, { attemptId, signal }: { attemptId: string, signal?: AbortSignal }): AsyncGenerator<InferenceEvent> {
+    checkNotAborted(this.engine, signal)
     yield * this.cancelledBy(signal, requestId, await this.startRead(requestId, fromIndex, attemptId, signal))
   }
 
@@ -341,7 +344,6 @@
 
   private async * cancelledBy (signal: AbortSignal | undefined, requestId: string, events: AsyncGenerator<InferenceEvent>): AsyncGenerator<InferenceEvent> {
     const onAbort = () => { this.cancel(requestId).catch(() => {}) }
-    if (signal?.aborted) onAbort()
     signal?.addEventListener('abort', onAbort, { once: true })
     try {
       yield * events
--- a/src/standins/service.ts
+++ b/src/standins/service.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../base/clock.js'
 import { sleep, withTimeout } from '../base/clock.js'
 import { messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
+import { checkNotAborted } from '../platform/httpCall.js'
 import type { ServiceApi, ServiceRequest, ServiceResponse } from '../platform/service.js'
 import { FaultSwitches, never } from './faultSwitches.js'
 import { addControl, createApp } from './httpServer.js'
@@ -51,6 +52,7 @@
   private readonly isRepeatable: (method: string, path: string) => boolean
   private readonly faults = new FaultSwitches<ServiceFault>()
   private draining = false
+  private readonly executedIds = new Set<string>()
 
   constructor ({ clock, server, executionMs = 5, isRepeatable = method => method !== 'POST' }: ServiceStandInOptions) {
     this.clock = clock
@@ -70,10 +72,10 @@
 
   async call (request: ServiceRequest, { signal }: { signal?: AbortSignal }): Promise<ServiceResponse> {
     if (!signal) return this.execute(request)
+    checkNotAborted(this.server, signal)
     // An abort ends the wait and not the execution, as over a network.
     const aborted = new Promise<never>((_resolve, reject) => {
       const onAbort = () => reject(new UnknownOutcomeError(this.server, `request ${request.requestId} was aborted`))
-      if (signal.aborted) onAbort()
       signal.addEventListener('abort', onAbort, { once: true })
     })
     return Promise.race([this.execute(request), aborted])
@@ -94,9 +96,10 @@
     if (this.draining) throw new NotRunError(this.server, 'the server is draining')
     if (this.faults.take('refuse')) throw new NotRunError(this.server, 'refused before execution')
     if (this.faults.take('crashBeforeExecution')) throw new UnknownOutcomeError(this.server, 'the connection was cut')
-    const forbiddenRepeat = !this.isRepeatable(method, path) && this.log.some(execution => execution.requestId === requestId)
+    const forbiddenRepeat = !this.isRepeatable(method, path) && this.executedIds.has(requestId)
     const execution: Execution = { requestId, method, path, startMs: this.clock.nowMs(), forbiddenRepeat }
     this.log.push(execution)
+    this.executedIds.add(requestId)
     await sleep(this.clock, this.executionMs)
     execution.endMs = this.clock.nowMs()
     if (this.faults.take('crashAfterExecution')) throw new UnknownOutcomeError(this.server, 'the connection was cut')
--- a/tests/standInFaults.spec.ts
+++ b/tests/standInFaults.spec.ts
@@ -233,6 +233,20 @@
     server.close()
   })
 
+  // Guards against a session that connects again, perhaps to another process.
+  it('does not reconnect a session', async () => {
+    const { engine: standIn } = await startEngine()
+    const status = JSON.stringify(await standIn.readStatus())
+    const { server, address, connections } = await rawServer([`HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: ${status.length}\r\n\r\n${status}`])
+    const engine = new HttpEngine({ engine: 'e1', address, clock: new SystemClock() })
+    const session = await engine.openSession({ timeoutMs })
+    while (session.isOpen()) await new Promise(resolve => setImmediate(resolve))
+    expect(await outcome(session.command({ kind: 'claim', commandId: 'c', fence: 1 }, { timeoutMs }))).to.equal('not-run')
+    expect(connections()).to.equal(1)
+    await engine.close()
+    server.close()
+  })
+
   // Guards against a process entry that does not serve, or whose faults cannot be switched on over HTTP.
   it('runs as processes', async () => {
     const main = fileURLToPath(new URL('../src/standins/main.js', import.meta.url))
--- a/tests/standIns.spec.ts
+++ b/tests/standIns.spec.ts
@@ -80,12 +80,14 @@
     // Guards against commands for an old process that reach the new one.
     it('binds a session to one incarnation', async () => {
       const { standIn, api, session } = await startEngine()
+      const idle = await mode.run(api.openSession({ timeoutMs }))
       standIn.control({ fault: 'commandLate', delayMs: 600_000 })
       const late = outcome(session.command(load(1, 1e9, 'late@1'), { timeoutMs }))
       await until(() => standIn.activeFaults === 0)
       standIn.control({ fault: 'restart' })
       standIn.control({ fault: 'deliverHeld' })
       expect(await mode.run(outcome(session.command(load(), { timeoutMs })))).to.equal('not-run')
+      expect(await mode.run(outcome(idle.command(load(), { timeoutMs })))).to.equal('not-run')
       expect(await mode.run(late)).to.equal('unknown')
       const status = await mode.run(api.status({ timeoutMs }))
       expect(status.models).to.deep.equal([])
@@ -124,6 +126,7 @@
       aborted.abort()
       expect((await mode.run(stream)).outcome).to.equal('unknown')
       await until(() => standIn.log.requests[0]!.result === 'cancelled')
+      expect((await mode.run(collect(api.infer(request, { signal: aborted.signal })))).outcome).to.equal('not-run')
       const left = await mode.run(collect(api.infer({ ...request, requestId: 'r2', maxTokens: 100_000 }, {}), { stopAfter: 3 }))
       expect(left.tokens).to.have.lengthOf(3)
       await until(() => standIn.log.requests[1]!.result === 'cancelled')
