--- /dev/null
+++ b/src/fleet/dissemination.ts
@@ -0,0 +1,505 @@
+/** Versioned entries that all nodes hold: engines, plain services and whatever else nodes publish. */
+
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { repeat } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { hash32, rendezvousOwner } from '../base/hash.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import { randomChoice, randomInt } from '../base/random.js'
+import type { EngineEntry, EntryPatch, MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork, VersionedEntry } from '../protocol/messages.js'
+import { applyDiff, changedFields, diffValues, isEmptyDiff, isEngineKey } from './entryDiff.js'
+import type { EngineLoad } from './packing.js'
+import { loadFields, packHashes, packLoads, unpackHashes, unpackLoads } from './packing.js'
+import { spreadPosition, splitRange, wholeFleet, zoneRange } from './spreadRange.js'
+import type { SpreadRange } from './spreadRange.js'
+
+/** Urgent changes of this time travel together; those of all nodes of a region wait again at the relay. */
+const urgentDelayMs = 20
+const relayDelayMs = 200
+const pullDelayMs = 200
+/** Changes that are not urgent, such as those of adapters, wait for this time and travel together. */
+const calmPeriodMs = 5_000
+const antiEntropyPeriodMs = 5_000
+/** Load figures go out each second: to the engine's availability zone, and on every 5th and 30th to the others. */
+const loadPeriodMs = 1_000
+const regionTicks = 5
+const fleetTicks = 30
+const spreadFanout = 3
+const requestTimeoutMs = 1_000
+const bucketCount = 256
+/** Longer than the longest expected partition, since a cut-off node brings back what it did not see deleted. */
+const tombstoneMs = 2 * 3_600_000
+/** Keeps a reply well below the frame limit; the rest follows in the next exchange. */
+const maxExchangeEntries = 1_000
+const noBytes = new Uint8Array(0)
+
+export interface DisseminationOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  network: PeerNetwork
+  /** Name and place of this node. */
+  location: { name: string, region: string, availabilityZone: string }
+  members: () => MemberEntry[]
+}
+
+interface Stored {
+  entry: VersionedEntry
+  keyHash: number
+  versionHash: number
+  deletedAtMs?: number
+}
+
+interface Changes { entries: VersionedEntry[], patches: EntryPatch[], baseMs: number, loads: Uint8Array }
+
+/**
+ * A replicated map. Every key has one writer at a time and a version `(epoch, sequence)`; the higher one wins. The
+ * value `undefined` deletes a key and leaves a tombstone. Engines' load figures have no sequence: the later
+ * `reportedAtMs` wins.
+ */
+export class Dissemination {
+  private readonly entries = new Map<string, Stored>()
+  private readonly keyByHash = new Map<number, string>()
+  private readonly buckets: number[] = Array(bucketCount).fill(0)
+  private readonly listeners: ((key: string, value: unknown) => void)[] = []
+  private readonly urgent = new Map<string, VersionedEntry | undefined>()
+  private readonly calm = new Map<string, VersionedEntry | undefined>()
+  private readonly relayed: { entries: Map<string, VersionedEntry>, patches: EntryPatch[] } = { entries: new Map(), patches: [] }
+  /** Engines that this node publishes, with the time of the load that was sent last. */
+  private readonly ownLoads = new Map<string, number>()
+  /** As the relay of an availability zone: loads to pass on, by destination. */
+  private readonly zoneLoads = new Set<string>()
+  private readonly regionLoads = new Set<string>()
+  private readonly fleetLoads = new Set<string>()
+  private readonly pulls = new Set<string>()
+  private readonly scheduled = new Map<string, CancelTimer>()
+  private tick = 0
+  private timers: CancelTimer[] = []
+
+  constructor (private readonly options: DisseminationOptions) {}
+
+  start (): void {
+    const { clock, random, log } = this.options
+    const onError = (error: unknown) => log('error', 'dissemination-task-failed', { message: messageOf(error) })
+    const every = (periodMs: number, task: () => void | Promise<void>) =>
+      repeat(clock, periodMs, task, { firstDelayMs: randomInt(random, periodMs), onError })
+    this.tick = randomInt(random, fleetTicks)
+    this.timers = [
+      every(calmPeriodMs, () => this.flush(this.calm)),
+      every(loadPeriodMs, () => this.sendLoads()),
+      every(antiEntropyPeriodMs, () => { this.exchange().catch(onError) }),
+      every(60_000, () => this.expireTombstones())
+    ]
+  }
+
+  stop (): void {
+    for (const cancel of this.timers) cancel()
+    this.timers = []
+    for (const cancel of this.scheduled.values()) cancel()
+    this.scheduled.clear()
+  }
+
+  /**
+   * Sets the value of a key that this node owns. An epoch below the stored one is ignored: another writer has taken
+   * over. Changes of an engine's structure other than its adapters are urgent; others are if `urgent` is set.
+   */
+  publish (key: string, epoch: number, value: unknown, { urgent }: { urgent?: boolean } = {}): void {
+    const stored = this.entries.get(key)
+    if (stored && stored.entry.epoch > epoch) {
+      this.ownLoads.delete(key)
+      this.options.log('info', 'publish-superseded', { key, epoch, storedEpoch: stored.entry.epoch })
+      return
+    }
+    if (isEngineKey(key) && value !== undefined) this.ownLoads.set(key, this.ownLoads.get(key) ?? -1)
+    const before = stored?.entry
+    const diff = before && diffValues(key, before.value, value)
+    if (before && before.epoch === epoch && diff && isEmptyDiff(diff)) {
+      const load = loadOf(key, value)
+      if (load) this.applyLoad(key, load)
+      return
+    }
+    const sequence = before?.epoch === epoch ? before.sequence + 1 : 1
+    this.store({ key, epoch, sequence, value })
+    const isUrgent = urgent ?? (!diff || (isEngineKey(key) && changedFields(diff).some(field => field !== 'adapters')))
+    const queue = isUrgent ? this.urgent : this.calm
+    // The version that the fleet saw last is the base of the patch.
+    const base = this.urgent.has(key) ? this.urgent.get(key) : this.calm.has(key) ? this.calm.get(key) : before
+    this.urgent.delete(key)
+    this.calm.delete(key)
+    queue.set(key, base)
+    if (isUrgent) this.schedule('urgent', urgentDelayMs, () => this.flush(this.urgent))
+  }
+
+  get (key: string): unknown {
+    return this.entries.get(key)?.entry.value
+  }
+
+  list (prefix: string): { key: string, value: unknown }[] {
+    const found: { key: string, value: unknown }[] = []
+    for (const { entry } of this.entries.values()) {
+      if (entry.value !== undefined && entry.key.startsWith(prefix)) found.push({ key: entry.key, value: entry.value })
+    }
+    return found
+  }
+
+  /** Calls `listener` after each change, with `undefined` for a deleted key. */
+  onChange (listener: (key: string, value: unknown) => void): void {
+    this.listeners.push(listener)
+  }
+
+  /** Takes the entries that are newer than the stored ones. */
+  merge (entries: VersionedEntry[]): void {
+    for (const entry of entries) {
+      const stored = this.entries.get(entry.key)
+      if (stored && !isNewer(entry, stored.entry)) continue
+      this.ownLoads.delete(entry.key)
+      // `null` stands for `undefined` on the wire.
+      this.store({ ...entry, value: entry.value ?? undefined })
+    }
+  }
+
+  /** Answers messages of dissemination; `undefined` for all others. */
+  async handle (message: PeerMessage): Promise<PeerMessage | undefined> {
+    switch (message.kind) {
+      case 'spread':
+        this.receiveSpread(message)
+        return { kind: 'ok' }
+      case 'relay':
+        this.merge(message.entries)
+        for (const entry of message.entries) this.relayed.entries.set(entry.key, entry)
+        for (const patch of message.patches) this.applyPatch(patch)
+        this.relayed.patches.push(...message.patches)
+        this.schedule('relay', relayDelayMs, () => this.flushRelayed())
+        return { kind: 'ok' }
+      case 'loads':
+        this.receiveLoads(message.baseMs, message.loads, true)
+        return { kind: 'ok' }
+      case 'digest':
+        return this.answerDigest(message.hashes)
+      case 'entries':
+        this.merge(message.entries)
+        return { kind: 'entries', entries: this.wireEntries(message.wanted), wanted: [] }
+      default:
+        return undefined
+    }
+  }
+
+  private others (): MemberEntry[] {
+    return this.options.members().filter(member =>
+      member.name !== this.options.location.name && (member.state === 'alive' || member.state === 'suspect'))
+  }
+
+  private schedule (name: string, delayMs: number, task: () => void): void {
+    if (this.scheduled.has(name)) return
+    this.scheduled.set(name, this.options.clock.setTimer(delayMs, () => {
+      this.scheduled.delete(name)
+      task()
+    }))
+  }
+
+  /** Sends the queued changes to the relay of the region, which bundles those of many nodes. */
+  private flush (queue: Map<string, VersionedEntry | undefined>): void {
+    if (queue.size === 0) return
+    const entries: VersionedEntry[] = []
+    const patches: EntryPatch[] = []
+    for (const [key, base] of queue) {
+      const stored = this.entries.get(key)
+      if (!stored) continue
+      const { entry } = stored
+      const diff = base && diffValues(key, base.value, entry.value)
+      if (base && diff) patches.push({ key, versions: [base.epoch, base.sequence, entry.epoch, entry.sequence], ...diff })
+      else entries.push(toWire(entry))
+    }
+    queue.clear()
+    const { region, name } = this.options.location
+    const others = this.others()
+    const inRegion = others.filter(member => member.region === region)
+    const relayName = rendezvousOwner(`relay/${region}`, [name, ...inRegion.map(member => member.name)])
+    const relay = inRegion.find(member => member.name === relayName)
+    const spread = () => this.spread(wholeFleet, { entries, patches, baseMs: 0, loads: noBytes })
+    if (!relay) return spread()
+    this.send(relay.address, { kind: 'relay', entries, patches }).catch(spread)
+  }
+
+  private flushRelayed (): void {
+    const { entries, patches } = this.relayed
+    if (entries.size === 0 && patches.length === 0) return
+    this.spread(wholeFleet, { entries: [...entries.values()].map(toWire), patches: [...patches], baseMs: 0, loads: noBytes })
+    entries.clear()
+    patches.length = 0
+  }
+
+  private spread (range: SpreadRange, changes: Changes, seed = randomInt(this.options.random, 2 ** 32)): void {
+    for (const part of splitRange(this.others(), seed, range, spreadFanout)) {
+      this.spreadPart(part.members, part.range, changes, seed)
+    }
+  }
+
+  /** Hands a part of the range to its first member, or after a failure covers the rest without that member. */
+  private async spreadPart (members: MemberEntry[], range: SpreadRange, changes: Changes, seed: number): Promise<void> {
+    const head = members[0]!
+    const from = spreadPosition(head, seed) + 1
+    try {
+      await this.send(head.address, { kind: 'spread', seed, from, to: range.to, ...changes })
+    } catch {
+      if (members.length > 1) this.spread({ from, to: range.to }, changes, seed)
+    }
+  }
+
+  private receiveSpread (message: PeerMessageOf<'spread'>): void {
+    const { seed, from, to, entries, patches, baseMs, loads } = message
+    this.spread({ from, to }, { entries, patches, baseMs, loads }, seed)
+    this.merge(entries)
+    for (const patch of patches) this.applyPatch(patch)
+    this.receiveLoads(baseMs, loads, false)
+  }
+
+  private applyPatch (patch: EntryPatch): void {
+    const [baseEpoch, baseSequence, epoch, sequence] = patch.versions
+    const stored = this.entries.get(patch.key)
+    if (stored && !isNewer({ epoch, sequence }, stored.entry)) return
+    const value = stored && stored.entry.epoch === baseEpoch && stored.entry.sequence === baseSequence
+      ? applyDiff(stored.entry.value, patch)
+      : undefined
+    if (!value) return this.pull(patch.key)
+    this.ownLoads.delete(patch.key)
+    this.store({ key: patch.key, epoch, sequence, value })
+  }
+
+  /** Fetches an entry whose patch has no base here. Retried by the regular exchange if it fails. */
+  private pull (key: string): void {
+    if (this.pulls.has(key)) return
+    this.pulls.add(key)
+    if (this.pulls.size > 1) return
+    // One request for all patches of a message; the member is random, as each has most of the entries.
+    this.options.clock.setTimer(pullDelayMs, () => {
+      const wanted = [...this.pulls]
+      this.pulls.clear()
+      const member = randomChoice(this.options.random, this.others())
+      if (member) this.fetch(member.address, wanted, []).catch(() => {})
+    })
+  }
+
+  private async fetch (address: string, wanted: string[], entries: VersionedEntry[]): Promise<void> {
+    const reply = await this.send(address, { kind: 'entries', entries, wanted })
+    if (reply.kind === 'entries') this.merge(reply.entries)
+  }
+
+  private async send (address: string, message: PeerMessage): Promise<PeerMessage> {
+    return await this.options.network.request(address, message, { timeoutMs: requestTimeoutMs })
+  }
+
+  private sendLoads (): void {
+    this.tick++
+    const others = this.others()
+    this.sendOwnLoads(others)
+    if (this.tick % regionTicks === 0) this.passOnLoads(this.regionLoads, others, member => member.region === this.options.location.region)
+    if (this.tick % fleetTicks === 0) this.passOnLoads(this.fleetLoads, others, member => member.region !== this.options.location.region)
+    if (this.zoneLoads.size === 0) return
+    const seed = randomInt(this.options.random, 2 ** 32)
+    this.spread(zoneRange(this.options.location, seed), { entries: [], patches: [], ...this.packedLoads(this.zoneLoads) }, seed)
+    this.zoneLoads.clear()
+  }
+
+  /** Sends new load figures of this node's engines to the relay of each engine's availability zone. */
+  private sendOwnLoads (others: MemberEntry[]): void {
+    const byRelay = new Map<string, Set<string>>()
+    const zones = this.zoneMembers(others)
+    for (const [key, sentMs] of this.ownLoads) {
+      const engine = this.entries.get(key)?.entry.value as EngineEntry | undefined
+      if (!engine) {
+        this.ownLoads.delete(key)
+        continue
+      }
+      if (engine.reportedAtMs <= sentMs) continue
+      this.ownLoads.set(key, engine.reportedAtMs)
+      // An engine in a zone without nodes is relayed in the zone of its controller.
+      const zone = zones.has(zoneName(engine)) ? zoneName(engine) : zoneName(this.options.location)
+      const relay = relayOf(zone, zones)
+      if (relay === undefined || relay === '') this.addRelayedLoad(key, true)
+      else byRelay.set(relay, (byRelay.get(relay) ?? new Set()).add(key))
+    }
+    for (const [address, keys] of byRelay) {
+      this.send(address, { kind: 'loads', ...this.packedLoads(keys) }).catch(() => {
+        for (const key of keys) if (this.ownLoads.has(key)) this.ownLoads.set(key, -1)
+      })
+    }
+  }
+
+  /** As the relay of a zone, sends collected loads to the relays of the other zones that `isTarget` selects. */
+  private passOnLoads (keys: Set<string>, others: MemberEntry[], isTarget: (member: MemberEntry) => boolean): void {
+    if (keys.size === 0) return
+    const loads = this.packedLoads(keys)
+    keys.clear()
+    const zones = this.zoneMembers(others.filter(isTarget), false)
+    zones.delete(zoneName(this.options.location))
+    for (const zone of zones.keys()) {
+      const address = relayOf(zone, zones)
+      if (address) this.send(address, { kind: 'loads', ...loads }).catch(() => {})
+    }
+  }
+
+  /** Addresses by member name for each availability zone; the address of this node is empty. */
+  private zoneMembers (others: MemberEntry[], withSelf = true): Map<string, Map<string, string>> {
+    const { location } = this.options
+    const zones = new Map<string, Map<string, string>>()
+    const add = (zone: string, name: string, address: string) => {
+      const members = zones.get(zone)
+      if (members) members.set(name, address)
+      else zones.set(zone, new Map([[name, address]]))
+    }
+    if (withSelf) add(zoneName(location), location.name, '')
+    for (const member of others) add(zoneName(member), member.name, member.address)
+    return zones
+  }
+
+  private packedLoads (keys: Iterable<string>): { baseMs: number, loads: Uint8Array } {
+    const baseMs = this.options.clock.nowMs()
+    const loads: [number, EngineLoad][] = []
+    for (const key of keys) {
+      const stored = this.entries.get(key)
+      const load = stored && loadOf(key, stored.entry.value)
+      if (load) loads.push([stored.keyHash, load])
+    }
+    return { baseMs, loads: packLoads(baseMs, loads) }
+  }
+
+  private receiveLoads (baseMs: number, packed: Uint8Array, asRelay: boolean): void {
+    for (const [keyHash, load] of unpackLoads(baseMs, packed)) {
+      const key = this.keyByHash.get(keyHash)
+      if (key === undefined || !this.applyLoad(key, load) || !asRelay) continue
+      const engine = this.entries.get(key)!.entry.value as EngineEntry
+      this.addRelayedLoad(key, zoneName(engine) === zoneName(this.options.location))
+    }
+  }
+
+  /** `fromHere`: the engine belongs to this relay's zone, so that other zones depend on this relay. */
+  private addRelayedLoad (key: string, fromHere: boolean): void {
+    this.zoneLoads.add(key)
+    if (!fromHere) return
+    this.regionLoads.add(key)
+    this.fleetLoads.add(key)
+  }
+
+  private applyLoad (key: string, load: EngineLoad): boolean {
+    const stored = this.entries.get(key)
+    const current = stored && loadOf(key, stored.entry.value)
+    if (!current || load.reportedAtMs <= current.reportedAtMs) return false
+    stored.entry = { ...stored.entry, value: { ...stored.entry.value as EngineEntry, ...load } }
+    this.notify(key, stored.entry.value)
+    return true
+  }
+
+  /** Compares all keys with a random member, by hashes of buckets first. */
+  private async exchange (): Promise<void> {
+    const member = randomChoice(this.options.random, this.others())
+    if (!member) return
+    const reply = await this.send(member.address, { kind: 'digest', hashes: packHashes(this.buckets) }).catch(() => undefined)
+    if (reply?.kind !== 'digestReply') return
+    const theirs = new Map(reply.versions.map(([key, epoch, sequence]) => [key, { epoch, sequence }]))
+    const wanted = [...theirs].filter(([key, version]) => {
+      const stored = this.entries.get(key)
+      return !stored || isNewer(version, stored.entry)
+    }).map(([key]) => key)
+    const differing = new Set(reply.buckets)
+    const newer: string[] = []
+    for (const [key, stored] of this.entries) {
+      if (!differing.has(bucketOf(stored.keyHash))) continue
+      const version = theirs.get(key)
+      if (!version || isNewer(stored.entry, version)) newer.push(key)
+    }
+    if (wanted.length + newer.length > 0) {
+      await this.fetch(member.address, wanted.slice(0, maxExchangeEntries), this.wireEntries(newer)).catch(() => {})
+    }
+  }
+
+  private answerDigest (hashes: Uint8Array): PeerMessage {
+    const theirs = unpackHashes(hashes)
+    const differing = new Set<number>()
+    this.buckets.forEach((hash, bucket) => { if (hash !== theirs[bucket]) differing.add(bucket) })
+    const versions: [string, number, number][] = []
+    for (const [key, { entry, keyHash }] of this.entries) {
+      if (differing.has(bucketOf(keyHash))) versions.push([key, entry.epoch, entry.sequence])
+    }
+    return { kind: 'digestReply', buckets: [...differing], versions }
+  }
+
+  private wireEntries (keys: readonly string[]): VersionedEntry[] {
+    return keys.slice(0, maxExchangeEntries).flatMap(key => {
+      const stored = this.entries.get(key)
+      return stored ? [toWire(stored.entry)] : []
+    })
+  }
+
+  private store (entry: VersionedEntry): void {
+    const { key, epoch, sequence } = entry
+    const previous = this.entries.get(key)
+    const keyHash = previous?.keyHash ?? hash32(key)
+    const versionHash = hash32(`${key}/${epoch}/${sequence}`)
+    const bucket = bucketOf(keyHash)
+    this.buckets[bucket] = (this.buckets[bucket]! ^ versionHash ^ (previous?.versionHash ?? 0)) >>> 0
+    const stored: Stored = { entry: keepNewerLoad(entry, previous?.entry.value), keyHash, versionHash }
+    if (entry.value === undefined) stored.deletedAtMs = this.options.clock.nowMs()
+    this.entries.set(key, stored)
+    this.keyByHash.set(keyHash, key)
+    this.notify(key, stored.entry.value)
+  }
+
+  private notify (key: string, value: unknown): void {
+    for (const listener of this.listeners) {
+      try {
+        listener(key, value)
+      } catch (error) {
+        this.options.log('error', 'entry-listener-failed', { key, message: messageOf(error) })
+      }
+    }
+  }
+
+  private expireTombstones (): void {
+    const oldestMs = this.options.clock.nowMs() - tombstoneMs
+    for (const [key, stored] of this.entries) {
+      if (stored.deletedAtMs === undefined || stored.deletedAtMs > oldestMs) continue
+      const bucket = bucketOf(stored.keyHash)
+      this.buckets[bucket] = (this.buckets[bucket]! ^ stored.versionHash) >>> 0
+      this.entries.delete(key)
+      this.keyByHash.delete(stored.keyHash)
+    }
+  }
+}
+
+function isNewer (left: { epoch: number, sequence: number }, right: { epoch: number, sequence: number }): boolean {
+  return left.epoch > right.epoch || (left.epoch === right.epoch && left.sequence > right.sequence)
+}
+
+function bucketOf (keyHash: number): number {
+  return keyHash % bucketCount
+}
+
+function toWire (entry: VersionedEntry): VersionedEntry {
+  return { ...entry, value: entry.value ?? null }
+}
+
+function loadOf (key: string, value: unknown): EngineLoad | undefined {
+  if (!isEngineKey(key) || typeof value !== 'object' || value === null) return undefined
+  return typeof (value as EngineEntry).reportedAtMs === 'number' ? value as EngineEntry : undefined
+}
+
+/** An entry that travelled slowly must not take back load figures that arrived before it. */
+function keepNewerLoad (entry: VersionedEntry, previous: unknown): VersionedEntry {
+  const load = loadOf(entry.key, entry.value)
+  const known = loadOf(entry.key, previous)
+  if (!load || !known || known.reportedAtMs <= load.reportedAtMs) return entry
+  const kept = Object.fromEntries(loadFields.map(field => [field, known[field]]))
+  return { ...entry, value: { ...entry.value as EngineEntry, ...kept } }
+}
+
+function zoneName (place: { region: string, availabilityZone: string }): string {
+  return `${place.region}/${place.availabilityZone}`
+}
+
+function relayOf (zone: string, zones: Map<string, Map<string, string>>): string | undefined {
+  const members = zones.get(zone)
+  const name = members && rendezvousOwner(`load-relay/${zone}`, [...members.keys()])
+  return name === undefined ? undefined : members?.get(name)
+}
--- /dev/null
+++ b/src/fleet/membership.ts
@@ -0,0 +1,446 @@
+/** Which nodes are in the fleet: probing, suspicion, refutation and rejoining. */
+
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { repeat, withTimeout } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { hash32 } from '../base/hash.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import { randomChoice, randomInt, shuffled } from '../base/random.js'
+import type { MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork, VersionedEntry } from '../protocol/messages.js'
+import { packHashes, unpackHashes } from './packing.js'
+
+const probePeriodMs = 1_000
+const probeTimeoutMs = 1_000
+const indirectProbes = 3
+const suspicionMs = 5_000
+/** News of this time travel together. */
+const pushDelayMs = 100
+const pushFanout = 3
+/** An update rides on this many heartbeats after its push, for the members that the push missed. */
+const piggybackCount = 6
+const maxPiggyback = 8
+/** Dead members are listed for this long. */
+const deadListedMs = 10 * 60_000
+/** Dead and left members are remembered for this long, so that stale lists cannot revive them. */
+const formerMs = 24 * 3_600_000
+/** One former address or seed is asked in each period, so that parts of a network find each other again. */
+const rejoinPeriodMs = 10_000
+const syncPeriodMs = 10_000
+const configNewsMs = 12_000
+const noBytes = new Uint8Array(0)
+
+export interface MembershipOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  self: { name: string, address: string, region: string, availabilityZone: string }
+  network: PeerNetwork
+  /** Addresses at which other nodes may be found: from the settings and the VM list. */
+  seeds: () => Promise<string[]>
+  onEntries: (entries: VersionedEntry[]) => void
+  piggyback: () => VersionedEntry[]
+}
+
+interface Member {
+  entry: MemberEntry
+  idHash: number
+  changedAtMs: number
+  configLearnedAtMs: number
+  cancelSuspicion?: CancelTimer
+}
+
+const stateOrder = { alive: 0, suspect: 1, dead: 2, left: 3 }
+
+/**
+ * The list of members as this node sees it. Only a higher incarnation, which only the member itself raises, revives a
+ * dead or left member.
+ */
+export class Membership {
+  private readonly table = new Map<string, Member>()
+  private readonly byHash = new Map<number, Member>()
+  private readonly news = new Map<string, { pushed: boolean, left: number }>()
+  private own: MemberEntry
+  private timers: CancelTimer[] = []
+  private probeQueue: string[] = []
+  private cancelPush: CancelTimer | undefined
+  private lastSyncMs = -Infinity
+  private cachedMembers: MemberEntry[] | undefined
+  private cachedDigest: number | undefined
+
+  constructor (private readonly options: MembershipOptions) {
+    this.own = { ...options.self, incarnation: options.clock.nowMs(), state: 'alive', configVersion: 0, ready: false, sequence: 0 }
+  }
+
+  start (): void {
+    const { clock, random, log } = this.options
+    const onError = (error: unknown) => log('error', 'membership-task-failed', { message: messageOf(error) })
+    const firstDelayMs = randomInt(random, probePeriodMs)
+    this.timers = [
+      repeat(clock, probePeriodMs, () => { this.probeNext().catch(onError) }, { firstDelayMs, onError }),
+      repeat(clock, rejoinPeriodMs, () => this.rejoin(), { firstDelayMs: rejoinPeriodMs + firstDelayMs, onError }),
+      repeat(clock, 60_000, () => this.forget(), { onError })
+    ]
+    this.join(0).catch(onError)
+  }
+
+  stop (): void {
+    for (const cancel of this.timers) cancel()
+    this.timers = []
+    this.cancelPush?.()
+    for (const member of this.table.values()) member.cancelSuspicion?.()
+  }
+
+  /** All members including this node; dead and left ones for ten minutes. */
+  members (): MemberEntry[] {
+    const oldestMs = this.options.clock.nowMs() - deadListedMs
+    return [this.own, ...[...this.table.values()]
+      .filter(member => isLive(member.entry) || member.changedAtMs >= oldestMs)
+      .map(member => member.entry)]
+  }
+
+  /** Members that are alive or suspect, including this node. The list must not be changed. */
+  alive (): MemberEntry[] {
+    this.cachedMembers ??= [...isLive(this.own) ? [this.own] : [], ...[...this.table.values()].map(member => member.entry).filter(isLive)]
+    return this.cachedMembers
+  }
+
+  setConfigVersion (version: number): void {
+    if (version <= this.own.configVersion) return
+    this.own = { ...this.own, configVersion: version, sequence: this.own.sequence + 1 }
+    this.cachedMembers = undefined
+  }
+
+  setReady (ready: boolean): void {
+    if (ready === this.own.ready) return
+    this.own = { ...this.own, ready, sequence: this.own.sequence + 1 }
+    this.announceSelf()
+  }
+
+  /** Announces to several members that this node leaves. Resolves when each has answered or failed. */
+  async leave (): Promise<void> {
+    this.own = { ...this.own, state: 'left', ready: false, sequence: this.own.sequence + 1 }
+    this.announceSelf()
+    await Promise.all(this.randomMembers(2 * pushFanout).map(member => this.sendMembers(member.address, [this.own])))
+  }
+
+  /** Answers messages of membership; `undefined` for all others. */
+  async handle (message: PeerMessage): Promise<PeerMessage | undefined> {
+    switch (message.kind) {
+      case 'ping':
+        this.receiveHeartbeat(message)
+        return this.heartbeat('ack', message.from)
+      case 'pingRequest':
+        return { kind: 'pingReply', reached: await this.ping(message.targetAddress, message.targetName) }
+      case 'members':
+        for (const entry of message.members) this.mergeHearsay(entry)
+        return { kind: 'ok' }
+      case 'memberDigest':
+        return this.answerDigest(message.hashes)
+      default:
+        return undefined
+    }
+  }
+
+  private async join (attempt: number): Promise<void> {
+    const { clock, random, seeds, log } = this.options
+    const addresses = await withTimeout(clock, 5_000, () => seeds(), { action: 'read of the seeds' }).catch(error => {
+      log('warn', 'seeds-unavailable', { message: messageOf(error) })
+      return []
+    })
+    const others = shuffled(random, addresses.filter(address => address !== this.own.address))
+    const reached = await Promise.all(others.slice(0, 3).map(address => this.contact(address)))
+    if (reached.includes(true) || others.length === 0) return
+    this.timers.push(clock.setTimer(Math.min(8_000, 500 * 2 ** attempt), () => { this.join(attempt + 1).catch(() => {}) }))
+  }
+
+  private async contact (address: string): Promise<boolean> {
+    const reached = await this.ping(address)
+    if (reached) await this.synchronize(address)
+    return reached
+  }
+
+  private async rejoin (): Promise<void> {
+    const former = [...this.table.values()].filter(member => !isLive(member.entry)).map(member => member.entry.address)
+    const known = new Set(this.alive().map(member => member.address))
+    const seeds = await withTimeout(this.options.clock, 5_000, () => this.options.seeds(), { action: 'read of the seeds' }).catch(() => [])
+    const candidates = [...former, ...seeds].filter(address => !known.has(address) && address !== this.own.address)
+    const address = randomChoice(this.options.random, candidates)
+    if (address) await this.contact(address)
+  }
+
+  private async probeNext (): Promise<void> {
+    const member = this.nextTarget()
+    if (!member) return
+    const { clock, random, network, log } = this.options
+    const { name, address, incarnation } = member.entry
+    const startedAtMs = clock.nowMs()
+    if (await this.ping(address, name)) return
+    const helpers = shuffled(random, this.alive().filter(entry => entry.name !== name && entry.name !== this.own.name && entry.state === 'alive'))
+    const replies = await Promise.all(helpers.slice(0, indirectProbes).map(helper =>
+      network.request(helper.address, { kind: 'pingRequest', targetAddress: address, targetName: name }, { timeoutMs: probeTimeoutMs * 1.5 })
+        .then(reply => reply.kind === 'pingReply' && reply.reached, () => false)))
+    if (replies.includes(true)) return
+    // A process that was paused sees all its calls time out; that says nothing about the other side.
+    if (clock.nowMs() - startedAtMs > 4 * probeTimeoutMs) return
+    const current = this.table.get(name)
+    if (current && current.entry.incarnation === incarnation && current.entry.state === 'alive') {
+      log('info', 'member-suspected', { member: name })
+      this.suspect(current)
+    }
+  }
+
+  /** Members in random order, each once in a round, so that the time to detection has a bound. */
+  private nextTarget (): Member | undefined {
+    for (let round = 0; round < 2; round++) {
+      while (this.probeQueue.length > 0) {
+        const member = this.table.get(this.probeQueue.pop()!)
+        if (member && isLive(member.entry)) return member
+      }
+      this.probeQueue = shuffled(this.options.random, [...this.table.keys()])
+    }
+    return undefined
+  }
+
+  private async ping (address: string, name?: string): Promise<boolean> {
+    const target = name === undefined ? undefined : this.table.get(name)?.entry
+    try {
+      const reply = await this.options.network.request(address, this.heartbeat('ping', target, address), { timeoutMs: probeTimeoutMs })
+      if (reply.kind !== 'ack') return false
+      this.receiveHeartbeat(reply)
+      return name === undefined || reply.from.name === name
+    } catch {
+      return false
+    }
+  }
+
+  private heartbeat<Kind extends 'ping' | 'ack'> (kind: Kind, peer?: MemberEntry, address?: string): PeerMessageOf<Kind> {
+    const members = this.takePiggyback()
+    // The peer must learn that others hold it for dead, since only the peer can refute that.
+    const known = peer ? this.table.get(peer.name)?.entry : [...this.table.values()].find(({ entry }) => entry.address === address)?.entry
+    if (known && known.state !== 'alive') members.push(known)
+    const message = { kind, from: this.own, members, digest: this.digest(), configs: this.configNews(), entries: this.options.piggyback() }
+    return message as unknown as PeerMessageOf<Kind>
+  }
+
+  private receiveHeartbeat (message: PeerMessageOf<'ping'> | PeerMessageOf<'ack'>): void {
+    this.mergeDirect(message.from)
+    for (const entry of message.members) this.mergeHearsay(entry)
+    for (const [version, hashes] of message.configs) {
+      for (const idHash of unpackHashes(hashes)) this.learnConfigVersion(this.byHash.get(idHash), version)
+    }
+    if (message.entries.length > 0) this.options.onEntries(message.entries)
+    const nowMs = this.options.clock.nowMs()
+    if (message.digest !== this.digest() && nowMs - this.lastSyncMs >= syncPeriodMs) {
+      this.lastSyncMs = nowMs
+      this.synchronize(message.from.address).catch(() => {})
+    }
+  }
+
+  /** Exchanges the entries in which both lists differ. */
+  private async synchronize (address: string): Promise<void> {
+    const pairs = this.alive().flatMap(entry => [hash32(entry.name), entryHash(entry)])
+    const reply = await this.options.network.request(address, { kind: 'memberDigest', hashes: packHashes(pairs) }, { timeoutMs: 2_000 }).catch(() => undefined)
+    if (reply?.kind !== 'members') return
+    for (const entry of reply.members) this.mergeHearsay(entry)
+    const wanted = new Set(unpackHashes(reply.wanted))
+    const entries = this.alive().filter(entry => wanted.has(hash32(entry.name)))
+    if (entries.length > 0) await this.sendMembers(address, entries)
+  }
+
+  private answerDigest (hashes: Uint8Array): PeerMessage {
+    const theirs = new Map<number, number>()
+    const numbers = unpackHashes(hashes)
+    for (let index = 0; index + 1 < numbers.length; index += 2) theirs.set(numbers[index]!, numbers[index + 1]!)
+    const members: MemberEntry[] = []
+    const wanted: number[] = []
+    for (const entry of [this.own, ...[...this.table.values()].map(member => member.entry)]) {
+      const idHash = hash32(entry.name)
+      const theirHash = theirs.get(idHash)
+      theirs.delete(idHash)
+      if (theirHash === undefined ? !isLive(entry) : isLive(entry) && theirHash === entryHash(entry)) continue
+      members.push(entry)
+      if (theirHash !== undefined) wanted.push(idHash)
+    }
+    return { kind: 'members', members, wanted: packHashes([...wanted, ...theirs.keys()]) }
+  }
+
+  /** An entry that came from the member itself. */
+  private mergeDirect (entry: MemberEntry): void {
+    if (entry.name === this.own.name) return
+    const member = this.table.get(entry.name)
+    if (member && !isLive(member.entry) && entry.incarnation <= member.entry.incarnation) return
+    if (member && entry.incarnation === member.entry.incarnation && member.entry.state === 'suspect' && entry.state === 'alive') {
+      this.learnConfigVersion(member, entry.configVersion)
+      return
+    }
+    this.mergeHearsay(entry)
+  }
+
+  private mergeHearsay (entry: MemberEntry): void {
+    if (entry.name === this.own.name) return this.refute(entry)
+    const member = this.table.get(entry.name)
+    if (!member) {
+      if (isLive(entry)) this.store(entry)
+      return
+    }
+    const current = member.entry
+    if (entry.incarnation < current.incarnation) return
+    if (entry.incarnation > current.incarnation) {
+      if (entry.state === 'dead' || entry.state === 'suspect') this.suspect(this.store({ ...entry, state: 'alive' }))
+      else this.store(entry)
+      return
+    }
+    if (stateOrder[entry.state] > stateOrder[current.state]) {
+      if (entry.state === 'left') this.store(entry)
+      // A death that others report may be the view of a parted network, so this node gives the member the time to
+      // refute it and decides by its own timer.
+      else if (current.state === 'alive') this.suspect(member)
+    } else if (entry.state === current.state && entry.sequence > current.sequence) {
+      const configOnly = entry.ready === current.ready
+      if (configOnly) this.learnConfigVersion(member, entry.configVersion, entry.sequence)
+      else this.store({ ...entry, configVersion: Math.max(entry.configVersion, current.configVersion) })
+    }
+  }
+
+  private refute (claim: MemberEntry): void {
+    const outdated = claim.incarnation > this.own.incarnation
+    const denied = claim.incarnation === this.own.incarnation && claim.state !== 'alive' && this.own.state === 'alive'
+    if (!outdated && !denied) return
+    this.own = { ...this.own, incarnation: claim.incarnation + 1, sequence: this.own.sequence + 1 }
+    this.options.log('info', 'suspicion-refuted', { claimed: claim.state, incarnation: this.own.incarnation })
+    this.announceSelf()
+  }
+
+  private suspect (member: Member): void {
+    const suspected = this.store({ ...member.entry, state: 'suspect' })
+    const { name, incarnation, address } = suspected.entry
+    const { clock, random } = this.options
+    this.sendMembers(address, [suspected.entry])
+    // One more probe decides on this node's own evidence, since the rumour of a refutation can get lost.
+    const cancelProbe = clock.setTimer(suspicionMs * (0.3 + 0.4 * random.next()), () => { this.ping(address, name) })
+    const cancelDeath = clock.setTimer(suspicionMs, () => {
+      const current = this.table.get(name)
+      if (current?.entry.incarnation !== incarnation || current.entry.state !== 'suspect') return
+      this.options.log('info', 'member-dead', { member: name })
+      this.store({ ...current.entry, state: 'dead' })
+    })
+    suspected.cancelSuspicion = () => {
+      cancelProbe()
+      cancelDeath()
+    }
+  }
+
+  private store (entry: MemberEntry): Member {
+    const previous = this.table.get(entry.name)
+    previous?.cancelSuspicion?.()
+    const nowMs = this.options.clock.nowMs()
+    const sameProcess = previous !== undefined && previous.entry.incarnation === entry.incarnation
+    const member = {
+      entry,
+      idHash: hash32(entry.name),
+      changedAtMs: nowMs,
+      configLearnedAtMs: sameProcess ? previous.configLearnedAtMs : -Infinity
+    }
+    this.table.set(entry.name, member)
+    this.byHash.set(member.idHash, member)
+    this.changed(entry.name)
+    return member
+  }
+
+  private learnConfigVersion (member: Member | undefined, version: number, sequence?: number): void {
+    if (!member || !isLive(member.entry)) return
+    if (sequence !== undefined && sequence > member.entry.sequence) member.entry = { ...member.entry, sequence }
+    if (version > member.entry.configVersion) {
+      member.entry = { ...member.entry, configVersion: version }
+      member.configLearnedAtMs = this.options.clock.nowMs()
+    }
+    this.cachedMembers = undefined
+  }
+
+  /** Versions learned within the last seconds, grouped, so that a version costs 4 bytes for each member. */
+  private configNews (): [number, Uint8Array][] {
+    const oldestMs = this.options.clock.nowMs() - configNewsMs
+    const groups = new Map<number, number[]>()
+    for (const { entry, idHash, configLearnedAtMs } of this.table.values()) {
+      if (configLearnedAtMs < oldestMs) continue
+      const group = groups.get(entry.configVersion)
+      if (group) group.push(idHash)
+      else groups.set(entry.configVersion, [idHash])
+    }
+    return [...groups].map(([version, hashes]) => [version, packHashes(hashes)])
+  }
+
+  private announceSelf (): void {
+    this.changed(this.own.name)
+  }
+
+  private changed (name: string): void {
+    this.news.set(name, { pushed: false, left: piggybackCount })
+    this.cachedMembers = undefined
+    this.cachedDigest = undefined
+    this.cancelPush ??= this.options.clock.setTimer(pushDelayMs, () => {
+      this.cancelPush = undefined
+      this.pushNews()
+    })
+  }
+
+  private entryOf (name: string): MemberEntry | undefined {
+    return name === this.own.name ? this.own : this.table.get(name)?.entry
+  }
+
+  private pushNews (): void {
+    const entries: MemberEntry[] = []
+    for (const [name, item] of this.news) {
+      const entry = this.entryOf(name)
+      if (!item.pushed && entry) entries.push(entry)
+      item.pushed = true
+    }
+    if (entries.length === 0) return
+    for (const member of this.randomMembers(pushFanout)) this.sendMembers(member.address, entries)
+  }
+
+  private takePiggyback (): MemberEntry[] {
+    const entries: MemberEntry[] = []
+    for (const [name, item] of this.news) {
+      if (entries.length >= maxPiggyback) break
+      const entry = this.entryOf(name)
+      if (entry) entries.push(entry)
+      // Re-insertion moves the update behind the ones that have waited longer.
+      this.news.delete(name)
+      if (--item.left > 0) this.news.set(name, item)
+    }
+    return entries
+  }
+
+  private async sendMembers (address: string, members: MemberEntry[]): Promise<void> {
+    await this.options.network.request(address, { kind: 'members', members, wanted: noBytes }, { timeoutMs: probeTimeoutMs }).catch(() => {})
+  }
+
+  private randomMembers (count: number): MemberEntry[] {
+    return shuffled(this.options.random, this.alive().filter(entry => entry.name !== this.own.name)).slice(0, count)
+  }
+
+  private digest (): number {
+    this.cachedDigest ??= this.alive().reduce((sum, entry) => (sum ^ entryHash(entry)) >>> 0, 0)
+    return this.cachedDigest
+  }
+
+  private forget (): void {
+    const oldestMs = this.options.clock.nowMs() - formerMs
+    for (const [name, member] of this.table) {
+      if (isLive(member.entry) || member.changedAtMs >= oldestMs) continue
+      this.table.delete(name)
+      this.byHash.delete(member.idHash)
+    }
+  }
+}
+
+function isLive (entry: MemberEntry): boolean {
+  return entry.state === 'alive' || entry.state === 'suspect'
+}
+
+/** Leaves out the configuration version, which changes on all members at once and travels on its own. */
+function entryHash (entry: MemberEntry): number {
+  return hash32(`${entry.name}/${entry.address}/${entry.incarnation}/${entry.ready}`)
+}
--- /dev/null
+++ b/src/fleet/packing.ts
@@ -0,0 +1,64 @@
+/** Compact binary forms of hashes and of engines' load figures. */
+
+import type { EngineEntry } from '../protocol/messages.js'
+
+/** Load figures of an engine; all other fields of its entry count as structure. */
+export type EngineLoad = Pick<EngineEntry, 'running' | 'queued' | 'freeKvTokens' | 'stepMs' | 'reportedAtMs'>
+export const loadFields = ['running', 'queued', 'freeKvTokens', 'stepMs', 'reportedAtMs'] as const
+
+/** Unsigned 32-bit numbers, big-endian. */
+export function packHashes (hashes: readonly number[]): Uint8Array {
+  const bytes = new Uint8Array(4 * hashes.length)
+  const view = new DataView(bytes.buffer)
+  hashes.forEach((hash, index) => view.setUint32(4 * index, hash))
+  return bytes
+}
+
+/** The inverse of `packHashes`; an incomplete number at the end is dropped. */
+export function unpackHashes (bytes: Uint8Array): number[] {
+  const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+  return Array.from({ length: bytes.length >> 2 }, (_, index) => view.getUint32(4 * index))
+}
+
+/** Packs load figures by the hash of their key, 4 bytes and five variable-length integers for each engine. */
+export function packLoads (baseMs: number, loads: Iterable<readonly [number, EngineLoad]>): Uint8Array {
+  const bytes: number[] = []
+  for (const [keyHash, load] of loads) {
+    bytes.push(keyHash >>> 24, (keyHash >>> 16) & 255, (keyHash >>> 8) & 255, keyHash & 255)
+    for (const value of [load.running, load.queued, load.freeKvTokens, load.stepMs * 100]) pushVarint(bytes, value)
+    pushVarint(bytes, baseMs - load.reportedAtMs)
+  }
+  return Uint8Array.from(bytes)
+}
+
+/** The inverse of `packLoads`. Stops at the first incomplete item. `stepMs` has a resolution of 0.01 ms. */
+export function unpackLoads (baseMs: number, bytes: Uint8Array): [number, EngineLoad][] {
+  const loads: [number, EngineLoad][] = []
+  let offset = 0
+  const readVarint = () => {
+    let value = 0
+    for (let scale = 1; offset < bytes.length; scale *= 128) {
+      const byte = bytes[offset++]!
+      value += (byte & 127) * scale
+      if (byte < 128) return value
+    }
+    return NaN
+  }
+  while (offset + 4 <= bytes.length) {
+    const keyHash = ((bytes[offset]! << 24) | (bytes[offset + 1]! << 16) | (bytes[offset + 2]! << 8) | bytes[offset + 3]!) >>> 0
+    offset += 4
+    const [running, queued, freeKvTokens, step, age] = [readVarint(), readVarint(), readVarint(), readVarint(), readVarint()] as const
+    if (Number.isNaN(age)) break
+    loads.push([keyHash, { running, queued, freeKvTokens, stepMs: step / 100, reportedAtMs: baseMs - age }])
+  }
+  return loads
+}
+
+function pushVarint (bytes: number[], value: number): void {
+  let rest = Math.max(0, Math.min(Number.MAX_SAFE_INTEGER, Math.round(value) || 0))
+  while (rest >= 128) {
+    bytes.push((rest % 128) | 128)
+    rest = Math.floor(rest / 128)
+  }
+  bytes.push(rest)
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -6,6 +6,8 @@
 /** Raised when a message changes in a way that an older node would misread. */
 export const protocolVersion = 1
 
+const bytesSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'bytes expected')
+
 export const memberStates = ['alive', 'suspect', 'dead', 'left'] as const
 
 /** What a node publishes of itself. Only the node itself raises `incarnation` or `sequence`. */
@@ -81,8 +83,30 @@
 })
 export type VersionedEntry = z.infer<typeof versionedEntrySchema>
 
+/** A change of an entry against the version that it replaces; only changed fields are carried. */
+export const entryPatchSchema = z.object({
+  key: z.string(),
+  /** Epoch and sequence of the version that is changed, then of the new version. */
+  versions: z.tuple([z.number(), z.number(), z.number(), z.number()]),
+  set: z.record(z.string(), z.unknown()),
+  /** For lists of named items: items that changed or are new, and names of removed items. */
+  lists: z.record(z.string(), z.object({ set: z.array(z.unknown()), remove: z.array(z.string()) }))
+})
+export type EntryPatch = z.infer<typeof entryPatchSchema>
+
 const entryVersionSchema = z.tuple([z.string(), z.number(), z.number()])
 
+const heartbeat = {
+  from: memberEntrySchema,
+  /** News of other members. */
+  members: z.array(memberEntrySchema),
+  /** Hash of the sender's list of live members. */
+  digest: z.number(),
+  /** Configuration versions that the sender learned lately, each with the name hashes of its members, 4 bytes each. */
+  configs: z.array(z.tuple([z.number(), bytesSchema])),
+  entries: z.array(versionedEntrySchema)
+}
+
 /** One placement instruction of a planner to the controller of an engine. */
 export const moveSchema = z.object({
   moveId: z.string(),
@@ -97,16 +121,38 @@
 export type Move = z.infer<typeof moveSchema>
 
 export const peerMessageSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('ping'), from: memberEntrySchema, entries: z.array(versionedEntrySchema) }),
-  z.object({ kind: z.literal('ack'), from: memberEntrySchema, entries: z.array(versionedEntrySchema) }),
-  z.object({ kind: z.literal('pingRequest'), targetAddress: z.string() }),
+  z.object({ kind: z.literal('ping'), ...heartbeat }),
+  z.object({ kind: z.literal('ack'), ...heartbeat }),
+  z.object({ kind: z.literal('pingRequest'), targetAddress: z.string(), targetName: z.string() }),
   z.object({ kind: z.literal('pingReply'), reached: z.boolean() }),
-  z.object({ kind: z.literal('entries'), entries: z.array(versionedEntrySchema) }),
-  z.object({ kind: z.literal('digest'), versions: z.array(entryVersionSchema) }),
-  z.object({ kind: z.literal('digestReply'), entries: z.array(versionedEntrySchema), wanted: z.array(z.string()) }),
+  /** News of members; also answers `memberDigest`. `wanted` holds name hashes of members whose entry the sender lacks. */
+  z.object({ kind: z.literal('members'), members: z.array(memberEntrySchema), wanted: bytesSchema }),
+  /** Pairs of the hash of a name and the hash of its entry, for all live members, 4 bytes each. */
+  z.object({ kind: z.literal('memberDigest'), hashes: bytesSchema }),
+  /** Entries of an exchange between two nodes. The reply has the entries of the keys in `wanted`. */
+  z.object({ kind: z.literal('entries'), entries: z.array(versionedEntrySchema), wanted: z.array(z.string()) }),
+  /** Hashes of the versions in each bucket of keys, 4 bytes each. */
+  z.object({ kind: z.literal('digest'), hashes: bytesSchema }),
+  /** Versions of all keys in the buckets that differ, as seen by the sender. */
+  z.object({ kind: z.literal('digestReply'), buckets: z.array(z.number()), versions: z.array(entryVersionSchema) }),
+  /** Changes for the relay of a region, which passes them on to the whole fleet. */
+  z.object({ kind: z.literal('relay'), entries: z.array(versionedEntrySchema), patches: z.array(entryPatchSchema) }),
+  /** Changes for all members whose position under `seed` is in [from, to); the receiver passes them on. */
+  z.object({
+    kind: z.literal('spread'),
+    seed: z.number(),
+    from: z.number(),
+    to: z.number(),
+    entries: z.array(versionedEntrySchema),
+    patches: z.array(entryPatchSchema),
+    baseMs: z.number(),
+    loads: bytesSchema
+  }),
+  /** Load figures for the relay of an availability zone. */
+  z.object({ kind: z.literal('loads'), baseMs: z.number(), loads: bytesSchema }),
   z.object({ kind: z.literal('configVersion'), version: z.number(), fromAddress: z.string() }),
   z.object({ kind: z.literal('configPull'), haveVersion: z.number() }),
-  z.object({ kind: z.literal('configBody'), version: z.number(), compressedText: z.instanceof(Uint8Array) }),
+  z.object({ kind: z.literal('configBody'), version: z.number(), compressedText: bytesSchema }),
   z.object({ kind: z.literal('move'), move: moveSchema }),
   z.object({ kind: z.literal('moveReply'), accepted: z.boolean(), reason: z.string() }),
   z.object({ kind: z.literal('wanted'), node: z.string(), demand: demandEntrySchema }),
--- /dev/null
+++ b/tests/dissemination.spec.ts
@@ -0,0 +1,119 @@
+import { expect } from 'chai'
+import { packLoads, unpackLoads } from '../src/fleet/packing.js'
+import type { EngineEntry } from '../src/protocol/messages.js'
+import { engineEntry, FakeFleet } from './fixtures/nodes.js'
+
+describe('dissemination', () => {
+  const settled = async (seed: number, count: number) => {
+    const fleet = new FakeFleet(seed)
+    fleet.start(count)
+    await fleet.clock.advance(20_000)
+    return fleet
+  }
+  const values = (fleet: FakeFleet, key: string) => fleet.nodes.map(node => node.dissemination.get(key))
+
+  // Guards against an urgent change that waits for the regular exchange.
+  it('spreads urgent changes at once', async () => {
+    const fleet = await settled(1, 120)
+    fleet.nodes[17]!.dissemination.publish('engine/e', 5, engineEntry(1))
+    await fleet.clock.advance(1_000)
+    fleet.nodes[17]!.dissemination.publish('engine/e', 5, engineEntry(1, { draining: true }))
+    await fleet.clock.advance(1_000)
+    for (const value of values(fleet, 'engine/e')) expect(value).to.deep.equal(engineEntry(1, { draining: true }))
+  })
+
+  // Guards against lists of models that differ after changes of single items.
+  it('carries changes of models', async () => {
+    const fleet = await settled(2, 20)
+    const { dissemination } = fleet.nodes[3]!
+    const first = engineEntry(2)
+    const added = { name: 'added@v1', state: 'loading' as const, memoryBytes: 1e9 }
+    const versions = [first, { ...first, models: [...first.models.slice(1), added] }, { ...first, models: [...first.models.slice(2), { ...added, state: 'ready' as const }] }]
+    for (const version of versions) {
+      dissemination.publish('engine/e', 5, version)
+      await fleet.clock.advance(1_000)
+      for (const value of values(fleet, 'engine/e')) expect(value).to.deep.equal(version)
+    }
+  })
+
+  // Guards against entries that differ for good when messages are lost, doubled and late.
+  it('converges under loss', async () => {
+    const fleet = await settled(3, 40)
+    Object.assign(fleet.network, { lossShare: 0.2, duplicateShare: 0.2, delayMs: [1, 400] })
+    for (let round = 0; round < 10; round++) {
+      fleet.nodes.forEach((node, index) => node.dissemination.publish(`engine/e${index}`, 5, engineEntry(index, { fence: round, reportedAtMs: round })))
+      await fleet.clock.advance(700)
+    }
+    await fleet.clock.advance(60_000)
+    for (const node of fleet.nodes) {
+      const fences = fleet.nodes.map((_, index) => (node.dissemination.get(`engine/e${index}`) as EngineEntry | undefined)?.fence)
+      expect(fences, node.name).to.deep.equal(fleet.nodes.map(() => 9))
+    }
+  })
+
+  // Guards against load figures that reach the own zone late, or never reach other regions.
+  it('sends loads by distance', async () => {
+    const fleet = await settled(4, 42)
+    const owner = fleet.nodes[0]!
+    const sentMs = fleet.clock.nowMs()
+    owner.dissemination.publish('engine/e', 5, engineEntry(0))
+    const seenAfter = (region: string, zone: string) => fleet.nodes
+      .filter(node => node !== owner && node.membership.alive()[0]!.region === region && node.membership.alive()[0]!.availabilityZone === zone)
+      .map(node => (node.dissemination.get('engine/e') as EngineEntry).reportedAtMs)
+    for (let second = 0; second < 40; second++) {
+      await fleet.clock.advance(1_000)
+      owner.dissemination.publish('engine/e', 5, engineEntry(0, { running: second, reportedAtMs: fleet.clock.nowMs() }))
+    }
+    const ageMs = (region: string, zone: string) => fleet.clock.nowMs() - Math.min(...seenAfter(region, zone))
+    expect(ageMs('a', 'a1')).to.be.at.most(3_000)
+    expect(ageMs('a', 'a2')).to.be.at.most(9_000)
+    expect(ageMs('b', 'b1')).to.be.at.most(34_000)
+    expect(fleet.clock.nowMs() - sentMs).to.equal(40_000)
+  })
+
+  // Guards against a deposed controller that overwrites the entry of its successor.
+  it('keeps the higher epoch', async () => {
+    const fleet = await settled(5, 9)
+    fleet.nodes[1]!.dissemination.publish('engine/e', 5, engineEntry(1, { controller: 'n1' }))
+    await fleet.clock.advance(1_000)
+    fleet.nodes[2]!.dissemination.publish('engine/e', 6, engineEntry(1, { controller: 'n2' }))
+    await fleet.clock.advance(1_000)
+    fleet.nodes[1]!.dissemination.publish('engine/e', 5, engineEntry(1, { controller: 'n1', draining: true }))
+    await fleet.clock.advance(10_000)
+    for (const value of values(fleet, 'engine/e')) expect(value).to.include({ controller: 'n2', draining: false })
+  })
+
+  // Guards against vanished engines that come back from a region that was cut off while they were deleted.
+  it('deletes entries for good', async () => {
+    const fleet = await settled(6, 14)
+    fleet.nodes[0]!.dissemination.publish('engine/e', 5, engineEntry(0))
+    await fleet.clock.advance(2_000)
+    const regionOf = new Map(fleet.nodes.map(node => [node.address, node.region]))
+    fleet.network.passes = (from, to) => (regionOf.get(from) === 'c') === (regionOf.get(to) === 'c')
+    fleet.nodes[0]!.dissemination.publish('engine/e', 5, undefined)
+    await fleet.clock.advance(1_800_000)
+    expect(values(fleet, 'engine/e').filter(Boolean)).to.have.length(4)
+    fleet.network.passes = undefined
+    await fleet.clock.advance(90_000)
+    expect(values(fleet, 'engine/e').filter(Boolean)).to.have.length(0)
+    for (const node of fleet.nodes) expect(node.dissemination.list('engine/')).to.have.length(0)
+  })
+
+  // Guards against a dead relay that keeps urgent changes from spreading.
+  it('spreads without its relay', async () => {
+    const fleet = await settled(7, 21)
+    const stopped = fleet.nodes.filter((_node, index) => index % 7 === 0)
+    for (const node of stopped) node.stop()
+    const rest = fleet.nodes.filter(node => !stopped.includes(node))
+    for (const [index, node] of rest.entries()) node.dissemination.publish(`engine/e${index}`, 5, engineEntry(index))
+    await fleet.clock.advance(3_000)
+    for (const node of rest) expect(node.dissemination.list('engine/')).to.have.length(rest.length)
+  })
+
+  // Guards against packed load figures that come out different, or bytes that stop the node.
+  it('packs loads', () => {
+    const load = { running: 64, queued: 300, freeKvTokens: 1_048_576, stepMs: 23.75, reportedAtMs: 990 }
+    expect(unpackLoads(1_000, packLoads(1_000, [[0xfedcba98, load]]))).to.deep.equal([[0xfedcba98, load]])
+    expect(unpackLoads(1_000, Uint8Array.of(255, 255, 255, 255, 255, 255))).to.deep.equal([])
+  })
+})
--- /dev/null
+++ b/tests/framing.spec.ts
@@ -0,0 +1,59 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { z } from 'zod'
+import { encodeFrame, FrameDecoder, FrameError } from '../src/protocol/framing.js'
+import { peerMessageSchema } from '../src/protocol/messages.js'
+
+const seed = 20_260
+const bytes = fc.uint8Array({ maxLength: 400 })
+const message = fc.record({ kind: fc.constant('queryReply' as const), json: fc.string({ maxLength: 300 }) })
+
+/** Cuts `input` at the given places. */
+function split (input: Uint8Array, cuts: number[]): Uint8Array[] {
+  const places = [...new Set(cuts.map(cut => cut % (input.length + 1)))].sort((left, right) => left - right)
+  return [...places, input.length].map((place, index) => input.slice(places[index - 1] ?? 0, place))
+}
+
+describe('framing', () => {
+  // Guards against messages that depend on how TCP split the stream.
+  it('decodes any split', () => {
+    fc.assert(fc.property(fc.array(message, { maxLength: 8 }), fc.array(fc.nat(), { maxLength: 12 }), (sent, cuts) => {
+      const decoder = new FrameDecoder(peerMessageSchema)
+      const received = split(Buffer.concat(sent.map(encodeFrame)), cuts).flatMap(part => decoder.push(part).messages)
+      expect(received).to.deep.equal(sent)
+      expect(decoder.bufferedBytes).to.equal(0)
+    }), { seed, numRuns: 300 })
+  })
+
+  // Guards against bytes that throw out of the decoder, let it grow, or change its result with the split.
+  it('survives any bytes', () => {
+    const framed = bytes.map(body => Buffer.concat([Uint8Array.of(0, 0, body.length >> 8, body.length & 255), body]))
+    fc.assert(fc.property(fc.oneof(bytes, framed), fc.array(fc.nat(), { maxLength: 6 }), (input, cuts) => {
+      const results = [[input], split(input, cuts)].map(parts => {
+        const decoder = new FrameDecoder(peerMessageSchema, { maxBytes: 350 })
+        const steps = parts.map(part => decoder.push(part))
+        expect(decoder.bufferedBytes).to.be.at.most(354)
+        const error = steps.at(-1)!.error
+        if (error) expect(error).to.be.instanceOf(FrameError)
+        return { messages: steps.flatMap(step => step.messages), fault: error?.fault }
+      })
+      expect(results[0]).to.deep.equal(results[1])
+    }), { seed, numRuns: 2_000 })
+  })
+
+  // Guards against a fault that is accepted, or reported as another one.
+  it('names the fault', () => {
+    const faultOf = (input: Uint8Array) => new FrameDecoder(peerMessageSchema).push(input).error?.fault
+    expect(faultOf(Uint8Array.of(0, 0, 0, 0))).to.equal('length')
+    expect(faultOf(Uint8Array.of(0, 0x20, 0, 1))).to.equal('length')
+    expect(faultOf(Uint8Array.of(0, 0, 0, 1, 0x81))).to.equal('cbor')
+    expect(faultOf(encodeFrame({ kind: 'ok2' }))).to.equal('schema')
+    expect(faultOf(encodeFrame({ kind: 'ok' }))).to.equal(undefined)
+  })
+
+  // Guards against a short header that makes the decoder reserve memory for an array of 2^26 items.
+  it('refuses huge arrays', () => {
+    const { error } = new FrameDecoder(z.unknown()).push(Uint8Array.of(0, 0, 0, 5, 0x9a, 4, 0, 0, 0))
+    expect(error?.fault).to.equal('cbor')
+  })
+})
