Add the planner, adapter limits and tests of control assignment

Cause: design 3.5 needs a planner that keeps the weight store's limits, and 3.1 needs takeovers that do not rush the key-value service.

Ruled out: a mean over loads in the order in which they end (short ones are counted first, so that the baseline fell to 10 of 20 ms and the limit stayed at about 7 with room for 100); repeating a due time from a shrinking list of engines without controller (doubles the rate); the full rate of the store for each of three planners.

--- a/src/fleet/adapterLoads.ts
+++ b/src/fleet/adapterLoads.ts
@@ -9,16 +9,23 @@
   maximumLimit?: number
 }
 
-/** A load that takes this many times the fastest recent one shows that the store is shared by too many. */
-const slowFactor = 2
+/** The store is overloaded when the mean load time of a window is this many times the lowest one. */
+const slowFactor = 1.7
+/**
+ * Single loads differ threefold by the adapter's size (10 to 30 ms), so means of windows are compared. A window is a
+ * number of loads that start one after the other: picked by their end, the short ones would be counted first.
+ */
+const windowLoads = 20
+
+interface Window { started: number, finished: number, sumMs: number }
 
 /** One for each controller: the store is shared without any messages between controllers. */
 export class AdapterLoadLimiter {
   private limit: number
   private running = 0
   private readonly waiters: (() => void)[] = []
-  private fastestMs = Infinity
-  private lastDecreaseAtMs = -Infinity
+  private window: Window = { started: 0, finished: 0, sumMs: 0 }
+  private lowestMeanMs = Infinity
 
   constructor (private readonly clock: Clock, private readonly limits: AdapterLoadLimits) {
     this.limit = Math.max(limits.minimumLimit ?? 1, limits.initialLimit)
@@ -33,6 +40,9 @@
   async run<T extends { accepted: boolean }> (load: () => Promise<T>): Promise<T> {
     await this.acquire()
     const startedAtMs = this.clock.nowMs()
+    const { window } = this
+    const counted = window.started < windowLoads
+    if (counted) window.started++
     let accepted = false
     try {
       const result = await load()
@@ -40,7 +50,7 @@
       return result
     } finally {
       this.running--
-      this.observe(startedAtMs, accepted)
+      if (counted && window === this.window) this.observe(this.clock.nowMs() - startedAtMs, accepted)
       this.admit()
     }
   }
@@ -59,19 +69,28 @@
     }
   }
 
-  private observe (startedAtMs: number, accepted: boolean): void {
-    const nowMs = this.clock.nowMs()
-    const tookMs = nowMs - startedAtMs
-    if (accepted) {
-      // The baseline rises by 1% with each load, so that it follows a store that became slower for good.
-      this.fastestMs = Math.min(Math.max(1, tookMs), this.fastestMs * 1.01)
-    }
-    if (accepted && tookMs <= slowFactor * this.fastestMs) {
-      this.limit = Math.min(this.limits.maximumLimit ?? 64, this.limit + 1 / this.limit)
-    } else if (startedAtMs >= this.lastDecreaseAtMs) {
-      // Loads that began before the last decrease tell nothing about the new limit.
-      this.limit = Math.max(this.limits.minimumLimit ?? 1, this.limit / 2)
-      this.lastDecreaseAtMs = nowMs
-    }
+  private observe (tookMs: number, accepted: boolean): void {
+    if (!accepted) return this.decrease()
+    this.window.finished++
+    this.window.sumMs += Math.max(1, tookMs)
+    if (this.window.finished < windowLoads) return
+    const meanMs = this.window.sumMs / windowLoads
+    this.lowestMeanMs = Math.min(this.lowestMeanMs, meanMs)
+    if (meanMs > slowFactor * this.lowestMeanMs) return this.decrease()
+    this.limit = Math.min(this.limits.maximumLimit ?? 64, this.limit + 1)
+    this.startWindow()
+  }
+
+  private decrease (): void {
+    const minimumLimit = this.limits.minimumLimit ?? 1
+    // Slow at the minimum is not due to this limiter: the baseline follows a store that became slower for good.
+    if (this.limit <= minimumLimit) this.lowestMeanMs *= 1.1
+    this.limit = Math.max(minimumLimit, this.limit / 2)
+    this.startWindow()
+  }
+
+  /** Loads that are still running belong to the earlier limit and are not counted. */
+  private startWindow (): void {
+    this.window = { started: 0, finished: 0, sumMs: 0 }
   }
 }
--- /dev/null
+++ b/src/fleet/planner.ts
@@ -0,0 +1,333 @@
+/** Plans the placement of a region: gathers demand, asks the policy for moves and sends them to the controllers. */
+
+import { repeat } from '../base/clock.js'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { rendezvousOrder, rendezvousOwner } from '../base/hash.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import { splitVersionedModel } from '../config/fleetConfig.js'
+import type { FleetConfig } from '../config/fleetConfig.js'
+import type { Forecaster, PlacementInput, PlacementPlan, PlanMoves } from '../policy/placementInput.js'
+import type { DemandEntry, EngineEntry, MemberEntry, Move, PeerMessage, PeerNetwork } from '../protocol/messages.js'
+import { commandTimeoutMs } from './arbiter.js'
+import type { CommandResult } from './arbiter.js'
+import { LoadSlots } from './loadSlots.js'
+
+const planPeriodMs = 2_000
+/** Reports of several nodes about the same model usually arrive within this time. */
+const batchMs = 30
+const demandMaxAgeMs = 10_000
+/** Placement repays a move within ten minutes (design.md 3.5), so it needs the moves of that time. */
+const recentMovesMs = 600_000
+const wantedTimeoutMs = 2_000
+/** Time after which a model that no engine here can hold is offered to the next region. */
+const regionTurnMs = 10_000
+/** A move that was refused is not repeated sooner. */
+const refusalPauseMs = 1_000
+
+export interface PlannerOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  self: MemberEntry['name']
+  region: string
+  members: () => MemberEntry[]
+  network: PeerNetwork
+  config: () => FleetConfig | undefined
+  engines: () => EngineEntry[]
+  /** `undefined` if this node does not control the engine. */
+  executeLocal: (move: Move) => Promise<CommandResult> | undefined
+  keyValueAvailable: () => boolean
+  plan: PlanMoves
+  forecast: Forecaster
+}
+
+interface Report { demand: DemandEntry, atMs: number, forwarded: boolean }
+type ModelDemand = DemandEntry['models'][number]
+
+/** See design.md 3.5. Runs on all nodes; plans only on the one that rendezvous hashing names. */
+export class Planner {
+  private readonly slots: LoadSlots
+  private readonly reports = new Map<string, Report>()
+  private recentMoves: PlacementInput['recentMoves'] = []
+  private readonly refusedAtMs = new Map<string, number>()
+  /** Moves without an answer yet; the same move is not sent twice. */
+  private readonly unanswered = new Set<string>()
+  /** Arrivals since the last plan, by model, without those that another region forwarded. */
+  private readonly arrivals = new Map<string, Pick<ModelDemand, 'arrivals' | 'tokens'>>()
+  private cancelPeriod: CancelTimer = () => {}
+  private cancelBatch: CancelTimer | undefined
+  private running = false
+  private wasPlanner = false
+
+  constructor (private readonly options: PlannerOptions) {
+    this.slots = new LoadSlots(options.clock)
+  }
+
+  start (): void {
+    this.running = true
+    this.cancelPeriod = repeat(this.options.clock, planPeriodMs, () => this.planNow())
+  }
+
+  stop (): void {
+    this.running = false
+    this.cancelPeriod()
+    this.cancelBatch?.()
+    this.cancelBatch = undefined
+  }
+
+  /** Takes this node's demand, or passes it to the planner of the region. */
+  wanted (demand: DemandEntry): void {
+    const planner = this.plannerOf(this.options.region)
+    if (planner === this.options.self) this.add(demand, false)
+    else if (planner) this.sendWanted(planner, { kind: 'wanted', node: this.options.self, demand })
+  }
+
+  /** Recent mean time of a model load. */
+  loadTimeMs (): number {
+    return this.slots.loadTimeMs()
+  }
+
+  async handle (message: PeerMessage): Promise<PeerMessage | undefined> {
+    if (message.kind === 'wanted') {
+      if (this.plannedRegions().size === 0) return { kind: 'error', message: `${this.options.self} is not the planner of any region` }
+      this.add(message.demand, message.forwardedFrom !== undefined)
+      return { kind: 'ok' }
+    }
+    if (message.kind !== 'move') return undefined
+    const result = await this.options.executeLocal(message.move)
+    return { kind: 'moveReply', ...(result ?? { accepted: false, reason: `${this.options.self} does not control ${message.move.engine}` }) }
+  }
+
+  private add (demand: DemandEntry, forwarded: boolean): void {
+    const { clock, forecast } = this.options
+    this.reports.set(demand.node, { demand, atMs: clock.nowMs(), forwarded })
+    forecast.add(demand, clock.nowMs())
+    if (!forwarded) {
+      for (const { model, arrivals, tokens } of demand.models) {
+        const sum = this.arrivals.get(model) ?? { arrivals: [0, 0, 0], tokens: 0 }
+        for (const rank of [0, 1, 2] as const) sum.arrivals[rank] += arrivals[rank]
+        sum.tokens += tokens
+        this.arrivals.set(model, sum)
+      }
+    }
+    if (demand.models.some(({ model, waiting }) => waiting > 0 && this.isCold(model))) this.planSoon(batchMs)
+  }
+
+  private isCold (model: string): boolean {
+    if (this.slots.inFlight().some(load => splitVersionedModel(load.model).model === model)) return false
+    return !this.plannedEngines().some(engine => engine.reachable && !engine.draining &&
+      engine.models.some(loaded => loaded.state === 'ready' && splitVersionedModel(loaded.name).model === model))
+  }
+
+  /** Plans after `delayMs`, or at the time that is already set. */
+  private planSoon (delayMs: number): void {
+    if (!this.running || this.cancelBatch) return
+    this.cancelBatch = this.options.clock.setTimer(delayMs, () => {
+      this.cancelBatch = undefined
+      this.planNow()
+    })
+  }
+
+  private planNow (): void {
+    const { clock, config: currentConfig, log } = this.options
+    const config = currentConfig()
+    const isPlanner = this.plannedRegions().size > 0
+    if (this.wasPlanner && !isPlanner) this.reports.clear()
+    this.wasPlanner = isPlanner
+    if (!isPlanner || !config) return
+    const engines = this.plannedEngines()
+    this.slots.observe(loadsOf(engines))
+    const nowMs = clock.nowMs()
+    this.forgetOld(nowMs)
+    let plan: PlacementPlan
+    try {
+      plan = this.options.plan({
+        nowMs,
+        config,
+        engines,
+        forecasts: this.options.forecast.forecasts(nowMs, config),
+        waiting: this.waiting(),
+        loadsInFlight: this.slots.inFlight().map(({ engine, model }) => ({ engine, model })),
+        recentMoves: [...this.recentMoves],
+        keyValueAvailable: this.options.keyValueAvailable()
+      })
+    } catch (error) {
+      log('error', 'placement failed', { reason: messageOf(error) })
+      return
+    }
+    this.startMoves(plan.moves, engines, config)
+    this.forwardUnreachable(plan.unreachable, config)
+    this.arrivals.clear()
+  }
+
+  private startMoves (moves: Move[], engines: EngineEntry[], config: FleetConfig): void {
+    const limits = this.storeLimits(config)
+    const byName = new Map(engines.map(engine => [engine.engine, engine]))
+    const nowMs = this.options.clock.nowMs()
+    let deferred = false
+    for (const move of moves) {
+      const engine = byName.get(move.engine)
+      const refusedAtMs = this.refusedAtMs.get(moveKey(move)) ?? -Infinity
+      if (!engine || this.unanswered.has(moveKey(move)) || nowMs - refusedAtMs < refusalPauseMs) continue
+      const { load } = move
+      if (load === undefined) {
+        this.inBackground(this.send(move, engine.controller))
+        continue
+      }
+      if (this.slots.inFlight().some(slot => slot.engine === move.engine && slot.model === load)) continue
+      const slot = this.slots.take({ engine: move.engine, model: load }, limits)
+      if (!slot) {
+        deferred = true
+        continue
+      }
+      this.inBackground(this.sendLoad(move, load, slot, engine.controller))
+    }
+    // The plan is made anew then, since demand may have changed while the move waited for a slot.
+    if (deferred) this.planSoon(Math.min(planPeriodMs, 1_000 / limits.loadsPerSecond))
+  }
+
+  private async sendLoad (move: Move, model: string, slot: ReturnType<LoadSlots['inFlight']>[number], controller: string): Promise<void> {
+    const recent = { engine: move.engine, model, atMs: slot.startedAtMs }
+    this.recentMoves.push(recent)
+    const result = await this.send(move, controller)
+    this.slots.release(slot, { completed: result.accepted })
+    if (!result.accepted) this.recentMoves = this.recentMoves.filter(other => other !== recent)
+    // A free slot may be what a waiting model needs.
+    if ([...this.waiting().keys()].some(waiting => this.isCold(waiting))) this.planSoon(batchMs)
+  }
+
+  private async send (move: Move, controller: string): Promise<CommandResult> {
+    this.unanswered.add(moveKey(move))
+    const result = await this.deliver(move, controller).catch(error => ({ accepted: false, reason: messageOf(error) }))
+    this.unanswered.delete(moveKey(move))
+    if (result.accepted) {
+      this.refusedAtMs.delete(moveKey(move))
+    } else {
+      this.refusedAtMs.set(moveKey(move), this.options.clock.nowMs())
+      this.options.log('warn', 'move refused', { moveId: move.moveId, engine: move.engine, load: move.load, reason: result.reason })
+    }
+    return result
+  }
+
+  private async deliver (move: Move, controller: string): Promise<CommandResult> {
+    if (controller === this.options.self) {
+      return await this.options.executeLocal(move) ?? { accepted: false, reason: `${controller} no longer controls ${move.engine}` }
+    }
+    const address = this.addressOf(controller)
+    if (address === undefined) return { accepted: false, reason: `controller ${controller} of ${move.engine} is not a member` }
+    const reply = await this.options.network.request(address, { kind: 'move', move }, { timeoutMs: commandTimeoutMs.load + commandTimeoutMs.unload })
+    return reply.kind === 'moveReply' ? reply : { accepted: false, reason: `${controller} answered ${reply.kind}` }
+  }
+
+  /**
+   * Each region has a planner, and all share one store: those that load now divide it evenly. Loads of other regions
+   * are known from the engine entries.
+   */
+  private storeLimits (config: FleetConfig): { loadsPerSecond: number, loadsInFlight: number } {
+    const planned = this.plannedRegions()
+    const others = new Set(this.options.engines()
+      .filter(engine => !planned.has(engine.region) && engine.models.some(model => model.state === 'loading'))
+      .map(engine => engine.region))
+    const sharers = 1 + others.size
+    return {
+      loadsPerSecond: config.fleet.storeLoadsPerSecond / sharers,
+      loadsInFlight: Math.max(1, Math.floor(config.fleet.storeLoadsInFlight / sharers))
+    }
+  }
+
+  /** Offers models that no engine here can hold to the planner of another region with engines of their pool. */
+  private forwardUnreachable (unreachable: PlacementPlan['unreachable'], config: FleetConfig): void {
+    const planned = this.plannedRegions()
+    const waiting = this.waiting({ withForwarded: false })
+    const byPlanner = new Map<string, ModelDemand[]>()
+    for (const { model, reason } of unreachable) {
+      const wanted = waiting.get(model)
+      const pool = config.models[model]?.pool
+      if (!wanted || pool === undefined) continue
+      const regions = [...new Set(this.options.engines().filter(engine => engine.pool === pool && !planned.has(engine.region)).map(engine => engine.region))]
+      const turn = Math.floor(this.options.clock.nowMs() / regionTurnMs)
+      const region = rendezvousOrder(model, regions)[regions.length > 0 ? turn % regions.length : 0]
+      const planner = region === undefined ? undefined : this.plannerOf(region)
+      if (planner === undefined) {
+        this.options.log('warn', 'model unreachable', { model, reason })
+        continue
+      }
+      const { arrivals, tokens } = this.arrivals.get(model) ?? { arrivals: [0, 0, 0] as ModelDemand['arrivals'], tokens: 0 }
+      const models = byPlanner.get(planner) ?? []
+      models.push({ model, arrivals, tokens, waiting: wanted.count, earliestDeadlineMs: wanted.earliestDeadlineMs })
+      byPlanner.set(planner, models)
+    }
+    for (const [planner, models] of byPlanner) {
+      // One key for each region, so that the next report replaces this one.
+      const demand = { node: `region/${this.options.region}`, models, periodMs: planPeriodMs }
+      this.sendWanted(planner, { kind: 'wanted', node: this.options.self, demand, forwardedFrom: this.options.region })
+    }
+  }
+
+  private sendWanted (planner: string, message: PeerMessage): void {
+    const address = this.addressOf(planner)
+    if (address === undefined) return
+    // Not repeated: the next report replaces this one.
+    this.options.network.request(address, message, { timeoutMs: wantedTimeoutMs }).then(
+      reply => { if (reply.kind === 'error') this.options.log('warn', 'demand refused', { planner, reason: reply.message }) },
+      error => this.options.log('warn', 'demand not delivered', { planner, reason: messageOf(error) }))
+  }
+
+  /** Waiting requests of all nodes, grouped by model: one load serves all of them. */
+  private waiting ({ withForwarded = true } = {}): PlacementInput['waiting'] {
+    const result: PlacementInput['waiting'] = new Map()
+    for (const { demand, forwarded } of this.reports.values()) {
+      if (forwarded && !withForwarded) continue
+      for (const { model, waiting, earliestDeadlineMs } of demand.models) {
+        if (waiting <= 0) continue
+        const known = result.get(model)
+        result.set(model, {
+          count: waiting + (known?.count ?? 0),
+          earliestDeadlineMs: Math.min(earliestDeadlineMs, known?.earliestDeadlineMs ?? Infinity)
+        })
+      }
+    }
+    return result
+  }
+
+  private forgetOld (nowMs: number): void {
+    for (const [node, report] of this.reports) if (nowMs - report.atMs > demandMaxAgeMs) this.reports.delete(node)
+    for (const [key, atMs] of this.refusedAtMs) if (nowMs - atMs >= refusalPauseMs) this.refusedAtMs.delete(key)
+    this.recentMoves = this.recentMoves.filter(move => nowMs - move.atMs <= recentMovesMs)
+  }
+
+  /** Regions that this node plans: its own, and those without members, if rendezvous hashing names it. */
+  private plannedRegions (): Set<string> {
+    const regions = new Set([this.options.region, ...this.options.engines().map(engine => engine.region)])
+    return new Set([...regions].filter(region => this.plannerOf(region) === this.options.self))
+  }
+
+  private plannedEngines (): EngineEntry[] {
+    const planned = this.plannedRegions()
+    return this.options.engines().filter(engine => planned.has(engine.region))
+  }
+
+  private plannerOf (region: string): string | undefined {
+    const alive = this.options.members().filter(member => member.state === 'alive' || member.state === 'suspect')
+    const regional = alive.filter(member => member.region === region)
+    return rendezvousOwner(`planner/${region}`, (regional.length > 0 ? regional : alive).map(member => member.name))
+  }
+
+  private addressOf (name: string): string | undefined {
+    return this.options.members().find(member => member.name === name)?.address
+  }
+
+  private inBackground (task: Promise<unknown>): void {
+    task.catch(error => this.options.log('error', 'move failed', { reason: messageOf(error) }))
+  }
+}
+
+function loadsOf (engines: readonly EngineEntry[]): { engine: string, model: string }[] {
+  return engines.flatMap(engine => engine.models.filter(model => model.state === 'loading').map(model => ({ engine: engine.engine, model: model.name })))
+}
+
+function moveKey (move: Move): string {
+  return [move.engine, move.load ?? '', move.setRole ?? '', ...move.unload, ...move.loadAdapters.map(({ adapter }) => adapter)].join('\u0000')
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -115,7 +115,8 @@
   z.object({ kind: z.literal('configBody'), version: z.number(), compressedText: z.instanceof(Uint8Array) }),
   z.object({ kind: z.literal('move'), move: moveSchema }),
   z.object({ kind: z.literal('moveReply'), accepted: z.boolean(), reason: z.string() }),
-  z.object({ kind: z.literal('wanted'), node: z.string(), demand: demandEntrySchema }),
+  // A planner that cannot place a model sends it to another region's planner, which does not send it on.
+  z.object({ kind: z.literal('wanted'), node: z.string(), demand: demandEntrySchema, forwardedFrom: z.string().optional() }),
   z.object({ kind: z.literal('handOver'), engine: z.string(), fence: z.number(), record: z.string(), recordRevision: z.number() }),
   z.object({ kind: z.literal('query'), query: z.enum(['burn', 'trace', 'status']), argument: z.string() }),
   z.object({ kind: z.literal('queryReply'), json: z.string() }),
--- a/tests/engineControl.spec.ts
+++ b/tests/engineControl.spec.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import { SeededRandom } from '../src/base/random.js'
@@ -11,7 +12,19 @@
 const kinds = [{ honoursFence: true }, { honoursFence: false }]
 const modelBytes = 40 // Two of them fit beside the KV cache and the adapter space.
 
-function setUp ({ honoursFence, fault, faultAt, naive = false }: { honoursFence: boolean, fault?: Fault, faultAt?: number, naive?: boolean }) {
+interface Scenario {
+  honoursFence: boolean
+  fault?: Fault
+  faultAt?: number
+  secondFault?: Fault
+  secondFaultAt?: number
+  /** The engine restarts, or the key-value service is down for 20 s, at this time. */
+  restartAtMs?: number
+  outageAtMs?: number
+  naive?: boolean
+}
+
+function setUp ({ honoursFence, fault, faultAt, secondFault, secondFaultAt, naive = false }: Scenario) {
   const clock = new VirtualClock()
   const engine = new FakeEngine(clock, honoursFence && !naive)
   const store = new FakeStore()
@@ -31,7 +44,7 @@
     createArbiter: naive ? () => naiveArbiter(link) : undefined
   })
   const firstLink = new FaultyLink(clock, engine, store, fault, faultAt)
-  const secondLink = new FaultyLink(clock, engine, store)
+  const secondLink = new FaultyLink(clock, engine, store, secondFault, secondFaultAt)
   return { clock, engine, store, published, firstLink, first: create('n1', firstLink, 1), second: create('n2', secondLink, 2) }
 }
 
@@ -83,8 +96,14 @@
  * Loads a and b, then swaps them for c and d, with one fault at one call. A second controller then takes over.
  * Returns what the checks need.
  */
-async function runScenario (options: { honoursFence: boolean, fault?: Fault, faultAt?: number, naive?: boolean }) {
-  const { clock, engine, firstLink, first, second } = setUp(options)
+async function runScenario (options: Scenario) {
+  const { clock, engine, store, firstLink, first, second } = setUp(options)
+  const { restartAtMs, outageAtMs } = options
+  if (restartAtMs !== undefined) clock.setTimer(restartAtMs, () => engine.restart())
+  if (outageAtMs !== undefined) {
+    clock.setTimer(outageAtMs, () => { store.down = true })
+    clock.setTimer(outageAtMs + 20_000, () => { store.down = false })
+  }
   first.start()
   await clock.advance(100)
   const moves = [load('a@1'), load('b@1'), load('c@1', ['a@1']), load('d@1', ['b@1'])]
@@ -121,6 +140,21 @@
       })
     }
 
+    // Guards against overcommitment by two faults, by a restart of the engine or by an outage at the same time.
+    it(`${name}: combined faults`, async () => {
+      await fc.assert(fc.asyncProperty(fc.record({
+        fault: fc.constantFrom(...faults),
+        faultAt: fc.integer({ min: 1, max: 20 }),
+        secondFault: fc.constantFrom(...faults),
+        secondFaultAt: fc.integer({ min: 1, max: 20 }),
+        restartAtMs: fc.option(fc.integer({ min: 0, max: 60_000 }), { nil: undefined }),
+        outageAtMs: fc.option(fc.integer({ min: 0, max: 60_000 }), { nil: undefined })
+      }), async scenario => {
+        const { peakBytes } = await runScenario({ ...kind, ...scenario })
+        expect(peakBytes).to.be.at.most(memoryBytes)
+      }), { seed: 7, numRuns: 80 })
+    })
+
     // Guards against two controllers that both believe they own an engine.
     it(`${name}: two controllers at once`, async () => {
       const { clock, engine, first, second } = setUp(kind)
--- /dev/null
+++ b/tests/engineRecord.spec.ts
@@ -0,0 +1,57 @@
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { addAttempt, grantAdapters, holdsInvariant, removableEntries, removeEntry, settleAttempts, takeOver } from '../src/fleet/engineRecord.js'
+import type { Transition } from '../src/fleet/engineRecord.js'
+import { nextFence } from '../src/fleet/fence.js'
+
+const capacity = { memoryBytes: 100, kvCacheBytes: 10, adapterBytes: 10 }
+const step = fc.record({
+  kind: fc.constantFrom('load', 'settle', 'remove', 'grant', 'takeOver', 'restart', 'adapterBytes'),
+  name: fc.constantFrom('a', 'b', 'c', 'd'),
+  memoryBytes: fc.integer({ min: 1, max: 60 })
+})
+
+describe('engine record', () => {
+  // Guards against a sequence of transitions that breaks invariant R: memory, or a sent load without an entry.
+  it('any sequence keeps invariant R', () => {
+    fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
+      let record = takeOver(undefined, { controller: 'n1', incarnation: 'i0', minimumFence: 0, resident: [] })
+      let outstanding = new Map<string, string>()
+      let limits = capacity
+      const apply = (transition: Transition) => {
+        if (transition.ok) record = transition.record
+        return transition.ok
+      }
+      steps.forEach(({ kind, name, memoryBytes }, index) => {
+        const fence = record.fence
+        if (kind === 'adapterBytes') limits = { ...capacity, adapterBytes: memoryBytes }
+        if (kind === 'load' && apply(addAttempt(record, { model: name, memoryBytes, attemptId: `${index}` }, limits))) outstanding.set(`${index}`, name)
+        if (kind === 'remove') apply(removeEntry(record, name))
+        if (kind === 'grant') apply(grantAdapters(record, [{ adapter: name, memoryBytes }], limits))
+        if (kind === 'settle') {
+          const answered = [...outstanding].filter(([, model]) => model === name).map(([attemptId]) => attemptId)
+          for (const attemptId of answered) outstanding.delete(attemptId)
+          record = settleAttempts(record, new Set(answered))
+        }
+        if (kind === 'takeOver' || kind === 'restart') {
+          if (kind === 'restart') outstanding = new Map()
+          const incarnation = kind === 'restart' ? `i${index + 1}` : record.incarnation
+          record = takeOver(record, { controller: `n${index}`, incarnation, minimumFence: 0, resident: [] })
+          expect(record.fence).to.be.greaterThan(fence)
+        }
+        expect(holdsInvariant(record, capacity)).to.equal(true)
+        for (const [attemptId, model] of outstanding) {
+          expect(record.entries.find(entry => entry.model === model)?.outstandingAttempts).to.include(attemptId)
+          expect(removableEntries(record, new Set()).map(entry => entry.model)).not.to.include(model)
+        }
+      })
+    }), { seed: 31, numRuns: 500 })
+  })
+
+  // Guards against tokens that two writers share or that do not grow.
+  it('fencing tokens grow and differ by writer', () => {
+    const first = nextFence(0, 7)
+    expect([nextFence(0, 8) === first, nextFence(first, 0) > first]).to.deep.equal([false, true])
+    expect(() => nextFence(Number.MAX_SAFE_INTEGER, 1)).to.throw(RangeError)
+  })
+})
--- /dev/null
+++ b/tests/planner.spec.ts
@@ -0,0 +1,122 @@
+import { expect } from 'chai'
+import { sleep, VirtualClock } from '../src/base/clock.js'
+import { rendezvousOwner } from '../src/base/hash.js'
+import { silentLog } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
+import type { FleetConfig } from '../src/config/fleetConfig.js'
+import { AdapterLoadLimiter } from '../src/fleet/adapterLoads.js'
+import { Planner } from '../src/fleet/planner.js'
+import type { PlanMoves } from '../src/policy/placementInput.js'
+import type { DemandEntry, EngineEntry, MemberEntry } from '../src/protocol/messages.js'
+
+const config = {
+  fleet: { storeLoadsPerSecond: 1, storeLoadsInFlight: 2 }, models: { far: { pool: 'p2' } }
+} as unknown as FleetConfig
+
+/** Nodes n0 to n2 in region r0, n3 to n5 in r1; one engine in each, of pools p1 and p2. */
+function setUp (plan: PlanMoves, loadMs = 500) {
+  const clock = new VirtualClock()
+  const members = [0, 1, 2, 3, 4, 5].map(index => ({ name: `n${index}`, address: `n${index}`, region: index < 3 ? 'r0' : 'r1', state: 'alive' })) as MemberEntry[]
+  const engines = [0, 1].map(index => ({ engine: `e${index}`, pool: `p${index + 1}`, region: `r${index}`, controller: index === 0 ? 'n0' : 'n3', reachable: true, draining: false, models: [] })) as unknown as EngineEntry[]
+  const executed: { load: string | undefined, atMs: number }[] = []
+  const inputs: { node: string, waiting: string[], atMs: number }[] = []
+  const planners = new Map(members.map(member => [member.name, new Planner({
+    clock,
+    random: new SeededRandom(1),
+    log: silentLog,
+    self: member.name,
+    region: member.region,
+    members: () => members,
+    network: {
+      request: async (address, message) => {
+        await sleep(clock, 1)
+        return (await planners.get(address)!.handle(message))!
+      }
+    },
+    config: () => config,
+    engines: () => engines,
+    executeLocal: move => engines.some(engine => engine.engine === move.engine && engine.controller === member.name)
+      ? (executed.push({ load: move.load, atMs: clock.nowMs() }), sleep(clock, loadMs).then(() => ({ accepted: true, reason: '' })))
+      : undefined,
+    keyValueAvailable: () => true,
+    plan: input => {
+      inputs.push({ node: member.name, waiting: [...input.waiting].map(([model, { count }]) => `${model}:${count}`), atMs: clock.nowMs() })
+      return plan(input)
+    },
+    forecast: { add: () => {}, forecasts: () => new Map() }
+  })])) as Map<string, Planner>
+  for (const planner of planners.values()) planner.start()
+  const want = (node: string, ...models: string[]) => planners.get(node)!.wanted({
+    node, periodMs: 1_000, models: models.map((model): DemandEntry['models'][number] => ({ model, arrivals: [1, 0, 0], waiting: 1, tokens: 1, earliestDeadlineMs: 1 }))
+  })
+  return { clock, executed, inputs, members, want }
+}
+
+const loadWaiting: PlanMoves = input => ({
+  moves: [...input.waiting.keys()].filter(model => !input.recentMoves.some(move => move.model === `${model}@1`))
+    .map(model => ({ moveId: model, engine: input.engines[0]!.engine, load: `${model}@1`, loadBytes: 1, unload: [], loadAdapters: [], reason: '' })),
+  unreachable: []
+})
+
+describe('planner', () => {
+  // Guards against cold requests that wait for the next period, and against one load for each of them.
+  it('loads a cold model once and at once', async () => {
+    const { clock, executed, inputs, want } = setUp(loadWaiting)
+    await clock.advance(100)
+    for (const node of ['n0', 'n1', 'n2']) want(node, 'cold')
+    await clock.advance(3_000)
+    expect(executed.map(({ load }) => load)).to.deep.equal(['cold@1'])
+    expect(executed[0]!.atMs).to.be.at.most(150)
+    expect(inputs.filter(({ atMs }) => atMs < 150)[0]!.waiting).to.deep.equal(['cold:3'])
+  })
+
+  // Guards against more loads than the store carries, also when the slots of earlier loads are never returned.
+  it('keeps the store limits and expires slots', async () => {
+    const { clock, executed, want } = setUp(loadWaiting, 1_000_000)
+    for (let second = 0; second < 14; second++) {
+      want('n1', 'a', 'b', 'c', 'd')
+      await clock.advance(1_000)
+      if (second === 5) expect(executed.map(({ load }) => load)).to.deep.equal(['a@1', 'b@1'])
+    }
+    expect(executed.length).to.equal(4)
+    for (const [index, { atMs }] of executed.entries()) if (index > 0) expect(atMs - executed[index - 1]!.atMs).to.be.at.least(990)
+  })
+
+  // Guards against a model that only another region can hold, and against two active planners of a region.
+  it('passes unreachable models to another region', async () => {
+    const { clock, executed, inputs, members, want } = setUp(input => input.engines[0]!.pool === 'p2'
+      ? loadWaiting(input)
+      : { moves: [], unreachable: [{ model: 'far', reason: 'no engine of its pool' }] })
+    want('n1', 'far')
+    await clock.advance(1_000)
+    expect(executed.map(({ load }) => load)).to.deep.equal(['far@1'])
+    const planner = rendezvousOwner('planner/r0', ['n0', 'n1', 'n2'])!
+    members.find(member => member.name === planner)!.state = 'dead'
+    const deadAtMs = clock.nowMs()
+    await clock.advance(5_000)
+    const names = new Set(inputs.filter(({ atMs }) => atMs > deadAtMs).map(({ node }) => node).filter(node => node < 'n3'))
+    expect([...names]).to.deep.equal([rendezvousOwner('planner/r0', ['n0', 'n1', 'n2'].filter(name => name !== planner))])
+  })
+
+  // Guards against adapter loads that overload the store, or stay slow after it recovers.
+  it('adapts the number of adapter loads', async () => {
+    const clock = new VirtualClock()
+    const limiter = new AdapterLoadLimiter(clock, { initialLimit: 2 })
+    let running = 0
+    const run = async (count: number, capacity: number) => {
+      for (let index = 0; index < count; index++) {
+        limiter.run(async () => {
+          running++
+          await sleep(clock, (10 + 10 * (index % 3)) * Math.max(1, running / capacity))
+          running--
+          return { accepted: true }
+        })
+      }
+      await clock.advance(60_000)
+      return limiter.currentLimit()
+    }
+    expect(await run(800, 6)).to.be.within(3, 16)
+    expect(await run(800, 1)).to.be.below(5)
+    expect(await run(800, 100)).to.be.above(16)
+  })
+})
