Balance planned load over copies, serve late requests last

Cause: the plan filled engines in order of value, so equal models displaced each other; requests past their first-token target were served first and made the next ones late.

--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -29,8 +29,9 @@
 const defaultStepMs = 35
 /** A cold model is loaded at the latest when the earliest deadline is this many load times away. */
 const coldLoadTimes = 4
-/** Part of a model's demand that may stay unmet without another copy. */
-const unmetTolerance = 0.05
+/** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
+const minimumRelief = 0.05
+const spreadRounds = 4
 
 interface Rules {
   pins: Set<string>
@@ -72,8 +73,9 @@
   /** Bytes of it that are kept for rarely used models. */
   reserveBytes: number
   usedBytes: number
+  /** Tokens per second, planned. */
   capacity: number
-  spare: number
+  load: number
   /** Whether models may be loaded and unloaded now. */
   movable: boolean
   /** Whether a move was decided for the engine in this plan. */
@@ -173,8 +175,8 @@
       reserveBytes: 0,
       usedBytes: copies.reduce((sum, copy) => sum + copy.memoryBytes, 0),
       capacity,
-      spare: capacity,
-      movable: this.input.keyValueAvailable || this.honoursFence(entry),
+      load: 0,
+      movable: (this.input.keyValueAvailable || this.honoursFence(entry)) && !entry.models.some(model => model.state === 'unloading'),
       changed: false
     }
   }
@@ -212,19 +214,27 @@
     return current.some(({ copy }) => copy.ready) ? current : all
   }
 
-  /** Spreads each model's demand over its copies, the most valuable first, as admission and routing will. */
+  /**
+   * Spreads each model's demand over its copies so that the engines' loads become as equal as the copies allow, as
+   * routing will do. What exceeds an engine's capacity counts as unmet for the models on it.
+   */
   private spreadLoad (): void {
-    for (const engine of this.engines) engine.spare = engine.capacity
-    const byValue = [...this.demands.values()].sort((left, right) => right.valuePerToken - left.valuePerToken || (left.name < right.name ? -1 : 1))
-    for (const demand of byValue) {
-      const serving = this.servingCopies(demand.name).sort((left, right) => left.engine.spare - right.engine.spare)
-      let rest = demand.tokensPerSecond
-      serving.forEach(({ engine, copy }, index) => {
-        copy.load = Math.max(0, Math.min(engine.spare, rest / (serving.length - index)))
-        engine.spare -= copy.load
-        rest -= copy.load
-      })
-      demand.unmet = rest
+    for (const engine of this.engines) {
+      engine.load = 0
+      for (const copy of engine.copies) copy.load = 0
+    }
+    const serving = new Map([...this.demands.values()].map(demand => [demand, this.servingCopies(demand.name)]))
+    for (let round = 0; round < spreadRounds; round++) {
+      for (const [demand, copies] of serving) {
+        for (const { engine, copy } of copies) engine.load -= copy.load
+        copies.sort((left, right) => left.engine.load - right.engine.load)
+        pourOver(copies, demand.tokensPerSecond)
+      }
+    }
+    for (const [demand, copies] of serving) {
+      demand.unmet = copies.length === 0
+        ? demand.tokensPerSecond
+        : copies.reduce((sum, { engine, copy }) => sum + Math.min(copy.load, Math.max(0, engine.load - engine.capacity)), 0)
     }
   }
 
@@ -279,7 +289,7 @@
     const refused = new Set<string>()
     while (this.loadSlots > 0) {
       const candidates = [...this.demands.values()]
-        .filter(demand => !refused.has(demand.name) && demand.unmet > unmetTolerance * demand.tokensPerSecond && demand.unmet > 0)
+        .filter(demand => !refused.has(demand.name) && demand.unmet > 0)
         .sort((left, right) => right.unmet * right.valuePerToken / right.config.memoryBytes - left.unmet * left.valuePerToken / left.config.memoryBytes)
       const demand = candidates[0]
       if (!demand) return
@@ -306,8 +316,11 @@
       if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
       const room = this.makeRoom(engine, demand, force, copies)
       if (!room) continue
-      const gain = demand.valuePerToken * Math.min(demand.unmet, this.usableCapacity(engine, demand, room.evicted))
+      const freed = room.evicted.reduce((sum, copy) => sum + copy.load, 0)
+      const relief = Math.min(demand.unmet, Math.max(0, engine.capacity - engine.load + freed))
+      const gain = demand.valuePerToken * relief
       if (!force) {
+        if (copies > 0 && relief < minimumRelief * engine.capacity) continue
         if (room.loss > displacementRatio * gain) continue
         if ((gain - room.loss) * repaySeconds <= moveCostSeconds * (room.loss + gain * 0.1)) continue
       }
@@ -319,15 +332,6 @@
     return true
   }
 
-  /** Capacity that a new copy could use: what is free, what leaves, and what less valuable models use. */
-  private usableCapacity (engine: EngineSpace, demand: ModelDemand, evicted: Copy[]): number {
-    let capacity = engine.spare
-    for (const copy of engine.copies) {
-      if (evicted.includes(copy) || (this.demands.get(copy.model)?.valuePerToken ?? 0) < demand.valuePerToken) capacity += copy.load
-    }
-    return capacity
-  }
-
   /** The copies whose removal makes room at the least loss of value, or `undefined` if there is no room. */
   private makeRoom (engine: EngineSpace, demand: ModelDemand, force: boolean, copies: number): { evicted: Copy[], loss: number } | undefined {
     // A further replica leaves the reserve alone; a model without any copy may use it.
@@ -366,7 +370,7 @@
     const demand = this.demands.get(copy.model)
     if (!demand) return 0
     const others = this.servingCopies(copy.model).filter(other => other.engine !== engine && other.copy.ready)
-    const spare = others.reduce((sum, other) => sum + Math.max(0, other.engine.spare), 0)
+    const spare = others.reduce((sum, other) => sum + Math.max(0, other.engine.capacity - other.engine.load), 0)
     return demand.valuePerToken * Math.max(0, copy.load - spare)
   }
 
@@ -421,3 +425,26 @@
     }
   }
 }
+
+/** Adds `amount` to the copies, which are ordered by the load of their engines, so that these become equal from below. */
+function pourOver (copies: readonly { engine: EngineSpace, copy: Copy }[], amount: number): void {
+  let rest = amount
+  let level = 0
+  let count = 0
+  while (count < copies.length) {
+    level = copies[count]!.engine.load
+    const next = copies[count + 1]?.engine.load ?? Infinity
+    count++
+    const room = (next - level) * count
+    if (room >= rest) {
+      level += rest / count
+      rest = 0
+      break
+    }
+    rest -= room
+  }
+  copies.forEach(({ engine, copy }, index) => {
+    copy.load = index < count ? Math.max(0, level - engine.load) : 0
+    engine.load += copy.load
+  })
+}
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -1,5 +1,6 @@
 /** The queue of one node: ranks by value with a kept minimum, customers by start-time fair queueing, then by deadline. */
 
+import type { Clock } from '../base/clock.js'
 import { ranks } from '../config/fleetConfig.js'
 import type { FleetConfig, Rank } from '../config/fleetConfig.js'
 
@@ -21,6 +22,8 @@
 const maxCredit = 20
 /** After this many rejected items of one model in one call of `next`, the model counts as blocked. */
 const rejectionsUntilBlocked = 2
+/** How often items that can no longer attain their target are sorted out. */
+const lateCheckPeriodMs = 20
 
 interface CustomerQueue<Item> {
   name: string
@@ -51,14 +54,20 @@
 /** Waiting requests of one node. */
 export class RequestQueue<Item extends QueueItem> {
   private readonly config: () => FleetConfig
+  private readonly clock: Clock
   private readonly rankQueues = new Map<Rank, RankQueue<Item>>()
+  /** Items past `targetAtMs`, which are served after all others: they cannot attain, and would make the next ones late. */
+  private readonly lateQueues = new Map<Rank, RankQueue<Item>>()
+  private readonly lateIds = new Set<string>()
+  private nextLateCheckMs = 0
   private readonly byId = new Map<string, Item>()
   private readonly modelCounts = new Map<string, Map<Rank, number>>()
 
-  constructor ({ config }: { config: () => FleetConfig }) {
+  constructor ({ clock, config }: { clock: Clock, config: () => FleetConfig }) {
+    this.clock = clock
     this.config = config
-    for (const rank of ranks) {
-      this.rankQueues.set(rank, { customers: new Map(), finishTags: new Map(), virtualTime: 0, size: 0, credit: 0 })
+    for (const queues of [this.rankQueues, this.lateQueues]) {
+      for (const rank of ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), virtualTime: 0, size: 0, credit: 0 })
     }
   }
 
@@ -77,7 +86,12 @@
   }
 
   add (item: Item): void {
-    const rankQueue = this.rankQueues.get(item.rank)!
+    this.insert(this.rankQueues.get(item.rank)!, item)
+    this.byId.set(item.requestId, item)
+    this.countModel(item, 1)
+  }
+
+  private insert (rankQueue: RankQueue<Item>, item: Item): void {
     let customer = rankQueue.customers.get(item.customer)
     if (!customer) {
       const startTag = Math.max(rankQueue.virtualTime, rankQueue.finishTags.get(item.customer) ?? 0)
@@ -91,8 +105,6 @@
     insertByDeadline(items, item)
     customer.count++
     rankQueue.size++
-    this.byId.set(item.requestId, item)
-    this.countModel(item, 1)
   }
 
   /** Removes a request whose caller went away or that was dispatched; `undefined` if it does not wait. */
@@ -105,33 +117,27 @@
   /** Removes and returns the item that is served next among those that `canDispatch` accepts. */
   next (canDispatch: (item: Item) => boolean): Item | undefined {
     if (this.byId.size === 0) return undefined
-    const rejections = new Map<string, number>()
-    for (const rank of this.rankOrder()) {
-      const item = this.nextOfRank(this.rankQueues.get(rank)!, canDispatch, rejections)
-      if (item) return item
+    this.sortOutLate()
+    const order = this.rankOrder()
+    for (const queues of [this.rankQueues, this.lateQueues]) {
+      for (const rank of order) {
+        const item = this.nextOfRank(queues.get(rank)!, canDispatch)
+        if (item) return item
+      }
     }
     return undefined
   }
 
   /** Removes and returns the items whose deadline has passed. */
   takeExpired (nowMs: number): Item[] {
-    const expired: Item[] = []
-    for (const rankQueue of this.rankQueues.values()) {
-      for (const customer of rankQueue.customers.values()) {
-        for (const items of customer.byModel.values()) {
-          for (const item of items) {
-            if (item.deadlineMs > nowMs) break
-            expired.push(item)
-          }
-        }
-      }
-    }
+    const expired = [...this.rankQueues.values(), ...this.lateQueues.values()]
+      .flatMap(rankQueue => overdue(rankQueue, nowMs, item => item.deadlineMs))
     for (const item of expired) this.detach(item)
     return expired
   }
 
   size (rank?: Rank): number {
-    return rank === undefined ? this.byId.size : this.rankQueues.get(rank)!.size
+    return rank === undefined ? this.byId.size : this.rankQueues.get(rank)!.size + this.lateQueues.get(rank)!.size
   }
 
   /** Waiting items of the customer in the rank, and the number of customers that wait in it. */
@@ -140,14 +146,14 @@
     return { waiting: rankQueue.customers.get(customer)?.count ?? 0, customers: rankQueue.customers.size }
   }
 
-  /** Number of items that wait for the model, in one rank. */
+  /** Number of items that wait for the model in one rank, without those past their target, which delay no others. */
   sizeOfModel (model: string, rank: Rank): number {
     return this.modelCounts.get(model)?.get(rank) ?? 0
   }
 
   waitingByModel (): Map<string, { count: number, earliestDeadlineMs: number }> {
     const result = new Map<string, { count: number, earliestDeadlineMs: number }>()
-    for (const rankQueue of this.rankQueues.values()) {
+    for (const rankQueue of [...this.rankQueues.values(), ...this.lateQueues.values()]) {
       for (const customer of rankQueue.customers.values()) {
         for (const [model, items] of customer.byModel) {
           if (items.length === 0) continue
@@ -163,29 +169,36 @@
   /** Ranks below their kept minimum first, then by value. */
   private rankOrder (): Rank[] {
     const { ranks: rankConfigs } = this.config()
-    return ranks.filter(rank => this.rankQueues.get(rank)!.size > 0).sort((left, right) => {
+    return ranks.filter(rank => this.size(rank) > 0).sort((left, right) => {
       const leftKept = this.credit(left) >= 1 ? 1 : 0
       const rightKept = this.credit(right) >= 1 ? 1 : 0
       return rightKept - leftKept || rankConfigs[right].requestValue - rankConfigs[left].requestValue
     })
   }
 
-  private nextOfRank (
-    rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean, rejections: Map<string, number>
-  ): Item | undefined {
+  private nextOfRank (rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean): Item | undefined {
+    if (rankQueue.size === 0) return undefined
+    const rejections = new Map<string, number>()
+    const blocked = (model: string) => (rejections.get(model) ?? 0) >= rejectionsUntilBlocked
     const customers = [...rankQueue.customers.values()].sort((left, right) => left.startTag - right.startTag)
     for (const customer of customers) {
-      const heads = [...customer.byModel.values()].filter(items => items.length > 0).map(items => items[0]!)
-      heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
-      for (const item of heads) {
-        if ((rejections.get(item.model) ?? 0) >= rejectionsUntilBlocked) continue
+      const tried = new Set<string>()
+      for (;;) {
+        let item: Item | undefined
+        for (const [model, items] of customer.byModel) {
+          const head = items[0]!
+          if ((!item || head.deadlineMs < item.deadlineMs) && !tried.has(model) && !blocked(model)) item = head
+        }
+        if (!item) break
         if (!canDispatch(item)) {
+          tried.add(item.model)
           rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
           continue
         }
         rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
         customer.startTag += item.costTokens / customer.weight
-        rankQueue.credit = Math.max(0, rankQueue.credit - 1)
+        const onTime = this.rankQueues.get(item.rank)!
+        onTime.credit = Math.max(0, onTime.credit - 1)
         this.detach(item)
         return item
       }
@@ -193,21 +206,38 @@
     return undefined
   }
 
+  private sortOutLate (): void {
+    const nowMs = this.clock.nowMs()
+    if (nowMs < this.nextLateCheckMs) return
+    this.nextLateCheckMs = nowMs + lateCheckPeriodMs
+    for (const [rank, rankQueue] of this.rankQueues) {
+      for (const item of overdue(rankQueue, nowMs, waiting => waiting.targetAtMs ?? Infinity)) {
+        this.take(rankQueue, item)
+        this.insert(this.lateQueues.get(rank)!, item)
+        this.lateIds.add(item.requestId)
+        this.countModel(item, -1)
+      }
+    }
+  }
+
   private detach (item: Item): void {
-    const rankQueue = this.rankQueues.get(item.rank)!
+    const late = this.lateIds.delete(item.requestId)
+    this.take((late ? this.lateQueues : this.rankQueues).get(item.rank)!, item)
+    this.byId.delete(item.requestId)
+    if (!late) this.countModel(item, -1)
+  }
+
+  private take (rankQueue: RankQueue<Item>, item: Item): void {
     const customer = rankQueue.customers.get(item.customer)!
     const items = customer.byModel.get(item.model)!
     items.splice(items.indexOf(item), 1)
     if (items.length === 0) customer.byModel.delete(item.model)
     customer.count--
     rankQueue.size--
-    if (customer.count === 0) {
-      rankQueue.customers.delete(customer.name)
-      if (customer.startTag > rankQueue.virtualTime) rankQueue.finishTags.set(customer.name, customer.startTag)
-      this.forgetOldTags(rankQueue)
-    }
-    this.byId.delete(item.requestId)
-    this.countModel(item, -1)
+    if (customer.count > 0) return
+    rankQueue.customers.delete(customer.name)
+    if (customer.startTag > rankQueue.virtualTime) rankQueue.finishTags.set(customer.name, customer.startTag)
+    this.forgetOldTags(rankQueue)
   }
 
   /** Drops tags that no longer matter, so that customers seen once do not fill the memory. */
@@ -224,3 +254,17 @@
     counts.set(item.rank, (counts.get(item.rank) ?? 0) + change)
   }
 }
+
+/** Waiting items whose time is past. Items of a customer and model are ordered, so that only the first ones can be. */
+function overdue<Item> (rankQueue: RankQueue<Item>, nowMs: number, timeOf: (item: Item) => number): Item[] {
+  const result: Item[] = []
+  for (const customer of rankQueue.customers.values()) {
+    for (const items of customer.byModel.values()) {
+      for (const item of items) {
+        if (timeOf(item) > nowMs) break
+        result.push(item)
+      }
+    }
+  }
+  return result
+}
