Serve requests from one end to the other

Cause: the request pipeline needs the fleet modules, and the rank needs an objective for the report on burn.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,9 @@
     files: ['**/*.ts'],
     rules: {
       '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
-      '@typescript-eslint/no-explicit-any': 'error'
+      '@typescript-eslint/no-explicit-any': 'error',
+      // `void` marks promises that nobody waits for.
+      'no-void': ['error', { allowAsStatement: true }]
     }
   },
   {
--- a/src/bench/deployments.ts
+++ b/src/bench/deployments.ts
@@ -127,9 +127,9 @@
         crossRegionPrice: 1
       },
       ranks: {
-        urgent: { requestValue: shape.values.urgent, minimumShare: 0.1, patienceMs: 15_000, firstTokenMs: 600, tokenGapMs: 42 },
-        live: { requestValue: shape.values.live, minimumShare: 0.1, patienceMs: 20_000, firstTokenMs: 600, tokenGapMs: 42 },
-        browsing: { requestValue: shape.values.browsing, minimumShare: 0.1, patienceMs: 60_000, firstTokenMs: 0, tokenGapMs: 0 }
+        urgent: { requestValue: shape.values.urgent, minimumShare: 0.1, patienceMs: 15_000, firstTokenMs: 600, tokenGapMs: 42, objective: 0.99 },
+        live: { requestValue: shape.values.live, minimumShare: 0.1, patienceMs: 20_000, firstTokenMs: 600, tokenGapMs: 42, objective: 0.95 },
+        browsing: { requestValue: shape.values.browsing, minimumShare: 0.1, patienceMs: 60_000, firstTokenMs: 0, tokenGapMs: 0, objective: 0.9 }
       },
       customers: Object.fromEntries(customers.map(({ name: customer, rank }) => [customer, { apiKeySha256: '0'.repeat(64), rank, weight: 1 }])),
       models,
--- a/src/fleet/idempotency.ts
+++ b/src/fleet/idempotency.ts
@@ -167,7 +167,7 @@
 
   private enqueueWrite (key: string, write: () => Promise<void>): void {
     if (this.pendingWrites.size >= maxPendingWrites) {
-      this.log('warn', 'idempotency-write-dropped', { key })
+      this.log('warn', 'idempotency write dropped', { key })
       return
     }
     this.pendingWrites.set(key, write)
@@ -184,7 +184,7 @@
           await write()
           if (this.pendingWrites.get(key) === write) this.pendingWrites.delete(key)
         } catch (error) {
-          this.log('warn', 'idempotency-write-failed', { key, error: messageOf(error) })
+          this.log('warn', 'idempotency write failed', { key, error: messageOf(error) })
           await sleep(this.clock, cleanupPeriodMs)
         }
       }
--- a/src/fleet/vmDirectory.ts
+++ b/src/fleet/vmDirectory.ts
@@ -46,7 +46,7 @@
   start (): void {
     this.stopTimer = repeat(this.options.clock, pollPeriodMs, () => this.poll(), {
       firstDelayMs: 0,
-      onError: error => this.options.log('warn', 'vm-list-unavailable', { error: messageOf(error) })
+      onError: error => this.options.log('warn', 'VM list unavailable', { error: messageOf(error) })
     })
   }
 
@@ -97,4 +97,3 @@
 function vmKey ({ region, name }: Vm): string {
   return `${keyPrefix}${region}/${name}`
 }
-
--- a/src/gateway/account.ts
+++ b/src/gateway/account.ts
@@ -64,6 +64,6 @@
   if (error instanceof ProblemError) return error
   // Nobody reads this answer; 499 only shows in logs and traces.
   if (error instanceof CallerGoneError) return new ProblemError(499, 'deadline', 'unknown', error.message)
-  log('error', 'internal-error', { requestId: exchange.requestId, error: messageOf(error), stack: error instanceof Error ? error.stack : undefined })
+  log('error', 'internal error', { requestId: exchange.requestId, error: messageOf(error), stack: error instanceof Error ? error.stack : undefined })
   return new ProblemError(500, 'internal', 'unknown', 'see the log of the node')
 }
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -179,7 +179,7 @@
     this.scheduler = new Scheduler({
       clock,
       log,
-      queue: new RequestQueue({ config: () => this.config() }),
+      queue: new RequestQueue({ clock, config: () => this.config() }),
       admission: new Admission({ clock, config: () => this.config(), nodeCount: () => this.readyNodes() }),
       router: new Router({ clock, random, location: identity, crossRegionPrice: () => this.config().fleet.crossRegionPrice }),
       config: () => this.config(),
@@ -202,7 +202,10 @@
       deduplicateFilter(clock, this.idempotency),
       this.demandFilter(),
       serviceFilter({
-        clock, random, retryBudget, location: identity,
+        clock,
+        random,
+        retryBudget,
+        location: identity,
         servers: service => this.serviceMonitor.servers(service),
         serviceApi: entry => this.serviceApi(entry.server, entry.address)
       }),
@@ -236,7 +239,7 @@
     this.timers.push(repeat(clock, demandPeriodMs, () => this.readCacheEvents()))
     this.state = 'ready'
     this.membership.setReady(true)
-    this.options.log('info', 'node-ready', { node: identity.name, configVersion: this.configDistribution.version() })
+    this.options.log('info', 'node ready', { node: identity.name, configVersion: this.configDistribution.version() })
   }
 
   /** Whether callers are served, and why not. */
@@ -289,7 +292,7 @@
    */
   async stop (): Promise<void> {
     const { clock, log, identity } = this.options
-    log('info', 'node-leaving', { node: identity.name, inProgress: this.inProgress })
+    log('info', 'node leaving', { node: identity.name, inProgress: this.inProgress })
     this.state = 'leaving'
     this.membership.setReady(false)
     this.refusesAfterMs = clock.nowMs() + drainNoticeMs
@@ -305,7 +308,7 @@
     await this.membership.leave()
     this.membership.stop()
     this.dissemination.stop()
-    log('info', 'node-left', { node: identity.name })
+    log('info', 'node left', { node: identity.name })
   }
 
   /** Proposes a change of the fleet configuration. */
@@ -501,7 +504,7 @@
         const isComplete = events[0]!.sequence === after + 1 && last.sequence - after === events.length
         this.scheduler.onCacheEvents(entry.engine, events, isComplete)
       } catch (error) {
-        this.options.log('debug', 'cache-events-unavailable', { engine: entry.engine, error: messageOf(error) })
+        this.options.log('debug', 'cache events unavailable', { engine: entry.engine, error: messageOf(error) })
       }
     }))
   }
@@ -520,4 +523,3 @@
   if (!config || hasErrors(findings)) throw new FindingsError(findings)
   return config
 }
-
--- a/src/node/nodeDaemon.ts
+++ b/src/node/nodeDaemon.ts
@@ -37,7 +37,8 @@
   const { node, callers, operators, peers, platform, deployment } = settings
   const { host, port } = requireAddress(peers.listen)
   const advertised = requireAddress(peers.advertise)
-  let core: NodeCore | undefined
+  // Peers may connect before the core exists, which needs the address that the transport listens on.
+  const started: { core?: NodeCore } = {}
   const transport = new PeerTransport({
     clock,
     random,
@@ -46,12 +47,12 @@
     host,
     port,
     advertisedAddress: advertised.port === 0 ? undefined : peers.advertise,
-    handler: async message => core ? core.handlePeer(message) : { kind: 'error', message: 'the node is starting' }
+    handler: async message => started.core?.handlePeer(message) ?? { kind: 'error', message: 'the node is starting' }
   })
   await transport.start()
   const metrics = new NodeMetrics(node.name)
   const keyValueStore = new HttpKeyValueStore({ address: platform.keyValueStore, clock, timeoutMs: platformTimeoutMs })
-  core = new NodeCore({
+  const core = new NodeCore({
     clock,
     random,
     log,
@@ -65,15 +66,15 @@
     newId: randomUUID,
     onFinished: metrics.onFinished(() => clock.nowMs())
   })
+  started.core = core
   metrics.watch(core)
-  const running = core
   const callersServer = await listen(
-    createCallersApp(request => running.handle(request), { bodyLimitBytes: callers.bodyLimitBytes, newId: randomUUID }),
+    createCallersApp(request => core.handle(request), { bodyLimitBytes: callers.bodyLimitBytes, newId: randomUUID }),
     callers.listen,
     { maxConnections: callers.maxConnections }
   )
   const operatorsServer = await listen(
-    createOperatorsApp({ deploymentKey: deployment.key, log, api: operatorsApi(running, { metrics, readHistory: () => readHistory(keyValueStore), nowMs: () => clock.nowMs() }) }),
+    createOperatorsApp({ deploymentKey: deployment.key, log, api: operatorsApi(core, { metrics, readHistory: () => readHistory(keyValueStore), nowMs: () => clock.nowMs() }) }),
     operators.listen,
     { maxConnections: maxOperatorConnections }
   )
@@ -82,13 +83,13 @@
     operatorsAddress: listeningAddress(operatorsServer),
     peersAddress: transport.address
   }
-  log('info', 'node-listening', { node: node.name, ...addresses })
-  void running.start()
+  log('info', 'node listening', { node: node.name, ...addresses })
+  void core.start()
   return {
     ...addresses,
     stop: async () => {
       await Promise.all([
-        running.stop(),
+        core.stop(),
         sleep(clock, drainNoticeMs).then(() => closeServer(callersServer))
       ])
       await closeServer(operatorsServer)
--- a/src/node/peerTransport.ts
+++ b/src/node/peerTransport.ts
@@ -47,7 +47,7 @@
 
   constructor (private readonly options: PeerTransportOptions) {
     this.server = createServer(socket => this.accept(socket))
-    this.server.on('error', error => options.log('error', 'peer-server-failed', { message: error.message }))
+    this.server.on('error', error => options.log('error', 'peer server failed', { message: error.message }))
   }
 
   /** `IP:PORT` of this node, once listening. */
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -4,15 +4,7 @@
 import type { FleetConfig, ModelConfig } from '../config/fleetConfig.js'
 import type { EngineEntry, Move } from '../protocol/messages.js'
 import { exceptionHolds } from './patience.js'
-import type { PlacementInput } from './placementInput.js'
-
-export type { PlacementInput } from './placementInput.js'
-
-export interface PlacementPlan {
-  moves: Move[]
-  /** Models that are wanted and cannot be loaded now. */
-  unreachable: { model: string, reason: string }[]
-}
+import type { PlacementInput, PlacementPlan } from './placementInput.js'
 
 /** A move must bring more value within this time than it costs. */
 const repaySeconds = 600
--- a/src/standins/demo.ts
+++ b/src/standins/demo.ts
@@ -49,7 +49,7 @@
   })
 }
 
-sade('npm start --', true)
+sade('teaselrill-demo', true)
   .describe('Runs a whole small deployment on loopback')
   .option('--requests', 'Send this many mixed requests, print a table of outcomes and stop')
   .option('--log', 'Print the log lines of the nodes', false)
--- a/src/standins/localDeployment.ts
+++ b/src/standins/localDeployment.ts
@@ -27,7 +27,7 @@
 storeAdapterLoadsInFlight = 25
 
 [pool.advisors]
-honoursFence = yes
+honoursFence = true
 reserveBytes = 16GiB
 adapterBytes = 2GiB
 
@@ -109,7 +109,7 @@
       })
       await writeFile(file, settings)
       const node = await startProcess(`node-${index + 1}`, scriptPath('cli/main.js'), ['node', '--settings', file], {
-        readReady: line => line.event === 'node-listening' ? line : undefined, onLine
+        readReady: line => line.event === 'node listening' ? line : undefined, onLine
       })
       processes.push(node)
       nodes.push(node)
--- a/tests/fleetConfig.spec.ts
+++ b/tests/fleetConfig.spec.ts
@@ -45,7 +45,7 @@
     const { config, findings } = parse(`[pool.a]\nhonoursFence = true\nreserveBytes = 16GiB\n[model.m]\npool = a\nmemoryBytes = 16GiB\npatienceMs = 5m\n[service.orders]\n[customer.c]\napiKeySha256 = ${hash}\n[exception.e]\nreason = a = b\ntarget = model.m\nhours = 8-12.5\nweight = 2`)
     expect(findings).to.deep.equal([])
     expect(config).to.deep.include({ version: 3, adapters: {} })
-    expect(config!.ranks.urgent).to.deep.equal({ requestValue: 100, minimumShare: 0.1, patienceMs: 10_000, firstTokenMs: 600, tokenGapMs: 42 })
+    expect(config!.ranks.urgent).to.deep.equal({ requestValue: 100, minimumShare: 0.1, patienceMs: 10_000, firstTokenMs: 600, tokenGapMs: 42, objective: 0.99 })
     expect(config!.models.m).to.deep.equal({ pool: 'a', version: '1', memoryBytes: 2 ** 34, minimumReplicas: 0, weight: 1, patienceMs: 300_000, idempotent: true })
     expect(config!.services.orders).to.deep.equal({ path: '/orders', nonIdempotentMethods: ['POST', 'PATCH'] })
     expect(config!.exceptions).to.deep.equal([{ name: 'e', reason: 'a = b', target: 'model.m', hours: { from: 8, to: 12.5 }, weight: 2 }])
