--- a/tests/engineControl.spec.ts
+++ b/tests/engineControl.spec.ts
@@ -29,6 +29,7 @@
   const engine = new FakeEngine(clock, honoursFence && !naive)
   const store = new FakeStore()
   const published: EngineEntry[] = []
+  let highestFence = 0
   const create = (node: string, link: FaultyLink, seed: number) => new EngineControl({
     clock,
     random: new SeededRandom(seed),
@@ -40,7 +41,11 @@
     honoursFence,
     adapterBytes: () => adapterBytes,
     keyValueStore: link.keyValueStore,
-    publish: entry => { published.push(entry) },
+    publish: entry => {
+      published.push(entry)
+      highestFence = Math.max(highestFence, entry.controlFence)
+    },
+    publishedFence: () => highestFence,
     createArbiter: naive ? () => naiveArbiter(link) : undefined
   })
   const firstLink = new FaultyLink(clock, engine, store, fault, faultAt)
@@ -172,6 +177,34 @@
       expect(engine.isReady('y@1')).to.equal(true)
     })
 
+    // Guards against a refused load whose second copy succeeds after its memory was given away.
+    it(`${name}: refused load arrives again`, async () => {
+      const { clock, engine, first } = setUp({ ...kind, fault: 'repeated', faultAt: kind.honoursFence ? 2 : 5 })
+      engine.failingLoads = 1
+      first.start()
+      await clock.advance(100)
+      for (const model of ['a@1', 'b@1', 'c@1']) {
+        first.execute(load(model))
+        await clock.advance(2_000)
+      }
+      await clock.advance(60_000)
+      expect(engine.commands.filter(command => command.kind === 'load' && command.model === 'a@1').length).to.equal(2)
+      expect([engine.isReady('b@1'), engine.peakBytes <= memoryBytes]).to.deep.equal([true, true])
+    })
+
+    // Guards against entries of a successor that lose to those published before the engine's tokens began anew.
+    it(`${name}: published token grows over a restart`, async () => {
+      const { clock, engine, first, second, published } = setUp(kind)
+      first.start()
+      await clock.advance(3_000)
+      await first.stop()
+      const before = published.at(-1)!.controlFence
+      engine.restart()
+      second.start()
+      await clock.advance(3_000)
+      expect([second.controls(), published.at(-1)!.controller, published.at(-1)!.controlFence > before]).to.deep.equal([true, 'n2', true])
+    })
+
     // Guards against memory that stays counted, or commands that go to the old process, after an engine restart.
     it(`${name}: engine restarted empty`, async () => {
       const { clock, engine, first } = setUp(kind)
