Check the exact status before an unload hold ends

Cause: a duplicate of a load could make a model resident again during the 30 s hold on an engine that ignores tokens. The entry was then removed all the same, and the next load overcommitted memory.

Ruled out: polled statuses as proof of absence, since they may lag.

--- a/src/fleet/recordArbiter.ts
+++ b/src/fleet/recordArbiter.ts
@@ -8,7 +8,7 @@
 import { ControlLostError, mayTakeEffect, openSession, ReacquireError, resultOf, sendCommand } from './arbiter.js'
 import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult } from './arbiter.js'
 import { addAttempt, engineRecordSchema, grantAdapters, recordKey, removableEntries, removeEntry, settleAttempts, takeOver } from './engineRecord.js'
-import type { EngineRecord, Transition } from './engineRecord.js'
+import type { EngineRecord, RecordEntry, Transition } from './engineRecord.js'
 import { freeModelBytes } from './memoryBudget.js'
 import type { MemoryCapacity } from './memoryBudget.js'
 
@@ -154,9 +154,12 @@
 
   /** Removes entries of absent models whose hold has ended. */
   async maintain (): Promise<void> {
-    if (!this.record || !this.session) return
-    const nowMs = this.options.clock.nowMs()
-    const due = removableEntries(this.record, this.resident).filter(entry => (this.removableAtMs.get(entry.model) ?? Infinity) <= nowMs)
+    if (!this.session || this.dueEntries().length === 0) return
+    // A duplicate may have loaded the model again during the hold, so an exact status decides.
+    const reply = await this.send({ kind: 'claim', commandId: this.commandId(), fence: this.fence() })
+    this.resident = new Set(reply.status.models.map(({ name }) => name))
+    this.holdAbsentEntries()
+    const due = this.dueEntries()
     if (due.length === 0) return
     const removed = await this.write(record => due.reduce<Transition>(
       (result, entry) => result.ok ? removeEntry(result.record, entry.model) : result, { ok: true, record }))
@@ -167,6 +170,12 @@
     return false
   }
 
+  private dueEntries (): RecordEntry[] {
+    if (!this.record) return []
+    const nowMs = this.options.clock.nowMs()
+    return removableEntries(this.record, this.resident).filter(entry => (this.removableAtMs.get(entry.model) ?? Infinity) <= nowMs)
+  }
+
   account (): { freeModelBytes: number, stickyModels: string[] } {
     if (!this.record) return { freeModelBytes: 0, stickyModels: [] }
     const { entries, adapters } = settleAttempts(this.record, this.settled)
--- a/tests/engineControl.spec.ts
+++ b/tests/engineControl.spec.ts
@@ -187,9 +187,12 @@
         first.execute(load(model))
         await clock.advance(2_000)
       }
+      // With tokens the refused load's memory is free again after a claim.
+      expect(engine.isReady('c@1')).to.equal(kind.honoursFence)
       await clock.advance(60_000)
       expect(engine.commands.filter(command => command.kind === 'load' && command.model === 'a@1').length).to.equal(2)
-      expect([engine.isReady('b@1'), engine.peakBytes <= memoryBytes]).to.deep.equal([true, true])
+      await pursue(clock, engine, () => first, 'c@1', clock.nowMs() + 100_000)
+      expect([engine.isReady('c@1'), engine.peakBytes <= memoryBytes]).to.deep.equal([true, true])
     })
 
     // Guards against entries of a successor that lose to those published before the engine's tokens began anew.
