--- /dev/null
+++ b/src/fleet/configDistribution.ts
@@ -0,0 +1,319 @@
+/** Brings the newest accepted configuration to every node and never goes back to an older one. */
+
+import { deflateSync, inflateSync } from 'node:zlib'
+import { z } from 'zod'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { repeat, sleep, withTimeout } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import { FindingsError, formatFinding } from '../base/findings.js'
+import { rendezvousOrder } from '../base/hash.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import { randomInt, shuffled } from '../base/random.js'
+import type { FleetConfig } from '../config/fleetConfig.js'
+import type { KeyValueStore, WatchResult } from '../platform/keyValueStore.js'
+import type { MemberEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
+
+const configKey = 'config/current'
+const watchersPerZone = 2
+/** A watch ends and is renewed after this time, and asks again for everything since the known revision. */
+const watchMs = 2_000
+/** One of all watchers reads the whole key in each slot, since a text of 200 KB is too long for all to poll. */
+const readSlotMs = 4_000
+const storeTimeoutMs = 2_000
+const pullTimeoutMs = 2_000
+const announceTimeoutMs = 1_000
+const announceFanout = 3
+/** Members that still show an older version are told again, at first only in the own region. */
+const reannouncePeriodMs = 1_000
+const otherRegionsAfterMs = 2_000
+/** Another region usually has its own watchers; its nodes wait for them before they pull across regions. */
+const crossRegionWaitMs = 1_500
+const maxTextBytes = 1_000_000
+const noBytes = new Uint8Array(0)
+/** As `haveVersion`, asks for the version only. */
+const versionOnly = Number.MAX_SAFE_INTEGER
+
+const recordSchema = z.object({ version: z.number().int().positive(), text: z.string() })
+type ConfigRecord = z.infer<typeof recordSchema>
+
+export interface ConfigDistributionOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  network: PeerNetwork
+  keyValueStore: KeyValueStore
+  members: () => MemberEntry[]
+  self: MemberEntry['name']
+  selfAddress: string
+  /** Throws `FindingsError` if the text must not be applied. */
+  parse: (text: string, version: number) => FleetConfig
+  seeds: () => Promise<string[]>
+}
+
+interface Applied { version: number, text: string, config: FleetConfig, compressed: Uint8Array, atMs: number }
+
+/** The configuration in force on this node. Versions only rise. */
+export class ConfigDistribution {
+  private applied: Applied | undefined
+  private readonly listeners: ((config: FleetConfig, text: string) => void)[] = []
+  private readonly rejected = new Set<number>()
+  /** Versions that are being pulled, with the addresses to try next. */
+  private readonly pulls = new Map<number, string[]>()
+  private timers: CancelTimer[] = []
+  private revision = 0
+  private reportedLower = 0
+  private readSlot = -1
+  private readonly stopping = new AbortController()
+
+  constructor (private readonly options: ConfigDistributionOptions) {}
+
+  /** Resolves once a configuration is in force; keeps trying until then. Rejects if stopped before. */
+  async start (): Promise<void> {
+    const { clock, random, log } = this.options
+    const onError = (error: unknown) => log('error', 'config-task-failed', { message: messageOf(error) })
+    for (let attempt = 0; ; attempt++) {
+      await this.readAtStart()
+      this.stopping.signal.throwIfAborted()
+      if (this.applied) break
+      await sleep(clock, Math.min(4_000, 250 * 2 ** attempt) * (0.5 + random.next() / 2), { signal: this.stopping.signal })
+    }
+    this.timers = [
+      repeat(clock, watchMs, () => this.watchOnce(), { firstDelayMs: randomInt(random, watchMs), onError }),
+      repeat(clock, readSlotMs / 4, () => this.readInSlot(), { onError }),
+      repeat(clock, reannouncePeriodMs, () => this.reannounce(), { firstDelayMs: randomInt(random, reannouncePeriodMs), onError })
+    ]
+  }
+
+  stop (): void {
+    this.stopping.abort(new Error('configuration distribution is stopped'))
+    for (const cancel of this.timers) cancel()
+    this.timers = []
+  }
+
+  current (): FleetConfig | undefined {
+    return this.applied?.config
+  }
+
+  currentText (): string | undefined {
+    return this.applied?.text
+  }
+
+  /** Version in force; 0 if none. */
+  version (): number {
+    return this.applied?.version ?? 0
+  }
+
+  onApplied (listener: (config: FleetConfig, text: string) => void): void {
+    this.listeners.push(listener)
+  }
+
+  /** Applies a version that is known to be accepted if it is higher than the present one, and announces it. */
+  offer (version: number, text: string): void {
+    if (version <= this.version() || this.rejected.has(version)) return
+    const { clock, log, parse } = this.options
+    let config: FleetConfig
+    try {
+      config = parse(text, version)
+    } catch (error) {
+      this.rejected.add(version)
+      const findings = error instanceof FindingsError ? error.findings.map(formatFinding) : [messageOf(error)]
+      log('error', 'config-rejected', { version, findings })
+      return
+    }
+    // The asynchronous form runs in the thread pool, so that runs under a virtual clock would differ.
+    this.applied = { version, text, config, compressed: deflateSync(text), atMs: clock.nowMs() }
+    log('info', 'config-applied', { version })
+    for (const listener of this.listeners) {
+      try {
+        listener(config, text)
+      } catch (error) {
+        log('error', 'config-listener-failed', { version, message: messageOf(error) })
+      }
+    }
+    this.announceFirst()
+  }
+
+  /** Answers messages of the configuration; `undefined` for all others. */
+  async handle (message: PeerMessage): Promise<PeerMessage | undefined> {
+    switch (message.kind) {
+      case 'configVersion':
+        this.receiveAnnouncement(message.version, message.fromAddress)
+        return { kind: 'ok' }
+      case 'configPull': {
+        const version = this.version()
+        return { kind: 'configBody', version, compressedText: version > message.haveVersion ? this.applied!.compressed : noBytes }
+      }
+      default:
+        return undefined
+    }
+  }
+
+  private async readAtStart (): Promise<void> {
+    const read = await this.readStore()
+    const { members, seeds, random, clock, selfAddress } = this.options
+    const seedAddresses = await withTimeout(clock, storeTimeoutMs, () => seeds(), { action: 'read of the seeds' }).catch(() => [])
+    const addresses = [...new Set([...members().map(member => member.address), ...seedAddresses])].filter(address => address !== selfAddress)
+    // A few peers show whether the service has fallen back to an older version; without the service all are asked.
+    const asked = shuffled(random, addresses).slice(0, read ? 3 : addresses.length)
+    const versions = await Promise.all(asked.map(async address => ({ address, version: await this.peerVersion(address) })))
+    versions.sort((left, right) => right.version - left.version)
+    for (const { address, version } of versions) if (version > this.version()) await this.pull(version, address)
+  }
+
+  private async peerVersion (address: string): Promise<number> {
+    const message = { kind: 'configPull', haveVersion: versionOnly } as const
+    const reply = await this.options.network.request(address, message, { timeoutMs: announceTimeoutMs }).catch(() => undefined)
+    return reply?.kind === 'configBody' ? reply.version : 0
+  }
+
+  /** Reads the key. Returns whether the service answered with a configuration. */
+  private async readStore (): Promise<boolean> {
+    const { clock, keyValueStore, log } = this.options
+    try {
+      const entry = await withTimeout(clock, storeTimeoutMs, () => keyValueStore.get(configKey), { action: `read of ${configKey}` })
+      if (!entry) return false
+      this.revision = Math.max(this.revision, entry.revision)
+      return this.takeRecord(entry.value)
+    } catch (error) {
+      log('warn', 'config-read-failed', { message: messageOf(error) })
+      return false
+    }
+  }
+
+  private takeRecord (value: string): boolean {
+    const record = parseRecord(value)
+    if (!record) {
+      this.options.log('error', 'config-record-invalid', { key: configKey })
+      return false
+    }
+    if (record.version < this.version() && this.reportedLower !== record.version) {
+      this.reportedLower = record.version
+      this.options.log('error', 'config-version-lower', { alert: true, stored: record.version, inForce: this.version() })
+    }
+    this.offer(record.version, record.text)
+    return true
+  }
+
+  private watchers (zoneOnly: boolean): string[] {
+    const own = this.ownEntry()
+    const zones = new Map<string, string[]>()
+    for (const member of this.options.members()) {
+      if (!isLive(member)) continue
+      const zone = `${member.region}/${member.availabilityZone}`
+      if (zoneOnly && own && zone !== `${own.region}/${own.availabilityZone}`) continue
+      const names = zones.get(zone)
+      if (names) names.push(member.name)
+      else zones.set(zone, [member.name])
+    }
+    return [...zones].flatMap(([zone, names]) => rendezvousOrder(`config-watch/${zone}`, names).slice(0, watchersPerZone)).sort()
+  }
+
+  private async watchOnce (): Promise<void> {
+    const { clock, keyValueStore, log, self } = this.options
+    while (!this.stopping.signal.aborted && this.watchers(true).includes(self)) {
+      let result: WatchResult
+      try {
+        result = await withTimeout(clock, watchMs + storeTimeoutMs,
+          signal => keyValueStore.watch(configKey, this.revision, { timeoutMs: watchMs, signal }), { action: `watch of ${configKey}` })
+      } catch (error) {
+        log('warn', 'config-watch-failed', { message: messageOf(error) })
+        return
+      }
+      const startedRevision = this.revision
+      for (const entry of result.entries) if (entry.key === configKey) this.takeRecord(entry.value)
+      this.revision = Math.max(this.revision, result.revision)
+      if (!result.complete) await this.readStore()
+      // A service that answers at once without news must not be called in a tight loop.
+      if (this.revision === startedRevision) return
+    }
+  }
+
+  private async readInSlot (): Promise<void> {
+    const { clock, self } = this.options
+    const slot = Math.floor(clock.nowMs() / readSlotMs)
+    if (slot === this.readSlot) return
+    this.readSlot = slot
+    const watchers = this.watchers(false)
+    if (watchers[slot % watchers.length] === self) await this.readStore()
+  }
+
+  private announceFirst (): void {
+    const { random, members } = this.options
+    const own = this.ownEntry()
+    const others = shuffled(random, members().filter(member => isLive(member) && member.name !== this.options.self))
+    const near = others.filter(member => member.region === own?.region)
+    const far = others.filter(member => member.region !== own?.region)
+    for (const member of near.slice(0, announceFanout)) this.announce(member.address)
+    // About three announcements leave each region in all, for regions whose watchers cannot reach the service.
+    if (far[0] && random.next() < announceFanout / (near.length + 1)) this.announce(far[0].address)
+  }
+
+  private reannounce (): void {
+    if (!this.applied) return
+    const { clock, random, members, self } = this.options
+    const region = this.ownEntry()?.region
+    const everywhere = clock.nowMs() - this.applied.atMs >= otherRegionsAfterMs
+    const behind = members().filter(member => isLive(member) && member.name !== self && member.configVersion < this.version() &&
+      (everywhere || member.region === region))
+    const member = behind[randomInt(random, behind.length)]
+    if (member) this.announce(member.address)
+  }
+
+  private announce (address: string): void {
+    const message = { kind: 'configVersion', version: this.version(), fromAddress: this.options.selfAddress } as const
+    this.options.network.request(address, message, { timeoutMs: announceTimeoutMs }).catch(() => {})
+  }
+
+  private receiveAnnouncement (version: number, address: string): void {
+    if (version <= this.version() || this.rejected.has(version)) return
+    const queue = this.pulls.get(version)
+    if (queue) {
+      if (queue.length < announceFanout) queue.push(address)
+      return
+    }
+    const sender = this.options.members().find(member => member.address === address)
+    const own = this.ownEntry()
+    if (!this.applied || !own || sender?.region === own.region) {
+      this.pull(version, address)
+      return
+    }
+    this.options.clock.setTimer(crossRegionWaitMs, () => {
+      if (version > this.version() && !this.pulls.has(version)) this.pull(version, address)
+    })
+  }
+
+  /** Pulls the text from `address`, then from those that announced the version meanwhile, until one has answered. */
+  private async pull (version: number, address: string): Promise<void> {
+    const queue = [address]
+    this.pulls.set(version, queue)
+    for (let next = queue.shift(); next !== undefined && version > this.version(); next = queue.shift()) {
+      try {
+        const message = { kind: 'configPull', haveVersion: this.version() } as const
+        const reply = await this.options.network.request(next, message, { timeoutMs: pullTimeoutMs })
+        if (reply.kind !== 'configBody' || reply.compressedText.length === 0) continue
+        const text = inflateSync(reply.compressedText, { maxOutputLength: maxTextBytes })
+        this.offer(reply.version, text.toString('utf8'))
+      } catch (error) {
+        this.options.log('info', 'config-pull-failed', { version, address: next, message: messageOf(error) })
+      }
+    }
+    this.pulls.delete(version)
+  }
+
+  private ownEntry (): MemberEntry | undefined {
+    return this.options.members().find(member => member.name === this.options.self)
+  }
+}
+
+function parseRecord (value: string): ConfigRecord | undefined {
+  try {
+    return recordSchema.safeParse(JSON.parse(value)).data
+  } catch {
+    return undefined
+  }
+}
+
+function isLive (member: MemberEntry): boolean {
+  return member.state === 'alive' || member.state === 'suspect'
+}
--- a/src/fleet/dissemination.ts
+++ b/src/fleet/dissemination.ts
@@ -7,19 +7,23 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import { randomChoice, randomInt } from '../base/random.js'
-import type { EngineEntry, EntryPatch, MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork, VersionedEntry } from '../protocol/messages.js'
-import { applyDiff, changedFields, diffValues, isEmptyDiff, isEngineKey } from './entryDiff.js'
+import { FrameError } from '../protocol/framing.js'
+import type { EngineEntry, EntryChanges, EntryPatch, MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork, VersionedEntry } from '../protocol/messages.js'
+import { applyDiff, changedFields, diffValues, isEmptyDiff, isEngineKey, uniteDiffs } from './entryDiff.js'
+import type { ValueDiff } from './entryDiff.js'
 import type { EngineLoad } from './packing.js'
-import { loadFields, packHashes, packLoads, unpackHashes, unpackLoads } from './packing.js'
+import { loadFields, packChanges, packHashes, packLoads, unpackChanges, unpackHashes, unpackLoads } from './packing.js'
 import { spreadPosition, splitRange, wholeFleet, zoneRange } from './spreadRange.js'
 import type { SpreadRange } from './spreadRange.js'
 
 /** Urgent changes of this time travel together; those of all nodes of a region wait again at the relay. */
 const urgentDelayMs = 20
-const relayDelayMs = 200
+const relayDelayMs = 400
+/** Larger bundles compress better. */
+const calmRelayDelayMs = 2_500
 const pullDelayMs = 200
 /** Changes that are not urgent, such as those of adapters, wait for this time and travel together. */
-const calmPeriodMs = 5_000
+const calmPeriodMs = 2_500
 const antiEntropyPeriodMs = 5_000
 /** Load figures go out each second: to the engine's availability zone, and on every 5th and 30th to the others. */
 const loadPeriodMs = 1_000
@@ -27,6 +31,9 @@
 const fleetTicks = 30
 const spreadFanout = 3
 const requestTimeoutMs = 1_000
+/** Changes of this time are still on their way; the exchange leaves them out, and patches cover their versions. */
+const settleMs = 6_000
+const maxBases = 4
 const bucketCount = 256
 /** Longer than the longest expected partition, since a cut-off node brings back what it did not see deleted. */
 const tombstoneMs = 2 * 3_600_000
@@ -48,10 +55,11 @@
   entry: VersionedEntry
   keyHash: number
   versionHash: number
+  storedAtMs: number
   deletedAtMs?: number
 }
 
-interface Changes { entries: VersionedEntry[], patches: EntryPatch[], baseMs: number, loads: Uint8Array }
+interface Payload { changes: Uint8Array, baseMs: number, loads: Uint8Array }
 
 /**
  * A replicated map. Every key has one writer at a time and a version `(epoch, sequence)`; the higher one wins. The
@@ -63,9 +71,14 @@
   private readonly keyByHash = new Map<number, string>()
   private readonly buckets: number[] = Array(bucketCount).fill(0)
   private readonly listeners: ((key: string, value: unknown) => void)[] = []
-  private readonly urgent = new Map<string, VersionedEntry | undefined>()
-  private readonly calm = new Map<string, VersionedEntry | undefined>()
-  private readonly relayed: { entries: Map<string, VersionedEntry>, patches: EntryPatch[] } = { entries: new Map(), patches: [] }
+  private readonly urgent = new Set<string>()
+  private readonly calm = new Set<string>()
+  /** Versions of this node's keys that were replaced lately, oldest first: other nodes may still hold any of them. */
+  private readonly replaced = new Map<string, { entry: VersionedEntry, atMs: number }[]>()
+  private othersOf: { members: MemberEntry[], others: MemberEntry[] } | undefined
+  /** Changes that this node bundles as the relay of its region. */
+  private readonly relayedUrgent: EntryChanges = { entries: [], patches: [] }
+  private readonly relayedCalm: EntryChanges = { entries: [], patches: [] }
   /** Engines that this node publishes, with the time of the load that was sent last. */
   private readonly ownLoads = new Map<string, number>()
   /** As the relay of an availability zone: loads to pass on, by destination. */
@@ -86,7 +99,7 @@
       repeat(clock, periodMs, task, { firstDelayMs: randomInt(random, periodMs), onError })
     this.tick = randomInt(random, fleetTicks)
     this.timers = [
-      every(calmPeriodMs, () => this.flush(this.calm)),
+      every(calmPeriodMs, () => this.flush(this.calm, false)),
       every(loadPeriodMs, () => this.sendLoads()),
       every(antiEntropyPeriodMs, () => { this.exchange().catch(onError) }),
       every(60_000, () => this.expireTombstones())
@@ -123,12 +136,11 @@
     this.store({ key, epoch, sequence, value })
     const isUrgent = urgent ?? (!diff || (isEngineKey(key) && changedFields(diff).some(field => field !== 'adapters')))
     const queue = isUrgent ? this.urgent : this.calm
-    // The version that the fleet saw last is the base of the patch.
-    const base = this.urgent.has(key) ? this.urgent.get(key) : this.calm.has(key) ? this.calm.get(key) : before
     this.urgent.delete(key)
     this.calm.delete(key)
-    queue.set(key, base)
-    if (isUrgent) this.schedule('urgent', urgentDelayMs, () => this.flush(this.urgent))
+    queue.add(key)
+    if (before) this.replaced.set(key, [...this.basesOf(key), { entry: before, atMs: this.options.clock.nowMs() }].slice(-maxBases))
+    if (isUrgent) this.schedule('urgent', urgentDelayMs, () => this.flush(this.urgent, true))
   }
 
   get (key: string): unknown {
@@ -166,11 +178,7 @@
         this.receiveSpread(message)
         return { kind: 'ok' }
       case 'relay':
-        this.merge(message.entries)
-        for (const entry of message.entries) this.relayed.entries.set(entry.key, entry)
-        for (const patch of message.patches) this.applyPatch(patch)
-        this.relayed.patches.push(...message.patches)
-        this.schedule('relay', relayDelayMs, () => this.flushRelayed())
+        this.relayChanges(message, message.urgent)
         return { kind: 'ok' }
       case 'loads':
         this.receiveLoads(message.baseMs, message.loads, true)
@@ -186,8 +194,30 @@
   }
 
   private others (): MemberEntry[] {
-    return this.options.members().filter(member =>
-      member.name !== this.options.location.name && (member.state === 'alive' || member.state === 'suspect'))
+    const members = this.options.members()
+    if (this.othersOf?.members !== members) {
+      const others = members.filter(member =>
+        member.name !== this.options.location.name && (member.state === 'alive' || member.state === 'suspect'))
+      this.othersOf = { members, others }
+    }
+    return this.othersOf.others
+  }
+
+  private basesOf (key: string): { entry: VersionedEntry, atMs: number }[] {
+    const oldestMs = this.options.clock.nowMs() - settleMs
+    return this.replaced.get(key)?.filter(base => base.atMs >= oldestMs) ?? []
+  }
+
+  /** The last change of a key as a patch, or `undefined` if only the whole entry can express it. */
+  private patchOf (entry: VersionedEntry): EntryPatch | undefined {
+    const bases = this.basesOf(entry.key).map(base => base.entry)
+    let diff: ValueDiff | undefined
+    for (const base of bases) {
+      const one = diffValues(entry.key, base.value, entry.value)
+      if (!one) return undefined
+      diff = diff ? uniteDiffs(diff, one) : one
+    }
+    return diff && { key: entry.key, version: [entry.epoch, entry.sequence], bases: bases.map(base => [base.epoch, base.sequence]), ...diff }
   }
 
   private schedule (name: string, delayMs: number, task: () => void): void {
@@ -199,16 +229,15 @@
   }
 
   /** Sends the queued changes to the relay of the region, which bundles those of many nodes. */
-  private flush (queue: Map<string, VersionedEntry | undefined>): void {
+  private flush (queue: Set<string>, urgent: boolean): void {
     if (queue.size === 0) return
     const entries: VersionedEntry[] = []
     const patches: EntryPatch[] = []
-    for (const [key, base] of queue) {
-      const stored = this.entries.get(key)
-      if (!stored) continue
-      const { entry } = stored
-      const diff = base && diffValues(key, base.value, entry.value)
-      if (base && diff) patches.push({ key, versions: [base.epoch, base.sequence, entry.epoch, entry.sequence], ...diff })
+    for (const key of queue) {
+      const entry = this.entries.get(key)?.entry
+      if (!entry) continue
+      const patch = this.patchOf(entry)
+      if (patch) patches.push(patch)
       else entries.push(toWire(entry))
     }
     queue.clear()
@@ -217,51 +246,61 @@
     const inRegion = others.filter(member => member.region === region)
     const relayName = rendezvousOwner(`relay/${region}`, [name, ...inRegion.map(member => member.name)])
     const relay = inRegion.find(member => member.name === relayName)
-    const spread = () => this.spread(wholeFleet, { entries, patches, baseMs: 0, loads: noBytes })
-    if (!relay) return spread()
-    this.send(relay.address, { kind: 'relay', entries, patches }).catch(spread)
+    const changes = { entries, patches }
+    if (!relay) return this.relayChanges(changes, urgent)
+    this.send(relay.address, { kind: 'relay', urgent, ...changes }).catch(() => this.relayChanges(changes, urgent))
+  }
+
+  /** Bundles changes, as the relay of the region or in place of one that does not answer. */
+  private relayChanges (changes: EntryChanges, urgent: boolean): void {
+    this.applyChanges(changes)
+    const bundle = urgent ? this.relayedUrgent : this.relayedCalm
+    bundle.entries.push(...changes.entries)
+    bundle.patches.push(...changes.patches)
+    this.schedule(urgent ? 'relay-urgent' : 'relay-calm', urgent ? relayDelayMs : calmRelayDelayMs, () => {
+      this.spread(wholeFleet, { changes: packChanges(bundle), baseMs: 0, loads: noBytes })
+      bundle.entries = []
+      bundle.patches = []
+    })
   }
 
-  private flushRelayed (): void {
-    const { entries, patches } = this.relayed
-    if (entries.size === 0 && patches.length === 0) return
-    this.spread(wholeFleet, { entries: [...entries.values()].map(toWire), patches: [...patches], baseMs: 0, loads: noBytes })
-    entries.clear()
-    patches.length = 0
+  private applyChanges ({ entries, patches }: EntryChanges): void {
+    this.merge(entries)
+    for (const patch of patches) this.applyPatch(patch)
   }
 
-  private spread (range: SpreadRange, changes: Changes, seed = randomInt(this.options.random, 2 ** 32)): void {
+  private spread (range: SpreadRange, payload: Payload, seed = randomInt(this.options.random, 2 ** 32)): void {
     for (const part of splitRange(this.others(), seed, range, spreadFanout)) {
-      this.spreadPart(part.members, part.range, changes, seed)
+      this.spreadPart(part.members, part.range, payload, seed)
     }
   }
 
   /** Hands a part of the range to its first member, or after a failure covers the rest without that member. */
-  private async spreadPart (members: MemberEntry[], range: SpreadRange, changes: Changes, seed: number): Promise<void> {
+  private async spreadPart (members: MemberEntry[], range: SpreadRange, payload: Payload, seed: number): Promise<void> {
     const head = members[0]!
     const from = spreadPosition(head, seed) + 1
     try {
-      await this.send(head.address, { kind: 'spread', seed, from, to: range.to, ...changes })
+      await this.send(head.address, { kind: 'spread', seed, from, to: range.to, ...payload })
     } catch {
-      if (members.length > 1) this.spread({ from, to: range.to }, changes, seed)
+      if (members.length > 1) this.spread({ from, to: range.to }, payload, seed)
     }
   }
 
   private receiveSpread (message: PeerMessageOf<'spread'>): void {
-    const { seed, from, to, entries, patches, baseMs, loads } = message
-    this.spread({ from, to }, { entries, patches, baseMs, loads }, seed)
-    this.merge(entries)
-    for (const patch of patches) this.applyPatch(patch)
+    const { seed, from, to, changes, baseMs, loads } = message
+    this.spread({ from, to }, { changes, baseMs, loads }, seed)
+    const unpacked = unpackChanges(changes)
+    if (unpacked instanceof FrameError) this.options.log('error', 'changes-invalid', { message: unpacked.message })
+    else this.applyChanges(unpacked)
     this.receiveLoads(baseMs, loads, false)
   }
 
   private applyPatch (patch: EntryPatch): void {
-    const [baseEpoch, baseSequence, epoch, sequence] = patch.versions
+    const [epoch, sequence] = patch.version
     const stored = this.entries.get(patch.key)
     if (stored && !isNewer({ epoch, sequence }, stored.entry)) return
-    const value = stored && stored.entry.epoch === baseEpoch && stored.entry.sequence === baseSequence
-      ? applyDiff(stored.entry.value, patch)
-      : undefined
+    const based = stored && patch.bases.some(base => base[0] === stored.entry.epoch && base[1] === stored.entry.sequence)
+    const value = based ? applyDiff(stored.entry.value, patch) : undefined
     if (!value) return this.pull(patch.key)
     this.ownLoads.delete(patch.key)
     this.store({ key: patch.key, epoch, sequence, value })
@@ -298,7 +337,7 @@
     if (this.tick % fleetTicks === 0) this.passOnLoads(this.fleetLoads, others, member => member.region !== this.options.location.region)
     if (this.zoneLoads.size === 0) return
     const seed = randomInt(this.options.random, 2 ** 32)
-    this.spread(zoneRange(this.options.location, seed), { entries: [], patches: [], ...this.packedLoads(this.zoneLoads) }, seed)
+    this.spread(zoneRange(this.options.location, seed), { changes: noBytes, ...this.packedLoads(this.zoneLoads) }, seed)
     this.zoneLoads.clear()
   }
 
@@ -398,6 +437,7 @@
     const reply = await this.send(member.address, { kind: 'digest', hashes: packHashes(this.buckets) }).catch(() => undefined)
     if (reply?.kind !== 'digestReply') return
     const theirs = new Map(reply.versions.map(([key, epoch, sequence]) => [key, { epoch, sequence }]))
+    const recent = new Set(unpackHashes(reply.recent))
     const wanted = [...theirs].filter(([key, version]) => {
       const stored = this.entries.get(key)
       return !stored || isNewer(version, stored.entry)
@@ -405,7 +445,7 @@
     const differing = new Set(reply.buckets)
     const newer: string[] = []
     for (const [key, stored] of this.entries) {
-      if (!differing.has(bucketOf(stored.keyHash))) continue
+      if (!differing.has(bucketOf(stored.keyHash)) || recent.has(stored.keyHash) || this.isRecent(stored)) continue
       const version = theirs.get(key)
       if (!version || isNewer(stored.entry, version)) newer.push(key)
     }
@@ -419,10 +459,17 @@
     const differing = new Set<number>()
     this.buckets.forEach((hash, bucket) => { if (hash !== theirs[bucket]) differing.add(bucket) })
     const versions: [string, number, number][] = []
-    for (const [key, { entry, keyHash }] of this.entries) {
-      if (differing.has(bucketOf(keyHash))) versions.push([key, entry.epoch, entry.sequence])
+    const recent: number[] = []
+    for (const [key, stored] of this.entries) {
+      if (!differing.has(bucketOf(stored.keyHash))) continue
+      if (this.isRecent(stored)) recent.push(stored.keyHash)
+      else versions.push([key, stored.entry.epoch, stored.entry.sequence])
     }
-    return { kind: 'digestReply', buckets: [...differing], versions }
+    return { kind: 'digestReply', buckets: [...differing], versions, recent: packHashes(recent) }
+  }
+
+  private isRecent (stored: Stored): boolean {
+    return this.options.clock.nowMs() - stored.storedAtMs < settleMs
   }
 
   private wireEntries (keys: readonly string[]): VersionedEntry[] {
@@ -439,7 +486,7 @@
     const versionHash = hash32(`${key}/${epoch}/${sequence}`)
     const bucket = bucketOf(keyHash)
     this.buckets[bucket] = (this.buckets[bucket]! ^ versionHash ^ (previous?.versionHash ?? 0)) >>> 0
-    const stored: Stored = { entry: keepNewerLoad(entry, previous?.entry.value), keyHash, versionHash }
+    const stored: Stored = { entry: keepNewerLoad(entry, previous?.entry.value), keyHash, versionHash, storedAtMs: this.options.clock.nowMs() }
     if (entry.value === undefined) stored.deletedAtMs = this.options.clock.nowMs()
     this.entries.set(key, stored)
     this.keyByHash.set(keyHash, key)
@@ -457,6 +504,7 @@
   }
 
   private expireTombstones (): void {
+    for (const key of this.replaced.keys()) if (this.basesOf(key).length === 0) this.replaced.delete(key)
     const oldestMs = this.options.clock.nowMs() - tombstoneMs
     for (const [key, stored] of this.entries) {
       if (stored.deletedAtMs === undefined || stored.deletedAtMs > oldestMs) continue
--- a/src/fleet/packing.ts
+++ b/src/fleet/packing.ts
@@ -1,11 +1,40 @@
-/** Compact binary forms of hashes and of engines' load figures. */
+/** Compact binary forms of hashes, of changes of entries and of engines' load figures. */
 
-import type { EngineEntry } from '../protocol/messages.js'
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import { messageOf } from '../base/errors.js'
+import { decodeBody, encodeBody, FrameError, maxFrameBytes } from '../protocol/framing.js'
+import type { EngineEntry, EntryChanges } from '../protocol/messages.js'
+import { entryChangesSchema, protocolVersion } from '../protocol/messages.js'
 
 /** Load figures of an engine; all other fields of its entry count as structure. */
 export type EngineLoad = Pick<EngineEntry, 'running' | 'queued' | 'freeKvTokens' | 'stepMs' | 'reportedAtMs'>
 export const loadFields = ['running', 'queued', 'freeKvTokens', 'stepMs', 'reportedAtMs'] as const
 
+/**
+ * Strings that occur in almost every change, the most frequent ones last. Both sides must use the same text: a change
+ * of it needs a new `protocolVersion`.
+ */
+const dictionary = Buffer.from(`${protocolVersion} reachable controlFence controller availabilityZone region address pool stepMs reportedAtMs
+freeKvTokens maxBatch queued running kvCacheBytes accelerators draining role mixed incarnation engine value epoch sequence
+unloading loading fence baseModel adapter- model- entries patches key engine/ version bases set lists adapters models remove
+set name baseModel state ready memoryBytes`.replaceAll('\n', ' '))
+
+/** Changes as deflated cbor; empty for no changes. */
+export function packChanges (changes: EntryChanges): Uint8Array {
+  if (changes.entries.length === 0 && changes.patches.length === 0) return new Uint8Array(0)
+  return deflateRawSync(encodeBody(changes), { dictionary })
+}
+
+/** The inverse of `packChanges`. Returns a `FrameError` for bytes that are not changes. */
+export function unpackChanges (bytes: Uint8Array): EntryChanges | FrameError {
+  if (bytes.length === 0) return { entries: [], patches: [] }
+  try {
+    return decodeBody(inflateRawSync(bytes, { dictionary, maxOutputLength: maxFrameBytes }), entryChangesSchema)
+  } catch (error) {
+    return new FrameError('cbor', messageOf(error))
+  }
+}
+
 /** Unsigned 32-bit numbers, big-endian. */
 export function packHashes (hashes: readonly number[]): Uint8Array {
   const bytes = new Uint8Array(4 * hashes.length)
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -83,17 +83,23 @@
 })
 export type VersionedEntry = z.infer<typeof versionedEntrySchema>
 
-/** A change of an entry against the version that it replaces; only changed fields are carried. */
+/** A change of an entry; only fields that differ from one of `bases` are carried. */
 export const entryPatchSchema = z.object({
   key: z.string(),
-  /** Epoch and sequence of the version that is changed, then of the new version. */
-  versions: z.tuple([z.number(), z.number(), z.number(), z.number()]),
+  /** Epoch and sequence of the new version. */
+  version: z.tuple([z.number(), z.number()]),
+  /** Versions to which the change can be applied. */
+  bases: z.array(z.tuple([z.number(), z.number()])),
   set: z.record(z.string(), z.unknown()),
   /** For lists of named items: items that changed or are new, and names of removed items. */
   lists: z.record(z.string(), z.object({ set: z.array(z.unknown()), remove: z.array(z.string()) }))
 })
 export type EntryPatch = z.infer<typeof entryPatchSchema>
 
+/** Whole entries and patches that travel together. */
+export const entryChangesSchema = z.object({ entries: z.array(versionedEntrySchema), patches: z.array(entryPatchSchema) })
+export type EntryChanges = z.infer<typeof entryChangesSchema>
+
 const entryVersionSchema = z.tuple([z.string(), z.number(), z.number()])
 
 const heartbeat = {
@@ -134,17 +140,23 @@
   /** Hashes of the versions in each bucket of keys, 4 bytes each. */
   z.object({ kind: z.literal('digest'), hashes: bytesSchema }),
   /** Versions of all keys in the buckets that differ, as seen by the sender. */
-  z.object({ kind: z.literal('digestReply'), buckets: z.array(z.number()), versions: z.array(entryVersionSchema) }),
-  /** Changes for the relay of a region, which passes them on to the whole fleet. */
-  z.object({ kind: z.literal('relay'), entries: z.array(versionedEntrySchema), patches: z.array(entryPatchSchema) }),
-  /** Changes for all members whose position under `seed` is in [from, to); the receiver passes them on. */
+  z.object({
+    kind: z.literal('digestReply'),
+    buckets: z.array(z.number()),
+    versions: z.array(entryVersionSchema),
+    /** Keys that changed lately and whose change is still on its way; hashes of 4 bytes. */
+    recent: bytesSchema
+  }),
+  /** Changes for the relay of a region, which bundles them and passes them on to the whole fleet. */
+  z.object({ kind: z.literal('relay'), urgent: z.boolean(), ...entryChangesSchema.shape }),
+  /** Changes for all members whose position under `seed` is in [from, to); the receiver passes them on unchanged. */
   z.object({
     kind: z.literal('spread'),
     seed: z.number(),
     from: z.number(),
     to: z.number(),
-    entries: z.array(versionedEntrySchema),
-    patches: z.array(entryPatchSchema),
+    /** `entryChangesSchema` as deflated cbor; empty if there are none. */
+    changes: bytesSchema,
     baseMs: z.number(),
     loads: bytesSchema
   }),
--- /dev/null
+++ b/tests/configDistribution.spec.ts
@@ -0,0 +1,194 @@
+import { expect } from 'chai'
+import { NotRunError } from '../src/base/errors.js'
+import { FindingsError } from '../src/base/findings.js'
+import type { Log } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
+import type { FleetConfig } from '../src/config/fleetConfig.js'
+import { ConfigDistribution } from '../src/fleet/configDistribution.js'
+import type { KeyValueEntry, KeyValueStore, WatchResult } from '../src/platform/keyValueStore.js'
+import type { MemberEntry } from '../src/protocol/messages.js'
+import { FakeNetwork } from './fixtures/network.js'
+import { VirtualClock } from '../src/base/clock.js'
+import { zones } from './fixtures/nodes.js'
+
+/** One key, whose watch may lose changes without saying so. */
+class FakeStore {
+  entry: KeyValueEntry | undefined
+  down = false
+  losesWatches = false
+  calls = 0
+  private revision = 0
+
+  constructor (private readonly clock: VirtualClock) {}
+
+  write (version: number, text = `text ${version}`): void {
+    this.entry = { key: 'config/current', value: JSON.stringify({ version, text }), revision: ++this.revision }
+  }
+
+  async get (): Promise<KeyValueEntry | undefined> {
+    this.calls++
+    if (this.down) throw new NotRunError('store', 'down')
+    return this.entry
+  }
+
+  async watch (_prefix: string, afterRevision: number, { timeoutMs }: { timeoutMs: number }): Promise<WatchResult> {
+    this.calls++
+    if (this.down) throw new NotRunError('store', 'down')
+    const endMs = this.clock.nowMs() + timeoutMs
+    while ((this.losesWatches || this.revision <= afterRevision) && this.clock.nowMs() < endMs) {
+      await new Promise<void>(resolve => { this.clock.setTimer(50, resolve) })
+    }
+    const entries = !this.losesWatches && this.entry && this.entry.revision > afterRevision ? [this.entry] : []
+    return { entries, revision: this.revision, complete: true }
+  }
+}
+
+/** Nodes whose members are known from the start. */
+class ConfigFleet {
+  readonly clock = new VirtualClock(1_000_000)
+  readonly network: FakeNetwork
+  readonly store = new FakeStore(this.clock)
+  readonly members: MemberEntry[] = []
+  readonly nodes: ConfigDistribution[] = []
+  readonly events: string[] = []
+
+  constructor (seed: number, count: number) {
+    this.network = new FakeNetwork(this.clock, new SeededRandom(seed), false)
+    for (let index = 0; index < count; index++) {
+      const [region, availabilityZone] = zones[index % zones.length]!.split('/') as [string, string]
+      this.members.push({ name: `n${index}`, address: `n${index}:1`, region, availabilityZone, incarnation: 1, state: 'alive', configVersion: 0, ready: true, sequence: 1 })
+    }
+  }
+
+  startNode (index: number): ConfigDistribution {
+    const self = this.members[index]!
+    const log: Log = (_level, event, fields) => { this.events.push(`${self.name} ${event} ${JSON.stringify(fields?.findings ?? '')}`) }
+    const node = new ConfigDistribution({
+      clock: this.clock,
+      random: new SeededRandom(index + 1),
+      log,
+      network: this.network.of(self.address),
+      keyValueStore: this.store as unknown as KeyValueStore,
+      members: () => this.members,
+      self: self.name,
+      selfAddress: self.address,
+      parse: (text, version) => {
+        if (text.includes('broken')) throw new FindingsError([{ file: 'f', line: 3, key: 'k', severity: 'error', found: text, allowed: 'text' }])
+        return { version } as FleetConfig
+      },
+      seeds: async () => []
+    })
+    node.onApplied(config => { self.configVersion = config.version })
+    this.network.listen(self.address, async message => await node.handle(message) ?? { kind: 'error', message: 'unknown' })
+    this.nodes[index] = node
+    node.start().catch(() => {})
+    return node
+  }
+
+  async startAll (): Promise<void> {
+    this.members.forEach((_, index) => this.startNode(index))
+    await this.clock.advance(10_000)
+    this.expectVersion(this.store.entry ? 1 : 0)
+  }
+
+  expectVersion (version: number): void {
+    expect(this.nodes.map(node => node.version()).filter(found => found !== version)).to.deep.equal([])
+  }
+}
+
+describe('configuration distribution', () => {
+  // Guards against a change that takes longer than 7 s to all nodes, or too many calls of the service.
+  it('reaches 340 nodes', async () => {
+    for (const lossShare of [0, 0.1]) {
+      const fleet = new ConfigFleet(1, 340)
+      fleet.store.write(1)
+      await fleet.startAll()
+      fleet.network.lossShare = lossShare
+      const callsBefore = fleet.store.calls
+      fleet.store.write(2)
+      await fleet.clock.advance(7_000)
+      fleet.expectVersion(2)
+      expect(fleet.nodes[77]!.currentText()).to.equal('text 2')
+      expect(fleet.store.calls - callsBefore).to.be.at.most(14 * 7)
+      for (const node of fleet.nodes) node.stop()
+    }
+  })
+
+  // Guards against regions without access to the service that stay on the old version.
+  it('crosses regions', async () => {
+    const fleet = new ConfigFleet(2, 42)
+    fleet.store.write(1)
+    await fleet.startAll()
+    fleet.store.down = true
+    fleet.nodes[0]!.offer(2, 'text 2')
+    await fleet.clock.advance(7_000)
+    fleet.expectVersion(2)
+  })
+
+  // Guards against a node that starts during an outage and takes the version of the first peer that answers.
+  it('starts from its peers', async () => {
+    const fleet = new ConfigFleet(3, 9)
+    for (let index = 0; index < 8; index++) fleet.startNode(index)
+    fleet.store.write(1)
+    await fleet.clock.advance(20_000)
+    fleet.store.down = true
+    fleet.network.passes = () => false
+    fleet.nodes[6]!.offer(5, 'text 5')
+    fleet.network.passes = (from, to) => from === 'n8:1' || to === 'n8:1'
+    const node = fleet.startNode(8)
+    await fleet.clock.advance(3_000)
+    expect(node.version()).to.equal(5)
+  })
+
+  // Guards against a node that starts without any configuration, or gives up.
+  it('waits for a configuration', async () => {
+    const fleet = new ConfigFleet(4, 1)
+    fleet.store.down = true
+    const node = fleet.startNode(0)
+    await fleet.clock.advance(120_000)
+    expect(node.current()).to.equal(undefined)
+    fleet.store.down = false
+    fleet.store.write(3)
+    await fleet.clock.advance(7_000)
+    expect(node.version()).to.equal(3)
+  })
+
+  // Guards against nodes, running or starting, that go back when the service shows an older version.
+  it('never reverts', async () => {
+    const fleet = new ConfigFleet(5, 14)
+    fleet.store.write(1)
+    await fleet.startAll()
+    fleet.store.write(4)
+    await fleet.clock.advance(7_000)
+    fleet.store.write(2)
+    fleet.startNode(3)
+    await fleet.clock.advance(120_000)
+    fleet.expectVersion(4)
+    expect(fleet.events.some(event => event.includes('config-version-lower'))).to.equal(true)
+  })
+
+  // Guards against a change that a watch lost without saying so.
+  it('covers a gap of the watch', async () => {
+    const fleet = new ConfigFleet(6, 40)
+    fleet.store.write(1)
+    await fleet.startAll()
+    fleet.store.losesWatches = true
+    fleet.store.write(2)
+    await fleet.clock.advance(7_000)
+    fleet.expectVersion(2)
+  })
+
+  // Guards against a text with findings that is applied, or that keeps later versions away.
+  it('rejects an invalid text', async () => {
+    const fleet = new ConfigFleet(7, 9)
+    fleet.store.write(1)
+    await fleet.startAll()
+    fleet.store.write(2, 'broken text')
+    await fleet.clock.advance(7_000)
+    fleet.expectVersion(1)
+    expect(fleet.events.find(event => event.includes('config-rejected'))).to.contain('f:3: error: k: broken text')
+    fleet.store.write(3)
+    await fleet.clock.advance(7_000)
+    fleet.expectVersion(3)
+  })
+})
--- a/tests/peerTransport.spec.ts
+++ b/tests/peerTransport.spec.ts
@@ -88,16 +88,16 @@
     ]
     for (const alter of alterations) {
       const client = await start()
-      let connections = 0
+      const seen = { connections: 0 }
       const address = await proxy(server.address, (bytes, count) => {
-        if (count === 0) connections++
-        return connections === 1 && count === 3 ? alter(bytes) : bytes
+        if (count === 0) seen.connections++
+        return seen.connections === 1 && count === 3 ? alter(bytes) : bytes
       })
       expect(await client.request(address, query('first'), options)).to.deep.equal({ kind: 'ok' })
       await failure(client.request(address, query('second'), options))
       // A cut-in byte shows when the next message arrives.
       do await failure(client.request(address, query('third'), options))
-      while ([connections].includes(1))
+      while (seen.connections === 1)
       expect(await client.request(address, query('last'), options)).to.deep.equal({ kind: 'ok' })
     }
     expect(handled.filter(argument => argument === 'second')).to.have.length(2)
