--- a/src/fleet/configDistribution.ts
+++ b/src/fleet/configDistribution.ts
@@ -1,7 +1,6 @@
 /** Brings the newest accepted configuration to every node and never goes back to an older one. */
 
-import { deflate, inflate } from 'node:zlib'
-import { promisify } from 'node:util'
+import { deflateSync, inflateSync } from 'node:zlib'
 import { z } from 'zod'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { repeat, sleep, withTimeout } from '../base/clock.js'
@@ -38,9 +37,6 @@
 const recordSchema = z.object({ version: z.number().int().positive(), text: z.string() })
 type ConfigRecord = z.infer<typeof recordSchema>
 
-const deflateText = promisify(deflate) as (text: string) => Promise<Uint8Array>
-const inflateBytes = promisify(inflate) as (bytes: Uint8Array, options: { maxOutputLength: number }) => Promise<Buffer>
-
 export interface ConfigDistributionOptions {
   clock: Clock
   random: Random
@@ -55,7 +51,7 @@
   seeds: () => Promise<string[]>
 }
 
-interface Applied { version: number, text: string, config: FleetConfig, compressed: Promise<Uint8Array>, atMs: number }
+interface Applied { version: number, text: string, config: FleetConfig, compressed: Uint8Array, atMs: number }
 
 /** The configuration in force on this node. Versions only rise. */
 export class ConfigDistribution {
@@ -125,7 +121,8 @@
       log('error', 'config-rejected', { version, findings })
       return
     }
-    this.applied = { version, text, config, compressed: deflateText(text), atMs: clock.nowMs() }
+    // The asynchronous form runs in the thread pool, so that runs under a virtual clock would differ.
+    this.applied = { version, text, config, compressed: deflateSync(text), atMs: clock.nowMs() }
     log('info', 'config-applied', { version })
     for (const listener of this.listeners) {
       try {
@@ -145,7 +142,7 @@
         return { kind: 'ok' }
       case 'configPull': {
         const version = this.version()
-        return { kind: 'configBody', version, compressedText: version > message.haveVersion ? await this.applied!.compressed : noBytes }
+        return { kind: 'configBody', version, compressedText: version > message.haveVersion ? this.applied!.compressed : noBytes }
       }
       default:
         return undefined
@@ -295,7 +292,7 @@
         const message = { kind: 'configPull', haveVersion: this.version() } as const
         const reply = await this.options.network.request(next, message, { timeoutMs: pullTimeoutMs })
         if (reply.kind !== 'configBody' || reply.compressedText.length === 0) continue
-        const text = await inflateBytes(reply.compressedText, { maxOutputLength: maxTextBytes })
+        const text = inflateSync(reply.compressedText, { maxOutputLength: maxTextBytes })
         this.offer(reply.version, text.toString('utf8'))
       } catch (error) {
         this.options.log('info', 'config-pull-failed', { version, address: next, message: messageOf(error) })
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -471,6 +471,7 @@
       honoursFence: exception?.honoursFence ?? pool()?.honoursFence ?? false,
       adapterBytes: () => pool()?.adapterBytes ?? 0,
       keyValueStore: this.keyValueStore,
+      publishedFence: () => this.engineEntry(vm.name)?.controlFence ?? 0,
       publish: entry => this.dissemination.publish(`engine/${vm.name}`, entry.controlFence, entry)
     })
   }
