Forget the connections to engines that have gone

Cause: the cache of engine clients was keyed by name and address but cleared by name, so clients of replaced VMs stayed.

--- a/src/fleet/vmDirectory.ts
+++ b/src/fleet/vmDirectory.ts
@@ -29,8 +29,8 @@
 const keyPrefix = 'vm/'
 
 /**
- * In each region one node, chosen by rendezvous hashing, reads the list and publishes the VMs of its region. The value
- * of a VM that has left the list is `null`.
+ * In each region one node, chosen by rendezvous hashing, reads the list and publishes the VMs of its region. A VM that
+ * has left the list is deleted.
  */
 export class VmDirectory {
   private readonly options: VmDirectoryOptions
@@ -54,7 +54,7 @@
     this.stopTimer?.()
   }
 
-  /** All VMs that were published and have not left the list. */
+  /** All VMs that are listed. */
   vms (): Vm[] {
     return this.options.entries.list(keyPrefix).flatMap(({ value }) => {
       const result = vmSchema.safeParse(value)
@@ -76,7 +76,7 @@
     for (const vm of vms) this.publishChanged(vmKey(vm), vm)
     const listed = new Set(vms.map(vmKey))
     for (const { key, value } of this.options.entries.list(`${keyPrefix}${self.region}/`)) {
-      if (value !== null && !listed.has(key)) this.publishChanged(key, null)
+      if (value !== undefined && !listed.has(key)) this.publishChanged(key, undefined)
     }
   }
 
@@ -86,8 +86,8 @@
     return rendezvousOwner('vm-list', names.length > 0 ? names : [self.name]) === self.name
   }
 
-  private publishChanged (key: string, value: Vm | null): void {
-    const text = JSON.stringify(value)
+  private publishChanged (key: string, value: Vm | undefined): void {
+    const text = JSON.stringify(value) ?? ''
     if (this.published.get(key) === text) return
     this.published.set(key, text)
     this.options.entries.publish(key, this.dutySinceMs, value, { urgent: true })
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -121,7 +121,7 @@
     const self = { ...identity, address: identity.peersAddress }
     this.traces = new TraceStore(clock)
     this.burn = new BurnRecorder(clock)
-    this.dissemination = new Dissemination({ ...base, location: identity, members: () => this.membership.alive().filter(({ name }) => name !== identity.name) })
+    this.dissemination = new Dissemination({ ...base, location: identity, members: () => this.membership.alive() })
     this.membership = new Membership({
       ...base,
       self,
@@ -223,7 +223,7 @@
     this.dissemination.onChange((key, value) => {
       if (!key.startsWith('engine/')) return
       this.scheduler.schedulePump()
-      if (value === null) this.engineApis.delete(key.slice('engine/'.length))
+      if (value === undefined) this.forgetEngine(key.slice('engine/'.length))
     })
     this.membership.start()
     this.dissemination.start()
@@ -480,6 +480,14 @@
     return cached(this.engineApis, `${engine} ${address}`, () => this.options.engineApi(engine, address))
   }
 
+  private forgetEngine (engine: string): void {
+    for (const [key, api] of this.engineApis) {
+      if (api.engine !== engine) continue
+      api.close?.()
+      this.engineApis.delete(key)
+    }
+  }
+
   private serviceApi (server: string, address: string): ServiceApi {
     return cached(this.serviceApis, `${server} ${address}`, () => this.options.serviceApi(server, address))
   }
--- a/src/platform/engine.ts
+++ b/src/platform/engine.ts
@@ -148,4 +148,6 @@
   cacheEvents (afterSequence: number): Promise<CacheEvent[]>
   exportKv (requestId: string): Promise<KvExport>
   importKv (kv: KvExport): Promise<void>
+  /** Ends idle connections. The engine is not used afterwards. */
+  close? (): void
 }
