--- a/src/gateway/classify.ts
+++ b/src/gateway/classify.ts
@@ -1,6 +1,7 @@
 /** Finds out what a request asks for and on which terms. */
 
 import type { FleetConfig } from '../config/fleetConfig.js'
+import { serviceForPath } from '../config/parseFleetConfig.js'
 import { resolveTerms } from '../policy/patience.js'
 import type { Exchange, Filter, Work } from './exchange.js'
 import { parseChatRequest, parseCompletionRequest } from './openai.js'
@@ -20,23 +21,10 @@
   throw new ProblemError(404, 'not-found', 'not-run', `model ${JSON.stringify(requestedModel)} is not configured`)
 }
 
-/** The service whose path prefix is the longest that fits `path`, with the rest of the path. */
-export function findService (config: FleetConfig, path: string): { service: string, path: string } | undefined {
-  const pathname = path.split('?', 1)[0]!
-  let best: { service: string, path: string, length: number } | undefined
-  for (const [service, { path: prefix }] of Object.entries(config.services)) {
-    const fits = pathname === prefix || pathname.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
-    if (fits && prefix.length > (best?.length ?? 0)) {
-      const rest = path.slice(prefix.replace(/\/$/, '').length)
-      best = { service, path: rest.startsWith('/') ? rest : `/${rest}`, length: prefix.length }
-    }
-  }
-  return best
-}
-
 function classify (config: FleetConfig, exchange: Exchange): Work {
   const { path, body } = exchange.request
-  switch (path.split('?', 1)[0]) {
+  const [pathname = ''] = path.split('?', 1)
+  switch (pathname) {
     case '/v1/models':
       requireMethod(exchange, 'GET')
       return { kind: 'list-models' }
@@ -51,8 +39,8 @@
       return { ...parsed, ...resolveModel(config, parsed.requestedModel) }
     }
   }
-  const service = findService(config, path)
-  if (service) return { kind: 'service', ...service }
+  const found = serviceForPath(config, pathname)
+  if (found) return { kind: 'service', service: found.name, path: found.rest + path.slice(pathname.length) }
   throw new ProblemError(404, 'not-found', 'not-run', `no model interface and no service at ${path}`)
 }
 
