--- /dev/null
+++ b/src/prove/worker.ts
@@ -0,0 +1,11 @@
+/** Runs its share of the cases, one after another. */
+
+import { parentPort, workerData } from 'node:worker_threads'
+import { runCase } from './runCase.js'
+import type { Case } from './runCase.js'
+
+const { cases } = workerData as { cases: { testCase: Case, position: number }[], naive: boolean }
+for (const { testCase, position } of cases) {
+  const { record: _record, ...result } = await runCase(testCase)
+  parentPort!.postMessage({ position, result })
+}
