Plan placement with the space that controllers count

Cause: the planner read the models in the engine's status and neither freeModelBytes nor stickyModels, so a waiting model was offered again and again to an engine that refused it ('0 are free; m0@1 is counted until'), until the deadline passed. Adapters were loaded only into free space, so an adapter beyond the first ones was never served. Ruled out: the store's slots and the routing; the traces of the waiting requests show 'move refused' for the same engine until the deadline. Conclusion: engines that can use unloaded space at once come first, sticky models stay, and waiting adapters displace those that nobody waits for.

--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -65,6 +65,8 @@
   /** Bytes of it that are kept for rarely used models. */
   reserveBytes: number
   usedBytes: number
+  /** Whether the space of an unloaded model can be used at once; engines that ignore fencing tokens hold it for a while. */
+  swapsAtOnce: boolean
   /** Tokens per second, planned. */
   capacity: number
   load: number
@@ -109,6 +111,7 @@
     this.unloadObsolete()
     this.loadRequired()
     this.loadWaiting()
+    this.loadWaitingAdapters()
     this.loadProfitable()
     this.loadAdapters()
     return { moves: this.moves, unreachable: this.unreachable }
@@ -160,12 +163,15 @@
     const gaps = Object.values(this.config.ranks).map(rank => rank.tokenGapMs).filter(gap => gap > 0)
     const stepMs = Math.max(entry.stepMs, gaps.length > 0 ? Math.min(...gaps) * fullBatchStepShare : defaultStepMs)
     const capacity = entry.maxBatch / stepMs * 1000 * plannedUtilisation
+    const spaceBytes = entry.memoryBytes - entry.kvCacheBytes - (pool?.adapterBytes ?? 0)
     return {
       entry,
       copies,
-      spaceBytes: entry.memoryBytes - entry.kvCacheBytes - (pool?.adapterBytes ?? 0),
+      spaceBytes,
       reserveBytes: 0,
-      usedBytes: copies.reduce((sum, copy) => sum + copy.memoryBytes, 0),
+      // The controller also counts what the status does not show: loads that may still take effect, and held space.
+      usedBytes: Math.max(copies.reduce((sum, copy) => sum + copy.memoryBytes, 0), spaceBytes - (entry.freeModelBytes ?? spaceBytes)),
+      swapsAtOnce: this.honoursFence(entry),
       capacity,
       load: 0,
       movable: (this.input.keyValueAvailable || this.honoursFence(entry)) && !entry.models.some(model => model.state === 'unloading'),
@@ -276,6 +282,42 @@
     }
   }
 
+  /**
+   * Makes adapters reachable for which requests wait and that have no space beside any copy of their base model. Where
+   * adapters can be unloaded, they displace those for which nobody waits; otherwise the base model gets a copy there.
+   */
+  private loadWaitingAdapters (): void {
+    const waiting = Object.entries(this.config.adapters).filter(([name]) => (this.input.waiting.get(name)?.count ?? 0) > 0)
+    for (const [name, { baseModel, memoryBytes }] of waiting) {
+      const bases = this.servingCopies(baseModel).filter(({ copy }) => copy.ready)
+      const isLoaded = bases.some(({ engine }) => engine.entry.adapters.some(adapter => adapter.name === name))
+      if (bases.length === 0 || isLoaded || bases.some(({ engine }) => this.freeAdapterBytes(engine) >= memoryBytes)) continue
+      const base = bases.find(({ engine }) => engine.swapsAtOnce && !engine.changed)
+      if (base) this.displaceAdapters(base.engine, base.copy, name)
+      else if (!bases.some(({ engine }) => engine.swapsAtOnce)) {
+        this.tryLoad(this.demands.get(baseModel)!, this.engines.filter(engine => engine.swapsAtOnce), `requests wait for adapter ${name}`, { force: true })
+      }
+    }
+  }
+
+  /** Names the adapters that stay or come, as many as fit; the controller unloads others to make room. */
+  private displaceAdapters (engine: EngineSpace, base: Copy, name: string): void {
+    const { adapterBytes } = this.config.pools[engine.entry.pool]!
+    const loadAdapters = [{ adapter: name, baseModel: base.name, memoryBytes: this.config.adapters[name]!.memoryBytes }]
+    let freeBytes = adapterBytes - loadAdapters[0]!.memoryBytes
+    for (const { name: adapter, baseModel, memoryBytes } of engine.entry.adapters) {
+      if ((this.input.waiting.get(adapter)?.count ?? 0) === 0 || memoryBytes > freeBytes) continue
+      loadAdapters.push({ adapter, baseModel, memoryBytes })
+      freeBytes -= memoryBytes
+    }
+    this.moves.push({ moveId: `${this.input.nowMs}/${engine.entry.engine}/adapter ${name}`, engine: engine.entry.engine, unload: [], loadAdapters, reason: 'requests wait for it' })
+    engine.changed = true
+  }
+
+  private freeAdapterBytes ({ entry }: EngineSpace): number {
+    return (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+  }
+
   /** Loads further copies as long as one brings clearly more value than it displaces. */
   private loadProfitable (): void {
     const refused = new Set<string>()
@@ -302,7 +344,7 @@
     if (this.loadSlots <= 0) return false
     const copies = this.engines.filter(engine => this.holds(engine, demand)).length
     if (copies >= demand.rules.maximumReplicas) return false
-    let best: { engine: EngineSpace, evicted: Copy[], net: number } | undefined
+    let best: { engine: EngineSpace, evicted: Copy[], net: number, atOnce: boolean } | undefined
     for (const engine of engines) {
       if (engine.entry.pool !== demand.config.pool || !engine.movable || engine.changed) continue
       if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
@@ -317,7 +359,8 @@
         if ((gain - room.loss) * repaySeconds <= moveCostSeconds * (room.loss + gain * 0.1)) continue
       }
       const net = gain - room.loss
-      if (!best || net > best.net) best = { engine, evicted: room.evicted, net }
+      const atOnce = room.evicted.length === 0 || engine.swapsAtOnce
+      if (!best || (atOnce === best.atOnce ? net > best.net : atOnce)) best = { engine, evicted: room.evicted, net, atOnce }
     }
     if (!best) return false
     this.addMove(best.engine, demand, best.evicted, reason)
@@ -345,7 +388,7 @@
   }
 
   private removable (engine: EngineSpace, copy: Copy, force: boolean): boolean {
-    if (!copy.ready) return false
+    if (!copy.ready || engine.entry.stickyModels?.includes(copy.name)) return false
     const demand = this.demands.get(copy.model)
     if (!demand) return true
     if (demand.rules.pins.has(engine.entry.engine)) return false
@@ -395,9 +438,10 @@
       waiting: this.input.waiting.get(adapter)?.count ?? 0,
       value: this.input.forecasts.get(adapter)?.valuePerSecond ?? 0
     })).sort((left, right) => right.waiting - left.waiting || right.value - left.value || (left.adapter < right.adapter ? -1 : 1))
-    for (const { entry, copies, changed } of this.engines) {
+    for (const engine of this.engines) {
+      const { entry, copies, changed } = engine
       if (changed) continue
-      let free = (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+      let free = this.freeAdapterBytes(engine)
       const loadAdapters: Move['loadAdapters'] = []
       for (const { adapter, baseModel, memoryBytes } of wanted) {
         const base = copies.find(copy => copy.model === baseModel && copy.ready)
--- /dev/null
+++ b/tests/placement.spec.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai'
+import { parseFleetConfig } from '../src/config/parseFleetConfig.js'
+import type { FleetConfig } from '../src/config/fleetConfig.js'
+import { planMoves } from '../src/policy/placement.js'
+import type { PlacementInput } from '../src/policy/placementInput.js'
+import type { EngineEntry } from '../src/protocol/messages.js'
+
+const gibibyte = 2 ** 30
+
+/** Engines `e1` and `e2` honour fencing tokens, `old` does not. Two models of 16 GiB fit on each, and one adapter. */
+const { config } = parseFleetConfig(`
+[pool.main]
+honoursFence = true
+adapterBytes = 1GiB
+[exception.old]
+reason = test
+target = engine.old
+honoursFence = false
+${['m0', 'm1', 'm2', 'm3', 'm4', 'm5'].map(name => `[model.${name}]\npool = main\nmemoryBytes = 16GiB`).join('\n')}
+[adapter.a0]
+baseModel = m0
+memoryBytes = 1GiB
+[adapter.a1]
+baseModel = m0
+memoryBytes = 1GiB
+`, { file: 'test', version: 1 }) as { config: FleetConfig }
+
+function engine (name: string, models: string[], changes: Partial<EngineEntry> = {}): EngineEntry {
+  return {
+    engine: name,
+    incarnation: 'i',
+    fence: 1,
+    role: 'mixed',
+    draining: false,
+    accelerators: 8,
+    memoryBytes: 41 * gibibyte,
+    kvCacheBytes: 8 * gibibyte,
+    models: models.map(model => ({ name: `${model}@1`, state: 'ready' as const, memoryBytes: 16 * gibibyte })),
+    adapters: [],
+    running: 0,
+    queued: 0,
+    maxBatch: 32,
+    freeKvTokens: 1e6,
+    stepMs: 30,
+    reportedAtMs: 0,
+    pool: 'main',
+    address: name,
+    region: 'r',
+    availabilityZone: 'z',
+    controller: 'n',
+    controlFence: 1,
+    reachable: true,
+    ...changes
+  }
+}
+
+/** A request waits for `name`, and its deadline is near. */
+function plan (engines: EngineEntry[], name: string) {
+  const input: PlacementInput = {
+    nowMs: 1e6, config, engines, forecasts: new Map(), waiting: new Map([[name, { count: 1, earliestDeadlineMs: 1e6 + 100 }]]), loadsInFlight: [], recentMoves: [], keyValueAvailable: true
+  }
+  return planMoves(input).moves.filter(move => move.load !== undefined || move.loadAdapters.some(({ adapter }) => adapter === name))
+}
+
+describe('placement', () => {
+  it('does not plan with space that the controller still counts', () => {
+    // Guards against a model that is offered again and again to an engine whose status shows room but whose record holds it.
+    const held = engine('old', ['m0'], { freeModelBytes: 0 })
+    expect(plan([held, engine('e1', ['m1', 'm2'])], 'm5').map(move => move.engine)).to.deep.equal(['e1'])
+  })
+
+  it('prefers a swap where the space is free at once', () => {
+    // Guards against a swap on an engine that counts the unloaded model for another 30 s while its caller waits.
+    expect(plan([engine('old', ['m3', 'm4']), engine('e1', ['m1', 'm2'])], 'm5').map(move => move.engine)).to.deep.equal(['e1'])
+  })
+
+  it('does not unload sticky models', () => {
+    // Guards against moves that are always refused, since a sticky model stays counted until the engine restarts.
+    expect(plan([engine('old', ['m1', 'm2'], { stickyModels: ['m1@1', 'm2@1'] })], 'm5')).to.deep.equal([])
+  })
+
+  it('makes room for an adapter that a request waits for', () => {
+    // Guards against adapters that are never served because others fill the space for adapters.
+    const full = [{ name: 'a0', baseModel: 'm0@1', state: 'ready' as const, memoryBytes: gibibyte }]
+    expect(plan([engine('e1', ['m0'], { adapters: full })], 'a1').map(move => move.engine)).to.deep.equal(['e1'])
+  })
+
+  it('loads the base model elsewhere for an adapter where adapters cannot be unloaded', () => {
+    // Guards against an adapter that is unreachable while its base model is only on an engine that ignores fencing tokens.
+    const full = [{ name: 'a0', baseModel: 'm0@1', state: 'ready' as const, memoryBytes: gibibyte }]
+    const moves = plan([engine('old', ['m0'], { adapters: full }), engine('e1', ['m1', 'm2'])], 'a1')
+    expect(moves.map(move => [move.engine, move.load])).to.deep.equal([['e1', 'm0@1']])
+  })
+})
