Run the proof's matrix against a naive node

Cause: a checker that never fails proves nothing. Adds NodeParts, by which filters, arbiter, configuration and routing of a node can be replaced, and src/prove/naive.ts, which replaces them by the obvious simple ones. The product holds no naive code.

--- a/src/fleet/engineControl.ts
+++ b/src/fleet/engineControl.ts
@@ -17,6 +17,7 @@
 import { fenceWriter } from './fence.js'
 import { FenceArbiter } from './fenceArbiter.js'
 import { RecordArbiter } from './recordArbiter.js'
+import type { RecordArbiterOptions } from './recordArbiter.js'
 
 const pollPeriodMs = 500
 const pollTimeoutMs = 2_000
@@ -41,8 +42,8 @@
   /** Highest `controlFence` under which any node published the engine's entry; 0 if none. */
   publishedFence?: () => number
   adapterLimiter?: AdapterLoadLimiter
-  /** Replaces the arbiter, for tests. */
-  createArbiter?: (writer: number) => Arbiter
+  /** Replaces the arbiter, for tests and the proof's naive variant. */
+  createArbiter?: (options: RecordArbiterOptions) => Arbiter
 }
 
 type Phase = 'acquiring' | 'held' | 'lost' | 'stopping'
@@ -72,7 +73,7 @@
     const writer = fenceWriter(nodeAddress, randomInt(random, 2 ** 32))
     const publishedFence = options.publishedFence ?? (() => 0)
     const arbiterOptions = { clock, engine, node, writer, adapterBytes, publishedFence: () => Math.max(publishedFence(), this.observerFence), onReply: (status: EngineStatus) => this.onReply(status) }
-    this.arbiter = options.createArbiter?.(writer) ?? (options.honoursFence
+    this.arbiter = options.createArbiter?.({ ...arbiterOptions, keyValueStore }) ?? (options.honoursFence
       ? new FenceArbiter(arbiterOptions)
       : new RecordArbiter({ ...arbiterOptions, keyValueStore }))
     this.adapterLimiter = options.adapterLimiter ?? new AdapterLoadLimiter(clock, { initialLimit: 4 })
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -7,6 +7,7 @@
 import { FindingsError, hasErrors } from '../base/findings.js'
 import { propose } from '../config/proposal.js'
 import { ConfigDistribution } from '../fleet/configDistribution.js'
+import type { ConfigDistributionOptions } from '../fleet/configDistribution.js'
 import { ControlAssignment } from '../fleet/controlAssignment.js'
 import { Dissemination } from '../fleet/dissemination.js'
 import { EngineControl } from '../fleet/engineControl.js'
@@ -45,6 +46,7 @@
 import { identifyFilter } from './identify.js'
 import { inferenceFilter } from './inference.js'
 import { listModelsFilter } from './listModels.js'
+import type { NodeFilters, NodeParts } from './nodeParts.js'
 import { ProblemError, problemResponse } from './problem.js'
 import { rateLimitFilter } from './rateLimit.js'
 import { Scheduler } from './scheduler.js'
@@ -73,6 +75,7 @@
   serviceApi: (server: string, address: string) => ServiceApi
   newId: () => string
   onFinished?: OnFinished
+  parts?: NodeParts
 }
 
 /** Time for which a leaving node still takes new requests, since the balancer learns of it with a delay. */
@@ -129,7 +132,8 @@
       onEntries: entries => this.dissemination.merge(entries),
       piggyback: () => []
     })
-    this.configDistribution = new ConfigDistribution({
+    const { parts = {} } = options
+    const configOptions: ConfigDistributionOptions = {
       ...base,
       keyValueStore,
       members: () => this.membership.members(),
@@ -137,7 +141,8 @@
       selfAddress: identity.peersAddress,
       parse: parseAccepted,
       seeds
-    })
+    }
+    this.configDistribution = parts.createConfigDistribution?.(configOptions) ?? new ConfigDistribution(configOptions)
     this.vmDirectory = new VmDirectory({ clock, log, vmList: options.vmList, entries: this.dissemination, self: identity, alive: () => this.membership.alive() })
     this.serviceMonitor = new ServiceMonitor({
       clock,
@@ -193,24 +198,25 @@
       onWanted: () => this.reportDemand()
     })
     const config = () => this.config()
-    this.handleExchange = composeFilters([
-      accountFilter(log, this.burn, options.onFinished ?? (() => {})),
-      identifyFilter(config),
-      classifyFilter(config),
-      rateLimitFilter(clock, () => this.readyNodes()),
-      listModelsFilter(config),
-      deduplicateFilter(clock, this.idempotency),
-      this.demandFilter(),
-      serviceFilter({
+    const filters: NodeFilters = {
+      account: accountFilter(log, this.burn, options.onFinished ?? (() => {})),
+      identify: identifyFilter(config),
+      classify: classifyFilter(config),
+      rateLimit: rateLimitFilter(clock, () => this.readyNodes()),
+      listModels: listModelsFilter(config),
+      deduplicate: deduplicateFilter(clock, this.idempotency),
+      demand: this.demandFilter(),
+      service: serviceFilter({
         clock,
         random,
         retryBudget,
         location: identity,
-        servers: service => this.serviceMonitor.servers(service),
+        servers: service => parts.routableServers?.(service, this.vmDirectory.vms()) ?? this.serviceMonitor.servers(service),
         serviceApi: entry => this.serviceApi(entry.server, entry.address)
       }),
-      inferenceFilter({ clock, random, scheduler: this.scheduler, retryBudget, newId: options.newId })
-    ])
+      inference: inferenceFilter({ clock, random, scheduler: this.scheduler, retryBudget, newId: options.newId })
+    }
+    this.handleExchange = composeFilters(parts.orderFilters?.(filters) ?? Object.values(filters))
   }
 
   /** Joins the fleet. Resolves once a configuration is in force, from which time requests are handled. */
@@ -313,7 +319,7 @@
 
   /** Proposes a change of the fleet configuration. */
   async proposeConfig (change: { baseVersion: number, text: string, author: string, reason: string, proposalId: string }, { deadlineMs }: { deadlineMs: number }): Promise<ProposalResult> {
-    const result = await propose(this.keyValueStore, change, { clock: this.options.clock, deadlineMs, file: 'proposal' })
+    const result = await (this.options.parts?.propose ?? propose)(this.keyValueStore, change, { clock: this.options.clock, deadlineMs, file: 'proposal' })
     if (result.kind === 'accepted') this.configDistribution.offer(result.version, change.text)
     return result
   }
@@ -452,6 +458,8 @@
   }
 
   private routableEngines (): EngineEntry[] {
+    const routable = this.options.parts?.routableEngines
+    if (routable) return routable(this.engineEntries())
     const leaving = new Set(this.vmDirectory.vms().filter(({ state }) => state === 'leaving').map(({ name }) => name))
     return this.engineEntries().filter(({ engine, draining, reachable }) => reachable && !draining && !leaving.has(engine))
   }
@@ -471,6 +479,7 @@
       honoursFence: exception?.honoursFence ?? pool()?.honoursFence ?? false,
       adapterBytes: () => pool()?.adapterBytes ?? 0,
       keyValueStore: this.keyValueStore,
+      createArbiter: this.options.parts?.createArbiter,
       publishedFence: () => this.engineEntry(vm.name)?.controlFence ?? 0,
       publish: entry => this.dissemination.publish(`engine/${vm.name}`, entry.controlFence, entry)
     })
--- a/src/prove/checker.ts
+++ b/src/prove/checker.ts
@@ -53,9 +53,19 @@
   return [...byPath].filter(([, servers]) => servers.length > 1).map(([path, servers]) => `order ${path} ran ${servers.length} times, on ${servers.join(', ')}`)
 }
 
-/** 6: a draining server gets no new work 5 s after the drain is shown. */
-const noNewWork: Rule = ({ drains, arrivals, endMs }) => drains.filter(({ kind }) => kind === 'server').flatMap(drain => {
-  const late = arrivals.filter(({ server, sentAtMs }) => server === drain.name && sentAtMs > (drain.shownAtMs ?? Infinity) + drainGraceMs && sentAtMs < (drain.endedAtMs ?? endMs))
+/**
+ * 6: a draining server gets no new work 5 s after the drain is shown. A node that was paused itself, or cut off with its
+ * place, could not hear of it, so that its time counts from the end of that.
+ */
+const noNewWork: Rule = ({ drains, arrivals, endMs, processes, disturbances }) => drains.filter(({ kind }) => kind === 'server').flatMap(drain => {
+  const couldKnowAtMs = (node: string) => {
+    const { region, availabilityZone } = processes.find(({ process }) => process === node)!
+    const shownAtMs = drain.shownAtMs ?? Infinity
+    return Math.max(shownAtMs, ...disturbances.filter(({ name, atMs, untilMs }) => [node, region, availabilityZone].includes(name) &&
+      atMs <= shownAtMs + drainGraceMs && untilMs > drain.atMs).map(({ untilMs }) => untilMs))
+  }
+  const late = arrivals.filter(({ server, sentAtMs, node }) => server === drain.name && sentAtMs > drain.atMs + drainGraceMs &&
+    sentAtMs > couldKnowAtMs(node) + drainGraceMs && sentAtMs < (drain.endedAtMs ?? endMs))
   return late.length === 0 ? [] : [`${drain.name} got ${late.length} new requests, the first ${late[0]!.sentAtMs - drain.shownAtMs!} ms after its drain was shown, from ${late[0]!.node}`]
 })
 
--- a/src/prove/main.ts
+++ b/src/prove/main.ts
@@ -5,6 +5,7 @@
 import { parseArgs } from 'node:util'
 import { parseCaseId, runCase } from './runCase.js'
 import type { Case, CaseResult } from './runCase.js'
+import { NaiveNode } from './naive.js'
 import { numberSteps, pairCases, singleCases } from './matrix.js'
 import { report } from './report.js'
 
@@ -25,6 +26,7 @@
 
 async function runOne (id: string): Promise<CaseResult[]> {
   const { record, ...result } = await runCase(parseCaseId(id), {
+    createNode: values.naive ? options => new NaiveNode(options) : undefined,
     log: values.log ? (nowMs, process, level, event, fields) => console.log(nowMs.toFixed(0), process, level, event, JSON.stringify(fields ?? {})) : undefined
   })
   if (values.log) console.log(JSON.stringify(record, undefined, 1))
--- a/src/prove/records.ts
+++ b/src/prove/records.ts
@@ -44,7 +44,7 @@
 export interface AppliedRecord { process: string, node: string, version: number, text: string, atMs: number }
 export interface AcceptedRecord { version: number, proposalId: string, text: string, atMs: number }
 export interface ProposalRecord { proposalId: string, node: string, atMs: number, result?: ProposalResult['kind'], version?: number }
-export interface ProcessRecord { process: string, node: string, startedAtMs: number, readyAtMs?: number, endedAtMs?: number, drained: boolean }
+export interface ProcessRecord { process: string, node: string, region: string, availabilityZone: string, startedAtMs: number, readyAtMs?: number, endedAtMs?: number, drained: boolean }
 export interface ProbeRecord { target: string, startedAtMs: number, servedAtMs?: number, lastResult?: string }
 /** A fault that may cut requests by itself, from a time on. `name` is a process, a server or a place. */
 export interface DisturbanceRecord { name: string, atMs: number, untilMs: number }
--- a/src/prove/world.ts
+++ b/src/prove/world.ts
@@ -223,13 +223,13 @@
       seeds: ['n1:7000', 'n2:7000'].filter(seed => seed !== address),
       network: this.network.of(process, place),
       keyValueStore: keyValueSeam(context, this.keyValue, platformPlace, this.keyValueCondition, (key, value) => this.onKeyValueWrite(key, value)),
-      vmList: vmListSeam(context, this.vmList, platformPlace),
+      vmList: vmListSeam(context, { list: () => this.readVmList() }, platformPlace),
       engineApi: engine => engineSeam(context, this.engines[engine]!, enginePlaces[engine]!),
       serviceApi: server => serviceSeam(context, this.servers[server]!, serverPlaces[server]!),
       newId: () => this.newId()
     })
     const node: WorldNode = { vm, place, process, core }
-    const entry: CaseRecord['processes'][number] = { process: processName, node: name, startedAtMs: this.nowMs(), drained: false }
+    const entry: CaseRecord['processes'][number] = { process: processName, node: name, ...place, startedAtMs: this.nowMs(), drained: false }
     this.record.processes.push(entry)
     process.onEnd(() => { entry.endedAtMs = this.nowMs() })
     core.configDistribution.onApplied((config, text) => {
@@ -291,10 +291,18 @@
       drain.shownAtMs = atMs
     } else {
       this.setVms(this.vms.map(vm => vm.name === name ? { ...vm, state: 'leaving' } : vm))
-      drain.shownAtMs = atMs + vmListLagMs
     }
   }
 
+  /** Notes when the list first shows that a server leaves. */
+  private async readVmList (): Promise<Vm[]> {
+    const listed = await this.vmList.list()
+    for (const drain of this.record.drains) {
+      if (listed.some(({ name, state }) => name === drain.name && state === 'leaving')) drain.shownAtMs ??= this.nowMs()
+    }
+    return listed
+  }
+
   setVms (vms: Vm[]): void {
     this.vms = vms
     this.vmList.set(vms)
