Send a change of the configuration as a delta

A pull names the version that the receiver has. A sender that holds the text of that version answers with the part between the common start and the common end of both texts, and with a hash of the result. Otherwise, or if the hash does not match, the whole text is sent. Three earlier texts are kept.

Ruled out: deflate with the earlier text as its dictionary, since its window is 32 KB. Changes in several places cost the text between them.

The benchmark now changes a section in the middle of the text instead of its first line, which is the harder place for a delta.

--- a/src/bench/fleetBytes.ts
+++ b/src/bench/fleetBytes.ts
@@ -109,14 +109,15 @@
   }
 }
 
-/** A text of 200 KB, as exceptions and models make it up. */
+/** A text of 200 KB, as exceptions and models make it up. Versions differ in one section in its middle. */
 function configText (version: number): string {
   const random = new SeededRandom(4)
-  const lines: string[] = [`# version ${version}`]
+  const lines: string[] = ['# configuration']
   for (let size = 0; size < 200_000; size += lines.at(-1)!.length + 1) {
     const index = lines.length
     lines.push(`[model.model-${index}]\npool = pool-${index % 5}\nversion = v${randomInt(random, 90)}\nmemoryBytes = ${randomInt(random, 1e9) * 40}\nweight = ${random.next().toFixed(3)}`)
   }
+  lines.splice(lines.length >> 1, 0, `[exception.change-${version}]\ntarget = model.model-7\nminimumReplicas = ${version}\nreason = change ${version}`)
   return lines.join('\n')
 }
 
--- a/src/fleet/configDistribution.ts
+++ b/src/fleet/configDistribution.ts
@@ -12,7 +12,8 @@
 import { randomInt, shuffled } from '../base/random.js'
 import type { FleetConfig } from '../config/fleetConfig.js'
 import type { KeyValueStore, WatchResult } from '../platform/keyValueStore.js'
-import type { MemberEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
+import type { MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork } from '../protocol/messages.js'
+import { applyTextDelta, textDelta } from './textDelta.js'
 
 const configKey = 'config/current'
 const watchersPerZone = 2
@@ -30,6 +31,8 @@
 /** Another region usually has its own watchers; its nodes wait for them before they pull across regions. */
 const crossRegionWaitMs = 1_500
 const maxTextBytes = 1_000_000
+/** Earlier texts kept as bases of deltas; nodes are rarely more than one version apart. */
+const keptTexts = 3
 const noBytes = new Uint8Array(0)
 /** As `haveVersion`, asks for the version only. */
 const versionOnly = Number.MAX_SAFE_INTEGER
@@ -56,6 +59,7 @@
 /** The configuration in force on this node. Versions only rise. */
 export class ConfigDistribution {
   private applied: Applied | undefined
+  private earlier: { version: number, text: string }[] = []
   private readonly listeners: ((config: FleetConfig, text: string) => void)[] = []
   private readonly rejected = new Set<number>()
   /** Versions that are being pulled, with the addresses to try next. */
@@ -122,6 +126,7 @@
       return
     }
     // The asynchronous form runs in the thread pool, so that runs under a virtual clock would differ.
+    if (this.applied) this.earlier = [...this.earlier, this.applied].map(({ version, text }) => ({ version, text })).slice(-keptTexts)
     this.applied = { version, text, config, compressed: deflateSync(text), atMs: clock.nowMs() }
     log('info', 'config-applied', { version })
     for (const listener of this.listeners) {
@@ -140,15 +145,22 @@
       case 'configVersion':
         this.receiveAnnouncement(message.version, message.fromAddress)
         return { kind: 'ok' }
-      case 'configPull': {
-        const version = this.version()
-        return { kind: 'configBody', version, compressedText: version > message.haveVersion ? this.applied!.compressed : noBytes }
-      }
+      case 'configPull':
+        return this.bodyFor(message.haveVersion, message.whole)
       default:
         return undefined
     }
   }
 
+  /** The text for a node that holds `haveVersion`: as a delta if its text is known here, unless `whole` is set. */
+  private bodyFor (haveVersion: number, whole = false): PeerMessage {
+    const version = this.version()
+    if (!this.applied || version <= haveVersion) return { kind: 'configBody', version, compressedText: noBytes }
+    const base = whole ? undefined : this.earlier.find(text => text.version === haveVersion)
+    if (!base) return { kind: 'configBody', version, compressedText: this.applied.compressed }
+    return { kind: 'configBody', version, compressedText: noBytes, delta: textDelta(base.text, this.applied.text) }
+  }
+
   private async readAtStart (): Promise<void> {
     const read = await this.readStore()
     const { members, seeds, random, clock, selfAddress } = this.options
@@ -289,11 +301,15 @@
     this.pulls.set(version, queue)
     for (let next = queue.shift(); next !== undefined && version > this.version(); next = queue.shift()) {
       try {
-        const message = { kind: 'configPull', haveVersion: this.version() } as const
-        const reply = await this.options.network.request(next, message, { timeoutMs: pullTimeoutMs })
-        if (reply.kind !== 'configBody' || reply.compressedText.length === 0) continue
-        const text = inflateSync(reply.compressedText, { maxOutputLength: maxTextBytes })
-        this.offer(reply.version, text.toString('utf8'))
+        const base = { version: this.version(), text: this.currentText() }
+        let reply = await this.pullBody(next, base.version, false)
+        let text = reply && textOf(reply, base.text)
+        // The base differs although its version is the same, or another version was applied meanwhile.
+        if (reply?.delta && text === undefined) {
+          reply = await this.pullBody(next, base.version, true)
+          text = reply && textOf(reply, undefined)
+        }
+        if (reply && text !== undefined) this.offer(reply.version, text)
       } catch (error) {
         this.options.log('info', 'config-pull-failed', { version, address: next, message: messageOf(error) })
       }
@@ -301,11 +317,24 @@
     this.pulls.delete(version)
   }
 
+  private async pullBody (address: string, haveVersion: number, whole: boolean): Promise<PeerMessageOf<'configBody'> | undefined> {
+    const message = { kind: 'configPull', haveVersion, ...whole && { whole } } as const
+    const reply = await this.options.network.request(address, message, { timeoutMs: pullTimeoutMs })
+    return reply.kind === 'configBody' ? reply : undefined
+  }
+
   private ownEntry (): MemberEntry | undefined {
     return this.options.members().find(member => member.name === this.options.self)
   }
 }
 
+/** The text in `body`; `undefined` if it has none or its delta does not fit `base`. */
+function textOf (body: PeerMessageOf<'configBody'>, base: string | undefined): string | undefined {
+  if (body.delta) return base === undefined ? undefined : applyTextDelta(base, body.delta)
+  if (body.compressedText.length === 0) return undefined
+  return inflateSync(body.compressedText, { maxOutputLength: maxTextBytes }).toString('utf8')
+}
+
 function parseRecord (value: string): ConfigRecord | undefined {
   try {
     return recordSchema.safeParse(JSON.parse(value)).data
--- /dev/null
+++ b/src/fleet/textDelta.ts
@@ -0,0 +1,25 @@
+/** The difference of two texts, as the lines between their common start and their common end. */
+
+import { createHash } from 'node:crypto'
+import type { TextDelta } from '../protocol/messages.js'
+
+/** Changes in several places count as one change from the first to the last of them. */
+export function textDelta (base: string, text: string): TextDelta {
+  const longest = Math.min(base.length, text.length)
+  let start = 0
+  while (start < longest && base[start] === text[start]) start++
+  let end = 0
+  while (end < longest - start && base[base.length - 1 - end] === text[text.length - 1 - end]) end++
+  return { start, end, insert: text.slice(start, text.length - end), hash: hashOf(text) }
+}
+
+/** The changed text; `undefined` if `base` is not the text from which the delta was made. */
+export function applyTextDelta (base: string, { start, end, insert, hash }: TextDelta): string | undefined {
+  if (start < 0 || end < 0 || start + end > base.length) return undefined
+  const text = base.slice(0, start) + insert + base.slice(base.length - end)
+  return hashOf(text) === hash ? text : undefined
+}
+
+function hashOf (text: string): string {
+  return createHash('sha256').update(text).digest('base64')
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -106,6 +106,16 @@
 
 const entryVersionSchema = z.tuple([z.string(), z.number(), z.number()])
 
+/** Replaces everything but the first `start` and the last `end` UTF-16 units of a text. */
+export const textDeltaSchema = z.object({
+  start: z.number().int(),
+  end: z.number().int(),
+  insert: z.string(),
+  /** SHA-256 of the changed text, base64. */
+  hash: z.string()
+})
+export type TextDelta = z.infer<typeof textDeltaSchema>
+
 const heartbeat = {
   from: memberEntrySchema,
   /** News of other members. */
@@ -169,8 +179,10 @@
   /** Load figures for the relay of an availability zone. */
   z.object({ kind: z.literal('loads'), baseMs: z.number(), loads: bytesSchema }),
   z.object({ kind: z.literal('configVersion'), version: z.number(), fromAddress: z.string() }),
-  z.object({ kind: z.literal('configPull'), haveVersion: z.number() }),
-  z.object({ kind: z.literal('configBody'), version: z.number(), compressedText: bytesSchema }),
+  /** `whole` asks for the whole text after a delta did not fit. */
+  z.object({ kind: z.literal('configPull'), haveVersion: z.number(), whole: z.boolean().optional() }),
+  /** Both texts are absent if the receiver has the version or a higher one. */
+  z.object({ kind: z.literal('configBody'), version: z.number(), compressedText: bytesSchema, delta: textDeltaSchema.optional() }),
   z.object({ kind: z.literal('move'), move: moveSchema }),
   z.object({ kind: z.literal('moveReply'), accepted: z.boolean(), reason: z.string() }),
   // A planner that cannot place a model sends it to another region's planner, which does not send it on.
--- a/tests/configDistribution.spec.ts
+++ b/tests/configDistribution.spec.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { NotRunError } from '../src/base/errors.js'
 import { FindingsError } from '../src/base/findings.js'
 import type { Log } from '../src/base/log.js'
 import { SeededRandom } from '../src/base/random.js'
 import type { FleetConfig } from '../src/config/fleetConfig.js'
 import { ConfigDistribution } from '../src/fleet/configDistribution.js'
+import { applyTextDelta, textDelta } from '../src/fleet/textDelta.js'
 import type { KeyValueEntry, KeyValueStore, WatchResult } from '../src/platform/keyValueStore.js'
 import type { MemberEntry } from '../src/protocol/messages.js'
 import { FakeNetwork } from './fixtures/network.js'
@@ -191,4 +193,39 @@
     await fleet.clock.advance(7_000)
     fleet.expectVersion(3)
   })
+
+  // Guards against deltas that yield another text than the one proposed, or that are applied to another base.
+  it('sends changes as deltas', async () => {
+    fc.assert(fc.property(fc.string({ unit: 'binary' }), fc.string({ unit: 'binary' }), (base, text) => {
+      const delta = textDelta(base, text)
+      expect(applyTextDelta(base, delta)).to.equal(text)
+      if (delta.start + delta.end > 0) expect(applyTextDelta(`x${base}y`, delta)).to.equal(undefined)
+    }), { seed: 1 })
+    const fleet = new ConfigFleet(8, 20)
+    const kinds: string[] = []
+    fleet.network.onSent = (_from, _to, message) => {
+      if (message.kind === 'configBody' && message.version === 2) kinds.push(message.delta ? 'delta' : 'whole')
+    }
+    fleet.store.write(1)
+    await fleet.startAll()
+    fleet.nodes[4]!.stop()
+    fleet.nodes[4]!.offer(2, 'text 2')
+    await fleet.clock.advance(7_000)
+    fleet.expectVersion(2)
+    expect(new Set(kinds)).to.deep.equal(new Set(['delta']))
+  })
+
+  // Guards against a node that cannot get a version because its own text differs from the base of the delta.
+  it('falls back to the whole text', async () => {
+    const fleet = new ConfigFleet(9, 2)
+    fleet.nodes[0] = fleet.startNode(0)
+    fleet.nodes[1] = fleet.startNode(1)
+    fleet.network.passes = () => false
+    fleet.nodes[0].offer(1, 'one text')
+    fleet.nodes[1].offer(1, 'other text')
+    fleet.network.passes = undefined
+    fleet.nodes[0].offer(2, 'one text 2')
+    await fleet.clock.advance(7_000)
+    expect(fleet.nodes[1].currentText()).to.equal('one text 2')
+  })
 })
