--- a/src/bench/fleetBytes.ts
+++ b/src/bench/fleetBytes.ts
@@ -23,6 +23,8 @@
 import { peerMessageSchema } from '../protocol/messages.js'
 
 const warmUpMs = 30_000
+/** Each join rides on six heartbeats, eight to a heartbeat: 340 at once need 130 s, which is no steady state. */
+const joinMs = 180_000
 const configPeriodMs = 86_400_000 / 2_100
 /** One period of configuration changes, so that each run contains exactly one. */
 const measuredMs = configPeriodMs
@@ -107,14 +109,15 @@
   }
 }
 
-/** A text of 200 KB, as exceptions and models make it up. */
+/** A text of 200 KB, as exceptions and models make it up. Versions differ in one section in its middle. */
 function configText (version: number): string {
   const random = new SeededRandom(4)
-  const lines: string[] = [`# version ${version}`]
+  const lines: string[] = ['# configuration']
   for (let size = 0; size < 200_000; size += lines.at(-1)!.length + 1) {
     const index = lines.length
     lines.push(`[model.model-${index}]\npool = pool-${index % 5}\nversion = v${randomInt(random, 90)}\nmemoryBytes = ${randomInt(random, 1e9) * 40}\nweight = ${random.next().toFixed(3)}`)
   }
+  lines.splice(lines.length >> 1, 0, `[exception.change-${version}]\ntarget = model.model-7\nminimumReplicas = ${version}\nreason = change ${version}`)
   return lines.join('\n')
 }
 
@@ -191,7 +194,7 @@
     }
     clock.setTimer(randomInt(random, Math.ceil(periodMs)), run)
   }
-  await clock.advance(15_000)
+  await clock.advance(joinMs)
   engines.forEach((_, index) => every(1_000, () => publish(index, {
     running: randomInt(random, 64), queued: randomInt(random, 40), freeKvTokens: randomInt(random, 400_000), stepMs: 20 + 20 * random.next()
   })))
