Answer callers without web requests and streams

A POST with a chunked body (a client that does not know its length) got 500 in plain text: hono's body limit copies such a body into a new web Request, which the server's lazy request object does not allow. A stream that failed soon after its first parts lost them: the server adapter held them back and destroyed the socket, so the caller saw neither the tokens nor the error event.

Ruled out: the gateway (content-length requests and slow streams were answered), and the caller (the openai client sends a length, which is why the demo never showed it).

The callers' port now uses node's request and answer directly. A cut stream flushes what was written and ends the connection without the last chunk; a caller that does not read stops production; a body over the limit still gets its 413 before the connection closes.

--- a/src/node/nodeDaemon.ts
+++ b/src/node/nodeDaemon.ts
@@ -12,7 +12,7 @@
 import { HttpKeyValueStore } from '../platform/httpKeyValueStore.js'
 import { HttpService } from '../platform/httpService.js'
 import { HttpVmList } from '../platform/httpVmList.js'
-import { createCallersApp, listen, listeningAddress, requireAddress } from './callersServer.js'
+import { createCallersServer, listen, listeningAddress, listenOn, requireAddress } from './callersServer.js'
 import { NodeMetrics } from './metrics.js'
 import { createOperatorsApp } from './operatorsServer.js'
 import type { OperatorsApi } from './operatorsServer.js'
@@ -68,8 +68,8 @@
   })
   started.core = core
   metrics.watch(core)
-  const callersServer = await listen(
-    createCallersApp(request => core.handle(request), { bodyLimitBytes: callers.bodyLimitBytes, newId: randomUUID }),
+  const callersServer = await listenOn(
+    createCallersServer(request => core.handle(request), { bodyLimitBytes: callers.bodyLimitBytes, newId: randomUUID }),
     callers.listen,
     { maxConnections: callers.maxConnections }
   )
