--- a/src/standins/localDeployment.ts
+++ b/src/standins/localDeployment.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { SystemClock } from '../base/clock.js'
+import type { LogLevel } from '../base/log.js'
 import { propose } from '../config/proposal.js'
 import { hashApiKey } from '../gateway/identify.js'
 import { HttpKeyValueStore } from '../platform/httpKeyValueStore.js'
@@ -12,7 +13,8 @@
 import type { RunningProcess } from './processes.js'
 
 const gibibyte = 2 ** 30
-const deploymentKey = 'local-deployment-key'
+/** The deployment key of the local deployment. */
+export const localDeploymentKey = 'local-deployment-key'
 const engineMemoryBytes = 80 * gibibyte
 const engineKvCacheBytes = 20 * gibibyte
 
@@ -58,6 +60,7 @@
   engines: RunningProcess[]
   services: RunningProcess[]
   nodes: RunningProcess[]
+  keyValueProcess: RunningProcess
   /** `http://IP:PORT` of the callers' ports. */
   callerUrls: string[]
   /** Settings files of the nodes, for the command line. */
@@ -65,9 +68,22 @@
   stop (): Promise<void>
 }
 
-/** Starts everything and waits until the nodes are ready. `onLine` gets what the nodes log. */
+export interface LocalDeploymentOptions {
+  nodeCount?: number
+  engineCount?: number
+  /** Gets what the nodes log. */
+  onLine?: (line: string) => void
+  callersPort?: number
+  logLevel?: LogLevel
+  /** Further arguments of the engine stand-ins. */
+  engineArgs?: readonly string[]
+  /** Arguments of Node.js for the nodes. */
+  nodeExecArgs?: readonly string[]
+}
+
+/** Starts everything and waits until the nodes are ready. */
 export async function startLocalDeployment (
-  { nodeCount = 2, engineCount = 2, onLine = () => {}, callersPort = 0 }: { nodeCount?: number, engineCount?: number, onLine?: (line: string) => void, callersPort?: number } = {}
+  { nodeCount = 2, engineCount = 2, onLine = () => {}, callersPort = 0, logLevel = 'info', engineArgs = [], nodeExecArgs = [] }: LocalDeploymentOptions = {}
 ): Promise<LocalDeployment> {
   const directory = await mkdtemp(join(tmpdir(), 'teaselrill-'))
   const processes: RunningProcess[] = []
@@ -91,7 +107,7 @@
     ])
     const engines = await Promise.all(Array.from({ length: engineCount }, (_, index) => standIn(`engine-${index + 1}`, [
       'engine', '--name', `engine-${index + 1}`, '--weight-store', addressOf(weightStore),
-      '--memory-bytes', String(engineMemoryBytes), '--kv-cache-bytes', String(engineKvCacheBytes)
+      '--memory-bytes', String(engineMemoryBytes), '--kv-cache-bytes', String(engineKvCacheBytes), ...engineArgs
     ])))
     const vmsFile = join(directory, 'vms.json')
     await writeFile(vmsFile, JSON.stringify([...engines.map(engine => vmOf(engine, 'engine', 'advisors')), ...services.map(service => vmOf(service, 'service', 'orders'))]))
@@ -105,11 +121,12 @@
         keyValue: addressOf(keyValue),
         vmList: addressOf(vmList),
         seeds: nodes.map(node => String(node.ready.peersAddress)),
-        callersPort: index === 0 ? callersPort : 0
+        callersPort: index === 0 ? callersPort : 0,
+        logLevel
       })
       await writeFile(file, settings)
       const node = await startProcess(`node-${index + 1}`, scriptPath('cli/main.js'), ['node', '--settings', file], {
-        readReady: line => line.event === 'node listening' ? line : undefined, onLine
+        readReady: line => line.event === 'node listening' ? line : undefined, onLine, execArgs: nodeExecArgs
       })
       processes.push(node)
       nodes.push(node)
@@ -125,6 +142,7 @@
       engines,
       services,
       nodes,
+      keyValueProcess: keyValue,
       callerUrls: nodes.map(node => `http://${node.ready.callersAddress}`),
       settingsFiles,
       stop
@@ -144,11 +162,12 @@
   return { name: running.name, kind, group, address: addressOf(running), region: 'estonia', availabilityZone: 'tartu-a', state: 'live' }
 }
 
-function nodeSettings (name: string, { keyValue, vmList, seeds, callersPort }: { keyValue: string, vmList: string, seeds: string[], callersPort: number }): string {
+function nodeSettings (name: string, { keyValue, vmList, seeds, callersPort, logLevel }: { keyValue: string, vmList: string, seeds: string[], callersPort: number, logLevel: LogLevel }): string {
   return `[node]
 name = ${name}
 region = estonia
 availabilityZone = tartu-a
+logLevel = ${logLevel}
 
 [callers]
 listen = 127.0.0.1:${callersPort}
@@ -164,7 +183,7 @@
 vmList = ${vmList}
 
 [deployment]
-key = ${deploymentKey}
+key = ${localDeploymentKey}
 `
 }
 
--- a/src/standins/processes.ts
+++ b/src/standins/processes.ts
@@ -27,9 +27,9 @@
   name: string,
   script: string,
   args: readonly string[],
-  { readReady, onLine = () => {} }: { readReady: (line: Record<string, unknown>) => Record<string, unknown> | undefined, onLine?: (line: string) => void }
+  { readReady, onLine = () => {}, execArgs = [] }: { readReady: (line: Record<string, unknown>) => Record<string, unknown> | undefined, onLine?: (line: string) => void, execArgs?: readonly string[] }
 ): Promise<RunningProcess> {
-  const child = spawn(process.execPath, [script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = spawn(process.execPath, [...execArgs, script, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
   const ended = new Promise<number | null>(resolve => child.once('exit', code => resolve(code)))
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
