Confine rotation of cold models to the reserve, scale own dispatches by the number of nodes

Cause: waiting requests displaced hot models on all engines in turn, also while the reserve's engine was draining, and copies that were being unloaded counted as copies. Nodes with the same stale report filled an engine nine times.

--- a/src/bench/currentPolicy.ts
+++ b/src/bench/currentPolicy.ts
@@ -1,7 +1,7 @@
 /** The decisions of src/policy, run by several nodes and one planner as the daemon runs them. */
 
 import { SeededRandom } from '../base/random.js'
-import { ranks, versionedModel } from '../config/fleetConfig.js'
+import { ranks, splitVersionedModel, versionedModel } from '../config/fleetConfig.js'
 import type { CacheEvent } from '../platform/engine.js'
 import { Admission } from '../policy/admission.js'
 import { DemandForecast } from '../policy/forecast.js'
@@ -23,7 +23,7 @@
 const cacheEventDelayMs = 1_000
 const planPeriodMs = 1_000
 const wantedDelayMs = 200
-const pumpPeriodMs = 100
+const pumpPeriodMs = 250
 /** Time from dispatch to the first token on an engine that is not overloaded. */
 const firstTokenMarginMs = 150
 
@@ -46,7 +46,7 @@
   private readonly random
   private demand = new Map<string, DemandEntry['models'][number]>()
 
-  constructor (readonly index: number, world: World, private readonly onWanted: () => void) {
+  constructor (readonly index: number, world: World, private readonly onWanted: () => void, private readonly loadTimeMs: () => number) {
     this.world = world
     const { loop, deployment } = world
     const { config } = deployment
@@ -57,6 +57,7 @@
       clock: loop,
       random: this.random,
       location: deployment.nodes[index]!,
+      nodeCount: () => deployment.nodes.length,
       crossRegionPrice: () => config.fleet.crossRegionPrice
     })
     this.retries = new RetryBudget({ clock: loop, share: () => config.fleet.retryBudget })
@@ -120,7 +121,7 @@
     this.retries.onRequest()
     this.countDemand(item)
     const decision = this.admission.decide(item, {
-      queue: this.queue as unknown as RequestQueue<QueueItem>, engines: this.views, loadTimeMs: this.world.deployment.meanLoadMs * this.world.store.slowness
+      queue: this.queue as unknown as RequestQueue<QueueItem>, engines: this.views, loadTimeMs: this.loadTimeMs()
     })
     if (!decision.admitted) {
       this.world.giveUp(request, 'shed')
@@ -128,7 +129,7 @@
     }
     if (decision.reason === 'waits for a model load') this.onWanted()
     this.queue.add(item)
-    this.pump()
+    this.pump(new Set([item.model]))
   }
 
   takeDemand (periodMs: number): DemandEntry {
@@ -151,16 +152,14 @@
     this.pump()
   }
 
-  /** Dispatches what can be; `engine` limits it to the models of one engine, whose load has changed. */
-  private pump (engine?: EngineEntry): void {
-    if (this.world.isLost(this.index)) return
+  /** Dispatches what can be; `models` are those for which something has changed, all if absent. */
+  private pump (models?: ReadonlySet<string>): void {
+    if (this.world.isLost(this.index) || this.queue.size() === 0) return
     let chosen = ''
-    const resident = engine && new Set(engine.models.map(model => model.name))
     // What was refused once in this call is still refused after another dispatch.
     const blocked = new Set<string>()
     for (;;) {
       const item = this.queue.next(candidate => {
-        if (resident && !resident.has(candidate.base)) return false
         const key = `${candidate.rank}/${candidate.model}`
         if (blocked.has(key)) return false
         const decision = this.router.choose({
@@ -175,7 +174,7 @@
         if (decision.kind === 'engine') chosen = decision.engine
         else if (candidate.excluded.size === 0) blocked.add(key)
         return decision.kind === 'engine'
-      })
+      }, models)
       if (!item) return
       this.dispatch(item, chosen)
     }
@@ -191,7 +190,8 @@
     // Replies of engines carry their load.
     const reply = () => {
       this.applyLoad(engineIndex, engine.load())
-      this.pump(this.views[engineIndex])
+      const { models, adapters } = this.views[engineIndex]!
+      if (this.queue.size() > 0) this.pump(new Set([...models.map(model => splitVersionedModel(model.name).model), ...adapters.map(adapter => adapter.name)]))
     }
     this.world.dispatch(this.index, engine, item.request, item.base, enginePriorities[item.rank], {
       onFirstToken: () => {
@@ -233,9 +233,12 @@
   private recentMoves: PlacementInput['recentMoves'] = []
   private wantedTimer = false
   private lastDemandMs = 0
+  /** Moving average of the time from the decision to the ready model. */
+  loadTimeMs: number
 
   constructor (private readonly world: World, private readonly nodes: readonly Node[], private readonly inScope: (region: string) => boolean) {
     const { loop } = world
+    this.loadTimeMs = world.deployment.meanLoadMs
     loop.every(planPeriodMs, planPeriodMs, () => this.plan())
   }
 
@@ -288,6 +291,7 @@
       this.recentMoves.push({ ...inFlight, atMs: nowMs })
       this.world.countMove()
       this.world.loop.setTimer(deployment.delayMs.crossRegion, () => engine.swap(move.unload, move.load, move.loadBytes ?? 0, () => {
+        this.loadTimeMs += 0.2 * (this.world.loop.nowMs() - nowMs - this.loadTimeMs)
         this.loadsInFlight = this.loadsInFlight.filter(other => other !== inFlight)
       }))
     } else if (move.unload.length > 0) {
@@ -303,7 +307,7 @@
 
   constructor (world: World) {
     this.world = world
-    this.nodes = world.deployment.nodes.map((_, index) => new Node(index, world, () => { for (const planner of this.planners) planner.wanted() }))
+    this.nodes = world.deployment.nodes.map((_, index) => new Node(index, world, () => { for (const planner of this.planners) planner.wanted() }, () => this.planners[0]!.loadTimeMs))
     const parted = world.deployment.nodes[2]!.region
     const isParted = () => world.faultActive('regions-parted')
     this.planners = [
--- a/src/policy/forecast.ts
+++ b/src/policy/forecast.ts
@@ -6,7 +6,10 @@
 import type { PlacementInput } from './placementInput.js'
 
 const fastTimeConstantMs = 20_000
-const slowTimeConstantMs = 300_000
+const slowTimeConstantMs = 180_000
+/** Within these bounds of their ratio, the averages differ by chance, and the slow one holds. */
+const burstRatioAbove = 1.5
+const burstRatioBelow = 0.5
 /** A model that was not asked for during this time is forgotten. */
 const forgetAfterMs = 3_600_000
 
@@ -48,7 +51,7 @@
     }
   }
 
-  /** The larger of both averages for each model, so that demand is followed up quickly and down slowly. */
+  /** The slow average for each model, or the fast one while it differs by more than chance explains. */
   forecasts (nowMs: number, config: FleetConfig): PlacementInput['forecasts'] {
     const result: PlacementInput['forecasts'] = new Map()
     for (const [name, demand] of this.models) {
@@ -63,7 +66,9 @@
         this.models.delete(name)
         continue
       }
-      const rate = (index: number) => Math.max(demand.fast[index]! * fastScale, demand.slow[index]! * slowScale)
+      const burstRatio = slowRequests > 0 ? fastRequests / slowRequests : 1
+      const shifted = burstRatio > burstRatioAbove || burstRatio < burstRatioBelow
+      const rate = (index: number) => shifted ? demand.fast[index]! * fastScale : demand.slow[index]! * slowScale
       const weight = config.models[config.adapters[name]?.baseModel ?? name]?.weight ?? 1
       let valuePerSecond = 0
       for (const [index, rank] of ranks.entries()) valuePerSecond += rate(2 + index) * config.ranks[rank].requestValue * weight
@@ -71,7 +76,7 @@
         tokensPerSecond: rate(0),
         requestsPerSecond: rate(1),
         valuePerSecond,
-        burstRatio: slowRequests > 0 ? fastRequests / slowRequests : 1
+        burstRatio
       })
     }
     return result
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -20,15 +20,17 @@
 const moveCostSeconds = 30
 /** A displaced model must be worth less than this part of the gain, so that two models do not displace each other in turn. */
 const displacementRatio = 0.7
-/** A copy stays for at least this time unless a waiting request needs its place. */
+/** A copy stays for at least this time after the decision to load it. */
 const minimumResidenceMs = 60_000
+/** The same if waiting requests need its place; shorter times left engines empty for most of a rotation. */
+const minimumForcedResidenceMs = 25_000
 /** Capacity is planned up to this part, since bursts and unequal spread need the rest. */
 const plannedUtilisation = 0.85
 /** An engine's step at a full batch, as part of the tightest target for token gaps. */
 const fullBatchStepShare = 0.85
 const defaultStepMs = 35
-/** A cold model is loaded at the latest when the earliest deadline is this many load times away. */
-const coldLoadTimes = 4
+/** Time that the requests of an unloaded model need to end, before its place is free. */
+const drainMs = 15_000
 /** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
 const minimumRelief = 0.05
 const spreadRounds = 4
@@ -155,7 +157,7 @@
 
   private spaceOf (entry: EngineEntry): EngineSpace {
     const pool = this.config.pools[entry.pool]
-    const copies: Copy[] = entry.models.map(({ name, state, memoryBytes }) => {
+    const copies: Copy[] = entry.models.filter(({ state }) => state !== 'unloading').map(({ name, state, memoryBytes }) => {
       const { model, version } = splitVersionedModel(name)
       return { name, model, memoryBytes, ready: state === 'ready', current: this.config.models[model]?.version === version, load: 0 }
     })
@@ -173,7 +175,8 @@
       copies,
       spaceBytes: entry.memoryBytes - entry.kvCacheBytes - (pool?.adapterBytes ?? 0),
       reserveBytes: 0,
-      usedBytes: copies.reduce((sum, copy) => sum + copy.memoryBytes, 0),
+      usedBytes: copies.reduce((sum, copy) => sum + copy.memoryBytes, 0) +
+        entry.models.reduce((sum, model) => sum + (model.state === 'unloading' ? model.memoryBytes : 0), 0),
       capacity,
       load: 0,
       movable: (this.input.keyValueAvailable || this.honoursFence(entry)) && !entry.models.some(model => model.state === 'unloading'),
@@ -278,12 +281,24 @@
     cold.sort((left, right) => left.earliestDeadlineMs - right.earliestDeadlineMs)
     for (const demand of cold) {
       const slackMs = demand.earliestDeadlineMs - this.input.nowMs
-      const due = slackMs < coldLoadTimes * this.loadTimeMs
-      const loaded = this.tryLoad(demand, this.engines, `${demand.waiting} requests wait for it`, { force: due })
+      const due = slackMs < 2 * this.loadTimeMs + drainMs
+      const reason = `${demand.waiting} requests wait for it`
+      const loaded = this.tryLoad(demand, this.engines, reason, { force: false }) || this.relocateFor(demand) ||
+        (due && this.tryLoad(demand, this.reserveOf(demand.config.pool), reason, { force: true }))
       if (!loaded && due) this.unreachable.push({ model: demand.name, reason: this.loadSlots <= 0 ? 'all load slots of the weight store are in use' : 'no engine can make room' })
     }
   }
 
+  /**
+   * The engines on which waiting requests may displace any model: those of the pool's reserve. Without a reserve these
+   * are all; the rotation of a few rarely used models then empties the whole pool in turn.
+   */
+  private reserveOf (pool: string): EngineSpace[] {
+    const engines = this.engines.filter(engine => engine.entry.pool === pool)
+    const reserve = engines.filter(engine => engine.reserveBytes > 0)
+    return reserve.length > 0 ? reserve : engines
+  }
+
   /** Loads further copies as long as one brings clearly more value than it displaces. */
   private loadProfitable (): void {
     const refused = new Set<string>()
@@ -341,15 +356,47 @@
     const removable = engine.copies.filter(copy => this.removable(engine, copy, force))
       .map(copy => ({ copy, loss: this.lossOf(engine, copy) }))
       .sort((left, right) => left.loss / left.copy.memoryBytes - right.loss / right.copy.memoryBytes)
-    const evicted: Copy[] = []
-    let loss = 0
+    const chosen: typeof removable = []
     for (const candidate of removable) {
-      evicted.push(candidate.copy)
-      loss += candidate.loss
+      if (needed <= 0) break
+      chosen.push(candidate)
       needed -= candidate.copy.memoryBytes
-      if (needed <= 0) return { evicted, loss }
     }
-    return undefined
+    if (needed > 0) return undefined
+    // What later choices made superfluous stays.
+    for (const candidate of [...chosen].sort((left, right) => right.loss - left.loss)) {
+      if (needed + candidate.copy.memoryBytes > 0) continue
+      chosen.splice(chosen.indexOf(candidate), 1)
+      needed += candidate.copy.memoryBytes
+    }
+    return { evicted: chosen.map(({ copy }) => copy), loss: chosen.reduce((sum, { loss }) => sum + loss, 0) }
+  }
+
+  /**
+   * Loads a copy of a smaller model elsewhere, where there is free room for it, so that its present place can be given
+   * to `demand` without loss in one of the next plans.
+   */
+  private relocateFor (demand: ModelDemand): boolean {
+    if (this.loadSlots <= 0) return false
+    const engines = this.engines.filter(engine => engine.entry.pool === demand.config.pool && engine.movable && !engine.changed)
+    let best: { target: EngineSpace, mover: ModelDemand } | undefined
+    let bestBytes = Infinity
+    for (const engine of engines) {
+      if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
+      const missing = engine.usedBytes + demand.config.memoryBytes - engine.spaceBytes
+      for (const copy of engine.copies) {
+        const mover = this.demands.get(copy.model)
+        if (!mover || !copy.current || copy.memoryBytes < missing || copy.memoryBytes >= bestBytes) continue
+        if (!this.removable(engine, copy, false) || mover.rules.minimumReplicas > 0) continue
+        if (this.engines.filter(other => this.holds(other, mover)).length !== 1) continue
+        const target = engines.find(other => other !== engine && !mover.rules.bans.has(other.entry.engine) &&
+          other.usedBytes + copy.memoryBytes <= other.spaceBytes)
+        if (target) [best, bestBytes] = [{ target, mover }, copy.memoryBytes]
+      }
+    }
+    if (!best) return false
+    this.addMove(best.target, best.mover, [], `makes room for ${demand.name}`)
+    return true
   }
 
   private removable (engine: EngineSpace, copy: Copy, force: boolean): boolean {
@@ -360,9 +407,10 @@
     const count = this.engines.filter(other => this.holds(other, demand)).length
     if (copy.current && count <= demand.rules.minimumReplicas) return false
     if (!copy.current && count === 0) return false
-    if (force) return true
+    if (!copy.current) return true
+    const residenceMs = force ? minimumForcedResidenceMs : minimumResidenceMs
     return !this.input.recentMoves.some(move => move.engine === engine.entry.engine && move.model === copy.name &&
-      this.input.nowMs - move.atMs < minimumResidenceMs)
+      this.input.nowMs - move.atMs < residenceMs)
   }
 
   /** Value per second that is lost with the copy: the load that the model's other copies cannot take over. */
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -114,14 +114,17 @@
     return item
   }
 
-  /** Removes and returns the item that is served next among those that `canDispatch` accepts. */
-  next (canDispatch: (item: Item) => boolean): Item | undefined {
+  /**
+   * Removes and returns the item that is served next among those that `canDispatch` accepts. `models` limits the search
+   * to the models for which something has changed, since most calls follow the end of one request on one engine.
+   */
+  next (canDispatch: (item: Item) => boolean, models?: ReadonlySet<string>): Item | undefined {
     if (this.byId.size === 0) return undefined
     this.sortOutLate()
     const order = this.rankOrder()
     for (const queues of [this.rankQueues, this.lateQueues]) {
       for (const rank of order) {
-        const item = this.nextOfRank(queues.get(rank)!, canDispatch)
+        const item = this.nextOfRank(queues.get(rank)!, canDispatch, models)
         if (item) return item
       }
     }
@@ -176,22 +179,22 @@
     })
   }
 
-  private nextOfRank (rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean): Item | undefined {
+  private nextOfRank (
+    rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean, models: ReadonlySet<string> | undefined
+  ): Item | undefined {
     if (rankQueue.size === 0) return undefined
     const rejections = new Map<string, number>()
     const blocked = (model: string) => (rejections.get(model) ?? 0) >= rejectionsUntilBlocked
     const customers = [...rankQueue.customers.values()].sort((left, right) => left.startTag - right.startTag)
     for (const customer of customers) {
-      const tried = new Set<string>()
-      for (;;) {
-        let item: Item | undefined
-        for (const [model, items] of customer.byModel) {
-          const head = items[0]!
-          if ((!item || head.deadlineMs < item.deadlineMs) && !tried.has(model) && !blocked(model)) item = head
-        }
-        if (!item) break
+      const heads: Item[] = []
+      for (const model of models ?? customer.byModel.keys()) {
+        const head = customer.byModel.get(model)?.[0]
+        if (head && !blocked(model)) heads.push(head)
+      }
+      heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
+      for (const item of heads) {
         if (!canDispatch(item)) {
-          tried.add(item.model)
           rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
           continue
         }
--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -76,18 +76,22 @@
   private readonly random: Random
   private readonly location: { region: string, availabilityZone: string }
   private readonly crossRegionPrice: () => number
+  private readonly nodeCount: () => number
   private readonly states = new Map<string, EngineState>()
 
-  constructor ({ clock, random, location, crossRegionPrice }: {
+  /** `nodeCount` is the number of nodes that send to the same engines. */
+  constructor ({ clock, random, location, crossRegionPrice, nodeCount = () => 1 }: {
     clock: Clock
     random: Random
     location: { region: string, availabilityZone: string }
     crossRegionPrice: () => number
+    nodeCount?: () => number
   }) {
     this.clock = clock
     this.random = random
     this.location = location
     this.crossRegionPrice = crossRegionPrice
+    this.nodeCount = nodeCount
   }
 
   choose (request: RouteRequest, engines: readonly EngineEntry[]): RouteDecision {
@@ -154,7 +158,10 @@
     }
   }
 
-  /** Requests on the engine by its last report, corrected by what this node dispatched and saw end since then. */
+  /**
+   * Requests on the engine by its last report, corrected by what this node dispatched and saw end since then. A surplus
+   * of dispatches is multiplied by the number of nodes, as all of them see the same free engine at the same time.
+   */
   estimatedLoad (engine: EngineEntry): number {
     const state = this.states.get(engine.engine)
     let load = engine.running + engine.queued
@@ -162,7 +169,9 @@
     let outdated = 0
     while (outdated < state.changes.length && state.changes[outdated]!.atMs <= engine.reportedAtMs) outdated++
     if (outdated > 0) state.changes.splice(0, outdated)
-    for (const { change } of state.changes) load += change
+    let net = 0
+    for (const { change } of state.changes) net += change
+    load += net > 0 ? net * this.nodeCount() : net
     return Math.max(state.running.size, load)
   }
 
