Relocate small models for cold ones, plan engines up to 95%, probe engines with old reports

Cause: planned capacity of 85% left no engine with spare room, so superfluous copies stayed; a node without requests on a remote engine kept an old full report for up to 30 s.

--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -25,7 +25,7 @@
 /** The same if waiting requests need its place; shorter times left engines empty for most of a rotation. */
 const minimumForcedResidenceMs = 25_000
 /** Capacity is planned up to this part, since bursts and unequal spread need the rest. */
-const plannedUtilisation = 0.85
+const plannedUtilisation = 0.95
 /** An engine's step at a full batch, as part of the tightest target for token gaps. */
 const fullBatchStepShare = 0.85
 const defaultStepMs = 35
@@ -34,6 +34,8 @@
 /** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
 const minimumRelief = 0.05
 const spreadRounds = 4
+/** Part of a cold model's value that a relocation on its behalf may cost. */
+const relocationLossShare = 0.2
 
 interface Rules {
   pins: Set<string>
@@ -285,6 +287,7 @@
       const reason = `${demand.waiting} requests wait for it`
       const loaded = this.tryLoad(demand, this.engines, reason, { force: false }) || this.relocateFor(demand) ||
         (due && this.tryLoad(demand, this.reserveOf(demand.config.pool), reason, { force: true }))
+      if (loaded) this.spreadLoad()
       if (!loaded && due) this.unreachable.push({ model: demand.name, reason: this.loadSlots <= 0 ? 'all load slots of the weight store are in use' : 'no engine can make room' })
     }
   }
@@ -373,29 +376,34 @@
   }
 
   /**
-   * Loads a copy of a smaller model elsewhere, where there is free room for it, so that its present place can be given
-   * to `demand` without loss in one of the next plans.
+   * Loads a copy of another model elsewhere, where that displaces next to nothing, so that its present place can be
+   * given to `demand` without loss in one of the next plans.
    */
   private relocateFor (demand: ModelDemand): boolean {
     if (this.loadSlots <= 0) return false
     const engines = this.engines.filter(engine => engine.entry.pool === demand.config.pool && engine.movable && !engine.changed)
-    let best: { target: EngineSpace, mover: ModelDemand } | undefined
+    const acceptedLoss = relocationLossShare * demand.valuePerToken * demand.unmet
+    let best: { target: EngineSpace, mover: ModelDemand, evicted: Copy[] } | undefined
     let bestBytes = Infinity
     for (const engine of engines) {
       if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
-      const missing = engine.usedBytes + demand.config.memoryBytes - engine.spaceBytes
-      for (const copy of engine.copies) {
-        const mover = this.demands.get(copy.model)
-        if (!mover || !copy.current || copy.memoryBytes < missing || copy.memoryBytes >= bestBytes) continue
-        if (!this.removable(engine, copy, false) || mover.rules.minimumReplicas > 0) continue
-        if (this.engines.filter(other => this.holds(other, mover)).length !== 1) continue
-        const target = engines.find(other => other !== engine && !mover.rules.bans.has(other.entry.engine) &&
-          other.usedBytes + copy.memoryBytes <= other.spaceBytes)
-        if (target) [best, bestBytes] = [{ target, mover }, copy.memoryBytes]
+      const removable = engine.copies.filter(copy => copy.current && this.removable(engine, copy, false))
+      const superfluous = removable.filter(copy => this.lossOf(engine, copy) <= acceptedLoss)
+      const missing = engine.usedBytes + demand.config.memoryBytes - engine.spaceBytes - superfluous.reduce((sum, copy) => sum + copy.memoryBytes, 0)
+      for (const copy of removable) {
+        const mover = this.demands.get(copy.model)!
+        if (superfluous.includes(copy) || copy.memoryBytes < missing || copy.memoryBytes >= bestBytes || mover.rules.minimumReplicas > 0) continue
+        for (const target of engines) {
+          if (target === engine || mover.rules.bans.has(target.entry.engine) || this.holds(target, mover)) continue
+          const room = this.makeRoom(target, mover, false, 1)
+          if (!room || room.loss > acceptedLoss || room.evicted.some(other => other.model === demand.name)) continue
+          ;[best, bestBytes] = [{ target, mover, evicted: room.evicted }, copy.memoryBytes]
+          break
+        }
       }
     }
     if (!best) return false
-    this.addMove(best.target, best.mover, [], `makes room for ${demand.name}`)
+    this.addMove(best.target, best.mover, best.evicted, `makes room for ${demand.name}`)
     return true
   }
 
--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -38,6 +38,8 @@
 const fullLoadCostMs = 60
 /** Engines whose cost differs by less are chosen between at random, so that nodes with the same report spread out. */
 const nearEqualMs = 6
+/** Age of a report after which an engine that it shows as full is tried with one request. */
+const probeAfterMs = 500
 const consecutiveFailuresUntilEjected = 3
 const firstEjectionMs = 5_000
 const maxEjectionMs = 60_000
@@ -105,7 +107,8 @@
     if (allowed.length === 0) {
       return { kind: 'wait', reason: 'ejected', detail: `all ${withAdapter.length} engines with ${request.model} are ejected or failed this request` }
     }
-    const free = allowed.filter(engine => this.estimatedLoad(engine) < engine.maxBatch * batchShare[request.rank])
+    const free = allowed.filter(engine => this.estimatedLoad(engine) < engine.maxBatch * batchShare[request.rank] ||
+      (request.rank !== 'browsing' && this.mayProbe(engine)))
     if (free.length === 0) return { kind: 'wait', reason: 'busy', detail: `all ${allowed.length} engines with ${request.model} are full` }
 
     const affine = this.affineEngine(request, free)
@@ -175,6 +178,15 @@
     return Math.max(state.running.size, load)
   }
 
+  /**
+   * Whether one request may be sent to an engine that looked full in an old report. Its reply carries the present load;
+   * without it, a node in another region waits for up to 30 s for the next report.
+   */
+  private mayProbe (engine: EngineEntry): boolean {
+    if (this.clock.nowMs() - engine.reportedAtMs < probeAfterMs) return false
+    return !(this.states.get(engine.engine)?.changes.some(({ atMs, change }) => change > 0 && atMs > engine.reportedAtMs) ?? false)
+  }
+
   /** Whether the node avoids the engine at present. */
   isEjected (engine: string): boolean {
     return (this.states.get(engine)?.ejectedUntilMs ?? 0) > this.clock.nowMs()
