--- a/src/bench/currentPolicy.ts
+++ b/src/bench/currentPolicy.ts
@@ -160,14 +160,15 @@
     const blocked = new Set<string>()
     for (;;) {
       const item = this.queue.next(candidate => {
-        const key = `${candidate.rank}/${candidate.model}`
+        const rank = candidate.keptMinimum ? ranks[0] : candidate.rank
+        const key = `${rank}/${candidate.model}`
         if (blocked.has(key)) return false
         const decision = this.router.choose({
           requestId: candidate.requestId,
           model: candidate.base,
           ...(candidate.request.adapter === undefined ? {} : { adapter: candidate.request.adapter }),
           prompt: candidate.request.prefix,
-          rank: candidate.rank,
+          rank,
           promptBytes: (candidate.request.prefixTokens + candidate.request.uniqueTokens) * 4,
           excludeEngines: candidate.excluded
         }, this.views)
@@ -193,7 +194,7 @@
       const { models, adapters } = this.views[engineIndex]!
       if (this.queue.size() > 0) this.pump(new Set([...models.map(model => splitVersionedModel(model.name).model), ...adapters.map(adapter => adapter.name)]))
     }
-    this.world.dispatch(this.index, engine, item.request, item.base, enginePriorities[item.rank], {
+    this.world.dispatch(this.index, engine, item.request, item.base, enginePriorities[item.keptMinimum ? ranks[0] : item.rank], {
       onFirstToken: () => {
         this.router.onFirstToken(engineName, attemptId, loop.nowMs() - startMs)
         reply()
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -16,10 +16,18 @@
   costTokens: number
   /** Time until which the rank's target for the first token can be attained; absent if only the deadline counts. */
   targetAtMs?: number
+  /** Set by `RequestQueue.next`: the item is served as part of its rank's kept minimum and must be routed as the most urgent rank. */
+  keptMinimum?: boolean
 }
 
 /** Credit of a rank is kept for this many requests at most, so that a rank cannot save up a burst that displaces others. */
 const maxCredit = 20
+/**
+ * Part of all dispatches that may go to kept minimums ahead of more valuable ranks. Without it, the minimum of a rank
+ * that floods the fleet would displace the urgent rank: 10% of twenty times its demand is twice its demand.
+ */
+const keptDispatchShare = 0.25
+const maxKeptBudget = 5
 /** After this many rejected items of one model in one call of `next`, the model counts as blocked. */
 const rejectionsUntilBlocked = 2
 /** How often items that can no longer attain their target are sorted out. */
@@ -60,6 +68,7 @@
   private readonly lateQueues = new Map<Rank, RankQueue<Item>>()
   private readonly lateIds = new Set<string>()
   private nextLateCheckMs = 0
+  private keptBudget = maxKeptBudget
   private readonly byId = new Map<string, Item>()
   private readonly modelCounts = new Map<string, Map<Rank, number>>()
 
@@ -173,12 +182,16 @@
   private rankOrder (): Rank[] {
     const { ranks: rankConfigs } = this.config()
     return ranks.filter(rank => this.size(rank) > 0).sort((left, right) => {
-      const leftKept = this.credit(left) >= 1 ? 1 : 0
-      const rightKept = this.credit(right) >= 1 ? 1 : 0
+      const leftKept = this.servesMinimum(left) ? 1 : 0
+      const rightKept = this.servesMinimum(right) ? 1 : 0
       return rightKept - leftKept || rankConfigs[right].requestValue - rankConfigs[left].requestValue
     })
   }
 
+  private servesMinimum (rank: Rank): boolean {
+    return this.credit(rank) >= 1 && this.keptBudget >= 1
+  }
+
   private nextOfRank (
     rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean, models: ReadonlySet<string> | undefined
   ): Item | undefined {
@@ -194,6 +207,7 @@
       }
       heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
       for (const item of heads) {
+        item.keptMinimum = this.servesMinimum(item.rank)
         if (!canDispatch(item)) {
           rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
           continue
@@ -201,6 +215,7 @@
         rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
         customer.startTag += item.costTokens / customer.weight
         const onTime = this.rankQueues.get(item.rank)!
+        this.keptBudget = Math.min(maxKeptBudget, this.keptBudget + keptDispatchShare - (item.keptMinimum && item.rank !== ranks[0] ? 1 : 0))
         onTime.credit = Math.max(0, onTime.credit - 1)
         this.detach(item)
         return item
--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -28,8 +28,11 @@
 /** The engine's priority for requests of a rank; larger runs first. */
 export const enginePriorities: Readonly<Record<Rank, number>> = { urgent: 2, live: 1, browsing: 0 }
 
-/** Part of an engine's batch that requests of a rank may fill. The rest absorbs bursts of the more urgent ranks. */
-const batchShare: Readonly<Record<Rank, number>> = { urgent: 1.05, live: 1, browsing: 0.9 }
+/**
+ * Part of an engine's batch up to which requests of a rank are sent. The rest absorbs bursts of the more urgent ranks,
+ * and what exceeds 1 waits on the engine, where its priority lets it have the next free slot.
+ */
+const batchShare: Readonly<Record<Rank, number>> = { urgent: 1.25, live: 1.05, browsing: 0.85 }
 /** The engine with the cached prefix is preferred up to this multiple of the mean load. */
 const affinityLoadBound = 1.25
 const sameRegionCostMs = 2
