--- a/src/bench/currentPolicy.ts
+++ b/src/bench/currentPolicy.ts
@@ -10,7 +10,7 @@
 import { RequestQueue } from '../policy/queue.js'
 import type { QueueItem } from '../policy/queue.js'
 import { RetryBudget, retryDelayMs } from '../policy/retry.js'
-import { Router, enginePriorities } from '../policy/routing.js'
+import { Router, enginePriorities, keptMinimumPriority } from '../policy/routing.js'
 import type { DemandEntry, EngineEntry, Move } from '../protocol/messages.js'
 import type { BenchRequest, EngineModel } from './engineModel.js'
 import type { BenchPolicy, World } from './world.js'
@@ -160,8 +160,8 @@
     const blocked = new Set<string>()
     for (;;) {
       const item = this.queue.next(candidate => {
-        const rank = candidate.keptMinimum ? ranks[0] : candidate.rank
-        const key = `${rank}/${candidate.model}`
+        const rank = candidate.late ? 'browsing' : candidate.rank
+        const key = `${candidate.keptMinimum}/${rank}/${candidate.model}`
         if (blocked.has(key)) return false
         const decision = this.router.choose({
           requestId: candidate.requestId,
@@ -170,7 +170,8 @@
           prompt: candidate.request.prefix,
           rank,
           promptBytes: (candidate.request.prefixTokens + candidate.request.uniqueTokens) * 4,
-          excludeEngines: candidate.excluded
+          excludeEngines: candidate.excluded,
+          keptMinimum: candidate.keptMinimum ?? false
         }, this.views)
         if (decision.kind === 'engine') chosen = decision.engine
         else if (candidate.excluded.size === 0) blocked.add(key)
@@ -187,6 +188,7 @@
     const engine = engines[engineIndex]!
     const attemptId = `${item.requestId}/${item.attempt++}`
     const startMs = loop.nowMs()
+    const priority = item.keptMinimum ? keptMinimumPriority : enginePriorities[item.late ? 'browsing' : item.rank]
     this.router.onDispatched(engineName, attemptId, item.costTokens)
     // Replies of engines carry their load.
     const reply = () => {
@@ -194,7 +196,7 @@
       const { models, adapters } = this.views[engineIndex]!
       if (this.queue.size() > 0) this.pump(new Set([...models.map(model => splitVersionedModel(model.name).model), ...adapters.map(adapter => adapter.name)]))
     }
-    this.world.dispatch(this.index, engine, item.request, item.base, enginePriorities[item.keptMinimum ? ranks[0] : item.rank], {
+    this.world.dispatch(this.index, engine, item.request, item.base, priority, {
       onFirstToken: () => {
         this.router.onFirstToken(engineName, attemptId, loop.nowMs() - startMs)
         reply()
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -16,8 +16,10 @@
   costTokens: number
   /** Time until which the rank's target for the first token can be attained; absent if only the deadline counts. */
   targetAtMs?: number
-  /** Set by `RequestQueue.next`: the item is served as part of its rank's kept minimum and must be routed as the most urgent rank. */
+  /** Set by `RequestQueue.next`: the item is served as part of its rank's kept minimum and has the engine priority of it. */
   keptMinimum?: boolean
+  /** Set by `RequestQueue.next`: the target has passed, so that the item is routed as the least urgent rank. */
+  late?: boolean
 }
 
 /** Credit of a rank is kept for this many requests at most, so that a rank cannot save up a burst that displaces others. */
@@ -207,7 +209,8 @@
       }
       heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
       for (const item of heads) {
-        item.keptMinimum = this.servesMinimum(item.rank)
+        item.late = this.lateIds.has(item.requestId)
+        item.keptMinimum = !item.late && this.servesMinimum(item.rank)
         if (!canDispatch(item)) {
           rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
           continue
--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -19,6 +19,8 @@
   promptBytes: number
   /** Engines on which the request already failed. */
   excludeEngines: ReadonlySet<string>
+  /** The request is part of its rank's kept minimum. */
+  keptMinimum?: boolean
 }
 
 export type RouteDecision =
@@ -27,6 +29,11 @@
 
 /** The engine's priority for requests of a rank; larger runs first. */
 export const enginePriorities: Readonly<Record<Rank, number>> = { urgent: 2, live: 1, browsing: 0 }
+/** The engine's priority for kept minimums: among equals, they would wait behind the flood on the engine. */
+export const keptMinimumPriority = 3
+const keptMinimumBatchShare = 1.5
+/** Mean time to the first token above which a node keeps at most one request without first token on the engine. */
+const prefillBoundMs = 400
 
 /**
  * Part of an engine's batch up to which requests of a rank are sent. The rest absorbs bursts of the more urgent ranks,
@@ -58,6 +65,8 @@
   /** Times of own dispatches (+1) and ends (-1) that the last report may not show. */
   changes: { atMs: number, change: 1 | -1 }[]
   running: Map<string, number>
+  /** Running requests without a first token. */
+  pending: Set<string>
   failures: number
   ejections: number
   ejectedUntilMs: number
@@ -110,8 +119,9 @@
     if (allowed.length === 0) {
       return { kind: 'wait', reason: 'ejected', detail: `all ${withAdapter.length} engines with ${request.model} are ejected or failed this request` }
     }
-    const free = allowed.filter(engine => this.estimatedLoad(engine) < engine.maxBatch * batchShare[request.rank] ||
-      (request.rank !== 'browsing' && this.mayProbe(engine)))
+    const share = request.keptMinimum ? keptMinimumBatchShare : batchShare[request.rank]
+    const free = allowed.filter(engine => (request.keptMinimum || !this.prefillBound(engine)) && (this.estimatedLoad(engine) < engine.maxBatch * share ||
+      (request.rank !== 'browsing' && this.mayProbe(engine))))
     if (free.length === 0) return { kind: 'wait', reason: 'busy', detail: `all ${allowed.length} engines with ${request.model} are full` }
 
     const affine = this.affineEngine(request, free)
@@ -122,11 +132,13 @@
   onDispatched (engine: string, requestId: string, _costTokens: number): void {
     const state = this.stateOf(engine)
     state.running.set(requestId, this.clock.nowMs())
+    state.pending.add(requestId)
     state.changes.push({ atMs: this.clock.nowMs(), change: 1 })
   }
 
   onFirstToken (engine: string, requestId: string, latencyMs: number): void {
     const state = this.stateOf(engine)
+    state.pending.delete(requestId)
     state.firstTokenMs = state.firstTokenMs === 0 ? latencyMs : state.firstTokenMs + latencySmoothing * (latencyMs - state.firstTokenMs)
     const others = [...this.states].filter(([name, other]) => name !== engine && other.firstTokenMs > 0).map(([, other]) => other.firstTokenMs)
     if (others.length === 0 || state.firstTokenMs < slowMinimumMs) return
@@ -139,6 +151,7 @@
 
   onEnded (engine: string, requestId: string, result: 'ok' | 'failed' | 'cancelled'): void {
     const state = this.stateOf(engine)
+    state.pending.delete(requestId)
     if (state.running.delete(requestId)) state.changes.push({ atMs: this.clock.nowMs(), change: -1 })
     if (result === 'ok') {
       state.failures = 0
@@ -181,6 +194,12 @@
     return Math.max(state.running.size, load)
   }
 
+  /** Whether prompts queue on the engine, which the size of its batch does not show. */
+  private prefillBound (engine: EngineEntry): boolean {
+    const state = this.states.get(engine.engine)
+    return state !== undefined && state.pending.size > 0 && state.firstTokenMs > prefillBoundMs
+  }
+
   /**
    * Whether one request may be sent to an engine that looked full in an old report. Its reply carries the present load;
    * without it, a node in another region waits for up to 30 s for the next report.
@@ -264,7 +283,7 @@
   private stateOf (engine: string): EngineState {
     let state = this.states.get(engine)
     if (!state) {
-      state = { changes: [], running: new Map(), failures: 0, ejections: 0, ejectedUntilMs: 0, firstTokenMs: 0, cachedPrefixes: new Map() }
+      state = { changes: [], running: new Map(), pending: new Set(), failures: 0, ejections: 0, ejectedUntilMs: 0, firstTokenMs: 0, cachedPrefixes: new Map() }
       this.states.set(engine, state)
     }
     return state
--- /dev/null
+++ b/tests/admission.spec.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { Admission } from '../src/policy/admission.js'
+import { RequestQueue } from '../src/policy/queue.js'
+import { testConfig, createEngine, createItem } from './fixtures/policy.js'
+
+function setUp () {
+  const clock = new VirtualClock()
+  const queue = new RequestQueue({ clock, config: () => testConfig })
+  return { clock, queue, admission: new Admission({ clock, config: () => testConfig }) }
+}
+
+describe('admission and queue', () => {
+  it('serves the kept minimum of each rank in an urgent flood', async () => {
+    // Guards against the least valuable rank starving while more urgent requests never end.
+    const { queue } = setUp()
+    for (let index = 0; index < 400; index++) {
+      for (const rank of ['urgent', 'live', 'browsing'] as const) {
+        queue.noteDemand(rank)
+        queue.add(createItem({ requestId: `${rank}${index}`, rank }))
+      }
+    }
+    const served = { urgent: 0, live: 0, browsing: 0 }
+    for (let index = 0; index < 100; index++) served[queue.next(() => true)!.rank]++
+    expect(served.live).to.be.at.least(10)
+    expect(served.browsing).to.be.at.least(3)
+    expect(served.urgent).to.be.at.least(70)
+  })
+
+  it('does not let the kept minimum of a flooding rank displace the urgent rank', async () => {
+    // Guards against 10% of twenty times the demand taking the fleet.
+    const { queue } = setUp()
+    for (let index = 0; index < 1000; index++) queue.noteDemand('browsing')
+    for (let index = 0; index < 100; index++) {
+      queue.add(createItem({ requestId: `b${index}`, rank: 'browsing' }))
+      queue.add(createItem({ requestId: `u${index}`, rank: 'urgent' }))
+    }
+    const served = Array.from({ length: 60 }, () => queue.next(() => true)!.rank)
+    expect(served.filter(rank => rank === 'urgent').length).to.be.at.least(40)
+  })
+
+  it('shares a rank between customers by weight', async () => {
+    // Guards against a customer with many requests delaying the others of its rank.
+    const { queue } = setUp()
+    for (let index = 0; index < 90; index++) queue.add(createItem({ requestId: `a${index}`, customer: 'flooding' }))
+    for (let index = 0; index < 30; index++) queue.add(createItem({ requestId: `b${index}`, customer: 'quiet', customerWeight: 2 }))
+    const first = Array.from({ length: 30 }, () => queue.next(() => true)!.customer)
+    expect(first.filter(customer => customer === 'quiet').length).to.equal(20)
+  })
+
+  it('orders a customer by deadline and returns expired items once', async () => {
+    // Guards against late failure of requests that could have been served first, and against double removal.
+    const { queue } = setUp()
+    queue.add(createItem({ requestId: 'late', deadlineMs: 9000 }))
+    queue.add(createItem({ requestId: 'soon', deadlineMs: 1000 }))
+    queue.add(createItem({ requestId: 'next', deadlineMs: 2000 }))
+    expect(queue.takeExpired(1000).map(item => item.requestId)).to.deep.equal(['soon'])
+    expect(queue.remove('soon')).to.equal(undefined)
+    expect(queue.next(() => true)!.requestId).to.equal('next')
+    expect(queue.size()).to.equal(1)
+  })
+
+  it('serves requests past their target after those that can attain it', async () => {
+    // Guards against each request being served just too late in an overload.
+    const { clock, queue } = setUp()
+    queue.add(createItem({ requestId: 'past', targetAtMs: clock.nowMs() + 100, deadlineMs: clock.nowMs() + 5_000 }))
+    await clock.runUntil(clock.nowMs() + 200)
+    queue.add(createItem({ requestId: 'fresh', targetAtMs: clock.nowMs() + 100, deadlineMs: clock.nowMs() + 9_000 }))
+    expect(queue.next(() => true)!.requestId).to.equal('fresh')
+    expect(queue.next(() => true)!.late).to.equal(true)
+  })
+
+  it('refuses early with a useful time when the queue is too long', async () => {
+    // Guards against admitting requests that only fail at their deadline.
+    const { clock, queue, admission } = setUp()
+    for (let index = 0; index < 10; index++) admission.onCompleted({ rank: 'live', model: 'a', serviceMs: 100, tokens: 10 })
+    for (let index = 0; index < 200; index++) queue.add(createItem({ requestId: `w${index}`, deadlineMs: clock.nowMs() + 20_000 }))
+    const decision = admission.decide(createItem({ requestId: 'x', deadlineMs: clock.nowMs() + 20_000 }), {
+      queue, engines: [createEngine('e1', ['a@1'])], loadTimeMs: 3000
+    })
+    expect(decision.admitted).to.be.false
+    if (!decision.admitted) expect(decision.retryAfterMs).to.be.within(1_000, 60_000)
+  })
+
+  it('refuses a cold model only if the load takes longer than the patience', async () => {
+    // Guards against refusing patient callers of rarely used models.
+    const { clock, queue, admission } = setUp()
+    const state = { queue, engines: [createEngine('e1', [])], loadTimeMs: 3000 }
+    expect(admission.decide(createItem({ requestId: 'x', deadlineMs: clock.nowMs() + 2000 }), state)).to.include({ admitted: false, retryAfterMs: 3000 })
+    expect(admission.decide(createItem({ requestId: 'y', deadlineMs: clock.nowMs() + 5000 }), state).admitted).to.be.true
+  })
+
+  it('enforces ceilings and names the time after which a retry succeeds', async () => {
+    // Guards against a ceiling that a caller cannot obey.
+    const { clock, queue, admission } = setUp()
+    const state = { queue, engines: [createEngine('e1', ['a@1'])], loadTimeMs: 3000 }
+    const request = (requestId: string) => ({ ...createItem({ requestId, deadlineMs: clock.nowMs() + 60_000 }), ceilingRequestsPerSecond: 1 })
+    expect(admission.decide(request('x'), state).admitted).to.be.true
+    const refused = admission.decide(request('y'), state)
+    expect(refused.admitted).to.be.false
+    if (!refused.admitted) await clock.runUntil(clock.nowMs() + refused.retryAfterMs)
+    expect(admission.decide(request('z'), state).admitted).to.be.true
+  })
+})
