--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -34,6 +34,8 @@
 /** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
 const minimumRelief = 0.05
 const spreadRounds = 4
+/** Part of a pool's planned capacity that its demand is scaled down to. */
+const servableShare = 0.8
 /** Part of a cold model's value that a relocation on its behalf may cost. */
 const relocationLossShare = 0.2
 
@@ -114,6 +116,25 @@
     for (const [name, config] of Object.entries(input.config.models)) this.demands.set(name, this.demandOf(name, config))
     this.engines = input.engines.filter(entry => entry.reachable && !entry.draining).map(entry => this.spaceOf(entry))
     this.assignReserves()
+    this.limitDemand()
+  }
+
+  /**
+   * Scales the demand of a pool down to what its engines can serve, and keeps its value: admission sheds the least
+   * valuable part, which no placement can serve. Otherwise a flood makes every copy look indispensable.
+   */
+  private limitDemand (): void {
+    for (const pool of Object.keys(this.config.pools)) {
+      const demands = [...this.demands.values()].filter(demand => demand.config.pool === pool)
+      const total = demands.reduce((sum, demand) => sum + demand.tokensPerSecond, 0)
+      const capacity = this.engines.reduce((sum, engine) => sum + (engine.entry.pool === pool ? engine.capacity : 0), 0)
+      const factor = servableShare * capacity / total
+      if (!(factor < 1) || factor === 0) continue
+      for (const demand of demands) {
+        demand.tokensPerSecond *= factor
+        demand.valuePerToken /= factor
+      }
+    }
   }
 
   plan (): PlacementPlan {
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -49,6 +49,8 @@
   customers: Map<string, CustomerQueue<Item>>
   /** Finish tags of customers that have nothing waiting. */
   finishTags: Map<string, number>
+  /** Number of items by model. */
+  models: Map<string, number>
   virtualTime: number
   size: number
   credit: number
@@ -78,7 +80,7 @@
     this.clock = clock
     this.config = config
     for (const queues of [this.rankQueues, this.lateQueues]) {
-      for (const rank of ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), virtualTime: 0, size: 0, credit: 0 })
+      for (const rank of ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), models: new Map(), virtualTime: 0, size: 0, credit: 0 })
     }
   }
 
@@ -115,6 +117,7 @@
     if (!items) customer.byModel.set(item.model, items = [])
     insertByDeadline(items, item)
     customer.count++
+    rankQueue.models.set(item.model, (rankQueue.models.get(item.model) ?? 0) + 1)
     rankQueue.size++
   }
 
@@ -198,21 +201,25 @@
     rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean, models: ReadonlySet<string> | undefined
   ): Item | undefined {
     if (rankQueue.size === 0) return undefined
+    const open = new Set([...rankQueue.models.keys()].filter(model => models?.has(model) ?? true))
+    if (open.size === 0) return undefined
     const rejections = new Map<string, number>()
-    const blocked = (model: string) => (rejections.get(model) ?? 0) >= rejectionsUntilBlocked
     const customers = [...rankQueue.customers.values()].sort((left, right) => left.startTag - right.startTag)
     for (const customer of customers) {
+      if (open.size === 0) return undefined
       const heads: Item[] = []
-      for (const model of models ?? customer.byModel.keys()) {
+      for (const model of open) {
         const head = customer.byModel.get(model)?.[0]
-        if (head && !blocked(model)) heads.push(head)
+        if (head) heads.push(head)
       }
       heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
       for (const item of heads) {
         item.late = this.lateIds.has(item.requestId)
         item.keptMinimum = !item.late && this.servesMinimum(item.rank)
         if (!canDispatch(item)) {
-          rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
+          const count = (rejections.get(item.model) ?? 0) + 1
+          rejections.set(item.model, count)
+          if (count >= rejectionsUntilBlocked) open.delete(item.model)
           continue
         }
         rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
@@ -254,6 +261,9 @@
     items.splice(items.indexOf(item), 1)
     if (items.length === 0) customer.byModel.delete(item.model)
     customer.count--
+    const ofModel = rankQueue.models.get(item.model)! - 1
+    if (ofModel > 0) rankQueue.models.set(item.model, ofModel)
+    else rankQueue.models.delete(item.model)
     rankQueue.size--
     if (customer.count > 0) return
     rankQueue.customers.delete(customer.name)
