--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -11,6 +11,8 @@
   engine: string
   /** `NAME@VERSION` that the engine has ready. */
   model: string
+  /** Larger runs first on the engine. */
+  priority: number
   api: EngineApi
   onFirstToken: (latencyMs: number) => void
   onEnded: (result: 'ok' | 'failed' | 'cancelled') => void
@@ -20,7 +22,7 @@
 export interface GenerationOptions {
   clock: Clock
   trace: RequestTrace
-  request: Omit<InferenceRequest, 'attemptId' | 'model'>
+  request: Omit<InferenceRequest, 'attemptId' | 'model' | 'priority'>
   idempotent: boolean
   /** Aborts when the caller is gone or the deadline has passed. */
   signal: AbortSignal
@@ -106,9 +108,9 @@
     if (!complete) void api.cancel(this.options.request.requestId).catch(() => {})
   }
 
-  private start ({ api, model }: EngineAssignment, attemptId: string): AsyncIterable<InferenceEvent> {
+  private start ({ api, model, priority }: EngineAssignment, attemptId: string): AsyncIterable<InferenceEvent> {
     const generatedTokens = this.tokens.length > 0 ? [...this.tokens] : undefined
-    return api.infer({ ...this.options.request, model, attemptId, generatedTokens }, { signal: this.options.signal })
+    return api.infer({ ...this.options.request, model, priority, attemptId, generatedTokens }, { signal: this.options.signal })
   }
 
   private resume (api: EngineApi, attemptId: string): AsyncIterable<InferenceEvent> {
--- a/src/gateway/inference.ts
+++ b/src/gateway/inference.ts
@@ -5,7 +5,6 @@
 import type { Random } from '../base/random.js'
 import { retryDelayMs } from '../policy/retry.js'
 import type { RetryBudget } from '../policy/retry.js'
-import { ranks } from '../config/fleetConfig.js'
 import type { Exchange, Filter } from './exchange.js'
 import { Generation } from './generation.js'
 import type { GenerationEvent } from './generation.js'
@@ -99,8 +98,7 @@
       requestId: exchange.requestId,
       adapter: work.adapter,
       prompt: work.prompt,
-      maxTokens: work.maxTokens,
-      priority: ranks.length - ranks.indexOf(terms.rank)
+      maxTokens: work.maxTokens
     },
     idempotent: terms.idempotent,
     signal,
@@ -113,6 +111,8 @@
         rank: terms.rank,
         customer: exchange.customer!,
         customerWeight: terms.customerWeight,
+        firstTokenMs: terms.firstTokenMs,
+        arrivedAtMs: exchange.arrivedAtMs,
         requestedModel: work.requestedModel,
         model: work.model,
         versionedModel,
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -186,7 +186,7 @@
       log,
       queue: new RequestQueue({ clock, config: () => this.config() }),
       admission: new Admission({ clock, config: () => this.config(), nodeCount: () => this.readyNodes() }),
-      router: new Router({ clock, random, location: identity, crossRegionPrice: () => this.config().fleet.crossRegionPrice }),
+      router: new Router({ clock, random, location: identity, nodeCount: () => this.readyNodes(), crossRegionPrice: () => this.config().fleet.crossRegionPrice }),
       config: () => this.config(),
       engines: () => this.routableEngines(),
       engineApi: entry => {
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -9,6 +9,7 @@
 import type { CacheEvent, EngineApi } from '../platform/engine.js'
 import type { Admission } from '../policy/admission.js'
 import type { QueueItem, RequestQueue } from '../policy/queue.js'
+import { enginePriorities, keptMinimumPriority } from '../policy/routing.js'
 import type { RouteRequest, Router } from '../policy/routing.js'
 import type { EngineEntry } from '../protocol/messages.js'
 import type { EngineAssignment } from './generation.js'
@@ -31,6 +32,10 @@
   rank: Rank
   customer: string
   customerWeight: number
+  /** Target for the first token; 0 means that only the deadline counts. */
+  firstTokenMs: number
+  /** Time of arrival at the node. */
+  arrivedAtMs: number
   /** Model or adapter as the caller named it. */
   requestedModel: string
   /** Base model, without version. */
@@ -67,6 +72,8 @@
 
 // Engine reports and expiries that no event announces are seen within this time.
 const pumpPeriodMs = 25
+/** Time from dispatch to the first token on an engine that is not overloaded. */
+const firstTokenMarginMs = 150
 
 /** Owns the queue of this node. */
 export class Scheduler {
@@ -134,6 +141,7 @@
       trace,
       enqueuedAtMs: this.options.clock.nowMs(),
       route: { requestId, model: request.versionedModel ?? versionedModel(model, version), adapter, prompt, rank, promptBytes, excludeEngines },
+      ...(request.firstTokenMs > 0 ? { targetAtMs: request.arrivedAtMs + request.firstTokenMs - firstTokenMarginMs } : {}),
       waitReason: 'queued',
       resolve,
       reject
@@ -164,13 +172,16 @@
     for (;;) {
       let chosen: string | undefined
       const item = queue.next(candidate => {
-        const key = blockingKey(candidate)
+        // A request that can no longer attain its target yields to those that can.
+        const rank = candidate.late ? 'browsing' : candidate.rank
+        const keptMinimum = candidate.keptMinimum ?? false
+        const key = blockingKey(candidate, rank, keptMinimum)
         const known = blocked.get(key)
         if (known !== undefined) {
           candidate.waitReason = known
           return false
         }
-        const decision = router.choose(candidate.route, engines)
+        const decision = router.choose({ ...candidate.route, rank, keptMinimum }, engines)
         return match(decision)
           .with({ kind: 'engine' }, ({ engine, reason }) => {
             chosen = engine
@@ -199,6 +210,7 @@
     item.resolve({
       engine,
       model: item.route.model,
+      priority: item.keptMinimum ? keptMinimumPriority : enginePriorities[item.late ? 'browsing' : item.rank],
       api: this.options.engineApi(entry),
       onFirstToken: latencyMs => router.onFirstToken(engine, item.requestId, latencyMs),
       onEnded: result => this.onEnded(engine, item.requestId, result)
@@ -218,8 +230,8 @@
 }
 
 /** Requests with the same key have the same candidates, so one look serves all of them within a pump. */
-function blockingKey ({ route, rank }: PendingRequest): string {
-  return [route.model, route.adapter ?? '', rank, ...route.excludeEngines].join('\n')
+function blockingKey ({ route }: PendingRequest, rank: Rank, keptMinimum: boolean): string {
+  return [route.model, route.adapter ?? '', rank, String(keptMinimum), ...route.excludeEngines].join('\n')
 }
 
 /** Models, without version, that have a ready copy among `engines`. */
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -16,10 +16,20 @@
   costTokens: number
   /** Time until which the rank's target for the first token can be attained; absent if only the deadline counts. */
   targetAtMs?: number
+  /** Set by `RequestQueue.next`: the item is served as part of its rank's kept minimum and has the engine priority of it. */
+  keptMinimum?: boolean
+  /** Set by `RequestQueue.next`: the target has passed, so that the item is routed as the least urgent rank. */
+  late?: boolean
 }
 
 /** Credit of a rank is kept for this many requests at most, so that a rank cannot save up a burst that displaces others. */
 const maxCredit = 20
+/**
+ * Part of all dispatches that may go to kept minimums ahead of more valuable ranks. Without it, the minimum of a rank
+ * that floods the fleet would displace the urgent rank: 10% of twenty times its demand is twice its demand.
+ */
+const keptDispatchShare = 0.25
+const maxKeptBudget = 5
 /** After this many rejected items of one model in one call of `next`, the model counts as blocked. */
 const rejectionsUntilBlocked = 2
 /** How often items that can no longer attain their target are sorted out. */
@@ -39,6 +49,8 @@
   customers: Map<string, CustomerQueue<Item>>
   /** Finish tags of customers that have nothing waiting. */
   finishTags: Map<string, number>
+  /** Number of items by model. */
+  models: Map<string, number>
   virtualTime: number
   size: number
   credit: number
@@ -60,6 +72,7 @@
   private readonly lateQueues = new Map<Rank, RankQueue<Item>>()
   private readonly lateIds = new Set<string>()
   private nextLateCheckMs = 0
+  private keptBudget = maxKeptBudget
   private readonly byId = new Map<string, Item>()
   private readonly modelCounts = new Map<string, Map<Rank, number>>()
 
@@ -67,7 +80,7 @@
     this.clock = clock
     this.config = config
     for (const queues of [this.rankQueues, this.lateQueues]) {
-      for (const rank of ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), virtualTime: 0, size: 0, credit: 0 })
+      for (const rank of ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), models: new Map(), virtualTime: 0, size: 0, credit: 0 })
     }
   }
 
@@ -104,6 +117,7 @@
     if (!items) customer.byModel.set(item.model, items = [])
     insertByDeadline(items, item)
     customer.count++
+    rankQueue.models.set(item.model, (rankQueue.models.get(item.model) ?? 0) + 1)
     rankQueue.size++
   }
 
@@ -114,14 +128,17 @@
     return item
   }
 
-  /** Removes and returns the item that is served next among those that `canDispatch` accepts. */
-  next (canDispatch: (item: Item) => boolean): Item | undefined {
+  /**
+   * Removes and returns the item that is served next among those that `canDispatch` accepts. `models` limits the search
+   * to the models for which something has changed, since most calls follow the end of one request on one engine.
+   */
+  next (canDispatch: (item: Item) => boolean, models?: ReadonlySet<string>): Item | undefined {
     if (this.byId.size === 0) return undefined
     this.sortOutLate()
     const order = this.rankOrder()
     for (const queues of [this.rankQueues, this.lateQueues]) {
       for (const rank of order) {
-        const item = this.nextOfRank(queues.get(rank)!, canDispatch)
+        const item = this.nextOfRank(queues.get(rank)!, canDispatch, models)
         if (item) return item
       }
     }
@@ -170,34 +187,45 @@
   private rankOrder (): Rank[] {
     const { ranks: rankConfigs } = this.config()
     return ranks.filter(rank => this.size(rank) > 0).sort((left, right) => {
-      const leftKept = this.credit(left) >= 1 ? 1 : 0
-      const rightKept = this.credit(right) >= 1 ? 1 : 0
+      const leftKept = this.servesMinimum(left) ? 1 : 0
+      const rightKept = this.servesMinimum(right) ? 1 : 0
       return rightKept - leftKept || rankConfigs[right].requestValue - rankConfigs[left].requestValue
     })
   }
 
-  private nextOfRank (rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean): Item | undefined {
+  private servesMinimum (rank: Rank): boolean {
+    return this.credit(rank) >= 1 && this.keptBudget >= 1
+  }
+
+  private nextOfRank (
+    rankQueue: RankQueue<Item>, canDispatch: (item: Item) => boolean, models: ReadonlySet<string> | undefined
+  ): Item | undefined {
     if (rankQueue.size === 0) return undefined
+    const open = new Set([...rankQueue.models.keys()].filter(model => models?.has(model) ?? true))
+    if (open.size === 0) return undefined
     const rejections = new Map<string, number>()
-    const blocked = (model: string) => (rejections.get(model) ?? 0) >= rejectionsUntilBlocked
     const customers = [...rankQueue.customers.values()].sort((left, right) => left.startTag - right.startTag)
     for (const customer of customers) {
-      const tried = new Set<string>()
-      for (;;) {
-        let item: Item | undefined
-        for (const [model, items] of customer.byModel) {
-          const head = items[0]!
-          if ((!item || head.deadlineMs < item.deadlineMs) && !tried.has(model) && !blocked(model)) item = head
-        }
-        if (!item) break
+      if (open.size === 0) return undefined
+      const heads: Item[] = []
+      for (const model of open) {
+        const head = customer.byModel.get(model)?.[0]
+        if (head) heads.push(head)
+      }
+      heads.sort((left, right) => left.deadlineMs - right.deadlineMs)
+      for (const item of heads) {
+        item.late = this.lateIds.has(item.requestId)
+        item.keptMinimum = !item.late && this.servesMinimum(item.rank)
         if (!canDispatch(item)) {
-          tried.add(item.model)
-          rejections.set(item.model, (rejections.get(item.model) ?? 0) + 1)
+          const count = (rejections.get(item.model) ?? 0) + 1
+          rejections.set(item.model, count)
+          if (count >= rejectionsUntilBlocked) open.delete(item.model)
           continue
         }
         rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
         customer.startTag += item.costTokens / customer.weight
         const onTime = this.rankQueues.get(item.rank)!
+        this.keptBudget = Math.min(maxKeptBudget, this.keptBudget + keptDispatchShare - (item.keptMinimum && item.rank !== ranks[0] ? 1 : 0))
         onTime.credit = Math.max(0, onTime.credit - 1)
         this.detach(item)
         return item
@@ -233,6 +261,9 @@
     items.splice(items.indexOf(item), 1)
     if (items.length === 0) customer.byModel.delete(item.model)
     customer.count--
+    const ofModel = rankQueue.models.get(item.model)! - 1
+    if (ofModel > 0) rankQueue.models.set(item.model, ofModel)
+    else rankQueue.models.delete(item.model)
     rankQueue.size--
     if (customer.count > 0) return
     rankQueue.customers.delete(customer.name)
--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -19,6 +19,8 @@
   promptBytes: number
   /** Engines on which the request already failed. */
   excludeEngines: ReadonlySet<string>
+  /** The request is part of its rank's kept minimum. */
+  keptMinimum?: boolean
 }
 
 export type RouteDecision =
@@ -27,9 +29,17 @@
 
 /** The engine's priority for requests of a rank; larger runs first. */
 export const enginePriorities: Readonly<Record<Rank, number>> = { urgent: 2, live: 1, browsing: 0 }
+/** The engine's priority for kept minimums: among equals, they would wait behind the flood on the engine. */
+export const keptMinimumPriority = 3
+const keptMinimumBatchShare = 1.5
+/** Mean time to the first token above which a node keeps at most one request without first token on the engine. */
+const prefillBoundMs = 400
 
-/** Part of an engine's batch that requests of a rank may fill. The rest absorbs bursts of the more urgent ranks. */
-const batchShare: Readonly<Record<Rank, number>> = { urgent: 1.05, live: 1, browsing: 0.9 }
+/**
+ * Part of an engine's batch up to which requests of a rank are sent. The rest absorbs bursts of the more urgent ranks,
+ * and what exceeds 1 waits on the engine, where its priority lets it have the next free slot.
+ */
+const batchShare: Readonly<Record<Rank, number>> = { urgent: 1.25, live: 1.05, browsing: 0.85 }
 /** The engine with the cached prefix is preferred up to this multiple of the mean load. */
 const affinityLoadBound = 1.25
 const sameRegionCostMs = 2
@@ -38,6 +48,8 @@
 const fullLoadCostMs = 60
 /** Engines whose cost differs by less are chosen between at random, so that nodes with the same report spread out. */
 const nearEqualMs = 6
+/** Age of a report after which an engine that it shows as full is tried with one request. */
+const probeAfterMs = 500
 const consecutiveFailuresUntilEjected = 3
 const firstEjectionMs = 5_000
 const maxEjectionMs = 60_000
@@ -53,6 +65,8 @@
   /** Times of own dispatches (+1) and ends (-1) that the last report may not show. */
   changes: { atMs: number, change: 1 | -1 }[]
   running: Map<string, number>
+  /** Running requests without a first token. */
+  pending: Set<string>
   failures: number
   ejections: number
   ejectedUntilMs: number
@@ -76,18 +90,22 @@
   private readonly random: Random
   private readonly location: { region: string, availabilityZone: string }
   private readonly crossRegionPrice: () => number
+  private readonly nodeCount: () => number
   private readonly states = new Map<string, EngineState>()
 
-  constructor ({ clock, random, location, crossRegionPrice }: {
+  /** `nodeCount` is the number of nodes that send to the same engines. */
+  constructor ({ clock, random, location, crossRegionPrice, nodeCount = () => 1 }: {
     clock: Clock
     random: Random
     location: { region: string, availabilityZone: string }
     crossRegionPrice: () => number
+    nodeCount?: () => number
   }) {
     this.clock = clock
     this.random = random
     this.location = location
     this.crossRegionPrice = crossRegionPrice
+    this.nodeCount = nodeCount
   }
 
   choose (request: RouteRequest, engines: readonly EngineEntry[]): RouteDecision {
@@ -101,7 +119,9 @@
     if (allowed.length === 0) {
       return { kind: 'wait', reason: 'ejected', detail: `all ${withAdapter.length} engines with ${request.model} are ejected or failed this request` }
     }
-    const free = allowed.filter(engine => this.estimatedLoad(engine) < engine.maxBatch * batchShare[request.rank])
+    const share = request.keptMinimum ? keptMinimumBatchShare : batchShare[request.rank]
+    const free = allowed.filter(engine => (request.keptMinimum || !this.prefillBound(engine)) && (this.estimatedLoad(engine) < engine.maxBatch * share ||
+      (request.rank !== 'browsing' && this.mayProbe(engine))))
     if (free.length === 0) return { kind: 'wait', reason: 'busy', detail: `all ${allowed.length} engines with ${request.model} are full` }
 
     const affine = this.affineEngine(request, free)
@@ -112,11 +132,13 @@
   onDispatched (engine: string, requestId: string, _costTokens: number): void {
     const state = this.stateOf(engine)
     state.running.set(requestId, this.clock.nowMs())
+    state.pending.add(requestId)
     state.changes.push({ atMs: this.clock.nowMs(), change: 1 })
   }
 
   onFirstToken (engine: string, requestId: string, latencyMs: number): void {
     const state = this.stateOf(engine)
+    state.pending.delete(requestId)
     state.firstTokenMs = state.firstTokenMs === 0 ? latencyMs : state.firstTokenMs + latencySmoothing * (latencyMs - state.firstTokenMs)
     const others = [...this.states].filter(([name, other]) => name !== engine && other.firstTokenMs > 0).map(([, other]) => other.firstTokenMs)
     if (others.length === 0 || state.firstTokenMs < slowMinimumMs) return
@@ -129,6 +151,7 @@
 
   onEnded (engine: string, requestId: string, result: 'ok' | 'failed' | 'cancelled'): void {
     const state = this.stateOf(engine)
+    state.pending.delete(requestId)
     if (state.running.delete(requestId)) state.changes.push({ atMs: this.clock.nowMs(), change: -1 })
     if (result === 'ok') {
       state.failures = 0
@@ -154,7 +177,10 @@
     }
   }
 
-  /** Requests on the engine by its last report, corrected by what this node dispatched and saw end since then. */
+  /**
+   * Requests on the engine by its last report, corrected by what this node dispatched and saw end since then. A surplus
+   * of dispatches is multiplied by the number of nodes, as all of them see the same free engine at the same time.
+   */
   estimatedLoad (engine: EngineEntry): number {
     const state = this.states.get(engine.engine)
     let load = engine.running + engine.queued
@@ -162,10 +188,27 @@
     let outdated = 0
     while (outdated < state.changes.length && state.changes[outdated]!.atMs <= engine.reportedAtMs) outdated++
     if (outdated > 0) state.changes.splice(0, outdated)
-    for (const { change } of state.changes) load += change
+    let net = 0
+    for (const { change } of state.changes) net += change
+    load += net > 0 ? net * this.nodeCount() : net
     return Math.max(state.running.size, load)
   }
 
+  /** Whether prompts queue on the engine, which the size of its batch does not show. */
+  private prefillBound (engine: EngineEntry): boolean {
+    const state = this.states.get(engine.engine)
+    return state !== undefined && state.pending.size > 0 && state.firstTokenMs > prefillBoundMs
+  }
+
+  /**
+   * Whether one request may be sent to an engine that looked full in an old report. Its reply carries the present load;
+   * without it, a node in another region waits for up to 30 s for the next report.
+   */
+  private mayProbe (engine: EngineEntry): boolean {
+    if (this.clock.nowMs() - engine.reportedAtMs < probeAfterMs) return false
+    return !(this.states.get(engine.engine)?.changes.some(({ atMs, change }) => change > 0 && atMs > engine.reportedAtMs) ?? false)
+  }
+
   /** Whether the node avoids the engine at present. */
   isEjected (engine: string): boolean {
     return (this.states.get(engine)?.ejectedUntilMs ?? 0) > this.clock.nowMs()
@@ -240,7 +283,7 @@
   private stateOf (engine: string): EngineState {
     let state = this.states.get(engine)
     if (!state) {
-      state = { changes: [], running: new Map(), failures: 0, ejections: 0, ejectedUntilMs: 0, firstTokenMs: 0, cachedPrefixes: new Map() }
+      state = { changes: [], running: new Map(), pending: new Set(), failures: 0, ejections: 0, ejectedUntilMs: 0, firstTokenMs: 0, cachedPrefixes: new Map() }
       this.states.set(engine, state)
     }
     return state
--- a/tests/generation.spec.ts
+++ b/tests/generation.spec.ts
@@ -49,7 +49,7 @@
   const generation = new Generation({
     clock,
     trace: new RequestTrace(clock, 'r1', 0),
-    request: { requestId: 'r1', prompt: 'p', maxTokens: 4, priority: 1 },
+    request: { requestId: 'r1', prompt: 'p', maxTokens: 4 },
     idempotent,
     signal: controller.signal,
     newAttemptId: () => `attempt-${++attempts}`,
@@ -58,7 +58,7 @@
     assign: async excluded => {
       const engine = names.find(name => !excluded.has(name))
       if (!engine) throw new NotRunError('scheduler', 'no engine')
-      const assignment: EngineAssignment = { engine, model: 'm@1', api: apiOf(engine), onFirstToken: () => {}, onEnded: result => results.push(`${engine} ${result}`) }
+      const assignment: EngineAssignment = { engine, model: 'm@1', priority: 1, api: apiOf(engine), onFirstToken: () => {}, onEnded: result => results.push(`${engine} ${result}`) }
       return assignment
     }
   })
