--- a/src/fleet/vmDirectory.ts
+++ b/src/fleet/vmDirectory.ts
@@ -3,6 +3,7 @@
 import { repeat } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import { rendezvousOwner } from '../base/hash.js'
+import { parseOnce } from '../base/parseOnce.js'
 import { vmSchema } from '../platform/vmList.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
@@ -27,6 +28,7 @@
 const pollPeriodMs = 2_000
 /** Key prefix of the published VMs: `vm/REGION/NAME`. */
 const keyPrefix = 'vm/'
+const parseVm = parseOnce(vmSchema)
 
 /**
  * In each region one node, chosen by rendezvous hashing, reads the list and publishes the VMs of its region. A VM that
@@ -56,10 +58,7 @@
 
   /** All VMs that are listed. */
   vms (): Vm[] {
-    return this.options.entries.list(keyPrefix).flatMap(({ value }) => {
-      const result = vmSchema.safeParse(value)
-      return result.success ? [result.data] : []
-    })
+    return this.options.entries.list(keyPrefix).flatMap(({ value }) => parseVm(value) ?? [])
   }
 
   private async poll (): Promise<void> {
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -3,6 +3,7 @@
 import { match } from 'ts-pattern'
 import { repeat, sleep } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
+import { parseOnce } from '../base/parseOnce.js'
 import { parseFleetConfig } from '../config/parseFleetConfig.js'
 import { FindingsError, hasErrors } from '../base/findings.js'
 import { propose } from '../config/proposal.js'
@@ -86,6 +87,8 @@
 // At 340 idle nodes the probes are 11 reads/s of the service's 2,000.
 const keyValueProbePeriodMs = 30_000
 const maxCachePolls = 4
+// Requests that wait read all entries each 25 ms; at 600 engines a check of each would take longer than that.
+const parseEngineEntry = parseOnce(engineEntrySchema)
 
 /** Assembles the parts of a node. `start` must be called before requests are handled. */
 export class NodeCore {
@@ -376,10 +379,7 @@
 
   /** Engine entries as far as this node knows them. */
   engineEntries (): EngineEntry[] {
-    return this.dissemination.list('engine/').flatMap(({ value }) => {
-      const result = engineEntrySchema.safeParse(value)
-      return result.success ? [result.data] : []
-    })
+    return this.dissemination.list('engine/').flatMap(({ value }) => parseEngineEntry(value) ?? [])
   }
 
   private async queryAll (query: 'burn' | 'trace', argument: string): Promise<{ answers: unknown[], names: string[], missing: string[] }> {
@@ -453,8 +453,7 @@
   }
 
   private engineEntry (engine: string): EngineEntry | undefined {
-    const result = engineEntrySchema.safeParse(this.dissemination.get(`engine/${engine}`))
-    return result.success ? result.data : undefined
+    return parseEngineEntry(this.dissemination.get(`engine/${engine}`))
   }
 
   private routableEngines (): EngineEntry[] {
--- a/src/prove/faults.ts
+++ b/src/prove/faults.ts
@@ -47,12 +47,6 @@
   later(world, outageMs, () => world.topology.heal())
 }
 
-let proposals = 0
-/** IDs of proposals must be unique within a case; cases run one after another. */
-function nextProposalId (world: World): string {
-  return `fault-${world.record.proposals.length}-${++proposals}`
-}
-
 export const faults: Fault[] = [
   {
     name: 'demand-shift',
@@ -198,7 +192,7 @@
     durationMs: 1_000,
     start: world => {
       for (const node of world.live().slice(0, 2)) {
-        const proposalId = nextProposalId(world)
+        const proposalId = `fault-${world.record.proposals.length}`
         void world.propose(node, { text: fleetText({}, proposalId), proposalId })
       }
       return undefined
--- a/src/prove/flows.ts
+++ b/src/prove/flows.ts
@@ -8,6 +8,10 @@
 export interface Flow {
   name: string
   start: (world: World) => void
+  /** Longer than a short flow. */
+  durationMs?: number
+  /** Only these faults are tried, since the flow is long. */
+  faults?: readonly string[]
   /** Whether an outside call after the start belongs to the flow. */
   owns: (step: Step) => boolean
 }
@@ -32,6 +36,17 @@
   }
 }
 
+const replacePeriodMs = 16_000
+const replaceFaults = ['node-killed', 'cut-during', 'region-cut', 'vm-list-stale']
+
+/** Replaces all nodes one after another while the key-value service is down. */
+function replaceAll (world: World, replace: (node: WorldNode) => void): void {
+  world.keyValueCondition.down = true
+  const nodes = world.live()
+  nodes.forEach((node, index) => world.clock.setTimer(index * replacePeriodMs, () => { if (!node.process.ended) replace(node) }))
+  world.clock.setTimer(nodes.length * replacePeriodMs, () => { world.keyValueCondition.down = false })
+}
+
 export const flows: Flow[] = [
   {
     name: 'request',
@@ -131,5 +146,19 @@
     name: 'node-start',
     start: world => { world.startNode('n4', { region: 'north', availabilityZone: 'north-2' }) },
     owns: step => /^(keyValue\.\w+\.config|peer\.(config|members|memberDigest|digest|entries|handOver)|vmList|engine\.(openSession|command\.claim))/.test(step.kind)
+  },
+  {
+    name: 'replace-all-drained',
+    start: world => replaceAll(world, node => world.drainNode(node)),
+    durationMs: 3 * replacePeriodMs,
+    faults: replaceFaults,
+    owns: step => /^(keyValue\.\w+\.config|peer\.(config|memberDigest|handOver)|vmList|engine\.command\.claim)/.test(step.kind)
+  },
+  {
+    name: 'replace-all-killed',
+    start: world => replaceAll(world, node => world.killNode(node, { restartAfterMs: 2_000, replace: true })),
+    durationMs: 3 * replacePeriodMs,
+    faults: replaceFaults,
+    owns: step => /^(keyValue\.\w+\.config|peer\.(config|memberDigest)|vmList|engine\.command\.claim)/.test(step.kind)
   }
 ]
--- a/src/prove/main.ts
+++ b/src/prove/main.ts
@@ -11,14 +11,17 @@
 
 const usage = 'npm run prove -- [--naive] [--seeds N] [--workers N] [--case ID [--log]] [--every N] [--flow NAME]'
 
+/** Each so many-th case shows all eight points. */
+const naiveEvery = 10
+
 const { values } = parseArgs({
   options: {
     naive: { type: 'boolean', default: false },
-    seeds: { type: 'string', default: '60' },
+    seeds: { type: 'string' },
     workers: { type: 'string', default: '5' },
     case: { type: 'string' },
     log: { type: 'boolean', default: false },
-    every: { type: 'string', default: '1' },
+    every: { type: 'string' },
     flow: { type: 'string' },
     help: { type: 'boolean', default: false }
   }
@@ -54,9 +57,9 @@
     results = await runOne(values.case)
   } else {
     const steps = await numberSteps({}, values.flow === undefined ? undefined : [values.flow])
-    const every = Number(values.every)
+    const every = Number(values.every ?? (values.naive ? naiveEvery : 1))
     const singles = singleCases(steps).filter((_, index) => index % every === 0)
-    results = await runAll([...singles, ...pairCases(steps, Number(values.seeds))], Number(values.workers))
+    results = await runAll([...singles, ...pairCases(steps, Number(values.seeds ?? (values.naive ? 0 : 60)))], Number(values.workers))
   }
   const { text, violations } = report(results, { command: `npm run prove --${values.naive ? ' --naive' : ''} --case` })
   console.log(text)
--- a/src/prove/matrix.ts
+++ b/src/prove/matrix.ts
@@ -16,7 +16,10 @@
   return steps
 }
 
-/** Each fault alone at each step to which it applies. The first occurrence stands for all, but for calls that are cut. */
+/** Faults of the call or of its process, which may do other harm at the second call of a kind than at the first. */
+const isLocal = (fault: string) => /^(command|cut|node-killed|key-value-late|service)/.test(fault)
+
+/** Each fault alone at each step to which it applies. For faults of the surroundings the first call of a kind stands for all. */
 export function singleCases (steps: Map<string, string[]>): Case[] {
   const cases: Case[] = []
   for (const [flow, flowSteps] of steps) {
@@ -24,7 +27,8 @@
     for (const step of flowSteps) {
       const [kind, occurrence] = split(step)
       for (const fault of faults) {
-        if (!fault.appliesTo({ kind })) continue
+        if (!fault.appliesTo({ kind }) || (occurrence > 1 && !isLocal(fault.name))) continue
+        if (flows.find(({ name }) => name === flow)!.faults?.includes(fault.name) === false) continue
         cases.push({ flow, injections: [{ step: kind, occurrence, fault: fault.name }], seed: caseSeed })
       }
     }
--- a/src/prove/runCase.ts
+++ b/src/prove/runCase.ts
@@ -51,8 +51,8 @@
   const counts = new Map<string, number>()
   const pending = testCase.injections.map(injection => ({ ...injection, fault: findFault(injection.fault) }))
   let injected = 0
-  let faultsEndMs = world.nowMs() + flowMs
-  const flowEndMs = world.nowMs() + flowMs
+  const flowEndMs = world.nowMs() + (flow.durationMs ?? flowMs)
+  let faultsEndMs = flowEndMs
   world.onStep = step => {
     if (!flow.owns(step)) return undefined
     const occurrence = (counts.get(step.kind) ?? 0) + 1
