Bundle the changes of all nodes at one relay

Cause: three relays, one for each region, each sent a bundle to the whole fleet each 400 ms. A node got 7.5 bundles of urgent changes a second with four patches each. The envelope is 120 bytes, and four patches deflate to 61 bytes each where twelve deflate to 37.

One relay bundles for the fleet. A relay that does not answer is replaced by the sender itself as before.

Ruled out: longer bundling of urgent changes, since nodes must stop sending to a draining server within 2 s, also if the relay has died.

--- a/src/fleet/dissemination.ts
+++ b/src/fleet/dissemination.ts
@@ -16,11 +16,13 @@
 import { spreadPosition, splitRange, wholeFleet, zoneRange } from './spreadRange.js'
 import type { SpreadRange } from './spreadRange.js'
 
-/** Urgent changes of this time travel together; those of all nodes of a region wait again at the relay. */
+/** Urgent changes of this time travel together; those of all nodes wait again at the relay. */
 const urgentDelayMs = 20
 const relayDelayMs = 400
 /** Larger bundles compress better. */
 const calmRelayDelayMs = 2_500
+/** The relays change after this time, so that each node bears the duty and its bytes for a small part of a day. */
+const relayTermMs = 10_000
 const pullDelayMs = 200
 /** Changes that are not urgent, such as those of adapters, wait for this time and travel together. */
 const calmPeriodMs = 2_500
@@ -76,7 +78,7 @@
   /** Versions of this node's keys that were replaced lately, oldest first: other nodes may still hold any of them. */
   private readonly replaced = new Map<string, { entry: VersionedEntry, atMs: number }[]>()
   private othersOf: { members: MemberEntry[], others: MemberEntry[] } | undefined
-  /** Changes that this node bundles as the relay of its region. */
+  /** Changes that this node bundles as the relay of the fleet. */
   private readonly relayedUrgent: EntryChanges = { entries: [], patches: [] }
   private readonly relayedCalm: EntryChanges = { entries: [], patches: [] }
   /** Engines that this node publishes, with the time of the load that was sent last. */
@@ -228,7 +230,7 @@
     }))
   }
 
-  /** Sends the queued changes to the relay of the region, which bundles those of many nodes. */
+  /** Sends the queued changes to the relay of the fleet, which bundles those of all nodes. */
   private flush (queue: Set<string>, urgent: boolean): void {
     if (queue.size === 0) return
     const entries: VersionedEntry[] = []
@@ -241,17 +243,20 @@
       else entries.push(toWire(entry))
     }
     queue.clear()
-    const { region, name } = this.options.location
     const others = this.others()
-    const inRegion = others.filter(member => member.region === region)
-    const relayName = rendezvousOwner(`relay/${region}`, [name, ...inRegion.map(member => member.name)])
-    const relay = inRegion.find(member => member.name === relayName)
+    const relayName = rendezvousOwner(`relay/${this.relayTerm()}`, [this.options.location.name, ...others.map(member => member.name)])
+    const relay = others.find(member => member.name === relayName)
     const changes = { entries, patches }
     if (!relay) return this.relayChanges(changes, urgent)
     this.send(relay.address, { kind: 'relay', urgent, ...changes }).catch(() => this.relayChanges(changes, urgent))
   }
 
-  /** Bundles changes, as the relay of the region or in place of one that does not answer. */
+  /** Nodes whose clocks differ use two relays for a moment, which costs one more bundle. */
+  private relayTerm (): number {
+    return Math.floor(this.options.clock.nowMs() / relayTermMs)
+  }
+
+  /** Bundles changes, as the relay of the fleet or in place of one that does not answer. */
   private relayChanges (changes: EntryChanges, urgent: boolean): void {
     this.applyChanges(changes)
     const bundle = urgent ? this.relayedUrgent : this.relayedCalm
@@ -355,7 +360,7 @@
       this.ownLoads.set(key, engine.reportedAtMs)
       // An engine in a zone without nodes is relayed in the zone of its controller.
       const zone = zones.has(zoneName(engine)) ? zoneName(engine) : zoneName(this.options.location)
-      const relay = relayOf(zone, zones)
+      const relay = relayOf(zone, zones, this.relayTerm())
       if (relay === undefined || relay === '') this.addRelayedLoad(key, true)
       else byRelay.set(relay, (byRelay.get(relay) ?? new Set()).add(key))
     }
@@ -374,7 +379,7 @@
     const zones = this.zoneMembers(others.filter(isTarget), false)
     zones.delete(zoneName(this.options.location))
     for (const zone of zones.keys()) {
-      const address = relayOf(zone, zones)
+      const address = relayOf(zone, zones, this.relayTerm())
       if (address) this.send(address, { kind: 'loads', ...loads }).catch(() => {})
     }
   }
@@ -546,8 +551,8 @@
   return `${place.region}/${place.availabilityZone}`
 }
 
-function relayOf (zone: string, zones: Map<string, Map<string, string>>): string | undefined {
+function relayOf (zone: string, zones: Map<string, Map<string, string>>, term: number): string | undefined {
   const members = zones.get(zone)
-  const name = members && rendezvousOwner(`load-relay/${zone}`, [...members.keys()])
+  const name = members && rendezvousOwner(`load-relay/${zone}/${term}`, [...members.keys()])
   return name === undefined ? undefined : members?.get(name)
 }
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -163,7 +163,7 @@
     /** Keys that changed lately and whose change is still on its way; hashes of 4 bytes. */
     recent: bytesSchema
   }),
-  /** Changes for the relay of a region, which bundles them and passes them on to the whole fleet. */
+  /** Changes for the relay of the fleet, which bundles them and passes them on to the whole fleet. */
   z.object({ kind: z.literal('relay'), urgent: z.boolean(), ...entryChangesSchema.shape }),
   /** Changes for all members whose position under `seed` is in [from, to); the receiver passes them on unchanged. */
   z.object({
