Send configuration versions in heartbeats as bits

Cause: after a change of the configuration, heartbeats carried the hashes of up to 340 members, 4 bytes each, for 12 s.

Nodes whose lists of live members are equal, by a hash of the names, send one bit for each member in the order of the hashes. Few hashes are still sent as such. A receiver with another list ignores the bits; lists differ for seconds after a join or a death.

Ruled out: shorter names of fields in ping and ack.

--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -8,7 +8,7 @@
 import type { Random } from '../base/random.js'
 import { randomChoice, randomInt, shuffled } from '../base/random.js'
 import type { MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork, VersionedEntry } from '../protocol/messages.js'
-import { packHashes, unpackHashes } from './packing.js'
+import { packBits, packHashes, unpackBits, unpackHashes } from './packing.js'
 
 const probePeriodMs = 1_000
 const probeTimeoutMs = 1_000
@@ -67,6 +67,7 @@
   private lastSyncMs = -Infinity
   private cachedMembers: MemberEntry[] | undefined
   private cachedDigest: number | undefined
+  private cachedNames: { digest: number, hashes: number[] } | undefined
 
   constructor (private readonly options: MembershipOptions) {
     this.own = { ...options.self, incarnation: options.clock.nowMs(), state: 'alive', configVersion: 0, ready: false, sequence: 0 }
@@ -219,16 +220,14 @@
     // The peer must learn that others hold it for dead, since only the peer can refute that.
     const known = peer ? this.table.get(peer.name)?.entry : [...this.table.values()].find(({ entry }) => entry.address === address)?.entry
     if (known && known.state !== 'alive') members.push(known)
-    const message = { kind, from: this.own, members, digest: this.digest(), configs: this.configNews(), entries: this.options.piggyback() }
+    const message = { kind, from: this.own, members, digest: this.digest(), ...this.configNews(), entries: this.options.piggyback() }
     return message as unknown as PeerMessageOf<Kind>
   }
 
   private receiveHeartbeat (message: PeerMessageOf<'ping'> | PeerMessageOf<'ack'>): void {
     this.mergeDirect(message.from)
     for (const entry of message.members) this.mergeHearsay(entry)
-    for (const [version, hashes] of message.configs) {
-      for (const idHash of unpackHashes(hashes)) this.learnConfigVersion(this.byHash.get(idHash), version)
-    }
+    this.receiveConfigNews(message)
     if (message.entries.length > 0) this.options.onEntries(message.entries)
     const nowMs = this.options.clock.nowMs()
     if (message.digest !== this.digest() && nowMs - this.lastSyncMs >= syncPeriodMs) {
@@ -358,17 +357,44 @@
     this.cachedMembers = undefined
   }
 
-  /** Versions learned within the last seconds, grouped, so that a version costs 4 bytes for each member. */
-  private configNews (): [number, Uint8Array][] {
+  /** Versions learned within the last seconds, grouped, in the shorter one of both forms. */
+  private configNews (): Pick<PeerMessageOf<'ping'>, 'configs' | 'namesDigest'> {
     const oldestMs = this.options.clock.nowMs() - configNewsMs
     const groups = new Map<number, number[]>()
+    let count = 0
     for (const { entry, idHash, configLearnedAtMs } of this.table.values()) {
       if (configLearnedAtMs < oldestMs) continue
+      count++
       const group = groups.get(entry.configVersion)
       if (group) group.push(idHash)
       else groups.set(entry.configVersion, [idHash])
     }
-    return [...groups].map(([version, hashes]) => [version, packHashes(hashes)])
+    const names = this.names()
+    // The digest takes 18 bytes with its name. Different lists are short-lived, and pairs of equal ones remain meanwhile.
+    if (4 * count <= groups.size * names.hashes.length / 8 + 18) return { configs: [...groups].map(([version, hashes]) => [version, packHashes(hashes)]) }
+    const configs = [...groups].map(([version, hashes]): [number, Uint8Array] => {
+      const included = new Set(hashes)
+      return [version, packBits(names.hashes.map(idHash => included.has(idHash)))]
+    })
+    return { configs, namesDigest: names.digest }
+  }
+
+  private receiveConfigNews ({ configs, namesDigest }: Pick<PeerMessageOf<'ping'>, 'configs' | 'namesDigest'>): void {
+    const names = this.names()
+    if (namesDigest !== undefined && namesDigest !== names.digest) return
+    for (const [version, packed] of configs) {
+      const hashes = namesDigest === undefined ? unpackHashes(packed) : unpackBits(packed).map(index => names.hashes[index])
+      for (const idHash of hashes) if (idHash !== undefined) this.learnConfigVersion(this.byHash.get(idHash), version)
+    }
+  }
+
+  /** Hashes of the names of the live members including this node, in ascending order. */
+  private names (): { digest: number, hashes: number[] } {
+    if (!this.cachedNames) {
+      const hashes = this.alive().map(entry => hash32(entry.name)).sort((left, right) => left - right)
+      this.cachedNames = { digest: hash32(hashes.join()), hashes }
+    }
+    return this.cachedNames
   }
 
   private announceSelf (): void {
@@ -379,6 +405,7 @@
     this.news.set(name, { pushed: false, left: piggybackCount })
     this.cachedMembers = undefined
     this.cachedDigest = undefined
+    this.cachedNames = undefined
     this.cancelPush ??= this.options.clock.setTimer(pushDelayMs, () => {
       this.cancelPush = undefined
       this.pushNews()
--- a/src/fleet/packing.ts
+++ b/src/fleet/packing.ts
@@ -49,6 +49,20 @@
   return Array.from({ length: bytes.length >> 2 }, (_, index) => view.getUint32(4 * index))
 }
 
+/** One bit each, the first one in the lowest bit of the first byte. */
+export function packBits (flags: readonly boolean[]): Uint8Array {
+  const bytes = new Uint8Array(Math.ceil(flags.length / 8))
+  flags.forEach((flag, index) => { if (flag) bytes[index >> 3]! |= 1 << (index & 7) })
+  return bytes
+}
+
+/** Indices of the bits that are set. */
+export function unpackBits (bytes: Uint8Array): number[] {
+  const indices: number[] = []
+  for (let index = 0; index < 8 * bytes.length; index++) if (bytes[index >> 3]! & (1 << (index & 7))) indices.push(index)
+  return indices
+}
+
 /** Packs load figures by the hash of their key, 4 bytes and five variable-length integers for each engine. */
 export function packLoads (baseMs: number, loads: Iterable<readonly [number, EngineLoad]>): Uint8Array {
   const bytes: number[] = []
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -122,8 +122,13 @@
   members: z.array(memberEntrySchema),
   /** Hash of the sender's list of live members. */
   digest: z.number(),
-  /** Configuration versions that the sender learned lately, each with the name hashes of its members, 4 bytes each. */
+  /**
+   * Configuration versions that the sender learned lately, each with its members: as name hashes of 4 bytes each, or, if
+   * `namesDigest` is set, as a bit for each live member in the order of the name hashes.
+   */
   configs: z.array(z.tuple([z.number(), bytesSchema])),
+  /** Hash of the names of the live members. A receiver with another list cannot read the bits. */
+  namesDigest: z.number().optional(),
   entries: z.array(versionedEntrySchema)
 }
 
--- a/tests/membership.spec.ts
+++ b/tests/membership.spec.ts
@@ -130,4 +130,24 @@
     await fleet.clock.advance(15_000)
     for (const node of fleet.nodes) expect(node.membership.alive().filter(member => member.configVersion === 12)).to.have.length(60)
   })
+
+  // Guards against heartbeats that grow by 4 bytes for each member after every change of the configuration, and
+  // against versions that are attributed to other members when two lists differ.
+  it('packs configuration versions', async () => {
+    const fleet = await settled(11, 60)
+    let longest = 0
+    fleet.network.onSent = (_from, _to, message) => {
+      if (message.kind === 'ping' || message.kind === 'ack') longest = Math.max(longest, message.configs.reduce((sum, [, packed]) => sum + packed.length, 0))
+    }
+    fleet.nodes.forEach((node, index) => node.membership.setConfigVersion(100 + index % 2))
+    fleet.nodes[7]!.stop()
+    fleet.startNode('n60')
+    await fleet.clock.advance(30_000)
+    expect(longest).to.be.at.most(2 * 60 / 8 + 18 + 2)
+    for (const node of fleet.nodes.filter(node => node.name !== 'n7')) {
+      for (const { name, configVersion } of node.membership.alive()) {
+        expect(configVersion, `${name} at ${node.name}`).to.equal(name === 'n60' ? 0 : 100 + Number(name.slice(1)) % 2)
+      }
+    }
+  })
 })
