Pack patches by column

Cause: patches were deflated as a list of objects, so that keys, versions and bases of one patch lay between the values of others, and each base repeated the epoch.

Patches are sorted by key and packed as columns; a base in the same epoch is a difference of sequences. The protocol version is raised, since older nodes cannot read this.

Ruled out: brotli (one byte less a patch for more time), and hashes in place of keys (as columns, sorted keys cost little more than a hash).

--- a/src/fleet/packing.ts
+++ b/src/fleet/packing.ts
@@ -1,10 +1,11 @@
 /** Compact binary forms of hashes, of changes of entries and of engines' load figures. */
 
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import { z } from 'zod'
 import { messageOf } from '../base/errors.js'
 import { decodeBody, encodeBody, FrameError, maxFrameBytes } from '../protocol/framing.js'
-import type { EngineEntry, EntryChanges } from '../protocol/messages.js'
-import { entryChangesSchema, protocolVersion } from '../protocol/messages.js'
+import type { EngineEntry, EntryChanges, EntryPatch } from '../protocol/messages.js'
+import { entryPatchSchema, protocolVersion, versionedEntrySchema } from '../protocol/messages.js'
 
 /** Load figures of an engine; all other fields of its entry count as structure. */
 export type EngineLoad = Pick<EngineEntry, 'running' | 'queued' | 'freeKvTokens' | 'stepMs' | 'reportedAtMs'>
@@ -15,21 +16,53 @@
  * of it needs a new `protocolVersion`.
  */
 const dictionary = Buffer.from(`${protocolVersion} reachable controlFence controller availabilityZone region address pool stepMs reportedAtMs
-freeKvTokens maxBatch queued running kvCacheBytes accelerators draining role mixed incarnation engine value epoch sequence
+freeKvTokens maxBatch queued running kvCacheBytes accelerators draining role mixed incarnation engine value epoch sequence epochs sequences sets
 unloading loading fence baseModel adapter- model- entries patches key engine/ version bases set lists adapters models remove
-set name baseModel state ready memoryBytes`.replaceAll('\n', ' '))
+set keys name baseModel state ready memoryBytes`.replaceAll('\n', ' '))
+
+/**
+ * Patches by column, which deflate to two thirds of the size of a list of objects. A base in the epoch of the new
+ * version is a difference of sequences.
+ */
+const columnsSchema = z.object({
+  entries: z.array(versionedEntrySchema),
+  keys: z.array(z.string()),
+  epochs: z.array(z.number()),
+  sequences: z.array(z.number()),
+  bases: z.array(z.array(z.union([z.number(), z.tuple([z.number(), z.number()])]))),
+  sets: z.array(entryPatchSchema.shape.set),
+  lists: z.array(entryPatchSchema.shape.lists)
+}).refine(({ keys, ...columns }) => [columns.epochs, columns.sequences, columns.bases, columns.sets, columns.lists]
+  .every(column => column.length === keys.length), 'columns differ in length')
 
 /** Changes as deflated cbor; empty for no changes. */
-export function packChanges (changes: EntryChanges): Uint8Array {
-  if (changes.entries.length === 0 && changes.patches.length === 0) return new Uint8Array(0)
-  return deflateRawSync(encodeBody(changes), { dictionary })
+export function packChanges ({ entries, patches }: EntryChanges): Uint8Array {
+  if (entries.length === 0 && patches.length === 0) return new Uint8Array(0)
+  const sorted = [...patches].sort((left, right) => left.key < right.key ? -1 : 1)
+  const columns: z.infer<typeof columnsSchema> = {
+    entries,
+    keys: sorted.map(patch => patch.key),
+    epochs: sorted.map(patch => patch.version[0]),
+    sequences: sorted.map(patch => patch.version[1]),
+    bases: sorted.map(({ version, bases }) => bases.map(base => base[0] === version[0] ? version[1] - base[1] : base)),
+    sets: sorted.map(patch => patch.set),
+    lists: sorted.map(patch => patch.lists)
+  }
+  return deflateRawSync(encodeBody(columns), { dictionary, level: 9 })
 }
 
 /** The inverse of `packChanges`. Returns a `FrameError` for bytes that are not changes. */
 export function unpackChanges (bytes: Uint8Array): EntryChanges | FrameError {
   if (bytes.length === 0) return { entries: [], patches: [] }
   try {
-    return decodeBody(inflateRawSync(bytes, { dictionary, maxOutputLength: maxFrameBytes }), entryChangesSchema)
+    const columns = decodeBody(inflateRawSync(bytes, { dictionary, maxOutputLength: maxFrameBytes }), columnsSchema)
+    if (columns instanceof FrameError) return columns
+    const patches = columns.keys.map((key, index): EntryPatch => {
+      const version: [number, number] = [columns.epochs[index]!, columns.sequences[index]!]
+      const bases = columns.bases[index]!.map((base): [number, number] => typeof base === 'number' ? [version[0], version[1] - base] : base)
+      return { key, version, bases, set: columns.sets[index]!, lists: columns.lists[index]! }
+    })
+    return { entries: columns.entries, patches }
   } catch (error) {
     return new FrameError('cbor', messageOf(error))
   }
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -4,7 +4,7 @@
 import { engineRoles, engineStatusSchema } from '../platform/engine.js'
 
 /** Raised when a message changes in a way that an older node would misread. */
-export const protocolVersion = 1
+export const protocolVersion = 2
 
 const bytesSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'bytes expected')
 
@@ -176,7 +176,7 @@
     seed: z.number(),
     from: z.number(),
     to: z.number(),
-    /** `entryChangesSchema` as deflated cbor; empty if there are none. */
+    /** Entries and patches as `packing.ts` packs them; empty if there are none. */
     changes: bytesSchema,
     baseMs: z.number(),
     loads: bytesSchema
--- a/tests/dissemination.spec.ts
+++ b/tests/dissemination.spec.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai'
-import { packLoads, unpackLoads } from '../src/fleet/packing.js'
+import fc from 'fast-check'
+import { packChanges, packLoads, unpackChanges, unpackLoads } from '../src/fleet/packing.js'
+import { FrameError } from '../src/protocol/framing.js'
 import type { EngineEntry } from '../src/protocol/messages.js'
 import { engineEntry, FakeFleet } from './fixtures/nodes.js'
 
@@ -116,4 +118,25 @@
     expect(unpackLoads(1_000, packLoads(1_000, [[0xfedcba98, load]]))).to.deep.equal([[0xfedcba98, load]])
     expect(unpackLoads(1_000, Uint8Array.of(255, 255, 255, 255, 255, 255))).to.deep.equal([])
   })
+
+  // Guards against packed changes that come out different, or bytes that stop the node.
+  it('packs changes', () => {
+    const names = fc.array(fc.string(), { maxLength: 3 })
+    const version = fc.tuple(fc.nat(), fc.nat())
+    const patch = fc.record({
+      key: fc.string(),
+      version,
+      bases: fc.array(version, { maxLength: 3 }),
+      set: fc.constantFrom({}, { fence: 7 }),
+      lists: names.map(remove => ({ models: { set: [{ name: 'added' }], remove } }))
+    })
+    fc.assert(fc.property(fc.uniqueArray(patch, { selector: item => item.key }), fc.boolean(), (patches, withEntry) => {
+      const changes = { entries: withEntry ? [{ key: 'k', epoch: 1, sequence: 2, value: null }] : [], patches }
+      const unpacked = unpackChanges(packChanges(changes))
+      if (unpacked instanceof Error) throw unpacked
+      expect(unpacked.entries).to.deep.equal(changes.entries)
+      expect(unpacked.patches).to.have.deep.members(patches)
+    }), { seed: 1 })
+    expect(unpackChanges(Uint8Array.of(1, 2, 3))).to.be.instanceOf(FrameError)
+  })
 })
