Bundle the steps of a model swap as one patch

Cause: a swap publishes the unload, and 50 ms later the load. Both waited at the relay for the same bundle and were sent as two patches, although the second one applies to all bases of the first.

The relay drops a patch when a later one of the same key applies to all of its bases. A calm change that follows an urgent one within 20 ms now travels with it; before, it took the urgent one with it to the calm queue, so that a draining server could stay unknown for seconds.

--- a/src/fleet/dissemination.ts
+++ b/src/fleet/dissemination.ts
@@ -137,8 +137,8 @@
     const sequence = before?.epoch === epoch ? before.sequence + 1 : 1
     this.store({ key, epoch, sequence, value })
     const isUrgent = urgent ?? (!diff || (isEngineKey(key) && changedFields(diff).some(field => field !== 'adapters')))
-    const queue = isUrgent ? this.urgent : this.calm
-    this.urgent.delete(key)
+    // A calm change after an urgent one travels with it, as both are one patch.
+    const queue = isUrgent || this.urgent.has(key) ? this.urgent : this.calm
     this.calm.delete(key)
     queue.add(key)
     if (before) this.replaced.set(key, [...this.basesOf(key), { entry: before, atMs: this.options.clock.nowMs() }].slice(-maxBases))
@@ -261,7 +261,7 @@
     this.applyChanges(changes)
     const bundle = urgent ? this.relayedUrgent : this.relayedCalm
     bundle.entries.push(...changes.entries)
-    bundle.patches.push(...changes.patches)
+    bundle.patches = [...withoutSuperseded(bundle.patches, changes.patches), ...changes.patches]
     this.schedule(urgent ? 'relay-urgent' : 'relay-calm', urgent ? relayDelayMs : calmRelayDelayMs, () => {
       this.spread(wholeFleet, { changes: packChanges(bundle), baseMs: 0, loads: noBytes })
       bundle.entries = []
@@ -525,6 +525,17 @@
   return left.epoch > right.epoch || (left.epoch === right.epoch && left.sequence > right.sequence)
 }
 
+/** The patches in `earlier` that no patch in `later` can replace at all members: it must apply to the same bases. */
+function withoutSuperseded (earlier: readonly EntryPatch[], later: readonly EntryPatch[]): EntryPatch[] {
+  const byKey = new Map(later.map(patch => [patch.key, patch]))
+  return earlier.filter(patch => {
+    const next = byKey.get(patch.key)
+    if (!next) return true
+    const isNext = isNewer({ epoch: next.version[0], sequence: next.version[1] }, { epoch: patch.version[0], sequence: patch.version[1] })
+    return !isNext || !patch.bases.every(base => next.bases.some(other => other[0] === base[0] && other[1] === base[1]))
+  })
+}
+
 function bucketOf (keyHash: number): number {
   return keyHash % bucketCount
 }
--- a/tests/dissemination.spec.ts
+++ b/tests/dissemination.spec.ts
@@ -139,4 +139,41 @@
     }), { seed: 1 })
     expect(unpackChanges(Uint8Array.of(1, 2, 3))).to.be.instanceOf(FrameError)
   })
+
+  // Guards against an urgent change that waits for seconds since a change of the adapters follows it.
+  it('keeps urgent changes urgent', async () => {
+    const fleet = await settled(8, 40)
+    const { dissemination } = fleet.nodes[5]!
+    dissemination.publish('engine/e', 5, engineEntry(1))
+    await fleet.clock.advance(1_000)
+    const adapter = { name: 'a', baseModel: 'model-5@v0', state: 'ready' as const, memoryBytes: 1e8 }
+    dissemination.publish('engine/e', 5, engineEntry(1, { draining: true }))
+    dissemination.publish('engine/e', 5, engineEntry(1, { draining: true, adapters: [adapter] }))
+    await fleet.clock.advance(1_000)
+    for (const value of values(fleet, 'engine/e')) expect(value).to.include({ draining: true })
+  })
+
+  // Guards against bundles that carry each step of a swap, or that drop a step without which a member cannot follow.
+  it('bundles the steps of a swap', async () => {
+    const fleet = await settled(9, 40)
+    const { dissemination } = fleet.nodes[5]!
+    const first = engineEntry(2)
+    dissemination.publish('engine/e', 5, first)
+    await fleet.clock.advance(1_000)
+    const patches: string[] = []
+    let pulls = 0
+    fleet.network.onSent = (_from, _to, message) => {
+      if (message.kind === 'entries') pulls++
+      const changes = message.kind === 'spread' && unpackChanges(message.changes)
+      if (changes && !(changes instanceof Error)) patches.push(changes.patches.map(patch => patch.version[1]).join())
+    }
+    const loading = { ...first, models: [...first.models.slice(1), { name: 'added@v1', state: 'loading' as const, memoryBytes: 1e9 }] }
+    dissemination.publish('engine/e', 5, { ...first, models: first.models.slice(1) })
+    await fleet.clock.advance(50)
+    dissemination.publish('engine/e', 5, loading)
+    await fleet.clock.advance(1_000)
+    for (const value of values(fleet, 'engine/e')) expect(value).to.deep.equal(loading)
+    expect(new Set(patches.filter(Boolean))).to.deep.equal(new Set(['3']))
+    expect(pulls).to.equal(0)
+  })
 })
