Check published engines and VMs once for each value

Cause: each request and each round of the queue asked for the list of engines, which checked all 600 entries and all VMs against their schemas again. At 340 nodes a node serves 10 requests a second and runs the queue 40 times a second while anything waits.

A table keeps the checked value by the identity of the published one, which dissemination replaces and never changes.

--- a/src/fleet/serviceMonitor.ts
+++ b/src/fleet/serviceMonitor.ts
@@ -8,7 +8,7 @@
 import type { Vm } from '../platform/vmList.js'
 import { serviceEntrySchema } from '../protocol/messages.js'
 import type { MemberEntry, ServiceEntry } from '../protocol/messages.js'
-import type { EntryStore } from './vmDirectory.js'
+import type { EntryStore } from './entryTable.js'
 
 export interface ServiceMonitorOptions {
   clock: Clock
--- a/src/fleet/vmDirectory.ts
+++ b/src/fleet/vmDirectory.ts
@@ -8,12 +8,8 @@
 import type { Log } from '../base/log.js'
 import type { Vm, VmList } from '../platform/vmList.js'
 import type { MemberEntry } from '../protocol/messages.js'
-
-/** What the directory needs of the dissemination between nodes. */
-export interface EntryStore {
-  publish (key: string, epoch: number, value: unknown, options?: { urgent?: boolean }): void
-  list (prefix: string): { key: string, value: unknown }[]
-}
+import { EntryTable } from './entryTable.js'
+import type { EntryStore } from './entryTable.js'
 
 export interface VmDirectoryOptions {
   clock: Clock
@@ -39,8 +35,11 @@
   private dutySinceMs = 0
   private published = new Map<string, string>()
 
+  private readonly table: EntryTable<Vm>
+
   constructor (options: VmDirectoryOptions) {
     this.options = options
+    this.table = new EntryTable(options.entries, keyPrefix, vmSchema)
   }
 
   start (): void {
@@ -56,10 +55,7 @@
 
   /** All VMs that are listed. */
   vms (): Vm[] {
-    return this.options.entries.list(keyPrefix).flatMap(({ value }) => {
-      const result = vmSchema.safeParse(value)
-      return result.success ? [result.data] : []
-    })
+    return this.table.list()
   }
 
   private async poll (): Promise<void> {
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -9,6 +9,7 @@
 import { ConfigDistribution } from '../fleet/configDistribution.js'
 import { ControlAssignment } from '../fleet/controlAssignment.js'
 import { Dissemination } from '../fleet/dissemination.js'
+import { EntryTable } from '../fleet/entryTable.js'
 import { EngineControl } from '../fleet/engineControl.js'
 import { IdempotencyStore } from '../fleet/idempotency.js'
 import { ObservedKeyValueStore } from '../fleet/observedKeyValueStore.js'
@@ -95,6 +96,7 @@
   readonly burn: BurnRecorder
   private readonly options: NodeCoreOptions
   private readonly vmDirectory: VmDirectory
+  private readonly engineTable: EntryTable<EngineEntry>
   private readonly serviceMonitor: ServiceMonitor
   private readonly scheduler: Scheduler
   private readonly idempotency: IdempotencyStore
@@ -122,6 +124,7 @@
     this.traces = new TraceStore(clock)
     this.burn = new BurnRecorder(clock)
     this.dissemination = new Dissemination({ ...base, location: identity, members: () => this.membership.alive() })
+    this.engineTable = new EntryTable(this.dissemination, 'engine/', engineEntrySchema)
     this.membership = new Membership({
       ...base,
       self,
@@ -370,10 +373,7 @@
 
   /** Engine entries as far as this node knows them. */
   engineEntries (): EngineEntry[] {
-    return this.dissemination.list('engine/').flatMap(({ value }) => {
-      const result = engineEntrySchema.safeParse(value)
-      return result.success ? [result.data] : []
-    })
+    return this.engineTable.list()
   }
 
   private async queryAll (query: 'burn' | 'trace', argument: string): Promise<{ answers: unknown[], names: string[], missing: string[] }> {
--- a/tests/dissemination.spec.ts
+++ b/tests/dissemination.spec.ts
@@ -1,8 +1,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { EntryTable } from '../src/fleet/entryTable.js'
 import { packChanges, packLoads, unpackChanges, unpackLoads } from '../src/fleet/packing.js'
 import { FrameError } from '../src/protocol/framing.js'
 import type { EngineEntry } from '../src/protocol/messages.js'
+import { engineEntrySchema } from '../src/protocol/messages.js'
 import { engineEntry, FakeFleet } from './fixtures/nodes.js'
 
 describe('dissemination', () => {
@@ -176,4 +178,21 @@
     expect(new Set(patches.filter(Boolean))).to.deep.equal(new Set(['3']))
     expect(pulls).to.equal(0)
   })
+
+  // Guards against a table of engines that shows replaced or invalid values, or checks all of them at each request.
+  it('checks values once', async () => {
+    const fleet = await settled(10, 1)
+    const { dissemination } = fleet.nodes[0]!
+    let checks = 0
+    const table = new EntryTable(dissemination, 'engine/', engineEntrySchema.refine(() => ++checks > 0))
+    dissemination.publish('engine/e1', 5, engineEntry(1))
+    dissemination.publish('engine/e2', 5, engineEntry(2))
+    dissemination.publish('engine/broken', 5, { engine: 'broken' })
+    for (let round = 0; round < 3; round++) expect(table.list()).to.deep.equal([engineEntry(1), engineEntry(2)])
+    expect(checks).to.equal(2)
+    dissemination.publish('engine/e1', 5, engineEntry(1, { running: 4, reportedAtMs: 7 }))
+    dissemination.publish('engine/e2', 5, undefined)
+    expect(table.list()).to.deep.equal([engineEntry(1, { running: 4, reportedAtMs: 7 })])
+    expect(checks).to.equal(3)
+  })
 })
