Pull the configuration from members that show a higher version

Cause: announcements go to three random members each and miss about one in seventeen. Those waited until a member picked them as one that is behind.

Each second a node compares its version with those in the heartbeats, and pulls from a member that shows a higher one, first in its own region.

Ruled out: a higher fan-out of announcements, which costs messages for each node where this costs none until a node is behind.

The new test fails on the commit before.

--- a/src/fleet/configDistribution.ts
+++ b/src/fleet/configDistribution.ts
@@ -31,7 +31,7 @@
 const pullTimeoutMs = 2_000
 const announceTimeoutMs = 1_000
 const announceFanout = 3
-/** Members that still show an older version are told again, at first only in the own region. */
+/** Members that still show an older version are told again, at first only in the own region; one that is behind asks. */
 const reannouncePeriodMs = 1_000
 const otherRegionsAfterMs = 2_000
 /** Another region usually has its own watchers; its nodes wait for them before they pull across regions. */
@@ -319,7 +319,19 @@
     if (far[0] && random.next() < announceFanout / (near.length + 1)) this.announce(far[0].address)
   }
 
+  /** Pulls from a member that shows a higher version in its heartbeats, for a node that all announcements missed. */
+  private pullIfBehind (): void {
+    const { random, members, self } = this.options
+    const region = this.ownEntry()?.region
+    const ahead = members().filter(member => isLive(member) && member.name !== self && member.configVersion > this.version())
+    const near = ahead.filter(member => member.region === region)
+    const candidates = near.length > 0 ? near : ahead
+    const member = candidates[randomInt(random, candidates.length)]
+    if (member) this.receiveAnnouncement(member.configVersion, member.address)
+  }
+
   private reannounce (): void {
+    this.pullIfBehind()
     if (!this.applied) return
     const { clock, random, members, self } = this.options
     const region = this.ownEntry()?.region
--- a/tests/configDistribution.spec.ts
+++ b/tests/configDistribution.spec.ts
@@ -255,4 +255,16 @@
     await fleet.clock.advance(7_000)
     fleet.expectVersion(2)
   })
+
+  // Guards against a node that no announcement reaches and that stays on the old version for seconds.
+  it('asks when a member shows a higher version', async () => {
+    const fleet = new ConfigFleet(11, 40)
+    fleet.store.write(1)
+    await fleet.startAll()
+    const missed = fleet.nodes[39]!
+    fleet.network.listen('n39:1', async message => message.kind === 'configVersion' ? { kind: 'ok' } : await missed.handle(message) ?? { kind: 'ok' })
+    fleet.nodes[0]!.offer(2, 'text 2')
+    await fleet.clock.advance(3_000)
+    expect(missed.version()).to.equal(2)
+  })
 })
