--- a/src/fleet/vmDirectory.ts
+++ b/src/fleet/vmDirectory.ts
@@ -3,18 +3,13 @@
 import { repeat } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import { rendezvousOwner } from '../base/hash.js'
-import { parseOnce } from '../base/parseOnce.js'
 import { vmSchema } from '../platform/vmList.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
 import type { Vm, VmList } from '../platform/vmList.js'
 import type { MemberEntry } from '../protocol/messages.js'
-
-/** What the directory needs of the dissemination between nodes. */
-export interface EntryStore {
-  publish (key: string, epoch: number, value: unknown, options?: { urgent?: boolean }): void
-  list (prefix: string): { key: string, value: unknown }[]
-}
+import { EntryTable } from './entryTable.js'
+import type { EntryStore } from './entryTable.js'
 
 export interface VmDirectoryOptions {
   clock: Clock
@@ -28,7 +23,6 @@
 const pollPeriodMs = 2_000
 /** Key prefix of the published VMs: `vm/REGION/NAME`. */
 const keyPrefix = 'vm/'
-const parseVm = parseOnce(vmSchema)
 
 /**
  * In each region one node, chosen by rendezvous hashing, reads the list and publishes the VMs of its region. A VM that
@@ -41,8 +35,11 @@
   private dutySinceMs = 0
   private published = new Map<string, string>()
 
+  private readonly table: EntryTable<Vm>
+
   constructor (options: VmDirectoryOptions) {
     this.options = options
+    this.table = new EntryTable(options.entries, keyPrefix, vmSchema)
   }
 
   start (): void {
@@ -58,7 +55,7 @@
 
   /** All VMs that are listed. */
   vms (): Vm[] {
-    return this.options.entries.list(keyPrefix).flatMap(({ value }) => parseVm(value) ?? [])
+    return this.table.list()
   }
 
   private async poll (): Promise<void> {
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -4,7 +4,7 @@
 import { engineRoles, engineStatusSchema } from '../platform/engine.js'
 
 /** Raised when a message changes in a way that an older node would misread. */
-export const protocolVersion = 1
+export const protocolVersion = 2
 
 const bytesSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array, 'bytes expected')
 
@@ -122,8 +122,13 @@
   members: z.array(memberEntrySchema),
   /** Hash of the sender's list of live members. */
   digest: z.number(),
-  /** Configuration versions that the sender learned lately, each with the name hashes of its members, 4 bytes each. */
+  /**
+   * Configuration versions that the sender learned lately, each with its members: as name hashes of 4 bytes each, or, if
+   * `namesDigest` is set, as a bit for each live member in the order of the name hashes.
+   */
   configs: z.array(z.tuple([z.number(), bytesSchema])),
+  /** Hash of the names of the live members. A receiver with another list cannot read the bits. */
+  namesDigest: z.number().optional(),
   entries: z.array(versionedEntrySchema)
 }
 
@@ -163,7 +168,7 @@
     /** Keys that changed lately and whose change is still on its way; hashes of 4 bytes. */
     recent: bytesSchema
   }),
-  /** Changes for the relay of a region, which bundles them and passes them on to the whole fleet. */
+  /** Changes for the relay of the fleet, which bundles them and passes them on to the whole fleet. */
   z.object({ kind: z.literal('relay'), urgent: z.boolean(), ...entryChangesSchema.shape }),
   /** Changes for all members whose position under `seed` is in [from, to); the receiver passes them on unchanged. */
   z.object({
@@ -171,7 +176,7 @@
     seed: z.number(),
     from: z.number(),
     to: z.number(),
-    /** `entryChangesSchema` as deflated cbor; empty if there are none. */
+    /** Entries and patches as `packing.ts` packs them; empty if there are none. */
     changes: bytesSchema,
     baseMs: z.number(),
     loads: bytesSchema
@@ -187,6 +192,8 @@
   z.object({ kind: z.literal('moveReply'), accepted: z.boolean(), reason: z.string() }),
   // A planner that cannot place a model sends it to another region's planner, which does not send it on.
   z.object({ kind: z.literal('wanted'), node: z.string(), demand: demandEntrySchema, forwardedFrom: z.string().optional() }),
+  /** Demand for which nothing waits: of one node for the relay of its zone, or the relay's sum for the planner. */
+  z.object({ kind: z.literal('demand'), node: z.string(), isSum: z.boolean(), periodMs: z.number(), packed: bytesSchema }),
   z.object({ kind: z.literal('handOver'), engine: z.string(), fence: z.number(), record: z.string(), recordRevision: z.number() }),
   z.object({ kind: z.literal('query'), query: z.enum(['burn', 'trace', 'status']), argument: z.string() }),
   z.object({ kind: z.literal('queryReply'), json: z.string() }),
--- a/tests/dissemination.spec.ts
+++ b/tests/dissemination.spec.ts
@@ -1,6 +1,10 @@
 import { expect } from 'chai'
-import { packLoads, unpackLoads } from '../src/fleet/packing.js'
+import fc from 'fast-check'
+import { EntryTable } from '../src/fleet/entryTable.js'
+import { packChanges, packLoads, unpackChanges, unpackLoads } from '../src/fleet/packing.js'
+import { FrameError } from '../src/protocol/framing.js'
 import type { EngineEntry } from '../src/protocol/messages.js'
+import { engineEntrySchema } from '../src/protocol/messages.js'
 import { engineEntry, FakeFleet } from './fixtures/nodes.js'
 
 describe('dissemination', () => {
@@ -116,4 +120,79 @@
     expect(unpackLoads(1_000, packLoads(1_000, [[0xfedcba98, load]]))).to.deep.equal([[0xfedcba98, load]])
     expect(unpackLoads(1_000, Uint8Array.of(255, 255, 255, 255, 255, 255))).to.deep.equal([])
   })
+
+  // Guards against packed changes that come out different, or bytes that stop the node.
+  it('packs changes', () => {
+    const names = fc.array(fc.string(), { maxLength: 3 })
+    const version = fc.tuple(fc.nat(), fc.nat())
+    const patch = fc.record({
+      key: fc.string(),
+      version,
+      bases: fc.array(version, { maxLength: 3 }),
+      set: fc.constantFrom({}, { fence: 7 }),
+      lists: names.map(remove => ({ models: { set: [{ name: 'added' }], remove } }))
+    })
+    fc.assert(fc.property(fc.uniqueArray(patch, { selector: item => item.key }), fc.boolean(), (patches, withEntry) => {
+      const changes = { entries: withEntry ? [{ key: 'k', epoch: 1, sequence: 2, value: null }] : [], patches }
+      const unpacked = unpackChanges(packChanges(changes))
+      if (unpacked instanceof Error) throw unpacked
+      expect(unpacked.entries).to.deep.equal(changes.entries)
+      expect(unpacked.patches).to.have.deep.members(patches)
+    }), { seed: 1 })
+    expect(unpackChanges(Uint8Array.of(1, 2, 3))).to.be.instanceOf(FrameError)
+  })
+
+  // Guards against an urgent change that waits for seconds since a change of the adapters follows it.
+  it('keeps urgent changes urgent', async () => {
+    const fleet = await settled(8, 40)
+    const { dissemination } = fleet.nodes[5]!
+    dissemination.publish('engine/e', 5, engineEntry(1))
+    await fleet.clock.advance(1_000)
+    const adapter = { name: 'a', baseModel: 'model-5@v0', state: 'ready' as const, memoryBytes: 1e8 }
+    dissemination.publish('engine/e', 5, engineEntry(1, { draining: true }))
+    dissemination.publish('engine/e', 5, engineEntry(1, { draining: true, adapters: [adapter] }))
+    await fleet.clock.advance(1_000)
+    for (const value of values(fleet, 'engine/e')) expect(value).to.include({ draining: true })
+  })
+
+  // Guards against bundles that carry each step of a swap, or that drop a step without which a member cannot follow.
+  it('bundles the steps of a swap', async () => {
+    const fleet = await settled(9, 40)
+    const { dissemination } = fleet.nodes[5]!
+    const first = engineEntry(2)
+    dissemination.publish('engine/e', 5, first)
+    await fleet.clock.advance(1_000)
+    const patches: string[] = []
+    let pulls = 0
+    fleet.network.onSent = (_from, _to, message) => {
+      if (message.kind === 'entries') pulls++
+      const changes = message.kind === 'spread' && unpackChanges(message.changes)
+      if (changes && !(changes instanceof Error)) patches.push(changes.patches.map(patch => patch.version[1]).join())
+    }
+    const loading = { ...first, models: [...first.models.slice(1), { name: 'added@v1', state: 'loading' as const, memoryBytes: 1e9 }] }
+    dissemination.publish('engine/e', 5, { ...first, models: first.models.slice(1) })
+    await fleet.clock.advance(50)
+    dissemination.publish('engine/e', 5, loading)
+    await fleet.clock.advance(1_000)
+    for (const value of values(fleet, 'engine/e')) expect(value).to.deep.equal(loading)
+    expect(new Set(patches.filter(Boolean))).to.deep.equal(new Set(['3']))
+    expect(pulls).to.equal(0)
+  })
+
+  // Guards against a table of engines that shows replaced or invalid values, or checks all of them at each request.
+  it('checks values once', async () => {
+    const fleet = await settled(10, 1)
+    const { dissemination } = fleet.nodes[0]!
+    let checks = 0
+    const table = new EntryTable(dissemination, 'engine/', engineEntrySchema.refine(() => ++checks > 0))
+    dissemination.publish('engine/e1', 5, engineEntry(1))
+    dissemination.publish('engine/e2', 5, engineEntry(2))
+    dissemination.publish('engine/broken', 5, { engine: 'broken' })
+    for (let round = 0; round < 3; round++) expect(table.list()).to.deep.equal([engineEntry(1), engineEntry(2)])
+    expect(checks).to.equal(2)
+    dissemination.publish('engine/e1', 5, engineEntry(1, { running: 4, reportedAtMs: 7 }))
+    dissemination.publish('engine/e2', 5, undefined)
+    expect(table.list()).to.deep.equal([engineEntry(1, { running: 4, reportedAtMs: 7 })])
+    expect(checks).to.equal(3)
+  })
 })
