--- a/src/standins/batcher.ts
+++ b/src/standins/batcher.ts
@@ -34,6 +34,8 @@
   stepMs: (batchSize: number) => number
   /** Time without a reader after which a request is cancelled and an ended one is forgotten. */
   graceMs: number
+  /** Tokens say when the request came and when they were generated, for measurements. */
+  stampsTokens: boolean
   cache: PrefixCache
   log: RequestLogEntry[]
   onLoadChange: () => void
@@ -61,6 +63,13 @@
   return index => `${hash32(`${seed}:${index}`).toString(36)} `
 }
 
+/** Tokens `ARRIVAL:GENERATED `, in milliseconds since the Unix epoch with fractions. */
+function stampSource (): () => string {
+  const stamp = () => (performance.timeOrigin + performance.now()).toFixed(3)
+  const arrival = stamp()
+  return () => `${arrival}:${stamp()} `
+}
+
 const isLive = (job: Job) => job.state === 'queued' || job.state === 'running'
 
 export class Batcher {
@@ -103,7 +112,7 @@
       promptTokens: prompt,
       prefillTokens: Math.max(0, prompt + tokens.length - cachedTokens),
       reservedTokens: prompt + request.maxTokens,
-      nextToken: tokenSource(request),
+      nextToken: this.options.stampsTokens ? stampSource() : tokenSource(request),
       readers: 0,
       forget: () => {},
       listeners: new Set(),
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -67,6 +67,8 @@
   /** Each n-th cache event is missing; 0: none. */
   cacheEventDropEvery?: number
   graceMs?: number
+  /** Tokens say when the request came and when they were generated. */
+  stampsTokens?: boolean
 }
 
 /** Memory was overcommitted. */
@@ -146,6 +148,7 @@
       cacheEventLagMs: 300,
       cacheEventDropEvery: 0,
       graceMs: 5000,
+      stampsTokens: false,
       ...options
     }
     this.engine = options.engine
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -34,18 +34,22 @@
 
 function engine (options: Options): Promise<void> {
   const store = options['weight-store']
+  const stepMs = numberOf(options['step-ms'])
   return start(engineApp(new EngineStandIn({
     clock,
     engine: String(options.name ?? 'engine'),
     weightStore: store === undefined ? new WeightStoreStandIn({ clock }) : new HttpWeightStore({ address: String(store), clock, timeoutMs: weightStoreTimeoutMs }),
     honoursFence: options.fence !== false,
     checksMemory: options['check-memory'] === true,
+    stampsTokens: options['stamp-tokens'] === true,
     ...given({
       accelerators: numberOf(options.accelerators),
       memoryBytes: numberOf(options['memory-bytes']),
       kvCacheBytes: numberOf(options['kv-cache-bytes']),
       maxBatch: numberOf(options['max-batch']),
-      graceMs: numberOf(options['grace-ms'])
+      graceMs: numberOf(options['grace-ms']),
+      prefillMsPerToken: numberOf(options['prefill-ms-per-token']),
+      stepMs: stepMs === undefined ? undefined : () => stepMs
     })
   })), options)
 }
@@ -62,6 +66,9 @@
   .option('--kv-cache-bytes', 'Memory kept for KV cache')
   .option('--max-batch', 'Requests that run at once')
   .option('--grace-ms', 'Time until a request without a reader is cancelled')
+  .option('--stamp-tokens', 'Generate tokens that say when they were generated')
+  .option('--step-ms', 'Time of one step at any batch size')
+  .option('--prefill-ms-per-token', 'Time to read one token of a prompt')
   .action(engine)
   .command('service')
   .option('--port', 'Port; 0 chooses a free one', 0)
