Read engine streams from undici's callbacks

The body of an engine's answer went through a stream, two generators and a schema for each token. When the reader stopped at the end marker, the body was destroyed before its last chunk, which closed the connection: each request opened a new one (the profile showed net's internalConnect among the largest entries).

HttpEngineStream is undici's dispatch handler and the iterator in one. Tokens are checked by hand, every other event by its schema. A reader that falls behind pauses the connection.

--- a/src/platform/httpEngine.ts
+++ b/src/platform/httpEngine.ts
@@ -1,13 +1,13 @@
 /** Calls one engine over HTTP. */
 
-import { Client, request as send } from 'undici'
-import type { Dispatcher } from 'undici'
+import { Client } from 'undici'
 import { z } from 'zod'
 import type { Clock } from '../base/clock.js'
-import { FailedError, NotRunError, UnknownOutcomeError } from '../base/errors.js'
-import { cacheEventSchema, commandReplySchema, engineStatusSchema, inferenceEventSchema, kvExportSchema } from './engine.js'
+import { NotRunError } from '../base/errors.js'
+import { cacheEventSchema, commandReplySchema, engineStatusSchema, kvExportSchema } from './engine.js'
 import type { CacheEvent, CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent, InferenceRequest, KvExport } from './engine.js'
-import { agentOptions, checkNotAborted, checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
+import { agentOptions, HttpCaller, mapNetworkError } from './httpCall.js'
+import { HttpEngineStream } from './httpEngineStream.js'
 
 // Calls without a time limit of their own; the largest carries an exported KV cache.
 const callTimeoutMs = 10_000
@@ -62,49 +62,18 @@
     return this.caller.close()
   }
 
-  private async * stream (requestId: string, path: string, body: unknown, signal?: AbortSignal): AsyncGenerator<InferenceEvent> {
-    checkNotAborted(this.engine, signal)
-    // The engine cannot tell an abort from a cut connection, after which it keeps the request for a resume.
-    const cancel = () => { this.cancel(requestId).catch(() => {}) }
-    signal?.addEventListener('abort', cancel, { once: true })
-    let complete = false
-    try {
-      const answer = await this.post(path, body, signal)
-      for await (const line of lines(answer.body)) {
-        const event = inferenceEventSchema.parse(JSON.parse(line))
-        complete ||= event.kind === 'end'
-        yield event
-      }
-      if (complete) return
-      throw new UnknownOutcomeError(this.engine, `the stream of request ${requestId} ended without its end marker`)
-    } catch (error) {
-      // The answer is whole after its end marker, whatever happens to the connection.
-      if (!complete) throw mapNetworkError(this.engine, error)
-    } finally {
-      signal?.removeEventListener('abort', cancel)
-    }
-  }
-
-  private async post (path: string, body: unknown, signal?: AbortSignal): Promise<Dispatcher.ResponseData> {
-    const answer = await send(`http://${this.caller.address}${path}`, {
-      method: 'POST', dispatcher: this.caller.agent, signal, headers: { 'content-type': 'application/json' }, body: JSON.stringify(body)
+  private stream (requestId: string, path: string, body: unknown, signal?: AbortSignal): HttpEngineStream {
+    return new HttpEngineStream({
+      engine: this.engine,
+      address: this.caller.address,
+      dispatcher: this.caller.agent,
+      path,
+      body: JSON.stringify(body),
+      requestId,
+      signal,
+      // The engine cannot tell an abort from a cut connection, after which it keeps the request for a resume.
+      onAbort: () => { this.cancel(requestId).catch(() => {}) }
     })
-    if (answer.statusCode !== 200) {
-      const text = await answer.body.text()
-      checkNotRun(this.engine, answer.statusCode, answer.headers, text)
-      throw new FailedError(this.engine, `POST ${path} answered ${answer.statusCode}: ${text}`)
-    }
-    return answer
-  }
-}
-
-async function * lines (chunks: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
-  const decoder = new TextDecoder()
-  let rest = ''
-  for await (const chunk of chunks) {
-    const parts = (rest + decoder.decode(chunk, { stream: true })).split('\n')
-    rest = parts.pop()!
-    for (const part of parts) if (part !== '') yield part
   }
 }
 
