Read tokens without a generator, timer and listener for each

Each token passed three generators inside the generation and set and cancelled a stall timer and an abort listener of its own.

One loop now reads the attempts. One timer for each stream waits for what is left of the stall time when it ends, so a stall is still found at exactly the same time; one abort listener serves the whole stream. Order, gaps, attempt and request are checked as before.

--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -2,7 +2,7 @@
 
 import { sleep } from '../base/clock.js'
 import { messageOf, outcomeOf, UnknownOutcomeError } from '../base/errors.js'
-import type { Clock } from '../base/clock.js'
+import type { CancelTimer, Clock } from '../base/clock.js'
 import type { EngineApi, InferenceEvent, InferenceRequest } from '../platform/engine.js'
 import type { RequestTrace } from './trace.js'
 
@@ -64,39 +64,53 @@
       const assignment = await this.options.assign(this.excluded, this.tokens.length > 0 ? this.model : undefined)
       this.model = assignment.model
       const attempt = new EngineAttempt()
+      const startedAtMs = this.options.clock.nowMs()
       try {
-        yield * this.runOn(assignment, attempt)
+        // A stream that is cut is resumed on the same engine, since it continues to run the request for a while.
+        for (let resumes = 0; resumes <= maxResumes; resumes++) {
+          const { reader, attemptId } = this.open(assignment, resumes)
+          // Generators around this loop would cost several promises for each token.
+          try {
+            for (;;) {
+              const result = await reader.next()
+              if (result.done) throw new UnknownOutcomeError(assignment.engine, 'the stream ended without an end marker')
+              const event = this.accept(result.value, attemptId)
+              if (event === undefined) continue
+              if (event.kind === 'token') {
+                if (this.tokens.length === 1) assignment.onFirstToken(this.options.clock.nowMs() - startedAtMs)
+                yield event
+                continue
+              }
+              attempt.complete = true
+              yield event
+              return
+            }
+          } catch (error) {
+            attempt.failure = error
+          } finally {
+            reader.close()
+          }
+          this.noteFailure(assignment, resumes, attempt.failure)
+          if (this.options.signal.aborted || outcomeOf(attempt.failure) !== 'unknown') break
+        }
       } finally {
         this.closeAttempt(assignment, attempt)
       }
-      if (attempt.complete) return
       await this.prepareRetry(assignment, attempt.failure)
     }
   }
 
-  /** Runs on one engine. A stream that is cut is resumed there, since the engine continues to run it for a while. */
-  private async * runOn (assignment: EngineAssignment, attempt: EngineAttempt): AsyncGenerator<GenerationEvent> {
-    const { clock, trace, signal, newAttemptId } = this.options
-    const startedAtMs = clock.nowMs()
-    for (let resumes = 0; resumes <= maxResumes; resumes++) {
-      const attemptId = newAttemptId()
-      const iterable = resumes === 0 ? this.start(assignment, attemptId) : this.resume(assignment.api, attemptId)
-      trace.add(resumes === 0 ? 'start' : 'resume', `engine ${assignment.engine}, attempt ${attemptId}, after ${this.tokens.length} tokens`)
-      try {
-        for await (const event of this.checked(iterable, attemptId)) {
-          if (event.kind === 'token' && this.tokens.length === 1) assignment.onFirstToken(clock.nowMs() - startedAtMs)
-          attempt.complete = event.kind === 'end'
-          yield event
-          if (attempt.complete) return
-        }
-        attempt.failure = new UnknownOutcomeError(assignment.engine, 'the stream ended without an end marker')
-      } catch (error) {
-        attempt.failure = error
-      }
-      if (resumes === 0 && outcomeOf(attempt.failure) !== 'not-run') this.startedAttempts++
-      trace.add('attempt-failed', `engine ${assignment.engine}: ${messageOf(attempt.failure)}`)
-      if (signal.aborted || outcomeOf(attempt.failure) !== 'unknown') return
-    }
+  private open (assignment: EngineAssignment, resumes: number): { reader: GuardedReader, attemptId: string } {
+    const { clock, trace, signal, request, newAttemptId } = this.options
+    const attemptId = newAttemptId()
+    const iterable = resumes === 0 ? this.start(assignment, attemptId) : this.resume(assignment.api, attemptId)
+    trace.add(resumes === 0 ? 'start' : 'resume', `engine ${assignment.engine}, attempt ${attemptId}, after ${this.tokens.length} tokens`)
+    return { reader: new GuardedReader(iterable, { clock, signal, target: request.requestId }), attemptId }
+  }
+
+  private noteFailure ({ engine }: EngineAssignment, resumes: number, failure: unknown): void {
+    if (resumes === 0 && outcomeOf(failure) !== 'not-run') this.startedAttempts++
+    this.options.trace.add('attempt-failed', `engine ${engine}: ${messageOf(failure)}`)
   }
 
   private closeAttempt ({ api, onEnded }: EngineAssignment, { complete, failure }: EngineAttempt): void {
@@ -115,25 +129,20 @@
     return api.resume(this.options.request.requestId, this.tokens.length, { attemptId, signal: this.options.signal })
   }
 
-  /** Passes on the events of this attempt, each token once and in order. */
-  private async * checked (iterable: AsyncIterable<InferenceEvent>, attemptId: string): AsyncGenerator<GenerationEvent> {
-    const { request, clock, signal } = this.options
-    for await (const event of withStallTimeout(iterable, { clock, signal, target: request.requestId })) {
-      if (event.requestId !== request.requestId || event.attemptId !== attemptId) continue
-      if (event.kind === 'token') {
-        if (event.index < this.tokens.length) continue
-        if (event.index > this.tokens.length) throw new UnknownOutcomeError(request.requestId, `token ${this.tokens.length} is missing`)
-        this.tokens.push(event.text)
-        yield { kind: 'token', text: event.text }
-      } else {
-        if (event.completionTokens !== this.tokens.length) {
-          throw new UnknownOutcomeError(request.requestId, `the engine ended after ${event.completionTokens} tokens, ${this.tokens.length} arrived`)
-        }
-        const { finishReason, promptTokens, completionTokens } = event
-        yield { kind: 'end', finishReason, promptTokens, completionTokens }
-        return
-      }
+  /** The event, if it is the next one of this attempt. Throws if tokens are missing. */
+  private accept (event: InferenceEvent, attemptId: string): GenerationEvent | undefined {
+    const { requestId } = this.options.request
+    if (event.requestId !== requestId || event.attemptId !== attemptId) return undefined
+    if (event.kind === 'token') {
+      if (event.index < this.tokens.length) return undefined
+      if (event.index !== this.tokens.length) throw new UnknownOutcomeError(requestId, `token ${this.tokens.length} is missing`)
+      this.tokens.push(event.text)
+      return event
     }
+    if (event.completionTokens !== this.tokens.length) {
+      throw new UnknownOutcomeError(requestId, `the engine ended after ${event.completionTokens} tokens, ${this.tokens.length} arrived`)
+    }
+    return event
   }
 
   /** Waits before the next attempt, or rejects with `error` if there must not be one. */
@@ -151,40 +160,60 @@
   }
 }
 
-interface StallOptions {
+interface ReaderOptions {
   clock: Clock
   signal: AbortSignal
   target: string
 }
 
-/** Rejects on an abort, or when the iterable yields nothing for `stallTimeoutMs`, whether or not it reacts itself. */
-async function * withStallTimeout<T> (iterable: AsyncIterable<T>, options: StallOptions): AsyncGenerator<T> {
-  const iterator = iterable[Symbol.asyncIterator]()
-  try {
-    for (;;) {
-      const result = await nextWithin(iterator, options)
-      if (result.done) return
-      yield result.value
-    }
-  } finally {
-    // An iterator that is stuck would never return, so nobody waits for it.
-    void Promise.resolve(iterator.return?.()).catch(() => {})
+/**
+ * Reads one stream. `next` rejects on an abort, or when nothing comes for `stallTimeoutMs`, whether or not the stream
+ * reacts itself. One timer and one abort listener serve the whole stream, since they are costly for each token.
+ */
+class GuardedReader {
+  private readonly iterator: AsyncIterator<InferenceEvent>
+  private waitingSinceMs = 0
+  private reject: ((error: unknown) => void) | undefined
+  private cancelTimer: CancelTimer | undefined
+  private readonly onAbort = () => this.reject?.(this.options.signal.reason)
+
+  constructor (iterable: AsyncIterable<InferenceEvent>, private readonly options: ReaderOptions) {
+    this.iterator = iterable[Symbol.asyncIterator]()
+    options.signal.addEventListener('abort', this.onAbort, { once: true })
   }
-}
 
-function nextWithin<T> (iterator: AsyncIterator<T>, { clock, signal, target }: StallOptions): Promise<IteratorResult<T>> {
-  return new Promise((resolve, reject) => {
-    const onAbort = () => reject(signal.reason)
-    if (signal.aborted) return onAbort()
-    signal.addEventListener('abort', onAbort, { once: true })
-    const cancel = clock.setTimer(stallTimeoutMs, () => {
-      reject(new UnknownOutcomeError(target, `no token for ${stallTimeoutMs} ms`))
+  next (): Promise<IteratorResult<InferenceEvent>> {
+    const { clock, signal } = this.options
+    return new Promise((resolve, reject) => {
+      if (signal.aborted) return reject(signal.reason)
+      this.waitingSinceMs = clock.nowMs()
+      this.reject = reject
+      if (!this.cancelTimer) this.startTimer(stallTimeoutMs)
+      this.iterator.next().then(result => {
+        this.reject = undefined
+        resolve(result)
+      }, reject)
     })
-    iterator.next().then(resolve, reject).finally(() => {
-      cancel()
-      signal.removeEventListener('abort', onAbort)
+  }
+
+  close (): void {
+    this.cancelTimer?.()
+    this.options.signal.removeEventListener('abort', this.onAbort)
+    // An iterator that is stuck would never return, so nobody waits for it.
+    void Promise.resolve(this.iterator.return?.()).catch(() => {})
+  }
+
+  /** The timer is not moved by each token; when it ends, it waits for what is left. */
+  private startTimer (delayMs: number): void {
+    const { clock, target } = this.options
+    this.cancelTimer = clock.setTimer(delayMs, () => {
+      this.cancelTimer = undefined
+      if (!this.reject) return
+      const leftMs = this.waitingSinceMs + stallTimeoutMs - clock.nowMs()
+      if (leftMs > 0) this.startTimer(leftMs)
+      else this.reject(new UnknownOutcomeError(target, `no token for ${stallTimeoutMs} ms`))
     })
-  })
+  }
 }
 
 /** How the run on one engine went. */
