Render the use of the error budgets as text, JSON and a page

Nodes that did not answer are named in all three. The recorder gives a series by rank from the buckets that it already keeps, so its memory does not grow (at most 113 periods).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** The `teaselrill` command. Exit codes: 0 success, 1 failure, 2 bad usage or input. */
 
-import { readFileSync } from 'node:fs'
+import { readFileSync, writeFileSync } from 'node:fs'
 import sade from 'sade'
 import type { Sade } from 'sade'
 import { SystemClock } from '../base/clock.js'
@@ -26,9 +26,22 @@
 }
 
 async function reportBurn (options: CommandOptions): Promise<number> {
-  // The page is rendered by burnReport.ts, which is not part of the command yet.
-  if (optionalText(options, 'html') !== undefined) throw new CommandError('--html is not implemented yet; use --json')
-  return await printReport('/v1/burn', options)
+  const file = optionalText(options, 'html')
+  const client = new OperatorsClient(nodeAccess(options), clock)
+  const { burnAnswerSchema, burnReport, renderBurnHtml, renderBurnText } = await import('./burnReport.js')
+  const answer = burnAnswerSchema.safeParse(await client.report('/v1/burn'))
+  if (!answer.success) throw new CommandError(`the answer to /v1/burn is not understood: ${messageOf(answer.error)}`)
+  const report = burnReport(answer.data)
+  if (file !== undefined) {
+    try {
+      writeFileSync(file, renderBurnHtml(report, { createdAtMs: clock.nowMs() }))
+    } catch (error) {
+      throw new CommandError(`cannot write "${file}": ${messageOf(error)}`)
+    }
+  }
+  if (options.json) printJson({ ...answer.data, report })
+  else if (file === undefined) print(renderBurnText(report))
+  return exitOk
 }
 
 function withAccess (program: Sade): Sade {
--- a/src/gateway/burn.ts
+++ b/src/gateway/burn.ts
@@ -74,6 +74,13 @@
   windows: BurnCounts[]
 }
 
+/** Counts by rank in one period. */
+export interface BurnPeriod {
+  startMs: number
+  lengthMs: number
+  ranks: Record<string, BurnCounts>
+}
+
 const minuteMs = 60_000
 /** Windows of the report: 5 minutes, 1 hour, 6 hours, 1 day. */
 export const burnWindowsMs = [5 * minuteMs, 60 * minuteMs, 360 * minuteMs, 1440 * minuteMs] as const
@@ -115,6 +122,16 @@
     return [...byKey.values()]
   }
 
+  /** Counts by rank for each period of the last day, oldest first: minutes of the last hour, else half hours. */
+  series (): BurnPeriod[] {
+    const startMs = this.clock.nowMs() - burnWindowsMs.at(-1)!
+    return this.buckets.filter(bucket => bucket.startMs + bucket.lengthMs > startMs).map(bucket => {
+      const ranks: Record<string, BurnCounts> = {}
+      for (const [key, counts] of bucket.groups) addCounts(ranks[emptyGroup(key).rank] ??= emptyCounts(), counts)
+      return { startMs: bucket.startMs, lengthMs: bucket.lengthMs, ranks }
+    })
+  }
+
   private currentBucket (): Bucket {
     const startMs = Math.floor(this.clock.nowMs() / fineBucketMs) * fineBucketMs
     const last = this.buckets.at(-1)
@@ -153,6 +170,18 @@
   return [...byKey.values()]
 }
 
+/** Adds the series of several nodes. Nodes compact at different times, so a period may occur in both lengths. */
+export function mergeBurnSeries (lists: readonly BurnPeriod[][]): BurnPeriod[] {
+  const byKey = new Map<string, BurnPeriod>()
+  for (const { startMs, lengthMs, ranks } of lists.flat()) {
+    const key = `${startMs}/${lengthMs}`
+    const merged = byKey.get(key) ?? { startMs, lengthMs, ranks: {} }
+    byKey.set(key, merged)
+    for (const [rank, counts] of Object.entries(ranks)) addCounts(merged.ranks[rank] ??= emptyCounts(), counts)
+  }
+  return [...byKey.values()].sort((left, right) => left.startMs - right.startMs || left.lengthMs - right.lengthMs)
+}
+
 function groupKey ({ rank, customer, model }: { rank: string, customer: string, model: string }): string {
   return JSON.stringify([rank, customer, model])
 }
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -35,8 +35,8 @@
 import type { EngineEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
 import { accountFilter } from './account.js'
 import type { OnFinished } from './account.js'
-import { BurnRecorder, mergeBurnGroups, RequestMeasure } from './burn.js'
-import type { BurnGroup } from './burn.js'
+import { BurnRecorder, mergeBurnGroups, mergeBurnSeries, RequestMeasure } from './burn.js'
+import type { BurnGroup, BurnPeriod } from './burn.js'
 import { classifyFilter } from './classify.js'
 import { deduplicateFilter } from './deduplicate.js'
 import { DemandMeter } from './demandMeter.js'
@@ -351,11 +351,17 @@
   }
 
   /** Burn of all nodes, with the names of the nodes that did not answer. */
-  async burnReport (): Promise<{ objectives: Record<string, number>, groups: BurnGroup[], nodes: string[], missing: string[] }> {
+  async burnReport (): Promise<{ objectives: Record<string, number>, groups: BurnGroup[], series: BurnPeriod[], nodes: string[], missing: string[] }> {
     const { answers, missing, names } = await this.queryAll('burn', '')
-    const groups = mergeBurnGroups([this.burn.groups(), ...answers as BurnGroup[][]])
+    const all = [this.burnOfNode(), ...answers as ReturnType<NodeCore['burnOfNode']>[]]
+    const groups = mergeBurnGroups(all.map(answer => answer.groups))
+    const series = mergeBurnSeries(all.map(answer => answer.series))
     const objectives = Object.fromEntries(Object.entries(this.config().ranks).map(([rank, { objective }]) => [rank, objective]))
-    return { objectives, groups, nodes: [this.options.identity.name, ...names], missing }
+    return { objectives, groups, series, nodes: [this.options.identity.name, ...names], missing }
+  }
+
+  private burnOfNode (): { groups: BurnGroup[], series: BurnPeriod[] } {
+    return { groups: this.burn.groups(), series: this.burn.series() }
   }
 
   /** Requests that wait for an engine. */
@@ -396,7 +402,7 @@
 
   private answerQuery (query: 'burn' | 'trace' | 'status', argument: string): unknown {
     return match(query)
-      .with('burn', () => this.burn.groups())
+      .with('burn', () => this.burnOfNode())
       .with('trace', () => {
         const trace = this.traces.explain(argument)
         return trace && { node: this.options.identity.name, ...trace }
