--- a/tests/discovery.spec.ts
+++ b/tests/discovery.spec.ts
@@ -4,7 +4,7 @@
 import { silentLog } from '../src/base/log.js'
 import { ServiceMonitor } from '../src/fleet/serviceMonitor.js'
 import { VmDirectory } from '../src/fleet/vmDirectory.js'
-import type { EntryStore } from '../src/fleet/vmDirectory.js'
+import type { EntryStore } from '../src/fleet/entryTable.js'
 import type { Vm } from '../src/platform/vmList.js'
 import type { MemberEntry } from '../src/protocol/messages.js'
 
