Bound a rank's kept minimum by the demand of more valuable ranks

Of 4,443 browsing requests dispatched in the flood, 761 went out as kept minimum, at the largest priority and to engines that are full: 10% of 20 times the demand. But only more valuable ranks can displace a rank, so its own flood needs no minimum.

Ruled out: prompts of browsing that hold back urgent ones by the bound on late first tokens.

--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -30,6 +30,8 @@
  */
 const keptDispatchShare = 0.25
 const maxKeptBudget = 5
+/** Time constant of the demand by rank, which bounds the kept minimums. */
+const demandTimeConstantMs = 10_000
 /** After this many customers whose item of one model is rejected in one call of `next`, the model counts as blocked. */
 const rejectionsUntilBlocked = 2
 /** How often items that can no longer attain their target are sorted out. */
@@ -117,6 +119,9 @@
   private nextLateCheckMs = 0
   private customerSequence = 0
   private keptBudget = maxKeptBudget
+  /** Recent requests by rank, decayed to `demandAtMs`. */
+  private readonly demand: Record<Rank, number> = { urgent: 0, live: 0, browsing: 0 }
+  private demandAtMs = 0
   private readonly byId = new Map<string, Item>()
   private readonly modelCounts = new Map<string, Map<Rank, number>>()
 
@@ -133,8 +138,24 @@
    * it, since the kept minimum is a share of the demand and not of what was admitted.
    */
   noteDemand (rank: Rank): void {
+    const { ranks: rankConfigs } = this.config()
+    this.decayDemand()
+    const own = this.demand[rank] + 1
+    this.demand[rank] = own
+    const moreValuable = ranks.filter(other => rankConfigs[other].requestValue > rankConfigs[rank].requestValue)
+      .reduce((sum, other) => sum + this.demand[other], 0)
+    // Only more valuable ranks can displace a rank. What its own flood displaces needs no minimum, and would take the
+    // batch room of the others: in a flood of 20 times, a sixth of browsing went to full engines ahead of urgent.
+    const counted = moreValuable > 0 ? Math.min(1, moreValuable / own) : rank === ranks[0] ? 1 : 0
     const queue = this.rankQueues.get(rank)!
-    queue.credit = Math.min(maxCredit, queue.credit + this.config().ranks[rank].minimumShare)
+    queue.credit = Math.min(maxCredit, queue.credit + rankConfigs[rank].minimumShare * counted)
+  }
+
+  private decayDemand (): void {
+    const nowMs = this.clock.nowMs()
+    const factor = Math.exp((this.demandAtMs - nowMs) / demandTimeConstantMs)
+    this.demandAtMs = nowMs
+    for (const rank of ranks) this.demand[rank] *= factor
   }
 
   /** Requests of the rank that may be served ahead of more valuable ranks. */
--- a/tests/admission.spec.ts
+++ b/tests/admission.spec.ts
@@ -39,6 +39,14 @@
     expect(served.filter(rank => rank === 'urgent').length).to.be.at.least(40)
   })
 
+  it('gives a rank no kept minimum against its own flood', () => {
+    // Guards against 10% of a browsing flood going to full engines ahead of urgent requests.
+    const { queue } = setUp()
+    for (let index = 0; index < 10; index++) queue.noteDemand('urgent')
+    for (let index = 0; index < 200; index++) queue.noteDemand('browsing')
+    expect(queue.credit('browsing')).to.be.below(5)
+  })
+
   it('shares a rank between customers by weight', async () => {
     // Guards against a customer with many requests delaying the others of its rank.
     const { queue } = setUp()
