Plan for the most valuable part of each model's demand

Demand was scaled down to what a pool serves but kept the value of all of it, so that a further copy of a popular model kept the value of browsing that admission sheds. Demand is now kept by rank: the least valuable part is cut first, and a copy gains or loses the least valuable part that it changes.

Ruled out: tokens by rank are not reported, so they are spread by requests.

--- a/src/policy/forecast.ts
+++ b/src/policy/forecast.ts
@@ -70,13 +70,15 @@
       const shifted = burstRatio > burstRatioAbove || burstRatio < burstRatioBelow
       const rate = (index: number) => shifted ? demand.fast[index]! * fastScale : demand.slow[index]! * slowScale
       const weight = config.models[config.adapters[name]?.baseModel ?? name]?.weight ?? 1
-      let valuePerSecond = 0
-      for (const [index, rank] of ranks.entries()) valuePerSecond += rate(2 + index) * config.ranks[rank].requestValue * weight
+      const byRank = ranks.map((rank, index) => ({
+        rank, requestsPerSecond: rate(2 + index), valuePerSecond: rate(2 + index) * config.ranks[rank].requestValue * weight
+      }))
       result.set(name, {
         tokensPerSecond: rate(0),
         requestsPerSecond: rate(1),
-        valuePerSecond,
-        burstRatio
+        valuePerSecond: byRank.reduce((sum, { valuePerSecond }) => sum + valuePerSecond, 0),
+        burstRatio,
+        byRank
       })
     }
     return result
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -39,13 +39,20 @@
   weight: number
 }
 
+interface DemandPart {
+  requestValue: number
+  tokensPerSecond: number
+  valuePerSecond: number
+}
+
 interface ModelDemand {
   name: string
   config: ModelConfig
   rules: Rules
-  /** Demand in tokens per second, and its value for each token. */
+  /** Demand in tokens per second. */
   tokensPerSecond: number
-  valuePerToken: number
+  /** Parts of the demand, the most valuable first: queues and engines serve them in this order. */
+  parts: DemandPart[]
   waiting: number
   earliestDeadlineMs: number
   /** Demand that the present copies cannot serve. */
@@ -114,20 +121,28 @@
   }
 
   /**
-   * Scales the demand of a pool down to what its engines can serve, and keeps its value: admission sheds the least
-   * valuable part, which no placement can serve. Otherwise a flood makes every copy look indispensable.
+   * Cuts the demand of a pool down to what its engines can serve, the least valuable parts first: admission sheds them,
+   * and no placement can serve them. Otherwise a flood makes every copy look indispensable.
    */
   private limitDemand (): void {
     for (const pool of Object.keys(this.config.pools)) {
       const demands = [...this.demands.values()].filter(demand => demand.config.pool === pool)
-      const total = demands.reduce((sum, demand) => sum + demand.tokensPerSecond, 0)
       const capacity = this.engines.reduce((sum, engine) => sum + (engine.entry.pool === pool ? engine.capacity : 0), 0)
-      const factor = servableShare * capacity / total
-      if (!(factor < 1) || factor === 0) continue
-      for (const demand of demands) {
-        demand.tokensPerSecond *= factor
-        demand.valuePerToken /= factor
+      if (capacity === 0) continue
+      let excess = demands.reduce((sum, demand) => sum + demand.tokensPerSecond, 0) - servableShare * capacity
+      const values = [...new Set(demands.flatMap(demand => demand.parts.map(part => part.requestValue)))].sort((left, right) => left - right)
+      for (const requestValue of values) {
+        if (excess <= 0) break
+        const parts = demands.flatMap(demand => demand.parts.filter(part => part.requestValue === requestValue))
+        const tokens = parts.reduce((sum, part) => sum + part.tokensPerSecond, 0)
+        const factor = Math.max(0, 1 - excess / tokens)
+        for (const part of parts) {
+          part.tokensPerSecond *= factor
+          part.valuePerSecond *= factor
+        }
+        excess -= tokens
       }
+      for (const demand of demands) demand.tokensPerSecond = demand.parts.reduce((sum, part) => sum + part.tokensPerSecond, 0)
     }
   }
 
@@ -154,14 +169,24 @@
       if (exception.minimumReplicas !== undefined) rules.minimumReplicas = exception.minimumReplicas
       if (exception.weight !== undefined) rules.weight = exception.weight / config.weight
     }
-    const demand = { name, config, rules, tokensPerSecond: 0, valuePerToken: 0, waiting: 0, earliestDeadlineMs: Infinity, unmet: 0 }
-    let value = 0
+    const demand = { name, config, rules, tokensPerSecond: 0, parts: [] as DemandPart[], waiting: 0, earliestDeadlineMs: Infinity, unmet: 0 }
+    const parts = new Map<number, DemandPart>()
     const names = [name, ...Object.keys(this.config.adapters).filter(adapter => this.config.adapters[adapter]!.baseModel === name)]
     for (const key of names) {
       const forecast = this.input.forecasts.get(key)
       if (forecast) {
         demand.tokensPerSecond += forecast.tokensPerSecond
-        value += forecast.valuePerSecond * rules.weight
+        // Tokens are not reported by rank. Their spread by requests counts too many for urgent, which only errs on the safe side.
+        const byRank = forecast.byRank ?? [{ rank: undefined, requestsPerSecond: 1, valuePerSecond: forecast.valuePerSecond }]
+        const requests = byRank.reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond, 0)
+        for (const { rank, requestsPerSecond, valuePerSecond } of byRank) {
+          if (requestsPerSecond <= 0) continue
+          const requestValue = rank === undefined ? 0 : this.config.ranks[rank].requestValue
+          let part = parts.get(requestValue)
+          if (!part) parts.set(requestValue, part = { requestValue, tokensPerSecond: 0, valuePerSecond: 0 })
+          part.tokensPerSecond += forecast.tokensPerSecond * requestsPerSecond / requests
+          part.valuePerSecond += valuePerSecond * rules.weight
+        }
       }
       const waiting = this.input.waiting.get(key)
       if (waiting && waiting.count > 0) {
@@ -169,7 +194,7 @@
         demand.earliestDeadlineMs = Math.min(demand.earliestDeadlineMs, waiting.earliestDeadlineMs)
       }
     }
-    demand.valuePerToken = demand.tokensPerSecond > 0 ? value / demand.tokensPerSecond : 0
+    demand.parts = [...parts.values()].sort((left, right) => right.requestValue - left.requestValue)
     return demand
   }
 
@@ -364,7 +389,7 @@
     while (this.loadSlots > 0) {
       const candidates = [...this.demands.values()]
         .filter(demand => !refused.has(demand.name) && demand.unmet > 0)
-        .sort((left, right) => right.unmet * right.valuePerToken / right.config.memoryBytes - left.unmet * left.valuePerToken / left.config.memoryBytes)
+        .sort((left, right) => gainOf(right, right.unmet) / right.config.memoryBytes - gainOf(left, left.unmet) / left.config.memoryBytes)
       const demand = candidates[0]
       if (!demand) return
       if (this.tryLoad(demand, this.engines, `unmet demand of ${Math.round(demand.unmet)} tokens/s`, { force: false })) this.spreadLoad()
@@ -392,7 +417,7 @@
       if (!room) continue
       const freed = room.evicted.reduce((sum, copy) => sum + copy.load, 0)
       const relief = Math.min(demand.unmet, Math.max(0, engine.capacity - engine.load + freed))
-      const gain = demand.valuePerToken * relief
+      const gain = gainOf(demand, relief)
       if (!force) {
         if (copies > 0 && relief < minimumRelief * engine.capacity) continue
         if (room.loss > displacementRatio * gain) continue
@@ -439,7 +464,7 @@
   private relocateFor (demand: ModelDemand): boolean {
     if (this.loadSlots <= 0) return false
     const engines = this.engines.filter(engine => engine.entry.pool === demand.config.pool && engine.movable && !engine.changed)
-    const acceptedLoss = relocationLossShare * demand.valuePerToken * demand.unmet
+    const acceptedLoss = relocationLossShare * gainOf(demand, demand.unmet)
     let best: { target: EngineSpace, mover: ModelDemand, evicted: Copy[] } | undefined
     let bestBytes = Infinity
     for (const engine of engines) {
@@ -484,7 +509,8 @@
     if (!demand) return 0
     const others = this.servingCopies(copy.model).filter(other => other.engine !== engine && other.copy.ready)
     const spare = others.reduce((sum, other) => sum + Math.max(0, other.engine.capacity - other.engine.load), 0)
-    return demand.valuePerToken * Math.max(0, copy.load - spare)
+    const served = demand.tokensPerSecond - demand.unmet
+    return valueOf(demand, served) - valueOf(demand, served - Math.max(0, copy.load - spare))
   }
 
   private addMove (engine: EngineSpace, demand: ModelDemand | undefined, evicted: Copy[], reason: string): void {
@@ -540,6 +566,24 @@
   }
 }
 
+/** Value per second of the most valuable part of the demand with this many tokens per second. */
+function valueOf ({ parts }: ModelDemand, tokensPerSecond: number): number {
+  let rest = tokensPerSecond
+  let value = 0
+  for (const part of parts) {
+    if (rest <= 0) break
+    value += part.tokensPerSecond > 0 ? part.valuePerSecond * Math.min(1, rest / part.tokensPerSecond) : 0
+    rest -= part.tokensPerSecond
+  }
+  return value
+}
+
+/** Value per second of serving this much more of the unmet demand. */
+function gainOf (demand: ModelDemand, tokensPerSecond: number): number {
+  const served = demand.tokensPerSecond - demand.unmet
+  return valueOf(demand, served + tokensPerSecond) - valueOf(demand, served)
+}
+
 /** Adds `amount` to the copies, which are ordered by the load of their engines, so that these become equal from below. */
 function pourOver (copies: readonly { engine: EngineSpace, copy: Copy }[], amount: number): void {
   let rest = amount
--- a/src/policy/placementInput.ts
+++ b/src/policy/placementInput.ts
@@ -1,6 +1,6 @@
 /** What a planner passes to the placement policy, and what the policy answers. */
 
-import type { FleetConfig } from '../config/fleetConfig.js'
+import type { FleetConfig, Rank } from '../config/fleetConfig.js'
 import type { DemandEntry, EngineEntry, Move } from '../protocol/messages.js'
 
 /** Expected demand of one model. */
@@ -10,6 +10,8 @@
   valuePerSecond: number
   /** Peak demand relative to the mean. */
   burstRatio: number
+  /** Requests and their value by rank; absent if only the sums are known. */
+  byRank?: { rank: Rank, requestsPerSecond: number, valuePerSecond: number }[]
 }
 
 /**
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -60,6 +60,22 @@
     expect(plan.moves.map(move => move.load)).to.deep.equal(['c@1'])
   })
 
+  it('prefers the only copy of an urgent model to a further copy for a browsing flood', () => {
+    // Guards against the value of requests that are shed anyway keeping urgent models out.
+    const byRank = (urgent: number, browsing: number) => ({
+      tokensPerSecond: (urgent + browsing) * 100,
+      requestsPerSecond: urgent + browsing,
+      valuePerSecond: urgent * 10 + browsing,
+      burstRatio: 1,
+      byRank: [{ rank: 'urgent' as const, requestsPerSecond: urgent, valuePerSecond: urgent * 10 }, { rank: 'browsing' as const, requestsPerSecond: browsing, valuePerSecond: browsing }]
+    })
+    const plan = planMoves(input({
+      engines: [createEngine('e0', ['a@1']), createEngine('e1', ['a@1'])],
+      forecasts: new Map([['a', byRank(1, 200)], ['c', byRank(5, 0)]])
+    }))
+    expect(plan.moves.map(move => move.load)).to.deep.equal(['c@1'])
+  })
+
   it('keeps the reserve of a pool free of further replicas and lets only it rotate', () => {
     // Guards against rarely used models displacing hot ones on all engines in turn.
     const config = { ...input({}).config, pools: { pool: { honoursFence: true, reserveBytes: 40, adapterBytes: 0 } } }
