Check servers and read the VM list from two nodes of a region

Cause: one node checked a server and one read the list. While it was paused or dead, nobody reported a drain until it counted as dead (8 s), and new work went to the draining server. A new node took callers before it knew which servers drain. Ruled out: slow dissemination; the trace shows no check between the pause and the death of the checker, and an entry 20 ms after the next check. Conclusion: each checker publishes its own entry and one report of a drain counts; the later change of the list wins; a node waits up to 1 s for its first look.

--- a/src/fleet/serviceMonitor.ts
+++ b/src/fleet/serviceMonitor.ts
@@ -2,7 +2,8 @@
 
 import { repeat } from '../base/clock.js'
 import { NotRunError } from '../base/errors.js'
-import { rendezvousOwner } from '../base/hash.js'
+import { rendezvousOrder } from '../base/hash.js'
+import { parseOnce } from '../base/parseOnce.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { ServiceApi } from '../platform/service.js'
 import type { Vm } from '../platform/vmList.js'
@@ -10,6 +11,8 @@
 import type { MemberEntry, ServiceEntry } from '../protocol/messages.js'
 import type { EntryStore } from './vmDirectory.js'
 
+const parseService = parseOnce(serviceEntrySchema)
+
 export interface ServiceMonitorOptions {
   clock: Clock
   entries: EntryStore
@@ -21,11 +24,14 @@
 
 const checkPeriodMs = 500
 const checkTimeoutMs = 1_000
+/** Key prefix of the published checks: `service/SERVER/CHECKER`. */
 const keyPrefix = 'service/'
+// A checker that is paused says nothing until it counts as dead, 8 s later; the other one reports a drain meanwhile.
+const checkersPerServer = 2
 // A server that is slow for one check is not taken out.
 const failuresUntilUnreachable = 2
 
-/** In each region one node, chosen by rendezvous hashing for each server, checks it. */
+/** In each region two nodes, chosen by rendezvous hashing for each server, check it. Each publishes an entry of its own. */
 export class ServiceMonitor {
   private readonly options: ServiceMonitorOptions
   private stopTimer: CancelTimer | undefined
@@ -48,31 +54,49 @@
    * connection is proof that nothing ran.
    */
   servers (service: string): ServiceEntry[] {
-    const checked = new Map(this.options.entries.list(keyPrefix).flatMap(({ value }) => {
-      const result = serviceEntrySchema.safeParse(value)
-      return result.success ? [[result.data.server, result.data] as const] : []
-    }))
+    const members = this.options.alive()
     return this.options.vms()
       .filter(vm => vm.kind === 'service' && vm.group === service && vm.state === 'live')
-      .map(vm => checked.get(vm.name) ?? entryOf(vm, { draining: false, reachable: true }))
+      .map(vm => this.merged(vm, checkersOf(vm, members)))
       .filter(({ draining, reachable }) => reachable && !draining)
   }
 
-  private async checkAll (): Promise<void> {
+  /** What the present checkers say: draining if one says so, reachable if one reaches it. */
+  private merged (vm: Vm, checkers: readonly string[]): ServiceEntry {
+    const checks = this.checks(vm.name).filter(({ checker }) => checkers.includes(checker)).map(({ entry }) => entry)
+    return entryOf(vm, {
+      draining: checks.some(({ draining }) => draining),
+      reachable: checks.length === 0 || checks.some(({ reachable }) => reachable)
+    })
+  }
+
+  private checks (server: string): { key: string, checker: string, entry: ServiceEntry }[] {
+    const prefix = `${keyPrefix}${server}/`
+    return this.options.entries.list(prefix).flatMap(({ key, value }) => {
+      const entry = parseService(value)
+      return entry ? [{ key, checker: key.slice(prefix.length), entry }] : []
+    })
+  }
+
+  /** Checks the servers that this node has to check. */
+  async checkAll (): Promise<void> {
     const { self, alive, vms } = this.options
     const members = alive()
-    const inRegion = members.filter(({ region }) => region === self.region).map(({ name }) => name)
-    const mine = vms().filter(vm => vm.kind === 'service').filter(vm => {
-      const names = members.filter(({ region }) => region === vm.region).map(({ name }) => name)
-      const candidates = names.length > 0 ? names : members.map(({ name }) => name)
-      return rendezvousOwner(`${keyPrefix}${vm.name}`, candidates.length > 0 ? candidates : inRegion) === self.name
-    })
+    const mine = vms().filter(vm => vm.kind === 'service' && checkersOf(vm, members).includes(self.name))
     for (const name of [...this.duties.keys()]) {
       if (!mine.some(vm => vm.name === name)) this.duties.delete(name)
     }
+    for (const vm of mine) this.removeGone(vm, members)
     await Promise.all(mine.map(vm => this.check(vm)))
   }
 
+  /** Removes the entries of checkers that are no longer members. */
+  private removeGone ({ name }: Vm, members: readonly MemberEntry[]): void {
+    for (const { key, checker } of this.checks(name)) {
+      if (!members.some(member => member.name === checker)) this.options.entries.publish(key, this.options.clock.nowMs(), undefined)
+    }
+  }
+
   private async check (vm: Vm): Promise<void> {
     const { clock, serviceApi } = this.options
     const duty = this.duties.get(vm.name) ?? { sinceMs: clock.nowMs(), published: '', failures: 0 }
@@ -94,10 +118,16 @@
     const text = JSON.stringify(entry)
     if (duty.published === text) return
     duty.published = text
-    this.options.entries.publish(`${keyPrefix}${vm.name}`, duty.sinceMs, entry, { urgent: true })
+    this.options.entries.publish(`${keyPrefix}${vm.name}/${this.options.self.name}`, duty.sinceMs, entry, { urgent: true })
   }
 }
 
+/** Nodes of the server's region, or of the fleet if the region has none. */
+function checkersOf (vm: Vm, members: readonly MemberEntry[]): string[] {
+  const regional = members.filter(({ region }) => region === vm.region)
+  return rendezvousOrder(`${keyPrefix}${vm.name}`, (regional.length > 0 ? regional : members).map(({ name }) => name)).slice(0, checkersPerServer)
+}
+
 function entryOf (vm: Vm, state: { draining: boolean, reachable: boolean }): ServiceEntry {
   const { name, group, address, region, availabilityZone } = vm
   return { server: name, service: group, address, region, availabilityZone, ...state }
--- a/src/fleet/vmDirectory.ts
+++ b/src/fleet/vmDirectory.ts
@@ -2,7 +2,7 @@
 
 import { repeat } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
-import { rendezvousOwner } from '../base/hash.js'
+import { rendezvousOrder } from '../base/hash.js'
 import { parseOnce } from '../base/parseOnce.js'
 import { vmSchema } from '../platform/vmList.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
@@ -26,30 +26,34 @@
 }
 
 const pollPeriodMs = 2_000
+// A reader that is paused says nothing until it counts as dead, 8 s later; the other one reports what leaves meanwhile.
+const readersPerRegion = 2
+/** Polls of one reader that must miss a VM before it is removed, since the readers' lists may differ in age. */
+const missesUntilRemoved = 2
 /** Key prefix of the published VMs: `vm/REGION/NAME`. */
 const keyPrefix = 'vm/'
 const parseVm = parseOnce(vmSchema)
 
 /**
- * In each region one node, chosen by rendezvous hashing, reads the list and publishes the VMs of its region. A VM that
- * has left the list is deleted.
+ * In each region two nodes, chosen by rendezvous hashing, read the list and publish what changes there for the VMs of
+ * the region. The later change wins. A VM that has left the list is deleted.
  */
 export class VmDirectory {
   private readonly options: VmDirectoryOptions
   private stopTimer: CancelTimer | undefined
-  /** Start of this node's duty as the reader, which is the epoch of what it publishes; 0 if it is not the reader. */
-  private dutySinceMs = 0
+  private hasDuty = false
   private published = new Map<string, string>()
+  private misses = new Map<string, number>()
 
   constructor (options: VmDirectoryOptions) {
     this.options = options
   }
 
-  start (): void {
-    this.stopTimer = repeat(this.options.clock, pollPeriodMs, () => this.poll(), {
-      firstDelayMs: 0,
-      onError: error => this.options.log('warn', 'VM list unavailable', { error: messageOf(error) })
-    })
+  /** Resolves after the first look at the list, also if it failed. */
+  async start (): Promise<void> {
+    const onError = (error: unknown) => this.options.log('warn', 'VM list unavailable', { error: messageOf(error) })
+    this.stopTimer = repeat(this.options.clock, pollPeriodMs, () => this.poll(), { onError })
+    await this.poll().catch(onError)
   }
 
   stop (): void {
@@ -64,32 +68,46 @@
   private async poll (): Promise<void> {
     const { clock, vmList, self } = this.options
     if (!this.isReader()) {
-      this.dutySinceMs = 0
+      this.hasDuty = false
       return
     }
-    if (this.dutySinceMs === 0) {
-      this.dutySinceMs = clock.nowMs()
+    if (!this.hasDuty) {
+      this.hasDuty = true
       this.published = new Map()
+      this.misses = new Map()
     }
-    const vms = (await vmList.list()).filter(({ region }) => region === self.region)
+    const askedAtMs = clock.nowMs()
+    const listed = await vmList.list()
+    // A list that arrives after a pause is older than what others published meanwhile.
+    if (clock.nowMs() - askedAtMs > pollPeriodMs) return
+    const vms = listed.filter(({ region }) => region === self.region)
     for (const vm of vms) this.publishChanged(vmKey(vm), vm)
-    const listed = new Set(vms.map(vmKey))
-    for (const { key, value } of this.options.entries.list(`${keyPrefix}${self.region}/`)) {
-      if (value !== undefined && !listed.has(key)) this.publishChanged(key, undefined)
+    this.removeUnlisted(new Set(vms.map(vmKey)))
+  }
+
+  private removeUnlisted (listed: ReadonlySet<string>): void {
+    for (const { key, value } of this.options.entries.list(`${keyPrefix}${this.options.self.region}/`)) {
+      if (value === undefined || listed.has(key)) {
+        this.misses.delete(key)
+        continue
+      }
+      const misses = (this.misses.get(key) ?? 0) + 1
+      this.misses.set(key, misses)
+      if (misses >= missesUntilRemoved) this.publishChanged(key, undefined)
     }
   }
 
   private isReader (): boolean {
     const { self, alive } = this.options
     const names = alive().filter(({ region }) => region === self.region).map(({ name }) => name)
-    return rendezvousOwner('vm-list', names.length > 0 ? names : [self.name]) === self.name
+    return rendezvousOrder('vm-list', names.length > 0 ? names : [self.name]).slice(0, readersPerRegion).includes(self.name)
   }
 
   private publishChanged (key: string, value: Vm | undefined): void {
     const text = JSON.stringify(value) ?? ''
     if (this.published.get(key) === text) return
     this.published.set(key, text)
-    this.options.entries.publish(key, this.dutySinceMs, value, { urgent: true })
+    this.options.entries.publish(key, this.options.clock.nowMs(), value, { urgent: true })
   }
 }
 
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -87,6 +87,8 @@
 // At 340 idle nodes the probes are 11 reads/s of the service's 2,000.
 const keyValueProbePeriodMs = 30_000
 const maxCachePolls = 4
+// A node that takes callers before it has seen the servers' state sends work to those that drain.
+const firstLookMs = 1_000
 // Requests that wait read all entries each 25 ms; at 600 engines a check of each would take longer than that.
 const parseEngineEntry = parseOnce(engineEntrySchema)
 
@@ -238,19 +240,25 @@
     this.dissemination.start()
     this.timers.push(repeat(clock, keyValueProbePeriodMs, () => this.keyValueStore.probe(keyValueProbePeriodMs)))
     await this.configDistribution.start()
-    if (this.state === 'leaving') return
-    this.vmDirectory.start()
+    if (this.isLeaving()) return
+    const looked = this.vmDirectory.start().then(() => this.serviceMonitor.checkAll())
     this.serviceMonitor.start()
     this.assignment.start()
     this.planner.start()
     this.scheduler.start()
     this.timers.push(repeat(clock, demandPeriodMs, () => this.reportDemand()))
     this.timers.push(repeat(clock, demandPeriodMs, () => this.readCacheEvents()))
+    await Promise.race([looked, sleep(clock, firstLookMs)])
+    if (this.isLeaving()) return
     this.state = 'ready'
     this.membership.setReady(true)
     this.options.log('info', 'node ready', { node: identity.name, configVersion: this.configDistribution.version() })
   }
 
+  private isLeaving (): boolean {
+    return this.state === 'leaving'
+  }
+
   /** Whether callers are served, and why not. */
   readiness (): { ready: boolean, reasons: string[] } {
     const reasons = match(this.state)
