Publish the adapter space that controllers have free

Cause: the planner took the space for adapters from the engine's status. On an engine that ignores fencing tokens, adapters that are granted and not loaded also count, so an adapter was offered there again and again. Ruled out: the delayed command itself; the trace of the case shows 'adapters need bytes, 0 of the adapter space are free' each second. Conclusion: the engine entry carries freeAdapterBytes, and the planner uses it.

--- a/src/fleet/arbiter.ts
+++ b/src/fleet/arbiter.ts
@@ -26,6 +26,9 @@
   }
 }
 
+/** The memory of an engine as its controller accounts it. */
+export interface MemoryAccount { freeModelBytes: number, freeAdapterBytes?: number, stickyModels: string[] }
+
 /**
  * All calls but `acquire` may reject with `ControlLostError` or `ReacquireError`. `acquire`, `unload`, `setRole`
  * and `prepareAdapters` with `mayUnload` run while no other command is outstanding; the others may run at the same time,
@@ -53,7 +56,7 @@
   /** Whether a polled status proves that another node has control. */
   isLostBy (status: EngineStatus): boolean
   /** Memory as it is accounted, which may be more than the engine's status shows. */
-  account (): { freeModelBytes: number, stickyModels: string[] }
+  account (): MemoryAccount
   /** The state for a successor. */
   handOver (): { fence: number, record: string, recordRevision: number }
 }
--- a/src/fleet/fenceArbiter.ts
+++ b/src/fleet/fenceArbiter.ts
@@ -3,7 +3,7 @@
 import type { CommandReply, EngineCommand, EngineSession, EngineStatus } from '../platform/engine.js'
 import type { Move } from '../protocol/messages.js'
 import { ControlLostError, mayTakeEffect, openSession, ReacquireError, resultOf, sendCommand } from './arbiter.js'
-import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult } from './arbiter.js'
+import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult, MemoryAccount } from './arbiter.js'
 import { nextFence } from './fence.js'
 import { freeAdapterBytes, freeModelBytes } from './memoryBudget.js'
 import type { MemoryCapacity, MemoryUser } from './memoryBudget.js'
@@ -112,7 +112,7 @@
     return status.incarnation === this.session?.incarnation && status.fence > this.token
   }
 
-  account (): { freeModelBytes: number, stickyModels: string[] } {
+  account (): MemoryAccount {
     return { freeModelBytes: freeModelBytes(this.capacity(), this.models.values(), this.adapters.values()), stickyModels: [] }
   }
 
--- a/src/fleet/recordArbiter.ts
+++ b/src/fleet/recordArbiter.ts
@@ -6,10 +6,10 @@
 import type { KeyValueEntry, KeyValueStore, SwapResult } from '../platform/keyValueStore.js'
 import type { Move } from '../protocol/messages.js'
 import { ControlLostError, mayTakeEffect, openSession, ReacquireError, resultOf, sendCommand } from './arbiter.js'
-import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult } from './arbiter.js'
+import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult, MemoryAccount } from './arbiter.js'
 import { addAttempt, engineRecordSchema, grantAdapters, recordKey, removableEntries, removeEntry, settleAttempts, takeOver } from './engineRecord.js'
 import type { EngineRecord, RecordEntry, Transition } from './engineRecord.js'
-import { freeModelBytes } from './memoryBudget.js'
+import { freeAdapterBytes, freeModelBytes } from './memoryBudget.js'
 import type { MemoryCapacity } from './memoryBudget.js'
 
 /** A duplicate of a load may arrive after its reply; memory stays counted this long after an unload. Not a proof. */
@@ -176,11 +176,12 @@
     return removableEntries(this.record, this.resident).filter(entry => (this.removableAtMs.get(entry.model) ?? Infinity) <= nowMs)
   }
 
-  account (): { freeModelBytes: number, stickyModels: string[] } {
-    if (!this.record) return { freeModelBytes: 0, stickyModels: [] }
+  account (): MemoryAccount {
+    if (!this.record) return { freeModelBytes: 0, freeAdapterBytes: 0, stickyModels: [] }
     const { entries, adapters } = settleAttempts(this.record, this.settled)
     return {
       freeModelBytes: freeModelBytes(this.capacity(), entries, adapters),
+      freeAdapterBytes: Math.max(0, freeAdapterBytes(this.capacity(), entries, adapters)),
       stickyModels: entries.filter(entry => entry.outstandingAttempts.length > 0).map(entry => entry.model)
     }
   }
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -315,7 +315,8 @@
   }
 
   private freeAdapterBytes ({ entry }: EngineSpace): number {
-    return (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+    const freeBytes = (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+    return Math.min(freeBytes, entry.freeAdapterBytes ?? Infinity)
   }
 
   /** Loads further copies as long as one brings clearly more value than it displaces. */
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -43,6 +43,8 @@
   reachable: z.boolean(),
   /** Bytes for models by the controller's account, which also counts loads that may still take effect. */
   freeModelBytes: z.number().optional(),
+  /** Bytes for further adapters by the controller's account, which also counts adapters that are granted and not loaded. */
+  freeAdapterBytes: z.number().optional(),
   /** Models that cannot be unloaded until the engine restarts or an outstanding load is answered. */
   stickyModels: z.array(z.string()).optional()
 })
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -85,6 +85,12 @@
     expect(plan([engine('e1', ['m0'], { adapters: full })], 'a1').map(move => move.engine)).to.deep.equal(['e1'])
   })
 
+  it('does not plan adapters where all space is granted', () => {
+    // Guards against an adapter that is offered again and again to an engine whose record granted the space to others.
+    const moves = plan([engine('old', ['m0'], { freeAdapterBytes: 0 }), engine('e1', ['m1', 'm2'])], 'a1')
+    expect(moves.map(move => [move.engine, move.load])).to.deep.equal([['e1', 'm0@1']])
+  })
+
   it('loads the base model elsewhere for an adapter where adapters cannot be unloaded', () => {
     // Guards against an adapter that is unreachable while its base model is only on an engine that ignores fencing tokens.
     const full = [{ name: 'a0', baseModel: 'm0@1', state: 'ready' as const, memoryBytes: gibibyte }]
