Decide on suspects that a node first hears of as such

Cause: a node that first heard of a member as suspect stored it without a timer, and newer news of a suspect cancelled the timer. The member then stayed suspect for ever, which counts as live: its engines got no controller and the planner sent all moves to it. Ruled out: the key-value outage of the case and the claims; the trace shows n1 and n2 as suspect on n1x, n2x and n3x for 30 s, moves refused with 'connection refused', and no claim of e1 and e4. Conclusion: every node that holds a member for suspect has a timer of its own.

--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -281,7 +281,9 @@
     if (entry.name === this.own.name) return this.refute(entry)
     const member = this.table.get(entry.name)
     if (!member) {
-      if (isLive(entry)) this.store(entry)
+      // Whoever hears of a suspect decides by an own timer, since the news of its death may come to nobody.
+      if (entry.state === 'suspect') this.suspect(this.store({ ...entry, state: 'alive' }))
+      else if (isLive(entry)) this.store(entry)
       return
     }
     const current = member.entry
@@ -299,10 +301,17 @@
     } else if (entry.state === current.state && entry.sequence > current.sequence) {
       const configOnly = entry.ready === current.ready
       if (configOnly) this.learnConfigVersion(member, entry.configVersion, entry.sequence)
-      else this.store({ ...entry, configVersion: Math.max(entry.configVersion, current.configVersion) })
+      else this.replaceEntry(member, { ...entry, configVersion: Math.max(entry.configVersion, current.configVersion) })
     }
   }
 
+  /** Takes newer news of the same process in the same state; a suspicion goes on. */
+  private replaceEntry (member: Member, entry: MemberEntry): void {
+    const { cancelSuspicion } = member
+    member.cancelSuspicion = undefined
+    this.store(entry).cancelSuspicion = cancelSuspicion
+  }
+
   private refute (claim: MemberEntry): void {
     const outdated = claim.incarnation > this.own.incarnation
     const denied = claim.incarnation === this.own.incarnation && claim.state !== 'alive' && this.own.state === 'alive'
--- a/tests/membership.spec.ts
+++ b/tests/membership.spec.ts
@@ -39,6 +39,27 @@
     expect(dead).to.be.at.least(8)
   })
 
+  // Guards against a node that joins while a killed one is suspect and then counts it as live for ever, so that the
+  // engines of the killed node get no controller.
+  it('decides on a suspect that it first hears of as one', async () => {
+    const fleet = await settled(5, 3)
+    const suspect: MemberEntry = { ...entry(fleet.nodes[0]!, 'n1')!, name: 'gone', address: '10.9.9.9:7000', state: 'suspect' }
+    await hears(fleet.nodes[0]!, suspect)
+    await fleet.clock.advance(6_000)
+    expect(entry(fleet.nodes[0]!, 'gone')?.state).to.equal('dead')
+  })
+
+  // Guards against news of a suspect that end its suspicion without a decision.
+  it('decides on a suspect of which it hears more', async () => {
+    const fleet = await settled(6, 3)
+    const gone: MemberEntry = { ...entry(fleet.nodes[0]!, 'n1')!, name: 'gone', address: '10.9.9.9:7000' }
+    await hears(fleet.nodes[0]!, gone)
+    await hears(fleet.nodes[0]!, { ...gone, state: 'suspect' })
+    await hears(fleet.nodes[0]!, { ...gone, state: 'suspect', ready: !gone.ready, sequence: gone.sequence + 1 })
+    await fleet.clock.advance(6_000)
+    expect(entry(fleet.nodes[0]!, 'gone')?.state).to.equal('dead')
+  })
+
   // Guards against loss, delay and duplicates that make live nodes look dead.
   it('keeps live nodes under loss', async () => {
     const fleet = await settled(3, 40)
