--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -370,7 +370,8 @@
   }
 
   private freeAdapterBytes ({ entry }: EngineSpace): number {
-    return (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+    const freeBytes = (this.config.pools[entry.pool]?.adapterBytes ?? 0) - entry.adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0)
+    return Math.min(freeBytes, entry.freeAdapterBytes ?? Infinity)
   }
 
   /**
