Watch the version key without pauses

Cause: a watcher ended its loop after each watch without news and began the next one with its period, so that it watched for 2 s and paused for up to 2 s. A change in a pause waited for its end.

A watcher goes on as long as its watch took at least half of its time; one that ends at once without news still ends the loop.

--- a/src/fleet/configDistribution.ts
+++ b/src/fleet/configDistribution.ts
@@ -249,6 +249,7 @@
   private async watchOnce (): Promise<void> {
     const { clock, keyValueStore, log } = this.options
     while (!this.stopping.signal.aborted && this.isWatcher()) {
+      const startedAtMs = clock.nowMs()
       let result: WatchResult
       try {
         result = await withTimeout(clock, watchMs + storeTimeoutMs,
@@ -264,7 +265,7 @@
       if (!result.complete) await this.readStore()
       else if (isBehind) this.readInTurn()
       // A service that answers at once without news must not be called in a tight loop.
-      if (this.versionRevision === startedRevision) return
+      if (this.versionRevision === startedRevision && clock.nowMs() - startedAtMs < watchMs / 2) return
     }
   }
 
--- a/tests/configDistribution.spec.ts
+++ b/tests/configDistribution.spec.ts
@@ -267,4 +267,17 @@
     await fleet.clock.advance(3_000)
     expect(missed.version()).to.equal(2)
   })
+
+  // Guards against watchers that pause between two watches, so that a change waits for the next one.
+  it('watches without pauses', async () => {
+    const fleet = new ConfigFleet(12, 2)
+    fleet.store.write(1)
+    await fleet.startAll()
+    for (let version = 2; version < 12; version++) {
+      fleet.store.write(version)
+      await fleet.clock.advance(800)
+      fleet.expectVersion(version)
+      await fleet.clock.advance(2_900)
+    }
+  })
 })
