Build what surrounds a token's text once for each answer

Each token built three objects and had the whole event written as JSON; the profile showed this function as the largest of our own (3.4% of the time). Only the text differs between tokens, so the parts around it are made once.

Measured with 300 streams through one node, alternating, tokens/s for each core: before 12,058, 13,379 and 13,319, after 13,538, 17,158 and 14,194. 183 tests pass; the end-to-end tests compare every token.

--- a/src/gateway/openai.ts
+++ b/src/gateway/openai.ts
@@ -102,6 +102,9 @@
 /** Builds the parts of an answer for one request. */
 export class AnswerFormat {
   private readonly head
+  /** What surrounds the text of a token, which is all that differs between tokens. */
+  private readonly tokenStart: string
+  private readonly tokenEnd: string
 
   constructor (private readonly work: InferenceWork, requestId: string, createdAtMs: number) {
     this.head = {
@@ -109,6 +112,15 @@
       created: Math.floor(createdAtMs / 1000),
       model: work.requestedModel
     }
+    const mark = 'TEXT'
+    const choice = work.format === 'chat'
+      ? { index: 0, delta: { content: mark }, logprobs: null, finish_reason: null }
+      : { index: 0, text: mark, logprobs: null, finish_reason: null }
+    const event = this.event([choice])
+    // The choices come last, so no name of a model can be taken for the mark.
+    const at = event.lastIndexOf(`"${mark}"`)
+    this.tokenStart = event.slice(0, at)
+    this.tokenEnd = event.slice(at + mark.length + 2)
   }
 
   /** The whole answer as JSON. */
@@ -122,10 +134,10 @@
 
   /** One SSE event with a token. */
   token (text: string, isFirst: boolean): string {
-    const choice = this.work.format === 'chat'
-      ? { index: 0, delta: isFirst ? { role: 'assistant', content: text } : { content: text }, logprobs: null, finish_reason: null }
-      : { index: 0, text, logprobs: null, finish_reason: null }
-    return this.event([choice])
+    if (isFirst && this.work.format === 'chat') {
+      return this.event([{ index: 0, delta: { role: 'assistant', content: text }, logprobs: null, finish_reason: null }])
+    }
+    return this.tokenStart + JSON.stringify(text) + this.tokenEnd
   }
 
   /** The SSE events that end a complete stream. */
