--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -14,8 +14,11 @@
 const displacementRatio = 0.7
 /** A copy stays for at least this time after the decision to load it. */
 const minimumResidenceMs = 60_000
-/** The same if waiting requests need its place; shorter times left engines empty for most of a rotation. */
-const minimumForcedResidenceMs = 25_000
+/**
+ * The same if waiting requests need its place, within the usual 60 s of patience of the least urgent rank. At 25 s, engines
+ * were empty for half of a rotation: a swap takes up to 26 s.
+ */
+const minimumForcedResidenceMs = 55_000
 /** Capacity is planned up to this part, since bursts and unequal spread need the rest. */
 const plannedUtilisation = 0.95
 /** An engine's step at a full batch, as part of the tightest target for token gaps. */
