Serve late urgent and live requests before browsing

Cause: requests past their first-token target were served after all others, also after a flood of browsing, though their callers still wait within their patience. They now follow those on time, and browsing comes last. Engines still run them at browsing's priority.

Ruled out: nothing else was tried.

--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -22,6 +22,7 @@
   late?: boolean
 }
 
+const leastUrgent = ranks[ranks.length - 1]!
 /** Credit of a rank is kept for this many requests at most, so that a rank cannot save up a burst that displaces others. */
 const maxCredit = 20
 /**
@@ -113,7 +114,7 @@
   private readonly config: () => FleetConfig
   private readonly clock: Clock
   private readonly rankQueues = new Map<Rank, RankQueue<Item>>()
-  /** Items past `targetAtMs`, which are served after all others: they cannot attain, and would make the next ones late. */
+  /** Items past `targetAtMs`, which are served after those on time of their ranks, since they cannot attain and would make these late. */
   private readonly lateQueues = new Map<Rank, RankQueue<Item>>()
   private readonly lateIds = new Set<string>()
   private nextLateCheckMs = 0
@@ -205,13 +206,17 @@
     if (this.byId.size === 0) return undefined
     this.sortOutLate()
     const order = this.rankOrder()
-    for (const queues of [this.rankQueues, this.lateQueues]) {
-      for (const rank of order) {
-        const item = this.nextOfRank(rank, queues.get(rank)!, canDispatch, models)
-        if (item) return item
-      }
+    const search = (queues: Map<Rank, RankQueue<Item>>, rank: Rank) => this.nextOfRank(rank, queues.get(rank)!, canDispatch, models)
+    for (const rank of order) {
+      if (rank === leastUrgent && !this.servesMinimum(rank)) continue
+      const item = search(this.rankQueues, rank)
+      if (item) return item
     }
-    return undefined
+    for (const rank of order) {
+      const item = search(this.lateQueues, rank)
+      if (item) return item
+    }
+    return order.includes(leastUrgent) ? search(this.rankQueues, leastUrgent) : undefined
   }
 
   /** Removes and returns the items whose deadline has passed. */
--- a/tests/admission.spec.ts
+++ b/tests/admission.spec.ts
@@ -101,6 +101,18 @@
     expect(queue.next(() => true)!.late).to.equal(true)
   })
 
+  it('serves late urgent and live requests before browsing', async () => {
+    // Guards against a caller that still waits within its patience being served after all browsing of a flood.
+    const { clock, queue } = setUp()
+    queue.add(createItem({ requestId: 'browsing', rank: 'browsing' }))
+    queue.add(createItem({ requestId: 'late live', rank: 'live', targetAtMs: 100 }))
+    queue.add(createItem({ requestId: 'late urgent', rank: 'urgent', targetAtMs: 100 }))
+    queue.add(createItem({ requestId: 'live', rank: 'live', targetAtMs: 1_000 }))
+    await clock.advance(500)
+    const served = Array.from({ length: 4 }, () => queue.next(() => true)!.requestId)
+    expect(served).to.deep.equal(['live', 'late urgent', 'late live', 'browsing'])
+  })
+
   it('refuses early with a useful time when the queue is too long', async () => {
     // Guards against admitting requests that only fail at their deadline.
     const { clock, queue, admission } = setUp()
