Load a cold model over idle copies before its deadline passes

Ruled out: displacing any copy at the last moment.

Conclusion: kept, for copies that use less than 1% of an engine.

--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -26,6 +26,11 @@
 const defaultStepMs = 35
 /** Time that the requests of an unloaded model need to end, before its place is free. */
 const drainMs = 15_000
+/** A cold model that the reserve could not take is loaded anywhere when the earliest deadline is this many load times away. */
+const lastChanceLoadTimes = 1.25
+/** It then displaces only copies that use less than this part of an engine, since others would rotate through the whole pool. */
+const idleShare = 0.01
+const idleResidenceMs = 5_000
 /** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
 const minimumRelief = 0.05
 const spreadRounds = 4
@@ -73,6 +78,13 @@
   load: number
 }
 
+interface DisplacementOptions {
+  /** Displaces others whatever their value, after a shorter residence. */
+  force: boolean
+  /** Displaces only copies that are nearly unused, almost at once. */
+  idleOnly?: boolean
+}
+
 interface EngineSpace {
   entry: EngineEntry
   copies: Copy[]
@@ -334,7 +346,8 @@
       const due = slackMs < 2 * this.loadTimeMs + drainMs
       const reason = `${demand.waiting} requests wait for it`
       const loaded = this.tryLoad(demand, this.engines, reason, { force: false }) || this.relocateFor(demand) ||
-        (due && this.tryLoad(demand, this.reserveOf(demand.config.pool), reason, { force: true }))
+        (due && this.tryLoad(demand, this.reserveOf(demand.config.pool), reason, { force: true })) ||
+        (slackMs < lastChanceLoadTimes * this.loadTimeMs && this.tryLoad(demand, this.engines, `${reason}, last chance`, { force: true, idleOnly: true }))
       if (loaded) this.spreadLoad()
       if (!loaded && due) this.unreachable.push({ model: demand.name, reason: this.loadSlots <= 0 ? 'all load slots of the weight store are in use' : 'no engine can make room' })
     }
@@ -409,15 +422,16 @@
    * Loads the model on the engine where it displaces the least value. Without `force`, the gain must exceed what is
    * displaced and repay the move, and the reserve stays free for rarely used models.
    */
-  private tryLoad (demand: ModelDemand, engines: readonly EngineSpace[], reason: string, { force }: { force: boolean }): boolean {
+  private tryLoad (demand: ModelDemand, engines: readonly EngineSpace[], reason: string, options: DisplacementOptions): boolean {
     if (this.loadSlots <= 0) return false
+    const { force } = options
     const copies = this.engines.filter(engine => this.holds(engine, demand)).length
     if (copies >= demand.rules.maximumReplicas) return false
     let best: { engine: EngineSpace, evicted: Copy[], net: number, atOnce: boolean } | undefined
     for (const engine of engines) {
       if (engine.entry.pool !== demand.config.pool || !engine.movable || engine.changed) continue
       if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
-      const room = this.makeRoom(engine, demand, force, copies)
+      const room = this.makeRoom(engine, demand, copies, options)
       if (!room) continue
       const freed = room.evicted.reduce((sum, copy) => sum + copy.load, 0)
       const relief = Math.min(demand.unmet, Math.max(0, engine.capacity - engine.load + freed))
@@ -437,12 +451,12 @@
   }
 
   /** The copies whose removal makes room at the least loss of value, or `undefined` if there is no room. */
-  private makeRoom (engine: EngineSpace, demand: ModelDemand, force: boolean, copies: number): { evicted: Copy[], loss: number } | undefined {
+  private makeRoom (engine: EngineSpace, demand: ModelDemand, copies: number, { force, idleOnly = false }: DisplacementOptions): { evicted: Copy[], loss: number } | undefined {
     // A further replica leaves the reserve alone; a model without any copy may use it.
     const limit = engine.spaceBytes - (force || copies === 0 ? 0 : engine.reserveBytes)
     let needed = engine.usedBytes + demand.config.memoryBytes - limit
     if (needed <= 0) return { evicted: [], loss: 0 }
-    const removable = engine.copies.filter(copy => this.removable(engine, copy, force))
+    const removable = engine.copies.filter(copy => idleOnly ? this.isIdle(engine, copy) : this.removable(engine, copy, force ? minimumForcedResidenceMs : minimumResidenceMs))
       .map(copy => ({ copy, loss: this.lossOf(engine, copy) }))
       .sort((left, right) => left.loss / left.copy.memoryBytes - right.loss / right.copy.memoryBytes)
     const chosen: typeof removable = []
@@ -473,7 +487,7 @@
     let bestBytes = Infinity
     for (const engine of engines) {
       if (demand.rules.bans.has(engine.entry.engine) || this.holds(engine, demand)) continue
-      const removable = engine.copies.filter(copy => copy.current && this.removable(engine, copy, false))
+      const removable = engine.copies.filter(copy => copy.current && this.removable(engine, copy, minimumResidenceMs))
       const superfluous = removable.filter(copy => this.lossOf(engine, copy) <= acceptedLoss)
       const missing = engine.usedBytes + demand.config.memoryBytes - engine.spaceBytes - superfluous.reduce((sum, copy) => sum + copy.memoryBytes, 0)
       for (const copy of removable) {
@@ -481,7 +495,7 @@
         if (superfluous.includes(copy) || copy.memoryBytes < missing || copy.memoryBytes >= bestBytes || mover.rules.minimumReplicas > 0) continue
         for (const target of engines) {
           if (target === engine || mover.rules.bans.has(target.entry.engine) || this.holds(target, mover)) continue
-          const room = this.makeRoom(target, mover, false, 1)
+          const room = this.makeRoom(target, mover, 1, { force: false })
           if (!room || room.loss > acceptedLoss || room.evicted.some(other => other.model === demand.name)) continue
           ;[best, bestBytes] = [{ target, mover, evicted: room.evicted }, copy.memoryBytes]
           break
@@ -493,7 +507,12 @@
     return true
   }
 
-  private removable (engine: EngineSpace, copy: Copy, force: boolean): boolean {
+  /** Whether the copy is nearly unused and has served the requests that waited for it. */
+  private isIdle (engine: EngineSpace, copy: Copy): boolean {
+    return copy.load < idleShare * engine.capacity && (this.demands.get(copy.model)?.waiting ?? 0) === 0 && this.removable(engine, copy, idleResidenceMs)
+  }
+
+  private removable (engine: EngineSpace, copy: Copy, residenceMs: number): boolean {
     if (!copy.ready || engine.entry.stickyModels?.includes(copy.name)) return false
     const demand = this.demands.get(copy.model)
     if (!demand) return true
@@ -502,7 +521,6 @@
     if (copy.current && count <= demand.rules.minimumReplicas) return false
     if (!copy.current && count === 0) return false
     if (!copy.current) return true
-    const residenceMs = force ? minimumForcedResidenceMs : minimumResidenceMs
     return !this.input.recentMoves.some(move => move.engine === engine.entry.engine && move.model === copy.name &&
       this.input.nowMs - move.atMs < residenceMs)
   }
