Take an engine anew that is handed over with a higher token

Cause: a node that was paused still held its old control when the engine was handed back, ignored the handover, lost control at a later poll and then waited 30 to 40 s before it claimed again. Nobody controlled the engine. Ruled out: the planner and the release by n1; the trace shows 'engine released' to n2 at 23.0 s and 'control lost' on n2 at 26.5 s, and then only 'n1 no longer controls e4'. Conclusion: a handover with a token above the own one shows that the own control is outdated.

--- a/src/fleet/controlAssignment.ts
+++ b/src/fleet/controlAssignment.ts
@@ -84,7 +84,11 @@
     if (!assignment) return { kind: 'error', message: `engine ${message.engine} is not in the VM list of ${this.options.self}` }
     if (assignment.stopping) return { kind: 'error', message: `${this.options.self} is handing over ${message.engine} itself` }
     assignment.keepUntilMs = this.options.clock.nowMs() + handOverGraceMs
-    if (assignment.control?.isLost()) await this.release(assignment, undefined)
+    const { control } = assignment
+    // A process that was paused may still believe in control that the sender took meanwhile. Losing it only at the
+    // next poll would leave the engine without a controller until it may be claimed again.
+    const outdated = control && (control.isLost() || (control.controls() && message.fence > control.handOver().fence))
+    if (outdated) await this.release(assignment, undefined)
     if (!assignment.control) this.take(assignment)
     return { kind: 'ok' }
   }
--- a/tests/controlAssignment.spec.ts
+++ b/tests/controlAssignment.spec.ts
@@ -85,4 +85,16 @@
     expect(starts.map(({ engine }) => engine).sort()).to.deep.equal(owned.sort())
     expect([starts.every(({ atMs }) => atMs === stoppedAtMs), stops.length]).to.deep.equal([true, owned.length])
   })
+
+  // Guards against a node that was paused, still believes in its control when the engine is handed back, and then loses it
+  // and leaves the engine without a controller for 30 s.
+  it('takes an engine anew that is handed over with a higher token', async () => {
+    const { clock, nodes, starts, stops } = setUp(1, 1)
+    await clock.advance(20_000)
+    const handOver = (fence: number) => nodes.get('n0')!.handle({ kind: 'handOver', engine: 'e0', fence, record: '', recordRevision: 0 })
+    await handOver(1)
+    expect({ starts: starts.length, stops: stops.length }).to.deep.equal({ starts: 1, stops: 0 })
+    await handOver(2)
+    expect({ starts: starts.length, stops: stops.length }).to.deep.equal({ starts: 2, stops: 1 })
+  })
 })
