--- a/src/bench/currentPolicy.ts
+++ b/src/bench/currentPolicy.ts
@@ -296,6 +296,7 @@
   private execute (move: Move, nowMs: number): void {
     const { engines, deployment, random } = this.world
     const engine = engines.find(candidate => candidate.entry.engine === move.engine)!
+    engine.makeAdapterRoom(move.loadAdapters, deployment.config.pools[engine.entry.pool]!.adapterBytes)
     for (const { adapter, baseModel, memoryBytes } of move.loadAdapters) engine.loadAdapter(adapter, baseModel, memoryBytes, 10 + 20 * random.next())
     if (move.load !== undefined) {
       const inFlight = { engine: move.engine, model: move.load }
--- a/src/bench/engineModel.ts
+++ b/src/bench/engineModel.ts
@@ -198,6 +198,18 @@
     attemptLoad()
   }
 
+  /** Unloads adapters that `wanted` does not name until it fits, the oldest first, as a controller does. */
+  makeAdapterRoom (wanted: readonly { adapter: string, memoryBytes: number }[], spaceBytes: number): void {
+    const sizeOf = (adapters: readonly { memoryBytes: number }[]) => adapters.reduce((sum, { memoryBytes }) => sum + memoryBytes, 0)
+    const added = wanted.filter(({ adapter }) => !this.entry.adapters.some(loaded => loaded.name === adapter))
+    while (sizeOf(this.entry.adapters) + sizeOf(added) > spaceBytes) {
+      const unloaded = this.entry.adapters.find(({ name }) => !wanted.some(({ adapter }) => adapter === name))
+      if (!unloaded) return
+      this.entry.adapters = this.entry.adapters.filter(adapter => adapter !== unloaded)
+      this.onChanged()
+    }
+  }
+
   loadAdapter (adapter: string, baseModel: string, memoryBytes: number, delayMs: number): void {
     if (this.entry.adapters.some(loaded => loaded.name === adapter)) return
     const loading = { name: adapter, baseModel, state: 'loading' as 'loading' | 'ready', memoryBytes }
