Displace copies that others can stand in for, and wake planners less often

Ruled out: a residence time of 5 s for all copies (see docs/decisions.md). The log of each plan's unreachable models said nothing new after the first line.

Conclusion: copies are displaced if less than 5% of an engine stays unserved; waiting requests are reported when they are news, or each 500 ms.

--- a/src/fleet/planner.ts
+++ b/src/fleet/planner.ts
@@ -27,6 +27,8 @@
 const wantedTimeoutMs = 2_000
 /** Time after which a model that no engine here can hold is offered to the next region. */
 const regionTurnMs = 10_000
+/** Two planners that offer each other models would otherwise wake each other with each plan. */
+const forwardPeriodMs = 500
 /** A move that was refused is not repeated sooner. */
 const refusalPauseMs = 1_000
 
@@ -63,6 +65,9 @@
   private readonly arrivals = new Map<string, Pick<ModelDemand, 'arrivals' | 'tokens'>>()
   private cancelPeriod: CancelTimer = () => {}
   private cancelBatch: CancelTimer | undefined
+  private readonly forwardedAtMs = new Map<string, number>()
+  /** Models whose lack of room was logged and still holds. */
+  private readonly loggedUnreachable = new Set<string>()
   private running = false
   private wasPlanner = false
   private plannedAtMs = -Infinity
@@ -271,18 +276,24 @@
     const planned = this.plannedRegions()
     const waiting = this.waiting({ withForwarded: false })
     const byPlanner = new Map<string, ModelDemand[]>()
+    const nowMs = this.options.clock.nowMs()
+    const names = new Set(unreachable.map(({ model }) => model))
+    for (const model of this.loggedUnreachable) if (!names.has(model)) this.loggedUnreachable.delete(model)
     for (const { model, reason } of unreachable) {
       const wanted = waiting.get(model)
       const pool = config.models[model]?.pool
       if (!wanted || pool === undefined) continue
       const regions = [...new Set(this.options.engines().filter(engine => engine.pool === pool && !planned.has(engine.region)).map(engine => engine.region))]
-      const turn = Math.floor(this.options.clock.nowMs() / regionTurnMs)
+      const turn = Math.floor(nowMs / regionTurnMs)
       const region = rendezvousOrder(model, regions)[regions.length > 0 ? turn % regions.length : 0]
       const planner = region === undefined ? undefined : this.plannerOf(region)
       if (planner === undefined) {
-        this.options.log('warn', 'model unreachable', { model, reason })
+        if (!this.loggedUnreachable.has(model)) this.options.log('warn', 'model unreachable', { model, reason })
+        this.loggedUnreachable.add(model)
         continue
       }
+      if (nowMs - (this.forwardedAtMs.get(model) ?? -Infinity) < forwardPeriodMs) continue
+      this.forwardedAtMs.set(model, nowMs)
       const { arrivals, tokens } = this.arrivals.get(model) ?? { arrivals: [0, 0, 0] as ModelDemand['arrivals'], tokens: 0 }
       const models = byPlanner.get(planner) ?? []
       models.push({ model, arrivals, tokens, waiting: wanted.count, earliestDeadlineMs: wanted.earliestDeadlineMs })
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -87,6 +87,8 @@
 const queryTimeoutMs = 2_000
 // At 340 idle nodes the probes are 11 reads/s of the service's 2,000.
 const keyValueProbePeriodMs = 30_000
+/** A waiting request is reported again after this time, with the demand since. */
+const wantedPeriodMs = 500
 const maxCachePolls = 4
 // A node that takes callers before it has seen the servers' state sends work to those that drain.
 const firstLookMs = 1_000
@@ -118,6 +120,9 @@
   private state: 'starting' | 'ready' | 'leaving' = 'starting'
   private refusesAfterMs = Infinity
   private readonly keyValueStore: ObservedKeyValueStore
+  /** Models for which requests waited at the last report to the planner. */
+  private reportedWaiting = new Set<string>()
+  private reportedWaitingAtMs = -Infinity
   /** Engines by the time of their last use, the latest last. */
   private readonly recentEngines = new Set<string>()
 
@@ -203,7 +208,7 @@
         return this.engineApi(entry.engine, entry.address)
       },
       loadTimeMs: () => this.planner.loadTimeMs(),
-      onWanted: () => this.reportDemand()
+      onWanted: () => this.reportWanted()
     })
     const config = () => this.config()
     const filters: NodeFilters = {
@@ -466,7 +471,17 @@
   }
 
   private reportDemand (): void {
-    this.planner.wanted(this.demand.report(this.scheduler.queue.waitingByModel()))
+    const waiting = this.scheduler.queue.waitingByModel()
+    this.reportedWaiting = new Set(waiting.keys())
+    this.reportedWaitingAtMs = this.options.clock.nowMs()
+    this.planner.wanted(this.demand.report(waiting))
+  }
+
+  /** Reports at once when requests wait for another model than before; otherwise the planner knows already. */
+  private reportWanted (): void {
+    const waiting = this.scheduler.queue.waitingByModel()
+    const isNews = [...waiting.keys()].some(model => !this.reportedWaiting.has(model))
+    if (isNews || this.options.clock.nowMs() - this.reportedWaitingAtMs >= wantedPeriodMs) this.reportDemand()
   }
 
   private engineEntry (engine: string): EngineEntry | undefined {
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -28,8 +28,8 @@
 const drainMs = 15_000
 /** A cold model that the reserve could not take is loaded anywhere when the earliest deadline is this many load times away. */
 const lastChanceLoadTimes = 1.25
-/** It then displaces only copies that use less than this part of an engine, since others would rotate through the whole pool. */
-const idleShare = 0.01
+/** It then displaces only copies whose removal leaves less than this part of an engine unserved, since others would rotate through the whole pool. */
+const idleShare = 0.05
 const idleResidenceMs = 5_000
 /** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
 const minimumRelief = 0.05
@@ -507,9 +507,9 @@
     return true
   }
 
-  /** Whether the copy is nearly unused and has served the requests that waited for it. */
+  /** Whether the copy would hardly be missed and has served the requests that waited for it. */
   private isIdle (engine: EngineSpace, copy: Copy): boolean {
-    return copy.load < idleShare * engine.capacity && (this.demands.get(copy.model)?.waiting ?? 0) === 0 && this.removable(engine, copy, idleResidenceMs)
+    return this.uncoveredLoad(engine, copy) < idleShare * engine.capacity && (this.demands.get(copy.model)?.waiting ?? 0) === 0 && this.removable(engine, copy, idleResidenceMs)
   }
 
   private removable (engine: EngineSpace, copy: Copy, residenceMs: number): boolean {
@@ -529,10 +529,15 @@
   private lossOf (engine: EngineSpace, copy: Copy): number {
     const demand = this.demands.get(copy.model)
     if (!demand) return 0
+    const served = demand.tokensPerSecond - demand.unmet
+    return valueOf(demand, served) - valueOf(demand, served - this.uncoveredLoad(engine, copy))
+  }
+
+  /** Tokens per second of the copy that the model's other copies cannot take over. */
+  private uncoveredLoad (engine: EngineSpace, copy: Copy): number {
     const others = this.servingCopies(copy.model).filter(other => other.engine !== engine && other.copy.ready)
     const spare = others.reduce((sum, other) => sum + Math.max(0, other.engine.capacity - other.engine.load), 0)
-    const served = demand.tokensPerSecond - demand.unmet
-    return valueOf(demand, served) - valueOf(demand, served - Math.max(0, copy.load - spare))
+    return Math.max(0, copy.load - spare)
   }
 
   private addMove (engine: EngineSpace, demand: ModelDemand | undefined, evicted: Copy[], reason: string): void {
