Plan around engines that refuse moves, and displace idle copies for adapters

Cause: traces of node-start/peer.handOver#2=node-killed and node-start/engine.command.claim#1=command-after-successor show a planner that offers a model each second to an engine whose controller has lost it, for 30 s, beside engines with idle copies; and adapters whose base model is only on an engine that cannot unload adapters waited for the residence time of 55 s.

Ruled out: a shorter pause before control is claimed again, since two nodes on both sides of a cut would then take the engine from each other.

--- a/src/fleet/planner.ts
+++ b/src/fleet/planner.ts
@@ -29,6 +29,8 @@
 const regionTurnMs = 10_000
 /** Two planners that offer each other models would otherwise wake each other with each plan. */
 const forwardPeriodMs = 500
+/** An engine whose controller refused a move, for instance since it lost control, is left out of plans for this time. */
+const engineRefusalPauseMs = 3_000
 /** A move that was refused is not repeated sooner. */
 const refusalPauseMs = 1_000
 
@@ -59,6 +61,7 @@
   private readonly reports = new Map<string, Report>()
   private recentMoves: PlacementInput['recentMoves'] = []
   private readonly refusedAtMs = new Map<string, number>()
+  private readonly engineRefusedAtMs = new Map<string, number>()
   /** Moves without an answer yet; the same move is not sent twice. */
   private readonly unanswered = new Set<string>()
   /** Arrivals since the last plan, by model, without those that another region forwarded. */
@@ -185,7 +188,8 @@
         waiting: this.waiting(),
         loadsInFlight: this.slots.inFlight().map(({ engine, model }) => ({ engine, model })),
         recentMoves: [...this.recentMoves],
-        keyValueAvailable: this.options.keyValueAvailable()
+        keyValueAvailable: this.options.keyValueAvailable(),
+        refusingEngines: new Set(this.engineRefusedAtMs.keys())
       })
     } catch (error) {
       log('error', 'placement failed', { reason: messageOf(error) })
@@ -240,6 +244,7 @@
       this.refusedAtMs.delete(moveKey(move))
     } else {
       this.refusedAtMs.set(moveKey(move), this.options.clock.nowMs())
+      this.engineRefusedAtMs.set(move.engine, this.options.clock.nowMs())
       this.options.log('warn', 'move refused', { moveId: move.moveId, engine: move.engine, load: move.load, reason: result.reason })
     }
     return result
@@ -335,6 +340,7 @@
   private forgetOld (nowMs: number): void {
     for (const [node, report] of this.reports) if (nowMs - report.atMs > demandMaxAgeMs) this.reports.delete(node)
     for (const [key, atMs] of this.refusedAtMs) if (nowMs - atMs >= refusalPauseMs) this.refusedAtMs.delete(key)
+    for (const [engine, atMs] of this.engineRefusedAtMs) if (nowMs - atMs >= engineRefusalPauseMs) this.engineRefusedAtMs.delete(engine)
     this.recentMoves = this.recentMoves.filter(move => nowMs - move.atMs <= recentMovesMs)
   }
 
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -241,7 +241,7 @@
       swapsAtOnce: this.honoursFence(entry),
       capacity,
       load: 0,
-      movable: (this.input.keyValueAvailable || this.honoursFence(entry)) && !entry.models.some(model => model.state === 'unloading'),
+      movable: !this.input.refusingEngines?.has(entry.engine) && (this.input.keyValueAvailable || this.honoursFence(entry)) && !entry.models.some(model => model.state === 'unloading'),
       changed: false
     }
   }
@@ -366,7 +366,10 @@
       const base = bases.find(({ engine }) => engine.swapsAtOnce && !engine.changed)
       if (base) this.displaceAdapters(base.engine, base.copy, name)
       else if (!bases.some(({ engine }) => engine.swapsAtOnce)) {
-        this.tryLoad(this.demands.get(baseModel)!, this.engines.filter(engine => engine.swapsAtOnce), `requests wait for adapter ${name}`, { force: true })
+        const others = this.engines.filter(engine => engine.swapsAtOnce)
+        const reason = `requests wait for adapter ${name}`
+        const demand = this.demands.get(baseModel)!
+        if (!this.tryLoad(demand, others, reason, { force: true })) this.tryLoad(demand, others, reason, { force: true, idleOnly: true })
       }
     }
   }
--- a/src/policy/placementInput.ts
+++ b/src/policy/placementInput.ts
@@ -31,6 +31,8 @@
   /** Loads of the last minutes, oldest first; `model` includes the version. */
   recentMoves: { engine: string, model: string, atMs: number }[]
   keyValueAvailable: boolean
+  /** Engines whose controllers refused a move lately, so that others are chosen first. */
+  refusingEngines?: ReadonlySet<string>
 }
 
 export interface PlacementPlan {
