--- a/src/prove/main.ts
+++ b/src/prove/main.ts
@@ -13,8 +13,6 @@
 
 /** All single faults take about 4 minutes of an idle machine with 5 workers; `--every 1` runs them. */
 const defaultEvery = 2
-/** Each so many-th case shows all eight points. */
-const naiveEvery = 10
 
 const { values } = parseArgs({
   options: {
@@ -59,7 +57,7 @@
     results = await runOne(values.case)
   } else {
     const steps = await numberSteps({}, values.flow === undefined ? undefined : [values.flow])
-    const every = Number(values.every ?? (values.naive ? naiveEvery : defaultEvery))
+    const every = Number(values.every ?? defaultEvery)
     const singles = singleCases(steps).filter((_, index) => index % every === 0)
     results = await runAll([...singles, ...pairCases(steps, Number(values.seeds ?? (values.naive ? 0 : 60)))], Number(values.workers))
   }
