Notice loads that an engine never got, and displace idle copies in time

A load without an answer blocked its engine for 120 s (command-unanswered); cold models with the same deadline all waited for the last load time before it, in which two loads fit (weight-store-failing).

Ruled out: a shorter time limit for loads; a load that waits for the weight store may rightly take longer.

--- a/src/fleet/arbiter.ts
+++ b/src/fleet/arbiter.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../base/clock.js'
 import type { CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus } from '../platform/engine.js'
 import type { Move } from '../protocol/messages.js'
+import type { LoadWatch } from './loadWatch.js'
 
 export type AdapterLoad = Move['loadAdapters'][number]
 export interface CommandResult { accepted: boolean, reason: string }
@@ -73,6 +74,8 @@
   publishedFence: () => number
   /** Called with the exact status in each reply. */
   onReply: (status: EngineStatus) => void
+  /** Notices loads that the engine did not get. */
+  loadWatch?: LoadWatch
 }
 
 export const commandTimeoutMs = {
@@ -87,7 +90,9 @@
 /** Sends a command within its time limit, also if the session itself never settles. */
 export async function sendCommand (options: ArbiterOptions, session: EngineSession, command: EngineCommand): Promise<CommandReply> {
   const timeoutMs = commandTimeoutMs[command.kind]
-  const reply = await withTimeout(options.clock, timeoutMs, () => session.command(command, { timeoutMs }), { action: `${command.kind} on ${session.engine}` })
+  const send = () => withTimeout(options.clock, timeoutMs, () => session.command(command, { timeoutMs }), { action: `${command.kind} on ${session.engine}` })
+  const { loadWatch } = options
+  const reply = await (command.kind === 'load' && loadWatch ? loadWatch.run(command.model, send) : send())
   options.onReply(reply.status)
   return reply
 }
--- a/src/fleet/engineControl.ts
+++ b/src/fleet/engineControl.ts
@@ -16,6 +16,7 @@
 import { CommandGate } from './commandGate.js'
 import { fenceWriter } from './fence.js'
 import { FenceArbiter } from './fenceArbiter.js'
+import { LoadWatch } from './loadWatch.js'
 import { RecordArbiter } from './recordArbiter.js'
 import type { RecordArbiterOptions } from './recordArbiter.js'
 
@@ -56,6 +57,7 @@
   private acquireFailed = false
   private readonly arbiter: Arbiter
   private readonly gate = new CommandGate()
+  private readonly loadWatch: LoadWatch
   private readonly adapterLimiter: AdapterLoadLimiter
   private modelCommands: Promise<unknown> = Promise.resolve()
   private status: EngineStatus | undefined
@@ -70,9 +72,10 @@
 
   constructor (private readonly options: EngineControlOptions) {
     const { clock, random, node, nodeAddress, engine, adapterBytes, keyValueStore } = options
+    this.loadWatch = new LoadWatch(clock, engine.engine)
     const writer = fenceWriter(nodeAddress, randomInt(random, 2 ** 32))
     const publishedFence = options.publishedFence ?? (() => 0)
-    const arbiterOptions = { clock, engine, node, writer, adapterBytes, publishedFence: () => Math.max(publishedFence(), this.observerFence), onReply: (status: EngineStatus) => this.onReply(status) }
+    const arbiterOptions = { clock, engine, node, writer, adapterBytes, publishedFence: () => Math.max(publishedFence(), this.observerFence), onReply: (status: EngineStatus) => this.onReply(status), loadWatch: this.loadWatch }
     this.arbiter = options.createArbiter?.({ ...arbiterOptions, keyValueStore }) ?? (options.honoursFence
       ? new FenceArbiter(arbiterOptions)
       : new RecordArbiter({ ...arbiterOptions, keyValueStore }))
@@ -290,9 +293,11 @@
   private async poll (): Promise<void> {
     this.polling = true
     const repliesBefore = this.repliesSeen
+    const askedAtMs = this.options.clock.nowMs()
     try {
       const status = await withTimeout(this.options.clock, pollTimeoutMs, () => this.options.engine.status({ timeoutMs: pollTimeoutMs }), { action: 'status poll' })
       this.lastAnswerAtMs = this.options.clock.nowMs()
+      this.loadWatch.observe(status, askedAtMs)
       // A poll that was overtaken by a command's reply shows an older state.
       if (repliesBefore === this.repliesSeen) this.status = status
       // While control is being acquired the comparison says nothing: the engine may have seen the pending claim.
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -26,9 +26,7 @@
 const defaultStepMs = 35
 /** Time that the requests of an unloaded model need to end, before its place is free. */
 const drainMs = 15_000
-/** A cold model that the reserve could not take is loaded anywhere when the earliest deadline is this many load times away. */
-const lastChanceLoadTimes = 1.25
-/** It then displaces only copies whose removal leaves less than this part of an engine unserved, since others would rotate through the whole pool. */
+/** A cold model that the reserve cannot take displaces only copies whose removal leaves less than this part of an engine unserved, since others would rotate through the whole pool. */
 const idleShare = 0.05
 const idleResidenceMs = 5_000
 /** A further copy must serve at least this part of an engine's capacity that is unmet without it. */
@@ -347,7 +345,7 @@
       const reason = `${demand.waiting} requests wait for it`
       const loaded = this.tryLoad(demand, this.engines, reason, { force: false }) || this.relocateFor(demand) ||
         (due && this.tryLoad(demand, this.reserveOf(demand.config.pool), reason, { force: true })) ||
-        (slackMs < lastChanceLoadTimes * this.loadTimeMs && this.tryLoad(demand, this.engines, `${reason}, last chance`, { force: true, idleOnly: true }))
+        (due && this.tryLoad(demand, this.engines, reason, { force: true, idleOnly: true }))
       if (loaded) this.spreadLoad()
       if (!loaded && due) this.unreachable.push({ model: demand.name, reason: this.loadSlots <= 0 ? 'all load slots of the weight store are in use' : 'no engine can make room' })
     }
