--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -38,13 +38,13 @@
 import type { EngineEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
 import { accountFilter } from './account.js'
 import type { OnFinished } from './account.js'
-import { BurnRecorder, mergeBurnGroups, mergeBurnSeries, RequestMeasure } from './burn.js'
-import type { BurnGroup, BurnPeriod } from './burn.js'
+import { BurnRecorder, RequestMeasure } from './burn.js'
 import { classifyFilter } from './classify.js'
 import { deduplicateFilter } from './deduplicate.js'
 import { DemandMeter } from './demandMeter.js'
 import { composeFilters } from './exchange.js'
 import type { CallerRequest, CallerResponse, Exchange, Filter } from './exchange.js'
+import { FleetReports } from './fleetReports.js'
 import { identifyFilter } from './identify.js'
 import { inferenceFilter } from './inference.js'
 import { listModelsFilter } from './listModels.js'
@@ -84,7 +84,6 @@
 export const drainNoticeMs = 3_000
 const flushTimeoutMs = 10_000
 const demandPeriodMs = 2_000
-const queryTimeoutMs = 2_000
 // At 340 idle nodes the probes are 11 reads/s of the service's 2,000.
 const keyValueProbePeriodMs = 30_000
 /** A waiting request is reported again after this time, with the demand since. */
@@ -104,6 +103,7 @@
   readonly planner: Planner
   readonly traces: TraceStore
   readonly burn: BurnRecorder
+  readonly reports: FleetReports
   private readonly options: NodeCoreOptions
   private readonly vmDirectory: VmDirectory
   private readonly engineTable: EntryTable<EngineEntry>
@@ -156,6 +156,15 @@
       seeds
     }
     this.configDistribution = parts.createConfigDistribution?.(configOptions) ?? new ConfigDistribution(configOptions)
+    this.reports = new FleetReports({
+      node: identity.name,
+      network,
+      members: () => this.membership.members(),
+      traces: this.traces,
+      burn: this.burn,
+      objectives: () => Object.fromEntries(Object.entries(this.config().ranks).map(([rank, { objective }]) => [rank, objective])),
+      status: () => this.status()
+    })
     this.vmDirectory = new VmDirectory({ clock, log, vmList: options.vmList, entries: this.dissemination, self: identity, alive: () => this.membership.alive() })
     this.serviceMonitor = new ServiceMonitor({
       clock,
@@ -307,7 +316,7 @@
       const reply = await part.handle(message)
       if (reply) return reply
     }
-    if (message.kind === 'query') return { kind: 'queryReply', json: JSON.stringify(this.answerQuery(message.query, message.argument) ?? null) }
+    if (message.kind === 'query') return this.reports.answer(message)
     return { kind: 'error', message: `no handler for ${message.kind}` }
   }
 
@@ -367,28 +376,6 @@
     }
   }
 
-  /** The trace of a request, asked of all nodes. */
-  async explain (requestId: string): Promise<unknown> {
-    const own = this.traces.explain(requestId)
-    if (own) return { node: this.options.identity.name, ...own }
-    const { answers } = await this.queryAll('trace', requestId)
-    return answers.find(answer => answer !== null)
-  }
-
-  /** Burn of all nodes, with the names of the nodes that did not answer. */
-  async burnReport (): Promise<{ objectives: Record<string, number>, groups: BurnGroup[], series: BurnPeriod[], nodes: string[], missing: string[] }> {
-    const { answers, missing, names } = await this.queryAll('burn', '')
-    const all = [this.burnOfNode(), ...answers as ReturnType<NodeCore['burnOfNode']>[]]
-    const groups = mergeBurnGroups(all.map(answer => answer.groups))
-    const series = mergeBurnSeries(all.map(answer => answer.series))
-    const objectives = Object.fromEntries(Object.entries(this.config().ranks).map(([rank, { objective }]) => [rank, objective]))
-    return { objectives, groups, series, nodes: [this.options.identity.name, ...names], missing }
-  }
-
-  private burnOfNode (): { groups: BurnGroup[], series: BurnPeriod[] } {
-    return { groups: this.burn.groups(), series: this.burn.series() }
-  }
-
   /** Requests that wait for an engine. */
   queuedRequests (): number {
     return this.scheduler.queue.size()
@@ -404,35 +391,6 @@
     return this.engineTable.list()
   }
 
-  private async queryAll (query: 'burn' | 'trace', argument: string): Promise<{ answers: unknown[], names: string[], missing: string[] }> {
-    const others = this.membership.members().filter(({ name, state }) => name !== this.options.identity.name && state !== 'left')
-    const answers: unknown[] = []
-    const names: string[] = []
-    const missing: string[] = []
-    await Promise.all(others.map(async ({ name, address }) => {
-      try {
-        const reply = await this.options.network.request(address, { kind: 'query', query, argument }, { timeoutMs: queryTimeoutMs })
-        if (reply.kind !== 'queryReply') throw new Error(`unexpected ${reply.kind}`)
-        answers.push(JSON.parse(reply.json))
-        names.push(name)
-      } catch {
-        missing.push(name)
-      }
-    }))
-    return { answers, names: names.sort(), missing: missing.sort() }
-  }
-
-  private answerQuery (query: 'burn' | 'trace' | 'status', argument: string): unknown {
-    return match(query)
-      .with('burn', () => this.burnOfNode())
-      .with('trace', () => {
-        const trace = this.traces.explain(argument)
-        return trace && { node: this.options.identity.name, ...trace }
-      })
-      .with('status', () => this.status())
-      .exhaustive()
-  }
-
   /** Counts the request as in progress until its last byte was handed over. */
   private untilSent (response: CallerResponse): CallerResponse {
     const { body } = response
--- a/src/node/nodeDaemon.ts
+++ b/src/node/nodeDaemon.ts
@@ -115,8 +115,8 @@
     configHistory: readHistory,
     inForce: () => core.inForce(),
     status: async () => core.status(),
-    explain: requestId => core.explain(requestId),
-    burn: () => core.burnReport()
+    explain: requestId => core.reports.explain(requestId),
+    burn: () => core.reports.burnReport()
   }
 }
 
