Forget the load time of a slow weight store when nothing confirms it

Admission refuses requests for a model that is not loaded when the estimated load time exceeds their patience. After the store was slow, no load was started that could correct the estimate, so such models stayed unreachable.

Ruled out: admitting them anyway; they would wait and fail at their deadline while the store is slow.

--- a/src/fleet/loadSlots.ts
+++ b/src/fleet/loadSlots.ts
@@ -11,6 +11,8 @@
 
 /** Initial estimate, until the first load is observed. */
 const initialLoadTimeMs = 3_000
+/** Requests that the estimate rules out start no loads, so an estimate that nothing confirms must not last. */
+const estimateAgeMs = 60_000
 /** A slot without reply is freed after this many load times. */
 const expiryFactor = 3
 const minimumExpiryMs = 10_000
@@ -20,6 +22,7 @@
   /** When a load that another planner started was first seen. */
   private readonly foreign = new Map<string, LoadSlot>()
   private meanLoadTimeMs = initialLoadTimeMs
+  private measuredAtMs = -Infinity
   private tokens = 1
   private refilledAtMs: number
 
@@ -27,9 +30,9 @@
     this.refilledAtMs = clock.nowMs()
   }
 
-  /** Mean time of recent loads. */
+  /** Mean time of recent loads; the initial estimate if none has ended lately. */
   loadTimeMs (): number {
-    return this.meanLoadTimeMs
+    return this.clock.nowMs() - this.measuredAtMs > estimateAgeMs ? initialLoadTimeMs : this.meanLoadTimeMs
   }
 
   /**
@@ -70,7 +73,9 @@
   /** Returns a slot. `completed` says that the load took place, so that its time counts. */
   release (slot: LoadSlot, { completed }: { completed: boolean }): void {
     this.slots.delete(slot)
-    if (completed) this.meanLoadTimeMs += 0.2 * (this.clock.nowMs() - slot.startedAtMs - this.meanLoadTimeMs)
+    if (!completed) return
+    this.meanLoadTimeMs += 0.2 * (this.clock.nowMs() - slot.startedAtMs - this.meanLoadTimeMs)
+    this.measuredAtMs = this.clock.nowMs()
   }
 }
 
