Use one token bucket for the ceilings of customers

Cause: the pipeline and admission each had one, with different bursts.

Tested: the existing cases of ceilings in tests/admission.spec.ts pass unchanged.

--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -19,6 +19,7 @@
 import { Planner } from '../fleet/planner.js'
 import { ServiceMonitor } from '../fleet/serviceMonitor.js'
 import { VmDirectory } from '../fleet/vmDirectory.js'
+import { CeilingLimiter } from '../policy/ceiling.js'
 import { Admission } from '../policy/admission.js'
 import { DemandForecast } from '../policy/forecast.js'
 import { planMoves } from '../policy/placement.js'
@@ -224,7 +225,7 @@
       account: accountFilter(log, this.burn, options.onFinished ?? (() => {})),
       identify: identifyFilter(config),
       classify: classifyFilter(config),
-      rateLimit: rateLimitFilter(clock, () => this.readyNodes()),
+      rateLimit: rateLimitFilter(new CeilingLimiter(clock, () => this.readyNodes())),
       listModels: listModelsFilter(config),
       deduplicate: deduplicateFilter(clock, this.idempotency),
       demand: this.demandFilter(),
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -4,6 +4,7 @@
 import { ranks } from '../config/fleetConfig.js'
 import type { FleetConfig, Rank } from '../config/fleetConfig.js'
 import type { EngineEntry } from '../protocol/messages.js'
+import { CeilingLimiter } from './ceiling.js'
 import type { QueueItem, RequestQueue } from './queue.js'
 
 export type AdmissionDecision =
@@ -34,31 +35,25 @@
   windowStartMs: number
 }
 
-interface Bucket {
-  tokens: number
-  updatedAtMs: number
-}
-
 /** Admission of one node. */
 export class Admission {
   private readonly clock: Clock
   private readonly config: () => FleetConfig
-  private readonly nodeCount: () => number
+  private readonly ceilings: CeilingLimiter
   private readonly models = new Map<string, ModelStatistics>()
-  private readonly buckets = new Map<string, Bucket>()
 
   /** `nodeCount` is the number of nodes over which the requests of a customer spread; ceilings are divided by it. */
   constructor ({ clock, config, nodeCount = () => 1 }: { clock: Clock, config: () => FleetConfig, nodeCount?: () => number }) {
     this.clock = clock
     this.config = config
-    this.nodeCount = nodeCount
+    this.ceilings = new CeilingLimiter(clock, nodeCount)
   }
 
   decide (request: QueueItem & { ceilingRequestsPerSecond?: number }, state: AdmissionState): AdmissionDecision {
     const nowMs = this.clock.nowMs()
     state.queue.noteDemand(request.rank)
     if (request.deadlineMs <= nowMs) return refusal('deadline has passed', minRetryAfterMs)
-    const ceilingWaitMs = this.takeFromCeiling(request, nowMs)
+    const ceilingWaitMs = request.ceilingRequestsPerSecond === undefined ? 0 : this.ceilings.take(request.customer, request.ceilingRequestsPerSecond)
     if (ceilingWaitMs > 0) return refusal(`customer is above its ceiling of ${request.ceilingRequestsPerSecond} requests/s`, ceilingWaitMs)
 
     const slackMs = request.deadlineMs - nowMs
@@ -112,22 +107,6 @@
     const spanMs = rateWindowMs + nowMs - statistics.windowStartMs
     return ahead * spanMs / Math.max(1, count)
   }
-
-  /** Time until the customer is below its ceiling again; 0 if it is, and the request is counted. */
-  private takeFromCeiling (request: { customer: string, ceilingRequestsPerSecond?: number }, nowMs: number): number {
-    const ceiling = request.ceilingRequestsPerSecond
-    if (ceiling === undefined) return 0
-    const rate = ceiling / Math.max(1, this.nodeCount())
-    const burst = Math.max(1, rate)
-    let bucket = this.buckets.get(request.customer)
-    if (!bucket) this.buckets.set(request.customer, bucket = { tokens: burst, updatedAtMs: nowMs })
-    bucket.tokens = Math.min(burst, bucket.tokens + (nowMs - bucket.updatedAtMs) / 1000 * rate)
-    bucket.updatedAtMs = nowMs
-    // The tolerance absorbs rounding, so that a caller that waits as told is admitted.
-    if (bucket.tokens < 1 - 1e-9) return Math.ceil((1 - bucket.tokens) / rate * 1000)
-    bucket.tokens--
-    return 0
-  }
 }
 
 function rotate (statistics: ModelStatistics, nowMs: number): void {
