Read both kinds of inference bodies through one function

Cause: parseChatRequest and parseCompletionRequest repeated parsing, checking and the common fields (found by the read-through).

Conclusion: behaviour is unchanged.

--- a/src/gateway/openai.ts
+++ b/src/gateway/openai.ts
@@ -60,34 +60,44 @@
   return typeof content === 'string' ? content : content.map(part => part.text).join('')
 }
 
-/** Reads the body of `POST /v1/chat/completions`. Throws `ProblemError` with status 400. */
-export function parseChatRequest (body: Uint8Array): ParsedWork {
+/** Reads and checks a body. Throws `ProblemError` with status 400. */
+function parseBody<Schema extends z.ZodType> (schema: Schema, body: Uint8Array): z.infer<Schema> {
   const json = parseJson(body)
-  const request = parseWith(chatSchema, json)
+  const request = parseWith(schema, json)
   rejectUnsupported(json)
+  return request
+}
+
+type CommonRequest = Pick<z.infer<typeof completionSchema>, keyof typeof commonFields>
+
+/** What both interfaces have in common. */
+function commonWork (request: CommonRequest) {
   return {
-    kind: 'inference',
+    kind: 'inference' as const,
     requestedModel: request.model,
+    stream: request.stream ?? false,
+    includeUsage: request.stream_options?.include_usage ?? false
+  }
+}
+
+/** Reads the body of `POST /v1/chat/completions`. Throws `ProblemError` with status 400. */
+export function parseChatRequest (body: Uint8Array): ParsedWork {
+  const request = parseBody(chatSchema, body)
+  return {
+    ...commonWork(request),
     prompt: request.messages.map(message => `${message.role}: ${messageText(message.content)}`).join('\n'),
     maxTokens: request.max_completion_tokens ?? request.max_tokens ?? defaultMaxTokens,
-    stream: request.stream ?? false,
-    includeUsage: request.stream_options?.include_usage ?? false,
     format: 'chat'
   }
 }
 
 /** Reads the body of `POST /v1/completions`. Throws `ProblemError` with status 400. */
 export function parseCompletionRequest (body: Uint8Array): ParsedWork {
-  const json = parseJson(body)
-  const request = parseWith(completionSchema, json)
-  rejectUnsupported(json)
+  const request = parseBody(completionSchema, body)
   return {
-    kind: 'inference',
-    requestedModel: request.model,
+    ...commonWork(request),
     prompt: typeof request.prompt === 'string' ? request.prompt : request.prompt[0]!,
     maxTokens: request.max_tokens ?? defaultMaxTokens,
-    stream: request.stream ?? false,
-    includeUsage: request.stream_options?.include_usage ?? false,
     format: 'completion'
   }
 }
