Move the product's seams out of the folder that the platform's adapter takes

Cause: src/platform/ held the typed interfaces and HTTP clients of the product; the adapter for the users' platform needs the name for itself.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/src/bench/currentPolicy.ts
+++ b/src/bench/currentPolicy.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from '../base/random.js'
 import { ranks, splitVersionedModel, versionedModel } from '../config/fleetConfig.js'
 import type { Rank } from '../config/fleetConfig.js'
-import type { CacheEvent } from '../platform/engine.js'
+import type { CacheEvent } from '../external/engine.js'
 import { Admission } from '../policy/admission.js'
 import { DemandForecast } from '../policy/forecast.js'
 import { planMoves } from '../policy/placement.js'
--- a/src/bench/engineModel.ts
+++ b/src/bench/engineModel.ts
@@ -3,7 +3,7 @@
 import type { CancelTimer } from '../base/clock.js'
 import { hash32 } from '../base/hash.js'
 import { splitVersionedModel } from '../config/fleetConfig.js'
-import type { CacheEvent } from '../platform/engine.js'
+import type { CacheEvent } from '../external/engine.js'
 import { prefixHashes } from '../policy/routing.js'
 import type { EngineEntry } from '../protocol/messages.js'
 import type { Deployment, EngineSpec } from './deployments.js'
--- a/src/config/proposal.ts
+++ b/src/config/proposal.ts
@@ -6,7 +6,7 @@
 import { messageOf, NotRunError } from '../base/errors.js'
 import { hasErrors } from '../base/findings.js'
 import type { Finding } from '../base/findings.js'
-import type { KeyValueEntry, KeyValueStore } from '../platform/keyValueStore.js'
+import type { KeyValueEntry, KeyValueStore } from '../external/keyValueStore.js'
 import { parseFleetConfig } from './parseFleetConfig.js'
 
 export const configKey = 'config/current'
--- a/src/fleet/arbiter.ts
+++ b/src/fleet/arbiter.ts
@@ -3,7 +3,7 @@
 import { messageOf, outcomeOf } from '../base/errors.js'
 import { withTimeout } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
-import type { CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus } from '../platform/engine.js'
+import type { CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus } from '../external/engine.js'
 import type { Move } from '../protocol/messages.js'
 import type { LoadWatch } from './loadWatch.js'
 
--- a/src/fleet/configDistribution.ts
+++ b/src/fleet/configDistribution.ts
@@ -12,7 +12,7 @@
 import { randomInt, shuffled } from '../base/random.js'
 import type { FleetConfig } from '../config/fleetConfig.js'
 import { configKey, configVersionKey, readConfigVersion } from '../config/proposal.js'
-import type { KeyValueEntry, KeyValueStore, WatchResult } from '../platform/keyValueStore.js'
+import type { KeyValueEntry, KeyValueStore, WatchResult } from '../external/keyValueStore.js'
 import type { MemberEntry, PeerMessage, PeerMessageOf, PeerNetwork } from '../protocol/messages.js'
 import { applyTextDelta, textDelta } from './textDelta.js'
 
--- a/src/fleet/controlAssignment.ts
+++ b/src/fleet/controlAssignment.ts
@@ -6,7 +6,7 @@
 import { hash32, rendezvousOrder, rendezvousOwner } from '../base/hash.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
-import type { Vm } from '../platform/vmList.js'
+import type { Vm } from '../external/vmList.js'
 import type { MemberEntry, PeerMessage, PeerNetwork } from '../protocol/messages.js'
 import type { EngineControl } from './engineControl.js'
 
--- a/src/fleet/fenceArbiter.ts
+++ b/src/fleet/fenceArbiter.ts
@@ -1,6 +1,6 @@
 /** Control of an engine that rejects commands with an old fencing token: the engine is the arbiter. */
 
-import type { CommandReply, EngineCommand, EngineSession, EngineStatus } from '../platform/engine.js'
+import type { CommandReply, EngineCommand, EngineSession, EngineStatus } from '../external/engine.js'
 import type { Move } from '../protocol/messages.js'
 import { ControlLostError, mayTakeEffect, openSession, ReacquireError, resultOf, sendCommand } from './arbiter.js'
 import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult, MemoryAccount } from './arbiter.js'
--- a/src/fleet/idempotency.ts
+++ b/src/fleet/idempotency.ts
@@ -5,7 +5,7 @@
 import { messageOf, NotRunError } from '../base/errors.js'
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
-import type { KeyValueEntry, KeyValueStore } from '../platform/keyValueStore.js'
+import type { KeyValueEntry, KeyValueStore } from '../external/keyValueStore.js'
 
 /** Larger answers are not kept; a repeat is then told that the request ran. */
 export const maxStoredBodyBytes = 64 * 1024
--- a/src/fleet/loadWatch.ts
+++ b/src/fleet/loadWatch.ts
@@ -2,7 +2,7 @@
 
 import { UnknownOutcomeError } from '../base/errors.js'
 import type { Clock } from '../base/clock.js'
-import type { EngineStatus } from '../platform/engine.js'
+import type { EngineStatus } from '../external/engine.js'
 
 /** A status may lag behind by a second, and the command itself takes some time to arrive. */
 const graceMs = 3_000
--- a/src/fleet/observedKeyValueStore.ts
+++ b/src/fleet/observedKeyValueStore.ts
@@ -1,7 +1,7 @@
 /** Tells whether the key-value service answers, from the calls that pass through. */
 
 import type { Clock } from '../base/clock.js'
-import type { KeyValueEntry, KeyValueStore, SwapResult, WatchResult } from '../platform/keyValueStore.js'
+import type { KeyValueEntry, KeyValueStore, SwapResult, WatchResult } from '../external/keyValueStore.js'
 
 /** Passes all calls on and remembers whether the last one succeeded. */
 export class ObservedKeyValueStore implements KeyValueStore {
--- a/src/fleet/recordArbiter.ts
+++ b/src/fleet/recordArbiter.ts
@@ -2,8 +2,8 @@
 
 import { messageOf } from '../base/errors.js'
 import { withTimeout } from '../base/clock.js'
-import type { CommandReply, EngineCommand, EngineSession, EngineStatus } from '../platform/engine.js'
-import type { KeyValueEntry, KeyValueStore, SwapResult } from '../platform/keyValueStore.js'
+import type { CommandReply, EngineCommand, EngineSession, EngineStatus } from '../external/engine.js'
+import type { KeyValueEntry, KeyValueStore, SwapResult } from '../external/keyValueStore.js'
 import type { Move } from '../protocol/messages.js'
 import { ControlLostError, mayTakeEffect, openSession, ReacquireError, resultOf, sendCommand } from './arbiter.js'
 import type { AdapterLoad, Arbiter, ArbiterOptions, CommandResult, MemoryAccount } from './arbiter.js'
--- a/src/gateway/generation.ts
+++ b/src/gateway/generation.ts
@@ -3,7 +3,7 @@
 import { sleep } from '../base/clock.js'
 import { messageOf, outcomeOf, UnknownOutcomeError } from '../base/errors.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
-import type { EngineApi, InferenceEvent, InferenceRequest } from '../platform/engine.js'
+import type { EngineApi, InferenceEvent, InferenceRequest } from '../external/engine.js'
 import type { RequestTrace } from './trace.js'
 
 /** A place to run: the engine with the means to report how it went. */
--- a/src/gateway/nodeParts.ts
+++ b/src/gateway/nodeParts.ts
@@ -4,7 +4,7 @@
 import type { Arbiter } from '../fleet/arbiter.js'
 import type { ConfigDistribution, ConfigDistributionOptions } from '../fleet/configDistribution.js'
 import type { RecordArbiterOptions } from '../fleet/recordArbiter.js'
-import type { Vm } from '../platform/vmList.js'
+import type { Vm } from '../external/vmList.js'
 import type { EngineEntry, ServiceEntry } from '../protocol/messages.js'
 import type { Filter } from './exchange.js'
 
--- a/src/policy/routing.ts
+++ b/src/policy/routing.ts
@@ -5,7 +5,7 @@
 import { randomInt } from '../base/random.js'
 import type { Random } from '../base/random.js'
 import type { Rank } from '../config/fleetConfig.js'
-import type { CacheEvent } from '../platform/engine.js'
+import type { CacheEvent } from '../external/engine.js'
 import type { EngineEntry } from '../protocol/messages.js'
 
 export interface RouteRequest {
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -1,7 +1,7 @@
 /** Every message between nodes, in one place. Fields carry their unit; times are milliseconds since the Unix epoch. */
 
 import { z } from 'zod'
-import { engineRoles, engineStatusSchema } from '../platform/engine.js'
+import { engineRoles, engineStatusSchema } from '../external/engine.js'
 
 /** Raised when a message changes in a way that an older node would misread. */
 export const protocolVersion = 2
--- a/src/prove/naive.ts
+++ b/src/prove/naive.ts
@@ -16,8 +16,8 @@
 import type { NodeCoreOptions } from '../gateway/nodeCore.js'
 import type { NodeParts } from '../gateway/nodeParts.js'
 import { ProblemError } from '../gateway/problem.js'
-import type { EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent } from '../platform/engine.js'
-import type { KeyValueStore } from '../platform/keyValueStore.js'
+import type { EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent } from '../external/engine.js'
+import type { KeyValueStore } from '../external/keyValueStore.js'
 import type { PeerMessage } from '../protocol/messages.js'
 
 const leaseMs = 10_000
--- a/src/prove/seams.ts
+++ b/src/prove/seams.ts
@@ -1,10 +1,10 @@
 /** The outside as one process reaches it: each call is a step at which a fault can happen. */
 
 import { FailedError, NotRunError, UnknownOutcomeError } from '../base/errors.js'
-import type { EngineApi, EngineSession, InferenceEvent } from '../platform/engine.js'
-import type { KeyValueEntry, KeyValueStore, SwapResult, WatchResult } from '../platform/keyValueStore.js'
-import type { ServiceApi } from '../platform/service.js'
-import type { VmList } from '../platform/vmList.js'
+import type { EngineApi, EngineSession, InferenceEvent } from '../external/engine.js'
+import type { KeyValueEntry, KeyValueStore, SwapResult, WatchResult } from '../external/keyValueStore.js'
+import type { ServiceApi } from '../external/service.js'
+import type { VmList } from '../external/vmList.js'
 import type { EngineStandIn } from '../standins/engine.js'
 import type { KeyValueStandIn } from '../standins/keyValue.js'
 import type { ServiceStandIn } from '../standins/service.js'
--- a/src/standins/batcher.ts
+++ b/src/standins/batcher.ts
@@ -3,8 +3,8 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { FailedError, NotRunError, UnknownOutcomeError } from '../base/errors.js'
 import { hash32 } from '../base/hash.js'
-import type { InferenceEvent, InferenceRequest, KvExport } from '../platform/engine.js'
-import { prefixHashes, promptTokens } from '../platform/promptPrefix.js'
+import type { InferenceEvent, InferenceRequest, KvExport } from '../external/engine.js'
+import { prefixHashes, promptTokens } from '../external/promptPrefix.js'
 import type { PrefixCache } from './prefixCache.js'
 
 /** One request that reached the engine. `endMs` is absent while it is queued or runs. */
--- a/src/standins/prefixCache.ts
+++ b/src/standins/prefixCache.ts
@@ -1,8 +1,8 @@
 /** Prompt-prefix cache of an engine stand-in: limited, least recently used first out. */
 
 import type { Clock } from '../base/clock.js'
-import type { CacheEvent } from '../platform/engine.js'
-import { charsPerToken, prefixBlockChars } from '../platform/promptPrefix.js'
+import type { CacheEvent } from '../external/engine.js'
+import { charsPerToken, prefixBlockChars } from '../external/promptPrefix.js'
 
 export const blockTokens = prefixBlockChars / charsPerToken
 const maxEvents = 10_000
--- a/tests/discovery.spec.ts
+++ b/tests/discovery.spec.ts
@@ -5,7 +5,7 @@
 import { ServiceMonitor } from '../src/fleet/serviceMonitor.js'
 import { VmDirectory } from '../src/fleet/vmDirectory.js'
 import type { EntryStore } from '../src/fleet/entryTable.js'
-import type { Vm } from '../src/platform/vmList.js'
+import type { Vm } from '../src/external/vmList.js'
 import type { MemberEntry } from '../src/protocol/messages.js'
 
 /** Entries that all nodes share at once; the higher epoch wins, as between nodes. */
--- a/tests/generation.spec.ts
+++ b/tests/generation.spec.ts
@@ -4,7 +4,7 @@
 import { Generation, stallTimeoutMs } from '../src/gateway/generation.js'
 import type { EngineAssignment } from '../src/gateway/generation.js'
 import { RequestTrace } from '../src/gateway/trace.js'
-import type { EngineApi, InferenceEvent, InferenceRequest } from '../src/platform/engine.js'
+import type { EngineApi, InferenceEvent, InferenceRequest } from '../src/external/engine.js'
 
 type Script = (attemptId: string, fromIndex: number) => AsyncIterable<InferenceEvent>
 
--- a/tests/httpEngineStream.spec.ts
+++ b/tests/httpEngineStream.spec.ts
@@ -4,8 +4,8 @@
 import type { AddressInfo } from 'node:net'
 import { SystemClock } from '../src/base/clock.js'
 import { UnknownOutcomeError } from '../src/base/errors.js'
-import { HttpEngine } from '../src/platform/httpEngine.js'
-import type { InferenceEvent } from '../src/platform/engine.js'
+import { HttpEngine } from '../src/external/httpEngine.js'
+import type { InferenceEvent } from '../src/external/engine.js'
 
 describe('stream of an engine', () => {
   const cleanups: (() => unknown)[] = []
--- a/tests/loadWatch.spec.ts
+++ b/tests/loadWatch.spec.ts
@@ -2,7 +2,7 @@
 import { sleep, VirtualClock } from '../src/base/clock.js'
 import { UnknownOutcomeError } from '../src/base/errors.js'
 import { LoadWatch } from '../src/fleet/loadWatch.js'
-import type { EngineStatus } from '../src/platform/engine.js'
+import type { EngineStatus } from '../src/external/engine.js'
 
 const statusWith = (...models: string[]) => ({ models: models.map(name => ({ name, state: 'loading', memoryBytes: 1 })) }) as unknown as EngineStatus
 
--- a/tests/serverDrain.spec.ts
+++ b/tests/serverDrain.spec.ts
@@ -3,7 +3,7 @@
 import { silentLog } from '../src/base/log.js'
 import { ServiceMonitor } from '../src/fleet/serviceMonitor.js'
 import { VmDirectory } from '../src/fleet/vmDirectory.js'
-import type { Vm } from '../src/platform/vmList.js'
+import type { Vm } from '../src/external/vmList.js'
 import type { MemberEntry } from '../src/protocol/messages.js'
 import { ServiceStandIn } from '../src/standins/service.js'
 
