--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -64,6 +64,8 @@
   program.command('node', 'Run a node until SIGTERM or SIGINT')
     .option('--settings', 'Settings file of the node')
     .action((options: CommandOptions) => runNode(options))
+  program.command('serve', 'Run a node on the users\' platform, with the settings file that the platform names, until SIGTERM')
+    .action(async () => (await import('../platform/serve.js')).serve())
   withJson(program.command('config check <file>', 'Check a fleet configuration and print all findings'))
     .action((file: string, options: CommandOptions) => configCheck(file, options))
   withAccess(withJson(program.command('config get', 'Print the fleet configuration in force')))
@@ -117,7 +119,7 @@
     if (rest.length > 0) throw new UsageError(`${rest.length} unexpected arguments after "${command.name}"`)
     const exitCode: number = await command.handler(...command.args.map(argument => typeof argument === 'number' ? String(argument) : argument))
     // Connections that callers keep open must not hold the process once the node has stopped.
-    if (command.name === 'node') process.exit(exitCode)
+    if (command.name === 'node' || command.name === 'serve') process.exit(exitCode)
     return exitCode
   } catch (error) {
     if (error instanceof SadeExit) return exitBadInput
--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -46,6 +46,12 @@
   dispatcher?: Dispatcher
 }
 
+export interface HttpAnswer {
+  status: number
+  headers: Record<string, string | string[] | undefined>
+  text: string
+}
+
 /** JSON calls to one address. */
 export class HttpCaller {
   readonly agent = new Agent(agentOptions)
@@ -53,7 +59,19 @@
   constructor (readonly target: string, readonly address: string, private readonly clock: Clock) {}
 
   /** The parsed body of a successful answer; `undefined` for an empty one. */
-  async json (path: string, { method = 'GET', body, timeoutMs, signal, dispatcher = this.agent }: HttpCallOptions): Promise<unknown> {
+  async json (path: string, options: HttpCallOptions): Promise<unknown> {
+    const { status, headers, text } = await this.answer(path, options)
+    checkNotRun(this.target, status, headers, text)
+    if (status >= 300) throw new FailedError(this.target, `${options.method ?? 'GET'} ${path} answered ${status}: ${text}`)
+    try {
+      return text === '' ? undefined : JSON.parse(text)
+    } catch (error) {
+      throw mapNetworkError(this.target, error)
+    }
+  }
+
+  /** The whole answer, whatever its status. */
+  async answer (path: string, { method = 'GET', body, timeoutMs, signal, dispatcher = this.agent }: HttpCallOptions): Promise<HttpAnswer> {
     try {
       return await withTimeout(this.clock, timeoutMs, async timeoutSignal => {
         const answer = await request(`http://${this.address}${path}`, {
@@ -63,10 +81,7 @@
           headers: body === undefined ? {} : { 'content-type': 'application/json' },
           body: body === undefined ? null : JSON.stringify(body)
         })
-        const text = await answer.body.text()
-        checkNotRun(this.target, answer.statusCode, answer.headers, text)
-        if (answer.statusCode >= 300) throw new FailedError(this.target, `${method} ${path} answered ${answer.statusCode}: ${text}`)
-        return text === '' ? undefined : JSON.parse(text)
+        return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
       }, { action: `${method} ${path} at ${this.address}` })
     } catch (error) {
       throw mapNetworkError(this.target, error)
--- /dev/null
+++ b/src/platform/settingsFile.ts
@@ -0,0 +1,77 @@
+/** The settings file that the platform writes for each process. */
+
+import { parse, TomlError } from 'smol-toml'
+import { z } from 'zod'
+import { FindingsError } from '../base/findings.js'
+import type { Finding } from '../base/findings.js'
+import { messageOf } from '../base/errors.js'
+import type { ServingSettings } from '../serving/settings.js'
+
+/** Environment variable with the path of the file. */
+export const settingsPathVariable = 'TEASELRILL_NODE_FILE'
+
+const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'IP:PORT')
+const positive = z.number().positive()
+
+const settingsSchema = z.object({
+  node: z.string().min(1),
+  ip: z.string(),
+  zone: z.string(),
+  region: z.string(),
+  port_range: z.tuple([z.number().int(), z.number().int()]),
+  zones: z.record(z.string(), z.string()),
+  listen: z.object({ front: address, ready: address }),
+  limits: z.object({ max_fds: positive.default(4100) }).default({ max_fds: 4100 }),
+  bounds: z.object({
+    contact_ms: positive.default(4000),
+    drain_ms: positive.default(2500),
+    grace_s: positive.default(8),
+    budget_ratio: z.number().default(0.2),
+    budget_window_s: positive.default(10),
+    budget_slack: z.number().default(50),
+    fence_required: z.boolean().default(false),
+    lease_ms: positive.default(3000),
+    ceiling_window_s: positive.default(5),
+    ceiling_excess: positive.default(1.1)
+  }),
+  platform: z.object({ address, ttl_min_ms: positive.default(1000) })
+})
+
+function finding (file: string, line: number, key: string, found: string, allowed: string): Finding {
+  return { file, line, key, severity: 'error', found, allowed }
+}
+
+/** Throws `FindingsError` with all mistakes. */
+export function readSettingsFile (text: string, file: string): ServingSettings {
+  let document: unknown
+  try {
+    document = parse(text)
+  } catch (error) {
+    throw new FindingsError([finding(file, error instanceof TomlError ? error.line : 0, '', messageOf(error).split('\n')[0]!, 'TOML')])
+  }
+  const result = settingsSchema.safeParse(document)
+  if (!result.success) {
+    throw new FindingsError(result.error.issues.map(issue => finding(file, 0, issue.path.join('.'), issue.message, 'see docs/platform.md')))
+  }
+  const { bounds, listen, limits, platform, ...own } = result.data
+  return {
+    node: own.node,
+    ip: own.ip,
+    availabilityZone: own.zone,
+    region: own.region,
+    regionOfZone: own.zones,
+    clientsAddress: listen.front,
+    readinessAddress: listen.ready,
+    peersPort: own.port_range[0],
+    metricsPort: own.port_range[1],
+    maxDescriptors: limits.max_fds,
+    store: { address: platform.address, minimumLeaseMs: platform.ttl_min_ms },
+    drainMs: bounds.drain_ms,
+    shutdownMs: bounds.grace_s * 1000,
+    retryBudget: { share: bounds.budget_ratio, windowMs: bounds.budget_window_s * 1000, allowance: bounds.budget_slack },
+    enginesCheckFences: bounds.fence_required,
+    // Orders of two holders to one engine must be further apart than this.
+    holderGapMs: bounds.lease_ms,
+    loadCeiling: { windowMs: bounds.ceiling_window_s * 1000, excess: bounds.ceiling_excess }
+  }
+}
--- a/src/policy/retry.ts
+++ b/src/policy/retry.ts
@@ -9,16 +9,18 @@
 /** Retries that a node with little traffic may make in a window. */
 const minimumRetries = 1
 
-/** Allows retries up to a part of the requests of the last 10 s. */
+/** Allows retries up to a part of the requests of the last 10 s, and `allowance` beyond. */
 export class RetryBudget {
   private readonly clock: Clock
   private readonly share: () => number
+  private readonly allowance: () => number
   private requestTimes: number[] = []
   private retryTimes: number[] = []
 
-  constructor ({ clock, share }: { clock: Clock, share: () => number }) {
+  constructor ({ clock, share, allowance = () => 0 }: { clock: Clock, share: () => number, allowance?: () => number }) {
     this.clock = clock
     this.share = share
+    this.allowance = allowance
   }
 
   onRequest (): void {
@@ -29,7 +31,7 @@
   /** Takes one retry out of the budget, or returns false if it is used up. */
   tryRetry (): boolean {
     this.trim()
-    const allowed = Math.max(minimumRetries, Math.floor(this.requestTimes.length * this.share()))
+    const allowed = Math.max(minimumRetries, Math.floor(this.requestTimes.length * this.share() + this.allowance()))
     if (this.retryTimes.length >= allowed) return false
     this.retryTimes.push(this.clock.nowMs())
     return true
--- /dev/null
+++ b/src/serving/backendServer.ts
@@ -0,0 +1,149 @@
+/** What this node knows of one incarnation of a backend server. */
+
+import type { Clock } from '../base/clock.js'
+import { ConnectionPool } from './connectionPool.js'
+import type { BackendEntry, HostedModel } from './deployment.js'
+
+/** Weight of a new sample in the smoothed failure share and delay. */
+const smoothing = 0.25
+/** Time in which old failures and delays lose half of their weight. */
+const halfLifeMs = 3000
+/** Time without requests after a failure to connect, doubled for each further one. */
+const firstEjectionMs = 300
+const maxEjectionMs = 4000
+
+export interface HostedState {
+  /** Time from which requests can be sent; `Infinity` while it is not known. */
+  readyAtMs: number
+  /** An order to unload it was given. */
+  isLeaving: boolean
+  /** Times from which requests for an adapter can be sent. */
+  adapters: Map<string, number>
+}
+
+/** Hosting of one engine as the placement leader knows it. */
+export interface HostingUpdate {
+  orderCount: number
+  models: { name: string, readyInMs: number, isLeaving: boolean, adapters: { name: string, readyInMs: number }[] }[]
+}
+
+export class BackendServer {
+  readonly pool: ConnectionPool
+  /** Requests of this node in progress, by model (empty for plain services). */
+  readonly runningByModel = new Map<string, number>()
+  running = 0
+  pendingTokens = 0
+  /** Requests of the other nodes in progress, as last heard. */
+  runningElsewhere = 0
+  hosted = new Map<string, HostedState>()
+  orderCount: number
+  /** Time from which it gets no more requests. */
+  leavingAtMs = Infinity
+  private ejectedUntilMs = 0
+  private ejections = 0
+  private failures = 0
+  private delayMs = 0
+  private sampledAtMs: number
+
+  constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, { onOpened }: { onOpened?: () => void } = {}) {
+    this.pool = new ConnectionPool({ address: entry.address, clock, ...(onOpened ? { onOpened } : {}) })
+    this.sampledAtMs = clock.nowMs()
+    this.orderCount = entry.orderCount
+    this.adoptModels(entry.models)
+  }
+
+  /** Takes up a newer entry of the same incarnation. */
+  update (entry: BackendEntry): void {
+    this.entry = entry
+    if (entry.orderCount < this.orderCount) return
+    this.orderCount = entry.orderCount
+    this.adoptModels(entry.models)
+  }
+
+  /** Takes up what the placement leader says. */
+  updateHosting (update: HostingUpdate): void {
+    if (update.orderCount < this.orderCount) return
+    const nowMs = this.clock.nowMs()
+    this.orderCount = update.orderCount
+    this.hosted = new Map(update.models.map(({ name, readyInMs, isLeaving, adapters }) => [name, {
+      readyAtMs: nowMs + readyInMs,
+      isLeaving,
+      adapters: new Map(adapters.map(adapter => [adapter.name, nowMs + adapter.readyInMs]))
+    }]))
+  }
+
+  /** Whether requests may be sent now. */
+  get isUsable (): boolean {
+    const nowMs = this.clock.nowMs()
+    return !this.entry.isDraining && nowMs < this.leavingAtMs && nowMs >= this.ejectedUntilMs
+  }
+
+  serves (model: string | undefined, adapter: string | undefined): boolean {
+    if (model === undefined) return true
+    const state = this.hosted.get(model)
+    const nowMs = this.clock.nowMs()
+    if (!state || state.isLeaving || state.readyAtMs > nowMs) return false
+    return adapter === undefined || (state.adapters.get(adapter) ?? Infinity) <= nowMs
+  }
+
+  onStarted (model: string | undefined, tokens: number): void {
+    this.running++
+    this.pendingTokens += tokens
+    const key = model ?? ''
+    this.runningByModel.set(key, (this.runningByModel.get(key) ?? 0) + 1)
+  }
+
+  onFirstByte (tokens: number): void {
+    this.pendingTokens = Math.max(0, this.pendingTokens - tokens)
+  }
+
+  onEnded (model: string | undefined): void {
+    this.running--
+    const key = model ?? ''
+    const left = (this.runningByModel.get(key) ?? 1) - 1
+    if (left > 0) this.runningByModel.set(key, left)
+    else this.runningByModel.delete(key)
+  }
+
+  onAnswered (delayMs: number): void {
+    this.sample(0, delayMs)
+    this.ejections = 0
+  }
+
+  /** A request failed at the server. */
+  onFailed (): void {
+    this.sample(1, this.delayMs)
+  }
+
+  /** The server does not accept connections, or went silent. */
+  onUnreachable (): void {
+    this.onFailed()
+    this.ejectedUntilMs = this.clock.nowMs() + Math.min(maxEjectionMs, firstEjectionMs * 2 ** this.ejections++)
+    this.pool.closeIdle()
+  }
+
+  get failureShare (): number {
+    return this.failures * this.decay()
+  }
+
+  get smoothedDelayMs (): number {
+    return this.delayMs * this.decay()
+  }
+
+  private sample (failed: number, delayMs: number): void {
+    const decay = this.decay()
+    this.failures = this.failures * decay * (1 - smoothing) + failed * smoothing
+    this.delayMs = this.delayMs * decay * (1 - smoothing) + delayMs * smoothing
+    this.sampledAtMs = this.clock.nowMs()
+  }
+
+  private decay (): number {
+    return 0.5 ** ((this.clock.nowMs() - this.sampledAtMs) / halfLifeMs)
+  }
+
+  private adoptModels (models: readonly HostedModel[]): void {
+    this.hosted = new Map(models.map(({ name, adapters }) => [name, {
+      readyAtMs: 0, isLeaving: false, adapters: new Map(adapters.map(adapter => [adapter, 0]))
+    }]))
+  }
+}
--- /dev/null
+++ b/src/serving/connectionPool.ts
@@ -0,0 +1,74 @@
+/** Connections of this node to one backend server. */
+
+import type { Clock } from '../base/clock.js'
+import { BackendConnection } from './backendConnection.js'
+
+/** Idle time after which a connection is not used again if the server names none. */
+const defaultIdleMs = 4000
+/** Part of the server's idle timeout after which a connection is not used again, so that a request does not cross its close. */
+const idleShare = 0.7
+
+export class ConnectionPool {
+  /** Time at which the server last sent anything. */
+  lastByteAtMs: number
+  private readonly idle: BackendConnection[] = []
+  private readonly open = new Set<BackendConnection>()
+  private readonly address: string
+  private readonly clock: Clock
+  private readonly onOpened: () => void
+
+  constructor ({ address, clock, onOpened = () => {} }: { address: string, clock: Clock, onOpened?: () => void }) {
+    this.address = address
+    this.clock = clock
+    this.onOpened = onOpened
+    this.lastByteAtMs = clock.nowMs()
+  }
+
+  get openCount (): number {
+    return this.open.size
+  }
+
+  get hasIdle (): boolean {
+    this.dropStale()
+    return this.idle.length > 0
+  }
+
+  /** The connection that was used last, or a new one. */
+  acquire ({ fresh = false }: { fresh?: boolean } = {}): BackendConnection {
+    this.dropStale()
+    const kept = fresh ? undefined : this.idle.pop()
+    if (kept) return kept
+    this.onOpened()
+    const connection = new BackendConnection({
+      address: this.address,
+      clock: this.clock,
+      onIdle: idle => { this.idle.push(idle) },
+      onClosed: closed => this.remove(closed),
+      onBytes: () => { this.lastByteAtMs = this.clock.nowMs() }
+    })
+    this.open.add(connection)
+    return connection
+  }
+
+  /** Closes the idle connections, which may have gone silent. */
+  closeIdle (): void {
+    for (const connection of this.idle.splice(0)) connection.destroy()
+  }
+
+  private dropStale (): void {
+    const nowMs = this.clock.nowMs()
+    while (this.idle.length > 0) {
+      const oldest = this.idle[0]!
+      const limitMs = (oldest.keepAliveMs ?? defaultIdleMs / idleShare) * idleShare
+      if (nowMs - oldest.idleSinceMs < limitMs) return
+      this.idle.shift()
+      oldest.destroy()
+    }
+  }
+
+  private remove (connection: BackendConnection): void {
+    this.open.delete(connection)
+    const index = this.idle.indexOf(connection)
+    if (index !== -1) this.idle.splice(index, 1)
+  }
+}
--- /dev/null
+++ b/src/serving/deployment.ts
@@ -0,0 +1,135 @@
+/** What an operator deploys: routes, services, engines and their models, in the product's words. */
+
+import { z } from 'zod'
+
+/** What may be repeated: `idempotent` always, `unsafe` never, `stream` only if its route allows to resume. */
+export const requestKindSchema = z.enum(['idempotent', 'unsafe', 'stream'])
+export type RequestKind = z.infer<typeof requestKindSchema>
+
+export const routeTargetSchema = z.object({ service: z.string(), weight: z.number().positive() })
+
+export const routeSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  pathPrefix: z.string(),
+  kind: requestKindSchema,
+  /** Longest time that a caller is kept waiting. */
+  timeoutMs: z.number().positive(),
+  /** Latency objective. */
+  objectiveMs: z.number().positive(),
+  /** 0 is the most urgent. */
+  rank: z.number().int().min(0),
+  /** More than one while traffic is split between services. */
+  targets: z.array(routeTargetSchema).min(1),
+  /** Engines that one request may be sent to. */
+  maxAttempts: z.number().int().min(1),
+  resumable: z.boolean(),
+  /** Longest pause between stream events within the objective. */
+  gapObjectiveMs: z.number().positive().optional()
+})
+export type Route = z.infer<typeof routeSchema>
+
+export const modelSchema = z.object({
+  name: z.string(),
+  weightsMb: z.number().positive(),
+  /** From the weight store. */
+  loadMs: z.number().positive(),
+  /** From the engine's memory. */
+  warmLoadMs: z.number().positive(),
+  /** From the engine's disk. */
+  diskLoadMs: z.number().positive(),
+  adapterMb: z.number().min(0)
+})
+export type Model = z.infer<typeof modelSchema>
+
+export const engineTypeSchema = z.object({
+  slots: z.number().positive(),
+  cacheTokens: z.number().positive(),
+  weightsMb: z.number().positive(),
+  adapterSlots: z.number().min(0),
+  /** Loads a second that the weight store serves over all engines. */
+  storeLoadsPerSecond: z.number().positive(),
+  models: z.array(modelSchema)
+})
+export type EngineType = z.infer<typeof engineTypeSchema>
+
+export const serviceSchema = z.object({
+  name: z.string(),
+  /** Connections that one backend server accepts from all nodes together. */
+  maxConnections: z.number().positive(),
+  /** Absent for plain services. */
+  engine: engineTypeSchema.optional()
+})
+export type Service = z.infer<typeof serviceSchema>
+
+export const clientLimitsSchema = z.object({
+  maxHeaderBytes: z.number().positive(),
+  maxBodyBytes: z.number().positive(),
+  headerTimeoutMs: z.number().positive(),
+  idleTimeoutMs: z.number().positive()
+})
+export type ClientLimits = z.infer<typeof clientLimitsSchema>
+
+export const deploymentSchema = z.object({
+  version: z.number().int(),
+  routes: z.array(routeSchema),
+  services: z.array(serviceSchema),
+  limits: clientLimitsSchema
+})
+export type Deployment = z.infer<typeof deploymentSchema>
+
+export const hostedModelSchema = z.object({
+  name: z.string(),
+  adapters: z.array(z.string())
+})
+export type HostedModel = z.infer<typeof hostedModelSchema>
+
+/** What a backend server says of itself in the platform's store. */
+export const backendEntrySchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  /** IP:PORT. */
+  address: z.string(),
+  availabilityZone: z.string(),
+  slots: z.number(),
+  isDraining: z.boolean(),
+  /** Start of this incarnation, Unix milliseconds. */
+  bornAtMs: z.number().optional(),
+  /** Engines only: loaded models with their adapters. */
+  models: z.array(hostedModelSchema),
+  /** Engines only: orders accepted since the start. */
+  orderCount: z.number(),
+  /** Engines only: weights that load faster, from memory or disk. */
+  modelsInMemory: z.array(z.string()),
+  modelsOnDisk: z.array(z.string())
+})
+export type BackendEntry = z.infer<typeof backendEntrySchema>
+
+/** State that an engine reports when asked. */
+export const engineReportSchema = z.object({
+  models: z.array(hostedModelSchema),
+  /** An order on a model is in progress. */
+  isBusy: z.boolean(),
+  orderCount: z.number(),
+  /** `MODEL/ADAPTER` of adapters on their way. */
+  adaptersLoading: z.array(z.string()),
+  modelsInMemory: z.array(z.string()),
+  modelsOnDisk: z.array(z.string())
+})
+export type EngineReport = z.infer<typeof engineReportSchema>
+
+export interface EngineOrder {
+  action: 'load' | 'unload'
+  model: string
+  adapter?: string
+  /** The engine refuses the order if it has accepted another number of orders before. */
+  expectedOrderCount: number
+  holder: string
+  fence: number
+}
+
+/**
+ * What an engine's answer to an order proves. `unknown` may still be carried out later, but not after a newer order
+ * with the same `expectedOrderCount`.
+ */
+export type OrderOutcome = 'started' | 'already-done' | 'conflict' | 'stale-fence' | 'invalid' | 'gone' | 'unknown'
--- /dev/null
+++ b/src/serving/exchange.ts
@@ -0,0 +1,285 @@
+/** Sends one request to backend servers, one after the other, and streams the answer to the client. */
+
+import type { ServerResponse } from 'node:http'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { stallMs, streamPatienceMs } from '../policy/streamPatience.js'
+import type { BackendConnection, Break } from './backendConnection.js'
+import type { BackendServer } from './backendServer.js'
+import type { Codecs } from './codecs.js'
+import { EventSplitter } from './eventStream.js'
+import type { StreamEvent } from './eventStream.js'
+import type { RelayRequest } from './relay.js'
+import type { ResponseHead } from './responseReader.js'
+
+/** An idempotent request without an answer is sent elsewhere after this multiple of its objective. */
+const idempotentStallFactor = 2
+
+export interface EngineAnswer {
+  head: ResponseHead
+  body: Buffer
+}
+
+export type AttemptResult =
+  /** The answer has been returned whole. */
+  | { kind: 'done' }
+  | { kind: 'client-left' }
+  /** The server answered; for streams, with anything but a stream. */
+  | { kind: 'answer', answer: EngineAnswer }
+  /** Nothing was sent. */
+  | { kind: 'unsent', reason: string }
+  /** The server stated that it did not run the request. */
+  | { kind: 'not-run', reason: string, isMisdirected: boolean }
+  /** The request was sent and not answered whole. */
+  | { kind: 'unknown', reason: string }
+  | { kind: 'timeout', reason: string }
+
+export class Exchange {
+  readonly request: RelayRequest
+  readonly response: ServerResponse
+  readonly codecs: Codecs
+  readonly clock: Clock
+  hasClientLeft = false
+  /** Whether a part of the answer has been returned. */
+  hasBegun = false
+  /** Whether any server may have begun to run the request. */
+  mayHaveRun = false
+  firstByteMs: number | undefined
+  lastEventId: number | undefined
+  private current: Attempt | undefined
+
+  constructor ({ request, response, codecs, clock }: { request: RelayRequest, response: ServerResponse, codecs: Codecs, clock: Clock }) {
+    this.request = request
+    this.response = response
+    this.codecs = codecs
+    this.clock = clock
+    response.once('close', () => {
+      if (response.writableFinished) return
+      this.hasClientLeft = true
+      this.current?.onClientLeft()
+    })
+    if (response.destroyed) this.hasClientLeft = true
+  }
+
+  attempt (server: BackendServer): Promise<AttemptResult> {
+    if (this.hasClientLeft) return Promise.resolve({ kind: 'client-left' })
+    return new Promise(resolve => {
+      this.current = new Attempt(this, server, result => {
+        this.current = undefined
+        if (result.kind !== 'unsent' && result.kind !== 'not-run') this.mayHaveRun = true
+        resolve(result)
+      })
+      this.current.start()
+    })
+  }
+
+  /** Closes the client's connection, so that the part that was returned does not look complete. */
+  breakOff (): void {
+    this.response.destroy()
+  }
+}
+
+class Attempt {
+  private readonly startedAtMs: number
+  private readonly tokens: number
+  private connection: BackendConnection | undefined
+  private head: ResponseHead | undefined
+  private isStreaming = false
+  private readonly chunks: Buffer[] = []
+  private readonly splitter = new EventSplitter()
+  private isFinished = false
+  private hasFirstByte = false
+  private lastProgressMs: number
+  private cancelTimers: CancelTimer[] = []
+
+  constructor (private readonly exchange: Exchange, private readonly server: BackendServer, private readonly resolve: (result: AttemptResult) => void) {
+    this.startedAtMs = this.lastProgressMs = exchange.clock.nowMs()
+    this.tokens = exchange.request.facts.promptTokens
+  }
+
+  start (): void {
+    const { request, codecs, clock } = this.exchange
+    const leftMs = request.deadlineAtMs - this.startedAtMs
+    const headers = codecs.forwardHeaders(request.rawHeaders, {
+      backendId: this.server.entry.id,
+      deadlineMs: leftMs,
+      rank: request.service.engine ? request.route.rank : undefined,
+      lastEventId: this.exchange.lastEventId
+    })
+    this.server.onStarted(request.facts.model, this.tokens)
+    this.connection = this.server.pool.acquire()
+    this.cancelTimers.push(clock.setTimer(leftMs, () => this.onDeadline()))
+    this.watchProgress()
+    this.connection.send(request.method, encodeRequest(request, headers), {
+      accepts: head => this.accepts(head),
+      onHead: head => this.onHead(head),
+      onData: data => this.onData(data),
+      onEnd: () => this.onEnd(),
+      onBroken: broken => this.onBroken(broken)
+    })
+  }
+
+  onClientLeft (): void {
+    this.abandon({ kind: 'client-left' })
+  }
+
+  /** The server's other responses belong to earlier requests on the connection. */
+  private accepts (head: ResponseHead): boolean {
+    const { requestId } = this.exchange.codecs.readResponse(head)
+    const isOwn = requestId === this.exchange.request.facts.requestId
+    return isOwn || (requestId === undefined && (head.status < 200 || head.status >= 300))
+  }
+
+  private onHead (head: ResponseHead): void {
+    this.head = head
+    this.progress()
+    const { request, codecs } = this.exchange
+    const facts = codecs.readResponse(head)
+    const isSuccess = head.status >= 200 && head.status < 300
+    if (isSuccess && (!facts.isSigned || facts.isEncoded)) return this.abandon({ kind: 'unknown', reason: 'the success is not signed by the server' })
+    this.isStreaming = isSuccess && request.route.kind === 'stream'
+  }
+
+  private onData (data: Buffer): void {
+    this.progress()
+    if (!this.isStreaming) {
+      this.firstByte()
+      this.chunks.push(data)
+      return
+    }
+    for (const event of this.splitter.push(data)) {
+      if (this.isFinished) return
+      this.onEvent(event)
+    }
+    if (this.splitter.isOversized) this.abandon({ kind: 'unknown', reason: 'an event is too long' })
+  }
+
+  private onEvent (event: StreamEvent): void {
+    const { exchange } = this
+    const last = exchange.lastEventId ?? exchange.request.facts.lastEventId
+    if (event.id !== undefined) {
+      if (last !== undefined && event.id <= last) return
+      if (last !== undefined && event.id !== last + 1) return this.abandon({ kind: 'unknown', reason: `event ${event.id} follows event ${last}` })
+      exchange.lastEventId = event.id
+    }
+    this.firstByte()
+    this.write(event.bytes)
+  }
+
+  private write (bytes: Buffer): void {
+    const { exchange } = this
+    const { response } = exchange
+    if (!exchange.hasBegun) {
+      exchange.hasBegun = true
+      exchange.firstByteMs = exchange.clock.nowMs() - exchange.request.arrivedAtMs
+      response.writeHead(this.head!.status, this.head!.statusText, exchange.codecs.returnHeaders(this.head!))
+    }
+    if (response.write(bytes)) return
+    const { connection } = this
+    connection?.pause()
+    response.once('drain', () => connection?.resume())
+  }
+
+  private onEnd (): void {
+    const { exchange } = this
+    const facts = exchange.codecs.readResponse(this.head!)
+    const { status } = this.head!
+    if (facts.isNotRun) {
+      if (facts.isMisdirected) this.onMisdirected()
+      return this.finish({ kind: 'not-run', reason: `the backend server answered ${status} and did not run the request`, isMisdirected: facts.isMisdirected })
+    }
+    if (!this.isStreaming) {
+      if (status >= 500) this.server.onFailed()
+      else this.server.onAnswered(exchange.clock.nowMs() - this.startedAtMs)
+      const answer = { head: this.head!, body: Buffer.concat(this.chunks) }
+      exchange.firstByteMs ??= exchange.clock.nowMs() - exchange.request.arrivedAtMs
+      if (status >= 500 || exchange.hasBegun) return this.finish({ kind: 'answer', answer })
+      exchange.response.writeHead(status, answer.head.statusText, [...exchange.codecs.returnHeaders(answer.head), 'Content-Length', String(answer.body.length)])
+      exchange.response.end(answer.body)
+      return this.finish({ kind: 'done' })
+    }
+    if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
+    if (!exchange.hasBegun) this.write(Buffer.alloc(0))
+    exchange.response.end()
+    this.finish({ kind: 'done' })
+  }
+
+  private onMisdirected (): void {
+    const { model, adapter } = this.exchange.request.facts
+    const state = model === undefined ? undefined : this.server.hosted.get(model)
+    // Another server has the address, or the model was unloaded: both make what is known of it wrong.
+    if (!state) this.server.onUnreachable()
+    else if (adapter === undefined) this.server.hosted.delete(model!)
+    else state.adapters.delete(adapter)
+  }
+
+  private onBroken ({ wasSent, isUnreachable, reason }: Break): void {
+    if (isUnreachable) this.server.onUnreachable()
+    else this.server.onFailed()
+    if (!wasSent) return this.finish({ kind: 'unsent', reason })
+    this.finish({ kind: 'unknown', reason })
+  }
+
+  private onDeadline (): void {
+    if (!this.hasFirstByte) this.server.onFailed()
+    this.abandon({ kind: 'timeout', reason: 'no complete answer before the deadline' })
+  }
+
+  /** Gives up on servers that went silent, where the request may be sent elsewhere. */
+  private watchProgress (): void {
+    const { route } = this.exchange.request
+    const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+    if (!isRepeatable) return
+    const limitMs = route.kind === 'idempotent' ? idempotentStallFactor * route.objectiveMs : stallMs(route)
+    const check = () => {
+      if (this.isFinished) return
+      const silentMs = this.exchange.clock.nowMs() - this.lastProgressMs
+      if (silentMs < limitMs) {
+        this.cancelTimers.push(this.exchange.clock.setTimer(limitMs - silentMs + 1, check))
+        return
+      }
+      this.server.onFailed()
+      // A server that says nothing to anybody is not only busy.
+      if (this.exchange.clock.nowMs() - this.server.pool.lastByteAtMs > limitMs) this.server.onUnreachable()
+      this.abandon({ kind: 'unknown', reason: `no progress for ${Math.round(silentMs)} ms` })
+    }
+    this.cancelTimers.push(this.exchange.clock.setTimer(limitMs, check))
+  }
+
+  private progress (): void {
+    this.lastProgressMs = this.exchange.clock.nowMs()
+  }
+
+  private firstByte (): void {
+    if (this.hasFirstByte) return
+    this.hasFirstByte = true
+    this.server.onFirstByte(this.tokens)
+    if (this.isStreaming) this.server.onAnswered(this.exchange.clock.nowMs() - this.startedAtMs)
+  }
+
+  /** Ends the attempt and tells the server by closing the connection. */
+  private abandon (result: AttemptResult): void {
+    if (this.isFinished) return
+    this.connection?.destroy()
+    this.finish(result)
+  }
+
+  private finish (result: AttemptResult): void {
+    if (this.isFinished) return
+    this.isFinished = true
+    for (const cancel of this.cancelTimers.splice(0)) cancel()
+    if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
+    this.server.onEnded(this.exchange.request.facts.model)
+    this.resolve(result)
+  }
+}
+
+function encodeRequest ({ method, path, body }: RelayRequest, headers: readonly string[]): Buffer {
+  let head = `${method} ${path} HTTP/1.1\r\n`
+  for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
+  if (body.length > 0 || !bodilessMethods.has(method)) head += `Content-Length: ${body.length}\r\n`
+  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), body])
+}
+
+const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
+
+export { streamPatienceMs }
--- /dev/null
+++ b/src/serving/fleetView.ts
@@ -0,0 +1,90 @@
+/** The backend servers that this node knows, by service. */
+
+import type { Clock } from '../base/clock.js'
+import type { Log } from '../base/log.js'
+import { BackendServer } from './backendServer.js'
+import type { BackendEntry } from './deployment.js'
+
+/** Entries that lapsed during an outage of the store are back within about this time of its return. */
+const returnAfterOutageMs = 2300
+
+export interface FleetViewOptions {
+  clock: Clock
+  log: Log
+  regionOfZone: Record<string, string>
+  onConnectionOpened?: () => void
+}
+
+export class FleetView {
+  readonly servers = new Map<string, BackendServer>()
+  private readonly options: FleetViewOptions
+  private readonly listeners = new Set<() => void>()
+  private outageEndedAtMs = -Infinity
+
+  constructor (options: FleetViewOptions) {
+    this.options = options
+  }
+
+  /** Calls `listener` after each change. Returns a function that ends it. */
+  onChange (listener: () => void): () => void {
+    this.listeners.add(listener)
+    return () => { this.listeners.delete(listener) }
+  }
+
+  notify (): void {
+    for (const listener of this.listeners) listener()
+  }
+
+  onOutageEnded (): void {
+    this.outageEndedAtMs = this.options.clock.nowMs()
+  }
+
+  put (entry: BackendEntry): void {
+    const known = this.servers.get(entry.id)
+    if (known && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address) {
+      if (entry.isDraining && !known.entry.isDraining) this.options.log('info', 'backend server draining', { backend: entry.id })
+      known.update(entry)
+      known.leavingAtMs = Infinity
+    } else {
+      const region = this.options.regionOfZone[entry.availabilityZone] ?? entry.availabilityZone
+      const { onConnectionOpened } = this.options
+      known?.pool.closeIdle()
+      this.servers.set(entry.id, new BackendServer(entry, region, this.options.clock, onConnectionOpened ? { onOpened: onConnectionOpened } : {}))
+      this.options.log('info', 'backend server taken in', { backend: entry.id, service: entry.service, address: entry.address, isRestart: known !== undefined })
+    }
+    this.notify()
+  }
+
+  /** The entry of a server was removed. Right after an outage of the store it may come back. */
+  remove (id: string): void {
+    const server = this.servers.get(id)
+    if (!server || server.leavingAtMs !== Infinity) return
+    const nowMs = this.options.clock.nowMs()
+    server.leavingAtMs = Math.max(nowMs, this.outageEndedAtMs + returnAfterOutageMs)
+    this.options.log('info', 'backend server entry removed', { backend: id, inMs: Math.round(server.leavingAtMs - nowMs) })
+    this.notify()
+  }
+
+  /** Makes `entries` the present ones. */
+  replaceAll (entries: readonly BackendEntry[]): void {
+    const ids = new Set(entries.map(({ id }) => id))
+    for (const id of this.servers.keys()) if (!ids.has(id)) this.remove(id)
+    for (const entry of entries) this.put(entry)
+    this.dropGone()
+  }
+
+  /** Forgets servers that are gone and idle. */
+  dropGone (): void {
+    for (const [id, server] of this.servers) {
+      if (this.options.clock.nowMs() < server.leavingAtMs || server.running > 0) continue
+      server.pool.closeIdle()
+      this.servers.delete(id)
+    }
+  }
+
+  ofService (service: string): BackendServer[] {
+    const result: BackendServer[] = []
+    for (const server of this.servers.values()) if (server.entry.service === service) result.push(server)
+    return result
+  }
+}
--- /dev/null
+++ b/src/serving/modelDemand.ts
@@ -0,0 +1,94 @@
+/** Which models and adapters the requests of this node ask for and wait for. */
+
+import type { Clock } from '../base/clock.js'
+
+export interface WaitingRequest {
+  end (): void
+}
+
+export interface AdapterWish {
+  service: string
+  model: string
+  adapter: string
+  count: number
+}
+
+interface ModelCounts {
+  service: string
+  model: string
+  waiting: number
+  /** Most urgent rank that waits. */
+  rank: number
+  arrivals: number
+}
+
+/** The answer of the placement leader to a wish. */
+export type ExpectedReady = (service: string, model: string, adapter: string | undefined) => number | undefined
+
+export class ModelDemand {
+  private readonly models = new Map<string, ModelCounts>()
+  private readonly adapters = new Map<string, AdapterWish>()
+  private readonly sleepers = new Set<() => void>()
+  /** Set when a model or adapter is asked for that nobody waited for before. */
+  onNewWish: () => void = () => {}
+  expectedReadyMs: ExpectedReady = () => undefined
+
+  constructor (private readonly clock: Clock) {}
+
+  wait (service: string, model: string, adapter: string | undefined, rank: number): WaitingRequest {
+    const counts = this.countsOf(service, model)
+    counts.waiting++
+    counts.rank = Math.min(counts.rank, rank)
+    const key = `${service}\u0000${model}\u0000${adapter ?? ''}`
+    let isNew = counts.waiting === 1
+    if (adapter !== undefined) {
+      const wish = this.adapters.get(key) ?? { service, model, adapter, count: 0 }
+      this.adapters.set(key, wish)
+      isNew ||= wish.count === 0
+      wish.count++
+    }
+    if (isNew) this.onNewWish()
+    let hasEnded = false
+    return {
+      end: () => {
+        if (hasEnded) return
+        hasEnded = true
+        if (--counts.waiting === 0) counts.rank = Infinity
+        const wish = this.adapters.get(key)
+        if (wish && --wish.count === 0) this.adapters.delete(key)
+      }
+    }
+  }
+
+  waitingModels (): { service: string, model: string, waiting: number, rank: number }[] {
+    return [...this.models.values()].filter(({ waiting }) => waiting > 0)
+  }
+
+  waitingAdapters (): AdapterWish[] {
+    return [...this.adapters.values()]
+  }
+
+  /** Resolves after `delayMs`, or when `wake` is called. */
+  changeOrDelay (delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const done = () => {
+        this.sleepers.delete(done)
+        cancel()
+        resolve()
+      }
+      const cancel = this.clock.setTimer(delayMs, done)
+      this.sleepers.add(done)
+    })
+  }
+
+  wake (): void {
+    for (const sleeper of [...this.sleepers]) sleeper()
+  }
+
+  private countsOf (service: string, model: string): ModelCounts {
+    const key = `${service}\u0000${model}`
+    let counts = this.models.get(key)
+    if (!counts) this.models.set(key, counts = { service, model, waiting: 0, rank: Infinity, arrivals: 0 })
+    return counts
+  }
+}
--- /dev/null
+++ b/src/serving/relay.ts
@@ -0,0 +1,357 @@
+/** Takes requests from clients, sends each to a backend server and returns the answer. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { match } from 'ts-pattern'
+import type { Clock } from '../base/clock.js'
+import type { Log } from '../base/log.js'
+import { chooseBackend } from '../policy/engineChoice.js'
+import { RetryBudget } from '../policy/retry.js'
+import { streamPatienceMs } from '../policy/streamPatience.js'
+import type { BackendServer } from './backendServer.js'
+import type { Codecs, RequestFacts } from './codecs.js'
+import type { Deployment, Route, Service } from './deployment.js'
+import { Exchange } from './exchange.js'
+import type { AttemptResult, EngineAnswer } from './exchange.js'
+import type { FleetView } from './fleetView.js'
+import { RouteTable, serviceOf } from './routeTable.js'
+import type { ModelDemand } from './modelDemand.js'
+
+/** Time in which a backend server usually begins to answer; a request with less left is not sent. */
+const minimumSendMs = 20
+/** Time kept for the way back to the client before its deadline. */
+const returnMarginMs = 5
+/** A repeat right after the first attempt would meet the same full servers. */
+const busyRetryAfterMs = 250
+/** Time until a node that has just started knows its configuration. */
+const startingRetryAfterMs = 500
+/** Part of a client's remaining time for which it waits before it returns; clients honour no more. */
+const longestRetryShare = 0.33
+/** Time after which missing models are looked for again while requests wait. */
+const waitPollMs = 25
+/** Time that a request for a model that nobody is loading may wait for the placement leader to decide. */
+const undecidedWaitMs = 1500
+/** Part of the callers' patience that the wait for a model may use; the rest is for the first event. */
+const waitShare = 0.75
+
+export interface RelaySettings {
+  region: string
+  availabilityZone: string
+  retryShare: number
+  retryAllowance: number
+}
+
+export interface RequestRecord {
+  route: string
+  service: string
+  kind: Route['kind']
+  outcome: string
+  status: number
+  durationMs: number
+  firstByteMs: number | undefined
+  attempts: number
+}
+
+export interface RelayOptions {
+  clock: Clock
+  log: Log
+  codecs: Codecs
+  fleet: FleetView
+  demand: ModelDemand
+  settings: RelaySettings
+  /** Nodes that share the fleet's budgets. */
+  nodeCount: () => number
+  onFinished?: (record: RequestRecord) => void
+}
+
+/** One request of a client. */
+export interface RelayRequest {
+  facts: RequestFacts
+  route: Route
+  service: Service
+  method: string
+  path: string
+  rawHeaders: readonly string[]
+  body: Buffer
+  arrivedAtMs: number
+  deadlineAtMs: number
+}
+
+type Search =
+  | { kind: 'found', server: BackendServer }
+  | { kind: 'refused', reason: string, retryAfterMs: number }
+  | { kind: 'left' }
+
+export class Relay {
+  private readonly options: RelayOptions
+  private readonly clock: Clock
+  private deployment: Deployment | undefined
+  private routes = new RouteTable([])
+  private services = new Map<string, Service>()
+  private readonly budgets = new Map<string, RetryBudget>()
+  private isClosing = false
+  active = 0
+
+  constructor (options: RelayOptions) {
+    this.options = options
+    this.clock = options.clock
+  }
+
+  setDeployment (deployment: Deployment): void {
+    this.deployment = deployment
+    this.routes = new RouteTable(deployment.routes)
+    this.services = new Map(deployment.services.map(service => [service.name, service]))
+  }
+
+  /** From now on each answer closes its connection. */
+  closeConnections (): void {
+    this.isClosing = true
+  }
+
+  async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAtMs = this.clock.nowMs()
+    this.active++
+    if (this.isClosing) response.shouldKeepAlive = false
+    response.once('close', () => { this.active-- })
+    const facts = this.options.codecs.readRequest(request.headers)
+    const reply = new Reply(request, response, facts.requestId)
+    const { deployment } = this
+    if (!deployment) return reply.refuse(503, 'no configuration yet', startingRetryAfterMs)
+    const path = request.url ?? '/'
+    const route = this.routes.find(request.headers.host ?? '', path)
+    if (!route) {
+      request.resume()
+      return reply.refuse(404, 'no route')
+    }
+    const body = await readBody(request, deployment.limits.maxBodyBytes)
+    if (body === 'too-large') return reply.refuse(413, 'the body is too large')
+    if (body === 'left') return
+    const service = this.services.get(serviceOf(route, facts.requestId ?? ''))
+    if (!service) return reply.refuse(503, 'the route names no known service', startingRetryAfterMs)
+    const deadlineAtMs = arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
+    await this.serve({ facts, route, service, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, arrivedAtMs, deadlineAtMs }, reply)
+  }
+
+  private async serve (request: RelayRequest, reply: Reply): Promise<void> {
+    const { clock, codecs } = this.options
+    this.budgetOf(request.service.name).onRequest()
+    const exchange = new Exchange({ request, response: reply.response, codecs, clock })
+    const tried = new Set<string>()
+    let sends = 0
+    let result: AttemptResult | undefined
+    for (;;) {
+      const search = await this.findServer(request, tried, { isRepeat: result !== undefined, hasLeft: () => exchange.hasClientLeft })
+      if (search.kind !== 'found') {
+        if (search.kind === 'left') return this.finish(request, { outcome: 'client-left', status: 0, exchange, sends, tried })
+        return this.answerWithout(request, reply, exchange, { result, search, sends, tried })
+      }
+      const { server } = search
+      tried.add(server.entry.id)
+      result = await exchange.attempt(server)
+      if (result.kind !== 'unsent') sends++
+      if (result.kind === 'done' || result.kind === 'client-left') {
+        return this.finish(request, { outcome: result.kind, status: 200, exchange, sends, tried })
+      }
+      if (!this.mayRepeat(request, exchange, result, sends)) return this.answerWithout(request, reply, exchange, { result, sends, tried })
+    }
+  }
+
+  /** Whether the request may be sent once more after `result`. Takes the repeat out of the budget. */
+  private mayRepeat (request: RelayRequest, exchange: Exchange, result: AttemptResult, sends: number): boolean {
+    const { route } = request
+    if (exchange.hasClientLeft || this.clock.nowMs() > request.deadlineAtMs - minimumSendMs) return false
+    // Nothing reached a server, so nothing is repeated.
+    if (result.kind === 'unsent') return true
+    const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+    const mayHaveRun = result.kind !== 'not-run'
+    if (mayHaveRun && !isRepeatable) return false
+    if (result.kind === 'answer' && result.answer.head.status < 500) return false
+    const limit = result.kind === 'not-run' && result.isMisdirected ? route.maxAttempts + 1 : route.maxAttempts
+    return sends < limit && this.budgetOf(request.service.name).tryRetry()
+  }
+
+  /** Ends a request for which no further attempt is made. */
+  private answerWithout (
+    request: RelayRequest, reply: Reply, exchange: Exchange,
+    { result, search, sends, tried }: { result: AttemptResult | undefined, search?: Extract<Search, { kind: 'refused' }>, sends: number, tried: Set<string> }
+  ): void {
+    if (exchange.hasBegun) {
+      exchange.breakOff()
+      return this.finish(request, { outcome: 'broken-off', status: 0, exchange, sends, tried, reason: reasonOf(result) })
+    }
+    const retryAfterMs = search?.retryAfterMs ?? busyRetryAfterMs
+    match(result)
+      .with({ kind: 'answer' }, ({ answer }) => reply.answer(answer, this.options.codecs.returnHeaders(answer.head)))
+      .with({ kind: 'timeout' }, () => reply.refuse(504, 'no answer before the deadline'))
+      .with({ kind: 'unknown' }, ({ reason }) => reply.refuse(502, reason))
+      .with({ kind: 'not-run' }, { kind: 'unsent' }, ({ reason }) => exchange.mayHaveRun
+        ? reply.refuse(502, reason)
+        : reply.refuse(503, reason, this.retryAfterMs(request, retryAfterMs)))
+      .otherwise(() => reply.refuse(503, search?.reason ?? 'no backend server', this.retryAfterMs(request, retryAfterMs)))
+    this.finish(request, {
+      outcome: result?.kind ?? 'refused', status: reply.response.statusCode, exchange, sends, tried, reason: search?.reason ?? reasonOf(result)
+    })
+  }
+
+  /** A time to return that leaves the client enough of its own. */
+  private retryAfterMs (request: RelayRequest, wantedMs: number): number {
+    const leftMs = Math.max(0, (request.facts.deadlineMs ?? request.route.timeoutMs) - (this.clock.nowMs() - request.arrivedAtMs))
+    return Math.min(wantedMs, leftMs * longestRetryShare)
+  }
+
+  /** The best server for the request; waits while its model is being loaded. */
+  private async findServer (
+    request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
+  ): Promise<Search> {
+    const immediate = this.choose(request, tried, isRepeat)
+    if (immediate) return { kind: 'found', server: immediate }
+    const { model, adapter } = request.facts
+    if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
+    if (!request.service.engine.models.some(({ name }) => name === model)) {
+      return { kind: 'refused', reason: `the service has no model ${model}`, retryAfterMs: startingRetryAfterMs }
+    }
+    const startMs = this.clock.nowMs()
+    const patienceMs = request.route.kind === 'stream' ? streamPatienceMs(request.route) : Infinity
+    const untilMs = Math.min(request.arrivedAtMs + patienceMs * waitShare, request.deadlineAtMs - minimumSendMs)
+    const waiting = this.options.demand.wait(request.service.name, model, adapter, request.route.rank)
+    try {
+      for (;;) {
+        const nowMs = this.clock.nowMs()
+        const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
+        const isHopeless = expectedMs === undefined ? nowMs - startMs > undecidedWaitMs : nowMs + expectedMs > untilMs
+        if (nowMs > untilMs || isHopeless) {
+          return { kind: 'refused', reason: `no engine is ready with ${model}${adapter ? `/${adapter}` : ''}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
+        }
+        await this.options.demand.changeOrDelay(waitPollMs)
+        if (hasLeft()) return { kind: 'left' }
+        const server = this.choose(request, tried, isRepeat)
+        if (server) return { kind: 'found', server }
+      }
+    } finally {
+      waiting.end()
+    }
+  }
+
+  private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
+    const { settings, fleet } = this.options
+    const { model, adapter, sharedPrefix } = request.facts
+    const able = fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server))
+    let candidates = able.filter(server => !tried.has(server.entry.id))
+    // A server that refused may have room again, but one that failed is not asked twice.
+    if (candidates.length === 0 && !isRepeat) candidates = able
+    if (candidates.length === 0) return undefined
+    const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
+    const scored = candidates.map(server => ({
+      id: server.entry.id,
+      region: server.region,
+      availabilityZone: server.entry.availabilityZone,
+      slots: server.entry.slots,
+      running: server.running + server.runningElsewhere,
+      pendingTokens: server.pendingTokens,
+      failureShare: server.failureShare,
+      excessDelayMs: server.smoothedDelayMs - baselineMs,
+      server
+    }))
+    return chooseBackend(scored, {
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+      affinityKey: sharedPrefix,
+      isEngine: request.service.engine !== undefined
+    })?.server
+  }
+
+  /** Whether a connection is kept or may be opened: all nodes share the server's connections. */
+  private hasConnection (request: RelayRequest, server: BackendServer): boolean {
+    const share = Math.max(minimumConnections, Math.floor(request.service.maxConnections * connectionShare / Math.max(1, this.options.nodeCount())))
+    return server.pool.openCount < share || server.pool.hasIdle
+  }
+
+  private budgetOf (service: string): RetryBudget {
+    let budget = this.budgets.get(service)
+    if (!budget) {
+      const { retryShare, retryAllowance } = this.options.settings
+      budget = new RetryBudget({
+        clock: this.clock,
+        share: () => retryShare * budgetShare,
+        allowance: () => retryAllowance * budgetShare / Math.max(1, this.options.nodeCount())
+      })
+      this.budgets.set(service, budget)
+    }
+    return budget
+  }
+
+  private finish (
+    request: RelayRequest,
+    { outcome, status, exchange, sends, tried, reason }: { outcome: string, status: number, exchange: Exchange, sends: number, tried: ReadonlySet<string>, reason?: string | undefined }
+  ): void {
+    const record: RequestRecord = {
+      route: request.route.name,
+      service: request.service.name,
+      kind: request.route.kind,
+      outcome,
+      status,
+      durationMs: this.clock.nowMs() - request.arrivedAtMs,
+      firstByteMs: exchange.firstByteMs,
+      attempts: sends
+    }
+    this.options.onFinished?.(record)
+    if (outcome === 'done' && sends === 1) return
+    this.options.log('info', 'request not served plainly', {
+      request: request.facts.requestId,
+      ...record,
+      model: request.facts.model,
+      adapter: request.facts.adapter,
+      backends: [...tried],
+      reason
+    })
+  }
+}
+
+/** Part of the fleet's repeats that the nodes use, since they do not see each other's windows. */
+const budgetShare = 0.7
+/** Part of a backend server's connections that the nodes use; the rest is for restarted nodes whose old connections linger. */
+const connectionShare = 0.9
+const minimumConnections = 4
+
+function reasonOf (result: AttemptResult | undefined): string | undefined {
+  return result && 'reason' in result ? result.reason : undefined
+}
+
+/** The request's body, once it is complete. */
+async function readBody (request: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'left'> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      bytes += chunk.length
+      if (bytes > maxBytes) return 'too-large'
+      chunks.push(chunk)
+    }
+  } catch {
+    // The client closed the connection, so there is nobody to answer.
+    return 'left'
+  }
+  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
+}
+
+/** Answers of the node itself, and of backend servers as a whole. */
+class Reply {
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly requestId: string | undefined) {}
+
+  refuse (status: number, reason: string, retryAfterMs?: number): void {
+    if (this.response.destroyed) return
+    const body = JSON.stringify({ error: reason })
+    const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))]
+    if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(2))
+    // An unread body would be taken for the next request.
+    if (!this.request.complete) headers.push('Connection', 'close')
+    this.response.writeHead(status, headers)
+    this.response.end(body)
+  }
+
+  answer ({ head, body }: EngineAnswer, headers: string[]): void {
+    if (this.response.destroyed) return
+    this.response.writeHead(head.status, head.statusText, [...headers, 'Content-Length', String(body.length)])
+    this.response.end(body)
+  }
+}
+export { returnMarginMs }
--- /dev/null
+++ b/src/serving/responseReader.ts
@@ -0,0 +1,190 @@
+/** Incremental reader of HTTP/1.1 responses that keeps apart what a client library hides: how a response ended. */
+
+/** Larger response heads are refused. */
+const maxHeadBytes = 64 * 1024
+const maxChunkLineBytes = 1024
+
+export interface ResponseHead {
+  status: number
+  statusText: string
+  /** Name, value, name, value, as received. */
+  rawHeaders: string[]
+  /** Values by lower-case name; repeated ones are joined. */
+  headers: Map<string, string>
+  /** Whether the server keeps the connection open after this response. */
+  keepsAlive: boolean
+}
+
+export interface ResponseSink {
+  onHead (head: ResponseHead): void
+  onData (data: Buffer): void
+  /** The response is complete. `leftover` bytes belong to no request. */
+  onEnd (leftover: Buffer): void
+  /** The bytes are not a response. */
+  onInvalid (reason: string): void
+}
+
+type State = 'head' | 'length' | 'chunk-line' | 'chunk-data' | 'chunk-end' | 'trailers' | 'until-close' | 'done'
+
+const empty = Buffer.alloc(0)
+
+/** Reads one response after the other. */
+export class ResponseReader {
+  private state: State = 'head'
+  private pending: Buffer = empty
+  private remainingBytes = 0
+  private withoutBody = false
+
+  constructor (private readonly sink: ResponseSink) {}
+
+  /** Prepares for the response to a request of `method`. */
+  expect (method: string): void {
+    this.state = 'head'
+    this.pending = empty
+    this.withoutBody = method === 'HEAD'
+  }
+
+  /** Whether any byte of the present response has arrived. */
+  get hasBegun (): boolean {
+    return this.state !== 'head' || this.pending.length > 0
+  }
+
+  push (input: Buffer): void {
+    let data = this.pending.length > 0 ? Buffer.concat([this.pending, input]) : input
+    this.pending = empty
+    while (data.length > 0) {
+      const rest = this.step(data)
+      if (rest === undefined) return
+      if (rest === data) {
+        this.pending = data
+        return
+      }
+      data = rest
+    }
+  }
+
+  /** The server closed its side in an orderly way. Returns whether that completes the response. */
+  close (): boolean {
+    if (this.state !== 'until-close') return false
+    this.finish(empty)
+    return true
+  }
+
+  /** Returns what is left of `data`, `data` itself if more bytes are needed, or `undefined` at the end. */
+  private step (data: Buffer): Buffer | undefined {
+    switch (this.state) {
+      case 'head': return this.readHead(data)
+      case 'length':
+      case 'chunk-data': return this.readCounted(data)
+      case 'chunk-line': return this.readChunkLine(data)
+      case 'chunk-end': return this.readChunkEnd(data)
+      case 'trailers': return this.readTrailers(data)
+      case 'until-close':
+        this.sink.onData(data)
+        return empty
+      case 'done': return undefined
+    }
+  }
+
+  private readHead (data: Buffer): Buffer | undefined {
+    const end = data.indexOf('\r\n\r\n')
+    if (end === -1) {
+      if (data.length > maxHeadBytes) return this.invalid('the response head is too large')
+      if (data.length >= 5 && data.toString('latin1', 0, 5) !== 'HTTP/') return this.invalid('the bytes are not an HTTP response')
+      return data
+    }
+    const head = parseHead(data.toString('latin1', 0, end))
+    if (typeof head === 'string') return this.invalid(head)
+    const rest = data.subarray(end + 4)
+    if (head.status >= 100 && head.status < 200) return rest
+    const framing = framingOf(head, this.withoutBody)
+    if (typeof framing === 'string') return this.invalid(framing)
+    if (framing.state === 'until-close') head.keepsAlive = false
+    this.state = framing.state
+    this.remainingBytes = framing.bytes
+    this.sink.onHead(head)
+    if (this.state === 'done') return this.finish(rest)
+    return this.state === 'length' && this.remainingBytes === 0 ? this.finish(rest) : rest
+  }
+
+  private readCounted (data: Buffer): Buffer | undefined {
+    const part = data.subarray(0, this.remainingBytes)
+    this.remainingBytes -= part.length
+    const rest = data.subarray(part.length)
+    const isLast = this.remainingBytes === 0
+    const wasChunk = this.state === 'chunk-data'
+    if (isLast && wasChunk) this.state = 'chunk-end'
+    this.sink.onData(part)
+    return isLast && !wasChunk ? this.finish(rest) : rest
+  }
+
+  private readChunkLine (data: Buffer): Buffer | undefined {
+    const end = data.indexOf('\r\n')
+    if (end === -1) return data.length > maxChunkLineBytes ? this.invalid('the chunk size is too long') : data
+    const size = data.toString('latin1', 0, end).split(';')[0]!.trim()
+    if (!/^[0-9a-fA-F]{1,8}$/.test(size)) return this.invalid('the chunk size is not a number')
+    this.remainingBytes = parseInt(size, 16)
+    this.state = this.remainingBytes === 0 ? 'trailers' : 'chunk-data'
+    return data.subarray(end + 2)
+  }
+
+  private readChunkEnd (data: Buffer): Buffer | undefined {
+    if (data.length < 2) return data
+    if (data[0] !== 13 || data[1] !== 10) return this.invalid('a chunk does not end where it says')
+    this.state = 'chunk-line'
+    return data.subarray(2)
+  }
+
+  private readTrailers (data: Buffer): Buffer | undefined {
+    const end = data.indexOf('\r\n')
+    if (end === -1) return data.length > maxHeadBytes ? this.invalid('the trailers are too large') : data
+    const rest = data.subarray(end + 2)
+    return end === 0 ? this.finish(rest) : rest
+  }
+
+  private finish (leftover: Buffer): undefined {
+    this.state = 'done'
+    this.sink.onEnd(leftover)
+    return undefined
+  }
+
+  private invalid (reason: string): undefined {
+    this.state = 'done'
+    this.sink.onInvalid(reason)
+    return undefined
+  }
+}
+
+/** The parsed head, or why it is not one. */
+function parseHead (text: string): ResponseHead | string {
+  const lines = text.split('\r\n')
+  const match = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/.exec(lines[0]!)
+  if (!match) return 'the status line is invalid'
+  const rawHeaders: string[] = []
+  const headers = new Map<string, string>()
+  for (const line of lines.slice(1)) {
+    const colon = line.indexOf(':')
+    if (colon <= 0 || /[\s]/.test(line.slice(0, colon))) return 'a header line is invalid'
+    const name = line.slice(0, colon)
+    const value = line.slice(colon + 1).trim()
+    rawHeaders.push(name, value)
+    const key = name.toLowerCase()
+    const earlier = headers.get(key)
+    headers.set(key, earlier === undefined ? value : `${earlier}, ${value}`)
+  }
+  const connection = (headers.get('connection') ?? '').toLowerCase()
+  const keepsAlive = match[1] === '1' ? !/\bclose\b/.test(connection) : /\bkeep-alive\b/.test(connection)
+  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive }
+}
+
+function framingOf (head: ResponseHead, withoutBody: boolean): { state: State, bytes: number } | string {
+  const encoding = head.headers.get('transfer-encoding')
+  const length = head.headers.get('content-length')
+  if (withoutBody || head.status === 204 || head.status === 304) return { state: 'done', bytes: 0 }
+  if (encoding !== undefined) {
+    if (length !== undefined) return 'the response has both a length and a transfer encoding'
+    return encoding.toLowerCase() === 'chunked' ? { state: 'chunk-line', bytes: 0 } : `the transfer encoding "${encoding}" is not supported`
+  }
+  if (length === undefined) return { state: 'until-close', bytes: 0 }
+  return /^\d{1,12}$/.test(length) ? { state: 'length', bytes: Number(length) } : 'the content length is not a number'
+}
