--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -99,8 +99,7 @@
   slots: z.number().positive(),
   state: z.enum(['ready', 'draining']),
   models: hostedModelsSchema.default([]),
-  // The number of orders that the engine has accepted, not a number of the entry.
-  seq: z.number().default(0),
+  // `seq` counts the writes of the entry here, and accepted orders in the engine's report.
   born: z.number().int().optional(),
   at_hand: atHandSchema
 })
@@ -108,6 +107,7 @@
 const reportSchema = z.object({
   models: hostedModelsSchema.default([]),
   busy: z.boolean().default(false),
+  // Accepted orders; the entry in the store has a field of the same name that counts its writes.
   seq: z.number(),
   coming: z.array(z.string()).default([]),
   at_hand: atHandSchema
@@ -147,7 +147,6 @@
     isDraining: beat.state === 'draining',
     bornAtMs: beat.born,
     models: hostedOf(beat.models),
-    orderCount: beat.seq,
     modelsInMemory: beat.at_hand.in_memory.map(withoutVersion),
     modelsOnDisk: beat.at_hand.on_disk.map(withoutVersion)
   }))
--- /dev/null
+++ b/src/policy/loadRate.ts
@@ -0,0 +1,32 @@
+/** Shares out the loads that the weight store serves. */
+
+import type { Clock } from '../base/clock.js'
+
+/** Loads that an earlier holder may have started just before. */
+const assumedLoads = 3
+
+/** Counts loads in a sliding window. */
+export class LoadRate {
+  private readonly clock: Clock
+  private readonly windowMs: number
+  private readonly loadsPerSecond: number
+  private startedAtMs: number[]
+
+  constructor ({ clock, windowMs, loadsPerSecond }: { clock: Clock, windowMs: number, loadsPerSecond: number }) {
+    this.clock = clock
+    this.windowMs = windowMs
+    this.loadsPerSecond = loadsPerSecond
+    this.startedAtMs = Array(assumedLoads).fill(clock.nowMs())
+  }
+
+  /** Loads that may start now. */
+  available (): number {
+    const sinceMs = this.clock.nowMs() - this.windowMs
+    this.startedAtMs = this.startedAtMs.filter(atMs => atMs > sinceMs)
+    return Math.max(0, Math.floor(this.loadsPerSecond * this.windowMs / 1000) - this.startedAtMs.length)
+  }
+
+  take (): void {
+    this.startedAtMs.push(this.clock.nowMs())
+  }
+}
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from '../base/clock.js'
 import { ConnectionPool } from './connectionPool.js'
-import type { BackendEntry, HostedModel } from './deployment.js'
+import type { BackendEntry, EngineReport, HostedModel } from './deployment.js'
 
 /** Weight of a new sample in the smoothed failure share and delay. */
 const smoothing = 0.25
@@ -21,22 +21,26 @@
   adapters: Map<string, number>
 }
 
-/** Hosting of one engine as the placement leader knows it. */
+/** A model of an engine as the placement leader knows it. */
 export interface HostingUpdate {
-  orderCount: number
-  models: { name: string, readyInMs: number, isLeaving: boolean, adapters: { name: string, readyInMs: number }[] }[]
+  name: string
+  readyInMs: number
+  isLeaving: boolean
+  adapters: { name: string, readyInMs: number }[]
 }
 
 export class BackendServer {
   readonly pool: ConnectionPool
   /** Requests of this node in progress, by model (empty for plain services). */
-  readonly runningByModel = new Map<string, number>()
+  readonly runningByModel = new Map<string, { count: number, rank: number }>()
   running = 0
   pendingTokens = 0
   /** Requests of the other nodes in progress, as last heard. */
   runningElsewhere = 0
   hosted = new Map<string, HostedState>()
-  orderCount: number
+  /** Orders that the engine has accepted, as far as the placement leader knows. */
+  orderCount = 0
+  private hasLeaderState = false
   /** Time from which it gets no more requests. */
   leavingAtMs = Infinity
   private ejectedUntilMs = 0
@@ -48,24 +52,28 @@
   constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, { onOpened }: { onOpened?: () => void } = {}) {
     this.pool = new ConnectionPool({ address: entry.address, clock, ...(onOpened ? { onOpened } : {}) })
     this.sampledAtMs = clock.nowMs()
-    this.orderCount = entry.orderCount
     this.adoptModels(entry.models)
   }
 
-  /** Takes up a newer entry of the same incarnation. */
+  /** Takes up a newer entry of the same incarnation. Its models are older than what the placement leader says. */
   update (entry: BackendEntry): void {
     this.entry = entry
-    if (entry.orderCount < this.orderCount) return
-    this.orderCount = entry.orderCount
-    this.adoptModels(entry.models)
+    if (!this.hasLeaderState) this.adoptModels(entry.models)
+  }
+
+  /** Takes up what the engine reports to the placement leader. Reports lag behind accepted orders. */
+  updateFromReport (report: EngineReport): void {
+    this.hasLeaderState = true
+    if (report.orderCount < this.orderCount) return
+    this.orderCount = report.orderCount
+    this.adoptModels(report.models)
   }
 
   /** Takes up what the placement leader says. */
-  updateHosting (update: HostingUpdate): void {
-    if (update.orderCount < this.orderCount) return
+  updateHosting (models: readonly HostingUpdate[]): void {
     const nowMs = this.clock.nowMs()
-    this.orderCount = update.orderCount
-    this.hosted = new Map(update.models.map(({ name, readyInMs, isLeaving, adapters }) => [name, {
+    this.hasLeaderState = true
+    this.hosted = new Map(models.map(({ name, readyInMs, isLeaving, adapters }) => [name, {
       readyAtMs: nowMs + readyInMs,
       isLeaving,
       adapters: new Map(adapters.map(adapter => [adapter.name, nowMs + adapter.readyInMs]))
@@ -86,11 +94,14 @@
     return adapter === undefined || (state.adapters.get(adapter) ?? Infinity) <= nowMs
   }
 
-  onStarted (model: string | undefined, tokens: number): void {
+  onStarted (model: string | undefined, tokens: number, rank: number): void {
     this.running++
     this.pendingTokens += tokens
     const key = model ?? ''
-    this.runningByModel.set(key, (this.runningByModel.get(key) ?? 0) + 1)
+    const counts = this.runningByModel.get(key) ?? { count: 0, rank: Infinity }
+    counts.count++
+    counts.rank = Math.min(counts.rank, rank)
+    this.runningByModel.set(key, counts)
   }
 
   onFirstByte (tokens: number): void {
@@ -99,10 +110,8 @@
 
   onEnded (model: string | undefined): void {
     this.running--
-    const key = model ?? ''
-    const left = (this.runningByModel.get(key) ?? 1) - 1
-    if (left > 0) this.runningByModel.set(key, left)
-    else this.runningByModel.delete(key)
+    const counts = this.runningByModel.get(model ?? '')
+    if (counts && --counts.count === 0) this.runningByModel.delete(model ?? '')
   }
 
   onAnswered (delayMs: number): void {
@@ -141,9 +150,20 @@
     return 0.5 ** ((this.clock.nowMs() - this.sampledAtMs) / halfLifeMs)
   }
 
+  /** What is on its way stays expected, and what is being unloaded stays unused, until the engine shows otherwise. */
   private adoptModels (models: readonly HostedModel[]): void {
+    const nowMs = this.clock.nowMs()
+    const earlier = this.hosted
     this.hosted = new Map(models.map(({ name, adapters }) => [name, {
-      readyAtMs: 0, isLeaving: false, adapters: new Map(adapters.map(adapter => [adapter, 0]))
+      readyAtMs: 0, isLeaving: earlier.get(name)?.isLeaving ?? false, adapters: new Map(adapters.map(adapter => [adapter, 0]))
     }]))
+    for (const [name, state] of earlier) {
+      const present = this.hosted.get(name)
+      if (!present && state.readyAtMs > nowMs) this.hosted.set(name, state)
+      if (!present) continue
+      for (const [adapter, readyAtMs] of state.adapters) {
+        if (readyAtMs > nowMs && !present.adapters.has(adapter)) present.adapters.set(adapter, readyAtMs)
+      }
+    }
   }
 }
--- a/src/serving/deployment.ts
+++ b/src/serving/deployment.ts
@@ -97,8 +97,6 @@
   bornAtMs: z.number().optional(),
   /** Engines only: loaded models with their adapters. */
   models: z.array(hostedModelSchema),
-  /** Engines only: orders accepted since the start. */
-  orderCount: z.number(),
   /** Engines only: weights that load faster, from memory or disk. */
   modelsInMemory: z.array(z.string()),
   modelsOnDisk: z.array(z.string())
--- /dev/null
+++ b/src/serving/engineCalls.ts
@@ -0,0 +1,60 @@
+/** Orders and questions to one engine, over the connections that requests use. */
+
+import type { Clock } from '../base/clock.js'
+import type { BackendServer } from './backendServer.js'
+import type { Codecs, ControlCall } from './codecs.js'
+import type { EngineOrder, EngineReport, OrderOutcome } from './deployment.js'
+
+/** An engine answers within a round trip; an order without an answer is repeated. */
+const callTimeoutMs = 400
+
+interface ControlAnswer {
+  status: number
+  text: string
+}
+
+export class EngineCalls {
+  constructor (private readonly clock: Clock, private readonly codecs: Codecs) {}
+
+  /** What the engine's answer proves; without one, the order may still be carried out. */
+  async order (server: BackendServer, order: EngineOrder): Promise<OrderOutcome> {
+    const answer = await this.call(server, this.codecs.orderCall(server.entry.id, order))
+    return answer ? this.codecs.readOrderOutcome(answer.status) : 'unknown'
+  }
+
+  /** The engine's state, or `undefined` if it does not answer. */
+  async report (server: BackendServer): Promise<EngineReport | undefined> {
+    const answer = await this.call(server, this.codecs.reportCall)
+    if (!answer || answer.status !== 200) return undefined
+    const report = this.codecs.readReport(answer.text)
+    return report instanceof Error ? undefined : report
+  }
+
+  private call (server: BackendServer, { method, path, headers, body }: ControlCall): Promise<ControlAnswer | undefined> {
+    return new Promise(resolve => {
+      const chunks: Buffer[] = []
+      let status = 0
+      const connection = server.pool.acquire()
+      const cancel = this.clock.setTimer(callTimeoutMs, () => {
+        connection.destroy()
+        resolve(undefined)
+      })
+      let head = `${method} ${path} HTTP/1.1\r\nHost: ${server.entry.address}\r\n`
+      for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
+      if (body) head += `Content-Length: ${Buffer.byteLength(body)}\r\n`
+      connection.send(method, Buffer.from(`${head}\r\n${body}`), {
+        accepts: () => true,
+        onHead: response => { status = response.status },
+        onData: data => { chunks.push(data) },
+        onEnd: () => {
+          cancel()
+          resolve({ status, text: Buffer.concat(chunks).toString('utf8') })
+        },
+        onBroken: () => {
+          cancel()
+          resolve(undefined)
+        }
+      })
+    })
+  }
+}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -2,7 +2,7 @@
 
 import type { ServerResponse } from 'node:http'
 import type { CancelTimer, Clock } from '../base/clock.js'
-import { stallMs, streamPatienceMs } from '../policy/streamPatience.js'
+import { stallMs } from '../policy/streamPatience.js'
 import type { BackendConnection, Break } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs } from './codecs.js'
@@ -105,7 +105,7 @@
       rank: request.service.engine ? request.route.rank : undefined,
       lastEventId: this.exchange.lastEventId
     })
-    this.server.onStarted(request.facts.model, this.tokens)
+    this.server.onStarted(request.facts.model, this.tokens, request.route.rank)
     this.connection = this.server.pool.acquire()
     this.cancelTimers.push(clock.setTimer(leftMs, () => this.onDeadline()))
     this.watchProgress()
@@ -281,5 +281,3 @@
 }
 
 const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
-
-export { streamPatienceMs }
--- /dev/null
+++ b/src/serving/leadership.ts
@@ -0,0 +1,190 @@
+/** Keeps this node's lease at the store, and the office of placement leader if it holds it. */
+
+import { sleep } from '../base/clock.js'
+import type { Clock } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
+
+/** Lease of a node; a dead leader is replaced after it. */
+const leaseTtlMs = 3000
+const renewalMs = 900
+const retryMs = 300
+/** Nodes that see the office vacant try at different times, so that few write. */
+const electionSpreadMs = 150
+
+export interface Leader {
+  node: string
+  ip: string
+  /** Revision of the leader's key: grows with each leader. */
+  fence: number
+}
+
+export interface LeadershipOptions {
+  store: CoordinationStore
+  clock: Clock
+  random: Random
+  log: Log
+  /** Prefix of the product's own keys. */
+  prefix: string
+  node: string
+  ip: string
+  minimumLeaseMs: number
+  /** Called when this node wins or loses the office. */
+  onOwnOffice (fence: number | undefined): void
+  /** Called when another leader is known. */
+  onLeader (leader: Leader | undefined): void
+}
+
+export class Leadership {
+  private readonly options: LeadershipOptions
+  private readonly leaderKey: string
+  private readonly nodesPrefix: string
+  /** Tells this process's writes from those of an earlier process of the node. */
+  private readonly incarnation: string
+  private readonly nodes = new Set<string>()
+  private leaseId: number | undefined
+  /** Time at which the last successful renewal was sent. */
+  private renewedAtMs = -Infinity
+  private isRegistered = false
+  private isStopped = false
+  private ownFence: number | undefined
+  private isElecting = false
+  leader: Leader | undefined
+
+  constructor (options: LeadershipOptions) {
+    this.options = options
+    this.leaderKey = `${options.prefix}leader`
+    this.nodesPrefix = `${options.prefix}nodes/`
+    this.incarnation = options.random.next().toString(36).slice(2, 10)
+  }
+
+  get nodeCount (): number {
+    return Math.max(1, this.nodes.size)
+  }
+
+  /** Whether the lease runs out unless it is renewed at once. */
+  get isLeaseDoubtful (): boolean {
+    return this.options.clock.nowMs() - this.renewedAtMs > leaseTtlMs
+  }
+
+  async run (): Promise<void> {
+    const { clock, log } = this.options
+    while (!this.isStopped) {
+      let delayMs = renewalMs
+      try {
+        await this.renew()
+      } catch (error) {
+        log('warn', 'lease not renewed', { error: messageOf(error), leaseId: this.leaseId })
+        delayMs = retryMs
+      }
+      await sleep(clock, delayMs)
+    }
+  }
+
+  /** Gives up the office. The lease runs out by itself, which keeps the successor's orders apart from this node's. */
+  stop (): void {
+    this.isStopped = true
+    this.loseOffice('this node stops')
+  }
+
+  /** Another holder has used a higher fence. */
+  resign (): void {
+    this.loseOffice('an engine has seen a higher fence')
+    this.leader = undefined
+    this.options.onLeader(undefined)
+  }
+
+  onItems (items: readonly StoreItem[]): void {
+    this.nodes.clear()
+    const leader = items.find(({ key }) => key === this.leaderKey)
+    for (const { key } of items) if (key.startsWith(this.nodesPrefix)) this.nodes.add(key)
+    this.onChange(leader ?? { key: this.leaderKey, revision: 0 })
+  }
+
+  onChange ({ key, value, revision }: StoreChange): void {
+    if (key.startsWith(this.nodesPrefix)) {
+      if (value === undefined) this.nodes.delete(key)
+      else this.nodes.add(key)
+      if (value === undefined && key === this.nodesPrefix + this.options.node) this.isRegistered = false
+      return
+    }
+    if (key !== this.leaderKey) return
+    if (value === undefined) return this.onVacant()
+    const [node, ip, incarnation] = value.split(' ')
+    if (node === this.options.node && incarnation === this.incarnation) return this.winOffice(revision)
+    this.loseOffice(`${node} is the leader`)
+    if (this.leader?.fence === revision) return
+    this.leader = { node: node!, ip: ip!, fence: revision }
+    this.options.log('info', 'placement leader known', { leader: node, fence: revision })
+    this.options.onLeader(this.leader)
+  }
+
+  private async renew (): Promise<void> {
+    const { store, clock, log } = this.options
+    const sentAtMs = clock.nowMs()
+    if (this.leaseId !== undefined && !(await store.keepLease(this.leaseId))) {
+      log('warn', 'lease ended', { leaseId: this.leaseId })
+      this.leaseId = undefined
+    }
+    if (this.leaseId === undefined) {
+      this.isRegistered = false
+      this.leaseId = await store.grantLease(Math.max(leaseTtlMs, this.options.minimumLeaseMs))
+    }
+    this.renewedAtMs = sentAtMs
+    if (!this.isRegistered) {
+      const result = await store.commit({
+        expected: [], writes: [{ key: this.nodesPrefix + this.options.node, value: this.options.ip, leaseId: this.leaseId }]
+      })
+      if (result.kind === 'committed') this.isRegistered = true
+    }
+    if (this.leader === undefined && this.ownFence === undefined) this.onVacant()
+  }
+
+  private onVacant (): void {
+    this.loseOffice('the office is vacant')
+    if (this.leader) {
+      this.leader = undefined
+      this.options.onLeader(undefined)
+    }
+    void this.elect()
+  }
+
+  private async elect (): Promise<void> {
+    const { store, clock, random, log, node, ip } = this.options
+    if (this.isElecting || this.isStopped || this.leaseId === undefined) return
+    this.isElecting = true
+    try {
+      await sleep(clock, random.next() * electionSpreadMs)
+      if (this.leader !== undefined || this.isStopped || this.leaseId === undefined) return
+      const result = await store.commit({
+        expected: [{ key: this.leaderKey, revision: 0 }],
+        writes: [{ key: this.leaderKey, value: `${node} ${ip} ${this.incarnation}`, leaseId: this.leaseId }]
+      })
+      if (result.kind === 'committed') this.winOffice(result.revision)
+      else if (result.kind === 'lease-ended') this.leaseId = undefined
+    } catch (error) {
+      // If the write took effect, the watch tells.
+      log('warn', 'election not decided', { error: messageOf(error) })
+    } finally {
+      this.isElecting = false
+    }
+  }
+
+  private winOffice (fence: number): void {
+    if (this.ownFence === fence || this.isStopped) return
+    this.ownFence = fence
+    this.leader = { node: this.options.node, ip: this.options.ip, fence }
+    this.options.log('info', 'placement leader is this node', { fence })
+    this.options.onOwnOffice(fence)
+  }
+
+  private loseOffice (reason: string): void {
+    if (this.ownFence === undefined) return
+    this.options.log('info', 'no longer placement leader', { fence: this.ownFence, reason })
+    this.ownFence = undefined
+    this.leader = undefined
+    this.options.onOwnOffice(undefined)
+  }
+}
--- a/src/serving/modelDemand.ts
+++ b/src/serving/modelDemand.ts
@@ -19,7 +19,6 @@
   waiting: number
   /** Most urgent rank that waits. */
   rank: number
-  arrivals: number
 }
 
 /** The answer of the placement leader to a wish. */
@@ -28,6 +27,8 @@
 export class ModelDemand {
   private readonly models = new Map<string, ModelCounts>()
   private readonly adapters = new Map<string, AdapterWish>()
+  private used = new Map<string, [string, string, string]>()
+  private missing: [string, string][] = []
   private readonly sleepers = new Set<() => void>()
   /** Set when a model or adapter is asked for that nobody waited for before. */
   onNewWish: () => void = () => {}
@@ -60,6 +61,28 @@
     }
   }
 
+  /** A request was sent to an engine that holds its adapter. */
+  onUsed (engine: string, model: string, adapter: string): void {
+    this.used.set(`${engine}/${model}/${adapter}`, [engine, model, adapter])
+  }
+
+  /** A request was refused since no engine is expected to hold its model. */
+  onMissing (service: string, model: string): void {
+    this.missing.push([service, model])
+  }
+
+  /** Adapters that were used since the last call. */
+  takeUsed (): [string, string, string][] {
+    const rows = [...this.used.values()]
+    this.used.clear()
+    return rows
+  }
+
+  /** Models whose requests were refused since the last call. */
+  takeMissing (): [string, string][] {
+    return this.missing.splice(0)
+  }
+
   waitingModels (): { service: string, model: string, waiting: number, rank: number }[] {
     return [...this.models.values()].filter(({ waiting }) => waiting > 0)
   }
@@ -88,7 +111,7 @@
   private countsOf (service: string, model: string): ModelCounts {
     const key = `${service}\u0000${model}`
     let counts = this.models.get(key)
-    if (!counts) this.models.set(key, counts = { service, model, waiting: 0, rank: Infinity, arrivals: 0 })
+    if (!counts) this.models.set(key, counts = { service, model, waiting: 0, rank: Infinity })
     return counts
   }
 }
--- /dev/null
+++ b/src/serving/peerLink.ts
@@ -0,0 +1,128 @@
+/** Frames over TCP between the nodes and the placement leader. */
+
+import { connect, createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import type { z } from 'zod'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { repeat } from '../base/clock.js'
+import type { Log } from '../base/log.js'
+import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
+import { leaderReportSchema, nodeReportSchema } from './peerMessages.js'
+import type { LeaderReport, NodeReport } from './peerMessages.js'
+
+/** Reports come several times a second, so a longer silence means a dead connection. */
+const silenceMs = 1600
+const reconnectMs = 250
+/** A peer that does not read is cut off instead of filling this process's memory. */
+const maxBufferedBytes = 512 * 1024
+
+/** One end of a connection. */
+class Link<T> {
+  readonly socket: Socket
+  lastReceivedMs: number
+
+  constructor (socket: Socket, schema: z.ZodType<T>, clock: Clock, onMessage: (message: T) => void, onClosed: (reason: string) => void) {
+    this.socket = socket
+    this.lastReceivedMs = clock.nowMs()
+    const decoder = new FrameDecoder(schema)
+    socket.setNoDelay(true)
+    socket.on('data', data => {
+      this.lastReceivedMs = clock.nowMs()
+      const { messages, error } = decoder.push(data)
+      for (const message of messages) onMessage(message)
+      if (error) socket.destroy(error)
+    })
+    let reason = 'closed'
+    socket.on('error', error => { reason = error.message })
+    socket.on('close', () => onClosed(reason))
+  }
+
+  send (message: unknown): void {
+    if (this.socket.writableLength > maxBufferedBytes) this.socket.destroy()
+    else if (this.socket.writable) this.socket.write(encodeFrame(message))
+  }
+}
+
+/** A node's connection to the leader. */
+export class LeaderLink {
+  private readonly clock: Clock
+  private readonly log: Log
+  private readonly onReport: (report: LeaderReport) => void
+  private readonly onConnected: () => void
+  private link: Link<LeaderReport> | undefined
+  private address: { host: string, port: number } | undefined
+  private cancelCheck: CancelTimer
+
+  constructor ({ clock, log, onReport, onConnected }: { clock: Clock, log: Log, onReport: (report: LeaderReport) => void, onConnected: () => void }) {
+    this.clock = clock
+    this.log = log
+    this.onReport = onReport
+    this.onConnected = onConnected
+    this.cancelCheck = repeat(clock, reconnectMs, () => this.check())
+  }
+
+  /** Connects to another leader, or to none. */
+  follow (address: { host: string, port: number } | undefined): void {
+    this.address = address
+    this.link?.socket.destroy()
+    this.link = undefined
+    this.check()
+  }
+
+  send (report: NodeReport): void {
+    this.link?.send(report)
+  }
+
+  stop (): void {
+    this.cancelCheck()
+    this.address = undefined
+    this.link?.socket.destroy()
+  }
+
+  private check (): void {
+    if (this.link && this.clock.nowMs() - this.link.lastReceivedMs > silenceMs) {
+      this.log('warn', 'placement leader silent', { address: this.address?.host })
+      this.link.socket.destroy()
+      this.link = undefined
+    }
+    if (this.link || !this.address) return
+    const socket = connect(this.address)
+    const link = new Link(socket, leaderReportSchema, this.clock, this.onReport, reason => {
+      if (this.link !== link) return
+      this.log('warn', 'connection to the placement leader lost', { reason })
+      this.link = undefined
+    })
+    this.link = link
+    socket.once('connect', this.onConnected)
+  }
+}
+
+/** The leader's connections to the nodes. */
+export class PeerServer {
+  private readonly server: Server
+  private readonly links = new Set<Link<NodeReport>>()
+
+  constructor ({ clock, onReport, onJoined }: { clock: Clock, onReport: (report: NodeReport) => void, onJoined: (send: (report: LeaderReport) => void) => void }) {
+    this.server = createServer(socket => {
+      const link = new Link(socket, nodeReportSchema, clock, onReport, () => { this.links.delete(link) })
+      this.links.add(link)
+      onJoined(report => link.send(report))
+    })
+  }
+
+  listen (host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, host, resolve)
+    })
+  }
+
+  broadcast (report: LeaderReport): void {
+    for (const link of this.links) link.send(report)
+  }
+
+  stop (): void {
+    this.server.close()
+    for (const link of this.links) link.socket.destroy()
+  }
+}
--- /dev/null
+++ b/src/serving/placementLeader.ts
@@ -0,0 +1,507 @@
+/** The placement leader: decides which models and adapters engines hold, and gives all orders. */
+
+import { repeat, sleep } from '../base/clock.js'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
+import type { Log } from '../base/log.js'
+import { rendezvousOrder } from '../base/hash.js'
+import { planHosting } from '../policy/hosting.js'
+import type { HostEngine, HostingMove, ModelNeed } from '../policy/hosting.js'
+import { LoadRate } from '../policy/loadRate.js'
+import type { BackendServer } from './backendServer.js'
+import type { Deployment, EngineType, OrderOutcome, Service } from './deployment.js'
+import type { EngineCalls } from './engineCalls.js'
+import type { FleetView } from './fleetView.js'
+import type { LeaderReport, NodeReport } from './peerMessages.js'
+
+const planMs = 100
+/** Reports of a node that is older say nothing about what runs now. */
+const reportLifeMs = 2000
+/** Time in which the nodes hear that a model leaves an engine, so that they stop sending to it. */
+const announceMs = 40
+/** Time that an adapter takes to load; the platform does not say it. */
+const adapterLoadMs = 40
+/** Time after the expected end of a load at which the engine's report shows it. */
+const confirmDelayMs = 250
+/** Time after which a load that the engine does not show is expected again. */
+const extendMs = 400
+/** Age of what an engine reports. */
+const reportLagMs = 250
+/** Orders without an answer are repeated this often before the engine is asked what it holds. */
+const orderTries = 3
+/** An engine whose order was refused is asked again after this time. */
+const conflictDelayMs = 150
+/** Longest wait for the requests of a model that is being unloaded. */
+const unloadWaitMs = 12_000
+/** Adapters that may be on their way to an engine at once. */
+const adaptersInTransit = 4
+
+interface Control {
+  server: BackendServer
+  /** An order on a model is being given or carried out. */
+  isMoving: boolean
+  /** Serialises calls, which all depend on the number of accepted orders. */
+  queue: Promise<unknown>
+  isSynced: boolean
+  adaptersInTransit: number
+  retryAtMs: number
+  /** Last use of each adapter, by `MODEL/ADAPTER`. */
+  usedAtMs: Map<string, number>
+  loadedAtMs: Map<string, number>
+}
+
+export interface PlacementLeaderOptions {
+  clock: Clock
+  log: Log
+  fleet: FleetView
+  calls: EngineCalls
+  deployment: () => Deployment | undefined
+  node: string
+  fence: number
+  /** Time before the first order, since another holder may have given one just before. */
+  startDelayMs: number
+  loadCeiling: { windowMs: number, excess: number }
+  /** Report of this node itself. */
+  ownReport: () => NodeReport
+  broadcast: (report: LeaderReport) => void
+  /** An engine has seen a higher fence. */
+  onDeposed: () => void
+  /** Whether orders must wait because the lease may have ended. */
+  mustHold: () => boolean
+}
+
+export class PlacementLeader {
+  private readonly options: PlacementLeaderOptions
+  private readonly controls = new Map<string, Control>()
+  private readonly reports = new Map<string, { report: NodeReport, atMs: number }>()
+  private readonly rates = new Map<string, LoadRate>()
+  /** Last time at which a request for a model ran or waited, by service and model. */
+  private readonly askedAtMs = new Map<string, { atMs: number, rank: number }>()
+  private readonly published = new Map<string, string>()
+  private isStopped = false
+  private cancelPlan: CancelTimer = () => {}
+  private readonly startedAtMs: number
+
+  constructor (options: PlacementLeaderOptions) {
+    this.options = options
+    this.startedAtMs = options.clock.nowMs()
+    const { clock, log } = options
+    this.cancelPlan = repeat(clock, planMs, () => this.tick(), { onError: error => log('error', 'placement failed', { error: messageOf(error), stack: (error as Error).stack }) })
+  }
+
+  stop (): void {
+    this.isStopped = true
+    this.cancelPlan()
+  }
+
+  onReport (report: NodeReport): void {
+    this.reports.set(report.node, { report, atMs: this.options.clock.nowMs() })
+    for (const [engine, model, adapter] of report.used) {
+      this.controls.get(engine)?.usedAtMs.set(`${model}/${adapter}`, this.options.clock.nowMs())
+    }
+    if (report.adapters.length > 0 && this.mayOrder()) this.loadAdapters()
+  }
+
+  /** The state of all engines, for a node that has just connected. */
+  fullReport (): LeaderReport {
+    return { fence: this.options.fence, hosting: [...this.controls.values()].map(({ server }) => this.hostingRow(server)), running: this.runningRows() }
+  }
+
+  private mayOrder (): boolean {
+    return !this.isStopped && !this.options.mustHold() && this.options.clock.nowMs() - this.startedAtMs >= this.options.startDelayMs
+  }
+
+  private tick (): void {
+    const { deployment } = this.options
+    const services = deployment()?.services ?? []
+    this.onReport(this.options.ownReport())
+    for (const service of services) if (service.engine) this.trackEngines(service)
+    if (this.mayOrder()) {
+      for (const service of services) if (service.engine) this.planService(service, service.engine)
+      this.loadAdapters()
+    }
+    this.publish()
+  }
+
+  private trackEngines (service: Service): void {
+    for (const server of this.options.fleet.ofService(service.name)) {
+      const known = this.controls.get(server.entry.id)
+      if (known?.server === server) continue
+      const control: Control = {
+        server,
+        isMoving: false,
+        queue: Promise.resolve(),
+        isSynced: false,
+        adaptersInTransit: 0,
+        retryAtMs: 0,
+        usedAtMs: new Map(),
+        loadedAtMs: new Map()
+      }
+      this.controls.set(server.entry.id, control)
+      void this.enqueue(control, () => this.sync(control))
+    }
+    for (const [id, { server }] of this.controls) if (this.options.fleet.servers.get(id) !== server) this.controls.delete(id)
+  }
+
+  /** Runs `action` after the earlier calls to the engine. */
+  private enqueue<T> (control: Control, action: () => Promise<T>): Promise<T> {
+    const result = control.queue.then(action)
+    control.queue = result.catch(error => this.options.log('error', 'engine order failed', { engine: control.server.entry.id, error: messageOf(error) }))
+    return result
+  }
+
+  /** Asks the engine what it holds. */
+  private async sync (control: Control): Promise<boolean> {
+    const { server } = control
+    const report = await this.options.calls.report(server)
+    if (!report) {
+      control.retryAtMs = this.options.clock.nowMs() + extendMs
+      return false
+    }
+    control.isSynced = true
+    server.updateFromReport(report)
+    if (report.modelsInMemory.length + report.modelsOnDisk.length > 0) {
+      server.entry = { ...server.entry, modelsInMemory: report.modelsInMemory, modelsOnDisk: report.modelsOnDisk }
+    }
+    if (report.isBusy) control.retryAtMs = this.options.clock.nowMs() + conflictDelayMs
+    this.options.fleet.notify()
+    return true
+  }
+
+  private planService (service: Service, engine: EngineType): void {
+    const controls = this.controlsOf(service.name)
+    const running = this.runningByEngine()
+    const moves = planHosting({
+      engines: controls.map(control => this.hostEngine(control, engine, running.get(control.server.entry.id) ?? new Map())),
+      needs: this.needs(service, engine, running),
+      storeLoads: this.rateOf(service.name, engine).available()
+    })
+    for (const move of moves) void this.carryOut(this.controls.get(move.engine)!, engine, move)
+  }
+
+  private controlsOf (service: string): Control[] {
+    return [...this.controls.values()].filter(({ server }) => server.entry.service === service && !server.entry.isDraining && server.leavingAtMs === Infinity)
+  }
+
+  private rateOf (service: string, engine: EngineType): LoadRate {
+    let rate = this.rates.get(service)
+    if (!rate) {
+      const { clock, loadCeiling } = this.options
+      rate = new LoadRate({ clock, windowMs: loadCeiling.windowMs, loadsPerSecond: engine.storeLoadsPerSecond })
+      this.rates.set(service, rate)
+    }
+    return rate
+  }
+
+  private hostEngine (control: Control, engine: EngineType, running: Map<string, number>): HostEngine {
+    const { server } = control
+    const nowMs = this.options.clock.nowMs()
+    const modelOf = new Map(engine.models.map(model => [model.name, model]))
+    const adaptersMb = [...server.hosted].reduce((sum, [name, { adapters }]) => sum + adapters.size * (modelOf.get(name)?.adapterMb ?? 0), 0)
+    return {
+      id: server.entry.id,
+      isAvailable: control.isSynced && !control.isMoving && server.isUsable && nowMs >= control.retryAtMs,
+      weightsMb: engine.weightsMb,
+      adaptersMb,
+      slots: engine.slots,
+      running: [...running.values()].reduce((sum, count) => sum + count, 0),
+      copies: [...server.hosted].map(([name, state]) => ({
+        model: name,
+        weightsMb: modelOf.get(name)?.weightsMb ?? 0,
+        isReady: state.readyAtMs <= nowMs,
+        isLeaving: state.isLeaving,
+        running: running.get(name) ?? 0,
+        ageMs: nowMs - (control.loadedAtMs.get(name) ?? -Infinity)
+      })),
+      loadOf: name => loadOf(server, engine, name)
+    }
+  }
+
+  private needs (service: Service, engine: EngineType, running: Map<string, Map<string, number>>): ModelNeed[] {
+    const nowMs = this.options.clock.nowMs()
+    const counts = new Map<string, { running: number, waiting: number, rank: number }>()
+    const countOf = (model: string) => {
+      let count = counts.get(model)
+      if (!count) counts.set(model, count = { running: 0, waiting: 0, rank: Infinity })
+      return count
+    }
+    for (const { server } of this.controlsOf(service.name)) {
+      for (const [model, count] of running.get(server.entry.id) ?? []) countOf(model).running += count
+    }
+    for (const { report, atMs } of this.reports.values()) {
+      if (nowMs - atMs > reportLifeMs) continue
+      for (const [name, model, waiting, rank] of report.waiting) {
+        if (name !== service.name) continue
+        const count = countOf(model)
+        count.waiting += waiting
+        count.rank = Math.min(count.rank, rank)
+      }
+      for (const [, model,, rank] of report.running) countOf(model).rank = Math.min(countOf(model).rank, rank)
+      for (const [name, model] of report.missing) if (name === service.name) countOf(model).waiting++
+    }
+    return engine.models.map(({ name, weightsMb }) => {
+      const key = `${service.name}/${name}`
+      const count = counts.get(name)
+      if (count && count.running + count.waiting > 0) this.askedAtMs.set(key, { atMs: nowMs, rank: count.rank })
+      const asked = this.askedAtMs.get(key)
+      return {
+        model: name,
+        weightsMb,
+        running: count?.running ?? 0,
+        waiting: count?.waiting ?? 0,
+        rank: asked?.rank ?? Infinity,
+        idleMs: asked ? nowMs - asked.atMs : Infinity
+      }
+    })
+  }
+
+  /** Requests in progress from all nodes, by engine and model. */
+  private runningByEngine (): Map<string, Map<string, number>> {
+    const nowMs = this.options.clock.nowMs()
+    const result = new Map<string, Map<string, number>>()
+    for (const { report, atMs } of this.reports.values()) {
+      if (nowMs - atMs > reportLifeMs) continue
+      for (const [engine, model, count] of report.running) {
+        let models = result.get(engine)
+        if (!models) result.set(engine, models = new Map())
+        models.set(model, (models.get(model) ?? 0) + count)
+      }
+    }
+    return result
+  }
+
+  /** Unloads what has to make way and loads a model. */
+  private async carryOut (control: Control, engine: EngineType, move: HostingMove): Promise<void> {
+    const { server } = control
+    const { clock, log } = this.options
+    const nowMs = clock.nowMs()
+    control.isMoving = true
+    const { loadMs } = loadOf(server, engine, move.load)
+    if (move.isFromStore) this.rateOf(server.entry.service, engine).take()
+    for (const model of move.unload) {
+      const state = server.hosted.get(model)
+      if (state) state.isLeaving = true
+    }
+    server.hosted.set(move.load, { readyAtMs: nowMs + loadMs + 2 * announceMs, isLeaving: false, adapters: new Map() })
+    log('info', 'model move', { ...move, engine: server.entry.id, loadMs })
+    this.publish()
+    try {
+      let isDone = await this.unloadAll(control, move.unload)
+      if (isDone && move.unload.length > 0) server.hosted.get(move.load)!.readyAtMs = clock.nowMs() + loadMs + announceMs
+      isDone &&= await this.loadModel(control, move.load, loadMs)
+      if (!isDone) server.hosted.delete(move.load)
+    } finally {
+      control.isMoving = false
+      this.publish()
+    }
+  }
+
+  private async unloadAll (control: Control, models: readonly string[]): Promise<boolean> {
+    const { clock } = this.options
+    if (models.length > 0) await sleep(clock, announceMs)
+    for (const model of models) {
+      const outcome = await this.order(control, 'unload', model)
+      if (outcome !== 'started' && outcome !== 'already-done') {
+        const state = control.server.hosted.get(model)
+        if (state) state.isLeaving = false
+        return false
+      }
+      control.server.hosted.delete(model)
+    }
+    return true
+  }
+
+  /** Orders the load, again while the engine still unloads, and waits until the engine shows the model. */
+  private async loadModel (control: Control, model: string, loadMs: number): Promise<boolean> {
+    const { clock, log } = this.options
+    const { server } = control
+    const untilMs = clock.nowMs() + unloadWaitMs
+    for (;;) {
+      const outcome = await this.order(control, 'load', model)
+      if (outcome === 'already-done') break
+      if (outcome === 'started') {
+        server.hosted.set(model, { readyAtMs: clock.nowMs() + loadMs, isLeaving: false, adapters: new Map() })
+        break
+      }
+      if (outcome !== 'conflict' || clock.nowMs() > untilMs || this.isStopped) return false
+      await sleep(clock, conflictDelayMs)
+      const state = server.hosted.get(model)
+      if (state) state.readyAtMs = clock.nowMs() + loadMs
+      else server.hosted.set(model, { readyAtMs: clock.nowMs() + loadMs, isLeaving: false, adapters: new Map() })
+    }
+    this.publish()
+    control.loadedAtMs.set(model, clock.nowMs() + loadMs)
+    await sleep(clock, loadMs + confirmDelayMs)
+    for (let tries = 0; tries < 20 && !this.isStopped && this.options.fleet.servers.get(server.entry.id) === server; tries++) {
+      const report = await this.options.calls.report(server)
+      if (report?.models.some(({ name }) => name === model)) {
+        const state = server.hosted.get(model)
+        if (!state) server.hosted.set(model, { readyAtMs: clock.nowMs(), isLeaving: false, adapters: new Map() })
+        return true
+      }
+      if (report && !report.isBusy) {
+        log('warn', 'the engine does not show a loaded model', { engine: server.entry.id, model })
+        if (tries > 1) return false
+      }
+      const state = server.hosted.get(model)
+      if (state) state.readyAtMs = clock.nowMs() + extendMs
+      this.publish()
+      await sleep(clock, extendMs)
+    }
+    return false
+  }
+
+  /** Gives one order. An order without an answer is repeated with the same count: at most one of them is carried out. */
+  private order (control: Control, action: 'load' | 'unload', model: string, adapter?: string): Promise<OrderOutcome> {
+    return this.enqueue(control, async () => {
+      const { server } = control
+      const { calls, fence, node, log } = this.options
+      let outcome: OrderOutcome = 'unknown'
+      let wasUnknown = false
+      for (let tries = 0; tries < orderTries && outcome === 'unknown'; tries++) {
+        if (!this.mayOrder()) return 'unknown'
+        outcome = await calls.order(server, { action, model, ...(adapter === undefined ? {} : { adapter }), expectedOrderCount: server.orderCount, holder: node, fence })
+        if (outcome === 'unknown') wasUnknown = true
+      }
+      log('info', 'engine order', { engine: server.entry.id, action, model, adapter, expected: server.orderCount, outcome })
+      if (outcome === 'started') server.orderCount++
+      if (outcome === 'stale-fence') {
+        this.stop()
+        this.options.onDeposed()
+      }
+      if (outcome === 'conflict' || outcome === 'unknown' || outcome === 'gone') {
+        // The report shows the engine as it was a moment ago.
+        await sleep(this.options.clock, reportLagMs)
+        await this.sync(control)
+        if (wasUnknown && this.holds(control, action, model, adapter)) return 'already-done'
+      }
+      return outcome
+    })
+  }
+
+  private holds ({ server }: Control, action: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
+    const state = server.hosted.get(model)
+    const isHeld = adapter === undefined ? state !== undefined && state.readyAtMs <= this.options.clock.nowMs() : state?.adapters.has(adapter) ?? false
+    return (action === 'load') === isHeld
+  }
+
+  /** Loads the adapters for which requests wait. */
+  private loadAdapters (): void {
+    const nowMs = this.options.clock.nowMs()
+    const services = new Map(this.options.deployment()?.services.map(service => [service.name, service]))
+    for (const { report, atMs } of this.reports.values()) {
+      if (nowMs - atMs > reportLifeMs) continue
+      for (const [name, model, adapter] of report.adapters) {
+        const engine = services.get(name)?.engine
+        if (engine) this.loadAdapter(name, engine, model, adapter)
+      }
+    }
+  }
+
+  private loadAdapter (service: string, engine: EngineType, model: string, adapter: string): void {
+    const nowMs = this.options.clock.nowMs()
+    const hosts = this.controlsOf(service).filter(({ server, isSynced }) => {
+      const state = server.hosted.get(model)
+      return isSynced && state && !state.isLeaving && state.readyAtMs <= nowMs && server.isUsable
+    })
+    if (hosts.some(({ server }) => server.hosted.get(model)!.adapters.has(adapter))) return
+    const order = rendezvousOrder(`${model}/${adapter}`, hosts.map(({ server }) => server.entry.id))
+    const free = hosts.filter(control => !control.isMoving && control.adaptersInTransit < adaptersInTransit && nowMs >= control.retryAtMs)
+    const ranked = free.sort((left, right) => order.indexOf(left.server.entry.id) - order.indexOf(right.server.entry.id))
+    const chosen = ranked.find(control => adapterCount(control.server) < engine.adapterSlots) ?? ranked[0]
+    if (!chosen) return
+    const evicted = adapterCount(chosen.server) < engine.adapterSlots ? undefined : this.leastUsedAdapter(chosen)
+    if (adapterCount(chosen.server) >= engine.adapterSlots && !evicted) return
+    void this.carryOutAdapter(chosen, model, adapter, evicted)
+  }
+
+  private leastUsedAdapter ({ server, usedAtMs }: Control): { model: string, adapter: string } | undefined {
+    const nowMs = this.options.clock.nowMs()
+    let least: { model: string, adapter: string, atMs: number } | undefined
+    for (const [model, { adapters, isLeaving }] of server.hosted) {
+      if (isLeaving) continue
+      for (const [adapter, readyAtMs] of adapters) {
+        if (readyAtMs > nowMs) continue
+        const atMs = usedAtMs.get(`${model}/${adapter}`) ?? -Infinity
+        if (!least || atMs < least.atMs) least = { model, adapter, atMs }
+      }
+    }
+    return least
+  }
+
+  private async carryOutAdapter (control: Control, model: string, adapter: string, evicted: { model: string, adapter: string } | undefined): Promise<void> {
+    const { server } = control
+    const { clock } = this.options
+    control.adaptersInTransit++
+    server.hosted.get(model)!.adapters.set(adapter, clock.nowMs() + 4 * adapterLoadMs)
+    control.usedAtMs.set(`${model}/${adapter}`, clock.nowMs())
+    const forget = () => { server.hosted.get(model)?.adapters.delete(adapter) }
+    try {
+      if (evicted) {
+        server.hosted.get(evicted.model)?.adapters.delete(evicted.adapter)
+        this.publish()
+        const outcome = await this.order(control, 'unload', evicted.model, evicted.adapter)
+        if (outcome !== 'started' && outcome !== 'already-done') {
+          control.retryAtMs = clock.nowMs() + conflictDelayMs
+          return forget()
+        }
+      }
+      const outcome = await this.order(control, 'load', model, adapter)
+      if (outcome === 'already-done') server.hosted.get(model)?.adapters.set(adapter, clock.nowMs())
+      else if (outcome === 'started') server.hosted.get(model)?.adapters.set(adapter, clock.nowMs() + adapterLoadMs)
+      else {
+        forget()
+        control.retryAtMs = clock.nowMs() + conflictDelayMs
+      }
+    } finally {
+      control.adaptersInTransit--
+      this.publish()
+    }
+  }
+
+  /** Tells the nodes which engines changed. */
+  private publish (): void {
+    const hosting: LeaderReport['hosting'] = []
+    for (const { server } of this.controls.values()) {
+      const key = hostingKey(server)
+      if (this.published.get(server.entry.id) === key) continue
+      this.published.set(server.entry.id, key)
+      hosting.push(this.hostingRow(server))
+    }
+    if (hosting.length > 0) {
+      this.options.broadcast({ fence: this.options.fence, hosting, running: [] })
+      this.options.fleet.notify()
+    }
+  }
+
+  runningRows (): LeaderReport['running'] {
+    return [...this.runningByEngine()].map(([engine, models]) => [engine, [...models.values()].reduce((sum, count) => sum + count, 0)])
+  }
+
+  private hostingRow (server: BackendServer): LeaderReport['hosting'][number] {
+    const nowMs = this.options.clock.nowMs()
+    const left = (readyAtMs: number) => Math.max(0, Math.round(readyAtMs - nowMs))
+    return [server.entry.id, [...server.hosted].map(([name, state]) => [
+      name, left(state.readyAtMs), state.isLeaving, [...state.adapters].map(([adapter, readyAtMs]) => [adapter, left(readyAtMs)])
+    ])]
+  }
+}
+
+function loadOf (server: BackendServer, engine: EngineType, name: string): { loadMs: number, isFromStore: boolean } {
+  const model = engine.models.find(candidate => candidate.name === name)
+  if (!model) return { loadMs: Infinity, isFromStore: true }
+  if (server.entry.modelsInMemory.includes(name)) return { loadMs: model.warmLoadMs, isFromStore: false }
+  if (server.entry.modelsOnDisk.includes(name)) return { loadMs: model.diskLoadMs, isFromStore: false }
+  return { loadMs: model.loadMs, isFromStore: true }
+}
+
+function adapterCount (server: BackendServer): number {
+  let count = 0
+  for (const { adapters } of server.hosted.values()) count += adapters.size
+  return count
+}
+
+/** Changes whenever the nodes have to hear of the engine. */
+function hostingKey (server: BackendServer): string {
+  return JSON.stringify([...server.hosted].map(([name, state]) => [name, Math.round(state.readyAtMs), state.isLeaving, [...state.adapters]]))
+}
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -18,8 +18,6 @@
 
 /** Time in which a backend server usually begins to answer; a request with less left is not sent. */
 const minimumSendMs = 20
-/** Time kept for the way back to the client before its deadline. */
-const returnMarginMs = 5
 /** A repeat right after the first attempt would meet the same full servers. */
 const busyRetryAfterMs = 250
 /** Time until a node that has just started knows its configuration. */
@@ -146,6 +144,8 @@
       }
       const { server } = search
       tried.add(server.entry.id)
+      const { model, adapter } = request.facts
+      if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, model, adapter)
       result = await exchange.attempt(server)
       if (result.kind !== 'unsent') sends++
       if (result.kind === 'done' || result.kind === 'client-left') {
@@ -219,6 +219,7 @@
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
         const isHopeless = expectedMs === undefined ? nowMs - startMs > undecidedWaitMs : nowMs + expectedMs > untilMs
         if (nowMs > untilMs || isHopeless) {
+          if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           return { kind: 'refused', reason: `no engine is ready with ${model}${adapter ? `/${adapter}` : ''}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
         }
         await this.options.demand.changeOrDelay(waitPollMs)
@@ -354,4 +355,3 @@
     this.response.end(body)
   }
 }
-export { returnMarginMs }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -2,15 +2,22 @@
 
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
-import { sleep } from '../base/clock.js'
-import type { Clock } from '../base/clock.js'
+import { repeat, sleep } from '../base/clock.js'
+import type { CancelTimer, Clock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
+import type { Deployment } from './deployment.js'
+import { EngineCalls } from './engineCalls.js'
 import { FleetView } from './fleetView.js'
+import { Leadership } from './leadership.js'
+import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
+import { LeaderLink, PeerServer } from './peerLink.js'
+import type { LeaderReport, NodeReport } from './peerMessages.js'
+import { PlacementLeader } from './placementLeader.js'
 import { Relay } from './relay.js'
 import type { ServingSettings } from './settings.js'
 import { StoreView } from './storeView.js'
@@ -25,6 +32,11 @@
 /** Descriptors that are not for clients: backend servers, peers, the store and files. */
 const reservedDescriptors = 1200
 const requestCheckMs = 500
+const reportMs = 400
+/** A wish for a model or adapter is told at once, together with others that come at the same moment. */
+const wishDelayMs = 2
+/** A leader that died may have given an order up to one renewal before its lease began to run out. */
+const successionDelayMs = 1000
 
 export interface ServingNodeOptions {
   settings: ServingSettings
@@ -43,7 +55,14 @@
   private readonly demand: ModelDemand
   private readonly clients: Server
   private readonly readiness: Server
-  private deploymentVersion: number | undefined
+  private readonly leadership: Leadership
+  private readonly calls: EngineCalls
+  private readonly peers: PeerServer
+  private readonly link: LeaderLink
+  private placement: PlacementLeader | undefined
+  private cancelReports: CancelTimer = () => {}
+  private cancelWish: CancelTimer | undefined
+  private deployment: Deployment | undefined
   private hasBackends = false
   private isStopping = false
 
@@ -64,8 +83,30 @@
         retryShare: settings.retryBudget.share,
         retryAllowance: settings.retryBudget.allowance
       },
-      nodeCount: () => 9
+      nodeCount: () => this.leadership.nodeCount
     })
+    this.calls = new EngineCalls(clock, codecs)
+    this.demand.expectedReadyMs = (service, model, adapter) => this.expectedReadyMs(service, model, adapter)
+    this.demand.onNewWish = () => this.tellWishSoon()
+    this.fleet.onChange(() => this.demand.wake())
+    this.leadership = new Leadership({
+      store,
+      clock,
+      random,
+      log,
+      prefix: codecs.keys.own,
+      node: settings.node,
+      ip: settings.ip,
+      minimumLeaseMs: settings.store.minimumLeaseMs,
+      onOwnOffice: fence => this.onOwnOffice(fence),
+      onLeader: leader => this.onLeader(leader)
+    })
+    this.peers = new PeerServer({
+      clock,
+      onReport: report => this.placement?.onReport(report),
+      onJoined: send => { if (this.placement) send(this.placement.fullReport()) }
+    })
+    this.link = new LeaderLink({ clock, log, onReport: report => this.onLeaderReport(report), onConnected: () => this.link.send(this.report()) })
     this.storeView = new StoreView({
       store,
       clock,
@@ -86,12 +127,15 @@
   }
 
   get isReady (): boolean {
-    return !this.isStopping && this.deploymentVersion !== undefined && this.hasBackends
+    return !this.isStopping && this.deployment !== undefined && this.hasBackends
   }
 
   async start (): Promise<void> {
+    const { clientsAddress, readinessAddress, ip, peersPort } = this.options.settings
+    await this.peers.listen(ip, peersPort)
     void this.storeView.run()
-    const { clientsAddress, readinessAddress } = this.options.settings
+    void this.leadership.run()
+    this.cancelReports = repeat(this.options.clock, reportMs, () => this.exchangeReports())
     await listen(this.clients, clientsAddress)
     await listen(this.readiness, readinessAddress)
   }
@@ -101,6 +145,7 @@
     const { clock, settings, log } = this.options
     const startedAtMs = clock.nowMs()
     this.isStopping = true
+    this.leadership.stop()
     this.relay.closeConnections()
     const elapsedMs = () => clock.nowMs() - startedAtMs
     while (elapsedMs() < unreadyMs) await sleep(clock, shutdownPollMs)
@@ -109,6 +154,9 @@
     while (this.relay.active > 0 && elapsedMs() < settings.shutdownMs - shutdownMarginMs) await sleep(clock, shutdownPollMs)
     log('info', 'requests in progress at the end', { count: this.relay.active })
     this.storeView.stop()
+    this.cancelReports()
+    this.link.stop()
+    this.peers.stop()
     this.readiness.close()
     this.clients.closeAllConnections()
   }
@@ -132,6 +180,7 @@
     const backends = items.filter(({ key }) => key.startsWith(keys.backends)).map(item => this.readBackend(item.key, item.value))
     this.fleet.replaceAll(backends.filter(entry => entry !== undefined))
     this.hasBackends = true
+    this.leadership.onItems(items.filter(({ key }) => key.startsWith(keys.own)))
     for (const item of items) if (!item.key.startsWith(keys.backends)) this.onChange(item)
   }
 
@@ -139,6 +188,95 @@
     const { keys } = this.options.codecs
     if (change.key === keys.deployment && change.value !== undefined) this.onDeployment(change.value)
     else if (change.key.startsWith(keys.backends)) this.onBackend(change)
+    else if (change.key.startsWith(keys.own)) this.leadership.onChange(change)
+  }
+
+  private onOwnOffice (fence: number | undefined): void {
+    this.placement?.stop()
+    this.placement = undefined
+    if (fence === undefined) return
+    const { clock, log, settings } = this.options
+    this.link.follow(undefined)
+    this.placement = new PlacementLeader({
+      clock,
+      log,
+      fleet: this.fleet,
+      calls: this.calls,
+      deployment: () => this.deployment,
+      node: settings.node,
+      fence,
+      startDelayMs: settings.enginesCheckFences ? successionDelayMs : settings.holderGapMs,
+      loadCeiling: settings.loadCeiling,
+      ownReport: () => this.report(),
+      broadcast: report => this.peers.broadcast(report),
+      onDeposed: () => this.leadership.resign(),
+      // Engines that check fences refuse a holder that was replaced, so an outage of the store needs no pause.
+      mustHold: () => !settings.enginesCheckFences && this.leadership.isLeaseDoubtful
+    })
+  }
+
+  private onLeader (leader: Leader | undefined): void {
+    const { settings } = this.options
+    this.link.follow(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
+  }
+
+  private onLeaderReport ({ hosting, running }: LeaderReport): void {
+    for (const [id, models] of hosting) {
+      this.fleet.servers.get(id)?.updateHosting(models.map(([name, readyInMs, isLeaving, adapters]) => ({
+        name, readyInMs, isLeaving, adapters: adapters.map(([adapter, inMs]) => ({ name: adapter, readyInMs: inMs }))
+      })))
+    }
+    this.noteRunning(running)
+    if (hosting.length > 0) this.fleet.notify()
+  }
+
+  private noteRunning (rows: LeaderReport['running']): void {
+    const total = new Map(rows)
+    if (rows.length === 0) return
+    for (const [id, server] of this.fleet.servers) server.runningElsewhere = Math.max(0, (total.get(id) ?? 0) - server.running)
+  }
+
+  private report (): NodeReport {
+    const running: NodeReport['running'] = []
+    for (const [id, server] of this.fleet.servers) {
+      for (const [model, { count, rank }] of server.runningByModel) if (model !== '') running.push([id, model, count, rank])
+    }
+    return {
+      node: this.options.settings.node,
+      waiting: this.demand.waitingModels().map(({ service, model, waiting, rank }) => [service, model, waiting, rank]),
+      adapters: this.demand.waitingAdapters().map(({ service, model, adapter, count }) => [service, model, adapter, count]),
+      running,
+      used: this.demand.takeUsed(),
+      missing: this.demand.takeMissing()
+    }
+  }
+
+  private exchangeReports (): void {
+    if (!this.placement) return this.link.send(this.report())
+    const running = this.placement.runningRows()
+    this.noteRunning(running)
+    this.peers.broadcast({ fence: this.leadership.leader?.fence ?? 0, hosting: [], running })
+  }
+
+  private tellWishSoon (): void {
+    this.cancelWish ??= this.options.clock.setTimer(wishDelayMs, () => {
+      this.cancelWish = undefined
+      if (this.placement) this.placement.onReport(this.report())
+      else this.link.send(this.report())
+    })
+  }
+
+  /** Time until an engine is ready that is being prepared for the model or adapter. */
+  private expectedReadyMs (service: string, model: string, adapter: string | undefined): number | undefined {
+    const nowMs = this.options.clock.nowMs()
+    let bestMs: number | undefined
+    for (const server of this.fleet.ofService(service)) {
+      const state = server.hosted.get(model)
+      if (!state || state.isLeaving || !server.isUsable) continue
+      const readyAtMs = Math.max(state.readyAtMs, adapter === undefined ? 0 : state.adapters.get(adapter) ?? Infinity)
+      if (readyAtMs !== Infinity) bestMs = Math.min(bestMs ?? Infinity, Math.max(0, readyAtMs - nowMs))
+    }
+    return bestMs
   }
 
   private onBackend ({ key, value }: StoreChange): void {
@@ -162,11 +300,11 @@
     const deployment = codecs.readDeployment(text)
     if (deployment instanceof Error) return log('error', 'configuration ignored', { error: deployment.message })
     // Items may be read again after a gap; an older version must not come back.
-    if (this.deploymentVersion !== undefined && deployment.version < this.deploymentVersion) {
-      return log('warn', 'older configuration ignored', { version: deployment.version, inForce: this.deploymentVersion })
+    if (this.deployment && deployment.version < this.deployment.version) {
+      return log('warn', 'older configuration ignored', { version: deployment.version, inForce: this.deployment.version })
     }
-    if (deployment.version !== this.deploymentVersion) log('info', 'configuration in force', { version: deployment.version, routes: deployment.routes.length })
-    this.deploymentVersion = deployment.version
+    if (deployment.version !== this.deployment?.version) log('info', 'configuration in force', { version: deployment.version, routes: deployment.routes.length })
+    this.deployment = deployment
     this.relay.setDeployment(deployment)
     this.clients.keepAliveTimeout = deployment.limits.idleTimeoutMs
     this.clients.headersTimeout = deployment.limits.headerTimeoutMs
