--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -6,10 +6,14 @@
 const idleClaimMs = 6000
 /** Weight of a waiting or running request of rank 0; each further rank halves it. */
 const firstRankWeight = 4
-/** Part of a running request that its copy's removal costs: it finishes, but holds up the engine's next order. */
-const runningCostShare = 0.5
-/** Cost of one second of loading, in waiting requests of the least weight. */
-const loadSecondCost = 0.05
+/** Part of a running request that the removal of a copy beyond need costs: it finishes, but its cached prompt is lost. */
+const runningCostShare = 0.05
+/** Part of the waiting requests' value that is lost in each second before the copy is ready. */
+const delayCostShare = 0.2
+/** Usual time until the requests of a copy that is to be unloaded have ended. */
+const drainSeconds = 2.5
+/** Part of the engines that one model may take, so that others keep engines of their own. */
+const largestEngineShare = 0.6
 /** Cost of one request that runs on the engine and shares it with the new copy. */
 const sharedEngineCost = 0.02
 /** Value that a copy must bring beyond what it displaces, so that two models do not displace each other in turn. */
@@ -130,7 +134,7 @@
     const wants: Want[] = []
     for (const need of this.needOf.values()) {
       const copies = this.copiesOf(need.model)
-      const needed = Math.min(copiesNeeded(need, this.slots), this.engines.length)
+      const needed = this.neededOf(need)
       if (copies >= needed || need.running + need.waiting === 0) continue
       const excess = copies === 0 ? need.waiting : need.running + need.waiting - copies * this.slots * targetSlotShare
       wants.push({ need, copies, value: excess * rankWeight(need.rank) })
@@ -148,7 +152,8 @@
       if (!unload) continue
       const removalCost = unload.reduce((sum, copy) => sum + this.removalCost(copy), 0)
       if (removalCost > 0 && want.value < removalCost * displacementRatio) continue
-      const cost = removalCost + loadMs / 1000 * loadSecondCost + engine.running * sharedEngineCost
+      const delaySeconds = loadMs / 1000 + (unload.some(({ running }) => running > 0) ? drainSeconds : 0)
+      const cost = removalCost + delaySeconds * want.value * delayCostShare + engine.running * sharedEngineCost
       if (!best || cost < best.cost) best = { engine, unload, isFromStore, cost, removalCost }
     }
     return best
@@ -160,7 +165,7 @@
     const unload: HostedCopy[] = []
     const removable = engine.copies
       .filter(copy => copy.isReady && !copy.isLeaving && copy.model !== want.need.model)
-      .sort((left, right) => this.removalCost(left) - this.removalCost(right))
+      .sort((left, right) => this.removalCost(left) - this.removalCost(right) || left.running - right.running)
     for (const copy of removable) {
       if (freeMb >= want.need.weightsMb) break
       unload.push(copy)
@@ -175,7 +180,7 @@
     const inProgress = copy.running * runningCostShare
     if (!need) return inProgress
     const weight = rankWeight(need.rank)
-    const needed = copiesNeeded(need, this.slots)
+    const needed = this.neededOf(need)
     const copies = this.copiesOf(copy.model)
     if (copies > Math.max(1, needed)) return inProgress
     if (need.running + need.waiting === 0) return need.idleMs === Infinity ? 0 : weight / (1 + need.idleMs / idleClaimMs) ** 2 / 2
@@ -184,6 +189,10 @@
     return inProgress + weight * (need.running + need.waiting + 1) / copies
   }
 
+  private neededOf (need: ModelNeed): number {
+    return Math.min(copiesNeeded(need, this.slots), Math.ceil(this.engines.length * largestEngineShare))
+  }
+
   remove (model: string): void {
     this.copies.set(model, this.copiesOf(model) - 1)
   }
--- a/src/policy/retry.ts
+++ b/src/policy/retry.ts
@@ -28,11 +28,15 @@
     if (this.requestTimes.length % 1024 === 0) this.trim()
   }
 
+  /** Whether the budget has a retry left. */
+  hasRetry (): boolean {
+    this.trim()
+    return this.retryTimes.length < Math.max(minimumRetries, Math.floor(this.requestTimes.length * this.share() + this.allowance()))
+  }
+
   /** Takes one retry out of the budget, or returns false if it is used up. */
   tryRetry (): boolean {
-    this.trim()
-    const allowed = Math.max(minimumRetries, Math.floor(this.requestTimes.length * this.share() + this.allowance()))
-    if (this.retryTimes.length >= allowed) return false
+    if (!this.hasRetry()) return false
     this.retryTimes.push(this.clock.nowMs())
     return true
   }
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -8,6 +8,10 @@
 const smoothing = 0.25
 /** Time in which old failures and delays lose half of their weight. */
 const halfLifeMs = 3000
+/** Reports are some hundred milliseconds old. */
+const longestReportLagMs = 1000
+/** Time until an adapter is there that an earlier leader ordered. */
+const expectedAdapterLoadMs = 100
 /** Time without requests after a failure to connect, doubled for each further one. */
 const firstEjectionMs = 300
 const maxEjectionMs = 4000
@@ -41,6 +45,7 @@
   /** Orders that the engine has accepted, as far as the placement leader knows. */
   orderCount = 0
   private hasLeaderState = false
+  private behindSinceMs: number | undefined
   /** Time from which it gets no more requests. */
   leavingAtMs = Infinity
   private ejectedUntilMs = 0
@@ -64,9 +69,20 @@
   /** Takes up what the engine reports to the placement leader. Reports lag behind accepted orders. */
   updateFromReport (report: EngineReport): void {
     this.hasLeaderState = true
-    if (report.orderCount < this.orderCount) return
+    const nowMs = this.clock.nowMs()
+    if (report.orderCount < this.orderCount) {
+      // A report that stays behind for longer than its lag shows that the count was wrong.
+      this.behindSinceMs ??= nowMs
+      if (nowMs - this.behindSinceMs < longestReportLagMs) return
+    }
+    this.behindSinceMs = undefined
     this.orderCount = report.orderCount
     this.adoptModels(report.models)
+    for (const key of report.adaptersLoading) {
+      const [model, adapter] = key.split('/')
+      const adapters = this.hosted.get(model!)?.adapters
+      if (adapters && !adapters.has(adapter!)) adapters.set(adapter!, this.clock.nowMs() + expectedAdapterLoadMs)
+    }
   }
 
   /** Takes up what the placement leader says. */
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -45,9 +45,12 @@
   mayHaveRun = false
   firstByteMs: number | undefined
   lastEventId: number | undefined
+  /** Whether another server could take the request, so that giving up on a silent one is worth it. */
+  readonly canMove: () => boolean
   private current: Attempt | undefined
 
-  constructor ({ request, response, codecs, clock }: { request: RelayRequest, response: ServerResponse, codecs: Codecs, clock: Clock }) {
+  constructor ({ request, response, codecs, clock, canMove }: { request: RelayRequest, response: ServerResponse, codecs: Codecs, clock: Clock, canMove: () => boolean }) {
+    this.canMove = canMove
     this.request = request
     this.response = response
     this.codecs = codecs
@@ -237,6 +240,10 @@
         this.cancelTimers.push(this.exchange.clock.setTimer(limitMs - silentMs + 1, check))
         return
       }
+      if (!this.exchange.canMove()) {
+        this.cancelTimers.push(this.exchange.clock.setTimer(limitMs, check))
+        return
+      }
       this.server.onFailed()
       // A server that says nothing to anybody is not only busy.
       if (this.exchange.clock.nowMs() - this.server.pool.lastByteAtMs > limitMs) this.server.onUnreachable()
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -25,6 +25,12 @@
 const confirmDelayMs = 250
 /** Time after which a load that the engine does not show is expected again. */
 const extendMs = 400
+/** Requests of an adapter that is being unloaded last seconds. */
+const adapterUnloadCheckMs = 500
+/** Streams of usual length end within this time. */
+const longestDrainMs = 8000
+/** An adapter stays at least this long, so that those that wait do not displace each other. */
+const adapterResidenceMs = 800
 /** Age of what an engine reports. */
 const reportLagMs = 250
 /** Orders without an answer are repeated this often before the engine is asked what it holds. */
@@ -38,8 +44,10 @@
 
 interface Control {
   server: BackendServer
-  /** An order on a model is being given or carried out. */
+  /** A move of models is decided or under way. */
   isMoving: boolean
+  /** The engine carries out an order on a model, and refuses others. */
+  isBusy: boolean
   /** Serialises calls, which all depend on the number of accepted orders. */
   queue: Promise<unknown>
   isSynced: boolean
@@ -48,6 +56,8 @@
   /** Last use of each adapter, by `MODEL/ADAPTER`. */
   usedAtMs: Map<string, number>
   loadedAtMs: Map<string, number>
+  /** Adapters that still hold their place until their last requests end, by `MODEL/ADAPTER`. */
+  leavingAdapters: Set<string>
 }
 
 export interface PlacementLeaderOptions {
@@ -130,12 +140,14 @@
       const control: Control = {
         server,
         isMoving: false,
+        isBusy: false,
         queue: Promise.resolve(),
         isSynced: false,
         adaptersInTransit: 0,
         retryAtMs: 0,
         usedAtMs: new Map(),
-        loadedAtMs: new Map()
+        loadedAtMs: new Map(),
+        leavingAdapters: new Set()
       }
       this.controls.set(server.entry.id, control)
       void this.enqueue(control, () => this.sync(control))
@@ -159,7 +171,18 @@
       return false
     }
     control.isSynced = true
+    this.options.log('info', 'engine state', {
+      engine: server.entry.id, orders: report.orderCount, assumedOrders: server.orderCount, isBusy: report.isBusy, models: report.models.map(({ name }) => name)
+    })
+    if (report.orderCount >= server.orderCount) {
+      const present = new Set(report.models.flatMap(({ name, adapters }) => adapters.map(adapter => `${name}/${adapter}`)))
+      for (const key of control.leavingAdapters) if (!present.has(key)) control.leavingAdapters.delete(key)
+    }
     server.updateFromReport(report)
+    for (const key of control.leavingAdapters) {
+      const [model, adapter] = key.split('/')
+      server.hosted.get(model!)?.adapters.delete(adapter!)
+    }
     if (report.modelsInMemory.length + report.modelsOnDisk.length > 0) {
       server.entry = { ...server.entry, modelsInMemory: report.modelsInMemory, modelsOnDisk: report.modelsOnDisk }
     }
@@ -286,19 +309,32 @@
     log('info', 'model move', { ...move, engine: server.entry.id, loadMs })
     this.publish()
     try {
+      await this.drain(control, move.unload)
+      control.isBusy = true
       let isDone = await this.unloadAll(control, move.unload)
       if (isDone && move.unload.length > 0) server.hosted.get(move.load)!.readyAtMs = clock.nowMs() + loadMs + announceMs
       isDone &&= await this.loadModel(control, move.load, loadMs)
-      if (!isDone) server.hosted.delete(move.load)
+      if (!isDone) {
+        server.hosted.delete(move.load)
+        control.retryAtMs = clock.nowMs() + conflictDelayMs
+        await this.enqueue(control, () => this.sync(control))
+      }
     } finally {
-      control.isMoving = false
+      control.isMoving = control.isBusy = false
       this.publish()
     }
   }
 
-  private async unloadAll (control: Control, models: readonly string[]): Promise<boolean> {
+  /** Waits until the requests of models that leave have ended: an engine that waits for them refuses all other orders. */
+  private async drain ({ server }: Control, models: readonly string[]): Promise<void> {
     const { clock } = this.options
     if (models.length > 0) await sleep(clock, announceMs)
+    const untilMs = clock.nowMs() + longestDrainMs
+    const running = () => models.some(model => (this.runningByEngine().get(server.entry.id)?.get(model) ?? 0) > 0)
+    while (running() && clock.nowMs() < untilMs && !this.isStopped) await sleep(clock, planMs)
+  }
+
+  private async unloadAll (control: Control, models: readonly string[]): Promise<boolean> {
     for (const model of models) {
       const outcome = await this.order(control, 'unload', model)
       if (outcome !== 'started' && outcome !== 'already-done') {
@@ -306,7 +342,7 @@
         if (state) state.isLeaving = false
         return false
       }
-      control.server.hosted.delete(model)
+      // The copy stays listed until its last requests end.
     }
     return true
   }
@@ -320,6 +356,7 @@
       const outcome = await this.order(control, 'load', model)
       if (outcome === 'already-done') break
       if (outcome === 'started') {
+        for (const [name, state] of server.hosted) if (state.isLeaving) server.hosted.delete(name)
         server.hosted.set(model, { readyAtMs: clock.nowMs() + loadMs, isLeaving: false, adapters: new Map() })
         break
       }
@@ -364,7 +401,8 @@
         if (outcome === 'unknown') wasUnknown = true
       }
       log('info', 'engine order', { engine: server.entry.id, action, model, adapter, expected: server.orderCount, outcome })
-      if (outcome === 'started') server.orderCount++
+      // An engine unloads an adapter that no request uses before it answers, and counts that order too.
+      if (outcome === 'started' || (outcome === 'already-done' && action === 'unload' && adapter !== undefined)) server.orderCount++
       if (outcome === 'stale-fence') {
         this.stop()
         this.options.onDeposed()
@@ -406,12 +444,12 @@
     })
     if (hosts.some(({ server }) => server.hosted.get(model)!.adapters.has(adapter))) return
     const order = rendezvousOrder(`${model}/${adapter}`, hosts.map(({ server }) => server.entry.id))
-    const free = hosts.filter(control => !control.isMoving && control.adaptersInTransit < adaptersInTransit && nowMs >= control.retryAtMs)
+    const free = hosts.filter(control => !control.isBusy && control.adaptersInTransit < adaptersInTransit && nowMs >= control.retryAtMs)
     const ranked = free.sort((left, right) => order.indexOf(left.server.entry.id) - order.indexOf(right.server.entry.id))
-    const chosen = ranked.find(control => adapterCount(control.server) < engine.adapterSlots) ?? ranked[0]
+    const chosen = ranked.find(control => adapterCount(control) < engine.adapterSlots) ?? ranked[0]
     if (!chosen) return
-    const evicted = adapterCount(chosen.server) < engine.adapterSlots ? undefined : this.leastUsedAdapter(chosen)
-    if (adapterCount(chosen.server) >= engine.adapterSlots && !evicted) return
+    const evicted = adapterCount(chosen) < engine.adapterSlots ? undefined : this.leastUsedAdapter(chosen)
+    if (adapterCount(chosen) >= engine.adapterSlots && !evicted) return
     void this.carryOutAdapter(chosen, model, adapter, evicted)
   }
 
@@ -423,6 +461,7 @@
       for (const [adapter, readyAtMs] of adapters) {
         if (readyAtMs > nowMs) continue
         const atMs = usedAtMs.get(`${model}/${adapter}`) ?? -Infinity
+        if (nowMs - atMs < adapterResidenceMs) continue
         if (!least || atMs < least.atMs) least = { model, adapter, atMs }
       }
     }
@@ -441,7 +480,12 @@
         server.hosted.get(evicted.model)?.adapters.delete(evicted.adapter)
         this.publish()
         const outcome = await this.order(control, 'unload', evicted.model, evicted.adapter)
-        if (outcome !== 'started' && outcome !== 'already-done') {
+        if (outcome === 'started') {
+          // Requests use it, so its place becomes free only with their end.
+          control.leavingAdapters.add(`${evicted.model}/${evicted.adapter}`)
+          void this.awaitAdapterUnloads(control)
+        }
+        if (outcome !== 'already-done') {
           control.retryAtMs = clock.nowMs() + conflictDelayMs
           return forget()
         }
@@ -459,6 +503,13 @@
     }
   }
 
+  private async awaitAdapterUnloads (control: Control): Promise<void> {
+    while (control.leavingAdapters.size > 0 && !this.isStopped && this.controls.get(control.server.entry.id) === control) {
+      await sleep(this.options.clock, adapterUnloadCheckMs)
+      await this.enqueue(control, () => this.sync(control))
+    }
+  }
+
   /** Tells the nodes which engines changed. */
   private publish (): void {
     const hosting: LeaderReport['hosting'] = []
@@ -495,8 +546,9 @@
   return { loadMs: model.loadMs, isFromStore: true }
 }
 
-function adapterCount (server: BackendServer): number {
-  let count = 0
+/** Places for adapters that are in use, or will be. */
+function adapterCount ({ server, leavingAdapters }: Control): number {
+  let count = leavingAdapters.size
   for (const { adapters } of server.hosted.values()) count += adapters.size
   return count
 }
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -87,6 +87,7 @@
   private services = new Map<string, Service>()
   private readonly budgets = new Map<string, RetryBudget>()
   private isClosing = false
+  private isRefusing = false
   active = 0
 
   constructor (options: RelayOptions) {
@@ -110,9 +111,12 @@
     this.active++
     if (this.isClosing) response.shouldKeepAlive = false
     response.once('close', () => { this.active-- })
+    // A response that began before the shutdown has announced that the connection stays.
+    response.once('finish', () => { if (this.isClosing) request.socket.end() })
     const facts = this.options.codecs.readRequest(request.headers)
     const reply = new Reply(request, response, facts.requestId)
     const { deployment } = this
+    if (this.isRefusing) return reply.refuse(503, 'this node is shutting down', 0)
     if (!deployment) return reply.refuse(503, 'no configuration yet', startingRetryAfterMs)
     const path = request.url ?? '/'
     const route = this.routes.find(request.headers.host ?? '', path)
@@ -129,12 +133,19 @@
     await this.serve({ facts, route, service, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, arrivedAtMs, deadlineAtMs }, reply)
   }
 
+  /** From now on no request is taken, since it could not be finished. */
+  refuseRequests (): void {
+    this.isRefusing = true
+  }
+
   private async serve (request: RelayRequest, reply: Reply): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
-    const exchange = new Exchange({ request, response: reply.response, codecs, clock })
     const tried = new Set<string>()
     let sends = 0
+    const canMove = () => sends + 1 < request.route.maxAttempts && this.budgetOf(request.service.name).hasRetry() &&
+      this.choose(request, tried, true) !== undefined
+    const exchange = new Exchange({ request, response: reply.response, codecs, clock, canMove })
     let result: AttemptResult | undefined
     for (;;) {
       const search = await this.findServer(request, tried, { isRepeat: result !== undefined, hasLeft: () => exchange.hasClientLeft })
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -151,6 +151,7 @@
     while (elapsedMs() < unreadyMs) await sleep(clock, shutdownPollMs)
     this.clients.close()
     this.clients.closeIdleConnections()
+    this.relay.refuseRequests()
     while (this.relay.active > 0 && elapsedMs() < settings.shutdownMs - shutdownMarginMs) await sleep(clock, shutdownPollMs)
     log('info', 'requests in progress at the end', { count: this.relay.active })
     this.storeView.stop()
