Leave engines alone while an earlier leader's order is under way; keep models that nobody asked for yet

Never-asked models were removed first, although demand moves to them. Requests of patient routes were refused after 1.5 s.

--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -6,6 +6,8 @@
 const idleClaimMs = 6000
 /** Weight of a waiting or running request of rank 0; each further rank halves it. */
 const firstRankWeight = 4
+/** Cost of removing a model that nobody has asked for yet: the demand for it may begin suddenly. */
+const unaskedCost = 0.3
 /** Part of a running request that the removal of a copy beyond need costs: it finishes, but its cached prompt is lost. */
 const runningCostShare = 0.05
 /** Part of the waiting requests' value that is lost in each second before the copy is ready. */
@@ -183,7 +185,7 @@
     const needed = this.neededOf(need)
     const copies = this.copiesOf(copy.model)
     if (copies > Math.max(1, needed)) return inProgress
-    if (need.running + need.waiting === 0) return need.idleMs === Infinity ? 0 : weight / (1 + need.idleMs / idleClaimMs) ** 2 / 2
+    if (need.running + need.waiting === 0) return need.idleMs === Infinity ? unaskedCost : weight / (1 + need.idleMs / idleClaimMs) ** 2 / 2
     if (copy.ageMs < minimumResidenceMs) return Infinity
     // The share of its requests that the remaining copies cannot take.
     return inProgress + weight * (need.running + need.waiting + 1) / copies
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -50,7 +50,9 @@
   isBusy: boolean
   /** Serialises calls, which all depend on the number of accepted orders. */
   queue: Promise<unknown>
+  /** Whether it is known what the engine holds. */
   isSynced: boolean
+  isSyncing: boolean
   adaptersInTransit: number
   retryAtMs: number
   /** Last use of each adapter, by `MODEL/ADAPTER`. */
@@ -143,6 +145,7 @@
         isBusy: false,
         queue: Promise.resolve(),
         isSynced: false,
+        isSyncing: false,
         adaptersInTransit: 0,
         retryAtMs: 0,
         usedAtMs: new Map(),
@@ -150,7 +153,11 @@
         leavingAdapters: new Set()
       }
       this.controls.set(server.entry.id, control)
-      void this.enqueue(control, () => this.sync(control))
+    }
+    for (const control of this.controls.values()) {
+      if (control.isSynced || control.isSyncing || this.options.clock.nowMs() < control.retryAtMs || !control.server.isUsable) continue
+      control.isSyncing = true
+      void this.enqueue(control, () => this.sync(control)).finally(() => { control.isSyncing = false })
     }
     for (const [id, { server }] of this.controls) if (this.options.fleet.servers.get(id) !== server) this.controls.delete(id)
   }
@@ -170,7 +177,8 @@
       control.retryAtMs = this.options.clock.nowMs() + extendMs
       return false
     }
-    control.isSynced = true
+    // An order of an earlier leader is under way, whose result the report does not show yet.
+    control.isSynced = control.isBusy || !report.isBusy
     this.options.log('info', 'engine state', {
       engine: server.entry.id, orders: report.orderCount, assumedOrders: server.orderCount, isBusy: report.isBusy, models: report.models.map(({ name }) => name)
     })
@@ -186,7 +194,7 @@
     if (report.modelsInMemory.length + report.modelsOnDisk.length > 0) {
       server.entry = { ...server.entry, modelsInMemory: report.modelsInMemory, modelsOnDisk: report.modelsOnDisk }
     }
-    if (report.isBusy) control.retryAtMs = this.options.clock.nowMs() + conflictDelayMs
+    if (!control.isSynced) control.retryAtMs = this.options.clock.nowMs() + extendMs
     this.options.fleet.notify()
     return true
   }
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -26,8 +26,9 @@
 const longestRetryShare = 0.33
 /** Time after which missing models are looked for again while requests wait. */
 const waitPollMs = 25
-/** Time that a request for a model that nobody is loading may wait for the placement leader to decide. */
+/** Time that a request for a model that nobody is loading may wait for the placement leader to decide, and as part of its objective. */
 const undecidedWaitMs = 1500
+const undecidedWaitShare = 0.6
 /** Part of the callers' patience that the wait for a model may use; the rest is for the first event. */
 const waitShare = 0.75
 
@@ -223,12 +224,13 @@
     const startMs = this.clock.nowMs()
     const patienceMs = request.route.kind === 'stream' ? streamPatienceMs(request.route) : Infinity
     const untilMs = Math.min(request.arrivedAtMs + patienceMs * waitShare, request.deadlineAtMs - minimumSendMs)
+    const decisionMs = Math.max(undecidedWaitMs, request.route.objectiveMs * undecidedWaitShare)
     const waiting = this.options.demand.wait(request.service.name, model, adapter, request.route.rank)
     try {
       for (;;) {
         const nowMs = this.clock.nowMs()
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
-        const isHopeless = expectedMs === undefined ? nowMs - startMs > undecidedWaitMs : nowMs + expectedMs > untilMs
+        const isHopeless = expectedMs === undefined ? nowMs - startMs > decisionMs : nowMs + expectedMs > untilMs
         if (nowMs > untilMs || isHopeless) {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           return { kind: 'refused', reason: `no engine is ready with ${model}${adapter ? `/${adapter}` : ''}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
