--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -19,7 +19,9 @@
 export interface HostedState {
   /** Time from which requests can be sent; `Infinity` while it is not known. */
   readyAtMs: number
-  /** An order to unload it was given. */
+  /** A load is decided or under way. */
+  isComing: boolean
+  /** An unload is decided or under way. */
   isLeaving: boolean
   /** Times from which requests for an adapter can be sent. */
   adapters: Map<string, number>
@@ -29,12 +31,15 @@
 export interface HostingUpdate {
   name: string
   readyInMs: number
+  isComing: boolean
   isLeaving: boolean
   adapters: { name: string, readyInMs: number }[]
 }
 
 export class BackendServer {
   readonly pool: ConnectionPool
+  /** Requests of this node in progress, by `MODEL/ADAPTER`. */
+  readonly runningByAdapter = new Map<string, number>()
   /** Requests of this node in progress, by model (empty for plain services). */
   readonly runningByModel = new Map<string, { count: number, rank: number }>()
   running = 0
@@ -89,8 +94,9 @@
   updateHosting (models: readonly HostingUpdate[]): void {
     const nowMs = this.clock.nowMs()
     this.hasLeaderState = true
-    this.hosted = new Map(models.map(({ name, readyInMs, isLeaving, adapters }) => [name, {
+    this.hosted = new Map(models.map(({ name, readyInMs, isComing, isLeaving, adapters }) => [name, {
       readyAtMs: nowMs + readyInMs,
+      isComing,
       isLeaving,
       adapters: new Map(adapters.map(adapter => [adapter.name, nowMs + adapter.readyInMs]))
     }]))
@@ -110,8 +116,9 @@
     return adapter === undefined || (state.adapters.get(adapter) ?? Infinity) <= nowMs
   }
 
-  onStarted (model: string | undefined, tokens: number, rank: number): void {
+  onStarted (model: string | undefined, adapter: string | undefined, tokens: number, rank: number): void {
     this.running++
+    if (adapter !== undefined) this.runningByAdapter.set(`${model}/${adapter}`, (this.runningByAdapter.get(`${model}/${adapter}`) ?? 0) + 1)
     this.pendingTokens += tokens
     const key = model ?? ''
     const counts = this.runningByModel.get(key) ?? { count: 0, rank: Infinity }
@@ -124,8 +131,11 @@
     this.pendingTokens = Math.max(0, this.pendingTokens - tokens)
   }
 
-  onEnded (model: string | undefined): void {
+  onEnded (model: string | undefined, adapter: string | undefined): void {
     this.running--
+    const left = (this.runningByAdapter.get(`${model}/${adapter}`) ?? 0) - 1
+    if (left > 0) this.runningByAdapter.set(`${model}/${adapter}`, left)
+    else this.runningByAdapter.delete(`${model}/${adapter}`)
     const counts = this.runningByModel.get(model ?? '')
     if (counts && --counts.count === 0) this.runningByModel.delete(model ?? '')
   }
@@ -171,11 +181,11 @@
     const nowMs = this.clock.nowMs()
     const earlier = this.hosted
     this.hosted = new Map(models.map(({ name, adapters }) => [name, {
-      readyAtMs: 0, isLeaving: earlier.get(name)?.isLeaving ?? false, adapters: new Map(adapters.map(adapter => [adapter, 0]))
+      readyAtMs: 0, isComing: false, isLeaving: earlier.get(name)?.isLeaving ?? false, adapters: new Map(adapters.map(adapter => [adapter, 0]))
     }]))
     for (const [name, state] of earlier) {
       const present = this.hosted.get(name)
-      if (!present && state.readyAtMs > nowMs) this.hosted.set(name, state)
+      if (!present && state.isComing) this.hosted.set(name, state)
       if (!present) continue
       for (const [adapter, readyAtMs] of state.adapters) {
         if (readyAtMs > nowMs && !present.adapters.has(adapter)) present.adapters.set(adapter, readyAtMs)
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -108,7 +108,7 @@
       rank: request.service.engine ? request.route.rank : undefined,
       lastEventId: this.exchange.lastEventId
     })
-    this.server.onStarted(request.facts.model, this.tokens, request.route.rank)
+    this.server.onStarted(request.facts.model, request.facts.adapter, this.tokens, request.route.rank)
     this.connection = this.server.pool.acquire()
     this.cancelTimers.push(clock.setTimer(leftMs, () => this.onDeadline()))
     this.watchProgress()
@@ -275,7 +275,7 @@
     this.isFinished = true
     for (const cancel of this.cancelTimers.splice(0)) cancel()
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
-    this.server.onEnded(this.exchange.request.facts.model)
+    this.server.onEnded(this.exchange.request.facts.model, this.exchange.request.facts.adapter)
     this.resolve(result)
   }
 }
--- a/src/serving/modelDemand.ts
+++ b/src/serving/modelDemand.ts
@@ -61,9 +61,10 @@
     }
   }
 
-  /** A request was sent to an engine that holds its adapter. */
-  onUsed (engine: string, model: string, adapter: string): void {
-    this.used.set(`${engine}/${model}/${adapter}`, [engine, model, adapter])
+  /** A request uses `MODEL/ADAPTER` of an engine. */
+  onUsed (engine: string, key: string): void {
+    const [model, adapter] = key.split('/')
+    this.used.set(`${engine}/${key}`, [engine, model!, adapter!])
   }
 
   /** A request was refused since no engine is expected to hold its model. */
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -11,7 +11,7 @@
   adapters: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
   /** Engine, model, requests in progress, most urgent rank. */
   running: z.array(z.tuple([z.string(), z.string(), z.number(), z.number()])),
-  /** Engine, model, adapter that requests used since the last report. */
+  /** Engine, model, adapter that requests use or used since the last report. */
   used: z.array(z.tuple([z.string(), z.string(), z.string()])),
   /** Engine and model of requests that it refused because the model was not loaded. */
   missing: z.array(z.tuple([z.string(), z.string()]))
@@ -19,8 +19,9 @@
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
 const adapterRowSchema = z.tuple([z.string(), z.number()])
-/** Name, time until it is ready, whether it is being unloaded, adapters. */
-const modelRowSchema = z.tuple([z.string(), z.number(), z.boolean(), z.array(adapterRowSchema)])
+export const hostedPhaseSchema = z.enum(['held', 'coming', 'leaving'])
+/** Name, time until it is ready, phase, adapters. */
+const modelRowSchema = z.tuple([z.string(), z.number(), hostedPhaseSchema, z.array(adapterRowSchema)])
 
 /** What the leader tells the nodes. */
 export const leaderReportSchema = z.object({
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -8,7 +8,7 @@
 import { planHosting } from '../policy/hosting.js'
 import type { HostEngine, HostingMove, ModelNeed } from '../policy/hosting.js'
 import { LoadRate } from '../policy/loadRate.js'
-import type { BackendServer } from './backendServer.js'
+import type { BackendServer, HostedState } from './backendServer.js'
 import type { Deployment, EngineType, OrderOutcome, Service } from './deployment.js'
 import type { EngineCalls } from './engineCalls.js'
 import type { FleetView } from './fleetView.js'
@@ -30,11 +30,13 @@
 /** Streams of usual length end within this time. */
 const longestDrainMs = 8000
 /** An adapter stays at least this long, so that those that wait do not displace each other. */
-const adapterResidenceMs = 800
+const adapterResidenceMs = 1000
 /** Age of what an engine reports. */
 const reportLagMs = 250
 /** Orders without an answer are repeated this often before the engine is asked what it holds. */
 const orderTries = 3
+/** Questions whether a load has ended, before it counts as failed. */
+const confirmTries = 20
 /** An engine whose order was refused is asked again after this time. */
 const conflictDelayMs = 150
 /** Longest wait for the requests of a model that is being unloaded. */
@@ -207,7 +209,10 @@
       needs: this.needs(service, engine, running),
       storeLoads: this.rateOf(service.name, engine).available()
     })
-    for (const move of moves) void this.carryOut(this.controls.get(move.engine)!, engine, move)
+    for (const move of moves) {
+      this.carryOut(this.controls.get(move.engine)!, engine, move)
+        .catch(error => this.options.log('error', 'model move failed', { engine: move.engine, load: move.load, error: messageOf(error) }))
+    }
   }
 
   private controlsOf (service: string): Control[] {
@@ -239,7 +244,7 @@
       copies: [...server.hosted].map(([name, state]) => ({
         model: name,
         weightsMb: modelOf.get(name)?.weightsMb ?? 0,
-        isReady: state.readyAtMs <= nowMs,
+        isReady: !state.isComing,
         isLeaving: state.isLeaving,
         running: running.get(name) ?? 0,
         ageMs: nowMs - (control.loadedAtMs.get(name) ?? -Infinity)
@@ -313,14 +318,13 @@
       const state = server.hosted.get(model)
       if (state) state.isLeaving = true
     }
-    server.hosted.set(move.load, { readyAtMs: nowMs + loadMs + 2 * announceMs, isLeaving: false, adapters: new Map() })
+    server.hosted.set(move.load, { readyAtMs: nowMs + loadMs + 2 * announceMs, isComing: true, isLeaving: false, adapters: new Map() })
     log('info', 'model move', { ...move, engine: server.entry.id, loadMs })
     this.publish()
     try {
       await this.drain(control, move.unload)
       control.isBusy = true
       let isDone = await this.unloadAll(control, move.unload)
-      if (isDone && move.unload.length > 0) server.hosted.get(move.load)!.readyAtMs = clock.nowMs() + loadMs + announceMs
       isDone &&= await this.loadModel(control, move.load, loadMs)
       if (!isDone) {
         server.hosted.delete(move.load)
@@ -360,36 +364,36 @@
     const { clock, log } = this.options
     const { server } = control
     const untilMs = clock.nowMs() + unloadWaitMs
+    const expect = (inMs: number, isComing = true) => {
+      const adapters = server.hosted.get(model)?.adapters ?? new Map()
+      server.hosted.set(model, { readyAtMs: clock.nowMs() + inMs, isComing, isLeaving: false, adapters })
+    }
     for (;;) {
+      expect(loadMs)
       const outcome = await this.order(control, 'load', model)
       if (outcome === 'already-done') break
       if (outcome === 'started') {
         for (const [name, state] of server.hosted) if (state.isLeaving) server.hosted.delete(name)
-        server.hosted.set(model, { readyAtMs: clock.nowMs() + loadMs, isLeaving: false, adapters: new Map() })
         break
       }
       if (outcome !== 'conflict' || clock.nowMs() > untilMs || this.isStopped) return false
       await sleep(clock, conflictDelayMs)
-      const state = server.hosted.get(model)
-      if (state) state.readyAtMs = clock.nowMs() + loadMs
-      else server.hosted.set(model, { readyAtMs: clock.nowMs() + loadMs, isLeaving: false, adapters: new Map() })
     }
+    expect(loadMs)
     this.publish()
     control.loadedAtMs.set(model, clock.nowMs() + loadMs)
     await sleep(clock, loadMs + confirmDelayMs)
-    for (let tries = 0; tries < 20 && !this.isStopped && this.options.fleet.servers.get(server.entry.id) === server; tries++) {
+    for (let tries = 0; tries < confirmTries && !this.isStopped && this.options.fleet.servers.get(server.entry.id) === server; tries++) {
       const report = await this.options.calls.report(server)
       if (report?.models.some(({ name }) => name === model)) {
-        const state = server.hosted.get(model)
-        if (!state) server.hosted.set(model, { readyAtMs: clock.nowMs(), isLeaving: false, adapters: new Map() })
+        expect(0, false)
         return true
       }
-      if (report && !report.isBusy) {
+      if (report && !report.isBusy && tries > 1) {
         log('warn', 'the engine does not show a loaded model', { engine: server.entry.id, model })
-        if (tries > 1) return false
+        return false
       }
-      const state = server.hosted.get(model)
-      if (state) state.readyAtMs = clock.nowMs() + extendMs
+      expect(extendMs)
       this.publish()
       await sleep(clock, extendMs)
     }
@@ -427,7 +431,7 @@
 
   private holds ({ server }: Control, action: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
     const state = server.hosted.get(model)
-    const isHeld = adapter === undefined ? state !== undefined && state.readyAtMs <= this.options.clock.nowMs() : state?.adapters.has(adapter) ?? false
+    const isHeld = adapter === undefined ? state !== undefined && !state.isComing : state?.adapters.has(adapter) ?? false
     return (action === 'load') === isHeld
   }
 
@@ -541,7 +545,7 @@
     const nowMs = this.options.clock.nowMs()
     const left = (readyAtMs: number) => Math.max(0, Math.round(readyAtMs - nowMs))
     return [server.entry.id, [...server.hosted].map(([name, state]) => [
-      name, left(state.readyAtMs), state.isLeaving, [...state.adapters].map(([adapter, readyAtMs]) => [adapter, left(readyAtMs)])
+      name, left(state.readyAtMs), phaseOf(state), [...state.adapters].map(([adapter, readyAtMs]) => [adapter, left(readyAtMs)])
     ])]
   }
 }
@@ -561,7 +565,12 @@
   return count
 }
 
+function phaseOf ({ isComing, isLeaving }: HostedState): 'held' | 'coming' | 'leaving' {
+  if (isLeaving) return 'leaving'
+  return isComing ? 'coming' : 'held'
+}
+
 /** Changes whenever the nodes have to hear of the engine. */
 function hostingKey (server: BackendServer): string {
-  return JSON.stringify([...server.hosted].map(([name, state]) => [name, Math.round(state.readyAtMs), state.isLeaving, [...state.adapters]]))
+  return JSON.stringify([...server.hosted].map(([name, state]) => [name, Math.round(state.readyAtMs), phaseOf(state), [...state.adapters]]))
 }
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -157,7 +157,7 @@
       const { server } = search
       tried.add(server.entry.id)
       const { model, adapter } = request.facts
-      if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, model, adapter)
+      if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
       result = await exchange.attempt(server)
       if (result.kind !== 'unsent') sends++
       if (result.kind === 'done' || result.kind === 'client-left') {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -223,8 +223,8 @@
 
   private onLeaderReport ({ hosting, running }: LeaderReport): void {
     for (const [id, models] of hosting) {
-      this.fleet.servers.get(id)?.updateHosting(models.map(([name, readyInMs, isLeaving, adapters]) => ({
-        name, readyInMs, isLeaving, adapters: adapters.map(([adapter, inMs]) => ({ name: adapter, readyInMs: inMs }))
+      this.fleet.servers.get(id)?.updateHosting(models.map(([name, readyInMs, phase, adapters]) => ({
+        name, readyInMs, isComing: phase === 'coming', isLeaving: phase === 'leaving', adapters: adapters.map(([adapter, inMs]) => ({ name: adapter, readyInMs: inMs }))
       })))
     }
     this.noteRunning(running)
@@ -240,6 +240,7 @@
   private report (): NodeReport {
     const running: NodeReport['running'] = []
     for (const [id, server] of this.fleet.servers) {
+      for (const key of server.runningByAdapter.keys()) this.demand.onUsed(id, key)
       for (const [model, { count, rank }] of server.runningByModel) if (model !== '') running.push([id, model, count, rank])
     }
     return {
