--- a/src/policy/engineChoice.ts
+++ b/src/policy/engineChoice.ts
@@ -17,6 +17,16 @@
 /** Delay that a failure costs: the repeat and what the caller waited before. */
 const failureCostMs = 1500
 
+/** Part of an engine's batch up to which the most urgent requests are sent; each further rank leaves room for those before it. */
+const fullBatchShare = 1
+const rankReserveShare = 0.08
+const smallestBatchShare = 0.6
+
+/** Part of an engine's batch up to which requests of `rank` are sent. */
+export function batchShare (rank: number): number {
+  return Math.max(smallestBatchShare, fullBatchShare - rank * rankReserveShare)
+}
+
 export interface Candidate {
   id: string
   region: string
--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -14,6 +14,10 @@
 const delayCostShare = 0.2
 /** Usual time until the requests of a copy that is to be unloaded have ended. */
 const drainSeconds = 2.5
+/** Value of waiting requests from which a move may wait for the running requests of other models. */
+const drainValue = 8
+/** Part of the engines that moves of less value may keep from other moves. */
+const patientMoveShare = 0.34
 /** Part of the engines that one model may take, so that others keep engines of their own. */
 const largestEngineShare = 0.6
 /** Cost of one request that runs on the engine and shares it with the new copy. */
@@ -99,7 +103,10 @@
   const taken = new Set<string>()
   let loadsLeft = storeLoads
   for (const want of planning.wants()) {
-    const option = planning.bestOption(want, taken, loadsLeft > 0)
+    const isUrgent = want.value >= drainValue
+    const unavailable = engines.filter(engine => !engine.isAvailable || taken.has(engine.id)).length
+    if (!isUrgent && unavailable >= Math.max(1, engines.length * patientMoveShare)) continue
+    const option = planning.bestOption(want, taken, { mayLoadFromStore: loadsLeft > 0, mayDrain: isUrgent })
     if (!option) continue
     taken.add(option.engine.id)
     if (option.isFromStore) loadsLeft--
@@ -144,14 +151,14 @@
     return wants.sort((left, right) => right.value - left.value)
   }
 
-  bestOption (want: Want, taken: ReadonlySet<string>, mayLoadFromStore: boolean): Option | undefined {
+  bestOption (want: Want, taken: ReadonlySet<string>, { mayLoadFromStore, mayDrain }: { mayLoadFromStore: boolean, mayDrain: boolean }): Option | undefined {
     let best: Option | undefined
     for (const engine of this.engines) {
       if (!engine.isAvailable || taken.has(engine.id) || engine.copies.some(({ model }) => model === want.need.model)) continue
       const { loadMs, isFromStore } = engine.loadOf(want.need.model)
       if (isFromStore && !mayLoadFromStore) continue
       const unload = this.victims(engine, want)
-      if (!unload) continue
+      if (!unload || (!mayDrain && unload.some(({ running }) => running > 0))) continue
       const removalCost = unload.reduce((sum, copy) => sum + this.removalCost(copy), 0)
       if (removalCost > 0 && want.value < removalCost * displacementRatio) continue
       const delaySeconds = loadMs / 1000 + (unload.some(({ running }) => running > 0) ? drainSeconds : 0)
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -68,7 +68,12 @@
   /** Takes up a newer entry of the same incarnation. Its models are older than what the placement leader says. */
   update (entry: BackendEntry): void {
     this.entry = entry
-    if (!this.hasLeaderState) this.adoptModels(entry.models)
+    if (!this.hasLeaderState) return this.adoptModels(entry.models)
+    // An engine writes its entry when a load has ended.
+    for (const { name } of entry.models) {
+      const state = this.hosted.get(name)
+      if (state?.isComing) Object.assign(state, { isComing: false, readyAtMs: 0 })
+    }
   }
 
   /** Takes up what the engine reports to the placement leader. Reports lag behind accepted orders. */
@@ -112,7 +117,7 @@
     if (model === undefined) return true
     const state = this.hosted.get(model)
     const nowMs = this.clock.nowMs()
-    if (!state || state.isLeaving || state.readyAtMs > nowMs) return false
+    if (!state || state.isLeaving || state.isComing) return false
     return adapter === undefined || (state.adapters.get(adapter) ?? Infinity) <= nowMs
   }
 
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -24,7 +24,7 @@
 /** Time after the expected end of a load at which the engine's report shows it. */
 const confirmDelayMs = 250
 /** Time after which a load that the engine does not show is expected again. */
-const extendMs = 400
+const extendMs = 300
 /** Requests of an adapter that is being unloaded last seconds. */
 const adapterUnloadCheckMs = 500
 /** Streams of usual length end within this time. */
@@ -39,6 +39,8 @@
 const confirmTries = 20
 /** An engine whose order was refused is asked again after this time. */
 const conflictDelayMs = 150
+/** An engine on which a move failed is left alone for this time. */
+const failedMoveDelayMs = 800
 /** Longest wait for the requests of a model that is being unloaded. */
 const unloadWaitMs = 12_000
 /** Adapters that may be on their way to an engine at once. */
@@ -328,7 +330,7 @@
       isDone &&= await this.loadModel(control, move.load, loadMs)
       if (!isDone) {
         server.hosted.delete(move.load)
-        control.retryAtMs = clock.nowMs() + conflictDelayMs
+        control.retryAtMs = clock.nowMs() + failedMoveDelayMs
         await this.enqueue(control, () => this.sync(control))
       }
     } finally {
@@ -382,7 +384,10 @@
     expect(loadMs)
     this.publish()
     control.loadedAtMs.set(model, clock.nowMs() + loadMs)
-    await sleep(clock, loadMs + confirmDelayMs)
+    const isShown = () => server.hosted.get(model)?.isComing === false
+    const confirmAtMs = clock.nowMs() + loadMs + confirmDelayMs
+    while (clock.nowMs() < confirmAtMs && !isShown()) await sleep(clock, planMs)
+    if (isShown()) return true
     for (let tries = 0; tries < confirmTries && !this.isStopped && this.options.fleet.servers.get(server.entry.id) === server; tries++) {
       const report = await this.options.calls.report(server)
       if (report?.models.some(({ name }) => name === model)) {
@@ -452,7 +457,7 @@
     const nowMs = this.options.clock.nowMs()
     const hosts = this.controlsOf(service).filter(({ server, isSynced }) => {
       const state = server.hosted.get(model)
-      return isSynced && state && !state.isLeaving && state.readyAtMs <= nowMs && server.isUsable
+      return isSynced && state && !state.isLeaving && !state.isComing && server.isUsable
     })
     if (hosts.some(({ server }) => server.hosted.get(model)!.adapters.has(adapter))) return
     const order = rendezvousOrder(`${model}/${adapter}`, hosts.map(({ server }) => server.entry.id))
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -4,7 +4,7 @@
 import { match } from 'ts-pattern'
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
-import { chooseBackend } from '../policy/engineChoice.js'
+import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import { RetryBudget } from '../policy/retry.js'
 import { streamPatienceMs } from '../policy/streamPatience.js'
 import type { BackendServer } from './backendServer.js'
@@ -29,6 +29,10 @@
 /** Time that a request for a model that nobody is loading may wait for the placement leader to decide, and as part of its objective. */
 const undecidedWaitMs = 1500
 const undecidedWaitShare = 0.6
+/** Part of its objective that a request waits for room on full engines. */
+const fullWaitShare = 0.5
+/** Time in which a full engine ends a good part of its requests. */
+const fullRetryAfterMs = 1200
 /** Part of the callers' patience that the wait for a model may use; the rest is for the first event. */
 const waitShare = 0.75
 
@@ -225,15 +229,20 @@
     const patienceMs = request.route.kind === 'stream' ? streamPatienceMs(request.route) : Infinity
     const untilMs = Math.min(request.arrivedAtMs + patienceMs * waitShare, request.deadlineAtMs - minimumSendMs)
     const decisionMs = Math.max(undecidedWaitMs, request.route.objectiveMs * undecidedWaitShare)
+    const fullWaitMs = request.route.objectiveMs * fullWaitShare
     const waiting = this.options.demand.wait(request.service.name, model, adapter, request.route.rank)
     try {
       for (;;) {
         const nowMs = this.clock.nowMs()
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
-        const isHopeless = expectedMs === undefined ? nowMs - startMs > decisionMs : nowMs + expectedMs > untilMs
+        const isFull = expectedMs === 0
+        const isHopeless = expectedMs === undefined ? nowMs - startMs > decisionMs : isFull ? nowMs - startMs > fullWaitMs : nowMs + expectedMs > untilMs
         if (nowMs > untilMs || isHopeless) {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
-          return { kind: 'refused', reason: `no engine is ready with ${model}${adapter ? `/${adapter}` : ''}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
+          const name = adapter === undefined ? model : `${model}/${adapter}`
+          return isFull
+            ? { kind: 'refused', reason: `all engines with ${name} are full`, retryAfterMs: fullRetryAfterMs }
+            : { kind: 'refused', reason: `no engine is ready with ${name}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
         }
         await this.options.demand.changeOrDelay(waitPollMs)
         if (hasLeft()) return { kind: 'left' }
@@ -248,7 +257,8 @@
   private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
     const { settings, fleet } = this.options
     const { model, adapter, sharedPrefix } = request.facts
-    const able = fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server))
+    const able = fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) &&
+      this.hasConnection(request, server) && hasRoom(request, server))
     let candidates = able.filter(server => !tried.has(server.entry.id))
     // A server that refused may have room again, but one that failed is not asked twice.
     if (candidates.length === 0 && !isRepeat) candidates = able
@@ -320,6 +330,12 @@
   }
 }
 
+/** Whether the server can begin the request soon: engines queue what exceeds their batch, and callers leave meanwhile. */
+function hasRoom ({ service, route }: RelayRequest, server: BackendServer): boolean {
+  if (!service.engine) return true
+  return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
+}
+
 /** Part of the fleet's repeats that the nodes use, since they do not see each other's windows. */
 const budgetShare = 0.7
 /** Part of a backend server's connections that the nodes use; the rest is for restarted nodes whose old connections linger. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -32,7 +32,7 @@
 /** Descriptors that are not for clients: backend servers, peers, the store and files. */
 const reservedDescriptors = 1200
 const requestCheckMs = 500
-const reportMs = 400
+const reportMs = 250
 /** A wish for a model or adapter is told at once, together with others that come at the same moment. */
 const wishDelayMs = 2
 /** A leader that died may have given an order up to one renewal before its lease began to run out. */
