--- /dev/null
+++ b/tests/hosting.spec.ts
@@ -0,0 +1,109 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { planHosting } from '../src/policy/hosting.js'
+import type { HostEngine, HostedCopy, ModelNeed } from '../src/policy/hosting.js'
+import { LoadRate } from '../src/policy/loadRate.js'
+
+const weightsMb = 70
+const slots = 64
+
+function copy (model: string, changes: Partial<HostedCopy> = {}): HostedCopy {
+  return { model, weightsMb, isReady: true, isLeaving: false, running: 0, ageMs: 60_000, ...changes }
+}
+
+function engine (id: string, copies: HostedCopy[], changes: Partial<HostEngine> = {}): HostEngine {
+  const running = copies.reduce((sum, { running }) => sum + running, 0)
+  return { id, isAvailable: true, weightsMb: 230, adaptersMb: 0, slots, running, copies, loadOf: () => ({ loadMs: 2400, isFromStore: true }), ...changes }
+}
+
+function need (model: string, changes: Partial<ModelNeed> = {}): ModelNeed {
+  return { model, weightsMb, running: 0, waiting: 0, rank: 2, idleMs: Infinity, ...changes }
+}
+
+const plan = (engines: HostEngine[], needs: ModelNeed[], storeLoads = 6) => planHosting({ engines, needs, storeLoads })
+
+describe('hosting of models', () => {
+  it('loads a model for which requests wait into free space', () => {
+    const moves = plan([engine('e1', [copy('a'), copy('b')]), engine('e2', [copy('a'), copy('b'), copy('c')])], [need('d', { waiting: 1, idleMs: 0 })])
+    expect(moves).to.have.length(1)
+    expect(moves[0]).to.include({ engine: 'e1', load: 'd' })
+    expect(moves[0]!.unload).to.deep.equal([])
+  })
+
+  it('adds copies where demand shifts to a model with one copy', () => {
+    // Pattern: a model shift; the rising model's requests fill its only engine.
+    const engines = [
+      engine('e1', [copy('rising', { running: 45 }), copy('x'), copy('y')]),
+      engine('e2', [copy('falling'), copy('u'), copy('v')]),
+      engine('e3', [copy('falling', { running: 20 }), copy('w'), copy('z')])
+    ]
+    const needs = [
+      need('rising', { running: 45, rank: 0, idleMs: 0 }), need('falling', { running: 20, rank: 0, idleMs: 0 }),
+      ...['x', 'y', 'u', 'v', 'w', 'z'].map(model => need(model, { idleMs: 20_000 }))
+    ]
+    const moves = plan(engines, needs)
+    expect(moves[0]).to.include({ load: 'rising' })
+    expect(moves.map(({ unload }) => unload).flat()).not.to.include('rising')
+  })
+
+  it('displaces what was asked for long ago before what nobody has asked for', () => {
+    // Pattern: rarely used models rotate while demand moves to models that were silent before.
+    const moves = plan([engine('e1', [copy('silent'), copy('old'), copy('recent')])],
+      [need('new', { waiting: 1, idleMs: 0 }), need('silent'), need('old', { idleMs: 30_000 }), need('recent', { idleMs: 100 })])
+    expect(moves[0]!.unload).to.deep.equal(['old'])
+  })
+
+  it('does not wait for running requests on behalf of few patient ones', () => {
+    // Pattern: a burst of the least urgent kind; its moves would keep all engines from the urgent models.
+    const engines = [engine('e1', [copy('a', { running: 3 }), copy('b', { running: 2 }), copy('c', { running: 9 })])]
+    const needs = ['a', 'b', 'c'].map(model => need(model, { running: 3, rank: 0, idleMs: 0 }))
+    expect(plan(engines, [...needs, need('d', { waiting: 1, idleMs: 0 })])).to.deep.equal([])
+  })
+
+  it('leaves two thirds of the engines to urgent moves', () => {
+    // Pattern: a burst of the least urgent kind over many rarely used models.
+    const engines = Array.from({ length: 6 }, (_, index) => engine(`e${index}`, [copy(`a${index}`), copy(`b${index}`)]))
+    const needs = Array.from({ length: 6 }, (_, index) => need(`rare${index}`, { waiting: 1, idleMs: 0 }))
+    expect(plan(engines, needs).length).to.be.within(1, 3)
+    expect(plan(engines, needs.map(one => ({ ...one, waiting: 10, rank: 0 }))).length).to.equal(6)
+  })
+
+  it('never plans more weights than an engine holds', () => {
+    const moves = plan([engine('e1', [copy('a', { isReady: false }), copy('b'), copy('c', { isLeaving: true })])],
+      [need('d', { waiting: 50, rank: 0, idleMs: 0 }), need('b', { running: 2, idleMs: 0 })])
+    // Neither the coming nor the leaving copy makes room, and `b` alone does.
+    for (const move of moves) expect(move.unload).to.deep.equal(['b'])
+  })
+
+  it('loads from engines\' own copies when the weight store is used up', () => {
+    const engines = [
+      engine('store', []),
+      engine('disk', [], { loadOf: () => ({ loadMs: 1600, isFromStore: false }) })
+    ]
+    expect(plan(engines, [need('d', { waiting: 3, idleMs: 0 })], 0).map(({ engine }) => engine)).to.deep.equal(['disk'])
+  })
+
+  it('does not let two models with like demand displace each other', () => {
+    const needs = [need('a', { running: 5, idleMs: 0 }), need('b', { waiting: 5, idleMs: 0 })]
+    expect(plan([engine('e1', [copy('a', { running: 5 })], { weightsMb: 100 })], needs)).to.deep.equal([])
+  })
+
+  it('leaves engines alone that carry out an order', () => {
+    expect(plan([engine('e1', [], { isAvailable: false })], [need('d', { waiting: 9, idleMs: 0 })])).to.deep.equal([])
+  })
+
+  it('keeps below the rate of the weight store in every window', async () => {
+    const clock = new VirtualClock()
+    const rate = new LoadRate({ clock, windowMs: 5000, loadsPerSecond: 1.2 })
+    const loads: number[] = []
+    for (let step = 0; step < 600; step++) {
+      while (rate.available() > 0) {
+        rate.take()
+        loads.push(clock.nowMs())
+      }
+      await clock.advance(50)
+    }
+    for (const from of loads) expect(loads.filter(atMs => atMs >= from && atMs < from + 5000).length).to.be.at.most(6)
+    expect(loads.length).to.be.at.least(30)
+  })
+})
--- /dev/null
+++ b/tests/platformAdapter.spec.ts
@@ -0,0 +1,116 @@
+import { expect } from 'chai'
+import { FindingsError } from '../src/base/findings.js'
+import { codecs } from '../src/platform/httpNames.js'
+import { readSettingsFile } from '../src/platform/settingsFile.js'
+import { readBackend, readDeployment, readReport } from '../src/platform/wireSchemas.js'
+import type { ResponseHead } from '../src/serving/responseReader.js'
+
+const settingsText = `
+node = "front-a-1"
+ip = "10.1.0.38"
+zone = "a"
+region = "r"
+port_range = [7380,7395]
+unknown = 1
+[zones]
+a = "r"
+[listen]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+[bounds]
+drain_ms = 2500
+fence_required = true
+[platform]
+address = "10.200.1.7:8142"
+`
+
+function head (status: number, rawHeaders: string[]): ResponseHead {
+  const headers = new Map<string, string>()
+  for (let index = 0; index < rawHeaders.length; index += 2) headers.set(rawHeaders[index]!.toLowerCase(), rawHeaders[index + 1]!)
+  return { status, statusText: '', rawHeaders, headers, keepsAlive: true }
+}
+
+describe('platform adapter', () => {
+  it('reads the settings file and ignores unknown keys', () => {
+    const settings = readSettingsFile(settingsText, 'settings.toml')
+    expect(settings).to.deep.include({ node: 'front-a-1', clientsAddress: '10.1.0.38:8149', peersPort: 7380, enginesCheckFences: true, shutdownMs: 8000 })
+  })
+
+  it('reports all mistakes of a settings file together', () => {
+    try {
+      readSettingsFile(settingsText.replace('node = "front-a-1"', 'node = 7').replace('"10.200.1.7:8142"', '"nowhere"'), 'settings.toml')
+      expect.fail('no mistake was found')
+    } catch (error) {
+      expect(error).to.be.instanceOf(FindingsError)
+      expect((error as FindingsError).findings.map(({ key }) => key)).to.have.members(['node', 'platform.address'])
+    }
+  })
+
+  it('names the line of a syntax error', () => {
+    try {
+      readSettingsFile('node = "a"\n[bounds\n', 'settings.toml')
+      expect.fail('no mistake was found')
+    } catch (error) {
+      expect((error as FindingsError).findings[0]).to.include({ file: 'settings.toml', line: 2 })
+    }
+  })
+
+  it('decodes a deployment into the product\'s words', () => {
+    const deployment = readDeployment(JSON.stringify({
+      version: 7,
+      routes: [
+        { name: 'r1', host: 'h', path_prefix: '/a/', kind: 'streaming', timeout_ms: 15000, goal_ms: 500, priority: 0, split: [{ service: 's1', weight: 90 }, { service: 's2', weight: 10 }], max_attempts: 2, resumable: true, gap_target_ms: 300 },
+        { name: 'r2', host: 'h', path_prefix: '/b/', kind: 'safe', timeout_ms: 1000, service: 's2' }
+      ],
+      services: [
+        { name: 's1', max_conns: 370, engine: { slots: 64, kv_capacity: 1000, weights_mb: 230000, adapter_slots: 8, loads_per_s: 1.2, models: [{ name: 'm', weights_mb: 72700, load_s: 2.4, warm_s: 1.2, disk_s: 1.6, adapter_mb: 66 }] } },
+        { name: 's2', max_conns: 110 }
+      ],
+      limits: { max_header_bytes: 16384, max_body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+    }))
+    if (deployment instanceof Error) throw deployment
+    expect(deployment.routes[0]).to.deep.include({ kind: 'stream', objectiveMs: 500, rank: 0, maxAttempts: 2, resumable: true, targets: [{ service: 's1', weight: 90 }, { service: 's2', weight: 10 }] })
+    expect(deployment.routes[1]).to.deep.include({ kind: 'idempotent', maxAttempts: 1, resumable: false, targets: [{ service: 's2', weight: 1 }] })
+    expect(deployment.services[0]!.engine!.models[0]).to.deep.equal({ name: 'm', weightsMb: 72700, loadMs: 2400, warmLoadMs: 1200, diskLoadMs: 1600, adapterMb: 66 })
+  })
+
+  it('takes no backend server from entries of other writers', () => {
+    const entry = { service: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready', seq: 3, born: 5 }
+    expect(readBackend('i', JSON.stringify(entry))).to.deep.include({ id: 'i', isDraining: false, bornAtMs: 5 })
+    for (const broken of [{ ...entry, state: 'odd' }, { ...entry, address: 7 }, { ...entry, slots: '4' }, { ...entry, service: undefined }]) {
+      expect(readBackend('i', JSON.stringify(broken))).to.be.instanceOf(Error)
+    }
+    expect(readBackend('i', '\u0000\u0001')).to.be.instanceOf(Error)
+  })
+
+  it('tells the count of orders from the count of an entry\'s writes', () => {
+    // Guards against conditions on a number that no engine compares: every order would be refused.
+    expect(readReport('{"models":[],"busy":true,"seq":2}')).to.include({ orderCount: 2, isBusy: true })
+    expect(readBackend('i', JSON.stringify({ service: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready', seq: 9 }))).not.to.have.property('orderCount')
+  })
+
+  it('replaces the headers that only the system sets', () => {
+    const headers = codecs.forwardHeaders(
+      ['Host', 'h', 'X-Attempt-Id', 'id', 'X-Deadline-Ms', '9000', 'X-Hold', '1', 'Kv-From', 'x', 'X-Pin-Ms', '5', 'Connection', 'close, X-Private', 'Transfer-Encoding', 'chunked', 'X-Model', 'm'],
+      { backendId: 'i-1', deadlineMs: 812.7, rank: 1, lastEventId: undefined })
+    expect(headers).to.deep.equal(['Host', 'h', 'X-Attempt-Id', 'id', 'X-Model', 'm', 'X-Deadline-Ms', '812', 'X-Expect-Instance', 'i-1', 'X-Request-Urgency', '1'])
+  })
+
+  it('goes on after the last event that was passed on', () => {
+    const headers = codecs.forwardHeaders(['Last-Event-Id', '3'], { backendId: 'i', deadlineMs: 100, rank: undefined, lastEventId: 12 })
+    expect(headers.join(' ')).to.include('Last-Event-Id 12').and.not.to.include('Last-Event-Id 3')
+  })
+
+  it('reads what a request asks for', () => {
+    expect(codecs.readRequest({ 'x-attempt-id': 'a', 'x-deadline-ms': '15000', 'x-model': 'm/a3', 'x-token-count': '1460,80', 'x-prompt-prefix': '5c:800,91:410,e4:250' }))
+      .to.include({ requestId: 'a', deadlineMs: 15000, model: 'm', adapter: 'a3', promptTokens: 1460, outputTokens: 80, sharedPrefix: '91' })
+    expect(codecs.readRequest({ 'x-deadline-ms': 'soon' }).deadlineMs).to.equal(undefined)
+  })
+
+  it('tells from a response whether the request ran', () => {
+    expect(codecs.readResponse(head(503, ['X-Not-Executed', '1']))).to.include({ isNotRun: true, isMisdirected: false })
+    expect(codecs.readResponse(head(421, []))).to.include({ isNotRun: true, isMisdirected: true })
+    expect(codecs.readResponse(head(503, []))).to.include({ isNotRun: false })
+    expect(codecs.readResponse(head(200, ['X-Server-Stamp', 's', 'X-Attempt-Id', 'a']))).to.include({ isSigned: true, requestId: 'a' })
+  })
+})
--- /dev/null
+++ b/tests/responseReader.spec.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai'
+import { EventSplitter } from '../src/serving/eventStream.js'
+import { ResponseReader } from '../src/serving/responseReader.js'
+
+function read (chunks: string[], { method = 'GET', isClosed = false } = {}) {
+  const seen = { status: 0, body: '', isComplete: false, leftover: '', invalid: '' }
+  const reader = new ResponseReader({
+    onHead: head => { seen.status = head.status },
+    onData: data => { seen.body += data.toString() },
+    onEnd: leftover => {
+      seen.isComplete = true
+      seen.leftover = leftover.toString()
+    },
+    onInvalid: reason => { seen.invalid = reason }
+  })
+  reader.expect(method)
+  for (const chunk of chunks) reader.push(Buffer.from(chunk))
+  if (isClosed) reader.close()
+  return seen
+}
+
+const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=1\r\nde\r\n0\r\n\r\n'
+
+describe('response reader', () => {
+  it('reads a chunked response cut at every byte', () => {
+    for (let cut = 1; cut < chunked.length; cut++) {
+      const seen = read([chunked.slice(0, cut), chunked.slice(cut)])
+      expect(seen).to.include({ status: 200, body: 'abcde', isComplete: true, leftover: '' })
+    }
+  })
+
+  it('keeps bytes after a response apart', () => {
+    // Guards against handing a second response to the next request.
+    const seen = read(['HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n'])
+    expect(seen).to.include({ body: 'ok', isComplete: true, leftover: 'HTTP/1.1 200 OK\r\n' })
+  })
+
+  it('completes a response without length only by an orderly close', () => {
+    // Guards against taking a reset for the end of the body.
+    const head = 'HTTP/1.1 200 OK\r\n\r\nbody'
+    expect(read([head])).to.include({ body: 'body', isComplete: false })
+    expect(read([head], { isClosed: true })).to.include({ body: 'body', isComplete: true })
+  })
+
+  it('does not complete a counted response by a close', () => {
+    expect(read(['HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody'], { isClosed: true }).isComplete).to.equal(false)
+    expect(read([chunked.slice(0, -5)], { isClosed: true }).isComplete).to.equal(false)
+  })
+
+  it('refuses what is not a response', () => {
+    for (const bytes of ['garbage garbage', 'HTTP/1.1 2x0 OK\r\n\r\n', 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n',
+      'HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', 'HTTP/1.1 200 OK\r\nbad header\r\n\r\n']) {
+      expect(read([bytes]).invalid, bytes).not.to.equal('')
+    }
+  })
+
+  it('skips interim responses and knows responses without body', () => {
+    expect(read(['HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n'])).to.include({ status: 204, isComplete: true })
+    expect(read(['HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n'], { method: 'HEAD' })).to.include({ isComplete: true })
+  })
+
+  it('splits events at their ends, whatever the reads', () => {
+    const text = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
+    for (let cut = 1; cut < text.length; cut++) {
+      const splitter = new EventSplitter()
+      const events = [...splitter.push(Buffer.from(text.slice(0, cut))), ...splitter.push(Buffer.from(text.slice(cut)))]
+      expect(events.map(({ id }) => id)).to.deep.equal([1, 2])
+      expect(splitter.remainder.toString()).to.equal('id: 3\nda')
+    }
+  })
+})
