--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -330,6 +330,7 @@
       isDone &&= await this.loadModel(control, move.load, loadMs)
       if (!isDone) {
         server.hosted.delete(move.load)
+        control.isBusy = false
         control.retryAtMs = clock.nowMs() + failedMoveDelayMs
         await this.enqueue(control, () => this.sync(control))
       }
@@ -372,12 +373,15 @@
     }
     for (;;) {
       expect(loadMs)
+      const assumedOrders = server.orderCount
       const outcome = await this.order(control, 'load', model)
       if (outcome === 'already-done') break
       if (outcome === 'started') {
         for (const [name, state] of server.hosted) if (state.isLeaving) server.hosted.delete(name)
         break
       }
+      // An order that this leader did not give, or gave up on, was carried out: the plan no longer fits.
+      if (server.orderCount !== assumedOrders) return false
       if (outcome !== 'conflict' || clock.nowMs() > untilMs || this.isStopped) return false
       await sleep(clock, conflictDelayMs)
     }
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -244,6 +244,7 @@
             ? { kind: 'refused', reason: `all engines with ${name} are full`, retryAfterMs: fullRetryAfterMs }
             : { kind: 'refused', reason: `no engine is ready with ${name}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
         }
+        if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
         await this.options.demand.changeOrDelay(waitPollMs)
         if (hasLeft()) return { kind: 'left' }
         const server = this.choose(request, tried, isRepeat)
