--- /dev/null
+++ b/src/cli/explainLogs.ts
@@ -0,0 +1,92 @@
+/** Says in sentences what happened to a request, from the log lines of several nodes. */
+
+import { z } from 'zod'
+
+/** Time around a request in which events of its engines and of the fleet are shown. */
+const contextMs = 5000
+
+const sendSchema = z.object({
+  afterMs: z.number(),
+  backend: z.string(),
+  running: z.number(),
+  runningElsewhere: z.number(),
+  alternatives: z.number(),
+  result: z.string()
+})
+
+const lineSchema = z.looseObject({
+  time: z.string(),
+  event: z.string(),
+  node: z.string().default('?'),
+  request: z.string().optional(),
+  durationMs: z.number().optional(),
+  sends: z.array(sendSchema).optional(),
+  /** Backend server or engine of an event that concerns no single request. */
+  backend: z.string().optional(),
+  engine: z.string().optional()
+})
+type Line = z.infer<typeof lineSchema> & { atMs: number }
+
+/** Events that change what a node believes about the fleet. */
+const fleetEvents = new Set([
+  'store lost', 'store regained', 'store history lost', 'configuration in force', 'placement leader is this node',
+  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'graceful shutdown', 'log lines left out'
+])
+
+function parse (text: string): Line | undefined {
+  // Collectors put a time or the name of the machine before the line.
+  const start = text.indexOf('{')
+  if (start === -1) return undefined
+  try {
+    const line = lineSchema.parse(JSON.parse(text.slice(start)))
+    return { ...line, atMs: Date.parse(line.time) }
+  } catch {
+    // Other programs write to the same files.
+    return undefined
+  }
+}
+
+/** Sentences in the order of time, empty if no line names the request. */
+export function explainFromLogs (texts: readonly string[], requestId: string): string[] {
+  const lines = texts.map(parse).filter(line => line !== undefined)
+  const own = lines.filter(({ request }) => request === requestId)
+  if (own.length === 0) return []
+  const fromMs = Math.min(...own.map(line => line.atMs - (line.durationMs ?? 0))) - contextMs
+  const untilMs = Math.max(...own.map(({ atMs }) => atMs))
+  const backends = new Set(own.flatMap(({ sends }) => sends?.map(({ backend }) => backend) ?? []))
+  const models = new Set(own.map(line => line.model).filter(model => typeof model === 'string'))
+  const nodes = new Set(own.map(({ node }) => node))
+  const context = lines.filter(line => line.request === undefined && line.atMs >= fromMs && line.atMs <= untilMs &&
+    (concerns(line, backends, models) || (nodes.has(line.node) && fleetEvents.has(line.event))))
+  return [...own.flatMap(line => requestSentences(line)), ...context.map(line => ({ atMs: line.atMs, text: contextSentence(line) }))]
+    .sort((left, right) => left.atMs - right.atMs)
+    .map(({ atMs, text }) => `${new Date(atMs).toISOString().slice(11, 23)}  ${text}`)
+}
+
+function concerns (line: Line, backends: ReadonlySet<string>, models: ReadonlySet<unknown>): boolean {
+  return backends.has(line.engine ?? '') || backends.has(line.backend ?? '') || (models.has(line.load) || models.has(line.model))
+}
+
+function requestSentences (line: Line): { atMs: number, text: string }[] {
+  const startMs = line.atMs - (line.durationMs ?? 0)
+  const model = line.model === undefined ? '' : ` for ${String(line.model)}${line.adapter === undefined ? '' : `/${String(line.adapter)}`}`
+  const sentences = [{
+    atMs: startMs,
+    text: `${line.node} took request ${line.request} on route ${String(line.route)} (${String(line.kind)}, rank ${String(line.rank)})${model}, with ${String(line.deadlineMs)} ms to its deadline and configuration ${String(line.configVersion)}.`
+  }]
+  for (const send of line.sends ?? []) {
+    sentences.push({
+      atMs: startMs + send.afterMs,
+      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}.`
+    })
+  }
+  if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it.` })
+  const status = line.status === 0 ? 'no status' : `status ${String(line.status)}`
+  sentences.push({ atMs: line.atMs, text: `It ended as ${String(line.outcome)} with ${status} after ${line.durationMs} ms${line.reason === undefined ? '' : `: ${String(line.reason)}`}.` })
+  return sentences
+}
+
+function contextSentence ({ event, node, time: _time, atMs: _atMs, level: _level, ...fields }: Line): string {
+  const details = Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => `${name} ${typeof value === 'string' ? value : JSON.stringify(value)}`)
+  return `${node}: ${event}${details.length > 0 ? ` (${details.join(', ')})` : ''}.`
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,7 +10,7 @@
 import { configCheck, configDiff, configGet, configHistory, configPropose } from './configCommands.js'
 import { runNode } from './nodeCommand.js'
 import { OperatorsClient } from './operatorsClient.js'
-import { nodeAccess, optionalText, print, printError, printJson, valueOptions } from './options.js'
+import { nodeAccess, optionalInteger, optionalText, print, printError, printJson, readInput, valueOptions } from './options.js'
 import type { CommandOptions } from './options.js'
 import { renderData } from './renderData.js'
 
@@ -25,6 +25,19 @@
   return exitOk
 }
 
+/** Explains a request from log files, or asks a node for its trace. */
+async function explain (requestId: string, options: CommandOptions): Promise<number> {
+  const files = optionalText(options, 'logs')
+  if (files === undefined) return printReport(`/v1/explain/${encodeURIComponent(requestId)}`, options)
+  const { explainFromLogs } = await import('./explainLogs.js')
+  const lines = files.split(',').flatMap(file => readInput(file === '-' ? '/dev/stdin' : file).split('\n'))
+  const sentences = explainFromLogs(lines, requestId)
+  if (sentences.length === 0) throw new CommandError(`no log line names the request ${requestId}; requests without incident are sampled`)
+  if (options.json) printJson(sentences)
+  else for (const sentence of sentences) print(sentence)
+  return exitOk
+}
+
 async function reportBurn (options: CommandOptions): Promise<number> {
   const file = optionalText(options, 'html')
   const client = new OperatorsClient(nodeAccess(options), clock)
@@ -65,7 +78,11 @@
     .option('--settings', 'Settings file of the node')
     .action((options: CommandOptions) => runNode(options))
   program.command('serve', 'Run a node on the users\' platform, with the settings file that the platform names, until SIGTERM')
-    .action(async () => (await import('../platform/serve.js')).serve())
+    .option('--log-lines', 'Log lines of one event in a second; by default 40')
+    .option('--metrics-port', 'Port of the metrics; by default 9464')
+    .action(async (options: CommandOptions) => (await import('../platform/serve.js')).serve({
+      linesPerSecond: optionalInteger(options, 'log-lines', { min: 1 }), metricsPort: optionalInteger(options, 'metrics-port', { min: 1 })
+    }))
   withJson(program.command('config check <file>', 'Check a fleet configuration and print all findings'))
     .action((file: string, options: CommandOptions) => configCheck(file, options))
   withAccess(withJson(program.command('config get', 'Print the fleet configuration in force')))
@@ -84,7 +101,8 @@
   withAccess(withJson(program.command('status', 'Print the state of the fleet')))
     .action((options: CommandOptions) => printReport('/v1/status', options))
   withAccess(withJson(program.command('explain <requestId>', 'Print what happened to a request')))
-    .action((requestId: string, options: CommandOptions) => printReport(`/v1/explain/${encodeURIComponent(requestId)}`, options))
+    .option('--logs', 'Log files of nodes, separated by commas, instead of a node; - is standard input')
+    .action((requestId: string, options: CommandOptions) => explain(requestId, options))
   withAccess(withJson(program.command('report burn', 'Print the use of the error budgets')))
     .option('--html', 'File to write as an HTML page')
     .action((options: CommandOptions) => reportBurn(options))
--- /dev/null
+++ b/src/serving/boundedLog.ts
@@ -0,0 +1,62 @@
+/** Keeps the volume of logs within a bound, and says what was left out. */
+
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { repeat } from '../base/clock.js'
+import type { Log, LogLevel } from '../base/log.js'
+
+/** Window over which lines are counted. */
+const windowMs = 1000
+/** Time between the lines that say what was left out. */
+const summaryMs = 5000
+
+export interface BoundedLogOptions {
+  clock: Clock
+  log: Log
+  /** Lines of one event and level in a second; warnings and errors may use ten times as many. */
+  linesPerSecond: number
+  /** Lines that the writer below had to drop. */
+  droppedByWriter?: () => number
+}
+
+const severityFactor: Record<LogLevel, number> = { debug: 1, info: 1, warn: 10, error: 10 }
+
+export class BoundedLog {
+  private readonly options: BoundedLogOptions
+  private counts = new Map<string, number>()
+  private leftOut = new Map<string, number>()
+  private windowStartMs: number
+  private reportedDrops = 0
+  private readonly cancelSummary: CancelTimer
+
+  constructor (options: BoundedLogOptions) {
+    this.options = options
+    this.windowStartMs = options.clock.nowMs()
+    this.cancelSummary = repeat(options.clock, summaryMs, () => this.summarize())
+  }
+
+  readonly log: Log = (level, event, fields) => {
+    const { clock, linesPerSecond, log } = this.options
+    const nowMs = clock.nowMs()
+    if (nowMs - this.windowStartMs >= windowMs) {
+      this.windowStartMs = nowMs
+      this.counts.clear()
+    }
+    const count = (this.counts.get(event) ?? 0) + 1
+    this.counts.set(event, count)
+    if (count <= linesPerSecond * severityFactor[level]) log(level, event, fields)
+    else this.leftOut.set(event, (this.leftOut.get(event) ?? 0) + 1)
+  }
+
+  stop (): void {
+    this.cancelSummary()
+    this.summarize()
+  }
+
+  private summarize (): void {
+    const dropped = (this.options.droppedByWriter?.() ?? 0) - this.reportedDrops
+    if (this.leftOut.size === 0 && dropped === 0) return
+    this.options.log('warn', 'log lines left out', { byEvent: Object.fromEntries(this.leftOut), droppedByWriter: dropped })
+    this.leftOut.clear()
+    this.reportedDrops += dropped
+  }
+}
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -84,6 +84,7 @@
   /** Report of this node itself. */
   ownReport: () => NodeReport
   broadcast: (report: LeaderReport) => void
+  onOrder?: (action: string, outcome: OrderOutcome) => void
   /** An engine has seen a higher fence. */
   onDeposed: () => void
   /** Whether orders must wait because the lease may have ended. */
@@ -425,7 +426,8 @@
         outcome = await calls.order(server, { action, model, ...(adapter === undefined ? {} : { adapter }), expectedOrderCount: server.orderCount, holder: node, fence })
         if (outcome === 'unknown') wasUnknown = true
       }
-      log('info', 'engine order', { engine: server.entry.id, action, model, adapter, expected: server.orderCount, outcome })
+      this.options.onOrder?.(action, outcome)
+      log('info', 'engine order', { engine: server.entry.id, action, model, adapter, expected: server.orderCount, fence, outcome })
       // An engine unloads an adapter that no request uses before it answers, and counts that order too.
       if (outcome === 'started' || (outcome === 'already-done' && action === 'unload' && adapter !== undefined)) server.orderCount++
       if (outcome === 'stale-fence') {
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -24,6 +24,8 @@
 const startingRetryAfterMs = 500
 /** Part of a client's remaining time for which it waits before it returns; clients honour no more. */
 const longestRetryShare = 0.33
+/** One in this many requests without incident leaves a log line. */
+const plainSample = 100
 /** Time after which missing models are looked for again while requests wait. */
 const waitPollMs = 25
 /** Time that a request for a model that nobody is loading may wait for the placement leader to decide, and as part of its objective. */
@@ -43,6 +45,19 @@
   retryAllowance: number
 }
 
+/** One attempt of a request, for its log line. */
+export interface AttemptTrace {
+  /** Since the request's arrival. */
+  afterMs: number
+  backend: string
+  /** Requests in progress there, as far as known, and those of other nodes alone. */
+  running: number
+  runningElsewhere: number
+  /** Servers that could have taken the request too. */
+  alternatives: number
+  result: string
+}
+
 export interface RequestRecord {
   route: string
   service: string
@@ -51,6 +66,8 @@
   status: number
   durationMs: number
   firstByteMs: number | undefined
+  /** Time without a server to send to. */
+  waitedMs: number
   attempts: number
 }
 
@@ -79,6 +96,14 @@
   deadlineAtMs: number
 }
 
+interface Progress {
+  /** Sends after which a server may have the request. */
+  sends: number
+  waitedMs: number
+  tried: Set<string>
+  attempts: AttemptTrace[]
+}
+
 type Search =
   | { kind: 'found', server: BackendServer }
   | { kind: 'refused', reason: string, retryAfterMs: number }
@@ -93,6 +118,7 @@
   private readonly budgets = new Map<string, RetryBudget>()
   private isClosing = false
   private isRefusing = false
+  private plainRequests = 0
   active = 0
 
   constructor (options: RelayOptions) {
@@ -146,31 +172,44 @@
   private async serve (request: RelayRequest, reply: Reply): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
-    const tried = new Set<string>()
-    let sends = 0
-    const canMove = () => sends + 1 < request.route.maxAttempts && this.budgetOf(request.service.name).hasRetry() &&
-      this.choose(request, tried, true) !== undefined
+    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), attempts: [] }
+    const canMove = () => progress.sends + 1 < request.route.maxAttempts && this.budgetOf(request.service.name).hasRetry() &&
+      this.choose(request, progress.tried, true) !== undefined
     const exchange = new Exchange({ request, response: reply.response, codecs, clock, canMove })
     let result: AttemptResult | undefined
     for (;;) {
-      const search = await this.findServer(request, tried, { isRepeat: result !== undefined, hasLeft: () => exchange.hasClientLeft })
-      if (search.kind !== 'found') {
-        if (search.kind === 'left') return this.finish(request, { outcome: 'client-left', status: 0, exchange, sends, tried })
-        return this.answerWithout(request, reply, exchange, { result, search, sends, tried })
-      }
-      const { server } = search
-      tried.add(server.entry.id)
-      const { model, adapter } = request.facts
-      if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
-      result = await exchange.attempt(server)
-      if (result.kind !== 'unsent') sends++
+      const startMs = clock.nowMs()
+      const search = await this.findServer(request, progress.tried, { isRepeat: result !== undefined, hasLeft: () => exchange.hasClientLeft })
+      progress.waitedMs += clock.nowMs() - startMs
+      if (search.kind === 'left') return this.finish(request, exchange, progress, { outcome: 'client-left', status: 0 })
+      if (search.kind === 'refused') return this.answerWithout(request, reply, exchange, progress, { result, search })
+      result = await this.attempt(request, exchange, progress, search.server)
       if (result.kind === 'done' || result.kind === 'client-left') {
-        return this.finish(request, { outcome: result.kind, status: 200, exchange, sends, tried })
+        return this.finish(request, exchange, progress, { outcome: result.kind, status: reply.response.statusCode })
       }
-      if (!this.mayRepeat(request, exchange, result, sends)) return this.answerWithout(request, reply, exchange, { result, sends, tried })
+      if (!this.mayRepeat(request, exchange, result, progress.sends)) return this.answerWithout(request, reply, exchange, progress, { result })
     }
   }
 
+  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, server: BackendServer): Promise<AttemptResult> {
+    const { model, adapter } = request.facts
+    const trace: AttemptTrace = {
+      afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
+      backend: server.entry.id,
+      running: server.running,
+      runningElsewhere: server.runningElsewhere,
+      alternatives: this.able(request).length - 1,
+      result: 'in progress'
+    }
+    progress.attempts.push(trace)
+    progress.tried.add(server.entry.id)
+    if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
+    const result = await exchange.attempt(server)
+    if (result.kind !== 'unsent') progress.sends++
+    trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
+    return result
+  }
+
   /** Whether the request may be sent once more after `result`. Takes the repeat out of the budget. */
   private mayRepeat (request: RelayRequest, exchange: Exchange, result: AttemptResult, sends: number): boolean {
     const { route } = request
@@ -187,12 +226,12 @@
 
   /** Ends a request for which no further attempt is made. */
   private answerWithout (
-    request: RelayRequest, reply: Reply, exchange: Exchange,
-    { result, search, sends, tried }: { result: AttemptResult | undefined, search?: Extract<Search, { kind: 'refused' }>, sends: number, tried: Set<string> }
+    request: RelayRequest, reply: Reply, exchange: Exchange, progress: Progress,
+    { result, search }: { result: AttemptResult | undefined, search?: Extract<Search, { kind: 'refused' }> }
   ): void {
     if (exchange.hasBegun) {
       exchange.breakOff()
-      return this.finish(request, { outcome: 'broken-off', status: 0, exchange, sends, tried, reason: reasonOf(result) })
+      return this.finish(request, exchange, progress, { outcome: 'broken-off', status: 0, reason: reasonOf(result) })
     }
     const retryAfterMs = search?.retryAfterMs ?? busyRetryAfterMs
     match(result)
@@ -203,9 +242,7 @@
         ? reply.refuse(502, reason)
         : reply.refuse(503, reason, this.retryAfterMs(request, retryAfterMs)))
       .otherwise(() => reply.refuse(503, search?.reason ?? 'no backend server', this.retryAfterMs(request, retryAfterMs)))
-    this.finish(request, {
-      outcome: result?.kind ?? 'refused', status: reply.response.statusCode, exchange, sends, tried, reason: search?.reason ?? reasonOf(result)
-    })
+    this.finish(request, exchange, progress, { outcome: result?.kind ?? 'refused', status: reply.response.statusCode, reason: search?.reason ?? reasonOf(result) })
   }
 
   /** A time to return that leaves the client enough of its own. */
@@ -256,10 +293,9 @@
   }
 
   private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
-    const { settings, fleet } = this.options
-    const { model, adapter, sharedPrefix } = request.facts
-    const able = fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) &&
-      this.hasConnection(request, server) && hasRoom(request, server))
+    const { settings } = this.options
+    const { sharedPrefix } = request.facts
+    const able = this.able(request)
     let candidates = able.filter(server => !tried.has(server.entry.id))
     // A server that refused may have room again, but one that failed is not asked twice.
     if (candidates.length === 0 && !isRepeat) candidates = able
@@ -284,6 +320,13 @@
     })?.server
   }
 
+  /** Servers that can take the request now. */
+  private able (request: RelayRequest): BackendServer[] {
+    const { model, adapter } = request.facts
+    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) &&
+      this.hasConnection(request, server) && hasRoom(request, server))
+  }
+
   /** Whether a connection is kept or may be opened: all nodes share the server's connections. */
   private hasConnection (request: RelayRequest, server: BackendServer): boolean {
     const share = Math.max(minimumConnections, Math.floor(request.service.maxConnections * connectionShare / Math.max(1, this.options.nodeCount())))
@@ -305,8 +348,8 @@
   }
 
   private finish (
-    request: RelayRequest,
-    { outcome, status, exchange, sends, tried, reason }: { outcome: string, status: number, exchange: Exchange, sends: number, tried: ReadonlySet<string>, reason?: string | undefined }
+    request: RelayRequest, exchange: Exchange, progress: Progress,
+    { outcome, status, reason }: { outcome: string, status: number, reason?: string | undefined }
   ): void {
     const record: RequestRecord = {
       route: request.route.name,
@@ -314,18 +357,24 @@
       kind: request.route.kind,
       outcome,
       status,
-      durationMs: this.clock.nowMs() - request.arrivedAtMs,
-      firstByteMs: exchange.firstByteMs,
-      attempts: sends
+      durationMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
+      firstByteMs: exchange.firstByteMs === undefined ? undefined : Math.round(exchange.firstByteMs),
+      waitedMs: Math.round(progress.waitedMs),
+      attempts: progress.sends
     }
     this.options.onFinished?.(record)
-    if (outcome === 'done' && sends === 1) return
-    this.options.log('info', 'request not served plainly', {
+    const isPlain = outcome === 'done' && progress.sends === 1 && record.waitedMs < waitPollMs &&
+      (record.firstByteMs ?? 0) <= request.route.objectiveMs
+    if (isPlain && this.plainRequests++ % plainSample !== 0) return
+    this.options.log('info', isPlain ? 'request served (sample)' : 'request ended', {
       request: request.facts.requestId,
       ...record,
+      rank: request.route.rank,
+      deadlineMs: Math.round(request.deadlineAtMs - request.arrivedAtMs),
       model: request.facts.model,
       adapter: request.facts.adapter,
-      backends: [...tried],
+      configVersion: this.deployment?.version,
+      sends: progress.attempts,
       reason
     })
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -19,6 +19,7 @@
 import type { LeaderReport, NodeReport } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import { Relay } from './relay.js'
+import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
 import { StoreView } from './storeView.js'
 
@@ -45,6 +46,7 @@
   clock: Clock
   random: Random
   log: Log
+  metrics?: ServingMetrics
 }
 
 export class ServingNode {
@@ -69,7 +71,7 @@
   constructor (options: ServingNodeOptions) {
     this.options = options
     const { settings, codecs, store, clock, random, log } = options
-    this.fleet = new FleetView({ clock, log, regionOfZone: settings.regionOfZone })
+    this.fleet = new FleetView({ clock, log, regionOfZone: settings.regionOfZone, onConnectionOpened: () => options.metrics?.onConnection() })
     this.demand = new ModelDemand(clock)
     this.relay = new Relay({
       clock,
@@ -83,7 +85,8 @@
         retryShare: settings.retryBudget.share,
         retryAllowance: settings.retryBudget.allowance
       },
-      nodeCount: () => this.leadership.nodeCount
+      nodeCount: () => this.leadership.nodeCount,
+      onFinished: record => options.metrics?.onFinished(record)
     })
     this.calls = new EngineCalls(clock, codecs)
     this.demand.expectedReadyMs = (service, model, adapter) => this.expectedReadyMs(service, model, adapter)
@@ -119,6 +122,7 @@
       }
     })
     this.clients = this.createClientsServer()
+    if (options.metrics) this.watchMetrics(options.metrics)
     this.readiness = createServer((request, response) => {
       request.resume()
       response.writeHead(this.isReady ? 200 : 503, ['Content-Length', '0'])
@@ -126,6 +130,19 @@
     })
   }
 
+  /** Adds the values that are read at each scrape. */
+  private watchMetrics (metrics: ServingMetrics): void {
+    const { clock } = this.options
+    metrics.gauge('teaselrill_ready', '1 if the node takes clients', () => this.isReady ? 1 : 0)
+    metrics.gauge('teaselrill_config_version', 'Version of the configuration in force', () => this.deployment?.version ?? 0)
+    metrics.gauge('teaselrill_store_age_seconds', 'Time since the store last answered the watch', () => (clock.nowMs() - this.storeView.lastAnswerAtMs) / 1000)
+    metrics.gauge('teaselrill_requests_in_progress', 'Requests that are being answered', () => this.relay.active)
+    metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
+    metrics.gauge('teaselrill_backends_usable', 'Backend servers that take requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
+    metrics.gauge('teaselrill_nodes', 'Nodes that are registered in the store', () => this.leadership.nodeCount)
+    metrics.gauge('teaselrill_placement_leader', '1 if this node gives the orders to engines', () => this.placement ? 1 : 0)
+  }
+
   get isReady (): boolean {
     return !this.isStopping && this.deployment !== undefined && this.hasBackends
   }
@@ -210,6 +227,7 @@
       loadCeiling: settings.loadCeiling,
       ownReport: () => this.report(),
       broadcast: report => this.peers.broadcast(report),
+      onOrder: (action, outcome) => this.options.metrics?.onOrder(action, outcome),
       onDeposed: () => this.leadership.resign(),
       // Engines that check fences refuse a holder that was replaced, so an outage of the store needs no pause.
       mustHold: () => !settings.enginesCheckFences && this.leadership.isLeaseDoubtful
