Take the end of an answer without length for complete only if the server still accepts connections

Ruled out: a reset taken for a close, the log shows an orderly close. Test: fails first, passes now.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -42,6 +42,10 @@
   onIdle (connection: BackendConnection): void
   onClosed (connection: BackendConnection): void
   onBytes (): void
+  /** Whether the server accepts connections right now. */
+  confirmAlive (): Promise<boolean>
+  /** Called when the server has accepted the connection. */
+  onConnected? (): void
 }
 
 /** Reads the `timeout` of a `Keep-Alive` header, in milliseconds. */
@@ -62,6 +66,7 @@
   private keepsAlive = true
   private isConnected = false
   private isClosed = false
+  private isConfirming = false
   private cancelConnectTimer: CancelTimer
 
   constructor (options: ConnectionOptions) {
@@ -79,7 +84,7 @@
     this.socket.on('data', data => this.onData(data))
     this.socket.on('end', () => this.onServerClosed())
     this.socket.on('error', error => this.fail(error.message))
-    this.socket.on('close', () => this.fail('the connection was closed'))
+    this.socket.on('close', () => { if (!this.isConfirming) this.fail('the connection was closed') })
   }
 
   get isOpen (): boolean {
@@ -113,6 +118,7 @@
     this.cancelConnectTimer()
     this.isConnected = true
     this.options.onBytes()
+    this.options.onConnected?.()
     if (this.active) this.write()
   }
 
@@ -154,8 +160,17 @@
   }
 
   private onServerClosed (): void {
-    if (this.active && !this.active.isSkipping && this.reader.close()) return
-    this.fail('the server closed the connection')
+    if (this.active && !this.active.isSkipping && this.reader.endsWithConnection) void this.confirmEnd(this.active)
+    else this.fail('the server closed the connection')
+  }
+
+  /** The end of a server closes its connections just as the end of an answer without length does. */
+  private async confirmEnd (active: ActiveExchange): Promise<void> {
+    this.isConfirming = true
+    const isAlive = await this.options.confirmAlive()
+    this.isConfirming = false
+    if (this.active !== active) return this.fail('the connection was closed')
+    if (!isAlive || !this.reader.close()) this.fail('the server ended during an answer without length')
   }
 
   private fail (reason: string): void {
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -38,13 +38,36 @@
     this.dropStale()
     const kept = fresh ? undefined : this.idle.pop()
     if (kept) return kept
+    return this.openConnection()
+  }
+
+  /** Whether the server accepts a connection now. The connection is kept. */
+  confirmAlive (): Promise<boolean> {
+    return new Promise(resolve => {
+      const connection = this.openConnection({
+        onConnected: () => {
+          connection.idleSinceMs = this.clock.nowMs()
+          this.idle.push(connection)
+          resolve(true)
+        },
+        onFailed: () => resolve(false)
+      })
+    })
+  }
+
+  private openConnection ({ onConnected, onFailed }: { onConnected?: () => void, onFailed?: () => void } = {}): BackendConnection {
     this.onOpened()
     const connection = new BackendConnection({
       address: this.address,
       clock: this.clock,
       onIdle: idle => { this.idle.push(idle) },
-      onClosed: closed => this.remove(closed),
-      onBytes: () => { this.lastByteAtMs = this.clock.nowMs() }
+      onClosed: closed => {
+        this.remove(closed)
+        onFailed?.()
+      },
+      onBytes: () => { this.lastByteAtMs = this.clock.nowMs() },
+      confirmAlive: () => this.confirmAlive(),
+      ...(onConnected ? { onConnected } : {})
     })
     this.open.add(connection)
     return connection
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -44,9 +44,9 @@
     this.withoutBody = method === 'HEAD'
   }
 
-  /** Whether any byte of the present response has arrived. */
-  get hasBegun (): boolean {
-    return this.state !== 'head' || this.pending.length > 0
+  /** Whether the body has no length and ends with the connection. */
+  get endsWithConnection (): boolean {
+    return this.state === 'until-close'
   }
 
   push (input: Buffer): void {
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -108,6 +108,20 @@
     expect((await fixture.send('id1')).status).to.equal(502)
   })
 
+  it('completes a body without length only if its server is still there', async () => {
+    // Guards against taking the end of a server for the end of its answer.
+    await fixture.start([route({ maxAttempts: 1 })])
+    const script: Script = (socket, head, count) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${stamped(idOf(head))}\r\npart`, () => {
+        if (count === 2) fixture.closeListeners()
+        socket.end()
+      })
+    }
+    await fixture.addServer('a', script)
+    expect(await fixture.send('id1')).to.include({ status: 200, body: 'part' })
+    expect((await fixture.send('id2')).status).to.equal(502)
+  })
+
   it('answers at the timeout of the route and tells the engine what is left', async () => {
     await fixture.start([route({ timeoutMs: 150 })])
     await fixture.addServer('a', silent)
