--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -6,12 +6,6 @@
 const idleClaimMs = 6000
 /** Weight of a waiting or running request of rank 0; each further rank halves it. */
 const firstRankWeight = 4
-/** Requests of an urgent model from which it gets a second copy, so that the loss of an engine does not stop it for the time of a load. */
-const redundancyRequests = 5
-/** Ranks from 0 whose callers leave before a load from the weight store ends. */
-const urgentRanks = 2
-/** Requests that a missing second copy counts as. */
-const redundancyValue = 2
 /** Cost of removing a model that nobody has asked for yet: the demand for it may begin suddenly. */
 const unaskedCost = 0.3
 /** Part of a running request that the removal of a copy beyond need costs: it finishes, but its cached prompt is lost. */
@@ -83,10 +77,9 @@
 }
 
 /** Copies that a model needs for what runs and waits. */
-export function copiesNeeded ({ running, waiting, idleMs, rank }: ModelNeed, slots: number): number {
+export function copiesNeeded ({ running, waiting, idleMs }: ModelNeed, slots: number): number {
   if (running + waiting === 0) return idleMs < idleClaimMs ? 1 : 0
-  const minimum = rank < urgentRanks && running + waiting >= redundancyRequests ? 2 : 1
-  return Math.max(minimum, Math.ceil((running + waiting) / (slots * targetSlotShare)))
+  return Math.max(1, Math.ceil((running + waiting) / (slots * targetSlotShare)))
 }
 
 interface Want {
@@ -152,7 +145,7 @@
       const copies = this.copiesOf(need.model)
       const needed = this.neededOf(need)
       if (copies >= needed || need.running + need.waiting === 0) continue
-      const excess = copies === 0 ? need.waiting : Math.max(redundancyValue, need.running + need.waiting - copies * this.slots * targetSlotShare)
+      const excess = copies === 0 ? need.waiting : need.running + need.waiting - copies * this.slots * targetSlotShare
       wants.push({ need, copies, value: excess * rankWeight(need.rank) })
     }
     return wants.sort((left, right) => right.value - left.value)
