Pass on answers without length without claiming one

Ruled out: a reset taken for a close (none came within 150 ms), and the end of the server (it accepts connections).

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -19,6 +19,21 @@
   body: Buffer
 }
 
+/**
+ * Returns a whole answer. One whose body ended with the server's connection ends with the client's too: a length
+ * would claim that it is complete, which nothing proves.
+ */
+export function returnAnswer (response: ServerResponse, { head, body }: EngineAnswer, headers: string[]): void {
+  if (head.endsWithConnection) {
+    response.shouldKeepAlive = false
+    response.useChunkedEncodingByDefault = false
+    response.writeHead(head.status, head.statusText, [...headers, 'Connection', 'close'])
+  } else {
+    response.writeHead(head.status, head.statusText, [...headers, 'Content-Length', String(body.length)])
+  }
+  response.end(body)
+}
+
 export type AttemptResult =
   /** The answer has been returned whole. */
   | { kind: 'done' }
@@ -196,8 +211,7 @@
       const answer = { head: this.head!, body: Buffer.concat(this.chunks) }
       exchange.firstByteMs ??= exchange.clock.nowMs() - exchange.request.arrivedAtMs
       if (status >= 500 || exchange.hasBegun) return this.finish({ kind: 'answer', answer })
-      exchange.response.writeHead(status, answer.head.statusText, [...exchange.codecs.returnHeaders(answer.head), 'Content-Length', String(answer.body.length)])
-      exchange.response.end(answer.body)
+      returnAnswer(exchange.response, answer, exchange.codecs.returnHeaders(answer.head))
       return this.finish({ kind: 'done' })
     }
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -10,7 +10,7 @@
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, RequestFacts } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
-import { Exchange } from './exchange.js'
+import { Exchange, returnAnswer } from './exchange.js'
 import type { AttemptResult, EngineAnswer } from './exchange.js'
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
@@ -428,9 +428,7 @@
     this.response.end(body)
   }
 
-  answer ({ head, body }: EngineAnswer, headers: string[]): void {
-    if (this.response.destroyed) return
-    this.response.writeHead(head.status, head.statusText, [...headers, 'Content-Length', String(body.length)])
-    this.response.end(body)
+  answer (answer: EngineAnswer, headers: string[]): void {
+    if (!this.response.destroyed) returnAnswer(this.response, answer, headers)
   }
 }
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -13,6 +13,8 @@
   headers: Map<string, string>
   /** Whether the server keeps the connection open after this response. */
   keepsAlive: boolean
+  /** Whether the body has no length and ends with the connection. */
+  endsWithConnection: boolean
 }
 
 export interface ResponseSink {
@@ -99,7 +101,7 @@
     if (head.status >= 100 && head.status < 200) return rest
     const framing = framingOf(head, this.withoutBody)
     if (typeof framing === 'string') return this.invalid(framing)
-    if (framing.state === 'until-close') head.keepsAlive = false
+    if (framing.state === 'until-close') Object.assign(head, { keepsAlive: false, endsWithConnection: true })
     this.state = framing.state
     this.remainingBytes = framing.bytes
     this.sink.onHead(head)
@@ -174,7 +176,7 @@
   }
   const connection = (headers.get('connection') ?? '').toLowerCase()
   const keepsAlive = match[1] === '1' ? !/\bclose\b/.test(connection) : /\bkeep-alive\b/.test(connection)
-  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive }
+  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive, endsWithConnection: false }
 }
 
 function framingOf (head: ResponseHead, withoutBody: boolean): { state: State, bytes: number } | string {
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -122,6 +122,16 @@
     expect((await fixture.send('id2')).status).to.equal(502)
   })
 
+  it('gives an answer without length no length of its own', async () => {
+    // Guards against vouching for a body whose end nothing proves: a server may break it off and close in an orderly way.
+    await fixture.start([route({ maxAttempts: 1 })])
+    await fixture.addServer('a', (socket, head) => { socket.end(`HTTP/1.1 200 OK\r\n${stamped(idOf(head))}\r\npart`) })
+    const answer = await fixture.send('id1', { headers: { connection: 'keep-alive' } })
+    expect(answer).to.include({ status: 200, body: 'part' })
+    expect(answer.headers).to.include({ connection: 'close' })
+    expect(answer.headers).not.to.have.any.keys('content-length', 'transfer-encoding')
+  })
+
   it('answers at the timeout of the route and tells the engine what is left', async () => {
     await fixture.start([route({ timeoutMs: 150 })])
     await fixture.addServer('a', silent)
