--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -22,6 +22,8 @@
 const largestEngineShare = 0.6
 /** Cost of one request that runs on the engine and shares it with the new copy. */
 const sharedEngineCost = 0.02
+/** Cost of one second in which an engine with one adapter loads no others. */
+const adapterSecondCost = 0.5
 /** Value that a copy must bring beyond what it displaces, so that two models do not displace each other in turn. */
 const displacementRatio = 1.5
 /** A copy stays at least this long after its load, unless nobody claims it. */
@@ -38,6 +40,8 @@
 
 export interface HostEngine {
   id: string
+  /** Adapters that it holds; while it carries out an order on a model, it loads no others. */
+  adapters: number
   /** Whether an order may be given now. */
   isAvailable: boolean
   weightsMb: number
@@ -162,7 +166,8 @@
       const removalCost = unload.reduce((sum, copy) => sum + this.removalCost(copy), 0)
       if (removalCost > 0 && want.value < removalCost * displacementRatio) continue
       const delaySeconds = loadMs / 1000 + (unload.some(({ running }) => running > 0) ? drainSeconds : 0)
-      const cost = removalCost + delaySeconds * want.value * delayCostShare + engine.running * sharedEngineCost
+      const cost = removalCost + delaySeconds * want.value * delayCostShare + engine.running * sharedEngineCost +
+        engine.adapters * loadMs / 1000 * adapterSecondCost
       if (!best || cost < best.cost) best = { engine, unload, isFromStore, cost, removalCost }
     }
     return best
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -245,6 +245,7 @@
     const adaptersMb = [...server.hosted].reduce((sum, [name, { adapters }]) => sum + adapters.size * (modelOf.get(name)?.adapterMb ?? 0), 0)
     return {
       id: server.entry.id,
+      adapters: adapterCount(control),
       isAvailable: control.isSynced && !control.isMoving && server.isUsable && nowMs >= control.retryAtMs,
       weightsMb: engine.weightsMb,
       adaptersMb,
--- a/tests/hosting.spec.ts
+++ b/tests/hosting.spec.ts
@@ -13,7 +13,7 @@
 
 function engine (id: string, copies: HostedCopy[], changes: Partial<HostEngine> = {}): HostEngine {
   const running = copies.reduce((sum, { running }) => sum + running, 0)
-  return { id, isAvailable: true, weightsMb: 230, adaptersMb: 0, slots, running, copies, loadOf: () => ({ loadMs: 2400, isFromStore: true }), ...changes }
+  return { id, adapters: 0, isAvailable: true, weightsMb: 230, adaptersMb: 0, slots, running, copies, loadOf: () => ({ loadMs: 2400, isFromStore: true }), ...changes }
 }
 
 function need (model: string, changes: Partial<ModelNeed> = {}): ModelNeed {
@@ -46,6 +46,16 @@
     expect(moves.map(({ unload }) => unload).flat()).not.to.include('rising')
   })
 
+  it('keeps loads away from engines that load adapters', () => {
+    // Pattern: half of the short requests name adapters; an engine that loads a model for 9 s loads no adapter meanwhile.
+    const engines = [
+      engine('adapters', [copy('a', { running: 2 })], { adapters: 8 }),
+      engine('others', [copy('b', { running: 9 })])
+    ]
+    const needs = [need('a', { running: 2, rank: 0, idleMs: 0 }), need('b', { running: 9, idleMs: 0 }), need('c', { waiting: 3, idleMs: 0 })]
+    expect(plan(engines, needs)[0]).to.include({ engine: 'others', load: 'c' })
+  })
+
   it('displaces what was asked for long ago before what nobody has asked for', () => {
     // Pattern: rarely used models rotate while demand moves to models that were silent before.
     const moves = plan([engine('e1', [copy('silent'), copy('old'), copy('recent')])],
