--- /dev/null
+++ b/tests/explainLogs.spec.ts
@@ -0,0 +1,44 @@
+import { readFileSync } from 'node:fs'
+import { expect } from 'chai'
+import { explainFromLogs } from '../src/cli/explainLogs.js'
+
+// Lines of real processes on a played day, from several nodes.
+const lines = readFileSync(new URL('../../tests/fixtures/playedDay.log', import.meta.url), 'utf8').split('\n')
+
+function indexOf (sentences: string[], pattern: RegExp): number {
+  const index = sentences.findIndex(sentence => pattern.test(sentence))
+  expect(index, String(pattern)).not.to.equal(-1)
+  return index
+}
+
+describe('explanation from logs', () => {
+  it('explains a request that was refused though engines had room', () => {
+    const sentences = explainFromLogs(lines, '9535e5f086729ac2')
+    expect(sentences.at(-1)).to.match(/ended as refused with status 503 .* no engine is ready with xara69068b\/a3/)
+    expect(sentences.some(sentence => sentence.includes('sent it to'))).to.equal(false)
+  })
+
+  it('explains a request that lost its engine midway', () => {
+    const sentences = explainFromLogs(lines, 'a571c9b973ae2cf9')
+    indexOf(sentences, /sent it to i-f035ddf33b.*0 other servers could have taken it.*unknown: the server closed the connection/)
+    expect(sentences.at(-1)).to.match(/broken-off/)
+  })
+
+  it('explains a request that was late behind a model load', () => {
+    const sentences = explainFromLogs(lines, 'a8b8a341f00b1462')
+    const load = indexOf(sentences, /model move .*load miba2346ca/)
+    const sent = indexOf(sentences, /sent it to i-983852e28e/)
+    expect(load).to.be.below(sent)
+    indexOf(sentences, /waited 8745 ms/)
+  })
+
+  it('puts the lines of several nodes in the order of time', () => {
+    const sentences = explainFromLogs([...lines].reverse(), 'a8b8a341f00b1462')
+    const times = sentences.map(sentence => sentence.slice(0, 12))
+    expect(times).to.deep.equal([...times].sort())
+  })
+
+  it('passes over foreign lines and unknown requests', () => {
+    expect(explainFromLogs(['garbage', '{"half":', '12:00 host {"time":"2026-01-01T00:00:00Z","event":"x"}'], 'r')).to.deep.equal([])
+  })
+})
--- /dev/null
+++ b/tests/servingNode.spec.ts
@@ -0,0 +1,136 @@
+import { request as httpRequest } from 'node:http'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import { silentLog } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
+import { codecs } from '../src/platform/httpNames.js'
+import { ServingNode } from '../src/serving/servingNode.js'
+import type { ServingSettings } from '../src/serving/settings.js'
+import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
+import { answerOf, idOf } from './fixtures/serving.js'
+
+function freePort (): Promise<number> {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => resolve(port))
+    })
+  })
+}
+
+function config (version: number, prefix = '/a/'): string {
+  return JSON.stringify({
+    version,
+    routes: [{ name: 'r', host: 'h', path_prefix: prefix, kind: 'unsafe', timeout_ms: 5000, goal_ms: 300, priority: 0, service: 's', max_attempts: 1 }],
+    services: [{ name: 's', max_conns: 50 }],
+    limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
+  })
+}
+
+const beat = (address: string, state = 'ready') => JSON.stringify({ service: 's', address, zone: 'z', slots: 4, state, seq: 1, born: 1 })
+
+function get (port: number, path: string): Promise<{ status: number, body: string, connection: string | undefined }> {
+  return new Promise((resolve, reject) => {
+    httpRequest({ host: '127.0.0.1', port, path, headers: { host: 'h', 'x-attempt-id': 'id', connection: 'keep-alive' }, agent: false }, response => {
+      let body = ''
+      response.on('data', data => { body += data })
+      response.on('end', () => resolve({ status: response.statusCode!, body, connection: response.headers.connection }))
+    }).on('error', reject).end()
+  })
+}
+
+async function until (condition: () => Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 200; tries++) {
+    if (await condition()) return
+    await new Promise(resolve => setTimeout(resolve, 25))
+  }
+  expect.fail('the condition did not come true')
+}
+
+describe('serving node', () => {
+  let state: StoreState
+  let store: MemoryStore
+  let node: ServingNode
+  let ports: { clients: number, ready: number, peers: number }
+  let backend: ReturnType<typeof createServer>
+  let answerDelayMs = 0
+
+  beforeEach(async () => {
+    const clock = new SystemClock()
+    state = new StoreState(clock)
+    store = new MemoryStore(state)
+    ports = { clients: await freePort(), ready: await freePort(), peers: await freePort() }
+    const settings: ServingSettings = {
+      node: 'n', ip: '127.0.0.1', availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `127.0.0.1:${ports.clients}`, readinessAddress: `127.0.0.1:${ports.ready}`, peersPort: ports.peers, metricsPort: 0, maxDescriptors: 4000, store: { address: '', minimumLeaseMs: 1000 }, drainMs: 2500, shutdownMs: 8000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadCeiling: { windowMs: 5000, excess: 1.1 }
+    }
+    answerDelayMs = 0
+    backend = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', data => setTimeout(() => socket.write(answerOf(idOf(data.toString()), 'ok')), answerDelayMs))
+    })
+    await new Promise<void>(resolve => backend.listen(0, '127.0.0.1', resolve))
+    node = new ServingNode({ settings, codecs, store, clock, random: new SeededRandom(1), log: silentLog })
+    await node.start()
+  })
+
+  afterEach(async () => {
+    await node.stop()
+    backend.close()
+  })
+
+  const isReady = async () => (await get(ports.ready, '/readiness')).status === 200
+  const publish = () => {
+    state.write('op/config', config(4))
+    state.write('servers/i1', beat(`127.0.0.1:${(backend.address() as AddressInfo).port}`))
+  }
+
+  it('is not ready and refuses until it knows a configuration', async () => {
+    expect(await isReady()).to.equal(false)
+    expect((await get(ports.clients, '/a/')).status).to.equal(503)
+    publish()
+    await until(isReady)
+    await until(async () => (await get(ports.clients, '/a/')).status === 200)
+  })
+
+  it('takes up a newer configuration and never goes back', async () => {
+    publish()
+    await until(isReady)
+    state.write('op/config', config(9, '/b/'))
+    await until(async () => (await get(ports.clients, '/a/')).status === 404)
+    state.write('op/config', config(6))
+    state.compact()
+    await new Promise(resolve => setTimeout(resolve, 300))
+    expect((await get(ports.clients, '/a/')).status).to.equal(404)
+  })
+
+  it('goes on serving while the store is down', async () => {
+    publish()
+    await until(async () => (await get(ports.clients, '/a/')).status === 200)
+    store.fault = 'refuses'
+    await new Promise(resolve => setTimeout(resolve, 600))
+    expect((await get(ports.clients, '/a/')).status).to.equal(200)
+    expect(await isReady()).to.equal(true)
+  })
+
+  it('sends nothing to a server that says it is leaving', async () => {
+    publish()
+    await until(async () => (await get(ports.clients, '/a/')).status === 200)
+    state.write('servers/i1', beat(`127.0.0.1:${(backend.address() as AddressInfo).port}`, 'draining'))
+    await until(async () => (await get(ports.clients, '/a/')).status === 503)
+  })
+
+  it('finishes what is in progress at a shutdown, and closes connections', async () => {
+    publish()
+    await until(async () => (await get(ports.clients, '/a/')).status === 200)
+    answerDelayMs = 3000
+    const answer = get(ports.clients, '/a/')
+    await new Promise(resolve => setTimeout(resolve, 100))
+    const stopped = node.stop()
+    expect(await isReady()).to.equal(false)
+    expect(await answer).to.include({ status: 200, body: 'ok' })
+    await stopped
+  })
+})
--- /dev/null
+++ b/tests/storeClient.spec.ts
@@ -0,0 +1,83 @@
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import { NotRunError, UnknownOutcomeError } from '../src/base/errors.js'
+import { StoreClient } from '../src/platform/storeClient.js'
+
+type Handler = (request: IncomingMessage, response: ServerResponse, body: string) => void
+
+const base64 = (text: string) => Buffer.from(text).toString('base64')
+
+describe('store client', () => {
+  let server: Server
+  let client: StoreClient
+  let handle: Handler
+
+  beforeEach(async () => {
+    server = createServer((request, response) => {
+      let body = ''
+      request.on('data', data => { body += data })
+      request.on('end', () => handle(request, response, body))
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    client = new StoreClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, new SystemClock())
+  })
+
+  afterEach(async () => {
+    await client.close()
+    server.closeAllConnections()
+    server.close()
+  })
+
+  const json = (response: ServerResponse, status: number, value: unknown) => response.writeHead(status).end(JSON.stringify(value))
+
+  it('reads all pages and starts watching at the first', async () => {
+    // Guards against missing a change that was made between two pages.
+    handle = (request, response) => request.url!.includes('after=')
+      ? json(response, 200, { items: [{ key: 'b', value: base64('2'), revision: 9 }], has_more: false, as_of: 12 })
+      : json(response, 200, { items: [{ key: 'a', value: base64('1'), revision: 3 }], has_more: true, as_of: 8 })
+    expect(await client.list('')).to.deep.equal({ items: [{ key: 'a', value: '1', revision: 3 }, { key: 'b', value: '2', revision: 9 }], revision: 8 })
+  })
+
+  it('tells changes, removals and lost history apart', async () => {
+    handle = (_request, response) => json(response, 200, { events: [{ key: 'a', value: base64('x'), revision: 4 }, { key: 'b', revision: 5, tombstone: true }], as_of: 5 })
+    expect(await client.watch('', 3, { waitMs: 10 })).to.deep.equal({ kind: 'changes', changes: [{ key: 'a', revision: 4, value: 'x' }, { key: 'b', revision: 5 }], revision: 5 })
+    handle = (_request, response) => json(response, 410, {})
+    expect(await client.watch('', 3, { waitMs: 10 })).to.deep.equal({ kind: 'history-lost' })
+  })
+
+  it('tells a commit from a conflict and an ended lease', async () => {
+    let sent: unknown
+    handle = (_request, response, body) => {
+      sent = JSON.parse(body)
+      json(response, 200, { revision: 7 })
+    }
+    expect(await client.commit({ expected: [{ key: 'k', revision: 0 }], writes: [{ key: 'k', value: 'v', leaseId: 5 }] })).to.deep.equal({ kind: 'committed', revision: 7 })
+    expect(sent).to.deep.equal({ expected: [{ key: 'k', revision: 0 }], writes: [{ key: 'k', value: base64('v'), lease: 5 }], remove: [] })
+    handle = (_request, response) => json(response, 412, { items: [{ key: 'k', value: base64('w'), revision: 6 }] })
+    expect(await client.commit({ expected: [] })).to.deep.equal({ kind: 'conflict', items: [{ key: 'k', value: 'w', revision: 6 }] })
+    handle = (_request, response) => json(response, 404, {})
+    expect(await client.commit({ expected: [] })).to.deep.equal({ kind: 'lease-ended' })
+  })
+
+  it('knows which calls the store did not take', async () => {
+    const errorOf = (call: Promise<unknown>) => call.then(() => undefined, error => error)
+    for (const status of [429, 503]) {
+      handle = (_request, response) => json(response, status, {})
+      expect(await errorOf(client.commit({ expected: [] }))).to.be.instanceOf(NotRunError)
+    }
+    handle = request => { request.socket.resetAndDestroy() }
+    expect(await errorOf(client.commit({ expected: [] }))).to.be.instanceOf(UnknownOutcomeError)
+    handle = (_request, response) => response.writeHead(200).end('not json')
+    expect(await errorOf(client.commit({ expected: [] }))).to.be.instanceOf(UnknownOutcomeError)
+    handle = () => {}
+    expect(await errorOf(client.watch('', 1, { waitMs: 10 }))).to.be.instanceOf(UnknownOutcomeError)
+  })
+
+  it('tells a kept lease from an ended one', async () => {
+    handle = (request, response) => json(response, request.url === '/kv-keep/5' ? 200 : 404, { ttl_ms: 3000 })
+    expect([await client.keepLease(5), await client.keepLease(6)]).to.deep.equal([true, false])
+  })
+})
