--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -13,6 +13,7 @@
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'IP:PORT')
 const positive = z.number().positive()
 
+// The defaults are the values of the deployments that are known; a platform that leaves a bound out has the usual one.
 const settingsSchema = z.object({
   node: z.string().min(1),
   ip: z.string(),
@@ -23,16 +24,13 @@
   listen: z.object({ front: address, ready: address }),
   limits: z.object({ max_fds: positive.default(4100) }).default({ max_fds: 4100 }),
   bounds: z.object({
-    contact_ms: positive.default(4000),
-    drain_ms: positive.default(2500),
     grace_s: positive.default(8),
     budget_ratio: z.number().default(0.2),
     budget_window_s: positive.default(10),
     budget_slack: z.number().default(50),
     fence_required: z.boolean().default(false),
     lease_ms: positive.default(3000),
-    ceiling_window_s: positive.default(5),
-    ceiling_excess: positive.default(1.1)
+    ceiling_window_s: positive.default(5)
   }),
   platform: z.object({ address, ttl_min_ms: positive.default(1000) })
 })
@@ -63,15 +61,14 @@
     clientsAddress: listen.front,
     readinessAddress: listen.ready,
     peersPort: own.port_range[0],
-    metricsPort: own.port_range[1],
     maxDescriptors: limits.max_fds,
     store: { address: platform.address, minimumLeaseMs: platform.ttl_min_ms },
-    drainMs: bounds.drain_ms,
     shutdownMs: bounds.grace_s * 1000,
     retryBudget: { share: bounds.budget_ratio, windowMs: bounds.budget_window_s * 1000, allowance: bounds.budget_slack },
     enginesCheckFences: bounds.fence_required,
     // Orders of two holders to one engine must be further apart than this.
     holderGapMs: bounds.lease_ms,
-    loadCeiling: { windowMs: bounds.ceiling_window_s * 1000, excess: bounds.ceiling_excess }
+    // The platform allows some loads beyond the rate; they are left for a predecessor's loads.
+    loadWindowMs: bounds.ceiling_window_s * 1000
   }
 }
--- a/src/policy/retry.ts
+++ b/src/policy/retry.ts
@@ -3,21 +3,23 @@
 import type { Clock } from '../base/clock.js'
 import type { Random } from '../base/random.js'
 
-const windowMs = 10_000
+const defaultWindowMs = 10_000
 const baseDelayMs = 50
 const maxDelayMs = 2_000
 /** Retries that a node with little traffic may make in a window. */
 const minimumRetries = 1
 
-/** Allows retries up to a part of the requests of the last 10 s, and `allowance` beyond. */
+/** Allows retries up to a part of the requests of the last window, and `allowance` beyond. */
 export class RetryBudget {
   private readonly clock: Clock
   private readonly share: () => number
   private readonly allowance: () => number
+  private readonly windowMs: number
   private requestTimes: number[] = []
   private retryTimes: number[] = []
 
-  constructor ({ clock, share, allowance = () => 0 }: { clock: Clock, share: () => number, allowance?: () => number }) {
+  constructor ({ clock, share, allowance = () => 0, windowMs = defaultWindowMs }: { clock: Clock, share: () => number, allowance?: () => number, windowMs?: number }) {
+    this.windowMs = windowMs
     this.clock = clock
     this.share = share
     this.allowance = allowance
@@ -42,7 +44,7 @@
   }
 
   private trim (): void {
-    const sinceMs = this.clock.nowMs() - windowMs
+    const sinceMs = this.clock.nowMs() - this.windowMs
     this.requestTimes = this.requestTimes.filter(time => time > sinceMs)
     this.retryTimes = this.retryTimes.filter(time => time > sinceMs)
   }
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -80,7 +80,8 @@
   fence: number
   /** Time before the first order, since another holder may have given one just before. */
   startDelayMs: number
-  loadCeiling: { windowMs: number, excess: number }
+  /** Window over which the weight store's rate holds. */
+  loadWindowMs: number
   /** Report of this node itself. */
   ownReport: () => NodeReport
   broadcast: (report: LeaderReport) => void
@@ -231,8 +232,8 @@
   private rateOf (service: string, engine: EngineType): LoadRate {
     let rate = this.rates.get(service)
     if (!rate) {
-      const { clock, loadCeiling } = this.options
-      rate = new LoadRate({ clock, windowMs: loadCeiling.windowMs, loadsPerSecond: engine.storeLoadsPerSecond })
+      const { clock, loadWindowMs } = this.options
+      rate = new LoadRate({ clock, windowMs: loadWindowMs, loadsPerSecond: engine.storeLoadsPerSecond })
       this.rates.set(service, rate)
     }
     return rate
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -37,12 +37,17 @@
 const fullRetryAfterMs = 1200
 /** Part of the callers' patience that the wait for a model may use; the rest is for the first event. */
 const waitShare = 0.75
+/** Part of the fleet's repeats that the nodes use, since they do not see each other's windows. */
+const budgetShare = 0.7
+/** Part of a backend server's connections that the nodes use; the rest is for restarted nodes whose old connections linger. */
+const connectionShare = 0.9
+const minimumConnections = 4
 
 export interface RelaySettings {
   region: string
   availabilityZone: string
-  retryShare: number
-  retryAllowance: number
+  /** Repeats that all nodes together may send to a service within the window: a share of its requests, and an allowance. */
+  retryBudget: { share: number, windowMs: number, allowance: number }
 }
 
 /** One attempt of a request, for its log line. */
@@ -336,11 +341,12 @@
   private budgetOf (service: string): RetryBudget {
     let budget = this.budgets.get(service)
     if (!budget) {
-      const { retryShare, retryAllowance } = this.options.settings
+      const { share, windowMs, allowance } = this.options.settings.retryBudget
       budget = new RetryBudget({
         clock: this.clock,
-        share: () => retryShare * budgetShare,
-        allowance: () => retryAllowance * budgetShare / Math.max(1, this.options.nodeCount())
+        windowMs,
+        share: () => share * budgetShare,
+        allowance: () => allowance * budgetShare / Math.max(1, this.options.nodeCount())
       })
       this.budgets.set(service, budget)
     }
@@ -386,12 +392,6 @@
   return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
 }
 
-/** Part of the fleet's repeats that the nodes use, since they do not see each other's windows. */
-const budgetShare = 0.7
-/** Part of a backend server's connections that the nodes use; the rest is for restarted nodes whose old connections linger. */
-const connectionShare = 0.9
-const minimumConnections = 4
-
 function reasonOf (result: AttemptResult | undefined): string | undefined {
   return result && 'reason' in result ? result.reason : undefined
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -82,8 +82,7 @@
       settings: {
         region: settings.region,
         availabilityZone: settings.availabilityZone,
-        retryShare: settings.retryBudget.share,
-        retryAllowance: settings.retryBudget.allowance
+        retryBudget: settings.retryBudget
       },
       nodeCount: () => this.leadership.nodeCount,
       onFinished: record => options.metrics?.onFinished(record)
@@ -224,7 +223,7 @@
       node: settings.node,
       fence,
       startDelayMs: settings.enginesCheckFences ? successionDelayMs : settings.holderGapMs,
-      loadCeiling: settings.loadCeiling,
+      loadWindowMs: settings.loadWindowMs,
       ownReport: () => this.report(),
       broadcast: report => this.peers.broadcast(report),
       onOrder: (action, outcome) => this.options.metrics?.onOrder(action, outcome),
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -12,11 +12,8 @@
   readinessAddress: string
   /** Port for the other nodes, the same on all of them. */
   peersPort: number
-  metricsPort: number
   maxDescriptors: number
   store: { address: string, minimumLeaseMs: number }
-  /** Time after which a leaving backend server gets no more requests. */
-  drainMs: number
   /** Time from SIGTERM to SIGKILL. */
   shutdownMs: number
   /** Repeats that all nodes together may send to a service within the window. */
@@ -24,5 +21,6 @@
   enginesCheckFences: boolean
   /** Time that must pass between the orders of two holders to one engine. */
   holderGapMs: number
-  loadCeiling: { windowMs: number, excess: number }
+  /** Window over which the weight store's rate holds. */
+  loadWindowMs: number
 }
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -44,7 +44,7 @@
       node: `n${fence}`,
       fence,
       startDelayMs: 1000,
-      loadCeiling: { windowMs: 5000, excess: 1.1 },
+      loadWindowMs: 5000,
       ownReport: () => report,
       broadcast: () => {},
       onDeposed: () => {},
