--- a/tests/explainLogs.spec.ts
+++ b/tests/explainLogs.spec.ts
@@ -3,7 +3,7 @@
 import { explainFromLogs } from '../src/cli/explainLogs.js'
 
 // Lines of real processes on a played day, from several nodes.
-const lines = readFileSync(new URL('../../tests/fixtures/playedDay.log', import.meta.url), 'utf8').split('\n')
+const lines = readFileSync(new URL('../../tests/fixtures/playedDay.jsonl', import.meta.url), 'utf8').split('\n')
 
 function indexOf (sentences: string[], pattern: RegExp): number {
   const index = sentences.findIndex(sentence => pattern.test(sentence))
