Remove a field and an option that nothing reads

Cause: read-through of the change: the cost of a removal was kept in each option of the hosting plan after it had been used, and no caller asks the pool for a fresh connection. No behaviour changes.

--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -97,7 +97,6 @@
   unload: HostedCopy[]
   isFromStore: boolean
   cost: number
-  removalCost: number
 }
 
 /** Moves to start now, the most valuable first; at most one for each engine. */
@@ -168,7 +167,7 @@
       const delaySeconds = loadMs / 1000 + (unload.some(({ running }) => running > 0) ? drainSeconds : 0)
       const cost = removalCost + delaySeconds * want.value * delayCostShare + engine.running * sharedEngineCost +
         engine.adapters * loadMs / 1000 * adapterSecondCost
-      if (!best || cost < best.cost) best = { engine, unload, isFromStore, cost, removalCost }
+      if (!best || cost < best.cost) best = { engine, unload, isFromStore, cost }
     }
     return best
   }
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -34,9 +34,9 @@
   }
 
   /** The connection that was used last, or a new one. */
-  acquire ({ fresh = false }: { fresh?: boolean } = {}): BackendConnection {
+  acquire (): BackendConnection {
     this.dropStale()
-    const kept = fresh ? undefined : this.idle.pop()
+    const kept = this.idle.pop()
     if (kept) return kept
     return this.openConnection()
   }
