Follow the store through the placement leader

Cause: each node watched all keys of the store, and each heartbeat of a backend server ended every watch.

Change: the leader alone watches all the time. It passes on what matters to the others, with the range of revisions that it covers, and they look at the store themselves when its view is older than 1 s. Leases are held by the leader alone; the number of nodes is counted by the leader and kept in the store. Larger nodes stand for election first.

Ruled out: stale reads instead of watches (a tenth of the price, but a poll for each bound of the configuration at each node); longer batches alone (a quarter of the calls at best).

--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -22,7 +22,12 @@
   port_range: z.tuple([z.number().int(), z.number().int()]),
   zones: z.record(z.string(), z.string()),
   listen: z.object({ front: address, ready: address }),
-  limits: z.object({ max_fds: positive.default(4100) }).default({ max_fds: 4100 }),
+  limits: z.object({
+    max_fds: positive.default(4100),
+    cpu_share: positive.default(1),
+    // How many times as fast the processor is, not a number of processors.
+    cores: positive.default(1)
+  }).default({ max_fds: 4100, cpu_share: 1, cores: 1 }),
   bounds: z.object({
     grace_s: positive.default(8),
     budget_ratio: z.number().default(0.2),
@@ -62,6 +67,7 @@
     readinessAddress: listen.ready,
     peersPort: own.port_range[0],
     maxDescriptors: limits.max_fds,
+    cores: limits.cpu_share * limits.cores,
     store: { address: platform.address, minimumLeaseMs: platform.ttl_min_ms },
     shutdownMs: bounds.grace_s * 1000,
     retryBudget: { share: bounds.budget_ratio, windowMs: bounds.budget_window_s * 1000, allowance: bounds.budget_slack },
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -35,8 +35,9 @@
     for (const listener of this.listeners) listener()
   }
 
-  onOutageEnded (): void {
-    this.outageEndedAtMs = this.options.clock.nowMs()
+  /** The store answers again since `atMs`. */
+  onOutageEnded (atMs: number): void {
+    this.outageEndedAtMs = Math.max(this.outageEndedAtMs, atMs)
   }
 
   put (entry: BackendEntry): void {
--- a/src/serving/leadership.ts
+++ b/src/serving/leadership.ts
@@ -1,4 +1,4 @@
-/** Keeps this node's lease at the store, and the office of placement leader if it holds it. */
+/** Elects the placement leader, and keeps its lease at the store while this node is it. */
 
 import { sleep } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
@@ -7,12 +7,14 @@
 import type { Random } from '../base/random.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 
-/** Lease of a node; a dead leader is replaced after it. */
+/** Lease of the leader, which is replaced after it when it died. */
 const leaseTtlMs = 3000
 const renewalMs = 900
 const retryMs = 300
 /** Nodes that see the office vacant try at different times, so that few write. */
 const electionSpreadMs = 150
+/** Delay of a candidate with one core; larger ones come first, since the leader works for all nodes. */
+const oneCoreDelayMs = 150
 
 export interface Leader {
   node: string
@@ -30,6 +32,8 @@
   prefix: string
   node: string
   ip: string
+  /** Processor time that the node has, in cores. */
+  cores: number
   minimumLeaseMs: number
   /** Called when this node wins or loses the office. */
   onOwnOffice (fence: number | undefined): void
@@ -40,28 +44,26 @@
 export class Leadership {
   private readonly options: LeadershipOptions
   private readonly leaderKey: string
-  private readonly nodesPrefix: string
   /** Tells this process's writes from those of an earlier process of the node. */
   private readonly incarnation: string
-  private readonly nodes = new Set<string>()
   private leaseId: number | undefined
   /** Time at which the last successful renewal was sent. */
   private renewedAtMs = -Infinity
-  private isRegistered = false
   private isStopped = false
   private ownFence: number | undefined
   private isElecting = false
+  /** Whether the store was seen without a leader. */
+  private isVacant = false
   leader: Leader | undefined
 
   constructor (options: LeadershipOptions) {
     this.options = options
     this.leaderKey = `${options.prefix}leader`
-    this.nodesPrefix = `${options.prefix}nodes/`
     this.incarnation = options.random.next().toString(36).slice(2, 10)
   }
 
-  get nodeCount (): number {
-    return Math.max(1, this.nodes.size)
+  get isLeader (): boolean {
+    return this.ownFence !== undefined
   }
 
   /** Whether the lease runs out unless it is renewed at once. */
@@ -74,7 +76,8 @@
     while (!this.isStopped) {
       let delayMs = renewalMs
       try {
-        await this.renew()
+        if (this.ownFence !== undefined) await this.renew()
+        else if (this.leader === undefined && this.isVacant) await this.elect()
       } catch (error) {
         log('warn', 'lease not renewed', { error: messageOf(error), leaseId: this.leaseId })
         delayMs = retryMs
@@ -97,21 +100,13 @@
   }
 
   onItems (items: readonly StoreItem[]): void {
-    this.nodes.clear()
-    const leader = items.find(({ key }) => key === this.leaderKey)
-    for (const { key } of items) if (key.startsWith(this.nodesPrefix)) this.nodes.add(key)
-    this.onChange(leader ?? { key: this.leaderKey, revision: 0 })
+    this.onChange(items.find(({ key }) => key === this.leaderKey) ?? { key: this.leaderKey, revision: 0 })
   }
 
   onChange ({ key, value, revision }: StoreChange): void {
-    if (key.startsWith(this.nodesPrefix)) {
-      if (value === undefined) this.nodes.delete(key)
-      else this.nodes.add(key)
-      if (value === undefined && key === this.nodesPrefix + this.options.node) this.isRegistered = false
-      return
-    }
     if (key !== this.leaderKey) return
     if (value === undefined) return this.onVacant()
+    this.isVacant = false
     const [node, ip, incarnation] = value.split(' ')
     if (node === this.options.node && incarnation === this.incarnation) return this.winOffice(revision)
     this.loseOffice(`${node} is the leader`)
@@ -124,25 +119,18 @@
   private async renew (): Promise<void> {
     const { store, clock, log } = this.options
     const sentAtMs = clock.nowMs()
-    if (this.leaseId !== undefined && !(await store.keepLease(this.leaseId))) {
-      log('warn', 'lease ended', { leaseId: this.leaseId })
-      this.leaseId = undefined
-    }
-    if (this.leaseId === undefined) {
-      this.isRegistered = false
-      this.leaseId = await store.grantLease(Math.max(leaseTtlMs, this.options.minimumLeaseMs))
-    }
-    this.renewedAtMs = sentAtMs
-    if (this.leader === undefined && this.ownFence === undefined) this.onVacant()
-    if (!this.isRegistered) {
-      const result = await store.commit({
-        expected: [], writes: [{ key: this.nodesPrefix + this.options.node, value: this.options.ip, leaseId: this.leaseId }]
-      })
-      if (result.kind === 'committed') this.isRegistered = true
+    if (this.leaseId !== undefined && await store.keepLease(this.leaseId)) {
+      this.renewedAtMs = sentAtMs
+      return
     }
+    log('warn', 'lease ended', { leaseId: this.leaseId })
+    this.leaseId = undefined
+    // The watch tells that the leader's key is gone, or who holds it now.
+    this.loseOffice('the lease has ended')
   }
 
   private onVacant (): void {
+    this.isVacant = true
     this.loseOffice('the office is vacant')
     if (this.leader) {
       this.leader = undefined
@@ -152,18 +140,21 @@
   }
 
   private async elect (): Promise<void> {
-    const { store, clock, random, log, node, ip } = this.options
-    if (this.isElecting || this.isStopped || this.leaseId === undefined) return
+    const { store, clock, random, log, node, ip, cores, minimumLeaseMs } = this.options
+    if (this.isElecting || this.isStopped) return
     this.isElecting = true
     try {
-      await sleep(clock, random.next() * electionSpreadMs)
-      if (this.leader !== undefined || this.isStopped || this.leaseId === undefined) return
+      await sleep(clock, random.next() * electionSpreadMs + oneCoreDelayMs / cores)
+      if (!this.isVacant || this.isStopped) return
+      const sentAtMs = clock.nowMs()
+      this.leaseId = await store.grantLease(Math.max(leaseTtlMs, minimumLeaseMs))
       const result = await store.commit({
         expected: [{ key: this.leaderKey, revision: 0 }],
         writes: [{ key: this.leaderKey, value: `${node} ${ip} ${this.incarnation}`, leaseId: this.leaseId }]
       })
-      if (result.kind === 'committed') this.winOffice(result.revision)
-      else if (result.kind === 'lease-ended') this.leaseId = undefined
+      if (result.kind !== 'committed') return
+      this.renewedAtMs = sentAtMs
+      this.winOffice(result.revision)
     } catch (error) {
       // If the write took effect, the watch tells.
       log('warn', 'election not decided', { error: messageOf(error) })
@@ -175,6 +166,7 @@
   private winOffice (fence: number): void {
     if (this.ownFence === fence || this.isStopped) return
     this.ownFence = fence
+    this.isVacant = false
     this.leader = { node: this.options.node, ip: this.options.ip, fence }
     this.options.log('info', 'placement leader is this node', { fence })
     this.options.onOwnOffice(fence)
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -38,8 +38,12 @@
   }
 
   send (message: unknown): void {
+    this.sendFrame(encodeFrame(message))
+  }
+
+  sendFrame (frame: Uint8Array): void {
     if (this.socket.writableLength > maxBufferedBytes) this.socket.destroy()
-    else if (this.socket.writable) this.socket.write(encodeFrame(message))
+    else if (this.socket.writable) this.socket.write(frame)
   }
 }
 
@@ -117,8 +121,14 @@
     })
   }
 
+  get linkCount (): number {
+    return this.links.size
+  }
+
   broadcast (report: LeaderReport): void {
-    for (const link of this.links) link.send(report)
+    if (this.links.size === 0) return
+    const frame = encodeFrame(report)
+    for (const link of this.links) link.sendFrame(frame)
   }
 
   stop (): void {
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -1,6 +1,8 @@
 /** Messages between the nodes and the placement leader. */
 
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { z } from 'zod'
+import { decodeBody, encodeBody } from '../protocol/framing.js'
 
 /** What a node tells the leader, several times a second. Rows instead of objects, since the bytes cross regions. */
 export const nodeReportSchema = z.object({
@@ -23,9 +25,49 @@
 /** Name, time until it is ready, phase, adapters. */
 const modelRowSchema = z.tuple([z.string(), z.number(), hostedPhaseSchema, z.array(adapterRowSchema)])
 
+/** Key, revision, value (`null`: the key was removed). */
+const changeRowsSchema = z.array(z.tuple([z.string(), z.number(), z.string().nullable()]))
+export type ChangeRows = z.infer<typeof changeRowsSchema>
+
+/** Changes of the store after one revision and up to another, without those that matter only to the leader. */
+export interface RelayedChanges {
+  fromRevision: number
+  revision: number
+  changes: ChangeRows
+}
+
+/** What the leader knows of the store. */
+export const storeNewsSchema = z.object({
+  fromRevision: z.number(),
+  revision: z.number(),
+  /** Compressed rows, since a configuration goes to all nodes at once; empty if there are none. */
+  changes: z.custom<Uint8Array>(value => value instanceof Uint8Array),
+  /** Time since the store last answered the leader. */
+  ageMs: z.number(),
+  nodeCount: z.number(),
+  /** Time since the end of the last outage that the leader saw. */
+  returnedMsAgo: z.number().nullable()
+})
+export type StoreNews = z.infer<typeof storeNewsSchema>
+
+export function packChanges (rows: ChangeRows): Uint8Array {
+  return rows.length === 0 ? new Uint8Array() : deflateRawSync(encodeBody(rows))
+}
+
+export function unpackChanges (bytes: Uint8Array): ChangeRows | Error {
+  if (bytes.length === 0) return []
+  try {
+    return decodeBody(inflateRawSync(bytes), changeRowsSchema)
+  } catch (error) {
+    return error as Error
+  }
+}
+
 /** What the leader tells the nodes. */
 export const leaderReportSchema = z.object({
   fence: z.number(),
+  /** Absent if the message is only about engines. */
+  news: storeNewsSchema.optional(),
   /** Engine, models: engines that changed since the last report. */
   hosting: z.array(z.tuple([z.string(), z.array(modelRowSchema)])),
   /** Engine, requests in progress from all nodes. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -8,15 +8,18 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { Codecs } from './codecs.js'
+import { ChangeRelay } from './changeRelay.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
-import type { Deployment } from './deployment.js'
+import type { BackendEntry, Deployment } from './deployment.js'
 import { EngineCalls } from './engineCalls.js'
+import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
 import { LeaderLink, PeerServer } from './peerLink.js'
-import type { LeaderReport, NodeReport } from './peerMessages.js'
+import { packChanges, unpackChanges } from './peerMessages.js'
+import type { LeaderReport, NodeReport, RelayedChanges } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import { Relay } from './relay.js'
 import type { ServingMetrics } from './servingMetrics.js'
@@ -34,6 +37,10 @@
 const reservedDescriptors = 1200
 const requestCheckMs = 500
 const reportMs = 250
+/** Changes that come at once are told to the other nodes in one message. */
+const newsDelayMs = 20
+/** The size of the fleet is written at most this often. */
+const sizeWriteMs = 5000
 /** A wish for a model or adapter is told at once, together with others that come at the same moment. */
 const wishDelayMs = 2
 /** A leader that died may have given an order up to one renewal before its lease began to run out. */
@@ -61,7 +68,13 @@
   private readonly calls: EngineCalls
   private readonly peers: PeerServer
   private readonly link: LeaderLink
+  private readonly size: FleetSize
   private placement: PlacementLeader | undefined
+  /** Set while this node leads. */
+  private changes: ChangeRelay | undefined
+  private cancelNews: CancelTimer | undefined
+  private storedSize = 0
+  private sizeWrittenAtMs = -Infinity
   private cancelReports: CancelTimer = () => {}
   private cancelWish: CancelTimer | undefined
   private deployment: Deployment | undefined
@@ -73,6 +86,7 @@
     const { settings, codecs, store, clock, random, log } = options
     this.fleet = new FleetView({ clock, log, regionOfZone: settings.regionOfZone, onConnectionOpened: () => options.metrics?.onConnection() })
     this.demand = new ModelDemand(clock)
+    this.size = new FleetSize(clock)
     this.relay = new Relay({
       clock,
       log,
@@ -84,7 +98,7 @@
         availabilityZone: settings.availabilityZone,
         retryBudget: settings.retryBudget
       },
-      nodeCount: () => this.leadership.nodeCount,
+      nodeCount: () => this.size.value,
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.calls = new EngineCalls(clock, codecs)
@@ -99,6 +113,7 @@
       prefix: codecs.keys.own,
       node: settings.node,
       ip: settings.ip,
+      cores: settings.cores,
       minimumLeaseMs: settings.store.minimumLeaseMs,
       onOwnOffice: fence => this.onOwnOffice(fence),
       onLeader: leader => this.onLeader(leader)
@@ -106,7 +121,7 @@
     this.peers = new PeerServer({
       clock,
       onReport: report => this.placement?.onReport(report),
-      onJoined: send => { if (this.placement) send(this.placement.fullReport()) }
+      onJoined: send => { if (this.placement && this.changes) send({ ...this.placement.fullReport(), news: this.newsOf(this.changes.recent()) }) }
     })
     this.link = new LeaderLink({ clock, log, onReport: report => this.onLeaderReport(report), onConnected: () => this.link.send(this.report()) })
     this.storeView = new StoreView({
@@ -114,10 +129,12 @@
       clock,
       random,
       log,
+      isLeader: () => this.leadership.isLeader,
       sink: {
         onItems: items => this.onItems(items),
         onChange: change => this.onChange(change),
-        onReturned: () => this.fleet.onOutageEnded()
+        onRevision: revision => this.onRevision(revision),
+        onReturned: () => this.fleet.onOutageEnded(clock.nowMs())
       }
     })
     this.clients = this.createClientsServer()
@@ -131,14 +148,13 @@
 
   /** Adds the values that are read at each scrape. */
   private watchMetrics (metrics: ServingMetrics): void {
-    const { clock } = this.options
     metrics.gauge('teaselrill_ready', '1 if the node takes clients', () => this.isReady ? 1 : 0)
     metrics.gauge('teaselrill_config_version', 'Version of the configuration in force', () => this.deployment?.version ?? 0)
-    metrics.gauge('teaselrill_store_age_seconds', 'Time since the store last answered the watch', () => (clock.nowMs() - this.storeView.lastAnswerAtMs) / 1000)
+    metrics.gauge('teaselrill_store_age_seconds', 'Age of what is known of the store, directly or through the leader', () => this.storeView.ageMs / 1000)
     metrics.gauge('teaselrill_requests_in_progress', 'Requests that are being answered', () => this.relay.active)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that take requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
-    metrics.gauge('teaselrill_nodes', 'Nodes that are registered in the store', () => this.leadership.nodeCount)
+    metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_placement_leader', '1 if this node gives the orders to engines', () => this.placement ? 1 : 0)
   }
 
@@ -199,20 +215,51 @@
     this.hasBackends = true
     this.leadership.onItems(items.filter(({ key }) => key.startsWith(keys.own)))
     for (const item of items) if (!item.key.startsWith(keys.backends)) this.onChange(item)
+    // What changed meanwhile was not seen change by change.
+    if (this.changes) this.changes = new ChangeRelay(this.options.clock, this.storeView.revision ?? 0)
+  }
+
+  private onRevision (revision: number): void {
+    this.changes?.advance(revision)
+    if (this.changes?.hasNews) this.tellNewsSoon()
   }
 
   private onChange (change: StoreChange): void {
     const { keys } = this.options.codecs
     if (change.key === keys.deployment && change.value !== undefined) this.onDeployment(change.value)
-    else if (change.key.startsWith(keys.backends)) this.onBackend(change)
+    else if (change.key.startsWith(keys.backends)) {
+      if (!this.onBackend(change)) return
+    } else if (change.key === this.sizeKey) this.onStoredSize(change.value)
     else if (change.key.startsWith(keys.own)) this.leadership.onChange(change)
+    this.changes?.note(change)
+  }
+
+  private get sizeKey (): string {
+    return `${this.options.codecs.keys.own}size`
+  }
+
+  private onStoredSize (value: string | undefined): void {
+    this.storedSize = Number(value ?? 0)
+    if (!this.placement) this.size.adopt(this.storedSize)
+  }
+
+  /** Keeps the number of nodes for nodes that start while no leader counts them. */
+  private storeSize (): void {
+    const { clock, store, log } = this.options
+    if (this.size.value === this.storedSize || clock.nowMs() - this.sizeWrittenAtMs < sizeWriteMs) return
+    this.sizeWrittenAtMs = clock.nowMs()
+    store.commit({ expected: [], writes: [{ key: this.sizeKey, value: String(this.size.value) }] })
+      .catch(error => log('warn', 'fleet size not written', { size: this.size.value, error: messageOf(error) }))
   }
 
   private onOwnOffice (fence: number | undefined): void {
     this.placement?.stop()
     this.placement = undefined
+    this.changes = undefined
+    this.size.stopCounting()
     if (fence === undefined) return
     const { clock, log, settings } = this.options
+    this.changes = new ChangeRelay(clock, this.storeView.revision ?? 0)
     this.link.follow(undefined)
     this.placement = new PlacementLeader({
       clock,
@@ -238,7 +285,16 @@
     this.link.follow(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
   }
 
-  private onLeaderReport ({ hosting, running }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running }: LeaderReport): void {
+    if (news) {
+      const { fromRevision, revision, ageMs, nodeCount, returnedMsAgo } = news
+      // Entries that lapsed meanwhile are among the changes.
+      if (returnedMsAgo !== null) this.fleet.onOutageEnded(this.options.clock.nowMs() - returnedMsAgo)
+      const changes = unpackChanges(news.changes)
+      if (changes instanceof Error) this.options.log('warn', 'changes from the leader are not readable', { error: changes.message })
+      else this.storeView.onRelayed({ fromRevision, revision, changes }, ageMs)
+      this.size.adopt(nodeCount)
+    }
     for (const [id, models] of hosting) {
       this.fleet.servers.get(id)?.updateHosting(models.map(([name, readyInMs, phase, adapters]) => ({
         name, readyInMs, isComing: phase === 'coming', isLeaving: phase === 'leaving', adapters: adapters.map(([adapter, inMs]) => ({ name: adapter, readyInMs: inMs }))
@@ -274,7 +330,33 @@
     if (!this.placement) return this.link.send(this.report())
     const running = this.placement.runningRows()
     this.noteRunning(running)
-    this.peers.broadcast({ fence: this.leadership.leader?.fence ?? 0, hosting: [], running })
+    this.size.count(this.peers.linkCount + 1)
+    this.storeSize()
+    this.tellNews(running)
+  }
+
+  private tellNews (running: LeaderReport['running'] = []): void {
+    if (!this.changes) return
+    this.peers.broadcast({ fence: this.leadership.leader?.fence ?? 0, news: this.newsOf(this.changes.next()), hosting: [], running })
+  }
+
+  private tellNewsSoon (): void {
+    this.cancelNews ??= this.options.clock.setTimer(newsDelayMs, () => {
+      this.cancelNews = undefined
+      this.tellNews()
+    })
+  }
+
+  private newsOf ({ fromRevision, revision, changes }: RelayedChanges): LeaderReport['news'] {
+    const { ageMs, returnedAtMs } = this.storeView
+    return {
+      fromRevision,
+      revision,
+      changes: packChanges(changes),
+      ageMs,
+      nodeCount: this.size.value,
+      returnedMsAgo: returnedAtMs === undefined ? null : this.options.clock.nowMs() - returnedAtMs
+    }
   }
 
   private tellWishSoon (): void {
@@ -298,12 +380,19 @@
     return bestMs
   }
 
-  private onBackend ({ key, value }: StoreChange): void {
+  /** Returns whether the change matters to nodes that give no orders: engines write their load all the time. */
+  private onBackend ({ key, value }: StoreChange): boolean {
     const id = key.slice(this.options.codecs.keys.backends.length)
-    if (value === undefined) return this.fleet.remove(id)
+    if (value === undefined) {
+      this.fleet.remove(id)
+      return true
+    }
+    const known = this.fleet.servers.get(id)
+    const before = known?.leavingAtMs === Infinity ? routingKey(known.entry) : undefined
     const entry = this.readBackend(key, value)
     if (entry) this.fleet.put(entry)
     this.fleet.dropGone()
+    return entry !== undefined && routingKey(entry) !== before
   }
 
   private readBackend (key: string, value: string) {
@@ -330,6 +419,11 @@
   }
 }
 
+/** What of an entry decides whether and where requests are sent. */
+function routingKey ({ service, address, availabilityZone, slots, isDraining, bornAtMs }: BackendEntry): string {
+  return JSON.stringify([service, address, availabilityZone, slots, isDraining, bornAtMs])
+}
+
 function listen (server: Server, address: string): Promise<void> {
   const [host, port] = address.split(':')
   return new Promise((resolve, reject) => {
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -13,6 +13,8 @@
   /** Port for the other nodes, the same on all of them. */
   peersPort: number
   maxDescriptors: number
+  /** Processor time that the node has, in cores. */
+  cores: number
   store: { address: string, minimumLeaseMs: number }
   /** Time from SIGTERM to SIGKILL. */
   shutdownMs: number
--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -1,4 +1,4 @@
-/** Follows all keys of the platform's store with one watch. */
+/** Follows all keys of the platform's store: with a watch of its own, or through the changes that the leader passes on. */
 
 import { sleep } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
@@ -6,48 +6,80 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
+import type { RelayedChanges } from './peerMessages.js'
 
 /** A connection that went silent is noticed after this time and the client's slack. */
 const watchWaitMs = 2000
-/** Changes that come at once are read with one call. */
-const batchDelayMs = 60
+/** The leader's watch returns at least this often, so that the age of what it passes on stays known. */
+const leaderWatchWaitMs = 400
+/** Changes that come at once are read with one call. Engines write all the time, and each call is counted. */
+const batchDelayMs = 250
+const leaderBatchDelayMs = 120
 const firstRetryMs = 100
-const maxRetryMs = 800
+const maxRetryMs = 1000
+/** A node that knows no configuration yet has nothing to serve from. */
+const maxFirstRetryMs = 800
+/** Age of the leader's view from which a node looks at the store itself. */
+const longestRelayedAgeMs = 1000
+const followPollMs = 50
 
 export interface StoreViewSink {
   /** Replaces all that was known. */
   onItems (items: readonly StoreItem[]): void
   onChange (change: StoreChange): void
+  /** All changes up to `revision` have been passed to `onChange`. */
+  onRevision? (revision: number): void
   /** The store answers again after an outage. */
   onReturned (): void
 }
 
+export interface StoreViewOptions {
+  store: CoordinationStore
+  clock: Clock
+  random: Random
+  log: Log
+  sink: StoreViewSink
+  /** Whether other nodes depend on this node's view. */
+  isLeader? (): boolean
+}
+
 export class StoreView {
-  private readonly store: CoordinationStore
-  private readonly clock: Clock
-  private readonly random: Random
-  private readonly log: Log
-  private readonly sink: StoreViewSink
+  private readonly options: StoreViewOptions
   private isStopped = false
-  private revision: number | undefined
+  /** All changes up to it are known. */
+  revision: number | undefined
   private failures = 0
   /** Time of the last answer. */
   lastAnswerAtMs = -Infinity
+  /** End of the last outage that this node saw. */
+  returnedAtMs: number | undefined
+  /** Time at which the leader's view that was passed on was current. */
+  private relayedAtMs = -Infinity
 
-  constructor ({ store, clock, random, log, sink }: { store: CoordinationStore, clock: Clock, random: Random, log: Log, sink: StoreViewSink }) {
-    this.store = store
-    this.clock = clock
-    this.random = random
-    this.log = log
-    this.sink = sink
+  constructor (options: StoreViewOptions) {
+    this.options = options
   }
 
   get isInOutage (): boolean {
     return this.failures > 0
   }
 
+  /** Whether the leader's messages take the place of an own watch. */
+  get isFollowing (): boolean {
+    return !this.options.isLeader?.() && this.options.clock.nowMs() - this.relayedAtMs < longestRelayedAgeMs
+  }
+
+  /** Age of what is known, from the store itself or through the leader. */
+  get ageMs (): number {
+    return this.options.clock.nowMs() - Math.max(this.lastAnswerAtMs, this.relayedAtMs)
+  }
+
   async run (): Promise<void> {
     while (!this.isStopped) {
+      if (this.revision !== undefined && this.isFollowing) {
+        await sleep(this.options.clock, followPollMs)
+        continue
+      }
       try {
         await this.step()
       } catch (error) {
@@ -60,38 +92,61 @@
     this.isStopped = true
   }
 
+  /** Takes up what the leader passes on, unless changes before it are missing here. */
+  onRelayed ({ fromRevision, revision, changes }: RelayedChanges, ageMs: number): void {
+    // A leader that fell behind what this node has read itself is not to be followed.
+    if (this.revision === undefined || this.revision < fromRevision || revision < this.revision || this.options.isLeader?.()) return
+    this.relayedAtMs = Math.max(this.relayedAtMs, this.options.clock.nowMs() - ageMs)
+    if (this.isFollowing) this.onRegained()
+    for (const [key, changedAt, value] of changes) {
+      if (changedAt > this.revision) this.options.sink.onChange({ key, revision: changedAt, ...(value === null ? {} : { value }) })
+    }
+    this.revision = revision
+  }
+
   private async step (): Promise<void> {
+    const { store, clock, log, sink, isLeader } = this.options
     if (this.revision === undefined) {
-      const { items, revision } = await this.store.list('')
+      const { items, revision } = await store.list('')
       this.onAnswer()
       this.revision = revision
-      this.sink.onItems(items)
+      sink.onItems(items)
+      sink.onRevision?.(revision)
     }
-    const result = await this.store.watch('', this.revision, { waitMs: watchWaitMs })
+    const leads = isLeader?.() ?? false
+    const result = await store.watch('', this.revision, { waitMs: leads ? leaderWatchWaitMs : watchWaitMs })
     if (this.isStopped) return
     this.onAnswer()
     if (result.kind === 'history-lost') {
-      this.log('warn', 'store history lost', { revision: this.revision })
+      log('warn', 'store history lost', { revision: this.revision })
       this.revision = undefined
       return
     }
+    // The leader may have passed on some of them meanwhile.
+    for (const change of result.changes) if (change.revision > this.revision) sink.onChange(change)
     this.revision = Math.max(this.revision, result.revision)
-    for (const change of result.changes) this.sink.onChange(change)
-    if (result.changes.length > 0) await sleep(this.clock, batchDelayMs)
+    sink.onRevision?.(this.revision)
+    if (result.changes.length > 0) await sleep(clock, leads ? leaderBatchDelayMs : batchDelayMs)
   }
 
   private onAnswer (): void {
-    this.lastAnswerAtMs = this.clock.nowMs()
+    this.lastAnswerAtMs = this.options.clock.nowMs()
+    this.onRegained()
+  }
+
+  private onRegained (): void {
     if (this.failures === 0) return
-    this.log('info', 'store regained', { failures: this.failures })
+    this.returnedAtMs = this.options.clock.nowMs()
+    this.options.log('info', 'store regained', { failures: this.failures })
     this.failures = 0
-    this.sink.onReturned()
+    this.options.sink.onReturned()
   }
 
   private async onFailure (error: unknown): Promise<void> {
     if (this.isStopped) return
-    if (this.failures++ === 0) this.log('warn', 'store lost', { error: messageOf(error) })
-    const delayMs = Math.min(maxRetryMs, firstRetryMs * 2 ** this.failures)
-    await sleep(this.clock, delayMs * (0.5 + this.random.next()))
+    const { clock, random, log } = this.options
+    if (this.failures++ === 0) log('warn', 'store lost', { error: messageOf(error) })
+    const delayMs = Math.min(this.revision === undefined ? maxFirstRetryMs : maxRetryMs, firstRetryMs * 2 ** this.failures)
+    await sleep(clock, delayMs * (0.5 + random.next()))
   }
 }
--- /dev/null
+++ b/tests/followStore.spec.ts
@@ -0,0 +1,171 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { silentLog } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
+import { ChangeRelay } from '../src/serving/changeRelay.js'
+import type { StoreChange } from '../src/serving/coordination.js'
+import { FleetSize } from '../src/serving/fleetSize.js'
+import { packChanges, unpackChanges } from '../src/serving/peerMessages.js'
+import { StoreView } from '../src/serving/storeView.js'
+import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
+
+class CountingStore extends MemoryStore {
+  calls = 0
+
+  override list (prefix: string) {
+    this.calls++
+    return super.list(prefix)
+  }
+
+  override watch (...args: Parameters<MemoryStore['watch']>) {
+    this.calls++
+    return super.watch(...args)
+  }
+}
+
+/** A leader and a follower, between which messages go every 250 ms while `isLinked`. */
+function pair () {
+  const clock = new VirtualClock(10_000)
+  const state = new StoreState(clock)
+  const seen = new Map<string, string | undefined>()
+  const order: number[] = []
+  let returns = 0
+  const viewOf = (store: MemoryStore, isLeader: boolean, onChange: (change: StoreChange) => void, onRevision: (revision: number) => void) => new StoreView({
+    store,
+    clock,
+    random: new SeededRandom(1),
+    log: silentLog,
+    isLeader: () => isLeader,
+    sink: {
+      onItems: items => { for (const item of items) onChange(item) },
+      onChange,
+      onRevision,
+      onReturned: () => { if (!isLeader) returns++ }
+    }
+  })
+  const leaderStore = new CountingStore(state)
+  const followerStore = new CountingStore(state)
+  let changes: ChangeRelay | undefined
+  const leader = viewOf(leaderStore, true, change => { if (change.key.startsWith('told/')) changes?.note(change) }, revision => changes?.advance(revision))
+  const follower = viewOf(followerStore, false, change => {
+    seen.set(change.key, change.value)
+    order.push(change.revision)
+  }, () => {})
+  const link = { isUp: false }
+  const tick = () => {
+    if (link.isUp && changes) follower.onRelayed(changes.next(), leader.ageMs)
+    clock.setTimer(250, tick)
+  }
+  const join = async () => {
+    void leader.run()
+    void follower.run()
+    await clock.advance(100)
+    changes = new ChangeRelay(clock, leader.revision!)
+    follower.onRelayed(changes.recent(), leader.ageMs)
+    link.isUp = true
+    tick()
+    await clock.advance(3000)
+  }
+  return { clock, state, seen, order, leader, follower, leaderStore, followerStore, link, join, returns: () => returns }
+}
+
+describe('following the store through the leader', () => {
+  it('costs a follower no calls while engines write all the time', async () => {
+    // Pattern: 88 nodes whose watches each return with every heartbeat of 48 servers.
+    const { clock, state, followerStore, seen, join } = pair()
+    await join()
+    const { calls } = followerStore
+    for (let beat = 0; beat < 100; beat++) {
+      state.write('servers/e1', `load ${beat}`)
+      await clock.advance(50)
+    }
+    state.write('told/config', 'v2')
+    await clock.advance(700)
+    expect(followerStore.calls).to.equal(calls)
+    expect(seen.get('told/config')).to.equal('v2')
+  })
+
+  it('looks at the store itself when the leader falls silent', async () => {
+    const { clock, state, seen, link, join } = pair()
+    await join()
+    link.isUp = false
+    await clock.advance(500)
+    state.write('told/config', 'v3')
+    await clock.advance(1200)
+    expect(seen.get('told/config')).to.equal('v3')
+  })
+
+  it('looks at the store itself when the store turns the leader away', async () => {
+    // Guards against a stale configuration on nodes that could read the newer one.
+    const { clock, state, seen, leaderStore, join } = pair()
+    await join()
+    leaderStore.fault = 'silent'
+    await clock.advance(300)
+    state.write('told/config', 'v4')
+    await clock.advance(1800)
+    expect(seen.get('told/config')).to.equal('v4')
+  })
+
+  it('returns to the leader without missing or repeating a change', async () => {
+    const { clock, state, order, followerStore, link, join } = pair()
+    await join()
+    for (let round = 0; round < 6; round++) {
+      link.isUp = round % 2 === 1
+      for (let write = 0; write < 5; write++) {
+        state.write('told/config', `${round}.${write}`)
+        await clock.advance(400)
+      }
+    }
+    await clock.advance(2000)
+    const told = state.history.filter(({ key }) => key === 'told/config').map(({ revision }) => revision)
+    expect(order).to.deep.equal(told)
+    const { calls } = followerStore
+    await clock.advance(3000)
+    expect(followerStore.calls).to.equal(calls)
+  })
+
+  it('does not follow a leader that is behind', async () => {
+    const { clock, state, follower, seen, link, join } = pair()
+    await join()
+    link.isUp = false
+    state.write('told/config', 'new')
+    await clock.advance(2000)
+    follower.onRelayed({ fromRevision: 1, revision: 1, changes: [['told/config', 1, 'old']] }, 0)
+    expect(seen.get('told/config')).to.equal('new')
+    expect(follower.isFollowing).to.equal(false)
+  })
+
+  it('passes the end of an outage before the changes that came with it', async () => {
+    const { clock, leaderStore, followerStore, returns, join } = pair()
+    await join()
+    leaderStore.fault = followerStore.fault = 'refuses'
+    await clock.advance(4000)
+    leaderStore.fault = followerStore.fault = 'none'
+    await clock.advance(4000)
+    expect(returns()).to.equal(1)
+  })
+
+  it('packs changes for the way between nodes', () => {
+    expect(unpackChanges(packChanges([['a', 1, 'x'], ['b', 2, null]]))).to.deep.equal([['a', 1, 'x'], ['b', 2, null]])
+    expect(unpackChanges(packChanges([]))).to.deep.equal([])
+    expect(unpackChanges(Buffer.from('nonsense'))).to.be.instanceOf(Error)
+  })
+})
+
+describe('size of the fleet', () => {
+  it('does not shrink while nodes restart', async () => {
+    // Guards against shares of budgets and connections that add up to more than the whole.
+    const clock = new VirtualClock(10_000)
+    const size = new FleetSize(clock)
+    size.adopt(88)
+    size.count(3)
+    expect(size.value).to.equal(88)
+    await clock.advance(10_000)
+    size.count(90)
+    size.count(5)
+    expect(size.value).to.equal(90)
+    await clock.advance(31_000)
+    size.count(60)
+    expect(size.value).to.equal(60)
+  })
+})
