Let the leader choose engines from the prompts handed to each

An engine reads prompts in pieces of about 100 ms between the tokens of its streams, so three prompts that meet make all its streams pause for over 300 ms. Nodes choose from counts that are up to half a second old and do not see each other's prompts.

Change: policy/dispatchDesk.ts keeps, for each engine, the reading time of the prompts that were handed to it, the shared parts that it keeps, and the outcomes that all nodes report. The placement leader runs it; nodes ask it over the connection that they have and choose by themselves when it does not answer within 70 ms. The longest pause of each stream goes into its record and a histogram; the time in queue too.

Ruled out: late relaying (the longest pauses are at the engines; processor use of a node is below 0.1 cores); too few slots (8 running streams on average for 32).

What is left is late at engines of a model whose demand rises, where there is no choice.

--- a/src/platform/httpNames.ts
+++ b/src/platform/httpNames.ts
@@ -1,5 +1,6 @@
 /** Header names and calls of the platform's clients and engines. */
 
+import type { PromptPart } from '../policy/dispatchDesk.js'
 import type { Codecs, ControlCall, ForwardOptions, RequestFacts, ResponseFacts } from '../serving/codecs.js'
 import type { EngineOrder, OrderOutcome } from '../serving/deployment.js'
 import type { ResponseHead } from '../serving/responseReader.js'
@@ -32,9 +33,12 @@
   return value !== undefined && /^\d{1,15}$/.test(value.trim()) ? Number(value) : undefined
 }
 
-/** ID of the last part that other requests share. The last part of all belongs to the request alone. */
-function sharedPrefixOf (parts: string | undefined): string | undefined {
-  return parts?.split(',').at(-2)?.split(':')[0]?.trim()
+/** Parts that other requests share: all but the last, which belongs to the request or its session alone. */
+function sharedPartsOf (parts: string | undefined): PromptPart[] {
+  return (parts ?? '').split(',').slice(0, -1).map(part => {
+    const [id, tokens] = part.split(':')
+    return { id: id!.trim(), tokens: wholeNumber(tokens) ?? 0 }
+  })
 }
 
 function readRequest (headers: Record<string, string | string[] | undefined>): RequestFacts {
@@ -47,7 +51,7 @@
     adapter: adapter || undefined,
     promptTokens: promptTokens ?? 0,
     outputTokens: wholeNumber(text(headers['x-length-hint'])) ?? maxOutputTokens ?? 0,
-    sharedPrefix: sharedPrefixOf(text(headers['x-prompt-prefix'])),
+    sharedParts: sharedPartsOf(text(headers['x-prompt-prefix'])),
     lastEventId: wholeNumber(text(headers[lastEventIdHeader]))
   }
 }
--- /dev/null
+++ b/src/policy/dispatchDesk.ts
@@ -0,0 +1,187 @@
+/** Chooses engines for the requests of all nodes, from the prompts that it has handed to each engine before. */
+
+import type { Clock } from '../base/clock.js'
+import { batchShare } from './engineChoice.js'
+
+/** Assumed prompt tokens that an engine reads in a millisecond. */
+const promptTokensPerMs = 20
+/** Delay that one more running request adds on an engine, which steps for all of them. */
+const runningCostMs = 2.5
+/**
+ * What a stream between regions costs, in delay: the round trip, and the price of its bytes against the risk that one more
+ * prompt holds up the streams of a nearer engine.
+ */
+const crossRegionCostMs = 60
+const crossZoneCostMs = 3
+/** Delay that a failure costs: the repeat and what the caller waited before. */
+const failureCostMs = 1500
+/** Time in which old outcomes lose half of their weight. */
+const outcomeHalfLifeMs = 2000
+/** Outcomes that are assumed to have been good, so that one failure does not condemn a server. */
+const assumedGood = 3
+/** Age at which the nodes' reports of running requests include what was handed out. */
+const reportLagMs = 500
+/** Engines keep the prompt parts of the last seconds. */
+const prefixLifeMs = 20_000
+const maxPrefixes = 256
+
+/** A request that needs an engine. */
+export interface DispatchAsk {
+  service: string
+  model: string
+  adapter: string | undefined
+  promptTokens: number
+  /** Prompt parts that other requests share, in order. */
+  sharedParts: readonly PromptPart[]
+  rank: number
+  region: string
+  availabilityZone: string
+  /** Backend servers that must not be chosen. */
+  excluded: readonly string[]
+}
+
+export interface PromptPart {
+  id: string
+  tokens: number
+}
+
+/** An engine that holds what the request needs. */
+export interface DispatchCandidate {
+  id: string
+  region: string
+  availabilityZone: string
+  slots: number
+  /** Requests in progress, as last reported. */
+  running: number
+}
+
+interface EngineState {
+  /** Time that the engine needs for the prompts that it has not read yet. */
+  backlogMs: number
+  updatedAtMs: number
+  handedAtMs: number[]
+  /** Last use of prompt parts, by model, adapter and ID. */
+  prefixes: Map<string, number>
+  good: number
+  bad: number
+  outcomesAtMs: number
+}
+
+export class DispatchDesk {
+  private readonly clock: Clock
+  private readonly engines = new Map<string, EngineState>()
+
+  constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  /** The engine on which the request delays itself and others least, or `undefined` if none has room. */
+  choose (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): string | undefined {
+    let best: { state: EngineState, id: string, ownMs: number } | undefined
+    let bestMs = Infinity
+    for (const candidate of candidates) {
+      if (ask.excluded.includes(candidate.id)) continue
+      const state = this.stateOf(candidate.id)
+      const running = candidate.running + this.handedLately(state)
+      if (running >= candidate.slots * batchShare(ask.rank)) continue
+      const ownMs = this.readingMs(ask, state)
+      const costMs = this.backlogMs(state) + ownMs + running * runningCostMs + distanceMs(ask, candidate) + this.failureShare(state) * failureCostMs
+      if (costMs >= bestMs) continue
+      bestMs = costMs
+      best = { state, id: candidate.id, ownMs }
+    }
+    if (!best) return undefined
+    this.hand(ask, best.state, best.ownMs)
+    return best.id
+  }
+
+  /** The request goes to `engine` without a choice. */
+  note (ask: DispatchAsk, engine: string): void {
+    const state = this.stateOf(engine)
+    this.hand(ask, state, this.readingMs(ask, state))
+  }
+
+  /** Requests that ended well or failed at a server, as one node saw them. */
+  onOutcomes (engine: string, answered: number, failed: number): void {
+    const state = this.stateOf(engine)
+    this.ageOutcomes(state)
+    state.good += answered
+    state.bad += failed
+  }
+
+  /** Forgets engines that are gone. */
+  keepOnly (isPresent: (engine: string) => boolean): void {
+    for (const engine of this.engines.keys()) if (!isPresent(engine)) this.engines.delete(engine)
+  }
+
+  private hand (ask: DispatchAsk, state: EngineState, ownMs: number): void {
+    const nowMs = this.clock.nowMs()
+    state.backlogMs = this.backlogMs(state) + ownMs
+    state.updatedAtMs = nowMs
+    state.handedAtMs.push(nowMs)
+    for (const part of ask.sharedParts) {
+      const key = prefixKey(ask, part)
+      // Insertion order is order of use, so the first is the oldest.
+      state.prefixes.delete(key)
+      state.prefixes.set(key, nowMs)
+    }
+    for (const key of state.prefixes.keys()) {
+      if (state.prefixes.size <= maxPrefixes) break
+      state.prefixes.delete(key)
+    }
+  }
+
+  /** Time that the engine needs to read the prompt, without the parts that it keeps. */
+  private readingMs (ask: DispatchAsk, state: EngineState): number {
+    let tokens = ask.promptTokens
+    for (const part of ask.sharedParts) {
+      const usedAtMs = state.prefixes.get(prefixKey(ask, part))
+      // Engines reuse a part only if they keep all parts before it.
+      if (usedAtMs === undefined || this.clock.nowMs() - usedAtMs > prefixLifeMs) break
+      tokens -= part.tokens
+    }
+    return Math.max(0, tokens) / promptTokensPerMs
+  }
+
+  private backlogMs (state: EngineState): number {
+    return Math.max(0, state.backlogMs - (this.clock.nowMs() - state.updatedAtMs))
+  }
+
+  private handedLately (state: EngineState): number {
+    const sinceMs = this.clock.nowMs() - reportLagMs
+    while (state.handedAtMs.length > 0 && state.handedAtMs[0]! < sinceMs) state.handedAtMs.shift()
+    return state.handedAtMs.length
+  }
+
+  private failureShare (state: EngineState): number {
+    this.ageOutcomes(state)
+    return state.bad / (state.good + state.bad + assumedGood)
+  }
+
+  private ageOutcomes (state: EngineState): void {
+    const nowMs = this.clock.nowMs()
+    const weight = 0.5 ** ((nowMs - state.outcomesAtMs) / outcomeHalfLifeMs)
+    state.good *= weight
+    state.bad *= weight
+    state.outcomesAtMs = nowMs
+  }
+
+  private stateOf (engine: string): EngineState {
+    let state = this.engines.get(engine)
+    if (!state) {
+      const nowMs = this.clock.nowMs()
+      state = { backlogMs: 0, updatedAtMs: nowMs, handedAtMs: [], prefixes: new Map(), good: 0, bad: 0, outcomesAtMs: nowMs }
+      this.engines.set(engine, state)
+    }
+    return state
+  }
+}
+
+function prefixKey ({ model, adapter }: DispatchAsk, { id }: PromptPart): string {
+  return `${model}/${adapter ?? ''}/${id}`
+}
+
+function distanceMs (ask: DispatchAsk, { region, availabilityZone }: DispatchCandidate): number {
+  if (region !== ask.region) return crossRegionCostMs
+  return availabilityZone === ask.availabilityZone ? 0 : crossZoneCostMs
+}
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -56,6 +56,8 @@
   leavingAtMs = Infinity
   private ejectedUntilMs = 0
   private ejections = 0
+  /** Requests that it answered and that failed, since they were last taken. */
+  private outcomes = { answered: 0, failed: 0 }
   private failures = 0
   private delayMs = 0
   private sampledAtMs: number
@@ -150,13 +152,22 @@
     if (counts && --counts.count === 0) this.runningByModel.delete(model ?? '')
   }
 
+  /** Requests that ended since the last call. */
+  takeOutcomes (): { answered: number, failed: number } {
+    const { outcomes } = this
+    this.outcomes = { answered: 0, failed: 0 }
+    return outcomes
+  }
+
   onAnswered (delayMs: number): void {
+    this.outcomes.answered++
     this.sample(0, delayMs)
     this.ejections = 0
   }
 
   /** A request failed at the server. */
   onFailed (): void {
+    this.outcomes.failed++
     this.sample(1, this.delayMs)
   }
 
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -1,5 +1,6 @@
 /** Translations that the platform's adapter passes to the serving node. They decide nothing. */
 
+import type { PromptPart } from '../policy/dispatchDesk.js'
 import type { BackendEntry, Deployment, EngineOrder, EngineReport, OrderOutcome } from './deployment.js'
 import type { ResponseHead } from './responseReader.js'
 
@@ -14,8 +15,8 @@
   promptTokens: number
   /** Expected output tokens. */
   outputTokens: number
-  /** Identifies the last shared part of the prompt. */
-  sharedPrefix: string | undefined
+  /** Prompt parts that other requests share, in order. */
+  sharedParts: PromptPart[]
   lastEventId: number | undefined
 }
 
--- /dev/null
+++ b/src/serving/dispatchClient.ts
@@ -0,0 +1,66 @@
+/** Asks the placement leader, which sees the requests of all nodes, for an engine. */
+
+import type { Clock } from '../base/clock.js'
+import type { DispatchAsk } from '../policy/dispatchDesk.js'
+import { askRow } from './peerMessages.js'
+import type { AskMessage } from './peerMessages.js'
+
+/** A round trip between regions takes a third of it. A request without an answer goes where this node would send it. */
+const answerTimeoutMs = 70
+/** Time for which a leader that did not answer is not asked. */
+const pauseMs = 400
+
+export interface DispatchClientOptions {
+  clock: Clock
+  /** Sends the message, or returns false if there is no connection. */
+  send (message: AskMessage): boolean
+}
+
+export class DispatchClient {
+  private readonly clock: Clock
+  private readonly send: (message: AskMessage) => boolean
+  private readonly pending = new Map<number, (engine: string | undefined) => void>()
+  private nextNumber = 1
+  private pausedUntilMs = 0
+  /** Questions without an answer in time. */
+  timeouts = 0
+
+  constructor ({ clock, send }: DispatchClientOptions) {
+    this.clock = clock
+    this.send = send
+  }
+
+  /** The engine that the leader names, or `undefined` if it does not answer in time or names none. */
+  ask (ask: DispatchAsk): Promise<string | undefined> {
+    if (this.clock.nowMs() < this.pausedUntilMs) return Promise.resolve(undefined)
+    const number = this.nextNumber++
+    if (!this.send({ ask: number, ...askRow(ask) })) return Promise.resolve(undefined)
+    return new Promise(resolve => {
+      const cancel = this.clock.setTimer(answerTimeoutMs, () => {
+        this.timeouts++
+        this.pausedUntilMs = this.clock.nowMs() + pauseMs
+        this.onAnswer(number, undefined)
+      })
+      this.pending.set(number, engine => {
+        cancel()
+        resolve(engine)
+      })
+    })
+  }
+
+  /** Tells the leader where a request goes for which there is no choice. */
+  tell (ask: DispatchAsk, engine: string): void {
+    this.send({ ask: 0, chosen: engine, ...askRow(ask) })
+  }
+
+  onAnswer (number: number, engine: string | undefined): void {
+    const resolve = this.pending.get(number)
+    this.pending.delete(number)
+    resolve?.(engine)
+  }
+
+  /** The connection to the leader is gone. */
+  onLost (): void {
+    for (const number of [...this.pending.keys()]) this.onAnswer(number, undefined)
+  }
+}
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -59,6 +59,9 @@
   /** Whether any server may have begun to run the request. */
   mayHaveRun = false
   firstByteMs: number | undefined
+  /** Longest pause between two events. */
+  longestGapMs = 0
+  private lastEventAtMs: number | undefined
   lastEventId: number | undefined
   /** Whether another server could take the request, so that giving up on a silent one is worth it. */
   readonly canMove: () => boolean
@@ -90,6 +93,12 @@
     })
   }
 
+  onEventReturned (): void {
+    const nowMs = this.clock.nowMs()
+    if (this.lastEventAtMs !== undefined) this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.lastEventAtMs)
+    this.lastEventAtMs = nowMs
+  }
+
   /** Closes the client's connection, so that the part that was returned does not look complete. */
   breakOff (): void {
     this.response.destroy()
@@ -180,6 +189,7 @@
       exchange.lastEventId = event.id
     }
     this.firstByte()
+    exchange.onEventReturned()
     this.write(event.bytes)
   }
 
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -7,8 +7,8 @@
 import { repeat } from '../base/clock.js'
 import type { Log } from '../base/log.js'
 import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
-import { leaderReportSchema, nodeReportSchema } from './peerMessages.js'
-import type { LeaderReport, NodeReport } from './peerMessages.js'
+import { leaderMessageSchema, nodeMessageSchema } from './peerMessages.js'
+import type { LeaderMessage, NodeMessage } from './peerMessages.js'
 
 /** Reports come several times a second, so a longer silence means a dead connection. */
 const silenceMs = 1600
@@ -51,30 +51,33 @@
 export class LeaderLink {
   private readonly clock: Clock
   private readonly log: Log
-  private readonly onReport: (report: LeaderReport) => void
+  private readonly onMessage: (message: LeaderMessage) => void
   private readonly onConnected: () => void
-  private link: Link<LeaderReport> | undefined
+  private readonly onLost: () => void
+  private link: Link<LeaderMessage> | undefined
   private address: { host: string, port: number } | undefined
   private cancelCheck: CancelTimer
 
-  constructor ({ clock, log, onReport, onConnected }: { clock: Clock, log: Log, onReport: (report: LeaderReport) => void, onConnected: () => void }) {
+  constructor ({ clock, log, onMessage, onConnected, onLost }: { clock: Clock, log: Log, onMessage: (message: LeaderMessage) => void, onConnected: () => void, onLost: () => void }) {
     this.clock = clock
     this.log = log
-    this.onReport = onReport
+    this.onMessage = onMessage
     this.onConnected = onConnected
+    this.onLost = onLost
     this.cancelCheck = repeat(clock, reconnectMs, () => this.check())
   }
 
   /** Connects to another leader, or to none. */
   follow (address: { host: string, port: number } | undefined): void {
     this.address = address
-    this.link?.socket.destroy()
-    this.link = undefined
+    this.drop()
     this.check()
   }
 
-  send (report: NodeReport): void {
-    this.link?.send(report)
+  /** Returns whether there is a connection. */
+  send (message: NodeMessage): boolean {
+    this.link?.send(message)
+    return this.link !== undefined
   }
 
   stop (): void {
@@ -86,31 +89,40 @@
   private check (): void {
     if (this.link && this.clock.nowMs() - this.link.lastReceivedMs > silenceMs) {
       this.log('warn', 'placement leader silent', { address: this.address?.host })
-      this.link.socket.destroy()
-      this.link = undefined
+      this.drop()
     }
     if (this.link || !this.address) return
     const socket = connect(this.address)
-    const link = new Link(socket, leaderReportSchema, this.clock, this.onReport, reason => {
+    const link = new Link(socket, leaderMessageSchema, this.clock, this.onMessage, reason => {
       if (this.link !== link) return
       this.log('warn', 'connection to the placement leader lost', { reason })
-      this.link = undefined
+      this.drop()
     })
     this.link = link
     socket.once('connect', this.onConnected)
   }
+
+  private drop (): void {
+    const { link } = this
+    this.link = undefined
+    link?.socket.destroy()
+    this.onLost()
+  }
 }
 
+type Send = (message: LeaderMessage) => void
+
 /** The leader's connections to the nodes. */
 export class PeerServer {
   private readonly server: Server
-  private readonly links = new Set<Link<NodeReport>>()
+  private readonly links = new Set<Link<NodeMessage>>()
 
-  constructor ({ clock, onReport, onJoined }: { clock: Clock, onReport: (report: NodeReport) => void, onJoined: (send: (report: LeaderReport) => void) => void }) {
+  constructor ({ clock, onMessage, onJoined }: { clock: Clock, onMessage: (message: NodeMessage, reply: Send) => void, onJoined: (send: Send) => void }) {
     this.server = createServer(socket => {
-      const link = new Link(socket, nodeReportSchema, clock, onReport, () => { this.links.delete(link) })
+      const send: Send = message => link.send(message)
+      const link: Link<NodeMessage> = new Link(socket, nodeMessageSchema, clock, message => onMessage(message, send), () => { this.links.delete(link) })
       this.links.add(link)
-      onJoined(report => link.send(report))
+      onJoined(send)
     })
   }
 
@@ -125,7 +137,7 @@
     return this.links.size
   }
 
-  broadcast (report: LeaderReport): void {
+  broadcast (report: LeaderMessage): void {
     if (this.links.size === 0) return
     const frame = encodeFrame(report)
     for (const link of this.links) link.sendFrame(frame)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -2,6 +2,7 @@
 
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { z } from 'zod'
+import type { DispatchAsk } from '../policy/dispatchDesk.js'
 import { decodeBody, encodeBody } from '../protocol/framing.js'
 
 /** What a node tells the leader, several times a second. Rows instead of objects, since the bytes cross regions. */
@@ -16,10 +17,50 @@
   /** Engine, model, adapter that requests use or used since the last report. */
   used: z.array(z.tuple([z.string(), z.string(), z.string()])),
   /** Engine and model of requests that it refused because the model was not loaded. */
-  missing: z.array(z.tuple([z.string(), z.string()]))
+  missing: z.array(z.tuple([z.string(), z.string()])),
+  /** Backend server, requests that it answered and that failed since the last report. */
+  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()]))
 })
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
+/** A request that needs an engine. */
+export const askMessageSchema = z.object({
+  /** Number of the question; 0 if no answer is wanted. */
+  ask: z.number(),
+  /** Engine to which the request goes without a choice. */
+  chosen: z.string().optional(),
+  /** Service, model, adapter, prompt tokens, rank, region, availability zone. */
+  row: z.tuple([z.string(), z.string(), z.string().nullable(), z.number(), z.number(), z.string(), z.string()]),
+  /** ID and tokens of the prompt parts that other requests share. */
+  parts: z.array(z.tuple([z.string(), z.number()])),
+  excluded: z.array(z.string())
+})
+export type AskMessage = z.infer<typeof askMessageSchema>
+
+export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, excluded }: DispatchAsk): Pick<AskMessage, 'row' | 'parts' | 'excluded'> {
+  return {
+    row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone],
+    parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
+    excluded: [...excluded]
+  }
+}
+
+export function askOf ({ row, parts, excluded }: AskMessage): DispatchAsk {
+  const [service, model, adapter, promptTokens, rank, region, availabilityZone] = row
+  return { service, model, adapter: adapter ?? undefined, promptTokens, sharedParts: parts.map(([id, tokens]) => ({ id, tokens })), rank, region, availabilityZone, excluded }
+}
+
+export const nodeMessageSchema = z.union([askMessageSchema, nodeReportSchema])
+export type NodeMessage = z.infer<typeof nodeMessageSchema>
+
+/** The answer to a question. */
+export const adviceSchema = z.object({
+  ask: z.number(),
+  /** `null`: no engine has room. */
+  engine: z.string().nullable()
+})
+export type Advice = z.infer<typeof adviceSchema>
+
 const adapterRowSchema = z.tuple([z.string(), z.number()])
 export const hostedPhaseSchema = z.enum(['held', 'coming', 'leaving'])
 /** Name, time until it is ready, phase, adapters. */
@@ -74,3 +115,6 @@
   running: z.array(z.tuple([z.string(), z.number()]))
 })
 export type LeaderReport = z.infer<typeof leaderReportSchema>
+
+export const leaderMessageSchema = z.union([adviceSchema, leaderReportSchema])
+export type LeaderMessage = z.infer<typeof leaderMessageSchema>
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
+import type { DispatchAsk } from '../policy/dispatchDesk.js'
 import { RetryBudget } from '../policy/retry.js'
 import { streamPatienceMs } from '../policy/streamPatience.js'
 import type { BackendServer } from './backendServer.js'
@@ -42,6 +43,8 @@
 /** Part of a backend server's connections that the nodes use; the rest is for restarted nodes whose old connections linger. */
 const connectionShare = 0.9
 const minimumConnections = 4
+/** Recent share of failures from which this node does not want a server, whatever the others see. */
+const failingShare = 0.35
 
 export interface RelaySettings {
   region: string
@@ -71,6 +74,8 @@
   status: number
   durationMs: number
   firstByteMs: number | undefined
+  /** Longest pause between events of a stream. */
+  longestGapMs: number
   /** Time without a server to send to. */
   waitedMs: number
   attempts: number
@@ -85,6 +90,10 @@
   settings: RelaySettings
   /** Nodes that share the fleet's budgets. */
   nodeCount: () => number
+  /** The engine that is best in view of all nodes' requests, if it can be told in time. */
+  chooseForAll?: (ask: DispatchAsk) => Promise<string | undefined>
+  /** Tells where a request goes that has no choice. */
+  tellChosen?: (ask: DispatchAsk, backend: string) => void
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -260,7 +269,8 @@
   private async findServer (
     request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
   ): Promise<Search> {
-    const immediate = this.choose(request, tried, isRepeat)
+    const immediate = await this.chooseWithLeader(request, tried, isRepeat)
+    if (hasLeft()) return { kind: 'left' }
     if (immediate) return { kind: 'found', server: immediate }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
@@ -289,7 +299,8 @@
         if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
         await this.options.demand.changeOrDelay(waitPollMs)
         if (hasLeft()) return { kind: 'left' }
-        const server = this.choose(request, tried, isRepeat)
+        const server = await this.chooseWithLeader(request, tried, isRepeat)
+        if (hasLeft()) return { kind: 'left' }
         if (server) return { kind: 'found', server }
       }
     } finally {
@@ -297,13 +308,42 @@
     }
   }
 
-  private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
-    const { settings } = this.options
-    const { sharedPrefix } = request.facts
+  /** Servers of which one may get the request now. */
+  private candidates (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer[] {
     const able = this.able(request)
-    let candidates = able.filter(server => !tried.has(server.entry.id))
+    const untried = able.filter(server => !tried.has(server.entry.id))
     // A server that refused may have room again, but one that failed is not asked twice.
-    if (candidates.length === 0 && !isRepeat) candidates = able
+    return untried.length === 0 && !isRepeat ? able : untried
+  }
+
+  /** The leader's choice among the engines that can take the request, or this node's own. */
+  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): Promise<BackendServer | undefined> {
+    const { chooseForAll, tellChosen } = this.options
+    const candidates = this.candidates(request, tried, isRepeat)
+    const ask = candidates.length > 0 ? this.askOf(request, tried) : undefined
+    if (!ask) return this.choose(request, tried, isRepeat)
+    if (candidates.length === 1) {
+      tellChosen?.(ask, candidates[0]!.entry.id)
+      return candidates[0]
+    }
+    const chosen = await chooseForAll?.(ask)
+    // Meanwhile a server may have left or its last connection may be in use.
+    const server = chosen === undefined ? undefined : this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === chosen)
+    return server ?? this.choose(request, tried, isRepeat)
+  }
+
+  private askOf ({ facts, route, service }: RelayRequest, tried: ReadonlySet<string>): DispatchAsk | undefined {
+    const { model, adapter, promptTokens, sharedParts } = facts
+    if (model === undefined || !service.engine) return undefined
+    const { region, availabilityZone } = this.options.settings
+    const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
+    const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
+    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, excluded }
+  }
+
+  private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
+    const { settings } = this.options
+    const candidates = this.candidates(request, tried, isRepeat)
     if (candidates.length === 0) return undefined
     const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
     const scored = candidates.map(server => ({
@@ -320,7 +360,7 @@
     return chooseBackend(scored, {
       region: settings.region,
       availabilityZone: settings.availabilityZone,
-      affinityKey: sharedPrefix,
+      affinityKey: request.facts.sharedParts.at(-1)?.id,
       isEngine: request.service.engine !== undefined
     })?.server
   }
@@ -365,12 +405,13 @@
       status,
       durationMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
       firstByteMs: exchange.firstByteMs === undefined ? undefined : Math.round(exchange.firstByteMs),
+      longestGapMs: Math.round(exchange.longestGapMs),
       waitedMs: Math.round(progress.waitedMs),
       attempts: progress.sends
     }
     this.options.onFinished?.(record)
     const isPlain = outcome === 'done' && progress.sends === 1 && record.waitedMs < waitPollMs &&
-      (record.firstByteMs ?? 0) <= request.route.objectiveMs
+      (record.firstByteMs ?? 0) <= request.route.objectiveMs && record.longestGapMs <= (request.route.gapObjectiveMs ?? Infinity)
     if (isPlain && this.plainRequests++ % plainSample !== 0) return
     this.options.log('info', isPlain ? 'request served (sample)' : 'request ended', {
       request: request.facts.requestId,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -22,6 +22,8 @@
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
   private readonly firstByte = this.histogram('teaselrill_first_byte_seconds', 'Time from arrival to the first byte of the answer')
   private readonly duration = this.histogram('teaselrill_request_duration_seconds', 'Time from arrival to the end of the answer')
+  private readonly longestGap = this.histogram('teaselrill_longest_event_gap_seconds', 'Longest pause between events of a stream')
+  private readonly waited = this.histogram('teaselrill_wait_seconds', 'Time that a request waited without a backend server to send it to')
   private readonly eventLoop = monitorEventLoopDelay({ resolution: eventLoopResolutionMs })
   private server: Server | undefined
 
@@ -36,10 +38,12 @@
     this.gauge('teaselrill_resident_memory_bytes', 'Resident memory of the process', () => process.memoryUsage.rss())
   }
 
-  onFinished ({ kind, outcome, status, durationMs, firstByteMs, attempts }: RequestRecord): void {
+  onFinished ({ kind, outcome, status, durationMs, firstByteMs, longestGapMs, waitedMs, attempts }: RequestRecord): void {
     this.requests.inc({ kind, outcome, status })
     if (attempts > 1) this.repeats.inc({ kind }, attempts - 1)
     this.duration.observe({ kind }, durationMs / 1000)
+    this.waited.observe({ kind }, waitedMs / 1000)
+    if (kind === 'stream') this.longestGap.observe({ kind }, longestGapMs / 1000)
     if (firstByteMs !== undefined) this.firstByte.observe({ kind }, firstByteMs / 1000)
   }
 
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -7,10 +7,13 @@
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
+import { DispatchDesk } from '../policy/dispatchDesk.js'
+import type { DispatchAsk } from '../policy/dispatchDesk.js'
 import type { Codecs } from './codecs.js'
 import { ChangeRelay } from './changeRelay.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
+import { DispatchClient } from './dispatchClient.js'
 import { EngineCalls } from './engineCalls.js'
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
@@ -18,8 +21,8 @@
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
 import { LeaderLink, PeerServer } from './peerLink.js'
-import { packChanges, unpackChanges } from './peerMessages.js'
-import type { LeaderReport, NodeReport, RelayedChanges } from './peerMessages.js'
+import { askOf, packChanges, unpackChanges } from './peerMessages.js'
+import type { LeaderMessage, LeaderReport, NodeReport, RelayedChanges } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import { Relay } from './relay.js'
 import type { ServingMetrics } from './servingMetrics.js'
@@ -70,6 +73,9 @@
   private readonly link: LeaderLink
   private readonly size: FleetSize
   private placement: PlacementLeader | undefined
+  private readonly dispatch: DispatchClient
+  /** Set while this node leads. */
+  private desk: DispatchDesk | undefined
   /** Set while this node leads. */
   private changes: ChangeRelay | undefined
   private cancelNews: CancelTimer | undefined
@@ -87,6 +93,7 @@
     this.fleet = new FleetView({ clock, log, regionOfZone: settings.regionOfZone, onConnectionOpened: () => options.metrics?.onConnection() })
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
+    this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
     this.relay = new Relay({
       clock,
       log,
@@ -99,6 +106,8 @@
         retryBudget: settings.retryBudget
       },
       nodeCount: () => this.size.value,
+      chooseForAll: ask => this.chooseForAll(ask),
+      tellChosen: (ask, backend) => this.tellChosen(ask, backend),
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.calls = new EngineCalls(clock, codecs)
@@ -120,10 +129,20 @@
     })
     this.peers = new PeerServer({
       clock,
-      onReport: report => this.placement?.onReport(report),
+      onMessage: (message, reply) => {
+        if (!('ask' in message)) return this.onNodeReport(message)
+        const engine = this.answer(askOf(message), message.chosen)
+        if (message.ask !== 0) reply({ ask: message.ask, engine: engine ?? null })
+      },
       onJoined: send => { if (this.placement && this.changes) send({ ...this.placement.fullReport(), news: this.newsOf(this.changes.recent()) }) }
     })
-    this.link = new LeaderLink({ clock, log, onReport: report => this.onLeaderReport(report), onConnected: () => this.link.send(this.report()) })
+    this.link = new LeaderLink({
+      clock,
+      log,
+      onMessage: message => this.onLeaderMessage(message),
+      onConnected: () => { this.link.send(this.report()) },
+      onLost: () => this.dispatch.onLost()
+    })
     this.storeView = new StoreView({
       store,
       clock,
@@ -256,10 +275,12 @@
     this.placement?.stop()
     this.placement = undefined
     this.changes = undefined
+    this.desk = undefined
     this.size.stopCounting()
     if (fence === undefined) return
     const { clock, log, settings } = this.options
     this.changes = new ChangeRelay(clock, this.storeView.revision ?? 0)
+    this.desk = new DispatchDesk(clock)
     this.link.follow(undefined)
     this.placement = new PlacementLeader({
       clock,
@@ -271,7 +292,11 @@
       fence,
       startDelayMs: settings.enginesCheckFences ? successionDelayMs : settings.holderGapMs,
       loadWindowMs: settings.loadWindowMs,
-      ownReport: () => this.report(),
+      ownReport: () => {
+        const report = this.report()
+        this.noteOutcomes(report)
+        return report
+      },
       broadcast: report => this.peers.broadcast(report),
       onOrder: (action, outcome) => this.options.metrics?.onOrder(action, outcome),
       onDeposed: () => this.leadership.resign(),
@@ -285,6 +310,46 @@
     this.link.follow(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
   }
 
+  /** The engine that the leader names for a request, if it is known in time. */
+  private async chooseForAll (ask: DispatchAsk): Promise<string | undefined> {
+    return this.desk ? this.answer(ask) : await this.dispatch.ask(ask)
+  }
+
+  private tellChosen (ask: DispatchAsk, backend: string): void {
+    if (this.desk) this.answer(ask, backend)
+    else this.dispatch.tell(ask, backend)
+  }
+
+  private answer (ask: DispatchAsk, chosen?: string): string | undefined {
+    if (!this.desk) return undefined
+    if (chosen !== undefined) {
+      this.desk.note(ask, chosen)
+      return chosen
+    }
+    const candidates = this.fleet.ofService(ask.service).filter(server => server.isUsable && server.serves(ask.model, ask.adapter))
+    return this.desk.choose(ask, candidates.map(server => ({
+      id: server.entry.id,
+      region: server.region,
+      availabilityZone: server.entry.availabilityZone,
+      slots: server.entry.slots,
+      running: server.running + server.runningElsewhere
+    })))
+  }
+
+  private onNodeReport (report: NodeReport): void {
+    this.noteOutcomes(report)
+    this.placement?.onReport(report)
+  }
+
+  private noteOutcomes ({ outcomes }: NodeReport): void {
+    for (const [backend, answered, failed] of outcomes) this.desk?.onOutcomes(backend, answered, failed)
+  }
+
+  private onLeaderMessage (message: LeaderMessage): void {
+    if ('ask' in message) this.dispatch.onAnswer(message.ask, message.engine ?? undefined)
+    else this.onLeaderReport(message)
+  }
+
   private onLeaderReport ({ news, hosting, running }: LeaderReport): void {
     if (news) {
       const { fromRevision, revision, ageMs, nodeCount, returnedMsAgo } = news
@@ -312,7 +377,10 @@
 
   private report (): NodeReport {
     const running: NodeReport['running'] = []
+    const outcomes: NodeReport['outcomes'] = []
     for (const [id, server] of this.fleet.servers) {
+      const { answered, failed } = server.takeOutcomes()
+      if (answered + failed > 0) outcomes.push([id, answered, failed])
       for (const key of server.runningByAdapter.keys()) this.demand.onUsed(id, key)
       for (const [model, { count, rank }] of server.runningByModel) if (model !== '') running.push([id, model, count, rank])
     }
@@ -322,12 +390,17 @@
       adapters: this.demand.waitingAdapters().map(({ service, model, adapter, count }) => [service, model, adapter, count]),
       running,
       used: this.demand.takeUsed(),
-      missing: this.demand.takeMissing()
+      missing: this.demand.takeMissing(),
+      outcomes
     }
   }
 
   private exchangeReports (): void {
-    if (!this.placement) return this.link.send(this.report())
+    if (!this.placement) {
+      this.link.send(this.report())
+      return
+    }
+    this.desk?.keepOnly(id => this.fleet.servers.has(id))
     const running = this.placement.runningRows()
     this.noteRunning(running)
     this.size.count(this.peers.linkCount + 1)
@@ -362,7 +435,7 @@
   private tellWishSoon (): void {
     this.cancelWish ??= this.options.clock.setTimer(wishDelayMs, () => {
       this.cancelWish = undefined
-      if (this.placement) this.placement.onReport(this.report())
+      if (this.placement) this.onNodeReport(this.report())
       else this.link.send(this.report())
     })
   }
