Count adapters from the decision to load them; do not uncount what a request was refused for

Cause: an engine that refuses a request with 421 was taken to hold the model or adapter no more, also in what the placement leader counts against its memory. A request that came before the order of its adapter was carried out, over a slow link, thus freed a place that was taken.

Ruled out: a second sync between the order to make room and the load (none in the log); two leaders (one fence throughout).

--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -12,6 +12,8 @@
 const longestReportLagMs = 1000
 /** Time until an adapter is there that an earlier leader ordered. */
 const expectedAdapterLoadMs = 100
+/** Time in which the placement leader asks an engine what it holds and tells the nodes. */
+const doubtMs = 1000
 /** Time without requests after a failure to connect, doubled for each further one. */
 const firstEjectionMs = 300
 const maxEjectionMs = 4000
@@ -47,6 +49,9 @@
   /** Requests of the other nodes in progress, as last heard. */
   runningElsewhere = 0
   hosted = new Map<string, HostedState>()
+  /** Until when nothing is sent for a model or `MODEL/ADAPTER` that the engine turned out not to hold. */
+  private readonly doubted = new Map<string, number>()
+  private isMisknown = false
   /** Orders that the engine has accepted, as far as the placement leader knows. */
   orderCount = 0
   private hasLeaderState = false
@@ -106,6 +111,7 @@
   updateHosting (models: readonly HostingUpdate[]): void {
     const nowMs = this.clock.nowMs()
     this.hasLeaderState = true
+    this.doubted.clear()
     this.hosted = new Map(models.map(({ name, readyInMs, isComing, isLeaving, adapters }) => [name, {
       readyAtMs: nowMs + readyInMs,
       isComing,
@@ -124,10 +130,15 @@
     if (model === undefined) return true
     const state = this.hosted.get(model)
     const nowMs = this.clock.nowMs()
-    if (!state || state.isLeaving || state.isComing) return false
+    if (!state || state.isLeaving || state.isComing || this.isDoubted(model)) return false
+    if (adapter !== undefined && this.isDoubted(`${model}/${adapter}`)) return false
     return adapter === undefined || (state.adapters.get(adapter) ?? Infinity) <= nowMs
   }
 
+  private isDoubted (key: string): boolean {
+    return (this.doubted.get(key) ?? 0) > this.clock.nowMs()
+  }
+
   onStarted (model: string | undefined, adapter: string | undefined, tokens: number, rank: number): void {
     this.running++
     if (adapter !== undefined) this.runningByAdapter.set(`${model}/${adapter}`, (this.runningByAdapter.get(`${model}/${adapter}`) ?? 0) + 1)
@@ -171,6 +182,23 @@
     this.sample(1, this.delayMs)
   }
 
+  /**
+   * The server refused a request since it is another one than expected, or does not hold the model or adapter. What it holds
+   * stays counted until it reports otherwise: the refusal may come from before a load that is under way.
+   */
+  onMisdirected (model: string | undefined, adapter: string | undefined): void {
+    if (model === undefined || !this.hosted.has(model)) return this.onUnreachable()
+    this.doubted.set(adapter === undefined ? model : `${model}/${adapter}`, this.clock.nowMs() + doubtMs)
+    this.isMisknown = true
+  }
+
+  /** Whether a request was misdirected since the last call. */
+  takeMisknown (): boolean {
+    const { isMisknown } = this
+    this.isMisknown = false
+    return isMisknown
+  }
+
   /** The server does not accept connections, or went silent. */
   onUnreachable (): void {
     this.onFailed()
@@ -201,6 +229,7 @@
   private adoptModels (models: readonly HostedModel[]): void {
     const nowMs = this.clock.nowMs()
     const earlier = this.hosted
+    this.doubted.clear()
     this.hosted = new Map(models.map(({ name, adapters }) => [name, {
       readyAtMs: 0, isComing: false, isLeaving: earlier.get(name)?.isLeaving ?? false, adapters: new Map(adapters.map(adapter => [adapter, 0]))
     }]))
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -212,7 +212,8 @@
     const facts = exchange.codecs.readResponse(this.head!)
     const { status } = this.head!
     if (facts.isNotRun) {
-      if (facts.isMisdirected) this.onMisdirected()
+      const { model, adapter } = exchange.request.facts
+      if (facts.isMisdirected) this.server.onMisdirected(model, adapter)
       return this.finish({ kind: 'not-run', reason: `the backend server answered ${status} and did not run the request`, isMisdirected: facts.isMisdirected })
     }
     if (!this.isStreaming) {
@@ -230,15 +231,6 @@
     this.finish({ kind: 'done' })
   }
 
-  private onMisdirected (): void {
-    const { model, adapter } = this.exchange.request.facts
-    const state = model === undefined ? undefined : this.server.hosted.get(model)
-    // Another server has the address, or the model was unloaded: both make what is known of it wrong.
-    if (!state) this.server.onUnreachable()
-    else if (adapter === undefined) this.server.hosted.delete(model!)
-    else state.adapters.delete(adapter)
-  }
-
   private onBroken ({ wasSent, isUnreachable, reason }: Break): void {
     if (isUnreachable) this.server.onUnreachable()
     else this.server.onFailed()
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -18,6 +18,8 @@
   used: z.array(z.tuple([z.string(), z.string(), z.string()])),
   /** Engine and model of requests that it refused because the model was not loaded. */
   missing: z.array(z.tuple([z.string(), z.string()])),
+  /** Engines that do not hold what they were thought to hold. */
+  misknown: z.array(z.string()),
   /** Backend server, requests that it answered and that failed since the last report. */
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()]))
 })
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -61,7 +61,8 @@
   isSyncing: boolean
   /** Grows when the engine turns out to have carried out other orders than assumed; earlier decisions are void. */
   generation: number
-  adaptersInTransit: number
+  /** Adapters whose load is decided and whose order has not ended, by `MODEL/ADAPTER`. */
+  pendingAdapters: Set<string>
   retryAtMs: number
   /** Last use of each adapter, by `MODEL/ADAPTER`. */
   usedAtMs: Map<string, number>
@@ -121,6 +122,11 @@
     for (const [engine, model, adapter] of report.used) {
       this.controls.get(engine)?.usedAtMs.set(`${model}/${adapter}`, this.options.clock.nowMs())
     }
+    for (const id of report.misknown) {
+      const control = this.controls.get(id)
+      // Nothing is decided for the engine until it has said what it holds.
+      if (control) control.isSynced = false
+    }
     if (report.adapters.length > 0 && this.mayOrder()) this.loadAdapters()
   }
 
@@ -157,7 +163,7 @@
         isSynced: false,
         isSyncing: false,
         generation: 0,
-        adaptersInTransit: 0,
+        pendingAdapters: new Set(),
         retryAtMs: 0,
         usedAtMs: new Map(),
         loadedAtMs: new Map(),
@@ -475,9 +481,10 @@
       const state = server.hosted.get(model)
       return isSynced && state && !state.isLeaving && !state.isComing && server.isUsable
     })
-    if (hosts.some(({ server }) => server.hosted.get(model)!.adapters.has(adapter))) return
-    const order = rendezvousOrder(`${model}/${adapter}`, hosts.map(({ server }) => server.entry.id))
-    const free = hosts.filter(control => !control.isBusy && control.adaptersInTransit < adaptersInTransit && nowMs >= control.retryAtMs)
+    const key = `${model}/${adapter}`
+    if (hosts.some(({ server, pendingAdapters }) => pendingAdapters.has(key) || server.hosted.get(model)!.adapters.has(adapter))) return
+    const order = rendezvousOrder(key, hosts.map(({ server }) => server.entry.id))
+    const free = hosts.filter(control => !control.isBusy && control.pendingAdapters.size < adaptersInTransit && nowMs >= control.retryAtMs)
     const ranked = free.sort((left, right) => order.indexOf(left.server.entry.id) - order.indexOf(right.server.entry.id))
     const chosen = ranked.find(control => adapterCount(control) < engine.adapterSlots) ?? ranked[0]
     if (!chosen) return
@@ -486,13 +493,14 @@
     void this.carryOutAdapter(chosen, model, adapter, evicted)
   }
 
-  private leastUsedAdapter ({ server, usedAtMs }: Control): { model: string, adapter: string } | undefined {
+  private leastUsedAdapter (control: Control): { model: string, adapter: string } | undefined {
+    const { server, usedAtMs } = control
     const nowMs = this.options.clock.nowMs()
     let least: { model: string, adapter: string, atMs: number } | undefined
     for (const [model, { adapters, isLeaving }] of server.hosted) {
       if (isLeaving) continue
       for (const [adapter, readyAtMs] of adapters) {
-        if (readyAtMs > nowMs) continue
+        if (readyAtMs > nowMs || control.pendingAdapters.has(`${model}/${adapter}`)) continue
         const atMs = usedAtMs.get(`${model}/${adapter}`) ?? -Infinity
         if (nowMs - atMs < adapterResidenceMs) continue
         if (!least || atMs < least.atMs) least = { model, adapter, atMs }
@@ -504,7 +512,7 @@
   private async carryOutAdapter (control: Control, model: string, adapter: string, evicted: { model: string, adapter: string } | undefined): Promise<void> {
     const { server, generation } = control
     const { clock } = this.options
-    control.adaptersInTransit++
+    control.pendingAdapters.add(`${model}/${adapter}`)
     const assumedReadyAtMs = clock.nowMs() + undecidedAdapterMs
     server.hosted.get(model)!.adapters.set(adapter, assumedReadyAtMs)
     control.usedAtMs.set(`${model}/${adapter}`, clock.nowMs())
@@ -536,7 +544,7 @@
         control.retryAtMs = clock.nowMs() + conflictDelayMs
       }
     } finally {
-      control.adaptersInTransit--
+      control.pendingAdapters.delete(`${model}/${adapter}`)
       this.publish()
     }
   }
@@ -585,10 +593,10 @@
 }
 
 /** Places for adapters that are in use, or will be. */
-function adapterCount ({ server, leavingAdapters }: Control): number {
-  let count = leavingAdapters.size
-  for (const { adapters } of server.hosted.values()) count += adapters.size
-  return count
+function adapterCount ({ server, leavingAdapters, pendingAdapters }: Control): number {
+  const keys = new Set(pendingAdapters)
+  for (const [model, { adapters }] of server.hosted) for (const adapter of adapters.keys()) keys.add(`${model}/${adapter}`)
+  return keys.size + leavingAdapters.size
 }
 
 function phaseOf ({ isComing, isLeaving }: HostedState): 'held' | 'coming' | 'leaving' {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -378,8 +378,10 @@
   private report (): NodeReport {
     const running: NodeReport['running'] = []
     const outcomes: NodeReport['outcomes'] = []
+    const misknown: string[] = []
     for (const [id, server] of this.fleet.servers) {
       const { answered, failed } = server.takeOutcomes()
+      if (server.takeMisknown()) misknown.push(id)
       if (answered + failed > 0) outcomes.push([id, answered, failed])
       for (const key of server.runningByAdapter.keys()) this.demand.onUsed(id, key)
       for (const [model, { count, rank }] of server.runningByModel) if (model !== '') running.push([id, model, count, rank])
@@ -391,6 +393,7 @@
       running,
       used: this.demand.takeUsed(),
       missing: this.demand.takeMissing(),
+      misknown,
       outcomes
     }
   }
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -26,7 +26,7 @@
   const clock = new VirtualClock(100_000)
   const random = new SeededRandom(seed)
   const engines = new Map(['e0', 'e1', 'e2'].map((id, index) => [id, new FakeEngine(id, type, clock, random, [0, 1, 2].map(offset => `m${index * 3 + offset}`).filter(model => !without.includes(model)))]))
-  let report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], outcomes: [] }
+  let report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] }
   const leaders: PlacementLeader[] = []
   const lead = (fence: number) => {
     const fleet = new FleetView({ clock, log: silentLog, regionOfZone: {} })
@@ -101,6 +101,26 @@
     stop()
   })
 
+  it('counts an adapter from the decision to load it, however slow the order is', async () => {
+    // Pattern: a slow link to an engine while requests for many adapters wait; engines crash with one adapter too many.
+    const { clock, engines, lead, ask, stop } = world(1)
+    const { fleet } = lead(5)
+    const engine = engines.get('e0')!
+    engine.roundTripMs = 360
+    ask({ adapters: Array.from({ length: 7 }, (_, index) => ['s', 'm0', `a${index}`, 1]) })
+    for (let step = 0; step < 240; step++) {
+      await clock.advance(50)
+      // Requests that come too early are refused by the engine.
+      const server = fleet.servers.get('e0')!
+      for (let index = 0; index < 7; index++) {
+        if (server.serves('m0', `a${index}`) && !engine.models.get('m0')!.has(`a${index}`)) server.onMisdirected('m0', `a${index}`)
+      }
+    }
+    expect(overloads(engines)).to.deep.equal([])
+    expect(engine.repeated).to.deep.equal([])
+    stop()
+  })
+
   it('leaves an engine alone until the order of an earlier leader has ended', async () => {
     // Guards against counting a model that is still being loaded as free memory.
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
