Count an adapter that makes way until the engine has unloaded it

Cause: the place of an adapter that is replaced was counted as free before its unload was carried out, and an order without an answer was taken for carried out when the engine did not answer the question after it either.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -71,6 +71,11 @@
   leavingAdapters: Set<string>
 }
 
+interface AdapterName {
+  model: string
+  adapter: string
+}
+
 export interface PlacementLeaderOptions {
   clock: Clock
   log: Log
@@ -427,6 +432,8 @@
   private order (control: Control, generation: number, action: 'load' | 'unload', model: string, adapter?: string): Promise<OrderOutcome> {
     return this.enqueue(control, async () => {
       if (control.generation !== generation) return 'conflict'
+      // What the engine holds has become doubtful since the decision.
+      if (!control.isSynced) return 'unknown'
       // The engine has started again under its ID: what was decided for its earlier life does not hold.
       if (this.controls.get(control.server.entry.id) !== control) return 'gone'
       const { server } = control
@@ -449,16 +456,18 @@
       if (outcome === 'conflict' || outcome === 'unknown' || outcome === 'gone') {
         // The report shows the engine as it was a moment ago.
         await sleep(this.options.clock, reportLagMs)
-        await this.sync(control)
-        if (wasUnknown && this.holds(control, action, model, adapter)) return 'already-done'
+        const isKnown = await this.sync(control)
+        if (isKnown && wasUnknown && this.holds(control, action, model, adapter)) return 'already-done'
       }
       return outcome
     })
   }
 
-  private holds ({ server }: Control, action: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
+  private holds ({ server, leavingAdapters }: Control, action: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
     const state = server.hosted.get(model)
-    const isHeld = adapter === undefined ? state !== undefined && !state.isComing : state?.adapters.has(adapter) ?? false
+    const isHeld = adapter === undefined
+      ? state !== undefined && !state.isComing
+      : leavingAdapters.has(`${model}/${adapter}`) || (state?.adapters.has(adapter) ?? false)
     return (action === 'load') === isHeld
   }
 
@@ -493,7 +502,7 @@
     void this.carryOutAdapter(chosen, model, adapter, evicted)
   }
 
-  private leastUsedAdapter (control: Control): { model: string, adapter: string } | undefined {
+  private leastUsedAdapter (control: Control): AdapterName | undefined {
     const { server, usedAtMs } = control
     const nowMs = this.options.clock.nowMs()
     let least: { model: string, adapter: string, atMs: number } | undefined
@@ -509,7 +518,7 @@
     return least
   }
 
-  private async carryOutAdapter (control: Control, model: string, adapter: string, evicted: { model: string, adapter: string } | undefined): Promise<void> {
+  private async carryOutAdapter (control: Control, model: string, adapter: string, evicted: AdapterName | undefined): Promise<void> {
     const { server, generation } = control
     const { clock } = this.options
     control.pendingAdapters.add(`${model}/${adapter}`)
@@ -522,20 +531,7 @@
       if (adapters?.get(adapter) === assumedReadyAtMs) adapters.delete(adapter)
     }
     try {
-      if (evicted) {
-        server.hosted.get(evicted.model)?.adapters.delete(evicted.adapter)
-        this.publish()
-        const outcome = await this.order(control, generation, 'unload', evicted.model, evicted.adapter)
-        if (outcome === 'started') {
-          // Requests use it, so its place becomes free only with their end.
-          control.leavingAdapters.add(`${evicted.model}/${evicted.adapter}`)
-          void this.awaitAdapterUnloads(control)
-        }
-        if (outcome !== 'already-done') {
-          control.retryAtMs = clock.nowMs() + conflictDelayMs
-          return forget()
-        }
-      }
+      if (evicted && !(await this.makeRoom(control, generation, evicted))) return forget()
       const outcome = await this.order(control, generation, 'load', model, adapter)
       if (outcome === 'already-done') server.hosted.get(model)?.adapters.set(adapter, clock.nowMs())
       else if (outcome === 'started') server.hosted.get(model)?.adapters.set(adapter, clock.nowMs() + adapterLoadMs)
@@ -549,6 +545,25 @@
     }
   }
 
+  /** Unloads an adapter. Its place counts as taken until the engine has said that it is free. */
+  private async makeRoom (control: Control, generation: number, { model, adapter }: AdapterName): Promise<boolean> {
+    const key = `${model}/${adapter}`
+    const { server, leavingAdapters } = control
+    server.hosted.get(model)?.adapters.delete(adapter)
+    leavingAdapters.add(key)
+    this.publish()
+    const outcome = await this.order(control, generation, 'unload', model, adapter)
+    if (outcome === 'already-done') {
+      leavingAdapters.delete(key)
+      return true
+    }
+    control.retryAtMs = this.options.clock.nowMs() + conflictDelayMs
+    // Requests use it, so its place becomes free only with their end.
+    if (outcome === 'started') void this.awaitAdapterUnloads(control)
+    else if (leavingAdapters.delete(key)) server.hosted.get(model)?.adapters.set(adapter, 0)
+    return false
+  }
+
   private async awaitAdapterUnloads (control: Control): Promise<void> {
     while (control.leavingAdapters.size > 0 && !this.isStopped && this.controls.get(control.server.entry.id) === control) {
       await sleep(this.options.clock, adapterUnloadCheckMs)
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -121,6 +121,26 @@
     stop()
   })
 
+  it('counts an adapter that makes way until the engine has unloaded it', async () => {
+    // Pattern: the link to an engine falls silent while an adapter is replaced, and other adapters are asked for.
+    const { clock, engines, lead, ask, stop } = world(1)
+    lead(5)
+    const engine = engines.get('e0')!
+    ask({ adapters: Array.from({ length: 4 }, (_, index) => ['s', 'm0', `a${index}`, 1]) })
+    await clock.advance(6000)
+    for (let round = 0; round < 8; round++) {
+      engine.isReachable = false
+      ask({ adapters: [['s', 'm0', `a${5 + round}`, 1]] })
+      await clock.advance(300)
+      ask({ adapters: [['s', 'm0', `a${20 + round}`, 1], ['s', 'm1', `a${round}`, 1]] })
+      await clock.advance(1450)
+      engine.isReachable = true
+      await clock.advance(2000)
+    }
+    expect(overloads(engines)).to.deep.equal([])
+    stop()
+  })
+
   it('leaves an engine alone until the order of an earlier leader has ended', async () => {
     // Guards against counting a model that is still being loaded as free memory.
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
