Let prompts wait at the nodes while engines have unread ones

Each prompt beyond what an engine reads makes more streams late than it serves.

Change: the desk hands an engine no prompt while its unread ones take more than 60 ms (less for later ranks) or more than 40 streams run there, and says after which time to ask again; the node waits as it does for full engines, at most half of the objective, and then refuses with a time to return.

--- a/src/policy/dispatchDesk.ts
+++ b/src/policy/dispatchDesk.ts
@@ -5,6 +5,19 @@
 
 /** Assumed prompt tokens that an engine reads in a millisecond. */
 const promptTokensPerMs = 20
+/**
+ * Unread prompts, in reading time, from which an engine gets no more for now: while an engine reads, all its streams pause,
+ * and pauses of some hundred milliseconds make every one of them late.
+ */
+const firstRankBacklogMs = 60
+/** Each further rank leaves room for those before it. */
+const rankBacklogStepMs = 10
+const smallestBacklogMs = 30
+/** Streams of an engine beyond which each prompt makes more of them late than it serves, whatever the batch allows. */
+const mostStreams = 40
+/** Time after which a full engine may have room again. */
+const fullWaitMs = 150
+const shortestWaitMs = 60
 /** Delay that one more running request adds on an engine, which steps for all of them. */
 const runningCostMs = 2.5
 /**
@@ -67,6 +80,9 @@
   outcomesAtMs: number
 }
 
+/** An engine for the request, or the time after which to ask again. */
+export type DispatchChoice = { kind: 'engine', id: string } | { kind: 'wait', forMs: number }
+
 export class DispatchDesk {
   private readonly clock: Clock
   private readonly engines = new Map<string, EngineState>()
@@ -75,30 +91,31 @@
     this.clock = clock
   }
 
-  /** The engine on which the request delays itself and others least, or `undefined` if none has room. */
-  choose (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): string | undefined {
+  /** The engine on which the request delays itself and others least. */
+  choose (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): DispatchChoice {
     let best: { state: EngineState, id: string, ownMs: number } | undefined
     let bestMs = Infinity
+    let waitMs = fullWaitMs
+    const limitMs = Math.max(smallestBacklogMs, firstRankBacklogMs - ask.rank * rankBacklogStepMs)
     for (const candidate of candidates) {
       if (ask.excluded.includes(candidate.id)) continue
       const state = this.stateOf(candidate.id)
       const running = candidate.running + this.handedLately(state)
-      if (running >= candidate.slots * batchShare(ask.rank)) continue
+      if (running >= Math.min(candidate.slots, mostStreams) * batchShare(ask.rank)) continue
+      const backlogMs = this.backlogMs(state)
+      if (backlogMs > limitMs) {
+        waitMs = Math.min(waitMs, backlogMs - limitMs)
+        continue
+      }
       const ownMs = this.readingMs(ask, state)
-      const costMs = this.backlogMs(state) + ownMs + running * runningCostMs + distanceMs(ask, candidate) + this.failureShare(state) * failureCostMs
+      const costMs = backlogMs + ownMs + running * runningCostMs + distanceMs(ask, candidate) + this.failureShare(state) * failureCostMs
       if (costMs >= bestMs) continue
       bestMs = costMs
       best = { state, id: candidate.id, ownMs }
     }
-    if (!best) return undefined
+    if (!best) return { kind: 'wait', forMs: Math.max(shortestWaitMs, waitMs) }
     this.hand(ask, best.state, best.ownMs)
-    return best.id
-  }
-
-  /** The request goes to `engine` without a choice. */
-  note (ask: DispatchAsk, engine: string): void {
-    const state = this.stateOf(engine)
-    this.hand(ask, state, this.readingMs(ask, state))
+    return { kind: 'engine', id: best.id }
   }
 
   /** Requests that ended well or failed at a server, as one node saw them. */
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -1,7 +1,7 @@
 /** Asks the placement leader, which sees the requests of all nodes, for an engine. */
 
 import type { Clock } from '../base/clock.js'
-import type { DispatchAsk } from '../policy/dispatchDesk.js'
+import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import { askRow } from './peerMessages.js'
 import type { AskMessage } from './peerMessages.js'
 
@@ -19,7 +19,7 @@
 export class DispatchClient {
   private readonly clock: Clock
   private readonly send: (message: AskMessage) => boolean
-  private readonly pending = new Map<number, (engine: string | undefined) => void>()
+  private readonly pending = new Map<number, (choice: DispatchChoice | undefined) => void>()
   private nextNumber = 1
   private pausedUntilMs = 0
   /** Questions without an answer in time. */
@@ -30,8 +30,8 @@
     this.send = send
   }
 
-  /** The engine that the leader names, or `undefined` if it does not answer in time or names none. */
-  ask (ask: DispatchAsk): Promise<string | undefined> {
+  /** The leader's choice, or `undefined` if it does not answer in time. */
+  ask (ask: DispatchAsk): Promise<DispatchChoice | undefined> {
     if (this.clock.nowMs() < this.pausedUntilMs) return Promise.resolve(undefined)
     const number = this.nextNumber++
     if (!this.send({ ask: number, ...askRow(ask) })) return Promise.resolve(undefined)
@@ -41,22 +41,17 @@
         this.pausedUntilMs = this.clock.nowMs() + pauseMs
         this.onAnswer(number, undefined)
       })
-      this.pending.set(number, engine => {
+      this.pending.set(number, choice => {
         cancel()
-        resolve(engine)
+        resolve(choice)
       })
     })
   }
 
-  /** Tells the leader where a request goes for which there is no choice. */
-  tell (ask: DispatchAsk, engine: string): void {
-    this.send({ ask: 0, chosen: engine, ...askRow(ask) })
-  }
-
-  onAnswer (number: number, engine: string | undefined): void {
+  onAnswer (number: number, choice: DispatchChoice | undefined): void {
     const resolve = this.pending.get(number)
     this.pending.delete(number)
-    resolve?.(engine)
+    resolve?.(choice)
   }
 
   /** The connection to the leader is gone. */
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -2,7 +2,7 @@
 
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { z } from 'zod'
-import type { DispatchAsk } from '../policy/dispatchDesk.js'
+import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import { decodeBody, encodeBody } from '../protocol/framing.js'
 
 /** What a node tells the leader, several times a second. Rows instead of objects, since the bytes cross regions. */
@@ -27,10 +27,8 @@
 
 /** A request that needs an engine. */
 export const askMessageSchema = z.object({
-  /** Number of the question; 0 if no answer is wanted. */
+  /** Number of the question. */
   ask: z.number(),
-  /** Engine to which the request goes without a choice. */
-  chosen: z.string().optional(),
   /** Service, model, adapter, prompt tokens, rank, region, availability zone. */
   row: z.tuple([z.string(), z.string(), z.string().nullable(), z.number(), z.number(), z.string(), z.string()]),
   /** ID and tokens of the prompt parts that other requests share. */
@@ -58,11 +56,17 @@
 /** The answer to a question. */
 export const adviceSchema = z.object({
   ask: z.number(),
-  /** `null`: no engine has room. */
-  engine: z.string().nullable()
+  /** Absent: no engine has room. */
+  engine: z.string().optional(),
+  /** Time after which to ask again. */
+  waitMs: z.number().optional()
 })
 export type Advice = z.infer<typeof adviceSchema>
 
+export function choiceOf ({ engine, waitMs }: Advice): DispatchChoice {
+  return engine === undefined ? { kind: 'wait', forMs: waitMs ?? 0 } : { kind: 'engine', id: engine }
+}
+
 const adapterRowSchema = z.tuple([z.string(), z.number()])
 export const hostedPhaseSchema = z.enum(['held', 'coming', 'leaving'])
 /** Name, time until it is ready, phase, adapters. */
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -2,10 +2,11 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { match } from 'ts-pattern'
+import { sleep } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
-import type { DispatchAsk } from '../policy/dispatchDesk.js'
+import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import { RetryBudget } from '../policy/retry.js'
 import { streamPatienceMs } from '../policy/streamPatience.js'
 import type { BackendServer } from './backendServer.js'
@@ -90,10 +91,8 @@
   settings: RelaySettings
   /** Nodes that share the fleet's budgets. */
   nodeCount: () => number
-  /** The engine that is best in view of all nodes' requests, if it can be told in time. */
-  chooseForAll?: (ask: DispatchAsk) => Promise<string | undefined>
-  /** Tells where a request goes that has no choice. */
-  tellChosen?: (ask: DispatchAsk, backend: string) => void
+  /** The choice that is best in view of all nodes' requests, if it can be told in time. */
+  chooseForAll?: (ask: DispatchAsk) => Promise<DispatchChoice | undefined>
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -123,6 +122,12 @@
   | { kind: 'refused', reason: string, retryAfterMs: number }
   | { kind: 'left' }
 
+interface Pick {
+  server: BackendServer | undefined
+  /** Time after which to look again. */
+  waitMs: number
+}
+
 export class Relay {
   private readonly options: RelayOptions
   private readonly clock: Clock
@@ -269,9 +274,9 @@
   private async findServer (
     request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
   ): Promise<Search> {
-    const immediate = await this.chooseWithLeader(request, tried, isRepeat)
+    let pick = await this.chooseWithLeader(request, tried, isRepeat)
     if (hasLeft()) return { kind: 'left' }
-    if (immediate) return { kind: 'found', server: immediate }
+    if (pick.server) return { kind: 'found', server: pick.server }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
     if (!request.service.engine.models.some(({ name }) => name === model)) {
@@ -297,11 +302,11 @@
             : { kind: 'refused', reason: `no engine is ready with ${name}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
         }
         if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
-        await this.options.demand.changeOrDelay(waitPollMs)
+        await (pick.waitMs > waitPollMs ? sleep(this.clock, pick.waitMs) : this.options.demand.changeOrDelay(waitPollMs))
         if (hasLeft()) return { kind: 'left' }
-        const server = await this.chooseWithLeader(request, tried, isRepeat)
+        pick = await this.chooseWithLeader(request, tried, isRepeat)
         if (hasLeft()) return { kind: 'left' }
-        if (server) return { kind: 'found', server }
+        if (pick.server) return { kind: 'found', server: pick.server }
       }
     } finally {
       waiting.end()
@@ -317,19 +322,13 @@
   }
 
   /** The leader's choice among the engines that can take the request, or this node's own. */
-  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): Promise<BackendServer | undefined> {
-    const { chooseForAll, tellChosen } = this.options
-    const candidates = this.candidates(request, tried, isRepeat)
-    const ask = candidates.length > 0 ? this.askOf(request, tried) : undefined
-    if (!ask) return this.choose(request, tried, isRepeat)
-    if (candidates.length === 1) {
-      tellChosen?.(ask, candidates[0]!.entry.id)
-      return candidates[0]
-    }
-    const chosen = await chooseForAll?.(ask)
+  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): Promise<Pick> {
+    const ask = this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried) : undefined
+    const choice = ask && await this.options.chooseForAll?.(ask)
+    if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
-    const server = chosen === undefined ? undefined : this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === chosen)
-    return server ?? this.choose(request, tried, isRepeat)
+    const named = choice && this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === choice.id)
+    return { server: named ?? this.choose(request, tried, isRepeat), waitMs: waitPollMs }
   }
 
   private askOf ({ facts, route, service }: RelayRequest, tried: ReadonlySet<string>): DispatchAsk | undefined {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import { DispatchDesk } from '../policy/dispatchDesk.js'
-import type { DispatchAsk } from '../policy/dispatchDesk.js'
+import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import type { Codecs } from './codecs.js'
 import { ChangeRelay } from './changeRelay.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
@@ -21,7 +21,7 @@
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
 import { LeaderLink, PeerServer } from './peerLink.js'
-import { askOf, packChanges, unpackChanges } from './peerMessages.js'
+import { askOf, choiceOf, packChanges, unpackChanges } from './peerMessages.js'
 import type { LeaderMessage, LeaderReport, NodeReport, RelayedChanges } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import { Relay } from './relay.js'
@@ -107,7 +107,6 @@
       },
       nodeCount: () => this.size.value,
       chooseForAll: ask => this.chooseForAll(ask),
-      tellChosen: (ask, backend) => this.tellChosen(ask, backend),
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.calls = new EngineCalls(clock, codecs)
@@ -131,8 +130,8 @@
       clock,
       onMessage: (message, reply) => {
         if (!('ask' in message)) return this.onNodeReport(message)
-        const engine = this.answer(askOf(message), message.chosen)
-        if (message.ask !== 0) reply({ ask: message.ask, engine: engine ?? null })
+        const choice = this.answer(askOf(message))
+        if (choice) reply({ ask: message.ask, ...(choice.kind === 'engine' ? { engine: choice.id } : { waitMs: Math.ceil(choice.forMs) }) })
       },
       onJoined: send => { if (this.placement && this.changes) send({ ...this.placement.fullReport(), news: this.newsOf(this.changes.recent()) }) }
     })
@@ -310,24 +309,14 @@
     this.link.follow(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
   }
 
-  /** The engine that the leader names for a request, if it is known in time. */
-  private async chooseForAll (ask: DispatchAsk): Promise<string | undefined> {
+  /** The leader's choice for a request, if it is known in time. */
+  private async chooseForAll (ask: DispatchAsk): Promise<DispatchChoice | undefined> {
     return this.desk ? this.answer(ask) : await this.dispatch.ask(ask)
   }
 
-  private tellChosen (ask: DispatchAsk, backend: string): void {
-    if (this.desk) this.answer(ask, backend)
-    else this.dispatch.tell(ask, backend)
-  }
-
-  private answer (ask: DispatchAsk, chosen?: string): string | undefined {
-    if (!this.desk) return undefined
-    if (chosen !== undefined) {
-      this.desk.note(ask, chosen)
-      return chosen
-    }
+  private answer (ask: DispatchAsk): DispatchChoice | undefined {
     const candidates = this.fleet.ofService(ask.service).filter(server => server.isUsable && server.serves(ask.model, ask.adapter))
-    return this.desk.choose(ask, candidates.map(server => ({
+    return this.desk?.choose(ask, candidates.map(server => ({
       id: server.entry.id,
       region: server.region,
       availabilityZone: server.entry.availabilityZone,
@@ -346,7 +335,7 @@
   }
 
   private onLeaderMessage (message: LeaderMessage): void {
-    if ('ask' in message) this.dispatch.onAnswer(message.ask, message.engine ?? undefined)
+    if ('ask' in message) this.dispatch.onAnswer(message.ask, choiceOf(message))
     else this.onLeaderReport(message)
   }
 
