Soak the serving node under overlapping faults, as real processes

Change: tests/soak plays the platform around real nodes, injects faults by signals, proxies and the store, and checks what callers and backend servers see.

Not played: time of day, which the nodes use for log lines only, and links between nodes other than by signals.

--- /dev/null
+++ b/tests/soak/backendStandIn.ts
@@ -0,0 +1,246 @@
+/** A backend server of the platform: a plain service, or an engine that holds models and takes orders. */
+
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { FaultProxy } from './faultProxy.js'
+import type { Ledger } from './ledger.js'
+import { sleep } from './storeStandIn.js'
+import type { StoreStandIn } from './storeStandIn.js'
+
+export const modelMb = 70
+export const engineMb = 150
+export const adapterSlots = 3
+export const streamEvents = 12
+const beatMs = 400
+const workMs = 60
+const eventMs = 25
+const loadMs = 500
+const adapterMs = 20
+
+interface Order { op: string, model: string, adapter?: string, expected?: number, holder: string, fence: number }
+
+export interface BackendOptions {
+  id: string
+  service: string
+  slots: number
+  /** Engines only: the models that it holds at its start. */
+  models?: string[]
+  store: StoreStandIn
+  ledger: Ledger
+  random: () => number
+}
+
+export class BackendStandIn {
+  readonly options: BackendOptions
+  readonly proxy: FaultProxy
+  /** Share of orders that get no answer and are carried out late. */
+  lateShare = 0
+  /** Share of answers that are lost after the request has run. */
+  lostShare = 0
+  isFailing = false
+  private state: 'ready' | 'draining' = 'ready'
+  private isDead = false
+  private address = ''
+  private readonly born = Date.now()
+  private readonly models = new Map<string, Set<string>>()
+  private running = new Map<string, number>()
+  private active = 0
+  private orders = 0
+  private fence = 0
+  private isBusy = false
+  private adaptersComing = 0
+  private beats = 0
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+
+  constructor (options: BackendOptions) {
+    this.options = options
+    for (const model of options.models ?? []) this.models.set(model, new Set())
+    this.server = createServer((request, response) => { void this.handle(request, response) })
+    this.server.keepAliveTimeout = 3000
+    this.server.on('connection', socket => {
+      this.sockets.add(socket)
+      socket.on('close', () => this.sockets.delete(socket))
+    })
+    this.proxy = new FaultProxy(() => ({ host: '127.0.0.1', port: (this.server.address() as AddressInfo | null)?.port ?? 1 }))
+  }
+
+  get isGone (): boolean {
+    return this.isDead
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
+    this.address = await this.proxy.listen()
+    void this.beat()
+  }
+
+  /** Announces that it leaves, serves for a while and ends. */
+  async drain (drainMs: number): Promise<void> {
+    this.state = 'draining'
+    // The store's answer is the moment from which the bound counts, so the report is repeated until it takes it.
+    while (!this.report()) await sleep(50)
+    this.options.ledger.onDraining(this.options.id)
+    await sleep(drainMs)
+    while (this.active > 0) await sleep(50)
+    this.crash()
+    this.options.store.remove(`servers/${this.options.id}`)
+  }
+
+  crash (): void {
+    this.isDead = true
+    this.server.close()
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    this.proxy.close()
+  }
+
+  private async beat (): Promise<void> {
+    let missed = 0
+    while (!this.isDead) {
+      this.report()
+      await sleep(beatMs)
+    }
+    while (missed++ < 3) await sleep(beatMs)
+    this.options.store.remove(`servers/${this.options.id}`)
+  }
+
+  private report (): boolean {
+    const { store, id, service, slots, models } = this.options
+    if (this.isDead || store.mode !== 'up') return store.mode === 'up'
+    store.put(`servers/${id}`, {
+      service, address: this.address, zone: 'z1', version: 1, slots, state: this.state, cold_left_ms: 0, seq: ++this.beats, born: this.born, ...(models ? { stage: 'combined', models: this.hosted() } : {})
+    })
+    return true
+  }
+
+  private hosted () {
+    return [...this.models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }))
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = []
+    try {
+      for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk)
+    } catch {
+      // The sender broke the request off, so it never arrived.
+      return
+    }
+    const body = Buffer.concat(chunks).toString()
+    if (request.url === '/report') return this.reply(response, 200, this.engineReport())
+    const expected = request.headers['x-expect-instance']
+    if (expected !== undefined && expected !== this.options.id) return this.refuse(request, response, 421)
+    if (request.url === '/order') return this.onOrder(JSON.parse(body), response)
+    await this.run(request, response, body)
+  }
+
+  private refuse (request: IncomingMessage, response: ServerResponse, status: number): void {
+    this.reply(response, status, {}, { 'X-Not-Executed': '1', 'X-Attempt-Id': String(request.headers['x-attempt-id'] ?? '') })
+  }
+
+  private async run (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+    const id = String(request.headers['x-attempt-id'] ?? '')
+    const { ledger, slots } = this.options
+    const [model, adapter] = String(request.headers['x-model'] ?? '').split('/')
+    ledger.onArrival(id, this.options.id)
+    if (this.options.models && !(adapter ? this.models.get(model!)?.has(adapter) : this.models.has(model!))) return this.refuse(request, response, 421)
+    if (this.active >= slots) return this.refuse(request, response, 503)
+    ledger.onRun(id, this.options, `${request.method} ${request.url} ${body}`)
+    this.active++
+    if (model) this.running.set(model, (this.running.get(model) ?? 0) + 1)
+    try {
+      if (model) await this.stream(request, response, id)
+      else await this.plain(response, id)
+    } finally {
+      this.active--
+      if (model) this.running.set(model, this.running.get(model)! - 1)
+    }
+  }
+
+  private async plain (response: ServerResponse, id: string): Promise<void> {
+    await sleep(workMs * (0.5 + this.options.random()))
+    if (this.options.random() < this.lostShare) {
+      response.destroy()
+      return
+    }
+    if (this.isFailing) return this.reply(response, 500, {}, { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
+    this.reply(response, 200, { answer: id, by: this.options.id }, { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
+  }
+
+  private async stream (request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
+    const from = Number(request.headers['last-event-id'] ?? 0) + 1
+    await sleep(eventMs)
+    response.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
+    for (let event = from; event <= streamEvents && !response.destroyed; event++) {
+      response.write(`id: ${event}\ndata: ${id}.${event}\n\n`)
+      await sleep(eventMs)
+      if (this.options.random() < this.lostShare / streamEvents) {
+        response.destroy()
+        return
+      }
+    }
+    response.end()
+  }
+
+  private reply (response: ServerResponse, status: number, body: object, headers: Record<string, string> = {}): void {
+    if (response.destroyed) return
+    const text = JSON.stringify(body)
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': String(text.length), ...headers })
+    response.end(text)
+  }
+
+  private engineReport (): object {
+    return { stage: 'combined', models: this.hosted(), busy: this.isBusy, seq: this.orders, queued: 0, active: this.active, kv_used: 0, kv_total: 1000, handles: 0 }
+  }
+
+  private onOrder (order: Order, response: ServerResponse): void {
+    const { ledger, id, random } = this.options
+    if (random() < this.lateShare) {
+      setTimeout(() => { if (!this.isDead) this.takeOrder(order) }, 1500 + random() * 4000)
+      return
+    }
+    ledger.onOrder(id, order.holder, order.fence)
+    this.reply(response, this.takeOrder(order), {})
+  }
+
+  private takeOrder ({ op, model, adapter, expected, fence }: Order): number {
+    if (fence < this.fence) return 412
+    this.fence = fence
+    if (this.isBusy || (expected !== undefined && expected !== this.orders)) return 409
+    if (adapter) return this.takeAdapterOrder(op, model, adapter)
+    if ((op === 'load') === this.models.has(model)) return 200
+    this.orders++
+    this.isBusy = true
+    if (op === 'load' && (this.models.size + 1) * modelMb > engineMb) this.options.ledger.violation('LIMIT', `${this.options.id} is ordered to hold ${[...this.models.keys(), model].join(', ')}`)
+    void this.carryOut(op, model)
+    return 202
+  }
+
+  private takeAdapterOrder (op: string, model: string, adapter: string): number {
+    const adapters = this.models.get(model)
+    if (!adapters) return 421
+    if ((op === 'load') === adapters.has(adapter)) return 200
+    this.orders++
+    if (op === 'unload') {
+      adapters.delete(adapter)
+      return 200
+    }
+    const count = [...this.models.values()].reduce((sum, one) => sum + one.size, this.adaptersComing)
+    if (count + 1 > adapterSlots) this.options.ledger.violation('LIMIT', `${this.options.id} is ordered to hold ${count + 1} adapters`)
+    this.adaptersComing++
+    setTimeout(() => {
+      this.adaptersComing--
+      adapters.add(adapter)
+    }, adapterMs)
+    return 202
+  }
+
+  private async carryOut (op: string, model: string): Promise<void> {
+    if (op === 'load') await sleep(loadMs)
+    else while ((this.running.get(model) ?? 0) > 0) await sleep(10)
+    if (op === 'load') this.models.set(model, new Set())
+    else this.models.delete(model)
+    this.isBusy = false
+    this.report()
+  }
+}
--- /dev/null
+++ b/tests/soak/clients.ts
@@ -0,0 +1,77 @@
+/** Clients that keep their connections to a node for as long as it keeps them. */
+
+import { Agent, request as httpRequest } from 'node:http'
+import { streamEvents } from './backendStandIn.js'
+import type { Kind, Ledger, Outcome } from './ledger.js'
+import type { NodeProcess } from './nodeProcess.js'
+
+export const host = 'soak.example'
+export const timeoutMs: Record<Kind, number> = { safe: 2500, unsafe: 2500, stream: 5000 }
+const connectionsEach = 8
+const heldPollMs = 250
+
+export interface Call {
+  kind: Kind
+  path: string
+  model?: string
+}
+
+export class Clients {
+  private readonly agents = new Map<string, Agent>()
+  private nextId = 0
+  pending = 0
+
+  constructor (private readonly ledger: Ledger) {}
+
+  close (): void {
+    for (const agent of this.agents.values()) agent.destroy()
+  }
+
+  /** Resolves with the answer, or with `undefined` if none came. */
+  send (node: NodeProcess, { kind, path, model }: Call): Promise<Outcome | undefined> {
+    const id = `${node.name}.${++this.nextId}`
+    const method = kind === 'safe' ? 'GET' : 'POST'
+    const body = kind === 'safe' ? '' : `body of ${id}`
+    this.ledger.onSent(id, kind, node.name, `${method} ${path} ${body}`)
+    this.pending++
+    return new Promise<Outcome | undefined>(resolve => {
+      const headers: Record<string, string> = { Host: host, 'X-Attempt-Id': id, 'X-Deadline-Ms': String(timeoutMs[kind]) }
+      if (model !== undefined) Object.assign(headers, { 'X-Model': model, 'X-Token-Count': '20,20', 'X-Prompt-Prefix': 'aa:10,bb:10' })
+      const request = httpRequest({ ...node.clientsAddress, method, path, headers, agent: this.agentOf(node.name) })
+      let isOver = false
+      let hasAnswer = false
+      const finish = (outcome: Outcome | undefined) => {
+        if (isOver) return
+        isOver = true
+        clearInterval(heldTimer)
+        if (outcome) this.ledger.onAnswer(id, outcome, streamEvents)
+        resolve(outcome)
+      }
+      const heldTimer = setInterval(() => {
+        if (!this.ledger.onHeld(id, timeoutMs[kind])) return
+        finish(undefined)
+        request.destroy()
+      }, heldPollMs)
+      request.on('response', response => {
+        hasAnswer = true
+        let text = ''
+        response.setEncoding('utf8')
+        response.on('data', (data: string) => { text += data })
+        response.on('error', () => {})
+        response.on('close', () => finish({ status: response.statusCode!, isComplete: response.complete, headers: response.headers, body: text }))
+      })
+      request.on('error', () => {
+        if (isOver || hasAnswer) return
+        this.ledger.onLost(id, { isPlannedStop: node.isStopping && request.socket?.connecting === false })
+        finish(undefined)
+      })
+      request.end(body)
+    }).finally(() => { this.pending-- })
+  }
+
+  private agentOf (node: string): Agent {
+    let agent = this.agents.get(node)
+    if (!agent) this.agents.set(node, agent = new Agent({ keepAlive: true, maxSockets: connectionsEach }))
+    return agent
+  }
+}
--- /dev/null
+++ b/tests/soak/faults.ts
@@ -0,0 +1,137 @@
+/** Faults that the soak injects from outside the processes, in series and overlapping. */
+
+import type { BackendStandIn } from './backendStandIn.js'
+import type { ProxyMode } from './faultProxy.js'
+import type { NodeProcess } from './nodeProcess.js'
+import { sleep } from './storeStandIn.js'
+import type { StoreMode } from './storeStandIn.js'
+import type { World } from './world.js'
+
+/** Carries a fault out and heals it after `durationMs`. */
+export type Fault = (world: World, durationMs: number) => Promise<void>
+
+async function disturbNode (world: World, name: string, action: (node: NodeProcess) => Promise<void>): Promise<void> {
+  const node = world.pick(world.nodes)
+  node.condition.begin(name)
+  await action(node)
+  node.condition.end(name)
+}
+
+async function disturbBackend (world: World, name: string, action: (backend: BackendStandIn) => Promise<void>): Promise<void> {
+  const backend = world.pick([...world.backends.values()].filter(({ isGone }) => !isGone))
+  const condition = world.ledger.backends.get(backend.options.id)!
+  condition.begin(name)
+  await action(backend)
+  condition.end(name)
+}
+
+async function disturbStore (world: World, name: string, action: () => Promise<void>): Promise<void> {
+  world.ledger.store.begin(name)
+  await action()
+  world.ledger.store.end(name)
+}
+
+const storeIn = (mode: StoreMode): Fault => (world, durationMs) => disturbStore(world, mode, async () => {
+  world.store.mode = mode
+  world.store.lapses = world.random() < 0.5
+  await sleep(durationMs)
+  world.store.mode = 'up'
+})
+
+const storeCutFrom = (mode: ProxyMode): Fault => (world, durationMs) => disturbNode(world, `store ${mode}`, async node => {
+  node.storeProxy.mode = mode
+  if (mode === 'reset') node.storeProxy.resetAll()
+  await sleep(durationMs)
+  node.storeProxy.mode = 'pass'
+})
+
+const backendLink = (mode: ProxyMode): Fault => (world, durationMs) => disturbBackend(world, `link ${mode}`, async ({ proxy }) => {
+  proxy.mode = mode
+  if (mode === 'reset') proxy.resetAll()
+  await sleep(durationMs)
+  proxy.mode = 'pass'
+})
+
+export const faults: Record<string, Fault> = {
+  kill: world => disturbNode(world, 'kill', async node => node.signal('SIGKILL')),
+  killSeries: (world, durationMs) => disturbNode(world, 'kill series', async node => {
+    const untilMs = performance.now() + durationMs
+    while (performance.now() < untilMs) {
+      node.signal('SIGKILL')
+      await sleep(400 + world.random() * 800)
+    }
+  }),
+  herdKill: async world => {
+    const victims = world.nodes.filter(() => world.random() < 0.6)
+    for (const node of victims) {
+      node.condition.begin('herd')
+      node.signal('SIGKILL')
+      node.condition.end('herd')
+    }
+  },
+  pause: (world, durationMs) => disturbNode(world, 'pause', async node => {
+    node.signal('SIGSTOP')
+    await sleep(durationMs)
+    node.signal('SIGCONT')
+  }),
+  stop: async world => await world.pick(world.nodes).terminate(),
+  restartAll: async world => {
+    for (const node of world.nodes) {
+      await node.terminate()
+      await sleep(300)
+    }
+  },
+  storeRefuses: storeIn('refuses'),
+  storeBusy: storeIn('busy'),
+  storeSilent: storeIn('silent'),
+  storeSlow: storeIn('slow'),
+  storeLosesAnswers: (world, durationMs) => disturbStore(world, 'lost answers', async () => {
+    world.store.lostShare = 0.5
+    await sleep(durationMs)
+    world.store.lostShare = 0
+  }),
+  storeForgets: world => disturbStore(world, 'forgets', async () => world.store.compact()),
+  storeCut: storeCutFrom('silent'),
+  storeCutOneWay: storeCutFrom('drop-answers'),
+  storeResets: storeCutFrom('reset'),
+  linkSilent: backendLink('silent'),
+  linkDropsRequests: backendLink('drop-requests'),
+  linkDropsAnswers: backendLink('drop-answers'),
+  linkResets: backendLink('reset'),
+  linkDelays: (world, durationMs) => disturbBackend(world, 'link delays', async ({ proxy }) => {
+    proxy.delayMs = 150
+    await sleep(durationMs)
+    proxy.delayMs = 0
+  }),
+  backendCrash: world => disturbBackend(world, 'crash', async backend => {
+    backend.crash()
+    await world.replaceBackend(backend)
+  }),
+  backendDrains: async world => {
+    const backend = world.pick([...world.backends.values()].filter(({ isGone }) => !isGone))
+    await world.replaceBackend(backend)
+    await backend.drain(5000)
+  },
+  backendFails: (world, durationMs) => disturbBackend(world, 'fails', async backend => {
+    backend.isFailing = true
+    await sleep(durationMs)
+    backend.isFailing = false
+  }),
+  answersLost: (world, durationMs) => disturbBackend(world, 'answers lost', async backend => {
+    backend.lostShare = 0.4
+    await sleep(durationMs)
+    backend.lostShare = 0
+  }),
+  lateOrders: (world, durationMs) => disturbBackend(world, 'late orders', async backend => {
+    backend.lateShare = 0.5
+    await sleep(durationMs)
+    backend.lateShare = 0
+  }),
+  configChange: async world => world.changeConfig(),
+  configStorm: async world => {
+    for (let change = 0; change < 4; change++) {
+      world.changeConfig()
+      await sleep(80)
+    }
+  }
+}
--- /dev/null
+++ b/tests/soak/ledger.ts
@@ -0,0 +1,148 @@
+/** What clients sent and backend servers ran, and the promises that this shows kept or broken. */
+
+export type Kind = 'safe' | 'unsafe' | 'stream'
+
+/** Bounds of the deployment that the soak plays. */
+export const drainMs = 2500
+export const configMs = 2500
+export const contactMs = 4000
+export const lossSlackMs = 200
+export const graceMs = 6000
+/** Time beyond a route's timeout by which a calm node has answered; timers of a busy test machine are late. */
+const heldMs = 1000
+
+const promises = new Set([408, 421, 429, 503])
+
+/** Something that may be under a fault; promises with a time bound hold only without. */
+export class Condition {
+  private readonly held = new Set<string>()
+  private changedAtMs = -Infinity
+
+  begin (fault: string): void {
+    this.held.add(fault)
+    this.changedAtMs = performance.now()
+  }
+
+  end (fault: string): void {
+    if (this.held.delete(fault)) this.changedAtMs = performance.now()
+  }
+
+  /** Whether there has been no fault since `sinceMs` and for the contact time before it. */
+  wasCalmSince (sinceMs: number): boolean {
+    return this.held.size === 0 && this.changedAtMs < sinceMs - contactMs
+  }
+}
+
+interface Sent {
+  kind: Kind
+  node: string
+  content: string
+  sentAtMs: number
+  runs: string[]
+  status: number | undefined
+}
+
+export interface Outcome {
+  status: number
+  /** Whether the connection ended as an answer that is complete does. */
+  isComplete: boolean
+  headers: Record<string, string | string[] | undefined>
+  body: string
+}
+
+export class Ledger {
+  readonly violations: string[] = []
+  readonly counts: Record<string, number> = {}
+  readonly store = new Condition()
+  readonly nodes = new Map<string, Condition>()
+  readonly backends = new Map<string, Condition>()
+  private readonly sent = new Map<string, Sent>()
+  private readonly drainingAtMs = new Map<string, number>()
+  private readonly fences = new Map<string, Map<number, string>>()
+  private readonly startMs = performance.now()
+
+  violation (rule: string, text: string): void {
+    this.violations.push(`${rule} at ${((performance.now() - this.startMs) / 1000).toFixed(2)} s: ${text}`)
+  }
+
+  count (name: string): void {
+    this.counts[name] = (this.counts[name] ?? 0) + 1
+  }
+
+  onSent (id: string, kind: Kind, node: string, content: string): void {
+    this.sent.set(id, { kind, node, content, sentAtMs: performance.now(), runs: [], status: undefined })
+  }
+
+  onDraining (backend: string): void {
+    this.drainingAtMs.set(backend, performance.now())
+  }
+
+  onArrival (id: string, backend: string): void {
+    const request = this.sent.get(id)
+    const sinceMs = this.drainingAtMs.get(backend)
+    if (!request || sinceMs === undefined || performance.now() - sinceMs <= drainMs) return
+    const isCalm = [this.store, this.nodes.get(request.node), this.backends.get(backend)].every(condition => condition?.wasCalmSince(sinceMs) ?? true)
+    if (isCalm) this.violation('DRAIN', `${request.node} sends ${id} to ${backend} ${Math.round(performance.now() - sinceMs)} ms after it said that it drains`)
+  }
+
+  onRun (id: string, { id: backend, service }: { id: string, service: string }, content: string): void {
+    const request = this.sent.get(id)
+    if (!request) return this.violation('UNASKED', `${backend} runs ${id}, which no client sent`)
+    if (request.content !== content) this.violation('UNASKED', `${backend} runs ${id} as ${content}`)
+    if ((service === 'models') !== (request.kind === 'stream')) this.violation('ROUTE', `${id} runs at ${service}`)
+    request.runs.push(backend)
+    if (request.kind === 'unsafe' && request.runs.length > 1) this.violation('TWICE', `${id} runs at ${request.runs.join(' and ')}`)
+    if (request.kind === 'unsafe' && promises.has(request.status ?? 0)) this.violation('REFUSED', `${id} runs at ${backend} after ${request.status}`)
+  }
+
+  onOrder (backend: string, holder: string, fence: number): void {
+    let holders = this.fences.get(backend)
+    if (!holders) this.fences.set(backend, holders = new Map())
+    const earlier = holders.get(fence)
+    if (earlier !== undefined && earlier !== holder) this.violation('ONE', `${holder} and ${earlier} order ${backend} with fence ${fence}`)
+    holders.set(fence, holder)
+  }
+
+  /** An answer that has begun and ended. */
+  onAnswer (id: string, { status, isComplete, headers, body }: Outcome, events: number): void {
+    const request = this.sent.get(id)!
+    request.status = status
+    this.count(`${request.kind} ${status}${isComplete ? '' : ' cut'}`)
+    if (status >= 200 && status < 300) {
+      if (!headers['x-server-stamp'] || headers['x-attempt-id'] !== id) this.violation('MIXED', `${id} is answered without its stamp or with another ID`)
+      if (request.kind === 'stream') this.checkEvents(id, body, isComplete, events)
+      else if (isComplete && !isWhole(body, id, headers['x-server-stamp'])) this.violation('MIXED', `${id} gets ${body.slice(0, 80)}`)
+    }
+    if (promises.has(status) && request.kind === 'unsafe' && request.runs.length > 0) this.violation('REFUSED', `${id} gets ${status} and ran at ${request.runs.join()}`)
+  }
+
+  /** The connection ended without an answer. */
+  onLost (id: string, { isPlannedStop }: { isPlannedStop: boolean }): void {
+    const { kind, node, sentAtMs, runs } = this.sent.get(id)!
+    this.count(`${kind} lost`)
+    if (!isPlannedStop || performance.now() - sentAtMs < lossSlackMs) return
+    const conditions = [this.store, this.nodes.get(node), ...runs.map(backend => this.backends.get(backend))]
+    if (conditions.every(condition => condition?.wasCalmSince(sentAtMs) ?? true)) this.violation('LOST', `${node} closes the connection of ${id} at its stop, ${Math.round(performance.now() - sentAtMs)} ms after it was sent`)
+  }
+
+  /** The client has waited past the route's timeout. */
+  onHeld (id: string, timeoutMs: number): boolean {
+    const { node, sentAtMs, kind } = this.sent.get(id)!
+    if (performance.now() - sentAtMs < timeoutMs + heldMs) return false
+    this.count(`${kind} held`)
+    if (this.nodes.get(node)?.wasCalmSince(sentAtMs)) this.violation('HELD', `${node} has not answered ${id} ${heldMs} ms after its timeout`)
+    return true
+  }
+
+  private checkEvents (id: string, body: string, isComplete: boolean, expected: number): void {
+    const blocks = body.split('\n\n')
+    const rest = blocks.pop()!
+    const wrong = blocks.findIndex((block, index) => block !== `id: ${index + 1}\ndata: ${id}.${index + 1}`)
+    if (wrong !== -1) this.violation('ORDER', `${id}: event ${wrong + 1} is ${JSON.stringify(blocks[wrong])}`)
+    if (isComplete && (blocks.length !== expected || rest !== '')) this.violation('ORDER', `${id} ends as complete after ${blocks.length} of ${expected} events`)
+  }
+}
+
+function isWhole (body: string, id: string, stamp: string | string[] | undefined): boolean {
+  return body === JSON.stringify({ answer: id, by: stamp })
+}
--- /dev/null
+++ b/tests/soak/nodeProcess.ts
@@ -0,0 +1,128 @@
+/** One node of the product as a process of its own. */
+
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { FaultProxy } from './faultProxy.js'
+import { Condition, graceMs } from './ledger.js'
+import type { Ledger } from './ledger.js'
+import { sleep } from './storeStandIn.js'
+import type { StoreStandIn } from './storeStandIn.js'
+
+const program = join(import.meta.dirname, '../../src/cli/main.js')
+const clientsPort = 7301
+const readinessPort = 7302
+const peersPort = 7310
+const restartMs = 150
+
+export interface NodeOptions {
+  index: number
+  directory: string
+  store: StoreStandIn
+  ledger: Ledger
+  /** Module that switches a mechanism off, to show that the checks can fail. */
+  sabotage: string | undefined
+}
+
+export class NodeProcess {
+  readonly name: string
+  readonly ip: string
+  readonly storeProxy: FaultProxy
+  readonly condition = new Condition()
+  /** Grows with each start. */
+  incarnation = 0
+  /** SIGTERM was sent and the process has not ended yet. */
+  isStopping = false
+  private readonly options: NodeOptions
+  private child: ChildProcess | undefined
+  private isWanted = true
+  private isExpectedToEnd = false
+  private settingsPath = ''
+
+  constructor (options: NodeOptions) {
+    this.options = options
+    this.name = `node-${options.index}`
+    // Addresses of this process's own, so that several soaks can run on one machine.
+    this.ip = `127.${64 + (process.pid >> 8) % 128}.${process.pid % 256}.${options.index + 1}`
+    this.storeProxy = new FaultProxy(() => ({ host: '127.0.0.1', port: options.store.port }))
+    options.ledger.nodes.set(this.name, this.condition)
+  }
+
+  get clientsAddress (): { host: string, port: number } {
+    return { host: this.ip, port: clientsPort }
+  }
+
+  async start (): Promise<void> {
+    const { directory } = this.options
+    mkdirSync(directory, { recursive: true })
+    this.settingsPath = join(directory, `${this.name}.toml`)
+    writeFileSync(this.settingsPath, settingsText(this.name, this.ip, await this.storeProxy.listen()))
+    this.launch()
+  }
+
+  signal (name: NodeJS.Signals): void {
+    if (name === 'SIGKILL') this.isExpectedToEnd = true
+    this.child?.kill(name)
+  }
+
+  /** Stops the process as the platform does: SIGTERM, then SIGKILL. It starts again by itself. */
+  async terminate (): Promise<void> {
+    const { child } = this
+    if (!child || this.isStopping) return
+    this.isStopping = this.isExpectedToEnd = true
+    child.kill('SIGTERM')
+    const killAtMs = performance.now() + graceMs
+    while (child.exitCode === null && child.signalCode === null && performance.now() < killAtMs) await sleep(20)
+    if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
+  }
+
+  /** Ends the process for good. */
+  async end (): Promise<void> {
+    this.isWanted = false
+    this.signal('SIGCONT')
+    this.signal('SIGKILL')
+    while (this.child) await sleep(10)
+    this.storeProxy.close()
+  }
+
+  private launch (): void {
+    const { directory, sabotage } = this.options
+    const output = openSync(join(directory, `${this.name}.log`), 'a')
+    const args = [...(sabotage === undefined ? [] : ['--import', join(import.meta.dirname, 'sabotage', `${sabotage}.js`)]), program, 'serve']
+    const child = spawn(process.execPath, args, { env: { PATH: process.env.PATH, TEASELRILL_NODE_FILE: this.settingsPath }, stdio: ['ignore', output, output] })
+    closeSync(output)
+    this.child = child
+    this.incarnation++
+    this.isExpectedToEnd = this.isStopping = false
+    this.condition.end('down')
+    child.on('exit', (code, signal) => {
+      this.child = undefined
+      if (!this.isExpectedToEnd && this.isWanted) this.options.ledger.violation('EXIT', `${this.name} ends by itself with ${code ?? signal}`)
+      this.condition.begin('down')
+      if (this.isWanted) setTimeout(() => this.launch(), restartMs)
+    })
+  }
+}
+
+function settingsText (node: string, ip: string, store: string): string {
+  return `node = "${node}"
+ip = "${ip}"
+zone = "z1"
+region = "r1"
+port_range = [${peersPort},${peersPort + 5}]
+[zones]
+z1 = "r1"
+[listen]
+front = "${ip}:${clientsPort}"
+ready = "${ip}:${readinessPort}"
+[limits]
+max_fds = 4100
+[bounds]
+grace_s = ${graceMs / 1000}
+fence_required = true
+[platform]
+address = "${store}"
+ttl_min_ms = 1000
+`
+}
--- /dev/null
+++ b/tests/soak/runSoak.ts
@@ -0,0 +1,65 @@
+/** One seeded run: real nodes, overlapping faults, then a calm end in which everything must be served again. */
+
+import { createRandom } from '../fixtures/seeds.js'
+import { faults } from './faults.js'
+import { sleep } from './storeStandIn.js'
+import { World } from './world.js'
+
+/** Time after which nodes that were all started at once serve. */
+const startMs = 4000
+/** Time after the last fault until everything is served again: recovery, and the end of what faults left behind. */
+const healMs = 12_000
+const calmMs = 3000
+/** Served share at the end; the rest covers requests that cross a model move. */
+const healedShare = 0.95
+const longestFaultMs = 4000
+
+export interface SoakOptions {
+  seed: number
+  directory: string
+  durationMs: number
+  /** Whether everything must be served again after the faults; not where a mechanism is switched off. */
+  mustHeal?: boolean
+  nodeCount: number
+  /** Names of faults to draw from; all if absent. */
+  only?: readonly string[] | undefined
+  sabotage?: string | undefined
+}
+
+export interface SoakResult {
+  seed: number
+  violations: string[]
+  counts: Record<string, number>
+  /** Faults with their start, in seconds. */
+  played: string[]
+  servedAtEnd: number
+}
+
+export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, only, sabotage }: SoakOptions): Promise<SoakResult> {
+  const random = createRandom(seed)
+  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, sabotage })
+  const played: string[] = []
+  const names = only ?? Object.keys(faults)
+  await world.start()
+  try {
+    await sleep(startMs)
+    const startedAtMs = performance.now()
+    const untilMs = startedAtMs + durationMs
+    const traffic = world.traffic(untilMs + 500)
+    const running: Promise<void>[] = []
+    while (performance.now() < untilMs) {
+      const name = names[Math.floor(random() * names.length)]!
+      played.push(`${((performance.now() - startedAtMs) / 1000).toFixed(1)} ${name}`)
+      running.push(faults[name]!(world, 300 + random() * longestFaultMs))
+      await sleep(200 + random() * 1800)
+    }
+    await Promise.all([traffic, ...running])
+    if (!mustHeal) return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd: NaN }
+    await sleep(healMs)
+    const servedAtEnd = await world.traffic(performance.now() + calmMs)
+    if (servedAtEnd < healedShare) world.ledger.violation('RECOVER', `${(servedAtEnd * 100).toFixed(1)}% are served ${healMs} ms after the last fault`)
+    return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd }
+  } finally {
+    await world.stop()
+  }
+}
--- /dev/null
+++ b/tests/soak/world.ts
@@ -0,0 +1,160 @@
+/** The platform that the soak plays around the real programs: store, backend servers, operator, clients. */
+
+import { BackendStandIn, engineMb, adapterSlots, modelMb } from './backendStandIn.js'
+import { Clients, host, timeoutMs } from './clients.js'
+import type { Call } from './clients.js'
+import { configMs, Condition, Ledger } from './ledger.js'
+import { NodeProcess } from './nodeProcess.js'
+import { sleep, StoreStandIn } from './storeStandIn.js'
+
+const models = ['m0', 'm1', 'm2', 'm3', 'm4']
+/** Routes of the newest configurations that stay; older ones are dropped. */
+const versionsKept = 2
+const engines = 3
+const plainServers = 3
+const requestGapMs = 25
+const maxPending = 150
+
+export interface WorldOptions {
+  random: () => number
+  nodeCount: number
+  directory: string
+  sabotage?: string | undefined
+}
+
+interface Change { version: number, atMs: number }
+
+export class World {
+  readonly ledger = new Ledger()
+  readonly store: StoreStandIn
+  readonly nodes: NodeProcess[]
+  readonly backends = new Map<string, BackendStandIn>()
+  readonly random: () => number
+  private readonly clients = new Clients(this.ledger)
+  private readonly changes: Change[] = []
+  /** Newest version whose effect each process has shown, by node and incarnation. */
+  private readonly shown = new Map<string, Change & { seenAtMs: number }>()
+  private nextBackend = 0
+  private version = 3
+
+  constructor ({ random, nodeCount, directory, sabotage }: WorldOptions) {
+    this.random = random
+    this.store = new StoreStandIn(random)
+    const { store, ledger } = this
+    this.nodes = Array.from({ length: nodeCount }, (_, index) => new NodeProcess({ index, directory, store, ledger, sabotage }))
+  }
+
+  async start (): Promise<void> {
+    await this.store.listen()
+    for (let index = 0; index < engines; index++) await this.addBackend('models', [models[index]!, models[(index + 1) % models.length]!])
+    for (let index = 0; index < plainServers; index++) await this.addBackend('orders')
+    this.changeConfig()
+    await Promise.all(this.nodes.map(node => node.start()))
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.nodes.map(node => node.end()))
+    this.clients.close()
+    for (const backend of this.backends.values()) if (!backend.isGone) backend.crash()
+    this.store.close()
+  }
+
+  pick<T> (items: readonly T[]): T {
+    return items[Math.floor(this.random() * items.length)]!
+  }
+
+  async replaceBackend ({ options: { service, models: held } }: BackendStandIn): Promise<void> {
+    await this.addBackend(service, held)
+  }
+
+  /** Accepts a new configuration: a route of its own for each version, the oldest dropped. */
+  changeConfig (): void {
+    // The store accepts nothing while it is not up; the operator tries again later.
+    if (this.store.mode !== 'up') return
+    this.version += 1 + Math.floor(this.random() * 3)
+    this.changes.push({ version: this.version, atMs: performance.now() })
+    this.store.put('op/config', configOf(this.changes.slice(-versionsKept).map(({ version }) => version), this.version))
+  }
+
+  /** Sends requests of all kinds until `untilMs`. Returns the share that was served. */
+  async traffic (untilMs: number): Promise<number> {
+    const answers: Promise<boolean>[] = []
+    while (performance.now() < untilMs) {
+      if (this.clients.pending < maxPending) answers.push(this.sendOne())
+      await sleep(requestGapMs * 2 * this.random())
+    }
+    const served = (await Promise.all(answers)).filter(Boolean).length
+    return served / Math.max(1, answers.length)
+  }
+
+  private async sendOne (): Promise<boolean> {
+    const node = this.pick(this.nodes)
+    const kind = this.random()
+    if (kind < 0.1) return await this.probe(node)
+    const call: Call = kind < 0.4
+      ? { kind: 'unsafe', path: '/order/1' }
+      : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', model: this.pick(models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
+    const outcome = await this.clients.send(node, call)
+    if (outcome?.status === 404) this.ledger.violation('DENIED', `${node.name} answers 404 to ${call.path}`)
+    return outcome?.status === 200 && outcome.isComplete
+  }
+
+  /** Asks for a route of one version, which shows the configuration that is in force at the node. */
+  private async probe (node: NodeProcess): Promise<boolean> {
+    const change = this.pick(this.changes.slice(-versionsKept - 1))
+    const { incarnation } = node
+    const sentAtMs = performance.now()
+    const outcome = await this.clients.send(node, { kind: 'safe', path: `/v${change.version}/1` })
+    if (outcome && incarnation === node.incarnation) this.judge(node, change, outcome.status, sentAtMs)
+    return outcome !== undefined && (outcome.status === 200 || outcome.status === 404)
+  }
+
+  private judge (node: NodeProcess, change: Change, status: number, sentAtMs: number): void {
+    const key = `${node.name}/${node.incarnation}`
+    const newer = this.changes.filter(({ version }) => version > change.version)
+    const dropping = newer[versionsKept - 1]
+    const shown = this.shown.get(key)
+    if (status === 404 && !dropping) {
+      if (shown && shown.version >= change.version && sentAtMs > shown.seenAtMs + 250) this.ledger.violation('CONFIG', `${node.name} goes back from version ${shown.version} to one before ${change.version}`)
+      if (this.isDue(node, change, sentAtMs)) this.ledger.violation('CONFIG', `${node.name} does not know version ${change.version} after ${Math.round(sentAtMs - change.atMs)} ms`)
+    }
+    if (status !== 200) return
+    if (dropping && this.isDue(node, dropping, sentAtMs)) this.ledger.violation('CONFIG', `${node.name} serves a route that version ${dropping.version} dropped ${Math.round(sentAtMs - dropping.atMs)} ms before`)
+    if (!shown || shown.version < change.version) this.shown.set(key, { ...change, seenAtMs: performance.now() })
+  }
+
+  private isDue (node: NodeProcess, { atMs }: Change, sentAtMs: number): boolean {
+    return sentAtMs > atMs + configMs && this.ledger.store.wasCalmSince(atMs) && node.condition.wasCalmSince(atMs)
+  }
+
+  private async addBackend (service: string, held?: string[]): Promise<void> {
+    const id = `i-${++this.nextBackend}`
+    const { store, ledger, random } = this
+    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(held ? { models: held } : {}) })
+    ledger.backends.set(id, new Condition())
+    this.backends.set(id, backend)
+    await backend.start()
+  }
+}
+
+function configOf (versions: readonly number[], version: number): object {
+  const route = (name: string, kind: string, service: string, changes = {}) => ({
+    name, host, path_prefix: `/${name}/`, kind, service, timeout_ms: kind === 'streaming' ? timeoutMs.stream : timeoutMs.safe, goal_ms: 500, priority: 1, max_attempts: 2, ...changes
+  })
+  return {
+    version,
+    routes: [
+      route('order', 'unsafe', 'orders'), route('stock', 'safe', 'orders'), route('chat', 'streaming', 'models', { resumable: true, gap_target_ms: 300, sticky: true }),
+      ...versions.map(one => route(`v${one}`, 'safe', 'orders'))
+    ],
+    services: [
+      { name: 'orders', max_conns: 100 },
+      {
+        name: 'models',
+        max_conns: 100,
+        engine: { slots: 12, kv_capacity: 100_000, weights_mb: engineMb, adapter_slots: adapterSlots, loads_per_s: 2, models: models.map(name => ({ name, weights_mb: modelMb, load_s: 0.5, adapters: 4, adapter_mb: 0.1 })) }
+      }
+    ],
+    limits: { max_header_bytes: 16384, max_body_bytes: 100_000, header_timeout_ms: 3000, idle_timeout_ms: 4000 }
+  }
+}
