Count copies by what engines read for a model, with its trend

Cause: copies were counted from the requests that run and wait.

Change: the leader knows each request that asks for an engine. policy/readingDemand.ts turns them into engines that would do nothing but read their prompts, now and when a load has ended; 0.4 of an engine gets a copy. A leader that reaches no engine for a request says nothing instead of 'wait'. Nodes above 32 report half as often. The leader's work moves into leaderOffice.ts, adapters into adapterPlacement.ts; their behaviour is the same.

--- a/src/policy/dispatchDesk.ts
+++ b/src/policy/dispatchDesk.ts
@@ -9,15 +9,15 @@
  * Unread prompts, in reading time, from which an engine gets no more for now: while an engine reads, all its streams pause,
  * and pauses of some hundred milliseconds make every one of them late.
  */
-const firstRankBacklogMs = 60
+const firstRankBacklogMs = 80
 /** Each further rank leaves room for those before it. */
 const rankBacklogStepMs = 10
 const smallestBacklogMs = 30
 /** Streams of an engine beyond which each prompt makes more of them late than it serves, whatever the batch allows. */
 const mostStreams = 40
 /** Time after which a full engine may have room again. */
-const fullWaitMs = 150
-const shortestWaitMs = 60
+const fullWaitMs = 120
+const shortestWaitMs = 40
 /** Delay that one more running request adds on an engine, which steps for all of them. */
 const runningCostMs = 2.5
 /**
@@ -33,7 +33,7 @@
 /** Outcomes that are assumed to have been good, so that one failure does not condemn a server. */
 const assumedGood = 3
 /** Age at which the nodes' reports of running requests include what was handed out. */
-const reportLagMs = 500
+const reportLagMs = 700
 /** Engines keep the prompt parts of the last seconds. */
 const prefixLifeMs = 20_000
 const maxPrefixes = 256
@@ -51,6 +51,8 @@
   availabilityZone: string
   /** Backend servers that must not be chosen. */
   excluded: readonly string[]
+  /** Whether the request has not been asked for before. */
+  isFirst: boolean
 }
 
 export interface PromptPart {
@@ -91,14 +93,15 @@
     this.clock = clock
   }
 
-  /** The engine on which the request delays itself and others least. */
-  choose (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): DispatchChoice {
+  /** The engine on which the request delays itself and others least, or `undefined` if the desk knows none for it. */
+  choose (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): DispatchChoice | undefined {
+    const usable = candidates.filter(({ id }) => !ask.excluded.includes(id))
+    if (usable.length === 0) return undefined
     let best: { state: EngineState, id: string, ownMs: number } | undefined
     let bestMs = Infinity
     let waitMs = fullWaitMs
     const limitMs = Math.max(smallestBacklogMs, firstRankBacklogMs - ask.rank * rankBacklogStepMs)
-    for (const candidate of candidates) {
-      if (ask.excluded.includes(candidate.id)) continue
+    for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + this.handedLately(state)
       if (running >= Math.min(candidate.slots, mostStreams) * batchShare(ask.rank)) continue
@@ -118,6 +121,11 @@
     return { kind: 'engine', id: best.id }
   }
 
+  /** Time that the engine which keeps most of the prompt needs for the rest. */
+  leastReadingMs (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): number {
+    return Math.min(ask.promptTokens / promptTokensPerMs, ...candidates.map(({ id }) => this.readingMs(ask, this.stateOf(id))))
+  }
+
   /** Requests that ended well or failed at a server, as one node saw them. */
   onOutcomes (engine: string, answered: number, failed: number): void {
     const state = this.stateOf(engine)
--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -1,7 +1,11 @@
 /** Decides which models are loaded and unloaded on which engines, from what runs and waits now. */
 
-/** Part of an engine's slots that the requests of one model use before it gets a further copy: beyond it, prompts wait for each other. */
-const targetSlotShare = 0.3
+/** Part of its time that an engine reads prompts for one model before the model gets a further copy: beyond it, streams pause too long. */
+const targetReadingShare = 0.4
+/** Part of an engine's slots that the requests of one model use, or wait for, before it gets a further copy. */
+const targetSlotShare = 0.6
+/** Requests of an engine that the value of a further copy counts for. */
+const copyRequests = 10
 /** A model without requests keeps its claim on one copy for this time. */
 const idleClaimMs = 6000
 /** Weight of a waiting or running request of rank 0; each further rank halves it. */
@@ -63,6 +67,8 @@
   rank: number
   /** Time since a request last ran or waited; `Infinity` if none did. */
   idleMs: number
+  /** Engines that would do nothing but read the model's prompts, when a load that starts now has ended. */
+  readingEngines: number
 }
 
 export interface HostingMove {
@@ -81,9 +87,10 @@
 }
 
 /** Copies that a model needs for what runs and waits. */
-export function copiesNeeded ({ running, waiting, idleMs }: ModelNeed, slots: number): number {
+export function copiesNeeded ({ running, waiting, idleMs, readingEngines }: ModelNeed, slots: number): number {
   if (running + waiting === 0) return idleMs < idleClaimMs ? 1 : 0
-  return Math.max(1, Math.ceil((running + waiting) / (slots * targetSlotShare)))
+  // Requests pile up on crowded copies, so their number alone would claim more copies than the demand needs.
+  return Math.max(1, Math.ceil(readingEngines / targetReadingShare), Math.ceil((running + waiting) / (slots * targetSlotShare)))
 }
 
 interface Want {
@@ -148,7 +155,7 @@
       const copies = this.copiesOf(need.model)
       const needed = this.neededOf(need)
       if (copies >= needed || need.running + need.waiting === 0) continue
-      const excess = copies === 0 ? need.waiting : need.running + need.waiting - copies * this.slots * targetSlotShare
+      const excess = copies === 0 ? need.waiting : (needed - copies) * copyRequests
       wants.push({ need, copies, value: excess * rankWeight(need.rank) })
     }
     return wants.sort((left, right) => right.value - left.value)
--- a/src/serving/changeRelay.ts
+++ b/src/serving/changeRelay.ts
@@ -13,7 +13,7 @@
  */
 export class ChangeRelay {
   private readonly clock: Clock
-  private changes: { change: StoreChange, atMs: number }[] = []
+  private readonly changes: { change: StoreChange, atMs: number }[] = []
   /** Changes up to this revision are forgotten. */
   private startRevision: number
   /** Revision up to which the present members have been told. */
@@ -35,12 +35,6 @@
     this.revision = Math.max(this.revision, revision)
   }
 
-  /** The changes before `revision` were not seen one by one. */
-  restart (revision: number): void {
-    this.changes = []
-    this.startRevision = this.toldRevision = this.revision = Math.max(revision, this.revision)
-  }
-
   /** Whether members have not been told of a noted change. */
   get hasNews (): boolean {
     return this.changes.some(({ change }) => change.revision > this.toldRevision)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -33,21 +33,23 @@
   row: z.tuple([z.string(), z.string(), z.string().nullable(), z.number(), z.number(), z.string(), z.string()]),
   /** ID and tokens of the prompt parts that other requests share. */
   parts: z.array(z.tuple([z.string(), z.number()])),
-  excluded: z.array(z.string())
+  excluded: z.array(z.string()),
+  isFirst: z.boolean()
 })
 export type AskMessage = z.infer<typeof askMessageSchema>
 
-export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, excluded }: DispatchAsk): Pick<AskMessage, 'row' | 'parts' | 'excluded'> {
+export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, excluded, isFirst }: DispatchAsk): Omit<AskMessage, 'ask'> {
   return {
     row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone],
     parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
-    excluded: [...excluded]
+    excluded: [...excluded],
+    isFirst
   }
 }
 
-export function askOf ({ row, parts, excluded }: AskMessage): DispatchAsk {
+export function askOf ({ row, parts, excluded, isFirst }: AskMessage): DispatchAsk {
   const [service, model, adapter, promptTokens, rank, region, availabilityZone] = row
-  return { service, model, adapter: adapter ?? undefined, promptTokens, sharedParts: parts.map(([id, tokens]) => ({ id, tokens })), rank, region, availabilityZone, excluded }
+  return { service, model, adapter: adapter ?? undefined, promptTokens, sharedParts: parts.map(([id, tokens]) => ({ id, tokens })), rank, region, availabilityZone, excluded, isFirst }
 }
 
 export const nodeMessageSchema = z.union([askMessageSchema, nodeReportSchema])
@@ -56,15 +58,21 @@
 /** The answer to a question. */
 export const adviceSchema = z.object({
   ask: z.number(),
-  /** Absent: no engine has room. */
+  /** Engine to send to. Without it and `waitMs`, the leader knows none. */
   engine: z.string().optional(),
-  /** Time after which to ask again. */
+  /** Time after which to ask again: no engine has room now. */
   waitMs: z.number().optional()
 })
 export type Advice = z.infer<typeof adviceSchema>
 
-export function choiceOf ({ engine, waitMs }: Advice): DispatchChoice {
-  return engine === undefined ? { kind: 'wait', forMs: waitMs ?? 0 } : { kind: 'engine', id: engine }
+export function adviceOf (choice: DispatchChoice | undefined): Omit<Advice, 'ask'> {
+  if (!choice) return {}
+  return choice.kind === 'engine' ? { engine: choice.id } : { waitMs: Math.ceil(choice.forMs) }
+}
+
+export function choiceOf ({ engine, waitMs }: Advice): DispatchChoice | undefined {
+  if (engine !== undefined) return { kind: 'engine', id: engine }
+  return waitMs === undefined ? undefined : { kind: 'wait', forMs: waitMs }
 }
 
 const adapterRowSchema = z.tuple([z.string(), z.number()])
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -4,11 +4,13 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
-import { rendezvousOrder } from '../base/hash.js'
 import { planHosting } from '../policy/hosting.js'
 import type { HostEngine, HostingMove, ModelNeed } from '../policy/hosting.js'
 import { LoadRate } from '../policy/loadRate.js'
+import { AdapterPlacement } from './adapterPlacement.js'
 import type { BackendServer, HostedState } from './backendServer.js'
+import { adapterCount, conflictDelayMs } from './controlledEngine.js'
+import type { ControlledEngine } from './controlledEngine.js'
 import type { Deployment, EngineType, OrderOutcome, Service } from './deployment.js'
 import type { EngineCalls } from './engineCalls.js'
 import type { FleetView } from './fleetView.js'
@@ -19,62 +21,22 @@
 const reportLifeMs = 2000
 /** Time in which the nodes hear that a model leaves an engine, so that they stop sending to it. */
 const announceMs = 40
-/** Time that an adapter takes to load; the platform does not say it. */
-const adapterLoadMs = 40
-/** Time until an adapter is ready whose order has not been given yet. */
-const undecidedAdapterMs = 160
 /** Time after the expected end of a load at which the engine's report shows it. */
 const confirmDelayMs = 250
 /** Time after which a load that the engine does not show is expected again. */
 const extendMs = 300
-/** Requests of an adapter that is being unloaded last seconds. */
-const adapterUnloadCheckMs = 500
 /** Streams of usual length end within this time. */
 const longestDrainMs = 8000
-/** An adapter stays at least this long, so that those that wait do not displace each other. */
-const adapterResidenceMs = 1000
 /** Age of what an engine reports. */
 const reportLagMs = 250
 /** Orders without an answer are repeated this often before the engine is asked what it holds. */
 const orderTries = 3
 /** Questions whether a load has ended, before it counts as failed. */
 const confirmTries = 20
-/** An engine whose order was refused is asked again after this time. */
-const conflictDelayMs = 150
 /** An engine on which a move failed is left alone for this time. */
 const failedMoveDelayMs = 800
 /** Longest wait for the requests of a model that is being unloaded. */
 const unloadWaitMs = 12_000
-/** Adapters that may be on their way to an engine at once. */
-const adaptersInTransit = 4
-
-interface Control {
-  server: BackendServer
-  /** A move of models is decided or under way. */
-  isMoving: boolean
-  /** The engine carries out an order on a model, and refuses others. */
-  isBusy: boolean
-  /** Serialises calls, which all depend on the number of accepted orders. */
-  queue: Promise<unknown>
-  /** Whether it is known what the engine holds. */
-  isSynced: boolean
-  isSyncing: boolean
-  /** Grows when the engine turns out to have carried out other orders than assumed; earlier decisions are void. */
-  generation: number
-  /** Adapters whose load is decided and whose order has not ended, by `MODEL/ADAPTER`. */
-  pendingAdapters: Set<string>
-  retryAtMs: number
-  /** Last use of each adapter, by `MODEL/ADAPTER`. */
-  usedAtMs: Map<string, number>
-  loadedAtMs: Map<string, number>
-  /** Adapters that still hold their place until their last requests end, by `MODEL/ADAPTER`. */
-  leavingAdapters: Set<string>
-}
-
-interface AdapterName {
-  model: string
-  adapter: string
-}
 
 export interface PlacementLeaderOptions {
   clock: Clock
@@ -92,6 +54,8 @@
   ownReport: () => NodeReport
   broadcast: (report: LeaderReport) => void
   onOrder?: (action: string, outcome: OrderOutcome) => void
+  /** Engines that would do nothing but read the model's prompts in `horizonMs`. */
+  expectedReadingEngines: (service: string, model: string, horizonMs: number) => number
   /** An engine has seen a higher fence. */
   onDeposed: () => void
   /** Whether orders must wait because the lease may have ended. */
@@ -100,7 +64,8 @@
 
 export class PlacementLeader {
   private readonly options: PlacementLeaderOptions
-  private readonly controls = new Map<string, Control>()
+  private readonly adapters: AdapterPlacement
+  private readonly controls = new Map<string, ControlledEngine>()
   private readonly reports = new Map<string, { report: NodeReport, atMs: number }>()
   private readonly rates = new Map<string, LoadRate>()
   /** Last time at which a request for a model ran or waited, by service and model. */
@@ -114,6 +79,13 @@
     this.options = options
     this.startedAtMs = options.clock.nowMs()
     const { clock, log } = options
+    this.adapters = new AdapterPlacement({
+      clock,
+      order: (control, generation, action, { model, adapter }) => this.order(control, generation, action, model, adapter),
+      askAgain: control => this.enqueue(control, () => this.sync(control)),
+      isControlled: control => !this.isStopped && this.controls.get(control.server.entry.id) === control,
+      onChanged: () => this.publish()
+    })
     this.cancelPlan = repeat(clock, planMs, () => this.tick(), { onError: error => log('error', 'placement failed', { error: messageOf(error), stack: (error as Error).stack }) })
   }
 
@@ -160,7 +132,7 @@
     for (const server of this.options.fleet.ofService(service.name)) {
       const known = this.controls.get(server.entry.id)
       if (known?.server === server) continue
-      const control: Control = {
+      const control: ControlledEngine = {
         server,
         isMoving: false,
         isBusy: false,
@@ -185,14 +157,14 @@
   }
 
   /** Runs `action` after the earlier calls to the engine. */
-  private enqueue<T> (control: Control, action: () => Promise<T>): Promise<T> {
+  private enqueue<T> (control: ControlledEngine, action: () => Promise<T>): Promise<T> {
     const result = control.queue.then(action)
     control.queue = result.catch(error => this.options.log('error', 'engine order failed', { engine: control.server.entry.id, error: messageOf(error) }))
     return result
   }
 
   /** Asks the engine what it holds. */
-  private async sync (control: Control): Promise<boolean> {
+  private async sync (control: ControlledEngine): Promise<boolean> {
     const { server } = control
     const report = await this.options.calls.report(server)
     if (!report) {
@@ -238,7 +210,7 @@
     }
   }
 
-  private controlsOf (service: string): Control[] {
+  private controlsOf (service: string): ControlledEngine[] {
     return [...this.controls.values()].filter(({ server }) => server.entry.service === service && !server.entry.isDraining && server.leavingAtMs === Infinity)
   }
 
@@ -252,7 +224,7 @@
     return rate
   }
 
-  private hostEngine (control: Control, engine: EngineType, running: Map<string, number>): HostEngine {
+  private hostEngine (control: ControlledEngine, engine: EngineType, running: Map<string, number>): HostEngine {
     const { server } = control
     const nowMs = this.options.clock.nowMs()
     const modelOf = new Map(engine.models.map(model => [model.name, model]))
@@ -299,7 +271,7 @@
       for (const [, model,, rank] of report.running) countOf(model).rank = Math.min(countOf(model).rank, rank)
       for (const [name, model] of report.missing) if (name === service.name) countOf(model).waiting++
     }
-    return engine.models.map(({ name, weightsMb }) => {
+    return engine.models.map(({ name, weightsMb, loadMs }) => {
       const key = `${service.name}/${name}`
       const count = counts.get(name)
       if (count && count.running + count.waiting > 0) this.askedAtMs.set(key, { atMs: nowMs, rank: count.rank })
@@ -310,7 +282,8 @@
         running: count?.running ?? 0,
         waiting: count?.waiting ?? 0,
         rank: asked?.rank ?? Infinity,
-        idleMs: asked ? nowMs - asked.atMs : Infinity
+        idleMs: asked ? nowMs - asked.atMs : Infinity,
+        readingEngines: this.options.expectedReadingEngines(service.name, name, loadMs)
       }
     })
   }
@@ -331,7 +304,7 @@
   }
 
   /** Unloads what has to make way and loads a model. */
-  private async carryOut (control: Control, engine: EngineType, move: HostingMove): Promise<void> {
+  private async carryOut (control: ControlledEngine, engine: EngineType, move: HostingMove): Promise<void> {
     const { server, generation } = control
     const { clock, log } = this.options
     const nowMs = clock.nowMs()
@@ -363,7 +336,7 @@
   }
 
   /** Waits until the requests of models that leave have ended: an engine that waits for them refuses all other orders. */
-  private async drain ({ server }: Control, models: readonly string[]): Promise<void> {
+  private async drain ({ server }: ControlledEngine, models: readonly string[]): Promise<void> {
     const { clock } = this.options
     if (models.length > 0) await sleep(clock, announceMs)
     const untilMs = clock.nowMs() + longestDrainMs
@@ -371,7 +344,7 @@
     while (running() && clock.nowMs() < untilMs && !this.isStopped) await sleep(clock, planMs)
   }
 
-  private async unloadAll (control: Control, generation: number, models: readonly string[]): Promise<boolean> {
+  private async unloadAll (control: ControlledEngine, generation: number, models: readonly string[]): Promise<boolean> {
     for (const model of models) {
       const outcome = await this.order(control, generation, 'unload', model)
       if (outcome !== 'started' && outcome !== 'already-done') {
@@ -385,7 +358,7 @@
   }
 
   /** Orders the load, again while the engine still unloads, and waits until the engine shows the model. */
-  private async loadModel (control: Control, generation: number, { load: model, unload }: HostingMove, loadMs: number): Promise<boolean> {
+  private async loadModel (control: ControlledEngine, generation: number, { load: model, unload }: HostingMove, loadMs: number): Promise<boolean> {
     const { clock, log } = this.options
     const { server } = control
     const untilMs = clock.nowMs() + unloadWaitMs
@@ -429,7 +402,7 @@
   }
 
   /** Gives one order. An order without an answer is repeated with the same count: at most one of them is carried out. */
-  private order (control: Control, generation: number, action: 'load' | 'unload', model: string, adapter?: string): Promise<OrderOutcome> {
+  private order (control: ControlledEngine, generation: number, action: 'load' | 'unload', model: string, adapter?: string): Promise<OrderOutcome> {
     return this.enqueue(control, async () => {
       if (control.generation !== generation) return 'conflict'
       // What the engine holds has become doubtful since the decision.
@@ -463,7 +436,7 @@
     })
   }
 
-  private holds ({ server, leavingAdapters }: Control, action: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
+  private holds ({ server, leavingAdapters }: ControlledEngine, action: 'load' | 'unload', model: string, adapter: string | undefined): boolean {
     const state = server.hosted.get(model)
     const isHeld = adapter === undefined
       ? state !== undefined && !state.isComing
@@ -479,95 +452,8 @@
       if (nowMs - atMs > reportLifeMs) continue
       for (const [name, model, adapter] of report.adapters) {
         const engine = services.get(name)?.engine
-        if (engine) this.loadAdapter(name, engine, model, adapter)
-      }
-    }
-  }
-
-  private loadAdapter (service: string, engine: EngineType, model: string, adapter: string): void {
-    const nowMs = this.options.clock.nowMs()
-    const hosts = this.controlsOf(service).filter(({ server, isSynced }) => {
-      const state = server.hosted.get(model)
-      return isSynced && state && !state.isLeaving && !state.isComing && server.isUsable
-    })
-    const key = `${model}/${adapter}`
-    if (hosts.some(({ server, pendingAdapters }) => pendingAdapters.has(key) || server.hosted.get(model)!.adapters.has(adapter))) return
-    const order = rendezvousOrder(key, hosts.map(({ server }) => server.entry.id))
-    const free = hosts.filter(control => !control.isBusy && control.pendingAdapters.size < adaptersInTransit && nowMs >= control.retryAtMs)
-    const ranked = free.sort((left, right) => order.indexOf(left.server.entry.id) - order.indexOf(right.server.entry.id))
-    const chosen = ranked.find(control => adapterCount(control) < engine.adapterSlots) ?? ranked[0]
-    if (!chosen) return
-    const evicted = adapterCount(chosen) < engine.adapterSlots ? undefined : this.leastUsedAdapter(chosen)
-    if (adapterCount(chosen) >= engine.adapterSlots && !evicted) return
-    void this.carryOutAdapter(chosen, model, adapter, evicted)
-  }
-
-  private leastUsedAdapter (control: Control): AdapterName | undefined {
-    const { server, usedAtMs } = control
-    const nowMs = this.options.clock.nowMs()
-    let least: { model: string, adapter: string, atMs: number } | undefined
-    for (const [model, { adapters, isLeaving }] of server.hosted) {
-      if (isLeaving) continue
-      for (const [adapter, readyAtMs] of adapters) {
-        if (readyAtMs > nowMs || control.pendingAdapters.has(`${model}/${adapter}`)) continue
-        const atMs = usedAtMs.get(`${model}/${adapter}`) ?? -Infinity
-        if (nowMs - atMs < adapterResidenceMs) continue
-        if (!least || atMs < least.atMs) least = { model, adapter, atMs }
-      }
-    }
-    return least
-  }
-
-  private async carryOutAdapter (control: Control, model: string, adapter: string, evicted: AdapterName | undefined): Promise<void> {
-    const { server, generation } = control
-    const { clock } = this.options
-    control.pendingAdapters.add(`${model}/${adapter}`)
-    const assumedReadyAtMs = clock.nowMs() + undecidedAdapterMs
-    server.hosted.get(model)!.adapters.set(adapter, assumedReadyAtMs)
-    control.usedAtMs.set(`${model}/${adapter}`, clock.nowMs())
-    // An engine that was asked in between may have shown the adapter.
-    const forget = () => {
-      const adapters = server.hosted.get(model)?.adapters
-      if (adapters?.get(adapter) === assumedReadyAtMs) adapters.delete(adapter)
-    }
-    try {
-      if (evicted && !(await this.makeRoom(control, generation, evicted))) return forget()
-      const outcome = await this.order(control, generation, 'load', model, adapter)
-      if (outcome === 'already-done') server.hosted.get(model)?.adapters.set(adapter, clock.nowMs())
-      else if (outcome === 'started') server.hosted.get(model)?.adapters.set(adapter, clock.nowMs() + adapterLoadMs)
-      else {
-        forget()
-        control.retryAtMs = clock.nowMs() + conflictDelayMs
+        if (engine) this.adapters.load({ model, adapter }, this.controlsOf(name), engine)
       }
-    } finally {
-      control.pendingAdapters.delete(`${model}/${adapter}`)
-      this.publish()
-    }
-  }
-
-  /** Unloads an adapter. Its place counts as taken until the engine has said that it is free. */
-  private async makeRoom (control: Control, generation: number, { model, adapter }: AdapterName): Promise<boolean> {
-    const key = `${model}/${adapter}`
-    const { server, leavingAdapters } = control
-    server.hosted.get(model)?.adapters.delete(adapter)
-    leavingAdapters.add(key)
-    this.publish()
-    const outcome = await this.order(control, generation, 'unload', model, adapter)
-    if (outcome === 'already-done') {
-      leavingAdapters.delete(key)
-      return true
-    }
-    control.retryAtMs = this.options.clock.nowMs() + conflictDelayMs
-    // Requests use it, so its place becomes free only with their end.
-    if (outcome === 'started') void this.awaitAdapterUnloads(control)
-    else if (leavingAdapters.delete(key)) server.hosted.get(model)?.adapters.set(adapter, 0)
-    return false
-  }
-
-  private async awaitAdapterUnloads (control: Control): Promise<void> {
-    while (control.leavingAdapters.size > 0 && !this.isStopped && this.controls.get(control.server.entry.id) === control) {
-      await sleep(this.options.clock, adapterUnloadCheckMs)
-      await this.enqueue(control, () => this.sync(control))
     }
   }
 
@@ -607,13 +493,6 @@
   return { loadMs: model.loadMs, isFromStore: true }
 }
 
-/** Places for adapters that are in use, or will be. */
-function adapterCount ({ server, leavingAdapters, pendingAdapters }: Control): number {
-  const keys = new Set(pendingAdapters)
-  for (const [model, { adapters }] of server.hosted) for (const adapter of adapters.keys()) keys.add(`${model}/${adapter}`)
-  return keys.size + leavingAdapters.size
-}
-
 function phaseOf ({ isComing, isLeaving }: HostedState): 'held' | 'coming' | 'leaving' {
   if (isLeaving) return 'leaving'
   return isComing ? 'coming' : 'held'
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -274,7 +274,7 @@
   private async findServer (
     request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
   ): Promise<Search> {
-    let pick = await this.chooseWithLeader(request, tried, isRepeat)
+    let pick = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat })
     if (hasLeft()) return { kind: 'left' }
     if (pick.server) return { kind: 'found', server: pick.server }
     const { model, adapter } = request.facts
@@ -304,7 +304,7 @@
         if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
         await (pick.waitMs > waitPollMs ? sleep(this.clock, pick.waitMs) : this.options.demand.changeOrDelay(waitPollMs))
         if (hasLeft()) return { kind: 'left' }
-        pick = await this.chooseWithLeader(request, tried, isRepeat)
+        pick = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false })
         if (hasLeft()) return { kind: 'left' }
         if (pick.server) return { kind: 'found', server: pick.server }
       }
@@ -322,8 +322,8 @@
   }
 
   /** The leader's choice among the engines that can take the request, or this node's own. */
-  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): Promise<Pick> {
-    const ask = this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried) : undefined
+  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst }: { isRepeat: boolean, isFirst: boolean }): Promise<Pick> {
+    const ask = this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, isFirst) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
     if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
@@ -331,13 +331,13 @@
     return { server: named ?? this.choose(request, tried, isRepeat), waitMs: waitPollMs }
   }
 
-  private askOf ({ facts, route, service }: RelayRequest, tried: ReadonlySet<string>): DispatchAsk | undefined {
+  private askOf ({ facts, route, service }: RelayRequest, tried: ReadonlySet<string>, isFirst: boolean): DispatchAsk | undefined {
     const { model, adapter, promptTokens, sharedParts } = facts
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
-    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, excluded }
+    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, excluded, isFirst }
   }
 
   private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -7,23 +7,21 @@
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
-import { DispatchDesk } from '../policy/dispatchDesk.js'
 import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import type { Codecs } from './codecs.js'
-import { ChangeRelay } from './changeRelay.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
 import { DispatchClient } from './dispatchClient.js'
 import { EngineCalls } from './engineCalls.js'
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
+import { LeaderOffice } from './leaderOffice.js'
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
 import { LeaderLink, PeerServer } from './peerLink.js'
-import { askOf, choiceOf, packChanges, unpackChanges } from './peerMessages.js'
-import type { LeaderMessage, LeaderReport, NodeReport, RelayedChanges } from './peerMessages.js'
-import { PlacementLeader } from './placementLeader.js'
+import { adviceOf, askOf, choiceOf, unpackChanges } from './peerMessages.js'
+import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
 import { Relay } from './relay.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
@@ -40,10 +38,8 @@
 const reservedDescriptors = 1200
 const requestCheckMs = 500
 const reportMs = 250
-/** Changes that come at once are told to the other nodes in one message. */
-const newsDelayMs = 20
-/** The size of the fleet is written at most this often. */
-const sizeWriteMs = 5000
+/** Nodes beyond which reports are sent half as often, since the leader reads all of them. */
+const manyNodes = 32
 /** A wish for a model or adapter is told at once, together with others that come at the same moment. */
 const wishDelayMs = 2
 /** A leader that died may have given an order up to one renewal before its lease began to run out. */
@@ -72,15 +68,12 @@
   private readonly peers: PeerServer
   private readonly link: LeaderLink
   private readonly size: FleetSize
-  private placement: PlacementLeader | undefined
   private readonly dispatch: DispatchClient
   /** Set while this node leads. */
-  private desk: DispatchDesk | undefined
-  /** Set while this node leads. */
-  private changes: ChangeRelay | undefined
-  private cancelNews: CancelTimer | undefined
+  private office: LeaderOffice | undefined
+  /** Number of nodes that the store keeps. */
   private storedSize = 0
-  private sizeWrittenAtMs = -Infinity
+  private reportTurns = 0
   private cancelReports: CancelTimer = () => {}
   private cancelWish: CancelTimer | undefined
   private deployment: Deployment | undefined
@@ -129,11 +122,10 @@
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
-        if (!('ask' in message)) return this.onNodeReport(message)
-        const choice = this.answer(askOf(message))
-        if (choice) reply({ ask: message.ask, ...(choice.kind === 'engine' ? { engine: choice.id } : { waitMs: Math.ceil(choice.forMs) }) })
+        if (!('ask' in message)) return this.office?.onReport(message)
+        if (this.office) reply({ ask: message.ask, ...adviceOf(this.office.choose(askOf(message))) })
       },
-      onJoined: send => { if (this.placement && this.changes) send({ ...this.placement.fullReport(), news: this.newsOf(this.changes.recent()) }) }
+      onJoined: send => { if (this.office) send(this.office.fullReport()) }
     })
     this.link = new LeaderLink({
       clock,
@@ -151,7 +143,7 @@
       sink: {
         onItems: items => this.onItems(items),
         onChange: change => this.onChange(change),
-        onRevision: revision => this.onRevision(revision),
+        onRevision: revision => this.office?.onRevision(revision),
         onReturned: () => this.fleet.onOutageEnded(clock.nowMs())
       }
     })
@@ -173,7 +165,9 @@
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that take requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
-    metrics.gauge('teaselrill_placement_leader', '1 if this node gives the orders to engines', () => this.placement ? 1 : 0)
+    metrics.gauge('teaselrill_dispatch_timeouts', 'Questions to the placement leader without an answer in time, since the start', () => this.dispatch.timeouts)
+    metrics.gauge('teaselrill_follows_leader', '1 if the node knows the store through the placement leader', () => this.storeView.isFollowing ? 1 : 0)
+    metrics.gauge('teaselrill_placement_leader', '1 if this node gives the orders to engines', () => this.office ? 1 : 0)
   }
 
   get isReady (): boolean {
@@ -233,13 +227,7 @@
     this.hasBackends = true
     this.leadership.onItems(items.filter(({ key }) => key.startsWith(keys.own)))
     for (const item of items) if (!item.key.startsWith(keys.backends)) this.onChange(item)
-    // What changed meanwhile was not seen change by change.
-    if (this.changes) this.changes = new ChangeRelay(this.options.clock, this.storeView.revision ?? 0)
-  }
-
-  private onRevision (revision: number): void {
-    this.changes?.advance(revision)
-    if (this.changes?.hasNews) this.tellNewsSoon()
+    this.office?.onReadAgain()
   }
 
   private onChange (change: StoreChange): void {
@@ -249,7 +237,7 @@
       if (!this.onBackend(change)) return
     } else if (change.key === this.sizeKey) this.onStoredSize(change.value)
     else if (change.key.startsWith(keys.own)) this.leadership.onChange(change)
-    this.changes?.note(change)
+    this.office?.onChange(change)
   }
 
   private get sizeKey (): string {
@@ -258,32 +246,23 @@
 
   private onStoredSize (value: string | undefined): void {
     this.storedSize = Number(value ?? 0)
-    if (!this.placement) this.size.adopt(this.storedSize)
-  }
-
-  /** Keeps the number of nodes for nodes that start while no leader counts them. */
-  private storeSize (): void {
-    const { clock, store, log } = this.options
-    if (this.size.value === this.storedSize || clock.nowMs() - this.sizeWrittenAtMs < sizeWriteMs) return
-    this.sizeWrittenAtMs = clock.nowMs()
-    store.commit({ expected: [], writes: [{ key: this.sizeKey, value: String(this.size.value) }] })
-      .catch(error => log('warn', 'fleet size not written', { size: this.size.value, error: messageOf(error) }))
+    if (!this.office) this.size.adopt(this.storedSize)
   }
 
   private onOwnOffice (fence: number | undefined): void {
-    this.placement?.stop()
-    this.placement = undefined
-    this.changes = undefined
-    this.desk = undefined
+    this.office?.stop()
+    this.office = undefined
     this.size.stopCounting()
     if (fence === undefined) return
-    const { clock, log, settings } = this.options
-    this.changes = new ChangeRelay(clock, this.storeView.revision ?? 0)
-    this.desk = new DispatchDesk(clock)
+    const { clock, log, settings, store } = this.options
     this.link.follow(undefined)
-    this.placement = new PlacementLeader({
+    this.office = new LeaderOffice({
       clock,
       log,
+      store,
+      storeView: this.storeView,
+      size: this.size,
+      sizeKey: this.sizeKey,
       fleet: this.fleet,
       calls: this.calls,
       deployment: () => this.deployment,
@@ -291,11 +270,7 @@
       fence,
       startDelayMs: settings.enginesCheckFences ? successionDelayMs : settings.holderGapMs,
       loadWindowMs: settings.loadWindowMs,
-      ownReport: () => {
-        const report = this.report()
-        this.noteOutcomes(report)
-        return report
-      },
+      ownReport: () => this.report(),
       broadcast: report => this.peers.broadcast(report),
       onOrder: (action, outcome) => this.options.metrics?.onOrder(action, outcome),
       onDeposed: () => this.leadership.resign(),
@@ -311,27 +286,7 @@
 
   /** The leader's choice for a request, if it is known in time. */
   private async chooseForAll (ask: DispatchAsk): Promise<DispatchChoice | undefined> {
-    return this.desk ? this.answer(ask) : await this.dispatch.ask(ask)
-  }
-
-  private answer (ask: DispatchAsk): DispatchChoice | undefined {
-    const candidates = this.fleet.ofService(ask.service).filter(server => server.isUsable && server.serves(ask.model, ask.adapter))
-    return this.desk?.choose(ask, candidates.map(server => ({
-      id: server.entry.id,
-      region: server.region,
-      availabilityZone: server.entry.availabilityZone,
-      slots: server.entry.slots,
-      running: server.running + server.runningElsewhere
-    })))
-  }
-
-  private onNodeReport (report: NodeReport): void {
-    this.noteOutcomes(report)
-    this.placement?.onReport(report)
-  }
-
-  private noteOutcomes ({ outcomes }: NodeReport): void {
-    for (const [backend, answered, failed] of outcomes) this.desk?.onOutcomes(backend, answered, failed)
+    return this.office ? this.office.choose(ask) : await this.dispatch.ask(ask)
   }
 
   private onLeaderMessage (message: LeaderMessage): void {
@@ -388,46 +343,16 @@
   }
 
   private exchangeReports (): void {
-    if (!this.placement) {
-      this.link.send(this.report())
-      return
-    }
-    this.desk?.keepOnly(id => this.fleet.servers.has(id))
-    const running = this.placement.runningRows()
-    this.noteRunning(running)
-    this.size.count(this.peers.linkCount + 1)
-    this.storeSize()
-    this.tellNews(running)
-  }
-
-  private tellNews (running: LeaderReport['running'] = []): void {
-    if (!this.changes) return
-    this.peers.broadcast({ fence: this.leadership.leader?.fence ?? 0, news: this.newsOf(this.changes.next()), hosting: [], running })
-  }
-
-  private tellNewsSoon (): void {
-    this.cancelNews ??= this.options.clock.setTimer(newsDelayMs, () => {
-      this.cancelNews = undefined
-      this.tellNews()
-    })
-  }
-
-  private newsOf ({ fromRevision, revision, changes }: RelayedChanges): LeaderReport['news'] {
-    const { ageMs, returnedAtMs } = this.storeView
-    return {
-      fromRevision,
-      revision,
-      changes: packChanges(changes),
-      ageMs,
-      nodeCount: this.size.value,
-      returnedMsAgo: returnedAtMs === undefined ? null : this.options.clock.nowMs() - returnedAtMs
-    }
+    this.reportTurns++
+    if (this.size.value > manyNodes && this.reportTurns % 2 !== 0) return
+    if (this.office) this.noteRunning(this.office.tellNodes(this.peers.linkCount, this.storedSize))
+    else this.link.send(this.report())
   }
 
   private tellWishSoon (): void {
     this.cancelWish ??= this.options.clock.setTimer(wishDelayMs, () => {
       this.cancelWish = undefined
-      if (this.placement) this.onNodeReport(this.report())
+      if (this.office) this.office.onReport(this.report())
       else this.link.send(this.report())
     })
   }
--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -21,7 +21,7 @@
 const maxFirstRetryMs = 800
 /** Age of the leader's view from which a node looks at the store itself. */
 const longestRelayedAgeMs = 1000
-const followPollMs = 50
+const shortestFollowMs = 20
 
 export interface StoreViewSink {
   /** Replaces all that was known. */
@@ -77,7 +77,7 @@
   async run (): Promise<void> {
     while (!this.isStopped) {
       if (this.revision !== undefined && this.isFollowing) {
-        await sleep(this.options.clock, followPollMs)
+        await sleep(this.options.clock, Math.max(shortestFollowMs, this.relayedAtMs + longestRelayedAgeMs - this.options.clock.nowMs()))
         continue
       }
       try {
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -47,6 +47,7 @@
       loadWindowMs: 5000,
       ownReport: () => report,
       broadcast: () => {},
+      expectedReadingEngines: () => 0,
       onDeposed: () => {},
       mustHold: () => false
     })
