--- a/src/serving/leaderOffice.ts
+++ b/src/serving/leaderOffice.ts
@@ -1,15 +1,13 @@
 /** What a node does for all nodes while it leads: orders to engines, choices of engines, and the store's changes. */
 
-import type { CancelTimer, Clock } from '../base/clock.js'
+import type { CancelTimer } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
-import type { Log } from '../base/log.js'
 import { DispatchDesk } from '../policy/dispatchDesk.js'
 import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import { ReadingDemand } from '../policy/readingDemand.js'
 import { ChangeRelay } from './changeRelay.js'
 import type { CoordinationStore, StoreChange } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
-import type { FleetView } from './fleetView.js'
 import { packChanges } from './peerMessages.js'
 import type { LeaderReport, NodeReport, RelayedChanges } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
@@ -22,9 +20,6 @@
 const sizeWriteMs = 5000
 
 export interface LeaderOfficeOptions extends Omit<PlacementLeaderOptions, 'expectedReadingEngines' | 'ownReport'> {
-  clock: Clock
-  log: Log
-  fleet: FleetView
   store: CoordinationStore
   storeView: StoreView
   size: FleetSize
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -122,7 +122,7 @@
   | { kind: 'refused', reason: string, retryAfterMs: number }
   | { kind: 'left' }
 
-interface Pick {
+interface Selection {
   server: BackendServer | undefined
   /** Time after which to look again. */
   waitMs: number
@@ -274,9 +274,9 @@
   private async findServer (
     request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
   ): Promise<Search> {
-    let pick = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat })
+    let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat })
     if (hasLeft()) return { kind: 'left' }
-    if (pick.server) return { kind: 'found', server: pick.server }
+    if (selection.server) return { kind: 'found', server: selection.server }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
     if (!request.service.engine.models.some(({ name }) => name === model)) {
@@ -302,11 +302,11 @@
             : { kind: 'refused', reason: `no engine is ready with ${name}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
         }
         if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
-        await (pick.waitMs > waitPollMs ? sleep(this.clock, pick.waitMs) : this.options.demand.changeOrDelay(waitPollMs))
+        await (selection.waitMs > waitPollMs ? sleep(this.clock, selection.waitMs) : this.options.demand.changeOrDelay(waitPollMs))
         if (hasLeft()) return { kind: 'left' }
-        pick = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false })
+        selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false })
         if (hasLeft()) return { kind: 'left' }
-        if (pick.server) return { kind: 'found', server: pick.server }
+        if (selection.server) return { kind: 'found', server: selection.server }
       }
     } finally {
       waiting.end()
@@ -322,7 +322,7 @@
   }
 
   /** The leader's choice among the engines that can take the request, or this node's own. */
-  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst }: { isRepeat: boolean, isFirst: boolean }): Promise<Pick> {
+  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst }: { isRepeat: boolean, isFirst: boolean }): Promise<Selection> {
     const ask = this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, isFirst) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
     if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
