--- a/tests/soak/nodeProcess.ts
+++ b/tests/soak/nodeProcess.ts
@@ -15,6 +15,9 @@
 const readinessPort = 7302
 const peersPort = 7310
 const restartMs = 150
+/** Addresses that this process has given to nodes. */
+let addresses = 0
+const mostAddresses = 250
 
 export interface NodeOptions {
   index: number
@@ -43,8 +46,8 @@
   constructor (options: NodeOptions) {
     this.options = options
     this.name = `node-${options.index}`
-    // Addresses of this process's own, so that several soaks can run on one machine.
-    this.ip = `127.${64 + (process.pid >> 8) % 128}.${process.pid % 256}.${options.index + 1}`
+    // Addresses of this node's own, so that several soaks can run on one machine and in one process.
+    this.ip = `127.${64 + (process.pid >> 8) % 128}.${process.pid % 256}.${addresses++ % mostAddresses + 1}`
     this.storeProxy = new FaultProxy(() => ({ host: '127.0.0.1', port: options.store.port }))
     options.ledger.nodes.set(this.name, this.condition)
   }
