--- a/src/platform/httpNames.ts
+++ b/src/platform/httpNames.ts
@@ -1,7 +1,6 @@
 /** Header names and calls of the platform's clients and engines. */
 
-import type { PromptPart } from '../policy/dispatchDesk.js'
-import type { Codecs, ControlCall, ForwardOptions, RequestFacts, ResponseFacts } from '../serving/codecs.js'
+import type { Codecs, ControlCall, ForwardOptions, RequestFacts, ResponseFacts, PromptPart } from '../serving/codecs.js'
 import type { EngineOrder, OrderOutcome } from '../serving/deployment.js'
 import type { ResponseHead } from '../serving/responseReader.js'
 import { readBackend, readDeployment, readReport } from './wireSchemas.js'
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -4,6 +4,8 @@
 import type { BackendEntry, Deployment, EngineOrder, EngineReport, OrderOutcome } from './deployment.js'
 import type { ResponseHead } from './responseReader.js'
 
+export type { PromptPart }
+
 /** What a request says of itself. */
 export interface RequestFacts {
   /** Absent if the client sent none or an unusable one. */
