--- a/src/policy/readingDemand.ts
+++ b/src/policy/readingDemand.ts
@@ -9,10 +9,6 @@
 const longestHorizonMs = 6000
 /** A forecast is at most this multiple of the demand that is there. */
 const largestGrowth = 1.5
-/** Usual reading time of one prompt; the averages of few prompts differ by chance. */
-const usualReadingMs = 50
-/** Standard deviations beyond which a difference of the averages counts as a change of the demand. */
-const significance = 1.25
 const forgetAfterMs = 60_000
 
 interface Averages {
@@ -43,9 +39,6 @@
   of (key: string, horizonMs: number): Demand {
     if (!this.models.has(key)) return { engines: 0, expectedEngines: 0 }
     const { fast, slow } = this.averagesOf(key)
-    // Standard deviation of the fast average where prompts come at random.
-    const chance = Math.sqrt(slow * usualReadingMs / (2 * fastTimeConstantMs))
-    if (Math.abs(fast - slow) < significance * chance) return { engines: slow, expectedEngines: slow }
     const trendPerMs = Math.max(0, fast - slow) / (slowTimeConstantMs - fastTimeConstantMs)
     const expected = fast + trendPerMs * (fastTimeConstantMs + Math.min(horizonMs, longestHorizonMs))
     return { engines: fast, expectedEngines: Math.min(fast * largestGrowth, expected) }
