Let engines have as many streams as their batch holds

The desk stopped at 40 streams less the ranks' share, and counted what it had handed out for 700 ms on top of reports that are at most 280 ms old in small fleets. Ruled out: the reading backlog (first bytes came 154 ms after the send in the median), and connections.

What is left of the refusals comes from prompts that find an engine reading and give up after half of their objective.

--- a/src/policy/dispatchDesk.ts
+++ b/src/policy/dispatchDesk.ts
@@ -13,8 +13,6 @@
 /** Each further rank leaves room for those before it. */
 const rankBacklogStepMs = 10
 const smallestBacklogMs = 30
-/** Streams of an engine beyond which each prompt makes more of them late than it serves, whatever the batch allows. */
-const mostStreams = 40
 /** Time after which a full engine may have room again. */
 const fullWaitMs = 120
 const shortestWaitMs = 40
@@ -33,7 +31,7 @@
 /** Outcomes that are assumed to have been good, so that one failure does not condemn a server. */
 const assumedGood = 3
 /** Age at which the nodes' reports of running requests include what was handed out. */
-const reportLagMs = 700
+const reportLagMs = 350
 /** Engines keep the prompt parts of the last seconds. */
 const prefixLifeMs = 20_000
 const maxPrefixes = 256
@@ -104,7 +102,7 @@
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + this.handedLately(state)
-      if (running >= Math.min(candidate.slots, mostStreams) * batchShare(ask.rank)) continue
+      if (running >= candidate.slots * batchShare(ask.rank)) continue
       const backlogMs = this.backlogMs(state)
       if (backlogMs > limitMs) {
         waitMs = Math.min(waitMs, backlogMs - limitMs)
