Count what comes for a model while no engine has it

Nodes asked the leader only about requests for which an engine was there, so the reading demand of a model without a copy was zero until its first copy was ready. Ruled out: the weight store's rate (one load in the window) and the planner's order.

The first question of each request now goes to the leader. Test: 'tells the leader of requests for a model that no engine has', which fails without the change (no question).

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -323,7 +323,8 @@
 
   /** The leader's choice among the engines that can take the request, or this node's own. */
   private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst }: { isRepeat: boolean, isFirst: boolean }): Promise<Selection> {
-    const ask = this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, isFirst) : undefined
+    // The leader counts what comes for a model, also while no engine has it.
+    const ask = isFirst || this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, isFirst) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
     if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -22,6 +22,9 @@
   }
 }
 
+/** An engine type whose only model takes nine seconds to load. */
+const engine = { slots: 4, cacheTokens: 1000, weightsMb: 100, adapterSlots: 2, storeLoadsPerSecond: 1, models: [{ name: 'm', weightsMb: 10, loadMs: 9000, warmLoadMs: 9000, diskLoadMs: 9000, adapterMb: 1 }] }
+
 const events = (last: number) => Array.from({ length: last }, (_, index) => event(index + 1)).join('')
 
 describe('relay', () => {
@@ -200,7 +203,6 @@
 
   it('refuses a request that waits for a model when the node shuts down', async () => {
     // Guards against a request that ends without any answer.
-    const engine = { slots: 4, cacheTokens: 1000, weightsMb: 100, adapterSlots: 2, storeLoadsPerSecond: 1, models: [{ name: 'm', weightsMb: 10, loadMs: 9000, warmLoadMs: 9000, diskLoadMs: 9000, adapterMb: 1 }] }
     await fixture.start([route({ kind: 'stream', timeoutMs: 20_000, objectiveMs: 10_000 })], { engine })
     await fixture.addServer('a', ok)
     const answer = fixture.send('id1', { headers: { 'x-model': 'm' } })
@@ -208,6 +210,15 @@
     expect((await answer).status).to.equal(503)
   })
 
+  it('tells the leader of requests for a model that no engine has', async () => {
+    // Pattern: demand shifts to a model without a copy; its copies must be counted by what comes, before the first is ready.
+    await fixture.start([route({ kind: 'stream', timeoutMs: 100 })], { engine })
+    await fixture.addServer('a', ok)
+    await fixture.send('id1', { headers: { 'x-model': 'm', 'x-token-count': '700,20' } })
+    expect(fixture.asks.filter(({ isFirst }) => isFirst)).to.have.length(1)
+    expect(fixture.asks[0]).to.include({ model: 'm', promptTokens: 700 })
+  })
+
   it('closes connections after answers that began before the shutdown', async () => {
     await fixture.start([route()])
     await fixture.addServer('a', (socket, head) => { setTimeout(() => socket.write(answerOf(idOf(head), 'ok')), 100) })
