Let requests wait for an engine as long as their callers do, behind those that can be in time

A request gave up after half of its objective (250 ms) while engines got room again within a second, came back 1.2 s later, met the same and was lost. Ruled out: too few engines (they read prompts for a third of their time meanwhile).

A request now waits until three quarters of its callers' patience (policy/waitForEngine.ts); from 0.6 of its objective on it counts as late, and the desk lets those in time go first. What a load cannot reach within the patience is refused at once, as before.

--- a/src/policy/dispatchDesk.ts
+++ b/src/policy/dispatchDesk.ts
@@ -51,6 +51,8 @@
   excluded: readonly string[]
   /** Whether the request has not been asked for before. */
   isFirst: boolean
+  /** Whether it cannot be in time any more, so that those that can go first. */
+  isLate: boolean
 }
 
 export interface PromptPart {
@@ -98,7 +100,7 @@
     let best: { state: EngineState, id: string, ownMs: number } | undefined
     let bestMs = Infinity
     let waitMs = fullWaitMs
-    const limitMs = Math.max(smallestBacklogMs, firstRankBacklogMs - ask.rank * rankBacklogStepMs)
+    const limitMs = ask.isLate ? smallestBacklogMs : Math.max(smallestBacklogMs, firstRankBacklogMs - ask.rank * rankBacklogStepMs)
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + this.handedLately(state)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -34,22 +34,24 @@
   /** ID and tokens of the prompt parts that other requests share. */
   parts: z.array(z.tuple([z.string(), z.number()])),
   excluded: z.array(z.string()),
-  isFirst: z.boolean()
+  isFirst: z.boolean(),
+  isLate: z.boolean()
 })
 export type AskMessage = z.infer<typeof askMessageSchema>
 
-export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, excluded, isFirst }: DispatchAsk): Omit<AskMessage, 'ask'> {
+export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, excluded, isFirst, isLate }: DispatchAsk): Omit<AskMessage, 'ask'> {
   return {
     row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone],
     parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
     excluded: [...excluded],
-    isFirst
+    isFirst,
+    isLate
   }
 }
 
-export function askOf ({ row, parts, excluded, isFirst }: AskMessage): DispatchAsk {
+export function askOf ({ row, parts, excluded, isFirst, isLate }: AskMessage): DispatchAsk {
   const [service, model, adapter, promptTokens, rank, region, availabilityZone] = row
-  return { service, model, adapter: adapter ?? undefined, promptTokens, sharedParts: parts.map(([id, tokens]) => ({ id, tokens })), rank, region, availabilityZone, excluded, isFirst }
+  return { service, model, adapter: adapter ?? undefined, promptTokens, sharedParts: parts.map(([id, tokens]) => ({ id, tokens })), rank, region, availabilityZone, excluded, isFirst, isLate }
 }
 
 export const nodeMessageSchema = z.union([askMessageSchema, nodeReportSchema])
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -8,7 +8,8 @@
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
 import { RetryBudget } from '../policy/retry.js'
-import { streamPatienceMs } from '../policy/streamPatience.js'
+import { decideWait } from '../policy/waitForEngine.js'
+import type { WaitTerms } from '../policy/waitForEngine.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, RequestFacts } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
@@ -30,15 +31,8 @@
 const plainSample = 100
 /** Time after which missing models are looked for again while requests wait. */
 const waitPollMs = 25
-/** Time that a request for a model that nobody is loading may wait for the placement leader to decide, and as part of its objective. */
-const undecidedWaitMs = 1500
-const undecidedWaitShare = 0.6
-/** Part of its objective that a request waits for room on full engines. */
-const fullWaitShare = 0.5
-/** Time in which a full engine ends a good part of its requests. */
-const fullRetryAfterMs = 1200
-/** Part of the callers' patience that the wait for a model may use; the rest is for the first event. */
-const waitShare = 0.75
+/** The same for requests that are late already, so that those in time are asked for first. */
+const latePollMs = 100
 /** Part of the fleet's repeats that the nodes use, since they do not see each other's windows. */
 const budgetShare = 0.7
 /** Part of a backend server's connections that the nodes use; the rest is for restarted nodes whose old connections linger. */
@@ -274,37 +268,41 @@
   private async findServer (
     request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
   ): Promise<Search> {
-    let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat })
+    let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat, isLate: false })
     if (hasLeft()) return { kind: 'left' }
     if (selection.server) return { kind: 'found', server: selection.server }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
-    if (!request.service.engine.models.some(({ name }) => name === model)) {
+    const known = request.service.engine.models.find(({ name }) => name === model)
+    if (!known) {
       return { kind: 'refused', reason: `the service has no model ${model}`, retryAfterMs: startingRetryAfterMs }
     }
-    const startMs = this.clock.nowMs()
-    const patienceMs = request.route.kind === 'stream' ? streamPatienceMs(request.route) : Infinity
-    const untilMs = Math.min(request.arrivedAtMs + patienceMs * waitShare, request.deadlineAtMs - minimumSendMs)
-    const decisionMs = Math.max(undecidedWaitMs, request.route.objectiveMs * undecidedWaitShare)
-    const fullWaitMs = request.route.objectiveMs * fullWaitShare
+    const terms: WaitTerms = {
+      isStream: request.route.kind === 'stream',
+      objectiveMs: request.route.objectiveMs,
+      gapObjectiveMs: request.route.gapObjectiveMs,
+      arrivedAtMs: request.arrivedAtMs,
+      lastSendAtMs: request.deadlineAtMs - minimumSendMs,
+      startedAtMs: this.clock.nowMs(),
+      shortestLoadMs: Math.min(known.warmLoadMs, known.diskLoadMs, known.loadMs)
+    }
     const waiting = this.options.demand.wait(request.service.name, model, adapter, request.route.rank)
     try {
       for (;;) {
-        const nowMs = this.clock.nowMs()
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
-        const isFull = expectedMs === 0
-        const isHopeless = expectedMs === undefined ? nowMs - startMs > decisionMs : isFull ? nowMs - startMs > fullWaitMs : nowMs + expectedMs > untilMs
-        if (nowMs > untilMs || isHopeless) {
+        const decision = decideWait(terms, this.clock.nowMs(), expectedMs)
+        if (decision.kind === 'refuse') {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           const name = adapter === undefined ? model : `${model}/${adapter}`
-          return isFull
-            ? { kind: 'refused', reason: `all engines with ${name} are full`, retryAfterMs: fullRetryAfterMs }
-            : { kind: 'refused', reason: `no engine is ready with ${name}`, retryAfterMs: (expectedMs ?? undecidedWaitMs) + waitPollMs }
+          const reason = decision.reason === 'full' ? `all engines with ${name} are full` : `no engine is ready with ${name}`
+          return { kind: 'refused', reason, retryAfterMs: decision.retryAfterMs }
         }
         if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
-        await (selection.waitMs > waitPollMs ? sleep(this.clock, selection.waitMs) : this.options.demand.changeOrDelay(waitPollMs))
+        const { isLate } = decision
+        const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
+        await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.changeOrDelay(waitPollMs))
         if (hasLeft()) return { kind: 'left' }
-        selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false })
+        selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false, isLate })
         if (hasLeft()) return { kind: 'left' }
         if (selection.server) return { kind: 'found', server: selection.server }
       }
@@ -322,9 +320,11 @@
   }
 
   /** The leader's choice among the engines that can take the request, or this node's own. */
-  private async chooseWithLeader (request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst }: { isRepeat: boolean, isFirst: boolean }): Promise<Selection> {
+  private async chooseWithLeader (
+    request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst, isLate }: { isRepeat: boolean, isFirst: boolean, isLate: boolean }
+  ): Promise<Selection> {
     // The leader counts what comes for a model, also while no engine has it.
-    const ask = isFirst || this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, isFirst) : undefined
+    const ask = isFirst || this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, { isFirst, isLate }) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
     if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
@@ -332,13 +332,15 @@
     return { server: named ?? this.choose(request, tried, isRepeat), waitMs: waitPollMs }
   }
 
-  private askOf ({ facts, route, service }: RelayRequest, tried: ReadonlySet<string>, isFirst: boolean): DispatchAsk | undefined {
+  private askOf (
+    { facts, route, service }: RelayRequest, tried: ReadonlySet<string>, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
+  ): DispatchAsk | undefined {
     const { model, adapter, promptTokens, sharedParts } = facts
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
-    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, excluded, isFirst }
+    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, excluded, isFirst, isLate }
   }
 
   private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
--- a/tests/dispatchDesk.spec.ts
+++ b/tests/dispatchDesk.spec.ts
@@ -5,7 +5,7 @@
 import type { DispatchAsk, DispatchCandidate, DispatchChoice } from '../src/policy/dispatchDesk.js'
 
 function ask (changes: Partial<DispatchAsk> = {}): DispatchAsk {
-  return { service: 's', model: 'm', adapter: undefined, promptTokens: 1400, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], isFirst: true, ...changes }
+  return { service: 's', model: 'm', adapter: undefined, promptTokens: 1400, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], isFirst: true, isLate: false, ...changes }
 }
 
 function candidate (id: string, changes: Partial<DispatchCandidate> = {}): DispatchCandidate {
