Hand prompts to engines in turns, with a rest for one event between them

Cause: streams late by their pauses. An engine reads up to a chunk of prompts in each step, and an event holds the tokens of two to four steps. At the same time an engine that had read for 100 ms took nothing more, though a pause of 250 ms harms nobody.

What is handed to an engine in one turn is now read within the pause that the route allows (less an event's own time), and a new turn begins after a rest in which the engine makes one event. Later ranks and late requests leave room in a turn.

--- a/src/policy/dispatchDesk.ts
+++ b/src/policy/dispatchDesk.ts
@@ -6,13 +6,22 @@
 /** Assumed prompt tokens that an engine reads in a millisecond. */
 const promptTokensPerMs = 20
 /**
- * Unread prompts, in reading time, from which an engine gets no more for now: while an engine reads, all its streams pause,
- * and pauses of some hundred milliseconds make every one of them late.
+ * An engine reads prompts in pieces between the tokens of its streams, and an event of a stream waits for several tokens. So an
+ * engine gets its prompts in turns: what is handed to it in one turn is read within the pause that callers allow between events,
+ * and before the next turn it makes the tokens of one event.
  */
-const firstRankBacklogMs = 80
-/** Each further rank leaves room for those before it. */
-const rankBacklogStepMs = 10
-const smallestBacklogMs = 30
+const restMs = 60
+/** Pause between events that callers allow, where the route does not say it. */
+const usualGapMs = 300
+/** Pause between events of an engine that reads nothing, with a margin for what arrives together later than it was handed out. */
+const eventMs = 90
+/** Each further rank leaves room in a turn for those before it. */
+const rankTurnStep = 0.1
+const smallestTurnShare = 0.4
+/** Part of a turn that requests may use that cannot be in time any more. */
+const lateTurnShare = 0.5
+/** Part of a turn after which a prompt may still exceed it, so that the largest ones are not left waiting. */
+const oversizeShare = 0.1
 /** Time after which a full engine may have room again. */
 const fullWaitMs = 120
 const shortestWaitMs = 40
@@ -49,6 +58,8 @@
   availabilityZone: string
   /** Backend servers that must not be chosen. */
   excluded: readonly string[]
+  /** Longest pause between events within the objective. */
+  gapObjectiveMs: number | undefined
   /** Whether the request has not been asked for before. */
   isFirst: boolean
   /** Whether it cannot be in time any more, so that those that can go first. */
@@ -71,9 +82,10 @@
 }
 
 interface EngineState {
-  /** Time that the engine needs for the prompts that it has not read yet. */
-  backlogMs: number
-  updatedAtMs: number
+  /** Time at which it has read the prompts that were handed to it. */
+  readUntilMs: number
+  /** Reading time that was handed to it in this turn. */
+  turnMs: number
   handedAtMs: number[]
   /** Last use of prompt parts, by model, adapter and ID. */
   prefixes: Map<string, number>
@@ -99,18 +111,23 @@
     if (usable.length === 0) return undefined
     let best: { state: EngineState, id: string, ownMs: number } | undefined
     let bestMs = Infinity
-    let waitMs = fullWaitMs
-    const limitMs = ask.isLate ? smallestBacklogMs : Math.max(smallestBacklogMs, firstRankBacklogMs - ask.rank * rankBacklogStepMs)
+    let waitMs = Infinity
+    const nowMs = this.clock.nowMs()
+    const limitMs = turnLimitMs(ask)
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + this.handedLately(state)
-      if (running >= candidate.slots * batchShare(ask.rank)) continue
-      const backlogMs = this.backlogMs(state)
-      if (backlogMs > limitMs) {
-        waitMs = Math.min(waitMs, backlogMs - limitMs)
+      if (running >= candidate.slots * batchShare(ask.rank)) {
+        waitMs = Math.min(waitMs, fullWaitMs)
         continue
       }
+      if (nowMs >= state.readUntilMs + restMs) state.turnMs = 0
       const ownMs = this.readingMs(ask, state)
+      if (state.turnMs > limitMs * oversizeShare && state.turnMs + ownMs > limitMs) {
+        waitMs = Math.min(waitMs, state.readUntilMs + restMs - nowMs)
+        continue
+      }
+      const backlogMs = Math.max(0, state.readUntilMs - nowMs)
       const costMs = backlogMs + ownMs + running * runningCostMs + distanceMs(ask, candidate) + this.failureShare(state) * failureCostMs
       if (costMs >= bestMs) continue
       bestMs = costMs
@@ -141,8 +158,8 @@
 
   private hand (ask: DispatchAsk, state: EngineState, ownMs: number): void {
     const nowMs = this.clock.nowMs()
-    state.backlogMs = this.backlogMs(state) + ownMs
-    state.updatedAtMs = nowMs
+    state.readUntilMs = Math.max(state.readUntilMs, nowMs) + ownMs
+    state.turnMs += ownMs
     state.handedAtMs.push(nowMs)
     for (const part of ask.sharedParts) {
       const key = prefixKey(ask, part)
@@ -168,10 +185,6 @@
     return Math.max(0, tokens) / promptTokensPerMs
   }
 
-  private backlogMs (state: EngineState): number {
-    return Math.max(0, state.backlogMs - (this.clock.nowMs() - state.updatedAtMs))
-  }
-
   private handedLately (state: EngineState): number {
     const sinceMs = this.clock.nowMs() - reportLagMs
     while (state.handedAtMs.length > 0 && state.handedAtMs[0]! < sinceMs) state.handedAtMs.shift()
@@ -195,13 +208,19 @@
     let state = this.engines.get(engine)
     if (!state) {
       const nowMs = this.clock.nowMs()
-      state = { backlogMs: 0, updatedAtMs: nowMs, handedAtMs: [], prefixes: new Map(), good: 0, bad: 0, outcomesAtMs: nowMs }
+      state = { readUntilMs: -Infinity, turnMs: 0, handedAtMs: [], prefixes: new Map(), good: 0, bad: 0, outcomesAtMs: nowMs }
       this.engines.set(engine, state)
     }
     return state
   }
 }
 
+/** Reading time that may be handed to an engine in one turn up to and with this request. */
+function turnLimitMs ({ gapObjectiveMs = usualGapMs, rank, isLate }: DispatchAsk): number {
+  const share = Math.max(smallestTurnShare, 1 - rank * rankTurnStep)
+  return Math.max(restMs, gapObjectiveMs - eventMs) * (isLate ? Math.min(share, lateTurnShare) : share)
+}
+
 function prefixKey ({ model, adapter }: DispatchAsk, { id }: PromptPart): string {
   return `${model}/${adapter ?? ''}/${id}`
 }
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -29,8 +29,8 @@
 export const askMessageSchema = z.object({
   /** Number of the question. */
   ask: z.number(),
-  /** Service, model, adapter, prompt tokens, rank, region, availability zone. */
-  row: z.tuple([z.string(), z.string(), z.string().nullable(), z.number(), z.number(), z.string(), z.string()]),
+  /** Service, model, adapter, prompt tokens, rank, region, availability zone, longest pause between events. */
+  row: z.tuple([z.string(), z.string(), z.string().nullable(), z.number(), z.number(), z.string(), z.string(), z.number().nullable()]),
   /** ID and tokens of the prompt parts that other requests share. */
   parts: z.array(z.tuple([z.string(), z.number()])),
   excluded: z.array(z.string()),
@@ -39,9 +39,9 @@
 })
 export type AskMessage = z.infer<typeof askMessageSchema>
 
-export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, excluded, isFirst, isLate }: DispatchAsk): Omit<AskMessage, 'ask'> {
+export function askRow ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, gapObjectiveMs, excluded, isFirst, isLate }: DispatchAsk): Omit<AskMessage, 'ask'> {
   return {
-    row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone],
+    row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone, gapObjectiveMs ?? null],
     parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
     excluded: [...excluded],
     isFirst,
@@ -50,8 +50,11 @@
 }
 
 export function askOf ({ row, parts, excluded, isFirst, isLate }: AskMessage): DispatchAsk {
-  const [service, model, adapter, promptTokens, rank, region, availabilityZone] = row
-  return { service, model, adapter: adapter ?? undefined, promptTokens, sharedParts: parts.map(([id, tokens]) => ({ id, tokens })), rank, region, availabilityZone, excluded, isFirst, isLate }
+  const [service, model, adapter, promptTokens, rank, region, availabilityZone, gapObjectiveMs] = row
+  const sharedParts = parts.map(([id, tokens]) => ({ id, tokens }))
+  return {
+    service, model, adapter: adapter ?? undefined, promptTokens, sharedParts, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, isFirst, isLate
+  }
 }
 
 export const nodeMessageSchema = z.union([askMessageSchema, nodeReportSchema])
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -340,7 +340,7 @@
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
-    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, excluded, isFirst, isLate }
+    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
   }
 
   private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
