Revert the try to learn how fast engines read the prompts of each model

A next try would learn the speed for the desk alone. The finding itself stands: speeds differ several times between models.

--- a/src/policy/hosting.ts
+++ b/src/policy/hosting.ts
@@ -1,7 +1,7 @@
 /** Decides which models are loaded and unloaded on which engines, from what runs and waits now. */
 
 /** Part of its time that an engine reads prompts for one model before the model gets a further copy: beyond it, streams pause too long. */
-const targetReadingShare = 0.55
+const targetReadingShare = 0.4
 /** Part of an engine's slots that the requests of one model use, or wait for, before it gets a further copy. */
 const targetSlotShare = 0.6
 /** Requests of an engine that the value of a further copy counts for. */
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -53,8 +53,6 @@
   /** Since the request's arrival. */
   afterMs: number
   backend: string
-  /** Whether the placement leader chose the server, or this node by itself. */
-  chosenBy: 'leader' | 'node'
   /** Requests in progress there, as far as known, and those of other nodes alone. */
   running: number
   runningElsewhere: number
@@ -114,15 +112,12 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, chosenBy: AttemptTrace['chosenBy'], aloneTokens?: number | undefined }
+  | { kind: 'found', server: BackendServer }
   | { kind: 'refused', reason: string, retryAfterMs: number }
   | { kind: 'left' }
 
 interface Selection {
   server: BackendServer | undefined
-  chosenBy: AttemptTrace['chosenBy']
-  /** Prompt tokens that the server has to read, if it has no other unread prompts. */
-  aloneTokens?: number | undefined
   /** Time after which to look again. */
   waitMs: number
 }
@@ -201,7 +196,7 @@
       progress.waitedMs += clock.nowMs() - startMs
       if (search.kind === 'left') return this.finish(request, exchange, progress, { outcome: 'client-left', status: 0 })
       if (search.kind === 'refused') return this.answerWithout(request, reply, exchange, progress, { result, search })
-      result = await this.attempt(request, exchange, progress, search)
+      result = await this.attempt(request, exchange, progress, search.server)
       if (result.kind === 'done' || result.kind === 'client-left') {
         return this.finish(request, exchange, progress, { outcome: result.kind, status: reply.response.statusCode })
       }
@@ -209,12 +204,11 @@
     }
   }
 
-  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, chosenBy, aloneTokens }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, server: BackendServer): Promise<AttemptResult> {
     const { model, adapter } = request.facts
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
       backend: server.entry.id,
-      chosenBy,
       running: server.running,
       runningElsewhere: server.runningElsewhere,
       alternatives: this.able(request).length - 1,
@@ -223,12 +217,7 @@
     progress.attempts.push(trace)
     progress.tried.add(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
-    const isFirst = !exchange.hasBegun && !exchange.mayHaveRun
-    const sentAtMs = this.clock.nowMs() - request.arrivedAtMs
     const result = await exchange.attempt(server)
-    if (isFirst && model !== undefined && aloneTokens !== undefined && exchange.firstByteMs !== undefined) {
-      this.options.demand.onFirstEvent(request.service.name, model, aloneTokens, exchange.firstByteMs - sentAtMs)
-    }
     if (result.kind !== 'unsent') progress.sends++
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
@@ -281,7 +270,7 @@
   ): Promise<Search> {
     let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat, isLate: false })
     if (hasLeft()) return { kind: 'left' }
-    if (selection.server) return { kind: 'found', ...selection, server: selection.server }
+    if (selection.server) return { kind: 'found', server: selection.server }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
     const known = request.service.engine.models.find(({ name }) => name === model)
@@ -315,7 +304,7 @@
         if (hasLeft()) return { kind: 'left' }
         selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false, isLate })
         if (hasLeft()) return { kind: 'left' }
-        if (selection.server) return { kind: 'found', ...selection, server: selection.server }
+        if (selection.server) return { kind: 'found', server: selection.server }
       }
     } finally {
       waiting.end()
@@ -337,10 +326,10 @@
     // The leader counts what comes for a model, also while no engine has it.
     const ask = isFirst || this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, { isFirst, isLate }) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
-    if (choice?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: choice.forMs }
+    if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
     const named = choice && this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === choice.id)
-    return named ? { server: named, chosenBy: 'leader', aloneTokens: choice.aloneTokens, waitMs: waitPollMs } : { server: this.choose(request, tried, isRepeat), chosenBy: 'node', waitMs: waitPollMs }
+    return { server: named ?? this.choose(request, tried, isRepeat), waitMs: waitPollMs }
   }
 
   private askOf (
@@ -433,7 +422,6 @@
       deadlineMs: Math.round(request.deadlineAtMs - request.arrivedAtMs),
       model: request.facts.model,
       adapter: request.facts.adapter,
-      promptTokens: request.facts.promptTokens,
       configVersion: this.deployment?.version,
       sends: progress.attempts,
       reason
