--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -53,6 +53,8 @@
   /** Since the request's arrival. */
   afterMs: number
   backend: string
+  /** Whether the placement leader chose the server, or this node by itself. */
+  chosenBy: 'leader' | 'node'
   /** Requests in progress there, as far as known, and those of other nodes alone. */
   running: number
   runningElsewhere: number
@@ -112,12 +114,13 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer }
+  | { kind: 'found', server: BackendServer, chosenBy: AttemptTrace['chosenBy'] }
   | { kind: 'refused', reason: string, retryAfterMs: number }
   | { kind: 'left' }
 
 interface Selection {
   server: BackendServer | undefined
+  chosenBy: AttemptTrace['chosenBy']
   /** Time after which to look again. */
   waitMs: number
 }
@@ -196,7 +199,7 @@
       progress.waitedMs += clock.nowMs() - startMs
       if (search.kind === 'left') return this.finish(request, exchange, progress, { outcome: 'client-left', status: 0 })
       if (search.kind === 'refused') return this.answerWithout(request, reply, exchange, progress, { result, search })
-      result = await this.attempt(request, exchange, progress, search.server)
+      result = await this.attempt(request, exchange, progress, search)
       if (result.kind === 'done' || result.kind === 'client-left') {
         return this.finish(request, exchange, progress, { outcome: result.kind, status: reply.response.statusCode })
       }
@@ -204,11 +207,12 @@
     }
   }
 
-  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, server: BackendServer): Promise<AttemptResult> {
+  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, chosenBy }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.facts
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
       backend: server.entry.id,
+      chosenBy,
       running: server.running,
       runningElsewhere: server.runningElsewhere,
       alternatives: this.able(request).length - 1,
@@ -270,7 +274,7 @@
   ): Promise<Search> {
     let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat, isLate: false })
     if (hasLeft()) return { kind: 'left' }
-    if (selection.server) return { kind: 'found', server: selection.server }
+    if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
     const known = request.service.engine.models.find(({ name }) => name === model)
@@ -304,7 +308,7 @@
         if (hasLeft()) return { kind: 'left' }
         selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false, isLate })
         if (hasLeft()) return { kind: 'left' }
-        if (selection.server) return { kind: 'found', server: selection.server }
+        if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
       }
     } finally {
       waiting.end()
@@ -326,10 +330,10 @@
     // The leader counts what comes for a model, also while no engine has it.
     const ask = isFirst || this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, { isFirst, isLate }) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
-    if (choice?.kind === 'wait') return { server: undefined, waitMs: choice.forMs }
+    if (choice?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
     const named = choice && this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === choice.id)
-    return { server: named ?? this.choose(request, tried, isRepeat), waitMs: waitPollMs }
+    return named ? { server: named, chosenBy: 'leader', waitMs: waitPollMs } : { server: this.choose(request, tried, isRepeat), chosenBy: 'node', waitMs: waitPollMs }
   }
 
   private askOf (
@@ -422,6 +426,7 @@
       deadlineMs: Math.round(request.deadlineAtMs - request.arrivedAtMs),
       model: request.facts.model,
       adapter: request.facts.adapter,
+      promptTokens: request.facts.promptTokens,
       configVersion: this.deployment?.version,
       sends: progress.attempts,
       reason
