--- a/src/serving/leaderOffice.ts
+++ b/src/serving/leaderOffice.ts
@@ -118,8 +118,9 @@
     return running
   }
 
-  private noteOutcomes ({ outcomes }: NodeReport): void {
+  private noteOutcomes ({ outcomes, firstEvents }: NodeReport): void {
     for (const [backend, answered, failed] of outcomes) this.desk.onOutcomes(backend, answered, failed)
+    for (const [service, model, tokens, elapsedMs] of firstEvents) this.desk.onFirstEvent(service, model, tokens, elapsedMs)
   }
 
   private tellNews (running: LeaderReport['running']): void {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -338,7 +338,8 @@
       used: this.demand.takeUsed(),
       missing: this.demand.takeMissing(),
       misknown,
-      outcomes
+      outcomes,
+      firstEvents: this.demand.takeFirstEvents()
     }
   }
 
