--- a/src/policy/dispatchDesk.ts
+++ b/src/policy/dispatchDesk.ts
@@ -2,12 +2,9 @@
 
 import type { Clock } from '../base/clock.js'
 import { batchShare } from './engineChoice.js'
-import { ReadingSpeed } from './readingSpeed.js'
 
-/** Prompt tokens that an engine reads in a millisecond for a model of usual size, by which copies are counted. */
-const usualTokensPerMs = 20
-/** Time that each prompt takes beside its tokens. */
-const promptMs = 8
+/** Assumed prompt tokens that an engine reads in a millisecond. */
+const promptTokensPerMs = 20
 /**
  * An engine reads prompts in pieces between the tokens of its streams, and an event of a stream waits for several tokens. So an
  * engine gets its prompts in turns: what is handed to it in one turn is read within the pause that callers allow between events,
@@ -24,7 +21,7 @@
 /** Part of a turn that requests may use that cannot be in time any more. */
 const lateTurnShare = 0.5
 /** Part of a turn after which a prompt may still exceed it, so that the largest ones are not left waiting. */
-const oversizeShare = 0.2
+const oversizeShare = 0.1
 /** Time after which a full engine may have room again. */
 const fullWaitMs = 120
 const shortestWaitMs = 40
@@ -98,20 +95,14 @@
 }
 
 /** An engine for the request, or the time after which to ask again. */
-export type DispatchChoice =
-  /** `aloneTokens`: prompt tokens that the engine has to read, if it has no other unread prompts, so that the time to the first event tells its speed. */
-  | { kind: 'engine', id: string, aloneTokens?: number | undefined }
-  | { kind: 'wait', forMs: number }
+export type DispatchChoice = { kind: 'engine', id: string } | { kind: 'wait', forMs: number }
 
 export class DispatchDesk {
   private readonly clock: Clock
   private readonly engines = new Map<string, EngineState>()
-  /** By `SERVICE/MODEL`. */
-  private readonly speed: ReadingSpeed
 
   constructor (clock: Clock) {
     this.clock = clock
-    this.speed = new ReadingSpeed(clock)
   }
 
   /** The engine on which the request delays itself and others least, or `undefined` if the desk knows none for it. */
@@ -143,14 +134,13 @@
       best = { state, id: candidate.id, ownMs }
     }
     if (!best) return { kind: 'wait', forMs: Math.max(shortestWaitMs, waitMs) }
-    const aloneTokens = best.state.turnMs === 0 ? this.unreadTokens(ask, best.state) : undefined
     this.hand(ask, best.state, best.ownMs)
-    return { kind: 'engine', id: best.id, aloneTokens }
+    return { kind: 'engine', id: best.id }
   }
 
-  /** Time that an engine of usual speed needs for what the one that keeps most of the prompt has to read. */
+  /** Time that the engine which keeps most of the prompt needs for the rest. */
   leastReadingMs (ask: DispatchAsk, candidates: readonly DispatchCandidate[]): number {
-    return Math.min(ask.promptTokens, ...candidates.map(({ id }) => this.unreadTokens(ask, this.stateOf(id)))) / usualTokensPerMs
+    return Math.min(ask.promptTokens / promptTokensPerMs, ...candidates.map(({ id }) => this.readingMs(ask, this.stateOf(id))))
   }
 
   /** Requests that ended well or failed at a server, as one node saw them. */
@@ -161,11 +151,6 @@
     state.bad += failed
   }
 
-  /** Requests that were alone at their engine had `tokens` to be read and got their first event after `elapsedMs`. */
-  onFirstEvent (service: string, model: string, tokens: number, elapsedMs: number): void {
-    this.speed.onFirstEvent(`${service}/${model}`, tokens, elapsedMs)
-  }
-
   /** Forgets engines that are gone. */
   keepOnly (isPresent: (engine: string) => boolean): void {
     for (const engine of this.engines.keys()) if (!isPresent(engine)) this.engines.delete(engine)
@@ -190,14 +175,6 @@
 
   /** Time that the engine needs to read the prompt, without the parts that it keeps. */
   private readingMs (ask: DispatchAsk, state: EngineState): number {
-    return this.durationMs(ask, this.unreadTokens(ask, state))
-  }
-
-  private durationMs ({ service, model }: DispatchAsk, tokens: number): number {
-    return promptMs + tokens * this.speed.msPerToken(`${service}/${model}`)
-  }
-
-  private unreadTokens (ask: DispatchAsk, state: EngineState): number {
     let tokens = ask.promptTokens
     for (const part of ask.sharedParts) {
       const usedAtMs = state.prefixes.get(prefixKey(ask, part))
@@ -205,7 +182,7 @@
       if (usedAtMs === undefined || this.clock.nowMs() - usedAtMs > prefixLifeMs) break
       tokens -= part.tokens
     }
-    return Math.max(0, tokens)
+    return Math.max(0, tokens) / promptTokensPerMs
   }
 
   private handedLately (state: EngineState): number {
--- a/src/serving/leaderOffice.ts
+++ b/src/serving/leaderOffice.ts
@@ -118,9 +118,8 @@
     return running
   }
 
-  private noteOutcomes ({ outcomes, firstEvents }: NodeReport): void {
+  private noteOutcomes ({ outcomes }: NodeReport): void {
     for (const [backend, answered, failed] of outcomes) this.desk.onOutcomes(backend, answered, failed)
-    for (const [service, model, tokens, elapsedMs] of firstEvents) this.desk.onFirstEvent(service, model, tokens, elapsedMs)
   }
 
   private tellNews (running: LeaderReport['running']): void {
--- a/src/serving/modelDemand.ts
+++ b/src/serving/modelDemand.ts
@@ -29,7 +29,6 @@
   private readonly adapters = new Map<string, AdapterWish>()
   private used = new Map<string, [string, string, string]>()
   private missing: [string, string][] = []
-  private firstEvents: [string, string, number, number][] = []
   private readonly sleepers = new Set<() => void>()
   /** Set when a model or adapter is asked for that nobody waited for before. */
   onNewWish: () => void = () => {}
@@ -73,16 +72,6 @@
     this.missing.push([service, model])
   }
 
-  /** A request with `tokens` to be read at an engine without other unread prompts got its first event. */
-  onFirstEvent (service: string, model: string, tokens: number, elapsedMs: number): void {
-    this.firstEvents.push([service, model, tokens, Math.round(elapsedMs)])
-  }
-
-  /** First events since the last call. */
-  takeFirstEvents (): [string, string, number, number][] {
-    return this.firstEvents.splice(0)
-  }
-
   /** Adapters that were used since the last call. */
   takeUsed (): [string, string, string][] {
     const rows = [...this.used.values()]
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -21,9 +21,7 @@
   /** Engines that do not hold what they were thought to hold. */
   misknown: z.array(z.string()),
   /** Backend server, requests that it answered and that failed since the last report. */
-  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  /** Service, model, prompt tokens that an engine without other unread prompts had to read, time until the first event. */
-  firstEvents: z.array(z.tuple([z.string(), z.string(), z.number(), z.number()]))
+  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()]))
 })
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
@@ -67,8 +65,6 @@
   ask: z.number(),
   /** Engine to send to. Without it and `waitMs`, the leader knows none. */
   engine: z.string().optional(),
-  /** Prompt tokens to be read, if the engine has no other unread prompts. */
-  aloneTokens: z.number().optional(),
   /** Time after which to ask again: no engine has room now. */
   waitMs: z.number().optional()
 })
@@ -76,12 +72,11 @@
 
 export function adviceOf (choice: DispatchChoice | undefined): Omit<Advice, 'ask'> {
   if (!choice) return {}
-  if (choice.kind === 'wait') return { waitMs: Math.ceil(choice.forMs) }
-  return choice.aloneTokens === undefined ? { engine: choice.id } : { engine: choice.id, aloneTokens: choice.aloneTokens }
+  return choice.kind === 'engine' ? { engine: choice.id } : { waitMs: Math.ceil(choice.forMs) }
 }
 
-export function choiceOf ({ engine, aloneTokens, waitMs }: Advice): DispatchChoice | undefined {
-  if (engine !== undefined) return { kind: 'engine', id: engine, aloneTokens }
+export function choiceOf ({ engine, waitMs }: Advice): DispatchChoice | undefined {
+  if (engine !== undefined) return { kind: 'engine', id: engine }
   return waitMs === undefined ? undefined : { kind: 'wait', forMs: waitMs }
 }
 
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -114,15 +114,13 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, chosenBy: AttemptTrace['chosenBy'], aloneTokens?: number | undefined }
+  | { kind: 'found', server: BackendServer, chosenBy: AttemptTrace['chosenBy'] }
   | { kind: 'refused', reason: string, retryAfterMs: number }
   | { kind: 'left' }
 
 interface Selection {
   server: BackendServer | undefined
   chosenBy: AttemptTrace['chosenBy']
-  /** Prompt tokens that the server has to read, if it has no other unread prompts. */
-  aloneTokens?: number | undefined
   /** Time after which to look again. */
   waitMs: number
 }
@@ -209,7 +207,7 @@
     }
   }
 
-  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, chosenBy, aloneTokens }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, chosenBy }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.facts
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
@@ -223,12 +221,7 @@
     progress.attempts.push(trace)
     progress.tried.add(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
-    const isFirst = !exchange.hasBegun && !exchange.mayHaveRun
-    const sentAtMs = this.clock.nowMs() - request.arrivedAtMs
     const result = await exchange.attempt(server)
-    if (isFirst && model !== undefined && aloneTokens !== undefined && exchange.firstByteMs !== undefined) {
-      this.options.demand.onFirstEvent(request.service.name, model, aloneTokens, exchange.firstByteMs - sentAtMs)
-    }
     if (result.kind !== 'unsent') progress.sends++
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
@@ -281,7 +274,7 @@
   ): Promise<Search> {
     let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat, isLate: false })
     if (hasLeft()) return { kind: 'left' }
-    if (selection.server) return { kind: 'found', ...selection, server: selection.server }
+    if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
     const known = request.service.engine.models.find(({ name }) => name === model)
@@ -315,7 +308,7 @@
         if (hasLeft()) return { kind: 'left' }
         selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false, isLate })
         if (hasLeft()) return { kind: 'left' }
-        if (selection.server) return { kind: 'found', ...selection, server: selection.server }
+        if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
       }
     } finally {
       waiting.end()
@@ -340,7 +333,7 @@
     if (choice?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
     const named = choice && this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === choice.id)
-    return named ? { server: named, chosenBy: 'leader', aloneTokens: choice.aloneTokens, waitMs: waitPollMs } : { server: this.choose(request, tried, isRepeat), chosenBy: 'node', waitMs: waitPollMs }
+    return named ? { server: named, chosenBy: 'leader', waitMs: waitPollMs } : { server: this.choose(request, tried, isRepeat), chosenBy: 'node', waitMs: waitPollMs }
   }
 
   private askOf (
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -338,8 +338,7 @@
       used: this.demand.takeUsed(),
       missing: this.demand.takeMissing(),
       misknown,
-      outcomes,
-      firstEvents: this.demand.takeFirstEvents()
+      outcomes
     }
   }
 
--- a/tests/dispatchDesk.spec.ts
+++ b/tests/dispatchDesk.spec.ts
@@ -159,7 +159,7 @@
   it('lets the urgent in before the others', async () => {
     const clock = new VirtualClock(1000)
     const desk = new DispatchDesk(clock)
-    desk.choose(ask({ promptTokens: 2800 }), [candidate('a')])
+    desk.choose(ask({ promptTokens: 3500 }), [candidate('a')])
     expect([2, 1, 0].map(rank => idOf(desk.choose(ask({ rank, promptTokens: 1 }), [candidate('a')])))).to.deep.equal([undefined, 'a', 'a'])
   })
 
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -26,7 +26,7 @@
   const clock = new VirtualClock(100_000)
   const random = new SeededRandom(seed)
   const engines = new Map(['e0', 'e1', 'e2'].map((id, index) => [id, new FakeEngine(id, type, clock, random, [0, 1, 2].map(offset => `m${index * 3 + offset}`).filter(model => !without.includes(model)))]))
-  let report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [], firstEvents: [] }
+  let report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] }
   const leaders: PlacementLeader[] = []
   const lead = (fence: number) => {
     const fleet = new FleetView({ clock, log: silentLog, regionOfZone: {} })
