Log what ended an answer that had begun: silence, search, event loop, stop

The line 'request ended' named the last send's result and nothing of what came after it, so a silent engine that was given up, a broken connection and a stop of the node looked alike once the search for another engine had ended. It now says when the body had been read, the last event that was passed on and how long ago, why the search ended, how late this process ran its timers in the last two seconds, and whether the node was stopping. teaselrill explain puts them into a sentence.

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -81,6 +81,10 @@
     })
   }
   if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it.` })
+  if (typeof line.silentMs === 'number' && line.outcome === 'broken-off') {
+    const search = line.searchEnd === undefined ? 'no other server was looked for' : `the search for another server ended with: ${String(line.searchEnd)}`
+    sentences.push({ atMs: line.atMs, text: `The answer had begun; its last event was ${String(line.lastEventId)}, ${String(line.silentMs)} ms before; ${search}. The node was ${line.isStopping === true ? 'stopping' : 'not stopping'}, and its timers had been late by up to ${String(line.loopDelayMs)} ms.` })
+  }
   const status = line.status === 0 ? 'no status' : `status ${String(line.status)}`
   sentences.push({ atMs: line.atMs, text: `It ended as ${String(line.outcome)} with ${status} after ${line.durationMs} ms${line.reason === undefined ? '' : `: ${String(line.reason)}`}.` })
   return sentences
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -99,6 +99,11 @@
     this.lastEventAtMs = nowMs
   }
 
+  /** Time since the last event, if there was one. */
+  get silentMs (): number | undefined {
+    return this.lastEventAtMs === undefined ? undefined : this.clock.nowMs() - this.lastEventAtMs
+  }
+
   /** Closes the client's connection, so that the part that was returned does not look complete. */
   breakOff (): void {
     this.response.destroy()
--- /dev/null
+++ b/src/serving/loopDelay.ts
@@ -0,0 +1,38 @@
+/** How late this process ran its timers lately, so that logs can tell a busy or paused node from a slow peer. */
+
+import type { CancelTimer, Clock } from '../base/clock.js'
+
+const sampleMs = 100
+/** Age at which a sample no longer counts. */
+const windowMs = 2000
+
+export class LoopDelay {
+  private readonly clock: Clock
+  private samples: { atMs: number, lateMs: number }[] = []
+  private dueAtMs: number
+  private cancel: CancelTimer
+
+  constructor (clock: Clock) {
+    this.clock = clock
+    this.dueAtMs = clock.nowMs() + sampleMs
+    this.cancel = clock.setTimer(sampleMs, () => this.sample())
+  }
+
+  /** Longest delay of the last seconds, in milliseconds. Counts a timer that is still due. */
+  get recentMs (): number {
+    const nowMs = this.clock.nowMs()
+    const late = this.samples.filter(({ atMs }) => atMs > nowMs - windowMs).map(({ lateMs }) => lateMs)
+    return Math.max(0, nowMs - this.dueAtMs, ...late)
+  }
+
+  stop (): void {
+    this.cancel()
+  }
+
+  private sample (): void {
+    const nowMs = this.clock.nowMs()
+    this.samples = [...this.samples.filter(({ atMs }) => atMs > nowMs - windowMs), { atMs: nowMs, lateMs: nowMs - this.dueAtMs }]
+    this.dueAtMs = nowMs + sampleMs
+    this.cancel = this.clock.setTimer(sampleMs, () => this.sample())
+  }
+}
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -87,6 +87,8 @@
   settings: RelaySettings
   /** Nodes that share the fleet's budgets. */
   nodeCount: () => number
+  /** How late this process ran its timers lately, in milliseconds. */
+  loopDelayMs?: () => number
   /** The choice that is best in view of all nodes' requests, if it can be told in time. */
   chooseForAll?: (ask: DispatchAsk) => Promise<DispatchChoice | undefined>
   onFinished?: (record: RequestRecord) => void
@@ -102,6 +104,8 @@
   rawHeaders: readonly string[]
   body: Buffer
   arrivedAtMs: number
+  /** When the last byte of the body had been read. */
+  readAtMs: number
   deadlineAtMs: number
 }
 
@@ -177,7 +181,7 @@
     const service = this.services.get(serviceOf(route, facts.requestId ?? ''))
     if (!service) return reply.refuse(503, 'the route names no known service', startingRetryAfterMs)
     const deadlineAtMs = arrivedAtMs + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
-    await this.serve({ facts, route, service, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, arrivedAtMs, deadlineAtMs }, reply)
+    await this.serve({ facts, route, service, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, reply)
   }
 
   /** From now on no request is taken, since it could not be finished. */
@@ -248,7 +252,7 @@
   ): void {
     if (exchange.hasBegun) {
       exchange.breakOff()
-      return this.finish(request, exchange, progress, { outcome: 'broken-off', status: 0, reason: reasonOf(result) })
+      return this.finish(request, exchange, progress, { outcome: 'broken-off', status: 0, reason: reasonOf(result), searchEnd: search?.reason })
     }
     const retryAfterMs = search?.retryAfterMs ?? busyRetryAfterMs
     match(result)
@@ -401,7 +405,7 @@
 
   private finish (
     request: RelayRequest, exchange: Exchange, progress: Progress,
-    { outcome, status, reason }: { outcome: string, status: number, reason?: string | undefined }
+    { outcome, status, reason, searchEnd }: { outcome: string, status: number, reason?: string | undefined, searchEnd?: string | undefined }
   ): void {
     const record: RequestRecord = {
       route: request.route.name,
@@ -429,7 +433,13 @@
       promptTokens: request.facts.promptTokens,
       configVersion: this.deployment?.version,
       sends: progress.attempts,
-      reason
+      readAfterMs: Math.round(request.readAtMs - request.arrivedAtMs),
+      lastEventId: exchange.lastEventId,
+      silentMs: exchange.silentMs === undefined ? undefined : Math.round(exchange.silentMs),
+      loopDelayMs: Math.round(this.options.loopDelayMs?.() ?? 0),
+      isStopping: this.isClosing,
+      reason,
+      searchEnd
     })
   }
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -19,6 +19,7 @@
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
+import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer } from './peerLink.js'
 import { adviceOf, askOf, choiceOf, unpackChanges } from './peerMessages.js'
 import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
@@ -69,6 +70,7 @@
   private readonly link: LeaderLink
   private readonly size: FleetSize
   private readonly dispatch: DispatchClient
+  private readonly loopDelay: LoopDelay
   /** Set while this node leads. */
   private office: LeaderOffice | undefined
   /** Number of nodes that the store keeps. */
@@ -87,6 +89,7 @@
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
+    this.loopDelay = new LoopDelay(clock)
     this.relay = new Relay({
       clock,
       log,
@@ -99,6 +102,7 @@
         retryBudget: settings.retryBudget
       },
       nodeCount: () => this.size.value,
+      loopDelayMs: () => this.loopDelay.recentMs,
       chooseForAll: ask => this.chooseForAll(ask),
       onFinished: record => options.metrics?.onFinished(record)
     })
@@ -203,6 +207,7 @@
     this.link.stop()
     this.peers.stop()
     this.readiness.close()
+    this.loopDelay.stop()
     this.clients.closeAllConnections()
   }
 
--- a/tests/explainLogs.spec.ts
+++ b/tests/explainLogs.spec.ts
@@ -24,6 +24,13 @@
     expect(sentences.at(-1)).to.match(/broken-off/)
   })
 
+  it('says how long a broken-off answer had been silent, and why the search for another engine ended', () => {
+    // Guards against an answer whose end cannot be told from a crash of its engine.
+    const line = JSON.parse(lines.find(text => text.includes('a571c9b973ae2cf9') && text.includes('broken-off'))!.replace(/^[^{]*/, '')) as object
+    const sentences = explainFromLogs([JSON.stringify({ ...line, lastEventId: 4, silentMs: 1449, searchEnd: 'all engines are full', loopDelayMs: 12, isStopping: false })], 'a571c9b973ae2cf9')
+    indexOf(sentences, /last event was 4, 1449 ms before; the search for another server ended with: all engines are full. The node was not stopping.*up to 12 ms/)
+  })
+
   it('explains a request that was late behind a model load', () => {
     const sentences = explainFromLogs(lines, 'a8b8a341f00b1462')
     const load = indexOf(sentences, /model move .*load miba2346ca/)
--- /dev/null
+++ b/tests/loopDelay.spec.ts
@@ -0,0 +1,28 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { LoopDelay } from '../src/serving/loopDelay.js'
+
+/** A clock whose time may pass without timers being run, as for a process that does not get the processor. */
+class StoppableClock extends VirtualClock {
+  skippedMs = 0
+  override nowMs (): number {
+    return super.nowMs() + this.skippedMs
+  }
+}
+
+describe('loop delay', () => {
+  it('shows a pause of the process, also before its timers have run, and forgets it', async () => {
+    // Guards against blaming a peer for silence while this process did not run.
+    const clock = new StoppableClock()
+    const delay = new LoopDelay(clock)
+    await clock.advance(1000)
+    expect(delay.recentMs).to.equal(0)
+    clock.skippedMs = 700
+    expect(delay.recentMs).to.be.within(600, 700)
+    await clock.advance(1000)
+    expect(delay.recentMs).to.be.within(600, 700)
+    await clock.advance(3000)
+    expect(delay.recentMs).to.equal(0)
+    delay.stop()
+  })
+})
