Reproduce answers that are broken off although an engine could finish them (failing)

Four of six new tests in relay.spec fail: an engine is given up for another that the leader does not name, or that accepts no connection; a begun stream waits from its request's arrival and not from its last event; a stop of the node ends the search of a begun stream. The other two (places and repeats that several streams want at once) pass and guard the change that follows.

--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -25,6 +25,22 @@
 /** An engine type whose only model takes nine seconds to load. */
 const engine = { slots: 4, cacheTokens: 1000, weightsMb: 100, adapterSlots: 2, storeLoadsPerSecond: 1, models: [{ name: 'm', weightsMb: 10, loadMs: 9000, warmLoadMs: 9000, diskLoadMs: 9000, adapterMb: 1 }] }
 
+/** A stream that makes `before` events, is silent for `pauseMs` and goes on to its end. */
+function pausing (last: number, { before, pauseMs }: { before: number, pauseMs: number }): Script {
+  return (socket, head) => {
+    const from = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? 0)
+    const chunks = (first: number, to: number) => Array.from({ length: to - first }, (_, index) => chunkOf(event(first + index + 1))).join('')
+    socket.write(streamHead(head) + chunks(from, from + before))
+    setTimeout(() => { if (!socket.destroyed) socket.write(`${chunks(from + before, last)}0\r\n\r\n`) }, pauseMs)
+  }
+}
+
+/** A stream whose callers leave after 2 s without an event, so that an engine is looked for after 0.8 s. */
+const impatient = () => route({ kind: 'stream', resumable: true, objectiveMs: 50, timeoutMs: 20_000 })
+const holdsModel = { models: [{ name: 'm', adapters: [] }] }
+const forModel = { headers: { 'x-model': 'm' } }
+const wait = (delayMs: number) => new Promise(resolve => setTimeout(resolve, delayMs))
+
 const events = (last: number) => Array.from({ length: last }, (_, index) => event(index + 1)).join('')
 
 describe('relay', () => {
@@ -168,6 +184,93 @@
     expect(fixture.received[1]!.head).to.match(/last-event-id: 3/i)
   })
 
+  // The next six guard against answers that are broken off although an engine could finish them (LOST).
+  it('keeps a silent engine while the leader names no other', async () => {
+    // Guards against giving up an engine for another that is only possible, not reserved.
+    await fixture.start([impatient()], { engine })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1300 }), holdsModel)
+    await fixture.addServer('b', stream(6), holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderChoice = { kind: 'wait', forMs: 50 }
+    expect(await answer).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received).to.have.length(1)
+  })
+
+  it('gives up silent engines only for as many streams as another engine takes', async () => {
+    // Guards against many streams that count on the same free place.
+    await fixture.start([impatient()], { engine })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1300 }), holdsModel)
+    await fixture.addServer('b', pausing(6, { before: 3, pauseMs: 1500 }), holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answers = ['id1', 'id2', 'id3'].map(id => fixture.send(id, forModel))
+    await wait(200)
+    fixture.leaderChoice = undefined
+    fixture.fleet.servers.get('b')!.runningElsewhere = engine.slots - 1
+    for (const answer of await Promise.all(answers)) expect(answer).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received.map(({ server }) => server)).to.have.members(['a', 'a', 'a', 'b'])
+  })
+
+  it('keeps a silent engine when no repeat is left', async () => {
+    // Guards against a repeat that is checked, used by another request, and missing after the engine was given up.
+    const streams = 10
+    await fixture.start([impatient()], { engine: { ...engine, slots: 64 } })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1300 }), holdsModel)
+    await fixture.addServer('b', stream(6), holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answers = Array.from({ length: streams }, (_, index) => fixture.send(`id${index}`, forModel))
+    await wait(200)
+    fixture.leaderChoice = undefined
+    for (const answer of await Promise.all(answers)) expect(answer).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received.length).to.be.within(streams + 1, streams + 8)
+  })
+
+  it('keeps a silent engine while another accepts no connection', async () => {
+    // Guards against a move to an engine that is gone and not yet known to be.
+    await fixture.start([impatient()], { engine })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1300 }), holdsModel)
+    await fixture.addServer('b', stream(6), holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderChoice = undefined
+    fixture.closeListeners()
+    expect(await answer).to.include({ body: events(6), isComplete: true })
+  })
+
+  it('waits for another engine as long as the caller of a stream waits for its next event', async () => {
+    // Guards against a wait that counts from the arrival of a request whose answer has begun.
+    await fixture.start([impatient()], { engine })
+    await fixture.addServer('a', (socket, head) => {
+      socket.write(streamHead(head))
+      for (let id = 1; id <= 6; id++) setTimeout(() => socket.write(chunkOf(event(id))), id * 300)
+      setTimeout(() => socket.destroy(), 1900)
+    }, holdsModel)
+    await fixture.addServer('b', stream(9), holdsModel)
+    const other = fixture.fleet.servers.get('b')!
+    other.runningElsewhere = engine.slots
+    setTimeout(() => { other.runningElsewhere = 0 }, 2600)
+    expect(await fixture.send('id1', forModel)).to.include({ body: events(9), isComplete: true })
+  })
+
+  it('goes on looking for another engine for a begun stream when the node shuts down', async () => {
+    // Guards against a planned stop that ends an answer which another engine could finish.
+    await fixture.start([impatient()], { engine })
+    await fixture.addServer('a', stream(6, { until: 3, finish: socket => (socket as unknown as { destroy (): void }).destroy() }), holdsModel)
+    await fixture.addServer('b', stream(6), holdsModel)
+    const other = fixture.fleet.servers.get('b')!
+    other.runningElsewhere = engine.slots
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.relay.closeConnections()
+    fixture.relay.refuseRequests()
+    fixture.leaderChoice = undefined
+    setTimeout(() => { other.runningElsewhere = 0 }, 300)
+    expect(await answer).to.include({ body: events(6), isComplete: true })
+  })
+
   it('does not let a cut stream look complete', async () => {
     await fixture.start([route({ kind: 'stream', resumable: false })])
     await fixture.addServer('a', stream(6, { until: 3, finish: socket => (socket as unknown as { destroy (): void }).destroy() }))
