Give up a silent engine only for a place that is reserved at another one

Cause: a check that reserves nothing, followed by an act that can't be undone. After 0.4 of its caller's patience without an event a stream's engine was given up if some other engine could have taken it at that moment, as far as this node knew. Only then the node asked the placement leader (which may say that all are full), took the repeat out of the budget (which another stream may have used up) and connected (to a server that may be gone). Each of these may fail, and the answer that had begun was broken off.

Why this works: the place comes first. The node asks the leader, counts the request at the chosen server and opens a connection to it (a kept one may have gone silent). In one turn of the event loop it then checks that the engine is still silent, takes the repeat, gives the engine up and sends on the reserved connection. If any of this fails, the place is given back and the request stays where it is. Before a server counts as silent, the node reads what has reached its sockets: timers run before that when the process was late.

--- a/src/policy/waitForEngine.ts
+++ b/src/policy/waitForEngine.ts
@@ -21,7 +21,8 @@
   isStream: boolean
   objectiveMs: number
   gapObjectiveMs?: number | undefined
-  arrivedAtMs: number
+  /** Start of the callers' present silence: the request's arrival, or the last event of an answer that has begun. */
+  silentSinceMs: number
   /** Latest time at which sending the request makes sense. */
   lastSendAtMs: number
   /** Start of the wait. */
@@ -40,8 +41,8 @@
  * does, but takes no more for now; `undefined` if no load is decided.
  */
 export function decideWait (terms: WaitTerms, nowMs: number, readyInMs: number | undefined): WaitDecision {
-  const { arrivedAtMs, startedAtMs, objectiveMs, shortestLoadMs } = terms
-  const untilMs = Math.min(terms.lastSendAtMs, terms.isStream ? arrivedAtMs + streamPatienceMs(terms) * patienceShare : Infinity)
+  const { silentSinceMs, startedAtMs, objectiveMs, shortestLoadMs } = terms
+  const untilMs = Math.min(terms.lastSendAtMs, terms.isStream ? silentSinceMs + streamPatienceMs(terms) * patienceShare : Infinity)
   // A load that is not decided by then ends after the callers have left.
   const decidedUntilMs = Math.min(untilMs, Math.max(startedAtMs + decisionMs, untilMs - shortestLoadMs))
   if (nowMs > untilMs || (readyInMs === undefined ? nowMs > decidedUntilMs : nowMs + readyInMs > untilMs)) {
@@ -49,5 +50,5 @@
       ? { kind: 'refuse', reason: 'full', retryAfterMs: fullRetryAfterMs }
       : { kind: 'refuse', reason: 'not-loaded', retryAfterMs: (readyInMs ?? decisionMs) + readyMarginMs }
   }
-  return { kind: 'wait', isLate: nowMs > arrivedAtMs + objectiveMs * inTimeShare }
+  return { kind: 'wait', isLate: nowMs > silentSinceMs + objectiveMs * inTimeShare }
 }
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -41,20 +41,27 @@
     return this.openConnection()
   }
 
-  /** Whether the server accepts a connection now. The connection is kept. */
-  confirmAlive (): Promise<boolean> {
+  /** Opens a connection for the caller. Resolves with `undefined` if the server does not accept it. */
+  connect (): Promise<BackendConnection | undefined> {
     return new Promise(resolve => {
-      const connection = this.openConnection({
-        onConnected: () => {
-          connection.idleSinceMs = this.clock.nowMs()
-          this.idle.push(connection)
-          resolve(true)
-        },
-        onFailed: () => resolve(false)
-      })
+      const connection = this.openConnection({ onConnected: () => resolve(connection), onFailed: () => resolve(undefined) })
     })
   }
 
+  /** Takes back a connection on which nothing was sent. */
+  giveBack (connection: BackendConnection): void {
+    if (!connection.isOpen) return
+    connection.idleSinceMs = this.clock.nowMs()
+    this.idle.push(connection)
+  }
+
+  /** Whether the server accepts a connection now. The connection is kept. */
+  async confirmAlive (): Promise<boolean> {
+    const connection = await this.connect()
+    if (connection) this.giveBack(connection)
+    return connection !== undefined
+  }
+
   private openConnection ({ onConnected, onFailed }: { onConnected?: () => void, onFailed?: () => void } = {}): BackendConnection {
     this.onOpened()
     const connection = new BackendConnection({
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -2,6 +2,7 @@
 
 import type { ServerResponse } from 'node:http'
 import type { CancelTimer, Clock } from '../base/clock.js'
+import { ioTurn } from '../base/ioTurn.js'
 import { stallMs } from '../policy/streamPatience.js'
 import type { BackendConnection, Break } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
@@ -9,10 +10,13 @@
 import { EventSplitter } from './eventStream.js'
 import type { StreamEvent } from './eventStream.js'
 import type { RelayRequest } from './relay.js'
+import type { Reservation } from './reservation.js'
 import type { ResponseHead } from './responseReader.js'
 
 /** An idempotent request without an answer is sent elsewhere after this multiple of its objective. */
 const idempotentStallFactor = 2
+/** Time after which another place is looked for again for a request whose server is silent. */
+const moveRetryMs = 120
 
 export interface EngineAnswer {
   head: ResponseHead
@@ -34,6 +38,15 @@
   response.end(body)
 }
 
+/** A place at another server for a request whose own server is silent. */
+export interface Move {
+  place: Reservation
+  /** Whether the placement leader chose the server, or this node by itself. */
+  chosenBy: 'leader' | 'node'
+  /** Makes the move final and counts it as a repeat. Returns false if it must not be made any more. */
+  commit (): boolean
+}
+
 export type AttemptResult =
   /** The answer has been returned whole. */
   | { kind: 'done' }
@@ -47,6 +60,8 @@
   /** The request was sent and not answered whole. */
   | { kind: 'unknown', reason: string }
   | { kind: 'timeout', reason: string }
+  /** The server was given up for another one, where a place is reserved. */
+  | { kind: 'moved', reason: string, move: Move }
 
 export class Exchange {
   readonly request: RelayRequest
@@ -63,12 +78,12 @@
   longestGapMs = 0
   private lastEventAtMs: number | undefined
   lastEventId: number | undefined
-  /** Whether another server could take the request, so that giving up on a silent one is worth it. */
-  readonly canMove: () => boolean
+  /** Reserves a place at another server, if there is one. */
+  readonly reserveMove: () => Promise<Move | undefined>
   private current: Attempt | undefined
 
-  constructor ({ request, response, codecs, clock, canMove }: { request: RelayRequest, response: ServerResponse, codecs: Codecs, clock: Clock, canMove: () => boolean }) {
-    this.canMove = canMove
+  constructor ({ request, response, codecs, clock, reserveMove }: Pick<Exchange, 'request' | 'response' | 'codecs' | 'clock' | 'reserveMove'>) {
+    this.reserveMove = reserveMove
     this.request = request
     this.response = response
     this.codecs = codecs
@@ -81,10 +96,14 @@
     if (response.destroyed) this.hasClientLeft = true
   }
 
-  attempt (server: BackendServer): Promise<AttemptResult> {
-    if (this.hasClientLeft) return Promise.resolve({ kind: 'client-left' })
+  /** Sends the request to `server`, on the connection of `place` if one is reserved there. */
+  attempt (server: BackendServer, place?: Reservation): Promise<AttemptResult> {
+    if (this.hasClientLeft) {
+      place?.release()
+      return Promise.resolve({ kind: 'client-left' })
+    }
     return new Promise(resolve => {
-      this.current = new Attempt(this, server, result => {
+      this.current = new Attempt(this, server, place, result => {
         this.current = undefined
         if (result.kind !== 'unsent' && result.kind !== 'not-run') this.mayHaveRun = true
         resolve(result)
@@ -123,7 +142,12 @@
   private lastProgressMs: number
   private cancelTimers: CancelTimer[] = []
 
-  constructor (private readonly exchange: Exchange, private readonly server: BackendServer, private readonly resolve: (result: AttemptResult) => void) {
+  constructor (
+    private readonly exchange: Exchange,
+    private readonly server: BackendServer,
+    private readonly place: Reservation | undefined,
+    private readonly resolve: (result: AttemptResult) => void
+  ) {
     this.startedAtMs = this.lastProgressMs = exchange.clock.nowMs()
     this.tokens = exchange.request.facts.promptTokens
   }
@@ -137,8 +161,8 @@
       rank: request.service.engine ? request.route.rank : undefined,
       lastEventId: this.exchange.lastEventId
     })
+    this.connection = this.place?.take() ?? this.server.pool.acquire()
     this.server.onStarted(request.facts.model, request.facts.adapter, this.tokens, request.route.rank)
-    this.connection = this.server.pool.acquire()
     this.cancelTimers.push(clock.setTimer(leftMs, () => this.onDeadline()))
     this.watchProgress()
     this.connection.send(request.method, encodeRequest(request, headers), {
@@ -248,29 +272,38 @@
     this.abandon({ kind: 'timeout', reason: 'no complete answer before the deadline' })
   }
 
-  /** Gives up on servers that went silent, where the request may be sent elsewhere. */
+  /** Moves the request away from a server that went silent, once a place elsewhere is reserved. */
   private watchProgress (): void {
     const { route } = this.exchange.request
     const isRepeatable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
     if (!isRepeatable) return
     const limitMs = route.kind === 'idempotent' ? idempotentStallFactor * route.objectiveMs : stallMs(route)
-    const check = () => {
-      if (this.isFinished) return
-      const silentMs = this.exchange.clock.nowMs() - this.lastProgressMs
-      if (silentMs < limitMs) {
-        this.cancelTimers.push(this.exchange.clock.setTimer(limitMs - silentMs + 1, check))
-        return
-      }
-      if (!this.exchange.canMove()) {
-        this.cancelTimers.push(this.exchange.clock.setTimer(limitMs, check))
-        return
-      }
-      this.server.onFailed()
-      // A server that says nothing to anybody is not only busy.
-      if (this.exchange.clock.nowMs() - this.server.pool.lastByteAtMs > limitMs) this.server.onUnreachable()
-      this.abandon({ kind: 'unknown', reason: `no progress for ${Math.round(silentMs)} ms` })
+    const checkAfter = (delayMs: number) => { this.cancelTimers.push(this.exchange.clock.setTimer(delayMs, () => { void check() })) }
+    const check = async () => {
+      if (this.silentMs() >= limitMs) {
+        await this.tryMove(limitMs)
+        if (!this.isFinished) checkAfter(moveRetryMs)
+      } else checkAfter(limitMs - this.silentMs() + 1)
     }
-    this.cancelTimers.push(this.exchange.clock.setTimer(limitMs, check))
+    checkAfter(limitMs)
+  }
+
+  private silentMs (): number {
+    return this.exchange.clock.nowMs() - this.lastProgressMs
+  }
+
+  private async tryMove (limitMs: number): Promise<void> {
+    // What came while this process did not run has to be read first.
+    await ioTurn()
+    if (this.isFinished || this.silentMs() < limitMs) return
+    const move = await this.exchange.reserveMove()
+    if (!move) return
+    const silentMs = this.silentMs()
+    if (this.isFinished || silentMs < limitMs || !move.commit()) return move.place.release()
+    this.server.onFailed()
+    // A server that says nothing to anybody is not only busy.
+    if (this.exchange.clock.nowMs() - this.server.pool.lastByteAtMs > limitMs) this.server.onUnreachable()
+    this.abandon({ kind: 'moved', reason: `no progress for ${Math.round(silentMs)} ms`, move })
   }
 
   private progress (): void {
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -14,10 +14,11 @@
 import type { Codecs, RequestFacts } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
 import { Exchange, returnAnswer } from './exchange.js'
-import type { AttemptResult, EngineAnswer } from './exchange.js'
+import type { AttemptResult, EngineAnswer, Move } from './exchange.js'
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
+import { Reservation } from './reservation.js'
 
 /** Time in which a backend server usually begins to answer; a request with less left is not sent. */
 const minimumSendMs = 20
@@ -118,7 +119,7 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, chosenBy: AttemptTrace['chosenBy'] }
+  | { kind: 'found', server: BackendServer, place?: Reservation, chosenBy: AttemptTrace['chosenBy'] }
   | { kind: 'refused', reason: string, retryAfterMs: number }
   | { kind: 'left' }
 
@@ -193,25 +194,33 @@
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
     const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), attempts: [] }
-    const canMove = () => progress.sends + 1 < request.route.maxAttempts && this.budgetOf(request.service.name).hasRetry() &&
-      this.choose(request, progress.tried, true) !== undefined
-    const exchange = new Exchange({ request, response: reply.response, codecs, clock, canMove })
+    const exchange: Exchange = new Exchange({ request, response: reply.response, codecs, clock, reserveMove: () => this.reserveMove(request, progress) })
     let result: AttemptResult | undefined
     for (;;) {
-      const startMs = clock.nowMs()
-      const search = await this.findServer(request, progress.tried, { isRepeat: result !== undefined, hasLeft: () => exchange.hasClientLeft })
-      progress.waitedMs += clock.nowMs() - startMs
+      const search: Search = result?.kind === 'moved'
+        ? { kind: 'found', server: result.move.place.server, place: result.move.place, chosenBy: result.move.chosenBy }
+        : await this.findServer(request, exchange, progress, { isRepeat: result !== undefined })
       if (search.kind === 'left') return this.finish(request, exchange, progress, { outcome: 'client-left', status: 0 })
       if (search.kind === 'refused') return this.answerWithout(request, reply, exchange, progress, { result, search })
       result = await this.attempt(request, exchange, progress, search)
       if (result.kind === 'done' || result.kind === 'client-left') {
         return this.finish(request, exchange, progress, { outcome: result.kind, status: reply.response.statusCode })
       }
-      if (!this.mayRepeat(request, exchange, result, progress.sends)) return this.answerWithout(request, reply, exchange, progress, { result })
+      if (result.kind !== 'moved' && !this.mayRepeat(request, exchange, result, progress.sends)) return this.answerWithout(request, reply, exchange, progress, { result })
     }
   }
 
-  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, chosenBy }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  /** Reserves a place at another server for a request whose own is silent. Nothing is taken out of the budget before the move is made. */
+  private async reserveMove (request: RelayRequest, progress: Progress): Promise<Move | undefined> {
+    const budget = this.budgetOf(request.service.name)
+    const hasRepeat = () => progress.sends + 1 < request.route.maxAttempts && budget.hasRetry()
+    if (!hasRepeat() || !this.choose(request, progress.tried, true)) return undefined
+    const { server, chosenBy } = await this.chooseWithLeader(request, progress.tried, { isRepeat: true, isFirst: false, isLate: false })
+    const place = server && await Reservation.at(server, { ...request.facts, rank: request.route.rank })
+    return place && { place, chosenBy, commit: () => place.isUsable && budget.tryRetry() }
+  }
+
+  private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, place, chosenBy }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.facts
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
@@ -225,7 +234,7 @@
     progress.attempts.push(trace)
     progress.tried.add(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
-    const result = await exchange.attempt(server)
+    const result = await exchange.attempt(server, place)
     if (result.kind !== 'unsent') progress.sends++
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
@@ -274,10 +283,21 @@
 
   /** The best server for the request; waits while its model is being loaded. */
   private async findServer (
-    request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, hasLeft }: { isRepeat: boolean, hasLeft: () => boolean }
+    request: RelayRequest, exchange: Exchange, progress: Progress, { isRepeat }: { isRepeat: boolean }
+  ): Promise<Search> {
+    const startedAtMs = this.clock.nowMs()
+    try {
+      return await this.searchServer(request, exchange, progress.tried, { isRepeat, startedAtMs })
+    } finally {
+      progress.waitedMs += this.clock.nowMs() - startedAtMs
+    }
+  }
+
+  private async searchServer (
+    request: RelayRequest, exchange: Exchange, tried: ReadonlySet<string>, { isRepeat, startedAtMs }: { isRepeat: boolean, startedAtMs: number }
   ): Promise<Search> {
     let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat, isLate: false })
-    if (hasLeft()) return { kind: 'left' }
+    if (exchange.hasClientLeft) return { kind: 'left' }
     if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
     const { model, adapter } = request.facts
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server takes requests', retryAfterMs: busyRetryAfterMs }
@@ -289,9 +309,9 @@
       isStream: request.route.kind === 'stream',
       objectiveMs: request.route.objectiveMs,
       gapObjectiveMs: request.route.gapObjectiveMs,
-      arrivedAtMs: request.arrivedAtMs,
+      silentSinceMs: request.arrivedAtMs,
       lastSendAtMs: request.deadlineAtMs - minimumSendMs,
-      startedAtMs: this.clock.nowMs(),
+      startedAtMs,
       shortestLoadMs: Math.min(known.warmLoadMs, known.diskLoadMs, known.loadMs)
     }
     const waiting = this.options.demand.wait(request.service.name, model, adapter, request.route.rank)
@@ -309,9 +329,9 @@
         const { isLate } = decision
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
         await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.changeOrDelay(waitPollMs))
-        if (hasLeft()) return { kind: 'left' }
+        if (exchange.hasClientLeft) return { kind: 'left' }
         selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false, isLate })
-        if (hasLeft()) return { kind: 'left' }
+        if (exchange.hasClientLeft) return { kind: 'left' }
         if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
       }
     } finally {
--- a/tests/waitForEngine.spec.ts
+++ b/tests/waitForEngine.spec.ts
@@ -4,7 +4,7 @@
 
 /** A stream with an objective of 500 ms, whose callers wait 2.4 s for the next event. */
 function terms (changes: Partial<WaitTerms> = {}): WaitTerms {
-  return { isStream: true, objectiveMs: 500, gapObjectiveMs: 300, arrivedAtMs: 1000, lastSendAtMs: 16_000, startedAtMs: 1000, shortestLoadMs: 1200, ...changes }
+  return { isStream: true, objectiveMs: 500, gapObjectiveMs: 300, silentSinceMs: 1000, lastSendAtMs: 16_000, startedAtMs: 1000, shortestLoadMs: 1200, ...changes }
 }
 
 const patient = { objectiveMs: 5000, lastSendAtMs: 21_000 }
