Let a stream that lost its engine wait from its last event, not from its arrival

What callers saw: a stream whose engine broke off after more than 0.75 of its caller's patience (1.8 s with an objective of 600 ms) ended at once if no other engine had room that moment, although its caller would have waited for its next event.

Cause: the wait for an engine counted from the request's arrival, which is when the caller's silence began only for requests without an event. docs/platform.md listed it as not done.

relay.spec 'waits for another engine as long as the caller of a stream waits for its next event' failed before (the answer ended after event 6) and passes.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -76,7 +76,8 @@
   firstByteMs: number | undefined
   /** Longest pause between two events. */
   longestGapMs = 0
-  private lastEventAtMs: number | undefined
+  /** When the last event was returned. */
+  lastEventAtMs: number | undefined
   lastEventId: number | undefined
   /** Reserves a place at another server, if there is one. */
   readonly reserveMove: () => Promise<Move | undefined>
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -309,7 +309,7 @@
       isStream: request.route.kind === 'stream',
       objectiveMs: request.route.objectiveMs,
       gapObjectiveMs: request.route.gapObjectiveMs,
-      silentSinceMs: request.arrivedAtMs,
+      silentSinceMs: exchange.lastEventAtMs ?? request.arrivedAtMs,
       lastSendAtMs: request.deadlineAtMs - minimumSendMs,
       startedAtMs,
       shortestLoadMs: Math.min(known.warmLoadMs, known.diskLoadMs, known.loadMs)
