Finish streams that look for another engine while the node stops

What callers saw: a stream that lost its engine while its node was stopping was cut, with seconds of the grace time left.

Cause: from the end of the time in which a stopping node takes clients, each request that looks for an engine is refused. A request that has no answer yet learns when to come back; an answer that has begun cannot be refused, so it was broken off.

relay.spec 'goes on looking for another engine for a begun stream when the node shuts down' failed before and passes. A request without an answer is refused at once as before ('refuses a request that waits for a model when the node shuts down').

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -325,7 +325,8 @@
           const reason = decision.reason === 'full' ? `all engines with ${name} are full` : `no engine is ready with ${name}`
           return { kind: 'refused', reason, retryAfterMs: decision.retryAfterMs }
         }
-        if (this.isRefusing) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
+        // An answer that has begun can't be refused any more.
+        if (this.isRefusing && !exchange.hasBegun) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
         const { isLate } = decision
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
         await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.changeOrDelay(waitPollMs))
