Read what has come before a connection counts as not accepted

What callers saw: 503 'no backend server' for up to four seconds after the node was held up for a second: each connection that was being opened counted as refused, and its server got no requests for 0.3 s and, when repeated, up to 4 s.

The connect timer fires before the acceptance is read that came meanwhile.

relay.spec 'does not take a server for unreachable because it could not look' got 503 before and passes.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { CancelTimer, Clock } from '../base/clock.js'
+import { ioTurn } from '../base/ioTurn.js'
 import { ResponseReader } from './responseReader.js'
 import type { ResponseHead } from './responseReader.js'
 
@@ -79,7 +80,7 @@
       onEnd: leftover => this.onEnd(leftover),
       onInvalid: reason => this.fail(reason)
     })
-    this.cancelConnectTimer = options.clock.setTimer(connectTimeoutMs, () => this.fail('the connection was not accepted in time'))
+    this.cancelConnectTimer = options.clock.setTimer(connectTimeoutMs, () => { void this.onConnectTimeout() })
     this.socket.on('connect', () => this.onConnect())
     this.socket.on('data', data => this.onData(data))
     this.socket.on('end', () => this.onServerClosed())
@@ -122,6 +123,12 @@
     if (this.active) this.write()
   }
 
+  private async onConnectTimeout (): Promise<void> {
+    // The server may have accepted while this process did not run.
+    await ioTurn()
+    if (!this.isConnected) this.fail('the connection was not accepted in time')
+  }
+
   private write (): void {
     this.active!.isWritten = true
     this.socket.write(this.active!.bytes)
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -175,6 +175,20 @@
     expect(await fixture.send('id1')).to.include({ status: 200, body: 'ok' })
   })
 
+  it('does not take a server for unreachable because it could not look', async () => {
+    // Guards against a connection that is given up as not accepted before its acceptance is read.
+    await fixture.start([route()])
+    await fixture.addServer('a', ok)
+    const { pool } = fixture.fleet.servers.get('a')!
+    const acquire = pool.acquire.bind(pool)
+    pool.acquire = () => {
+      // Right after the connection was opened.
+      process.nextTick(() => blockFor(1100))
+      return acquire()
+    }
+    expect(await fixture.send('id1')).to.include({ status: 200, body: 'ok' })
+  })
+
   it('sends an idempotent request elsewhere when its server is silent', async () => {
     await fixture.start([route({ kind: 'idempotent', objectiveMs: 50 })])
     const first: Script = (socket, head, count) => (fixture.received.length === 1 ? silent : ok)(socket, head, count)
