Read what has come before the placement leader counts as silent

What operators saw: 'placement leader silent' and a new connection on nodes that had been held up themselves for 1.6 s; until then they choose engines by themselves and watch the store.

--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -5,6 +5,7 @@
 import type { z } from 'zod'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { repeat } from '../base/clock.js'
+import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
 import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
 import { leaderMessageSchema, nodeMessageSchema } from './peerMessages.js'
@@ -71,7 +72,7 @@
   follow (address: { host: string, port: number } | undefined): void {
     this.address = address
     this.drop()
-    this.check()
+    this.connect()
   }
 
   /** Returns whether there is a connection. */
@@ -86,11 +87,21 @@
     this.link?.socket.destroy()
   }
 
-  private check (): void {
-    if (this.link && this.clock.nowMs() - this.link.lastReceivedMs > silenceMs) {
+  private async check (): Promise<void> {
+    // What the leader sent while this process did not run has to be read first.
+    if (this.isSilent) await ioTurn()
+    if (this.isSilent) {
       this.log('warn', 'placement leader silent', { address: this.address?.host })
       this.drop()
     }
+    this.connect()
+  }
+
+  private get isSilent (): boolean {
+    return this.link !== undefined && this.clock.nowMs() - this.link.lastReceivedMs > silenceMs
+  }
+
+  private connect (): void {
     if (this.link || !this.address) return
     const socket = connect(this.address)
     const link = new Link(socket, leaderMessageSchema, this.clock, this.onMessage, reason => {
--- /dev/null
+++ b/tests/peerLink.spec.ts
@@ -0,0 +1,52 @@
+import type { AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
+import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import { LeaderLink, PeerServer } from '../src/serving/peerLink.js'
+import type { LeaderReport } from '../src/serving/peerMessages.js'
+import { blockFor } from './fixtures/heldUp.js'
+
+const report: LeaderReport = { fence: 1, hosting: [], running: [] }
+
+function freePort (): Promise<number> {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo
+      server.close(() => resolve(port))
+    })
+  })
+}
+
+describe('leader link', () => {
+  it('is kept when this process was held up and not the leader silent', async () => {
+    // Guards against nodes that leave their leader because they did not read what it sent.
+    const clock = new SystemClock()
+    const port = await freePort()
+    const events: string[] = []
+    let onReport = () => {}
+    const reported = new Promise<void>(resolve => { onReport = resolve })
+    const server = new PeerServer({
+      clock,
+      onMessage: () => {
+        server.broadcast(report)
+        blockFor(1800)
+      },
+      onJoined: () => {}
+    })
+    await server.listen('127.0.0.1', port)
+    const link = new LeaderLink({
+      clock,
+      log: (_level, event) => events.push(event),
+      onMessage: () => onReport(),
+      onConnected: () => { link.send({ ask: 1, row: ['s', 'm', null, 1, 0, 'r', 'z', null], parts: [], excluded: [], isFirst: true, isLate: false }) },
+      onLost: () => {}
+    })
+    link.follow({ host: '127.0.0.1', port })
+    await reported
+    await new Promise(resolve => setTimeout(resolve, 300))
+    link.stop()
+    server.stop()
+    expect(events).not.to.include('placement leader silent')
+  })
+})
