Go back to an engine that was only silent when the other one refuses the stream

What callers saw: a stream was broken off when its new engine refused it (503 or 421 with 'not run': fuller than known, or without the model), although its first engine would have gone on.

Cause, found in review: both engines counted as tried for good, and the number of sends had reached the route's limit. That limit is on servers, so a server that has had the request may be asked again: one that was silent at once, one that refused after the usual time to return. Requests whose answer has not begun are answered at the limit as before.

relay.spec 'goes back to a silent engine when the other one refuses the stream' failed before and passes.

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -117,6 +117,10 @@
   sends: number
   waitedMs: number
   tried: Set<string>
+  /** Tried servers that only refused the request or were silent, by the time from which they may be asked again. */
+  askableFromMs: Map<string, number>
+  /** Whether the last server answered that it is another one than expected or does not hold the model. */
+  wasMisdirected: boolean
   attempts: AttemptTrace[]
 }
 
@@ -195,7 +199,7 @@
   private async serve (request: RelayRequest, reply: Reply): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
-    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), attempts: [] }
+    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), askableFromMs: new Map(), wasMisdirected: false, attempts: [] }
     const exchange: Exchange = new Exchange({ request, response: reply.response, codecs, clock, reserveMove: () => this.reserveMove(request, progress) })
     let result: AttemptResult | undefined
     let holdsRepeat = false
@@ -211,7 +215,7 @@
         return this.finish(request, exchange, progress, { outcome: result.kind, status: reply.response.statusCode })
       }
       if (result.kind !== 'unsent') holdsRepeat = false
-      if (result.kind !== 'moved' && !this.mayRepeat(request, exchange, result, progress.sends)) {
+      if (result.kind !== 'moved' && !this.mayRepeat(request, exchange, result, progress)) {
         if (holdsRepeat) this.budgetOf(request.service.name).giveBack()
         return this.answerWithout(request, reply, exchange, progress, { result })
       }
@@ -223,9 +227,9 @@
   private async reserveMove (request: RelayRequest, progress: Progress): Promise<MoveSearch> {
     const budget = this.budgetOf(request.service.name)
     const isInTime = () => this.clock.nowMs() <= request.deadlineAtMs - minimumSendMs
-    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && this.choose(request, progress.tried, true) !== undefined
+    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && this.choose(request, progress) !== undefined
     if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: moveRetryMs }
-    const { server, chosenBy, waitMs } = await this.chooseWithLeader(request, progress.tried, { isRepeat: true, isFirst: false, isLate: false })
+    const { server, chosenBy, waitMs } = await this.chooseWithLeader(request, progress, { isFirst: false, isLate: false })
     // Answers of the leader that come together are for one free place each.
     const place = server && this.able(request).includes(server) && await Reservation.at(server, { ...request.facts, rank: request.route.rank }, this.clock)
     if (!place) {
@@ -255,12 +259,16 @@
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
     const result = await exchange.attempt(server, place)
     if (result.kind !== 'unsent') progress.sends++
+    progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
+    if (result.kind === 'moved') progress.askableFromMs.set(server.entry.id, this.clock.nowMs())
+    else if (result.kind === 'not-run' && !result.isMisdirected) progress.askableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
+    else progress.askableFromMs.delete(server.entry.id)
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
   }
 
   /** Whether the request may be sent once more after `result`. Takes the repeat out of the budget. */
-  private mayRepeat (request: RelayRequest, exchange: Exchange, result: AttemptResult, sends: number): boolean {
+  private mayRepeat (request: RelayRequest, exchange: Exchange, result: AttemptResult, progress: Progress): boolean {
     const { route } = request
     if (exchange.hasClientLeft || this.clock.nowMs() > request.deadlineAtMs - minimumSendMs) return false
     // Nothing reached a server, so nothing is repeated.
@@ -269,8 +277,9 @@
     const mayHaveRun = result.kind !== 'not-run'
     if (mayHaveRun && !isRepeatable) return false
     if (result.kind === 'answer' && result.answer.head.status < 500) return false
-    const limit = result.kind === 'not-run' && result.isMisdirected ? route.maxAttempts + 1 : route.maxAttempts
-    return sends < limit && this.budgetOf(request.service.name).tryRetry()
+    // The limit is on servers: one that has the request already does not count again.
+    const hasServer = progress.sends < serverLimit(request, progress) || (exchange.hasBegun && progress.askableFromMs.size > 0)
+    return hasServer && this.budgetOf(request.service.name).tryRetry()
   }
 
   /** Ends a request for which no further attempt is made. */
@@ -306,16 +315,16 @@
   ): Promise<Search> {
     const startedAtMs = this.clock.nowMs()
     try {
-      return await this.searchServer(request, exchange, progress.tried, { isRepeat, startedAtMs })
+      return await this.searchServer(request, exchange, progress, { isRepeat, startedAtMs })
     } finally {
       progress.waitedMs += this.clock.nowMs() - startedAtMs
     }
   }
 
   private async searchServer (
-    request: RelayRequest, exchange: Exchange, tried: ReadonlySet<string>, { isRepeat, startedAtMs }: { isRepeat: boolean, startedAtMs: number }
+    request: RelayRequest, exchange: Exchange, progress: Progress, { isRepeat, startedAtMs }: { isRepeat: boolean, startedAtMs: number }
   ): Promise<Search> {
-    let selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: !isRepeat, isLate: false })
+    let selection = await this.chooseWithLeader(request, progress, { isFirst: !isRepeat, isLate: false })
     if (exchange.hasClientLeft) return { kind: 'left' }
     if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
     const { model, adapter } = request.facts
@@ -350,7 +359,7 @@
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
         await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.changeOrDelay(waitPollMs))
         if (exchange.hasClientLeft) return { kind: 'left' }
-        selection = await this.chooseWithLeader(request, tried, { isRepeat, isFirst: false, isLate })
+        selection = await this.chooseWithLeader(request, progress, { isFirst: false, isLate })
         if (exchange.hasClientLeft) return { kind: 'left' }
         if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
       }
@@ -360,40 +369,46 @@
   }
 
   /** Servers of which one may get the request now. */
-  private candidates (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer[] {
+  private candidates (request: RelayRequest, progress: Progress): BackendServer[] {
+    const { sends, tried, askableFromMs } = progress
     const able = this.able(request)
-    const untried = able.filter(server => !tried.has(server.entry.id))
-    // A server that refused may have room again, but one that failed is not asked twice.
-    return untried.length === 0 && !isRepeat ? able : untried
+    const untried = sends < serverLimit(request, progress) ? able.filter(({ entry }) => !tried.has(entry.id)) : []
+    if (untried.length > 0) return untried
+    // One that refused may have room again, and one that was silent may go on; one that failed is not asked twice.
+    const nowMs = this.clock.nowMs()
+    return able.filter(({ entry }) => nowMs >= (askableFromMs.get(entry.id) ?? Infinity))
   }
 
   /** The leader's choice among the engines that can take the request, or this node's own. */
   private async chooseWithLeader (
-    request: RelayRequest, tried: ReadonlySet<string>, { isRepeat, isFirst, isLate }: { isRepeat: boolean, isFirst: boolean, isLate: boolean }
+    request: RelayRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
   ): Promise<Selection> {
     // The leader counts what comes for a model, also while no engine has it.
-    const ask = isFirst || this.candidates(request, tried, isRepeat).length > 0 ? this.askOf(request, tried, { isFirst, isLate }) : undefined
+    const ask = isFirst || this.candidates(request, progress).length > 0 ? this.askOf(request, progress, { isFirst, isLate }) : undefined
     const choice = ask && await this.options.chooseForAll?.(ask)
     if (choice?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: choice.forMs }
     // Meanwhile a server may have left or its last connection may be in use.
-    const named = choice && this.candidates(request, tried, isRepeat).find(({ entry }) => entry.id === choice.id)
-    return named ? { server: named, chosenBy: 'leader', waitMs: waitPollMs } : { server: this.choose(request, tried, isRepeat), chosenBy: 'node', waitMs: waitPollMs }
+    const named = choice && this.candidates(request, progress).find(({ entry }) => entry.id === choice.id)
+    return named ? { server: named, chosenBy: 'leader', waitMs: waitPollMs } : { server: this.choose(request, progress), chosenBy: 'node', waitMs: waitPollMs }
   }
 
   private askOf (
-    { facts, route, service }: RelayRequest, tried: ReadonlySet<string>, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
+    request: RelayRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
   ): DispatchAsk | undefined {
+    const { facts, route, service } = request
     const { model, adapter, promptTokens, sharedParts } = facts
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
+    const candidates = new Set(this.candidates(request, progress).map(({ entry }) => entry.id))
+    const tried = [...progress.tried].filter(id => !candidates.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
     return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
   }
 
-  private choose (request: RelayRequest, tried: ReadonlySet<string>, isRepeat: boolean): BackendServer | undefined {
+  private choose (request: RelayRequest, progress: Progress): BackendServer | undefined {
     const { settings } = this.options
-    const candidates = this.candidates(request, tried, isRepeat)
+    const candidates = this.candidates(request, progress)
     if (candidates.length === 0) return undefined
     const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
     const scored = candidates.map(server => ({
@@ -484,6 +499,11 @@
   }
 }
 
+/** Servers that may get the request. One that does not hold the model leaves room for another. */
+function serverLimit ({ route }: RelayRequest, { wasMisdirected }: Progress): number {
+  return route.maxAttempts + (wasMisdirected ? 1 : 0)
+}
+
 /** Whether the server can begin the request soon: engines queue what exceeds their batch, and callers leave meanwhile. */
 function hasRoom ({ service, route }: RelayRequest, server: BackendServer): boolean {
   if (!service.engine) return true
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -327,6 +327,21 @@
     expect(fixture.received).to.have.length(1)
   })
 
+  it('goes back to a silent engine when the other one refuses the stream', async () => {
+    // Guards against a move that ends the answer because its target was fuller than known.
+    await fixture.start([impatient()], { engine })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 900 }), holdsModel)
+    await fixture.addServer('b', shed, holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderChoice = undefined
+    expect(await answer).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received[1]!.server).to.equal('b')
+    expect(fixture.received.at(-1)!.server).to.equal('a')
+    expect(fixture.received.at(-1)!.head).to.match(/last-event-id: 3/i)
+  })
+
   it('waits for another engine as long as the caller of a stream waits for its next event', async () => {
     // Guards against a wait that counts from the arrival of a request whose answer has begun.
     await fixture.start([impatient()], { engine })
