Ask for begun streams as for requests in time

What callers saw: a stream that lost its engine went behind all new requests: 0.6 of an objective after its last event it was asked for as late, got at most half of an engine's turn and was looked at every 100 ms. A new request can be refused with a time to return; an answer that has begun can only be broken off.

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -355,7 +355,8 @@
         }
         // An answer that has begun can't be refused any more.
         if (this.isRefusing && !exchange.hasBegun) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
-        const { isLate } = decision
+        // A begun answer goes before requests that can still be refused.
+        const isLate = decision.isLate && !exchange.hasBegun
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
         await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.changeOrDelay(waitPollMs))
         if (exchange.hasClientLeft) return { kind: 'left' }
