Pass no request on whose connection can take no answer

What callers saw: a request on a kept connection reached a backend server and its connection ended without an answer (LOST). Cause: a stopping node ended the connection of each answer that had begun before the stop as soon as it was complete. Node's HTTP server goes on reading such a connection, so a request that crossed the end was taken, passed on, and its answer could not be written. The same held for a request behind another one (pipelined) whose answer announced the end of the connection, also outside a stop when an answer without length ends with its connection. And a request behind another one was never counted as ended when its connection was closed, so that a stop waited for it until its last moment.

Requests of one connection are now taken one after the other; one whose connection has ended meanwhile is dropped with a log line. Connections are no longer ended behind an answer: at the start of a stop the answers that have not begun announce the end of their connections, later requests are served with that announcement, and one that is not the newest of its connection announces nothing.

Evidence: five new cases in relay.spec, all failed before (answers missing after the request had been passed on; two requests counted as in progress for ever).

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -1,6 +1,7 @@
 /** Takes requests from clients, sends each to a backend server and returns the answer. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { match } from 'ts-pattern'
 import { sleep } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
@@ -109,6 +110,18 @@
   deadlineAtMs: number
 }
 
+/** A request that has been read and whose answer is not complete. */
+interface Open {
+  requestId: string | undefined
+  arrivedAtMs: number
+  response: ServerResponse
+  /** Whether the client lets its connection stay. */
+  mayStay: boolean
+  /** Resolves when the answer is complete or the connection is closed. */
+  isOver: Promise<void>
+  end: () => void
+}
+
 interface Progress {
   /** Sends after which a server may have the request. */
   sends: number
@@ -139,7 +152,11 @@
   private isClosing = false
   private isRefusing = false
   private plainRequests = 0
-  active = 0
+  private readonly open = new Set<Open>()
+  /** Those of each connection, in the order of their arrival. */
+  private readonly openBySocket = new WeakMap<Socket, Set<Open>>()
+  /** Requests read since the start. */
+  arrivals = 0
 
   constructor (options: RelayOptions) {
     this.options = options
@@ -152,20 +169,35 @@
     this.services = new Map(deployment.services.map(service => [service.name, service]))
   }
 
-  /** From now on each answer closes its connection. */
+  /** Requests that have been read and whose answer is not complete. */
+  get active (): number {
+    return this.open.size
+  }
+
+  /** From now on each answer that has not begun announces the end of its connection. */
   closeConnections (): void {
     this.isClosing = true
+    for (const open of this.open) this.announceEnd(open)
   }
 
   async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.clock.nowMs()
-    this.active++
-    if (this.isClosing) response.shouldKeepAlive = false
-    response.once('close', () => { this.active-- })
-    // A response that began before the shutdown has announced that the connection stays.
-    response.once('finish', () => { if (this.isClosing) request.socket.end() })
+    const { socket } = request
     const facts = this.options.codecs.readRequest(request.headers)
-    const reply = new Reply(request, response, facts.requestId)
+    const earlier = this.newestOf(socket)
+    const open = this.begin(request, response, facts.requestId)
+    if (earlier) {
+      // One that has announced the end of the connection takes that back while it can.
+      if (!earlier.response.headersSent) earlier.response.shouldKeepAlive = earlier.mayStay
+      await earlier.isOver
+    }
+    // An answer could not be written any more, so no server may get the request.
+    if (socket.writableEnded || socket.destroyed) {
+      this.options.log('info', 'request not taken: its connection has ended', { request: facts.requestId })
+      return open.end()
+    }
+    if (this.isClosing) this.announceEnd(open)
+    const reply = new Reply(request, response)
     const { deployment } = this
     if (this.isRefusing) return reply.refuse(503, 'this node is shutting down', 0)
     if (!deployment) return reply.refuse(503, 'no configuration yet', startingRetryAfterMs)
@@ -189,6 +221,52 @@
     this.isRefusing = true
   }
 
+  /** Logs the requests whose connections are about to be closed without a complete answer. */
+  reportUnanswered (): void {
+    for (const { requestId, arrivedAtMs, response } of this.open) {
+      this.options.log('warn', 'connection closed before the end of an answer', {
+        request: requestId, ageMs: Math.round(this.clock.nowMs() - arrivedAtMs), hasBegun: response.headersSent
+      })
+    }
+  }
+
+  private begin ({ socket }: IncomingMessage, response: ServerResponse, requestId: string | undefined): Open {
+    this.arrivals++
+    const own = this.openOf(socket)
+    let onOver = () => {}
+    const isOver = new Promise<void>(resolve => { onOver = resolve })
+    const end = () => {
+      this.open.delete(open)
+      own.delete(open)
+      onOver()
+    }
+    const open = { requestId, arrivedAtMs: this.clock.nowMs(), response, mayStay: response.shouldKeepAlive, isOver, end }
+    this.open.add(open)
+    own.add(open)
+    response.once('close', end)
+    return open
+  }
+
+  private openOf (socket: Socket): Set<Open> {
+    const known = this.openBySocket.get(socket)
+    if (known) return known
+    const own = new Set<Open>()
+    this.openBySocket.set(socket, own)
+    // The answer to a request behind another one hears nothing of its connection's end.
+    socket.once('close', () => { for (const { end } of [...own]) end() })
+    return own
+  }
+
+  private newestOf (socket: Socket): Open | undefined {
+    return [...this.openOf(socket)].at(-1)
+  }
+
+  /** Lets the answer announce that its connection ends, unless it has begun or the next request is here. */
+  private announceEnd (open: Open): void {
+    const { response } = open
+    if (!response.headersSent && this.newestOf(response.req.socket) === open) response.shouldKeepAlive = false
+  }
+
   private async serve (request: RelayRequest, reply: Reply): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
@@ -473,7 +551,7 @@
 
 /** Answers of the node itself, and of backend servers as a whole. */
 class Reply {
-  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly requestId: string | undefined) {}
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse) {}
 
   refuse (status: number, reason: string, retryAfterMs?: number): void {
     if (this.response.destroyed) return
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -25,6 +25,16 @@
 /** An engine type whose only model takes nine seconds to load. */
 const engine = { slots: 4, cacheTokens: 1000, weightsMb: 100, adapterSlots: 2, storeLoadsPerSecond: 1, models: [{ name: 'm', weightsMb: 10, loadMs: 9000, warmLoadMs: 9000, diskLoadMs: 9000, adapterMb: 1 }] }
 
+/** A request as a client writes it on a connection that it keeps. */
+const requestText = (id: string) => `POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ${id}\r\nContent-Length: 1\r\n\r\nx`
+
+async function until (condition: () => boolean, what: string): Promise<void> {
+  for (let tries = 0; !condition(); tries++) {
+    if (tries === 200) expect.fail(`not seen within a second: ${what}`)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+}
+
 const events = (last: number) => Array.from({ length: last }, (_, index) => event(index + 1)).join('')
 
 describe('relay', () => {
@@ -201,6 +211,70 @@
     expect(fixture.received).to.have.length(0)
   })
 
+  it('answers a request that crosses the end of an answer that began before the shutdown', async () => {
+    // Guards against a request that is passed on although its connection can take no answer.
+    await fixture.start([route({ kind: 'stream' })])
+    await fixture.addServer('a', stream(2, { finish: socket => { setTimeout(() => socket.end('0\r\n\r\n'), 60) } }))
+    const { socket, text } = fixture.connect()
+    socket.write(requestText('id1'))
+    await until(() => text().includes('data: t2'), 'the first answer')
+    fixture.relay.closeConnections()
+    // The end of the first answer and the second request pass each other.
+    await until(() => text().endsWith('0\r\n\r\n'), 'the end of the first answer')
+    socket.write(requestText('id2'))
+    await until(() => text().split('0\r\n\r\n').length === 3, 'the second answer')
+    expect(text().split('HTTP/1.1 200 OK')).to.have.length(3)
+    expect(text().slice(text().indexOf('0\r\n\r\n')).toLowerCase()).to.include('connection: close')
+    await until(() => socket.readableEnded, 'the end of the connection')
+  })
+
+  it('answers a request that came behind another one before the shutdown', async () => {
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { setTimeout(() => socket.write(answerOf(idOf(head), `for ${idOf(head)}`)), 60) })
+    const { socket, text } = fixture.connect()
+    socket.write(requestText('id1') + requestText('id2'))
+    await until(() => fixture.received.length > 0, 'the first request')
+    fixture.relay.closeConnections()
+    await until(() => text().includes('for id1') && text().includes('for id2'), 'both answers')
+    await until(() => socket.readableEnded, 'the end of the connection')
+    expect(text().toLowerCase().split('connection: close')).to.have.length(2)
+  })
+
+  it('answers a request that came behind one of the shutdown', async () => {
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { setTimeout(() => socket.write(answerOf(idOf(head), `for ${idOf(head)}`)), 60) })
+    fixture.relay.closeConnections()
+    const { socket, text } = fixture.connect()
+    socket.write(requestText('id1'))
+    await until(() => fixture.received.length > 0, 'the first request')
+    socket.write(requestText('id2'))
+    await until(() => text().includes('for id1') && text().includes('for id2'), 'both answers')
+    await until(() => fixture.relay.active === 0, 'the end of both requests')
+  })
+
+  it('does not pass on what follows an answer that announced the end of its connection', async () => {
+    await fixture.start([route({ kind: 'stream' })])
+    await fixture.addServer('a', stream(2, { finish: socket => { setTimeout(() => socket.end('0\r\n\r\n'), 60) } }))
+    fixture.relay.closeConnections()
+    const { socket, text } = fixture.connect()
+    socket.write(requestText('id1'))
+    await until(() => text().includes('data: t2'), 'the first answer')
+    socket.write(requestText('id2'))
+    await until(() => text().endsWith('0\r\n\r\n') && socket.readableEnded, 'the end of the connection')
+    await until(() => fixture.relay.active === 0, 'the end of both requests')
+    expect(fixture.received).to.have.length(1)
+  })
+
+  it('does not pass on what follows an answer that ends with its connection', async () => {
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { setTimeout(() => socket.end(`HTTP/1.1 200 OK\r\n${stamped(idOf(head))}\r\npart`), 60) })
+    const { socket, text } = fixture.connect()
+    socket.write(requestText('id1') + requestText('id2'))
+    await until(() => text().endsWith('part') && socket.readableEnded, 'the end of the connection')
+    await until(() => fixture.relay.active === 0, 'the end of both requests')
+    expect(fixture.received).to.have.length(1)
+  })
+
   it('refuses a request that waits for a model when the node shuts down', async () => {
     // Guards against a request that ends without any answer.
     await fixture.start([route({ kind: 'stream', timeoutMs: 20_000, objectiveMs: 10_000 })], { engine })
