Read what has arrived before a stopping node closes connections

Cause: 'nobody new' and 'nothing is in progress' were concluded in the callback of a timer. When the process was not run for a while, epoll_wait returns because its time is over (after SIGSTOP with EINTR), the timer's callback runs, and what reached the listener and the sockets meanwhile is unread: the accept queue, idle connections and at the end all connections were reset.

The node now polls its sockets and reads, until a round brings no connection and no byte and took 10 ms at most, and closes in the same turn of the event loop; 64 rounds or 200 ms bound it. What is read when new clients end is still served; what is read later gets its 503. Connections whose last answer ends later are closed within 50 ms, after the same reading. The log tells at each step how many connections were closed, how many requests were in progress, what the last rounds brought and how late the event loop was; a connection that is closed before the end of an answer leaves a line with the request's ID.

Evidence: stopPaused.spec pauses a process (SIGSTOP, 1.3 s) shortly before it stops taking clients and right after its last answer, while requests arrive on kept and on new connections.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -2,9 +2,11 @@
 
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
+import type { Socket } from 'node:net'
 import { repeat, sleep } from '../base/clock.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
+import { readUntilQuiet } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { DispatchAsk, DispatchChoice } from '../policy/dispatchDesk.js'
@@ -33,6 +35,8 @@
 /** Time before the platform kills the process at which what is left is given up. */
 const shutdownMarginMs = 400
 const shutdownPollMs = 50
+/** Bounds of reading what has arrived before connections are closed. */
+const lastReads = { maxRounds: 64, maxMs: 200 }
 /** Larger than the platform's limits on request heads, which are checked by size. */
 const maxHeaderBytes = 64 * 1024
 /** Descriptors that are not for clients: backend servers, peers, the store and files. */
@@ -63,6 +67,10 @@
   private readonly storeView: StoreView
   private readonly demand: ModelDemand
   private readonly clients: Server
+  private readonly sockets = new Set<Socket>()
+  private connectionsTaken = 0
+  /** Of connections that have been closed since. */
+  private closedBytes = 0
   private readonly readiness: Server
   private readonly leadership: Leadership
   private readonly calls: EngineCalls
@@ -192,16 +200,25 @@
   async stop (): Promise<void> {
     const { clock, settings, log } = this.options
     const startedAtMs = clock.nowMs()
+    log('info', 'shutdown begins', { connections: this.sockets.size, inProgress: this.relay.active, loopDelayMs: Math.round(this.loopDelay.recentMs) })
     this.isStopping = true
     this.leadership.stop()
     this.relay.closeConnections()
     const elapsedMs = () => clock.nowMs() - startedAtMs
     while (elapsedMs() < unreadyMs) await sleep(clock, shutdownPollMs)
+    let lastRead = await this.readWhatArrived()
+    const known = this.openConnections
     this.clients.close()
     this.clients.closeIdleConnections()
     this.relay.refuseRequests()
-    while (this.relay.active > 0 && elapsedMs() < settings.shutdownMs - shutdownMarginMs) await sleep(clock, shutdownPollMs)
-    log('info', 'requests in progress at the end', { count: this.relay.active })
+    log('info', 'clients no longer taken', { ...lastRead, afterMs: Math.round(elapsedMs()), closed: known - this.openConnections })
+    while (this.relay.active > 0 && elapsedMs() < settings.shutdownMs - shutdownMarginMs) {
+      await sleep(clock, shutdownPollMs)
+      lastRead = await this.readWhatArrived()
+      this.clients.closeIdleConnections()
+    }
+    log('info', 'requests in progress at the end', { count: this.relay.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
+    this.relay.reportUnanswered()
     this.storeView.stop()
     this.cancelReports()
     this.link.stop()
@@ -211,6 +228,27 @@
     this.clients.closeAllConnections()
   }
 
+  private get openConnections (): number {
+    return [...this.sockets].filter(({ destroyed }) => !destroyed).length
+  }
+
+  /** Reads what has reached the clients' sockets; a late timer runs before they are read. Connections are to be closed in the same turn. */
+  private async readWhatArrived (): Promise<Record<string, number | boolean>> {
+    const { clock } = this.options
+    const [taken, read] = [this.connectionsTaken, this.relay.arrivals]
+    const progress = () => [...this.sockets].reduce((sum, { bytesRead }) => sum + bytesRead, this.connectionsTaken + this.closedBytes)
+    const { rounds, durationMs, isQuiet } = await readUntilQuiet(clock, progress, lastReads)
+    return {
+      rounds,
+      durationMs: Math.round(durationMs),
+      isQuiet,
+      connectionsTaken: this.connectionsTaken - taken,
+      requestsRead: this.relay.arrivals - read,
+      inProgress: this.relay.active,
+      loopDelayMs: Math.round(this.loopDelay.recentMs)
+    }
+  }
+
   private createClientsServer (): Server {
     const { log, settings } = this.options
     const server = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
@@ -221,6 +259,14 @@
     })
     server.maxConnections = Math.max(100, settings.maxDescriptors - reservedDescriptors)
     server.requestTimeout = 0
+    server.on('connection', (socket: Socket) => {
+      this.connectionsTaken++
+      this.sockets.add(socket)
+      socket.once('close', () => {
+        this.sockets.delete(socket)
+        this.closedBytes += socket.bytesRead
+      })
+    })
     server.on('dropRequest', () => log('warn', 'connection refused: too many clients'))
     return server
   }
