Do not take a connection for idle whose answer is not written yet

What callers saw: an answer cut at a planned stop while their machine was still reading it. Cause: Node's closeIdleConnections, which close calls too, takes an answer for finished once its last byte has been handed to the socket, and destroys the socket with what the kernel has not taken.

The relay now knows which connections have served requests, have all answers written and brought nothing since, and the node closes just these; the listener ends by itself.

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -122,6 +122,13 @@
   end: () => void
 }
 
+interface ClientConnection {
+  /** In the order of their arrival. */
+  open: Set<Open>
+  /** Bytes that had been read when the last answer was complete. */
+  bytesReadAtEnd: number | undefined
+}
+
 interface Progress {
   /** Sends after which a server may have the request. */
   sends: number
@@ -153,8 +160,7 @@
   private isRefusing = false
   private plainRequests = 0
   private readonly open = new Set<Open>()
-  /** Those of each connection, in the order of their arrival. */
-  private readonly openBySocket = new WeakMap<Socket, Set<Open>>()
+  private readonly connections = new WeakMap<Socket, ClientConnection>()
   /** Requests read since the start. */
   arrivals = 0
 
@@ -232,33 +238,40 @@
 
   private begin ({ socket }: IncomingMessage, response: ServerResponse, requestId: string | undefined): Open {
     this.arrivals++
-    const own = this.openOf(socket)
+    const connection = this.connectionOf(socket)
     let onOver = () => {}
     const isOver = new Promise<void>(resolve => { onOver = resolve })
     const end = () => {
       this.open.delete(open)
-      own.delete(open)
+      connection.open.delete(open)
+      connection.bytesReadAtEnd = socket.bytesRead
       onOver()
     }
     const open = { requestId, arrivedAtMs: this.clock.nowMs(), response, mayStay: response.shouldKeepAlive, isOver, end }
     this.open.add(open)
-    own.add(open)
+    connection.open.add(open)
     response.once('close', end)
     return open
   }
 
-  private openOf (socket: Socket): Set<Open> {
-    const known = this.openBySocket.get(socket)
+  /** Whether the connection has served requests, all of them are answered to the last byte, and nothing has come since. */
+  isIdle (socket: Socket): boolean {
+    const connection = this.connections.get(socket)
+    return connection !== undefined && connection.open.size === 0 && connection.bytesReadAtEnd === socket.bytesRead
+  }
+
+  private connectionOf (socket: Socket): ClientConnection {
+    const known = this.connections.get(socket)
     if (known) return known
-    const own = new Set<Open>()
-    this.openBySocket.set(socket, own)
+    const connection: ClientConnection = { open: new Set(), bytesReadAtEnd: undefined }
+    this.connections.set(socket, connection)
     // The answer to a request behind another one hears nothing of its connection's end.
-    socket.once('close', () => { for (const { end } of [...own]) end() })
-    return own
+    socket.once('close', () => { for (const { end } of [...connection.open]) end() })
+    return connection
   }
 
   private newestOf (socket: Socket): Open | undefined {
-    return [...this.openOf(socket)].at(-1)
+    return [...this.connectionOf(socket).open].at(-1)
   }
 
   /** Lets the answer announce that its connection ends, unless it has begun or the next request is here. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -2,6 +2,7 @@
 
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
+import { Server as Listener } from 'node:net'
 import type { Socket } from 'node:net'
 import { repeat, sleep } from '../base/clock.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
@@ -207,15 +208,15 @@
     const elapsedMs = () => clock.nowMs() - startedAtMs
     while (elapsedMs() < unreadyMs) await sleep(clock, shutdownPollMs)
     let lastRead = await this.readWhatArrived()
-    const known = this.openConnections
-    this.clients.close()
-    this.clients.closeIdleConnections()
+    // The HTTP server's own end also closes connections whose answer has ended and is not written yet.
+    Listener.prototype.close.call(this.clients)
+    const closed = this.closeIdle()
     this.relay.refuseRequests()
-    log('info', 'clients no longer taken', { ...lastRead, afterMs: Math.round(elapsedMs()), closed: known - this.openConnections })
+    log('info', 'clients no longer taken', { ...lastRead, afterMs: Math.round(elapsedMs()), closed })
     while (this.relay.active > 0 && elapsedMs() < settings.shutdownMs - shutdownMarginMs) {
       await sleep(clock, shutdownPollMs)
       lastRead = await this.readWhatArrived()
-      this.clients.closeIdleConnections()
+      this.closeIdle()
     }
     log('info', 'requests in progress at the end', { count: this.relay.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
     this.relay.reportUnanswered()
@@ -225,6 +226,7 @@
     this.peers.stop()
     this.readiness.close()
     this.loopDelay.stop()
+    this.clients.close()
     this.clients.closeAllConnections()
   }
 
@@ -232,6 +234,13 @@
     return [...this.sockets].filter(({ destroyed }) => !destroyed).length
   }
 
+  /** Returns how many connections it closed. */
+  private closeIdle (): number {
+    const idle = [...this.sockets].filter(socket => !socket.destroyed && this.relay.isIdle(socket))
+    for (const socket of idle) socket.destroy()
+    return idle.length
+  }
+
   /** Reads what has reached the clients' sockets; a late timer runs before they are read. Connections are to be closed in the same turn. */
   private async readWhatArrived (): Promise<Record<string, number | boolean>> {
     const { clock } = this.options
--- a/tests/ioTurn.spec.ts
+++ b/tests/ioTurn.spec.ts
@@ -1,7 +1,8 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { expect } from 'chai'
-import { ioTurn } from '../src/base/ioTurn.js'
+import { SteadyClock } from '../src/base/steadyClock.js'
+import { ioTurn, readUntilQuiet } from '../src/base/ioTurn.js'
 
 const blockedMs = 60
 
@@ -73,4 +74,31 @@
     await ioTurn()
     expect(connections).to.equal(1)
   })
+
+  it('reads until nothing new comes', async () => {
+    // The connection is accepted in one round and read in the next.
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    sockets.push(socket)
+    socket.write('x')
+    block()
+    const result = await readUntilQuiet(new SteadyClock(), () => connections + text.length, { maxRounds: 50, maxMs: 1000 })
+    expect(text).to.equal('x')
+    expect(result.isQuiet).to.equal(true)
+  })
+
+  it('ends within its bounds when something new comes in each round', async () => {
+    let count = 0
+    const clock = new SteadyClock()
+    expect(await readUntilQuiet(clock, () => count++, { maxRounds: 5, maxMs: 1000 })).to.include({ rounds: 5, isQuiet: false })
+    const { durationMs } = await readUntilQuiet(clock, () => count++, { maxRounds: Infinity, maxMs: 30 })
+    expect(durationMs).to.be.within(30, 1000)
+  })
+
+  it('does not trust a round during which the process was held up', async () => {
+    const clock = new SteadyClock()
+    let isFirst = true
+    const result = readUntilQuiet(clock, () => 0, { maxRounds: 50, maxMs: 1000 })
+    setImmediate(() => { if (isFirst) block(); isFirst = false })
+    expect(await result).to.include({ rounds: 2, isQuiet: true })
+  })
 })
--- a/tests/servingNode.spec.ts
+++ b/tests/servingNode.spec.ts
@@ -1,5 +1,5 @@
 import { request as httpRequest } from 'node:http'
-import { createServer } from 'node:net'
+import { connect, createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
@@ -50,6 +50,9 @@
   expect.fail('the condition did not come true')
 }
 
+/** More than the sockets' buffers take of an answer that nobody reads. */
+const unreadBytes = 8_000_000
+
 describe('serving node', () => {
   let state: StoreState
   let store: MemoryStore
@@ -57,6 +60,7 @@
   let ports: { clients: number, ready: number, peers: number }
   let backend: ReturnType<typeof createServer>
   let answerDelayMs = 0
+  let answer = 'ok'
 
   beforeEach(async () => {
     const clock = new SystemClock()
@@ -67,9 +71,10 @@
       node: 'n', ip: '127.0.0.1', availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `127.0.0.1:${ports.clients}`, readinessAddress: `127.0.0.1:${ports.ready}`, peersPort: ports.peers, maxDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownMs: 8000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000
     }
     answerDelayMs = 0
+    answer = 'ok'
     backend = createServer(socket => {
       socket.on('error', () => {})
-      socket.on('data', data => setTimeout(() => socket.write(answerOf(idOf(data.toString()), 'ok')), answerDelayMs))
+      socket.on('data', data => setTimeout(() => socket.write(answerOf(idOf(data.toString()), answer)), answerDelayMs))
     })
     await new Promise<void>(resolve => backend.listen(0, '127.0.0.1', resolve))
     node = new ServingNode({ settings, codecs, store, clock, random: new SeededRandom(1), log: silentLog })
@@ -133,4 +138,25 @@
     expect(await answer).to.include({ status: 200, body: 'ok' })
     await stopped
   })
+
+  it('does not cut an answer at a shutdown that its client has not read to the end', async () => {
+    // Guards against taking a connection for idle once its answer is complete here.
+    publish()
+    await until(async () => (await get(ports.clients, '/a/')).status === 200)
+    answer = 'x'.repeat(unreadBytes)
+    let bytes = 0
+    const client = connect({ host: '127.0.0.1', port: ports.clients })
+    const isOver = new Promise<string>(resolve => {
+      client.on('error', error => resolve(error.message))
+      client.on('close', () => resolve('closed'))
+    })
+    client.write('GET /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id\r\n\r\n')
+    await new Promise(resolve => setTimeout(resolve, 300))
+    const stopped = node.stop()
+    await new Promise(resolve => setTimeout(resolve, 3000))
+    client.on('data', data => { bytes += data.length })
+    await isOver
+    expect(bytes).to.be.above(unreadBytes)
+    await stopped
+  })
 })
