Bound what a server sends besides the response; skip responses in a loop

What callers saw: a server that sends interim responses, responses of other requests, chunk extensions or trailers without end held the request until its deadline (504, also where another server could have answered), while the node read all of it. Responses of other requests in one read of 64 KiB ended the process: "Maximum call stack size exceeded", uncaught.

Cause: only a single head, chunk line or trailer line had a limit, not their number. A skipped response ended in the connection, which pushed the rest into the reader again, so each one of 32 bytes deepened the stack.

The reader now asks whether a response belongs to the request, skips others itself in its loop, and counts what comes besides the accepted response: over 1 MiB (maxExtraBytes) the connection fails as it does for bytes that are no response. Frames of chunks don't count, so that bodies of any size in small chunks pass.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -31,8 +31,6 @@
   sink: ExchangeSink
   bytes: Buffer
   isWritten: boolean
-  /** Whether the present response is one that `accepts` refused. */
-  isSkipping: boolean
 }
 
 export interface ConnectionOptions {
@@ -62,7 +60,6 @@
   private readonly reader: ResponseReader
   private readonly options: ConnectionOptions
   private active: ActiveExchange | undefined
-  private method = 'GET'
   private keepsAlive = true
   private isConnected = false
   private isClosed = false
@@ -74,8 +71,9 @@
     const [host, port] = options.address.split(':')
     this.socket = connect({ host: host!, port: Number(port), noDelay: true })
     this.reader = new ResponseReader({
+      accepts: head => this.active!.sink.accepts(head),
       onHead: head => this.onHead(head),
-      onData: data => { if (this.active && !this.active.isSkipping) this.active.sink.onData(data) },
+      onData: data => this.active?.sink.onData(data),
       onEnd: leftover => this.onEnd(leftover),
       onInvalid: reason => this.fail(reason)
     })
@@ -93,8 +91,7 @@
 
   /** Sends a request. Must not be called while another is in progress. */
   send (method: string, bytes: Buffer, sink: ExchangeSink): void {
-    this.method = method
-    this.active = { sink, bytes, isWritten: false, isSkipping: false }
+    this.active = { sink, bytes, isWritten: false }
     this.reader.expect(method)
     if (this.isClosed) this.breakActive('the connection was closed', true)
     else if (this.isConnected) this.write()
@@ -135,21 +132,14 @@
   }
 
   private onHead (head: ResponseHead): void {
-    const active = this.active!
-    active.isSkipping = !active.sink.accepts(head)
-    this.keepsAlive = head.keepsAlive && !active.isSkipping
+    this.keepsAlive = head.keepsAlive
     this.keepAliveMs = keepAliveMs(head)
-    if (!active.isSkipping) active.sink.onHead(head)
+    this.active!.sink.onHead(head)
   }
 
   private onEnd (leftover: Buffer): void {
     const active = this.active
     if (!active) return
-    if (active.isSkipping) {
-      this.reader.expect(this.method)
-      if (leftover.length > 0) this.reader.push(leftover)
-      return
-    }
     this.active = undefined
     const isFlushed = this.socket.writableLength === 0
     if (!this.keepsAlive || !isFlushed || leftover.length > 0) this.fail('the connection cannot be used again')
@@ -160,7 +150,7 @@
   }
 
   private onServerClosed (): void {
-    if (this.active && !this.active.isSkipping && this.reader.endsWithConnection) void this.confirmEnd(this.active)
+    if (this.active && this.reader.endsWithConnection) void this.confirmEnd(this.active)
     else this.fail('the server closed the connection')
   }
 
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -3,6 +3,8 @@
 /** Larger response heads are refused. */
 const maxHeadBytes = 64 * 1024
 const maxChunkLineBytes = 1024
+/** A response that brings more bytes besides itself is refused: interim responses, responses of other requests, chunk extensions and trailers. */
+const maxExtraBytes = 1024 * 1024
 
 export interface ResponseHead {
   status: number
@@ -18,6 +20,8 @@
 }
 
 export interface ResponseSink {
+  /** Whether the response belongs to the request. Others are skipped. */
+  accepts? (head: ResponseHead): boolean
   onHead (head: ResponseHead): void
   onData (data: Buffer): void
   /** The response is complete. `leftover` bytes belong to no request. */
@@ -36,6 +40,9 @@
   private pending: Buffer = empty
   private remainingBytes = 0
   private withoutBody = false
+  /** Whether the present response is one that `accepts` refused. */
+  private isSkipping = false
+  private extraBytes = 0
 
   constructor (private readonly sink: ResponseSink) {}
 
@@ -44,11 +51,13 @@
     this.state = 'head'
     this.pending = empty
     this.withoutBody = method === 'HEAD'
+    this.isSkipping = false
+    this.extraBytes = 0
   }
 
   /** Whether the body has no length and ends with the connection. */
   get endsWithConnection (): boolean {
-    return this.state === 'until-close'
+    return this.state === 'until-close' && !this.isSkipping
   }
 
   push (input: Buffer): void {
@@ -67,7 +76,7 @@
 
   /** The server closed its side in an orderly way. Returns whether that completes the response. */
   close (): boolean {
-    if (this.state !== 'until-close') return false
+    if (!this.endsWithConnection) return false
     this.finish(empty)
     return true
   }
@@ -81,9 +90,7 @@
       case 'chunk-line': return this.readChunkLine(data)
       case 'chunk-end': return this.readChunkEnd(data)
       case 'trailers': return this.readTrailers(data)
-      case 'until-close':
-        this.sink.onData(data)
-        return empty
+      case 'until-close': return this.onData(data) ? empty : undefined
       case 'done': return undefined
     }
   }
@@ -98,13 +105,15 @@
     const head = parseHead(data.toString('latin1', 0, end))
     if (typeof head === 'string') return this.invalid(head)
     const rest = data.subarray(end + 4)
-    if (head.status >= 100 && head.status < 200) return rest
+    if (head.status >= 100 && head.status < 200) return this.addExtra(end + 4) ? rest : undefined
     const framing = framingOf(head, this.withoutBody)
     if (typeof framing === 'string') return this.invalid(framing)
     if (framing.state === 'until-close') Object.assign(head, { keepsAlive: false, endsWithConnection: true })
     this.state = framing.state
     this.remainingBytes = framing.bytes
-    this.sink.onHead(head)
+    this.isSkipping = !(this.sink.accepts?.(head) ?? true)
+    if (!this.isSkipping) this.sink.onHead(head)
+    else if (!this.addExtra(end + 4)) return undefined
     if (this.state === 'done') return this.finish(rest)
     return this.state === 'length' && this.remainingBytes === 0 ? this.finish(rest) : rest
   }
@@ -116,7 +125,7 @@
     const isLast = this.remainingBytes === 0
     const wasChunk = this.state === 'chunk-data'
     if (isLast && wasChunk) this.state = 'chunk-end'
-    this.sink.onData(part)
+    if (!this.onData(part)) return undefined
     return isLast && !wasChunk ? this.finish(rest) : rest
   }
 
@@ -127,6 +136,7 @@
     if (!/^[0-9a-fA-F]{1,8}$/.test(size)) return this.invalid('the chunk size is not a number')
     this.remainingBytes = parseInt(size, 16)
     this.state = this.remainingBytes === 0 ? 'trailers' : 'chunk-data'
+    if (!this.addExtra(this.isSkipping ? end + 2 : end - size.length)) return undefined
     return data.subarray(end + 2)
   }
 
@@ -141,10 +151,30 @@
     const end = data.indexOf('\r\n')
     if (end === -1) return data.length > maxHeadBytes ? this.invalid('the trailers are too large') : data
     const rest = data.subarray(end + 2)
-    return end === 0 ? this.finish(rest) : rest
+    if (end === 0) return this.finish(rest)
+    return this.addExtra(end + 2) ? rest : undefined
   }
 
-  private finish (leftover: Buffer): undefined {
+  /** Returns false once the bytes of skipped responses are too many. */
+  private onData (data: Buffer): boolean {
+    if (this.isSkipping) return this.addExtra(data.length)
+    this.sink.onData(data)
+    return true
+  }
+
+  private addExtra (bytes: number): boolean {
+    this.extraBytes += bytes
+    if (this.extraBytes <= maxExtraBytes) return true
+    this.invalid('too many bytes came besides the response')
+    return false
+  }
+
+  private finish (leftover: Buffer): Buffer | undefined {
+    if (this.isSkipping) {
+      this.state = 'head'
+      this.isSkipping = false
+      return leftover
+    }
     this.state = 'done'
     this.sink.onEnd(leftover)
     return undefined
--- a/tests/responseReader.spec.ts
+++ b/tests/responseReader.spec.ts
@@ -2,9 +2,10 @@
 import { EventSplitter } from '../src/serving/eventStream.js'
 import { ResponseReader } from '../src/serving/responseReader.js'
 
-function read (chunks: string[], { method = 'GET', isClosed = false } = {}) {
+function read (chunks: string[], { method = 'GET', isClosed = false, skipped = undefined as number | undefined } = {}) {
   const seen = { status: 0, body: '', isComplete: false, leftover: '', invalid: '' }
   const reader = new ResponseReader({
+    accepts: head => head.status !== skipped,
     onHead: head => { seen.status = head.status },
     onData: data => { seen.body += data.toString() },
     onEnd: leftover => {
@@ -59,6 +60,32 @@
     expect(read(['HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n'], { method: 'HEAD' })).to.include({ isComplete: true })
   })
 
+  it('skips refused responses, whatever their form and the reads', () => {
+    const other = 'HTTP/1.1 500 No\r\n'
+    const text = `${other}Content-Length: 3\r\n\r\nabc${other}Content-Length: 0\r\n\r\n${other}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: t\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`
+    for (let cut = 1; cut < text.length; cut++) {
+      expect(read([text.slice(0, cut), text.slice(cut)], { skipped: 500 })).to.include({ status: 200, body: 'ok', isComplete: true, leftover: '', invalid: '' })
+    }
+  })
+
+  it('skips many responses in one read', () => {
+    // Guards against a stack that grows with each of them.
+    expect(read([`${'HTTP/1.1 204 No\r\n\r\n'.repeat(20_000)}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`], { skipped: 204 })).to.include({ status: 200, body: 'ok' })
+  })
+
+  it('refuses a response that brings too much besides itself', () => {
+    for (const [first, unit] of [['', 'HTTP/1.1 103 A\r\n\r\n'], ['', 'HTTP/1.1 204 No\r\n\r\n'], [chunked.slice(0, -2), 'X-A: b\r\n'], [chunked.slice(0, -5), `1;${'x'.repeat(999)}\r\nx\r\n`]] as const) {
+      const half = unit.repeat(Math.floor(512 * 1024 / unit.length))
+      expect(read([first, half], { skipped: 204 }).invalid, unit).to.equal('')
+      expect(read([first, half, half, unit.repeat(100)], { skipped: 204 }).invalid, unit).not.to.equal('')
+    }
+  })
+
+  it('does not count the frames of chunks as too much', () => {
+    const body = '1\r\nx\r\n'.repeat(400_000)
+    expect(read([chunked.slice(0, -5), body, '0\r\n\r\n'])).to.include({ isComplete: true, invalid: '' })
+  })
+
   it('splits events at their ends, whatever the reads', () => {
     const text = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'
     for (let cut = 1; cut < text.length; cut++) {
