Count frames of chunks that exceed their content as bytes besides a response

What callers saw: a body in chunks of one byte takes the node six bytes of input and four microseconds for each byte, so a limit on the body alone ends it only at the deadline (504 in both forms of the test, with the limit on kept answers that follows).

A chunk now counts as far as its frame is longer than what it frames, extensions included. A body in chunks of six bytes or more never counts; in chunks of one byte it ends at about 260 KB.

The unit test that bodies in chunks of one byte pass at any size is replaced by one with chunks of eight bytes, and the form with one byte has moved to what is refused. responseReader.spec passes.

--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -3,7 +3,10 @@
 /** Larger response heads are refused. */
 const maxHeadBytes = 64 * 1024
 const maxChunkLineBytes = 1024
-/** A response that brings more bytes besides itself is refused: interim responses, responses of other requests, chunk extensions and trailers. */
+/**
+ * A response that brings more bytes besides itself is refused: interim responses, responses of other requests, trailers,
+ * and what frames of chunks exceed their content.
+ */
 const maxExtraBytes = 1024 * 1024
 
 export interface ResponseHead {
@@ -136,7 +139,8 @@
     if (!/^[0-9a-fA-F]{1,8}$/.test(size)) return this.invalid('the chunk size is not a number')
     this.remainingBytes = parseInt(size, 16)
     this.state = this.remainingBytes === 0 ? 'trailers' : 'chunk-data'
-    if (!this.addExtra(this.isSkipping ? end + 2 : end - size.length)) return undefined
+    const frameBytes = end + 4
+    if (!this.addExtra(this.isSkipping ? frameBytes : Math.max(0, frameBytes - this.remainingBytes))) return undefined
     return data.subarray(end + 2)
   }
 
