Bound the answers that are kept until they are complete

What callers saw: a body without end (counted, chunked or up to the close; also of a failure or of a refusal) was kept whole until the deadline, at the speed of the link: the scripted server's 64 MiB came within the test. Such answers end a process on a machine of 250 MB. The caller got a 504 at the deadline, also where another server could have answered or the request had not run. A body in small chunks took an object for each chunk beside its bytes.

Answers that are no streams are now given up over 8 MiB (sheets have 800 bytes), and over 64 KiB if one server's unfinished answers together exceed 16 MiB. The server counts as failing and the connection is closed. Bytes are collected in one growing buffer. A head that says that the request did not run is believed although its body does not end, so the request goes elsewhere; the same holds when the connection breaks during that body.

--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -46,6 +46,8 @@
   readonly runningByModel = new Map<string, { count: number, rank: number }>()
   running = 0
   pendingTokens = 0
+  /** Bytes of its unfinished answers that this node keeps. */
+  heldBytes = 0
   /** Requests of the other nodes in progress, as last heard. */
   runningElsewhere = 0
   hosted = new Map<string, HostedState>()
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -1,6 +1,7 @@
 /** Sends one request to backend servers, one after the other, and streams the answer to the client. */
 
 import type { ServerResponse } from 'node:http'
+import { ByteBuffer } from '../base/byteBuffer.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { stallMs } from '../policy/streamPatience.js'
 import type { BackendConnection, Break } from './backendConnection.js'
@@ -13,6 +14,12 @@
 
 /** An idempotent request without an answer is sent elsewhere after this multiple of its objective. */
 const idempotentStallFactor = 2
+/** A longer answer that is no stream is given up: it is kept until it is complete. */
+const maxAnswerBytes = 8 * 1024 * 1024
+/** Answers up to this length are kept whatever else is kept of their server's answers. */
+const smallAnswerBytes = 64 * 1024
+/** Bytes of one server's unfinished answers that are kept. */
+const maxServerHeldBytes = 16 * 1024 * 1024
 
 export interface EngineAnswer {
   head: ResponseHead
@@ -116,7 +123,7 @@
   private connection: BackendConnection | undefined
   private head: ResponseHead | undefined
   private isStreaming = false
-  private readonly chunks: Buffer[] = []
+  private readonly body = new ByteBuffer()
   private readonly splitter = new EventSplitter()
   private isFinished = false
   private hasFirstByte = false
@@ -175,8 +182,7 @@
     this.progress()
     if (!this.isStreaming) {
       this.firstByte()
-      this.chunks.push(data)
-      return
+      return this.hold(data)
     }
     for (const event of this.splitter.push(data)) {
       if (this.isFinished) return
@@ -185,6 +191,15 @@
     if (this.splitter.isOversized) this.abandon({ kind: 'unknown', reason: 'an event is too long' })
   }
 
+  /** Keeps a part of an answer that is returned when it is complete. */
+  private hold (data: Buffer): void {
+    const bytes = this.body.length + data.length
+    const isCrowded = bytes > smallAnswerBytes && this.server.heldBytes + data.length > maxServerHeldBytes
+    if (bytes > maxAnswerBytes || isCrowded) return this.reject(`the answer is too large: ${bytes} bytes came`)
+    this.body.push(data)
+    this.server.heldBytes += data.length
+  }
+
   private onEvent (event: StreamEvent): void {
     const { exchange } = this
     const last = exchange.lastEventId ?? exchange.request.facts.lastEventId
@@ -216,15 +231,11 @@
     const { exchange } = this
     const facts = exchange.codecs.readResponse(this.head!)
     const { status } = this.head!
-    if (facts.isNotRun) {
-      const { model, adapter } = exchange.request.facts
-      if (facts.isMisdirected) this.server.onMisdirected(model, adapter)
-      return this.finish({ kind: 'not-run', reason: `the backend server answered ${status} and did not run the request`, isMisdirected: facts.isMisdirected })
-    }
+    if (facts.isNotRun) return this.finish(this.failure(''))
     if (!this.isStreaming) {
       if (status >= 500) this.server.onFailed()
       else this.server.onAnswered(exchange.clock.nowMs() - this.startedAtMs)
-      const answer = { head: this.head!, body: Buffer.concat(this.chunks) }
+      const answer = { head: this.head!, body: this.body.bytes }
       exchange.firstByteMs ??= exchange.clock.nowMs() - exchange.request.arrivedAtMs
       if (status >= 500 || exchange.hasBegun) return this.finish({ kind: 'answer', answer })
       returnAnswer(exchange.response, answer, exchange.codecs.returnHeaders(answer.head))
@@ -240,7 +251,23 @@
     if (isUnreachable) this.server.onUnreachable()
     else this.server.onFailed()
     if (!wasSent) return this.finish({ kind: 'unsent', reason })
-    this.finish({ kind: 'unknown', reason })
+    this.finish(this.failure(reason))
+  }
+
+  /** What an answer proves that is not whole. */
+  private failure (reason: string): AttemptResult {
+    const { facts: { model, adapter } } = this.exchange.request
+    const facts = this.head && this.exchange.codecs.readResponse(this.head)
+    if (!facts?.isNotRun) return { kind: 'unknown', reason }
+    if (facts.isMisdirected) this.server.onMisdirected(model, adapter)
+    return { kind: 'not-run', reason: `the backend server answered ${this.head!.status} and did not run the request`, isMisdirected: facts.isMisdirected }
+  }
+
+  /** Gives up on a server that sends what is no answer. */
+  private reject (reason: string): void {
+    if (this.isFinished) return
+    this.server.onFailed()
+    this.abandon(this.failure(reason))
   }
 
   private onDeadline (): void {
@@ -295,6 +322,7 @@
     if (this.isFinished) return
     this.isFinished = true
     for (const cancel of this.cancelTimers.splice(0)) cancel()
+    this.server.heldBytes -= this.body.length
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.onEnded(this.exchange.request.facts.model, this.exchange.request.facts.adapter)
     this.resolve(result)
