Bound the answers of engines to orders and reports

An engine's answer without end was kept for the call's 400 ms: up to the 64 MiB at which the scripted server stops. Answers over 1 MiB now end the call as one without an answer; reports have a few hundred names at most.

--- a/src/serving/engineCalls.ts
+++ b/src/serving/engineCalls.ts
@@ -1,5 +1,6 @@
 /** Orders and questions to one engine, over the connections that requests use. */
 
+import { ByteBuffer } from '../base/byteBuffer.js'
 import type { Clock } from '../base/clock.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, ControlCall } from './codecs.js'
@@ -7,6 +8,8 @@
 
 /** An engine answers within a round trip; an order without an answer is repeated. */
 const callTimeoutMs = 400
+/** Longer answers are given up. A report names a few hundred models and adapters at most. */
+const maxAnswerBytes = 1024 * 1024
 
 interface ControlAnswer {
   status: number
@@ -32,23 +35,28 @@
 
   private call (server: BackendServer, { method, path, headers, body }: ControlCall): Promise<ControlAnswer | undefined> {
     return new Promise(resolve => {
-      const chunks: Buffer[] = []
+      const text = new ByteBuffer()
       let status = 0
       const connection = server.pool.acquire()
-      const cancel = this.clock.setTimer(callTimeoutMs, () => {
+      const giveUp = () => {
+        cancel()
         connection.destroy()
         resolve(undefined)
-      })
+      }
+      const cancel = this.clock.setTimer(callTimeoutMs, giveUp)
       let head = `${method} ${path} HTTP/1.1\r\nHost: ${server.entry.address}\r\n`
       for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
       if (body) head += `Content-Length: ${Buffer.byteLength(body)}\r\n`
       connection.send(method, Buffer.from(`${head}\r\n${body}`), {
         accepts: () => true,
         onHead: response => { status = response.status },
-        onData: data => { chunks.push(data) },
+        onData: data => {
+          if (text.length + data.length > maxAnswerBytes) giveUp()
+          else text.push(data)
+        },
         onEnd: () => {
           cancel()
-          resolve({ status, text: Buffer.concat(chunks).toString('utf8') })
+          resolve({ status, text: text.bytes.toString('utf8') })
         },
         onBroken: () => {
           cancel()
