Split streams into events in linear time

Cause: each piece was joined with a copy of all that was kept and searched from its beginning, and each event of a read searched the whole rest of the read for the other kind of line end.

--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -1,9 +1,13 @@
 /** Splits an event stream into whole events, so that another engine can go on after the last one. */
 
+import { ByteBuffer } from '../base/byteBuffer.js'
+
 /** Events longer than this end the stream. */
 const maxEventBytes = 1024 * 1024
-const separator = Buffer.from('\n\n')
-const crlfSeparator = Buffer.from('\r\n\r\n')
+const lineFeed = 10
+const carriageReturn = 13
+/** Bytes of an event's end that may have come before the rest of it. */
+const partialEndBytes = 3
 
 export interface StreamEvent {
   /** Value of the `id` field, if it is a number. */
@@ -13,18 +17,25 @@
 }
 
 export class EventSplitter {
-  private pending = Buffer.alloc(0)
+  private pending = new ByteBuffer()
 
   /** Whole events in `data` and what was kept before. */
   push (data: Buffer): StreamEvent[] {
-    let rest = this.pending.length > 0 ? Buffer.concat([this.pending, data]) : data
+    const searchedBytes = Math.max(0, this.pending.length - partialEndBytes)
+    this.pending.push(data)
+    const { bytes } = this.pending
     const events: StreamEvent[] = []
-    for (let end = endOfEvent(rest); end !== -1; end = endOfEvent(rest)) {
-      const bytes = rest.subarray(0, end)
-      events.push({ id: idOf(bytes), bytes })
-      rest = rest.subarray(end)
+    let start = 0
+    for (let end = endOfEvent(bytes, start, searchedBytes); end !== -1; end = endOfEvent(bytes, start, start)) {
+      const event = bytes.subarray(start, end)
+      events.push({ id: idOf(event), bytes: event })
+      start = end
+    }
+    if (start > 0) {
+      // The events keep the old buffer.
+      this.pending = new ByteBuffer()
+      this.pending.push(bytes.subarray(start))
     }
-    this.pending = Buffer.from(rest)
     return events
   }
 
@@ -34,15 +45,17 @@
 
   /** Bytes after the last whole event. */
   get remainder (): Buffer {
-    return this.pending
+    return this.pending.bytes
   }
 }
 
-function endOfEvent (bytes: Buffer): number {
-  const plain = bytes.indexOf(separator)
-  const crlf = bytes.indexOf(crlfSeparator)
-  if (plain === -1) return crlf === -1 ? -1 : crlf + crlfSeparator.length
-  return crlf !== -1 && crlf < plain ? crlf + crlfSeparator.length : plain + separator.length
+/** End of the event that begins at `start`, of which no end begins before `from`; -1 if there is none. */
+function endOfEvent (bytes: Buffer, start: number, from: number): number {
+  for (let at = bytes.indexOf(lineFeed, from); at !== -1; at = bytes.indexOf(lineFeed, at + 1)) {
+    if (bytes[at + 1] === lineFeed) return at + 2
+    if (bytes[at + 1] === carriageReturn && bytes[at + 2] === lineFeed && at > start && bytes[at - 1] === carriageReturn) return at + 3
+  }
+  return -1
 }
 
 function idOf (event: Buffer): number | undefined {
--- a/tests/responseReader.spec.ts
+++ b/tests/responseReader.spec.ts
@@ -95,4 +95,17 @@
       expect(splitter.remainder.toString()).to.equal('id: 3\nda')
     }
   })
+
+  it('splits events of either line end, whatever the reads', () => {
+    const wanted = ['id: 1\r\ndata: a\r\n\r\n', '\r\ndata: b\n\n', '\n\r\n\r\n', ':\n\n', '\n\n', 'data: c\r\n\n', '\r\n\r\n']
+    const text = `${wanted.join('')}data: d\r\n`
+    for (let cut = 1; cut < text.length; cut++) {
+      for (let second = cut; second < Math.min(cut + 6, text.length); second++) {
+        const splitter = new EventSplitter()
+        const events = [text.slice(0, cut), text.slice(cut, second), text.slice(second)].flatMap(part => splitter.push(Buffer.from(part)))
+        expect(events.map(({ bytes }) => bytes.toString())).to.deep.equal(wanted)
+        expect(splitter.remainder.toString()).to.equal('data: d\r\n')
+      }
+    }
+  })
 })
