Count only new events as progress of a stream, and bound what comes between them

What callers saw: comments, events without ID, events that were passed on before and pieces of an event that never ends held a stream at its server until the deadline, also one piece every 50 ms and also where another engine could have gone on. Short comments took the event loop for seconds: each was written to the client by itself.

Cause: each byte from the server counted as progress, only a single event had a limit, and a server whose stream was given up for its content did not count as failing, so the next request was sent there.

Progress is now an event that the client did not have and that is passed on. Over 1 MiB without one (maxStaleBytes, which takes the place of the limit on one event) the stream is given up. What a read brings is passed on in one write. Servers whose streams, or whose successes without signature, are given up count as failing. Bytes are passed on unchanged as before.

--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -2,8 +2,6 @@
 
 import { ByteBuffer } from '../base/byteBuffer.js'
 
-/** Events longer than this end the stream. */
-const maxEventBytes = 1024 * 1024
 const lineFeed = 10
 const carriageReturn = 13
 /** Bytes of an event's end that may have come before the rest of it. */
@@ -39,10 +37,6 @@
     return events
   }
 
-  get isOversized (): boolean {
-    return this.pending.length > maxEventBytes
-  }
-
   /** Bytes after the last whole event. */
   get remainder (): Buffer {
     return this.pending.bytes
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -20,6 +20,8 @@
 const smallAnswerBytes = 64 * 1024
 /** Bytes of one server's unfinished answers that are kept. */
 const maxServerHeldBytes = 16 * 1024 * 1024
+/** A stream that brings more bytes without a new event is given up. */
+const maxStaleBytes = 1024 * 1024
 
 export interface EngineAnswer {
   head: ResponseHead
@@ -125,6 +127,8 @@
   private isStreaming = false
   private readonly body = new ByteBuffer()
   private readonly splitter = new EventSplitter()
+  /** Bytes since the last event that the client did not have. */
+  private staleBytes = 0
   private isFinished = false
   private hasFirstByte = false
   private lastProgressMs: number
@@ -174,21 +178,19 @@
     const { request, codecs } = this.exchange
     const facts = codecs.readResponse(head)
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && (!facts.isSigned || facts.isEncoded)) return this.abandon({ kind: 'unknown', reason: 'the success is not signed by the server' })
+    if (isSuccess && (!facts.isSigned || facts.isEncoded)) return this.reject('the success is not signed by the server')
     this.isStreaming = isSuccess && request.route.kind === 'stream'
   }
 
   private onData (data: Buffer): void {
-    this.progress()
     if (!this.isStreaming) {
+      this.progress()
       this.firstByte()
       return this.hold(data)
     }
-    for (const event of this.splitter.push(data)) {
-      if (this.isFinished) return
-      this.onEvent(event)
-    }
-    if (this.splitter.isOversized) this.abandon({ kind: 'unknown', reason: 'an event is too long' })
+    this.staleBytes += data.length
+    this.onEvents(this.splitter.push(data))
+    if (this.staleBytes > maxStaleBytes) this.reject('too many bytes came without a new event')
   }
 
   /** Keeps a part of an answer that is returned when it is complete. */
@@ -200,17 +202,29 @@
     this.server.heldBytes += data.length
   }
 
-  private onEvent (event: StreamEvent): void {
+  /** Passes on the events that the client did not have, in one write: a read may hold thousands. */
+  private onEvents (events: readonly StreamEvent[]): void {
     const { exchange } = this
-    const last = exchange.lastEventId ?? exchange.request.facts.lastEventId
-    if (event.id !== undefined) {
-      if (last !== undefined && event.id <= last) return
-      if (last !== undefined && event.id !== last + 1) return this.abandon({ kind: 'unknown', reason: `event ${event.id} follows event ${last}` })
-      exchange.lastEventId = event.id
+    const passedOn: Buffer[] = []
+    let gap: string | undefined
+    for (const { id, bytes } of events) {
+      if (id !== undefined) {
+        const last = exchange.lastEventId ?? exchange.request.facts.lastEventId
+        if (last !== undefined && id <= last) continue
+        if (last !== undefined && id !== last + 1) {
+          gap = `event ${id} follows event ${last}`
+          break
+        }
+        exchange.lastEventId = id
+        this.staleBytes = 0
+        this.progress()
+        this.firstByte()
+        exchange.onEventReturned()
+      }
+      passedOn.push(bytes)
     }
-    this.firstByte()
-    exchange.onEventReturned()
-    this.write(event.bytes)
+    if (passedOn.length > 0) this.write(passedOn.length === 1 ? passedOn[0]! : Buffer.concat(passedOn))
+    if (gap !== undefined) this.reject(gap)
   }
 
   private write (bytes: Buffer): void {
