Wait for a slow client with one listener

A read with many small chunks added a listener for 'drain' for each of them while the client did not read ('MaxListenersExceededWarning', thousands of listeners). One waits now.

Test: 'that the client does not read wait with one listener' (100,000 events in chunks of their own); it printed the warning before.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -130,6 +130,7 @@
   /** Bytes since the last event that the client did not have. */
   private staleBytes = 0
   private isFinished = false
+  private isPaused = false
   private hasFirstByte = false
   private lastProgressMs: number
   private cancelTimers: CancelTimer[] = []
@@ -235,10 +236,14 @@
       exchange.firstByteMs = exchange.clock.nowMs() - exchange.request.arrivedAtMs
       response.writeHead(this.head!.status, this.head!.statusText, exchange.codecs.returnHeaders(this.head!))
     }
-    if (response.write(bytes)) return
+    if (response.write(bytes) || this.isPaused) return
     const { connection } = this
+    this.isPaused = true
     connection?.pause()
-    response.once('drain', () => connection?.resume())
+    response.once('drain', () => {
+      this.isPaused = false
+      connection?.resume()
+    })
   }
 
   private onEnd (): void {
--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -214,6 +214,25 @@
     })
   }
 
+  it('that the client does not read wait with one listener', async () => {
+    // Guards against a listener for each event of a read while the client is slow.
+    await fixture.start([route({ kind: 'stream', timeoutMs: 20_000 })])
+    const texts = Array.from({ length: 100_000 }, (_, index) => chunkOf(event(index + 1))).join('')
+    await fixture.addServer('a', (socket, head) => { socket.write(`${streamHead(idOf(head))}${texts}0\r\n\r\n`) })
+    let warnings = 0
+    const onWarning = ({ name }: Error) => { if (name === 'MaxListenersExceededWarning') warnings++ }
+    process.on('warning', onWarning)
+    const answer = await fixture.send('id1', { onResponse: response => {
+      response.pause()
+      setTimeout(() => response.resume(), 200)
+    } })
+    await new Promise(resolve => setImmediate(resolve))
+    process.off('warning', onWarning)
+    expect(answer.isComplete).to.equal(true)
+    expect(answer.body.match(/id: \d+/g)).to.have.length(100_000)
+    expect(warnings).to.equal(0)
+  })
+
   for (const [name, text] of [['comment lines', ': x\n\n'], ['events without ID', 'data: x\n\n'], ['events that were passed on', event(2)], ['an event', 'data: x']] as const) {
     it(`in small pieces are no progress of a stream: ${name}`, async () => {
       // Guards against a stream that stays with a server from which nothing new comes.
