Read on from a kept connection whose last answer ended while its client was slow

What callers would see: no answer until the deadline. A connection was paused while the client did not read; if the answer's end was in that same read and the client then left, nothing resumed it, and the next request on the connection was sent but never read. Bytes that nobody asked for were not noticed on it either.

A connection is now resumed when its answer is complete. The client's later room resumes it only while the same request is on it.

Test: backendConnection.spec ('no answer' within 500 ms before); relay passes.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -145,6 +145,8 @@
     if (!this.keepsAlive || !isFlushed || leftover.length > 0) this.fail('the connection cannot be used again')
     active.sink.onEnd()
     if (this.isClosed) return
+    // A client that leaves never makes room, and bytes that nobody asked for have to be seen.
+    this.socket.resume()
     this.idleSinceMs = this.options.clock.nowMs()
     this.options.onIdle(this)
   }
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -242,7 +242,8 @@
     connection?.pause()
     response.once('drain', () => {
       this.isPaused = false
-      connection?.resume()
+      // The connection may carry another request by now.
+      if (!this.isFinished) connection?.resume()
     })
   }
 
--- /dev/null
+++ b/tests/backendConnection.spec.ts
@@ -0,0 +1,33 @@
+import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import { ConnectionPool } from '../src/serving/connectionPool.js'
+import { answerOf, RelayFixture } from './fixtures/serving.js'
+
+describe('backend connection', () => {
+  it('reads the next answer although its client was slow at the end of the last one', async () => {
+    // Guards against a kept connection on which nothing is ever read again.
+    const fixture = new RelayFixture()
+    await fixture.addServer('a', socket => { socket.write(answerOf('x', 'ok')) })
+    const pool = new ConnectionPool({ address: fixture.fleet.servers.get('a')!.entry.address, clock: new SystemClock() })
+    const send = (isSlow: boolean) => new Promise<string>(resolve => {
+      const connection = pool.acquire()
+      let text = ''
+      connection.send('GET', Buffer.from('GET / HTTP/1.1\r\n\r\n'), {
+        accepts: () => true,
+        onHead: () => {},
+        onData: data => {
+          text += data.toString()
+          if (isSlow) connection.pause()
+        },
+        onEnd: () => resolve(text),
+        onBroken: ({ reason }) => resolve(reason)
+      })
+      setTimeout(() => resolve('no answer'), 500)
+    })
+    expect(await send(true)).to.equal('ok')
+    expect(pool.hasIdle).to.equal(true)
+    expect(await send(false)).to.equal('ok')
+    expect(pool.openCount).to.equal(1)
+    fixture.stop()
+  })
+})
--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -222,10 +222,12 @@
     let warnings = 0
     const onWarning = ({ name }: Error) => { if (name === 'MaxListenersExceededWarning') warnings++ }
     process.on('warning', onWarning)
-    const answer = await fixture.send('id1', { onResponse: response => {
-      response.pause()
-      setTimeout(() => response.resume(), 200)
-    } })
+    const answer = await fixture.send('id1', {
+      onResponse: response => {
+        response.pause()
+        setTimeout(() => response.resume(), 200)
+      }
+    })
     await new Promise(resolve => setImmediate(resolve))
     process.off('warning', onWarning)
     expect(answer.isComplete).to.equal(true)
