Refuse heads that cannot be returned to a client

What callers saw: a single byte that is no text in a header value, a name that is no token, a line feed within a line, a reason with control characters or a status below 100 passed the reader; the error of writing such a head to the client was thrown in the socket's callback, where nothing catches it ('ERR_INVALID_CHAR', 'ERR_INVALID_HTTP_TOKEN', 'ERR_HTTP_INVALID_STATUS_CODE', 'uncaughtException'): it ends the process with all its requests.

The reader refuses them as it does other bytes that are no response, so the request goes elsewhere or gets a 502. Names and values may hold what HTTP allows and Node writes.

Tests: relay.spec, 'fails a request whose answer has a head that cannot be returned' (eight heads; uncaught error before) and 'returns heads with all characters that are allowed'.

--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -36,6 +36,9 @@
 type State = 'head' | 'length' | 'chunk-line' | 'chunk-data' | 'chunk-end' | 'trailers' | 'until-close' | 'done'
 
 const empty = Buffer.alloc(0)
+/** A head with anything else cannot be returned to a client. */
+const headerName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
+const headerText = /^[\t\x20-\x7e\x80-\xff]*$/
 
 /** Reads one response after the other. */
 export class ResponseReader {
@@ -194,15 +197,15 @@
 /** The parsed head, or why it is not one. */
 function parseHead (text: string): ResponseHead | string {
   const lines = text.split('\r\n')
-  const match = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/.exec(lines[0]!)
-  if (!match) return 'the status line is invalid'
+  const match = /^HTTP\/1\.([01]) ([1-9]\d{2})(?: (.*))?$/.exec(lines[0]!)
+  if (!match || !headerText.test(match[3] ?? '')) return 'the status line is invalid'
   const rawHeaders: string[] = []
   const headers = new Map<string, string>()
   for (const line of lines.slice(1)) {
     const colon = line.indexOf(':')
-    if (colon <= 0 || /[\s]/.test(line.slice(0, colon))) return 'a header line is invalid'
-    const name = line.slice(0, colon)
+    const name = line.slice(0, Math.max(0, colon))
     const value = line.slice(colon + 1).trim()
+    if (!headerName.test(name) || !headerText.test(value)) return 'a header line is invalid'
     rawHeaders.push(name, value)
     const key = name.toLowerCase()
     const earlier = headers.get(key)
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -103,6 +103,34 @@
     expect((await fixture.send('id2')).status).to.equal(502)
   })
 
+  it('fails a request whose answer has a head that cannot be returned', async () => {
+    // Guards against an error in writing the head to the client, which nothing caught and which ended the process.
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 2 })])
+    const heads = ['200 OK\r\nX-A: a\x01b', '200 OK\r\nX-A: a\nX-B: b', '200 OK\r\nX(A: b', '200 OK\r\n: b', '200 OK\r\nX-A', '099 OK', '200 O\x01K', '200 OK\r\nX-A: \x7f']
+    const script: Script = (socket, head) => {
+      const bad = heads[Number(idOf(head))]!
+      if (fixture.received.length === 1) socket.write(`HTTP/1.1 ${bad}\r\n${stamped(idOf(head))}Content-Length: 2\r\n\r\nno`, 'latin1')
+      else ok(socket, head, 0)
+    }
+    await fixture.addServer('a', script)
+    await fixture.addServer('b', script)
+    for (const id of heads.keys()) {
+      fixture.received.splice(0)
+      expect(await fixture.send(String(id), { method: 'GET' }), heads[id]).to.include({ status: 200, body: 'ok' })
+      expect(fixture.received, heads[id]).to.have.length(2)
+    }
+  })
+
+  it('returns heads with all characters that are allowed', async () => {
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => {
+      socket.write(`HTTP/1.1 200 \xe4 b\r\n${stamped(idOf(head))}x!#$%&'*+.^_\`|~-9: \xe4\t"(),;\r\nX-Empty:\r\nContent-Length: 2\r\n\r\nok`, 'latin1')
+    })
+    const answer = await fixture.send('id1')
+    expect(answer).to.include({ status: 200, body: 'ok' })
+    expect(answer.headers).to.include({ "x!#$%&'*+.^_`|~-9": '\xe4\t"(),;', 'x-empty': '' })
+  })
+
   it('does not complete a body without length that ended in a reset', async () => {
     await fixture.start([route({ maxAttempts: 1 })])
     await fixture.addServer('a', (socket, head) => {
