Bound the answers of the store and other external systems

A store that sends a body without end was read into memory for the call's 1.5 s (watches: 3 s): the scripted server's whole 64 MiB. Interim responses without end were read as long (46 MiB taken).

Calls now end with an unknown outcome over 16 MiB of body (a page of the store's list is far below) or over 100 interim responses. Bodies are collected in one growing buffer, so small chunks take no more. The same reading serves the calls of services.

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici'
 import type { Dispatcher } from 'undici'
 import { z } from 'zod'
+import { ByteBuffer } from '../base/byteBuffer.js'
 import { withTimeout } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
 import { CallError, FailedError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
@@ -10,6 +11,21 @@
 /** Time limits come from `Clock`, so undici's own are off. */
 export const agentOptions = { headersTimeout: 0, bodyTimeout: 0, connectTimeout: 5000 } as const
 
+/** Longer answers are given up. */
+const maxAnswerBytes = 16 * 1024 * 1024
+/** A call that brings more interim responses is given up. */
+const maxInterimResponses = 100
+
+/** The whole body. Throws and closes the connection when it is too long. */
+export async function readWhole (body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+  const whole = new ByteBuffer()
+  for await (const part of body) {
+    if (whole.length + part.length > maxAnswerBytes) throw new Error(`the answer is longer than ${maxAnswerBytes} bytes`)
+    whole.push(part)
+  }
+  return whole.bytes
+}
+
 // These errors occur before a connection exists, or in a client that was closed before it wrote the request.
 const notRunCodes = new Set([
   'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT'
@@ -72,16 +88,19 @@
 
   /** The whole answer, whatever its status. */
   async answer (path: string, { method = 'GET', body, timeoutMs, signal, dispatcher = this.agent }: HttpCallOptions): Promise<HttpAnswer> {
+    const excess = new AbortController()
+    let interimResponses = 0
     try {
       return await withTimeout(this.clock, timeoutMs, async timeoutSignal => {
         const answer = await request(`http://${this.address}${path}`, {
           method,
           dispatcher,
-          signal: signal ? AbortSignal.any([signal, timeoutSignal]) : timeoutSignal,
+          signal: AbortSignal.any([timeoutSignal, excess.signal, ...(signal ? [signal] : [])]),
+          onInfo: () => { if (++interimResponses > maxInterimResponses) excess.abort(new Error('too many interim responses came')) },
           headers: body === undefined ? {} : { 'content-type': 'application/json' },
           body: body === undefined ? null : JSON.stringify(body)
         })
-        return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
+        return { status: answer.statusCode, headers: answer.headers, text: new TextDecoder().decode(await readWhole(answer.body)) }
       }, { action: `${method} ${path} at ${this.address}` })
     } catch (error) {
       throw mapNetworkError(this.target, error)
--- a/src/external/httpService.ts
+++ b/src/external/httpService.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from 'undici'
 import { z } from 'zod'
 import type { Clock } from '../base/clock.js'
-import { checkNotAborted, checkNotRun, HttpCaller, mapNetworkError } from './httpCall.js'
+import { checkNotAborted, checkNotRun, HttpCaller, mapNetworkError, readWhole } from './httpCall.js'
 import type { ServiceApi, ServiceRequest, ServiceResponse } from './service.js'
 
 // These headers describe one connection and must not be passed on (RFC 9110, section 7.6.1).
@@ -35,7 +35,7 @@
         headers: { ...endToEnd(headers), 'x-request-id': requestId },
         body: body.length > 0 ? body : null
       })
-      const bytes = await answer.body.bytes()
+      const bytes = await readWhole(answer.body)
       checkNotRun(this.server, answer.statusCode, answer.headers)
       return { status: answer.statusCode, headers: endToEnd(answer.headers), body: bytes }
     } catch (error) {
