Count a server that does not end its answer by the deadline as failing

What callers saw: after a 504 for an answer that had begun and never ended, the next requests went to the same server, since only answers without a first byte counted against it at the deadline.

At the deadline a plain answer that is not whole counts as a failure, and a stream without a new event for the time after which resumable ones are moved, unless the client is the slow one. Streams that make progress don't count, however long they are.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -291,7 +291,11 @@
   }
 
   private onDeadline (): void {
-    if (!this.hasFirstByte) this.server.onFailed()
+    const { route } = this.exchange.request
+    const silentMs = this.exchange.clock.nowMs() - this.lastProgressMs
+    // A stream may be longer than its caller's patience.
+    const isStalled = !this.isPaused && silentMs > stallMs(route)
+    if (!this.hasFirstByte || !this.isStreaming || isStalled) this.server.onFailed()
     this.abandon({ kind: 'timeout', reason: 'no complete answer before the deadline' })
   }
 
--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -254,6 +254,42 @@
     })
   }
 
+  it('in small pieces count against their server: a stream that cannot go on', async () => {
+    await fixture.start([route({ kind: 'stream', timeoutMs: 1500 })])
+    await addServers(socket => {
+      socket.write(streamHead('bad') + chunkOf(event(1)))
+      const timer = setInterval(() => socket.write(chunkOf(': x\n\n')), 50)
+      socket.on('close', () => clearInterval(timer))
+      return undefined
+    })
+    expect((await fixture.send('bad')).isComplete).to.equal(false)
+    expect(fixture.fleet.servers.get(flooding[0]!)!.failureShare).to.be.above(0)
+  })
+
+  it('in small pieces count against their server: a body', async () => {
+    // Guards against sending further requests to a server that begins answers and does not end them.
+    await fixture.start([route({ timeoutMs: 500 })])
+    await addServers(socket => {
+      dribble(socket, `HTTP/1.1 200 OK\r\n${stamped('bad')}\r\n`, 'x')
+      return undefined
+    })
+    expect((await fixture.send('bad')).status).to.equal(504)
+    expect(fixture.fleet.servers.get(flooding[0]!)!.failureShare).to.be.above(0)
+  })
+
+  it('in small pieces do not count against a server whose stream makes progress', async () => {
+    await fixture.start([route({ kind: 'stream', timeoutMs: 1500 })])
+    await addServers(socket => {
+      let id = 0
+      socket.write(streamHead('bad'))
+      const timer = setInterval(() => socket.write(chunkOf(event(++id))), 50)
+      socket.on('close', () => clearInterval(timer))
+      return undefined
+    })
+    expect((await fixture.send('bad')).isComplete).to.equal(false)
+    expect(fixture.fleet.servers.get(flooding[0]!)!.failureShare).to.equal(0)
+  })
+
   for (const [name, prefix, text] of [['a head', '', `HTTP/1.1 200 OK\r\n${'X-A: b\r\n'.repeat(10)}`], ['interim responses', '', 'HTTP/1.1 103 A\r\n\r\n'], ['skipped responses', '', 'HTTP/1.1 204\r\nX-Attempt-Id:o\r\n\r\n']] as const) {
     it(`byte by byte are no progress of a plain request: ${name}`, async () => {
       await fixture.start([route({ kind: 'idempotent', objectiveMs: 100 })])
