--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -46,8 +46,8 @@
   readonly runningByModel = new Map<string, { count: number, rank: number }>()
   running = 0
   pendingTokens = 0
-  /** Bytes of its unfinished answers that this node keeps. */
-  heldBytes = 0
+  /** Unfinished answers that this node keeps, of all servers. */
+  readonly held: { bytes: number }
   /** Requests of the other nodes in progress, as last heard. */
   runningElsewhere = 0
   hosted = new Map<string, HostedState>()
@@ -69,7 +69,8 @@
   private delayMs = 0
   private sampledAtMs: number
 
-  constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, { onOpened }: { onOpened?: () => void } = {}) {
+  constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, { onOpened, held = { bytes: 0 } }: { onOpened?: () => void, held?: { bytes: number } } = {}) {
+    this.held = held
     this.pool = new ConnectionPool({ address: entry.address, clock, ...(onOpened ? { onOpened } : {}) })
     this.sampledAtMs = clock.nowMs()
     this.adoptModels(entry.models)
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -16,10 +16,10 @@
 const idempotentStallFactor = 2
 /** A longer answer that is no stream is given up: it is kept until it is complete. */
 const maxAnswerBytes = 8 * 1024 * 1024
-/** Answers up to this length are kept whatever else is kept of their server's answers. */
+/** Answers up to this length are kept whatever else is kept. */
 const smallAnswerBytes = 64 * 1024
-/** Bytes of one server's unfinished answers that are kept. */
-const maxServerHeldBytes = 16 * 1024 * 1024
+/** Bytes of unfinished answers that this node keeps. */
+const maxHeldBytes = 16 * 1024 * 1024
 /** A stream that brings more bytes without a new event is given up. */
 const maxStaleBytes = 1024 * 1024
 
@@ -197,10 +197,10 @@
   /** Keeps a part of an answer that is returned when it is complete. */
   private hold (data: Buffer): void {
     const bytes = this.body.length + data.length
-    const isCrowded = bytes > smallAnswerBytes && this.server.heldBytes + data.length > maxServerHeldBytes
+    const isCrowded = bytes > smallAnswerBytes && this.server.held.bytes + data.length > maxHeldBytes
     if (bytes > maxAnswerBytes || isCrowded) return this.reject(`the answer is too large: ${bytes} bytes came`)
     this.body.push(data)
-    this.server.heldBytes += data.length
+    this.server.held.bytes += data.length
   }
 
   /** Passes on the events that the client did not have, in one write: a read may hold thousands. */
@@ -346,7 +346,7 @@
     if (this.isFinished) return
     this.isFinished = true
     for (const cancel of this.cancelTimers.splice(0)) cancel()
-    this.server.heldBytes -= this.body.length
+    this.server.held.bytes -= this.body.length
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.onEnded(this.exchange.request.facts.model, this.exchange.request.facts.adapter)
     this.resolve(result)
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -17,6 +17,8 @@
 
 export class FleetView {
   readonly servers = new Map<string, BackendServer>()
+  /** Unfinished answers that this node keeps. */
+  readonly held = { bytes: 0 }
   private readonly options: FleetViewOptions
   private readonly listeners = new Set<() => void>()
   private outageEndedAtMs = -Infinity
@@ -50,7 +52,7 @@
       const region = this.options.regionOfZone[entry.availabilityZone] ?? entry.availabilityZone
       const { onConnectionOpened } = this.options
       known?.pool.closeIdle()
-      this.servers.set(entry.id, new BackendServer(entry, region, this.options.clock, onConnectionOpened ? { onOpened: onConnectionOpened } : {}))
+      this.servers.set(entry.id, new BackendServer(entry, region, this.options.clock, { held: this.held, ...(onConnectionOpened ? { onOpened: onConnectionOpened } : {}) }))
       this.options.log('info', 'backend server taken in', { backend: entry.id, service: entry.service, address: entry.address, isRestart: known !== undefined })
     }
     this.notify()
