--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -57,6 +57,19 @@
     expect(fixture.received).to.have.length(2)
   })
 
+  it('believes a refusal whose body breaks off', async () => {
+    // Guards against a 502 for a request that the server said it did not run.
+    await fixture.start([route()])
+    const cut: Script = socket => {
+      socket.write('HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nbu', () => setTimeout(() => socket.resetAndDestroy(), 20))
+    }
+    const script: Script = (socket, head, count) => (fixture.received.length === 1 ? cut : ok)(socket, head, count)
+    await fixture.addServer('a', script)
+    await fixture.addServer('b', script)
+    expect(await fixture.send('id1')).to.include({ status: 200, body: 'ok' })
+    expect(fixture.received).to.have.length(2)
+  })
+
   it('promises not to have run only what did not run', async () => {
     // Guards against a 503 after an attempt of unknown outcome.
     await fixture.start([route({ kind: 'idempotent', maxAttempts: 2 })])
