--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -1,6 +1,7 @@
 /** Sends one request to backend servers, one after the other, and streams the answer to the client. */
 
 import type { ServerResponse } from 'node:http'
+import { ByteBuffer } from '../base/byteBuffer.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
 import { stallMs } from '../policy/streamPatience.js'
@@ -15,6 +16,14 @@
 
 /** An idempotent request without an answer is sent elsewhere after this multiple of its objective. */
 const idempotentStallFactor = 2
+/** A longer answer that is no stream is given up: it is kept until it is complete. */
+const maxAnswerBytes = 8 * 1024 * 1024
+/** Answers up to this length are kept whatever else is kept. */
+const smallAnswerBytes = 64 * 1024
+/** Bytes of unfinished answers that this node keeps. */
+const maxHeldBytes = 16 * 1024 * 1024
+/** A stream that brings more bytes without a new event is given up. */
+const maxStaleBytes = 1024 * 1024
 
 export interface EngineAnswer {
   head: ResponseHead
@@ -139,9 +148,12 @@
   private connection: BackendConnection | undefined
   private head: ResponseHead | undefined
   private isStreaming = false
-  private readonly chunks: Buffer[] = []
+  private readonly body = new ByteBuffer()
   private readonly splitter = new EventSplitter()
+  /** Bytes since the last event that the client did not have. */
+  private staleBytes = 0
   private isFinished = false
+  private isPaused = false
   private hasFirstByte = false
   private lastProgressMs: number
   private cancelTimers: CancelTimer[] = []
@@ -195,35 +207,53 @@
     const { request, codecs } = this.exchange
     const facts = codecs.readResponse(head)
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && (!facts.isSigned || facts.isEncoded)) return this.abandon({ kind: 'unknown', reason: 'the success is not signed by the server' })
+    if (isSuccess && (!facts.isSigned || facts.isEncoded)) return this.reject('the success is not signed by the server')
     this.isStreaming = isSuccess && request.route.kind === 'stream'
   }
 
   private onData (data: Buffer): void {
-    this.progress()
     if (!this.isStreaming) {
+      this.progress()
       this.firstByte()
-      this.chunks.push(data)
-      return
-    }
-    for (const event of this.splitter.push(data)) {
-      if (this.isFinished) return
-      this.onEvent(event)
+      return this.hold(data)
     }
-    if (this.splitter.isOversized) this.abandon({ kind: 'unknown', reason: 'an event is too long' })
+    this.staleBytes += data.length
+    this.onEvents(this.splitter.push(data))
+    if (this.staleBytes > maxStaleBytes) this.reject('too many bytes came without a new event')
+  }
+
+  /** Keeps a part of an answer that is returned when it is complete. */
+  private hold (data: Buffer): void {
+    const bytes = this.body.length + data.length
+    const isCrowded = bytes > smallAnswerBytes && this.server.held.bytes + data.length > maxHeldBytes
+    if (bytes > maxAnswerBytes || isCrowded) return this.reject(`the answer is too large: ${bytes} bytes came`)
+    this.body.push(data)
+    this.server.held.bytes += data.length
   }
 
-  private onEvent (event: StreamEvent): void {
+  /** Passes on the events that the client did not have, in one write: a read may hold thousands. */
+  private onEvents (events: readonly StreamEvent[]): void {
     const { exchange } = this
-    const last = exchange.lastEventId ?? exchange.request.facts.lastEventId
-    if (event.id !== undefined) {
-      if (last !== undefined && event.id <= last) return
-      if (last !== undefined && event.id !== last + 1) return this.abandon({ kind: 'unknown', reason: `event ${event.id} follows event ${last}` })
-      exchange.lastEventId = event.id
+    const passedOn: Buffer[] = []
+    let gap: string | undefined
+    for (const { id, bytes } of events) {
+      if (id !== undefined) {
+        const last = exchange.lastEventId ?? exchange.request.facts.lastEventId
+        if (last !== undefined && id <= last) continue
+        if (last !== undefined && id !== last + 1) {
+          gap = `event ${id} follows event ${last}`
+          break
+        }
+        exchange.lastEventId = id
+        this.staleBytes = 0
+        this.progress()
+        this.firstByte()
+        exchange.onEventReturned()
+      }
+      passedOn.push(bytes)
     }
-    this.firstByte()
-    exchange.onEventReturned()
-    this.write(event.bytes)
+    if (passedOn.length > 0) this.write(passedOn.length === 1 ? passedOn[0]! : Buffer.concat(passedOn))
+    if (gap !== undefined) this.reject(gap)
   }
 
   private write (bytes: Buffer): void {
@@ -234,25 +264,26 @@
       exchange.firstByteMs = exchange.clock.nowMs() - exchange.request.arrivedAtMs
       response.writeHead(this.head!.status, this.head!.statusText, exchange.codecs.returnHeaders(this.head!))
     }
-    if (response.write(bytes)) return
+    if (response.write(bytes) || this.isPaused) return
     const { connection } = this
+    this.isPaused = true
     connection?.pause()
-    response.once('drain', () => connection?.resume())
+    response.once('drain', () => {
+      this.isPaused = false
+      // The connection may carry another request by now.
+      if (!this.isFinished) connection?.resume()
+    })
   }
 
   private onEnd (): void {
     const { exchange } = this
     const facts = exchange.codecs.readResponse(this.head!)
     const { status } = this.head!
-    if (facts.isNotRun) {
-      const { model, adapter } = exchange.request.facts
-      if (facts.isMisdirected) this.server.onMisdirected(model, adapter)
-      return this.finish({ kind: 'not-run', reason: `the backend server answered ${status} and did not run the request`, isMisdirected: facts.isMisdirected })
-    }
+    if (facts.isNotRun) return this.finish(this.failure(''))
     if (!this.isStreaming) {
       if (status >= 500) this.server.onFailed()
       else this.server.onAnswered(exchange.clock.nowMs() - this.startedAtMs)
-      const answer = { head: this.head!, body: Buffer.concat(this.chunks) }
+      const answer = { head: this.head!, body: this.body.bytes }
       exchange.firstByteMs ??= exchange.clock.nowMs() - exchange.request.arrivedAtMs
       if (status >= 500 || exchange.hasBegun) return this.finish({ kind: 'answer', answer })
       returnAnswer(exchange.response, answer, exchange.codecs.returnHeaders(answer.head))
@@ -268,14 +299,33 @@
     if (isUnreachable) this.server.onUnreachable()
     else this.server.onFailed()
     if (!wasSent) return this.finish({ kind: 'unsent', reason })
-    this.finish({ kind: 'unknown', reason })
+    this.finish(this.failure(reason))
+  }
+
+  /** What an answer proves that is not whole. */
+  private failure (reason: string): AttemptResult {
+    const { facts: { model, adapter } } = this.exchange.request
+    const facts = this.head && this.exchange.codecs.readResponse(this.head)
+    if (!facts?.isNotRun) return { kind: 'unknown', reason }
+    if (facts.isMisdirected) this.server.onMisdirected(model, adapter)
+    return { kind: 'not-run', reason: `the backend server answered ${this.head!.status} and did not run the request`, isMisdirected: facts.isMisdirected }
+  }
+
+  /** Gives up on a server that sends what is no answer. */
+  private reject (reason: string): void {
+    if (this.isFinished) return
+    this.server.onFailed()
+    this.abandon(this.failure(reason))
   }
 
   private async onDeadline (): Promise<void> {
     // The answer may have come while this process did not run.
     await ioTurn()
     if (this.isFinished) return
-    if (!this.hasFirstByte) this.server.onFailed()
+    const { route } = this.exchange.request
+    // A stream may be longer than its caller's patience.
+    const isStalled = !this.isPaused && this.silentMs() > stallMs(route)
+    if (!this.hasFirstByte || !this.isStreaming || isStalled) this.server.onFailed()
     this.abandon({ kind: 'timeout', reason: 'no complete answer before the deadline' })
   }
 
@@ -341,6 +391,7 @@
     if (this.isFinished) return
     this.isFinished = true
     for (const cancel of this.cancelTimers.splice(0)) cancel()
+    this.server.held.bytes -= this.body.length
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.onEnded(this.exchange.request.facts.model, this.exchange.request.facts.adapter)
     this.resolve(result)
