Do not take an engine for silent that is not read for a slow client

What callers saw: a client that reads slowly for a while (a choked link of 7 Mbit/s) had its stream taken from an engine that was making events, to be read anew elsewhere; the engine counted as failing.

The node stops reading from the engine while the client's connection is full, and measured the engine's silence all the same.

--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -270,6 +270,7 @@
     connection?.pause()
     response.once('drain', () => {
       this.isPaused = false
+      this.progress()
       // The connection may carry another request by now.
       if (!this.isFinished) connection?.resume()
     })
@@ -324,7 +325,7 @@
     if (this.isFinished) return
     const { route } = this.exchange.request
     // A stream may be longer than its caller's patience.
-    const isStalled = !this.isPaused && this.silentMs() > stallMs(route)
+    const isStalled = this.silentMs() > stallMs(route)
     if (!this.hasFirstByte || !this.isStreaming || isStalled) this.server.onFailed()
     this.abandon({ kind: 'timeout', reason: 'no complete answer before the deadline' })
   }
@@ -345,8 +346,9 @@
     checkAfter(limitMs)
   }
 
+  /** Time without progress of the server. One that is not read because its client is slow is not silent. */
   private silentMs (): number {
-    return this.exchange.clock.nowMs() - this.lastProgressMs
+    return this.isPaused ? 0 : this.exchange.clock.nowMs() - this.lastProgressMs
   }
 
   /** Returns the time after which to check again. */
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -378,6 +378,33 @@
     expect(fixture.received).to.have.length(1)
   })
 
+  it('does not take an engine for silent whose client reads slowly', async () => {
+    // Guards against giving up an engine, and counting it as failing, because this node does not read from it.
+    await fixture.start([impatient()], { engine })
+    let arrivals = 0
+    const flowing: Script = (socket, head) => {
+      arrivals++
+      socket.write(streamHead(head))
+      const padding = 'x'.repeat(20_000)
+      for (let id = 1; id <= 1000; id++) socket.write(chunkOf(`id: ${id}\ndata: ${padding}\n\n`))
+    }
+    await fixture.addServer('a', flowing, holdsModel)
+    await fixture.addServer('b', flowing, holdsModel)
+    await new Promise<void>(resolve => {
+      void fixture.send('id1', {
+        ...forModel,
+        onResponse: response => {
+          response.pause()
+          setTimeout(() => {
+            response.destroy()
+            resolve()
+          }, 1500)
+        }
+      })
+    })
+    expect(arrivals).to.equal(1)
+  })
+
   it('goes back to a silent engine when the other one refuses the stream', async () => {
     // Guards against a move that ends the answer because its target was fuller than known.
     await fixture.start([impatient()], { engine })
