Soak: engines that pause or are nearly full, and two further forms of LOST

Cause: the soak knew no engine that is silent and goes on later, and none that refuses while a node counts it as having room, so it could not see a node break off an answer of a sound engine.

enginePauses stops all streams of one engine for 1 to 2 s; enginesFull leaves each engine what it runs and at most one place more. Neither is recorded as a fault of the engine, so nothing is excused by them. LOST now also reports answers that have begun and are broken off before callers would leave, and requests that were passed on and end with their connection, more than three times in a run.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -24,7 +24,8 @@
       promise: sabotage('promise', 'REFUSED', 'orders', ['answersLost', 'linkDropsAnswers']),
       drain: sabotage('drain', 'DRAIN', 'orders', ['backendDrains']),
       configuration: sabotage('configuration', 'CONFIG', 'orders', ['configChange']),
-      memory: sabotage('memory', 'LIMIT', 'models', ['backendCrash'])
+      memory: sabotage('memory', 'LIMIT', 'models', ['backendCrash']),
+      silence: sabotage('silence', 'LOST', 'models', ['enginePauses'])
     })
   })
 
@@ -48,6 +49,10 @@
     expect(rulesOf(await sabotaged.memory!)).to.include('LIMIT')
   })
 
+  it('reports answers that are broken off', async () => {
+    expect(rulesOf(await sabotaged.silence!)).to.include('LOST')
+  })
+
   it('keeps all promises under overlapping faults', async () => {
     const { violations, counts } = await run({ seed: 7, durationMs: 15_000 })
     expect(violations).to.deep.equal([])
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -14,9 +14,10 @@
 export const streamEvents = 12
 const beatMs = 400
 const workMs = 60
-const eventMs = 25
+const usualEventMs = 25
 const loadMs = 500
 const adapterMs = 20
+const pausePollMs = 10
 
 interface Order { op: string, model: string, adapter?: string, expected?: number, holder: string, fence: number }
 
@@ -26,6 +27,8 @@
   slots: number
   /** Engines only: the models that it holds at its start. */
   models?: string[]
+  /** Pause between two events. */
+  eventMs?: number
   store: StoreStandIn
   ledger: Ledger
   random: () => number
@@ -39,6 +42,10 @@
   /** Share of answers that are lost after the request has run. */
   lostShare = 0
   isFailing = false
+  /** Until when its streams stand still; the engine answers everything else meanwhile. */
+  pausedUntilMs = -Infinity
+  /** Requests that it runs at the same time; it refuses further ones as not run. */
+  slotsNow = Infinity
   private state: 'ready' | 'draining' = 'ready'
   private isDead = false
   private address = ''
@@ -70,6 +77,14 @@
     return this.isDead
   }
 
+  get isEngine (): boolean {
+    return this.options.models !== undefined
+  }
+
+  get runningCount (): number {
+    return this.active
+  }
+
   async start (): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
     this.address = await this.proxy.listen()
@@ -90,6 +105,7 @@
 
   crash (): void {
     this.isDead = true
+    this.options.ledger.backends.get(this.options.id)?.begin('gone')
     this.server.close()
     for (const socket of this.sockets) socket.resetAndDestroy()
     this.proxy.close()
@@ -144,7 +160,7 @@
     const [model, adapter] = String(request.headers['x-model'] ?? '').split('/')
     ledger.onArrival(id, this.options.id)
     if (this.options.models && !(adapter ? this.models.get(model!)?.has(adapter) : this.models.has(model!))) return this.refuse(request, response, 421)
-    if (this.active >= slots) return this.refuse(request, response, 503)
+    if (this.active >= Math.min(slots, this.slotsNow)) return this.refuse(request, response, 503)
     ledger.onRun(id, this.options, `${request.method} ${request.url} ${body}`)
     this.active++
     if (model) this.running.set(model, (this.running.get(model) ?? 0) + 1)
@@ -168,10 +184,13 @@
   }
 
   private async stream (request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
+    const { eventMs = usualEventMs } = this.options
     const from = Number(request.headers['last-event-id'] ?? 0) + 1
     await sleep(eventMs)
     response.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
-    for (let event = from; event <= streamEvents && !response.destroyed; event++) {
+    for (let event = from; event <= streamEvents; event++) {
+      while (performance.now() < this.pausedUntilMs && !response.destroyed) await sleep(pausePollMs)
+      if (response.destroyed) return
       response.write(`id: ${event}\ndata: ${id}.${event}\n\n`)
       await sleep(eventMs)
       if (this.options.random() < this.lostShare / streamEvents) {
--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -7,7 +7,6 @@
 
 export const host = 'soak.example'
 export const timeoutMs: Record<Kind, number> = { safe: 2500, unsafe: 2500, stream: 5000 }
-const connectionsEach = 8
 const heldPollMs = 250
 
 export interface Call {
@@ -21,7 +20,7 @@
   private nextId = 0
   pending = 0
 
-  constructor (private readonly ledger: Ledger) {}
+  constructor (private readonly ledger: Ledger, private readonly connectionsEach: number) {}
 
   close (): void {
     for (const agent of this.agents.values()) agent.destroy()
@@ -44,7 +43,7 @@
         if (isOver) return
         isOver = true
         clearInterval(heldTimer)
-        if (outcome) this.ledger.onAnswer(id, outcome, streamEvents)
+        if (outcome) this.ledger.onAnswer(id, outcome, { events: streamEvents, timeoutMs: timeoutMs[kind] })
         resolve(outcome)
       }
       const heldTimer = setInterval(() => {
@@ -55,10 +54,14 @@
       request.on('response', response => {
         hasAnswer = true
         let text = ''
+        let lastPartAtMs = performance.now()
         response.setEncoding('utf8')
-        response.on('data', (data: string) => { text += data })
+        response.on('data', (data: string) => {
+          text += data
+          lastPartAtMs = performance.now()
+        })
         response.on('error', () => {})
-        response.on('close', () => finish({ status: response.statusCode!, isComplete: response.complete, headers: response.headers, body: text }))
+        response.on('close', () => finish({ status: response.statusCode!, isComplete: response.complete, headers: response.headers, body: text, silentMs: performance.now() - lastPartAtMs }))
       })
       request.on('error', () => {
         if (isOver || hasAnswer) return
@@ -71,7 +74,7 @@
 
   private agentOf (node: string): Agent {
     let agent = this.agents.get(node)
-    if (!agent) this.agents.set(node, agent = new Agent({ keepAlive: true, maxSockets: connectionsEach }))
+    if (!agent) this.agents.set(node, agent = new Agent({ keepAlive: true, maxSockets: this.connectionsEach }))
     return agent
   }
 }
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -52,6 +52,11 @@
   proxy.mode = 'pass'
 })
 
+const shortestPauseMs = 1000
+const longestPauseMs = 2000
+/** Places that engines have beyond what they run when they become nearly full. */
+const mostPlacesLeft = 1
+
 export const faults: Record<string, Fault> = {
   kill: world => disturbNode(world, 'kill', async node => node.signal('SIGKILL')),
   killSeries: (world, durationMs) => disturbNode(world, 'kill series', async node => {
@@ -122,6 +127,16 @@
     await sleep(durationMs)
     backend.lostShare = 0
   }),
+  // Sound engines pause while they read long prompts and refuse what exceeds their slots, so neither excuses anything.
+  enginePauses: async world => {
+    world.pick(world.engines).pausedUntilMs = performance.now() + shortestPauseMs + world.random() * (longestPauseMs - shortestPauseMs)
+  },
+  enginesFull: async (world, durationMs) => {
+    const { engines } = world
+    for (const engine of engines) engine.slotsNow = Math.max(1, engine.runningCount + Math.round(world.random() * mostPlacesLeft))
+    await sleep(durationMs)
+    for (const engine of engines) engine.slotsNow = Infinity
+  },
   lateOrders: (world, durationMs) => disturbBackend(world, 'late orders', async backend => {
     backend.lateShare = 0.5
     await sleep(durationMs)
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -11,26 +11,47 @@
 /** Time beyond a route's timeout by which a calm node has answered; timers of a busy test machine are late. */
 const heldMs = 1000
 
+/** Objectives of the streams, and what the platform's callers make of them: they leave after so long without an event. */
+export const objectiveMs = 500
+export const gapObjectiveMs = 300
+const streamPatienceMs = Math.max(2000, 4 * objectiveMs, 8 * gapObjectiveMs)
+/** Time before its deadline in which a request may end because nothing can be sent any more. */
+const lastSendMs = 50
+/** Requests that may be passed on and then end with the connection. */
+const mostUnanswered = 3
+
 const promises = new Set([408, 421, 429, 503])
 
 /** Something that may be under a fault; promises with a time bound hold only without. */
 export class Condition {
-  private readonly held = new Set<string>()
+  private readonly held = new Map<string, { isPlanned: boolean }>()
   private changedAtMs = -Infinity
+  private unplannedAtMs = -Infinity
 
-  begin (fault: string): void {
-    this.held.add(fault)
-    this.changedAtMs = performance.now()
+  begin (fault: string, { isPlanned = false } = {}): void {
+    this.held.set(fault, { isPlanned })
+    this.onChange(isPlanned)
   }
 
   end (fault: string): void {
-    if (this.held.delete(fault)) this.changedAtMs = performance.now()
+    const held = this.held.get(fault)
+    if (this.held.delete(fault)) this.onChange(held!.isPlanned)
+  }
+
+  private onChange (isPlanned: boolean): void {
+    this.changedAtMs = performance.now()
+    if (!isPlanned) this.unplannedAtMs = this.changedAtMs
   }
 
   /** Whether there has been no fault since `sinceMs` and for the contact time before it. */
   wasCalmSince (sinceMs: number): boolean {
     return this.held.size === 0 && this.changedAtMs < sinceMs - contactMs
   }
+
+  /** The same, where planned stops count as calm. */
+  wasOnlyPlannedSince (sinceMs: number): boolean {
+    return [...this.held.values()].every(({ isPlanned }) => isPlanned) && this.unplannedAtMs < sinceMs - contactMs
+  }
 }
 
 interface Sent {
@@ -48,6 +69,8 @@
   isComplete: boolean
   headers: Record<string, string | string[] | undefined>
   body: string
+  /** Time since the last part of the answer, at its end. */
+  silentMs: number
 }
 
 export class Ledger {
@@ -58,6 +81,7 @@
   readonly backends = new Map<string, Condition>()
   private readonly sent = new Map<string, Sent>()
   private readonly drainingAtMs = new Map<string, number>()
+  private unanswered = 0
   private readonly fences = new Map<string, Map<number, string>>()
   private readonly startMs = performance.now()
 
@@ -104,9 +128,11 @@
   }
 
   /** An answer that has begun and ended. */
-  onAnswer (id: string, { status, isComplete, headers, body }: Outcome, events: number): void {
+  onAnswer (id: string, outcome: Outcome, { events, timeoutMs }: { events: number, timeoutMs: number }): void {
+    const { status, isComplete, headers, body } = outcome
     const request = this.sent.get(id)!
     request.status = status
+    if (status === 200 && !isComplete) this.onBrokenOff(id, request, outcome, timeoutMs)
     this.count(`${request.kind} ${status}${isComplete ? '' : ' cut'}`)
     if (status >= 200 && status < 300) {
       if (!headers['x-server-stamp'] || headers['x-attempt-id'] !== id) this.violation('MIXED', `${id} is answered without its stamp or with another ID`)
@@ -116,10 +142,29 @@
     if (promises.has(status) && request.kind === 'unsafe' && request.runs.length > 0) this.violation('REFUSED', `${id} gets ${status} and ran at ${request.runs.join()}`)
   }
 
+  private onBrokenOff (id: string, request: Sent, { silentMs }: Outcome, timeoutMs: number): void {
+    const { kind, node, sentAtMs, runs } = request
+    const ageMs = performance.now() - sentAtMs
+    const patienceMs = kind === 'stream' ? streamPatienceMs : Infinity
+    if (ageMs >= timeoutMs - lastSendMs || silentMs >= patienceMs || !this.isNodeToBlame(request)) return
+    this.violation('LOST', `${node} breaks off the answer of ${id} ${Math.round(ageMs)} ms after it was sent and ${Math.round(silentMs)} ms after its last part, ` +
+      `though ${runs.join(' and ')} were sound: callers wait ${patienceMs} ms for the next part and ${timeoutMs} ms in all`)
+  }
+
+  /** Whether the backend server that ran a request last was sound, and nothing has hit the node but planned work. */
+  private isNodeToBlame ({ node, sentAtMs, runs }: Sent): boolean {
+    const last = runs.at(-1)
+    return last !== undefined && this.backends.get(last)!.wasCalmSince(sentAtMs) && this.nodes.get(node)!.wasOnlyPlannedSince(sentAtMs)
+  }
+
   /** The connection ended without an answer. */
   onLost (id: string, { isPlannedStop }: { isPlannedStop: boolean }): void {
-    const { kind, node, sentAtMs, runs } = this.sent.get(id)!
+    const request = this.sent.get(id)!
+    const { kind, node, sentAtMs, runs } = request
     this.count(`${kind} lost`)
+    if (this.isNodeToBlame(request) && ++this.unanswered > mostUnanswered) {
+      this.violation('LOST', `${node} closes the connection of ${id} without an answer though ${runs.at(-1)} is sound, the ${this.unanswered}th such request: at most ${mostUnanswered} are excused`)
+    }
     if (!isPlannedStop || performance.now() - sentAtMs < lossSlackMs) return
     const conditions = [this.store, this.nodes.get(node), ...runs.map(backend => this.backends.get(backend))]
     if (conditions.every(condition => condition?.wasCalmSince(sentAtMs) ?? true)) this.violation('LOST', `${node} closes the connection of ${id} at its stop, ${Math.round(performance.now() - sentAtMs)} ms after it was sent`)
--- a/tests/soak/nodeProcess.ts
+++ b/tests/soak/nodeProcess.ts
@@ -15,6 +15,8 @@
 const readinessPort = 7302
 const peersPort = 7310
 const restartMs = 150
+/** Part of the grace time after which a stop excuses losses. */
+const lastGraceShare = 5 / 6
 /** Addresses that this process has given to nodes. */
 let addresses = 0
 const mostAddresses = 250
@@ -75,8 +77,12 @@
     if (!child || this.isStopping) return
     this.isStopping = this.isExpectedToEnd = true
     child.kill('SIGTERM')
-    const killAtMs = performance.now() + graceMs
-    while (child.exitCode === null && child.signalCode === null && performance.now() < killAtMs) await sleep(20)
+    const startMs = performance.now()
+    while (child.exitCode === null && child.signalCode === null && performance.now() < startMs + graceMs) {
+      // What is still at work then may be lost.
+      if (performance.now() > startMs + graceMs * lastGraceShare) this.condition.begin('grace ends')
+      await sleep(20)
+    }
     if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
   }
 
@@ -98,11 +104,11 @@
     this.child = child
     this.incarnation++
     this.isExpectedToEnd = this.isStopping = false
-    this.condition.end('down')
+    for (const fault of ['down', 'grace ends']) this.condition.end(fault)
     child.on('exit', (code, signal) => {
       this.child = undefined
       if (!this.isExpectedToEnd && this.isWanted) this.options.ledger.violation('EXIT', `${this.name} ends by itself with ${code ?? signal}`)
-      this.condition.begin('down')
+      this.condition.begin('down', { isPlanned: this.isStopping })
       if (this.isWanted) setTimeout(() => this.launch(), restartMs)
     })
   }
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -28,6 +28,8 @@
   /** Names of faults to draw from; all if absent. */
   only?: readonly string[] | undefined
   sabotage?: string | undefined
+  /** Clients ask for streams alone, of models that every engine holds. */
+  onlyStreams?: boolean | undefined
 }
 
 export interface SoakResult {
@@ -39,9 +41,9 @@
   servedAtEnd: number
 }
 
-export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, until, service, only, sabotage }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, until, service, only, sabotage, onlyStreams }: SoakOptions): Promise<SoakResult> {
   const random = createRandom(seed)
-  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, service, sabotage })
+  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, service, sabotage, onlyStreams })
   const played: string[] = []
   const names = only ?? Object.keys(faults)
   await world.start()
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -3,17 +3,23 @@
 import { BackendStandIn, engineMb, adapterSlots, modelMb } from './backendStandIn.js'
 import { Clients, host, timeoutMs } from './clients.js'
 import type { Call } from './clients.js'
-import { configMs, Condition, Ledger } from './ledger.js'
+import { configMs, Condition, gapObjectiveMs, Ledger, objectiveMs } from './ledger.js'
 import { NodeProcess } from './nodeProcess.js'
 import { sleep, StoreStandIn } from './storeStandIn.js'
 
 const models = ['m0', 'm1', 'm2', 'm3', 'm4']
+/** Models of which every engine has room for all. */
+const sharedModels = 2
+/** Where there are only streams, they last longer, so that more of them are in progress when something happens. */
+const longEventMs = 50
 /** Routes of the newest configurations that stay; older ones are dropped. */
 const versionsKept = 2
 const engines = 3
 const plainServers = 3
 const requestGapMs = 25
 const maxPending = 150
+/** Clients' connections to each node; where there are only streams, none waits for another to end. */
+const connectionsEach = 8
 
 export interface WorldOptions {
   random: () => number
@@ -22,6 +28,8 @@
   /** Service whose servers are disturbed; any if absent. */
   service?: string | undefined
   sabotage?: string | undefined
+  /** Clients ask for streams alone, of models that every engine holds. */
+  onlyStreams?: boolean | undefined
 }
 
 interface Change { version: number, atMs: number }
@@ -32,16 +40,21 @@
   readonly nodes: NodeProcess[]
   readonly backends = new Map<string, BackendStandIn>()
   readonly random: () => number
-  private readonly clients = new Clients(this.ledger)
+  private readonly clients: Clients
   private readonly changes: Change[] = []
   /** Newest version whose effect each process has shown, by node and incarnation. */
   private readonly shown = new Map<string, Change & { seenAtMs: number }>()
   private nextBackend = 0
   private version = 3
   private readonly service: string | undefined
+  private readonly models: readonly string[]
+  private readonly onlyStreams: boolean
 
-  constructor ({ random, nodeCount, directory, service, sabotage }: WorldOptions) {
+  constructor ({ random, nodeCount, directory, service, sabotage, onlyStreams = false }: WorldOptions) {
     this.random = random
+    this.onlyStreams = onlyStreams
+    this.clients = new Clients(this.ledger, onlyStreams ? maxPending : connectionsEach)
+    this.models = onlyStreams ? models.slice(0, sharedModels) : models
     this.service = service
     this.store = new StoreStandIn(random)
     const { store, ledger } = this
@@ -50,7 +63,7 @@
 
   async start (): Promise<void> {
     await this.store.listen()
-    for (let index = 0; index < engines; index++) await this.addBackend('models', [models[index]!, models[(index + 1) % models.length]!])
+    for (let index = 0; index < engines; index++) await this.addBackend('models', [this.models[index % this.models.length]!, this.models[(index + 1) % this.models.length]!])
     for (let index = 0; index < plainServers; index++) await this.addBackend('orders')
     this.changeConfig()
     await Promise.all(this.nodes.map(node => node.start()))
@@ -72,6 +85,10 @@
     return this.pick([...this.backends.values()].filter(({ isGone, options }) => !isGone && (this.service === undefined || options.service === this.service)))
   }
 
+  get engines (): BackendStandIn[] {
+    return [...this.backends.values()].filter(({ isGone, isEngine }) => !isGone && isEngine)
+  }
+
   async replaceBackend ({ options: { service, models: held } }: BackendStandIn): Promise<void> {
     await this.addBackend(service, held)
   }
@@ -82,7 +99,7 @@
     if (this.store.mode !== 'up') return
     this.version += 1 + Math.floor(this.random() * 3)
     this.changes.push({ version: this.version, atMs: performance.now() })
-    this.store.put('op/config', configOf(this.changes.slice(-versionsKept).map(({ version }) => version), this.version))
+    this.store.put('op/config', configOf(this.changes.slice(-versionsKept).map(({ version }) => version), this.version, this.models))
   }
 
   /** Sends requests of all kinds until `untilMs` or until `isOver`. Returns the share that was served. */
@@ -98,11 +115,11 @@
 
   private async sendOne (): Promise<boolean> {
     const node = this.pick(this.nodes)
-    const kind = this.random()
+    const kind = this.onlyStreams ? 1 : this.random()
     if (kind < 0.2) return await this.probe(node)
     const call: Call = kind < 0.4
       ? { kind: 'unsafe', path: '/order/1' }
-      : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', model: this.pick(models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
+      : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', model: this.pick(this.models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
     const outcome = await this.clients.send(node, call)
     if (outcome?.status === 404) this.ledger.violation('DENIED', `${node.name} answers 404 to ${call.path}`)
     return outcome?.status === 200 && outcome.isComplete
@@ -140,21 +157,21 @@
   private async addBackend (service: string, held?: string[]): Promise<void> {
     const id = `i-${++this.nextBackend}`
     const { store, ledger, random } = this
-    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(held ? { models: held } : {}) })
+    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(held ? { models: held } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
     ledger.backends.set(id, new Condition())
     this.backends.set(id, backend)
     await backend.start()
   }
 }
 
-function configOf (versions: readonly number[], version: number): object {
+function configOf (versions: readonly number[], version: number, models: readonly string[]): object {
   const route = (name: string, kind: string, service: string, changes = {}) => ({
-    name, host, path_prefix: `/${name}/`, kind, service, timeout_ms: kind === 'streaming' ? timeoutMs.stream : timeoutMs.safe, goal_ms: 500, priority: 1, max_attempts: 2, ...changes
+    name, host, path_prefix: `/${name}/`, kind, service, timeout_ms: kind === 'streaming' ? timeoutMs.stream : timeoutMs.safe, goal_ms: objectiveMs, priority: 1, max_attempts: 2, ...changes
   })
   return {
     version,
     routes: [
-      route('order', 'unsafe', 'orders'), route('stock', 'safe', 'orders'), route('chat', 'streaming', 'models', { resumable: true, gap_target_ms: 300, sticky: true }),
+      route('order', 'unsafe', 'orders'), route('stock', 'safe', 'orders'), route('chat', 'streaming', 'models', { resumable: true, gap_target_ms: gapObjectiveMs, sticky: true }),
       ...versions.map(one => route(`v${one}`, 'safe', 'orders'))
     ],
     services: [
