Soak: run the test of engines that pause without the sabotaged runs

Its describe had a hook that starts six other runs side by side, which took the machine when the test was run alone.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -59,16 +59,19 @@
     expect(counts['unsafe 200']).to.be.above(20)
   })
 
+  it('keeps them with the seeds that once broke one', async () => {
+    // 107 and 205: an adapter that made way was counted as gone while its engine did not answer (LIMIT).
+    const results = await Promise.all([run({ seed: 107, nodeCount: 4, durationMs: 20_000 }), run({ seed: 205, nodeCount: 6, durationMs: 20_000 })])
+    expect(results.flatMap(({ violations }) => violations)).to.deep.equal([])
+  })
+})
+
+// Apart from the others, so that it can be run without those that have a mechanism switched off.
+describe('soak of sound engines', () => {
   it('does not break off answers of engines that pause', async () => {
     // A node gave up a sound engine that was silent, and then the other engine, which had seemed to have room, refused (LOST).
     const { violations, counts } = await run({ seed: 12, durationMs: 30_000, mustHeal: false, onlyStreams: true, only: ['enginePauses', 'enginesFull'] })
     expect(violations).to.deep.equal([])
     expect(counts['stream 200']).to.be.above(100)
   })
-
-  it('keeps them with the seeds that once broke one', async () => {
-    // 107 and 205: an adapter that made way was counted as gone while its engine did not answer (LIMIT).
-    const results = await Promise.all([run({ seed: 107, nodeCount: 4, durationMs: 20_000 }), run({ seed: 205, nodeCount: 6, durationMs: 20_000 })])
-    expect(results.flatMap(({ violations }) => violations)).to.deep.equal([])
-  })
 })
