--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -24,7 +24,8 @@
       promise: sabotage('promise', 'REFUSED', 'orders', ['answersLost', 'linkDropsAnswers']),
       drain: sabotage('drain', 'DRAIN', 'orders', ['backendDrains']),
       configuration: sabotage('configuration', 'CONFIG', 'orders', ['configChange']),
-      memory: sabotage('memory', 'LIMIT', 'models', ['backendCrash'])
+      memory: sabotage('memory', 'LIMIT', 'models', ['backendCrash']),
+      silence: sabotage('silence', 'LOST', 'models', ['enginePauses'])
     })
   })
 
@@ -48,6 +49,10 @@
     expect(rulesOf(await sabotaged.memory!)).to.include('LIMIT')
   })
 
+  it('reports answers that are broken off', async () => {
+    expect(rulesOf(await sabotaged.silence!)).to.include('LOST')
+  })
+
   it('keeps all promises under overlapping faults', async () => {
     const { violations, counts } = await run({ seed: 7, durationMs: 15_000 })
     expect(violations).to.deep.equal([])
@@ -60,3 +65,13 @@
     expect(results.flatMap(({ violations }) => violations)).to.deep.equal([])
   })
 })
+
+// Apart from the others, so that it can be run without those that have a mechanism switched off.
+describe('soak of sound engines', () => {
+  it('does not break off answers of engines that pause', async () => {
+    // A node gave up a sound engine that was silent, and then the other engine, which had seemed to have room, refused (LOST).
+    const { violations, counts } = await run({ seed: 12, durationMs: 30_000, mustHeal: false, onlyStreams: true, only: ['enginePauses', 'enginesFull'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['stream 200']).to.be.above(100)
+  })
+})
