Count the time of a stop from the signal, not from when it was noticed

What the platform saw: a process with a request in progress was killed at the end of the grace time instead of ending 400 ms before it. Cause: the time was counted from the moment at which the process handled SIGTERM; one that was not run for longer than that margin ended too late. The delay of the present turn of the event loop, which bounds the age of the signal, is now subtracted, and the reading before connections are closed does not exceed what is left.

--- a/src/serving/loopDelay.ts
+++ b/src/serving/loopDelay.ts
@@ -25,6 +25,14 @@
     return Math.max(0, nowMs - this.dueAtMs, ...late)
   }
 
+  /** Delay of the turn that is running, in milliseconds: a signal or byte that it reads may have come so long ago. */
+  get presentMs (): number {
+    const nowMs = this.clock.nowMs()
+    const last = this.samples.at(-1)
+    // The timer may have run first in the same turn.
+    return Math.max(0, nowMs - this.dueAtMs, last && last.atMs > nowMs - sampleMs ? last.lateMs : 0)
+  }
+
   stop (): void {
     this.cancel()
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -201,6 +201,8 @@
   async stop (): Promise<void> {
     const { clock, settings, log } = this.options
     const startedAtMs = clock.nowMs()
+    // The platform counts from its signal, which a late process has not noticed at once.
+    const endAtMs = startedAtMs - this.loopDelay.presentMs + settings.shutdownMs - shutdownMarginMs
     log('info', 'shutdown begins', { connections: this.sockets.size, inProgress: this.relay.active, loopDelayMs: Math.round(this.loopDelay.recentMs) })
     this.isStopping = true
     this.leadership.stop()
@@ -213,9 +215,9 @@
     const closed = this.closeIdle()
     this.relay.refuseRequests()
     log('info', 'clients no longer taken', { ...lastRead, afterMs: Math.round(elapsedMs()), closed })
-    while (this.relay.active > 0 && elapsedMs() < settings.shutdownMs - shutdownMarginMs) {
+    while (this.relay.active > 0 && clock.nowMs() < endAtMs) {
       await sleep(clock, shutdownPollMs)
-      lastRead = await this.readWhatArrived()
+      lastRead = await this.readWhatArrived(Math.max(shutdownPollMs, Math.min(lastReads.maxMs, endAtMs - clock.nowMs())))
       this.closeIdle()
     }
     log('info', 'requests in progress at the end', { count: this.relay.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
@@ -242,11 +244,11 @@
   }
 
   /** Reads what has reached the clients' sockets; a late timer runs before they are read. Connections are to be closed in the same turn. */
-  private async readWhatArrived (): Promise<Record<string, number | boolean>> {
+  private async readWhatArrived (maxMs = lastReads.maxMs): Promise<Record<string, number | boolean>> {
     const { clock } = this.options
     const [taken, read] = [this.connectionsTaken, this.relay.arrivals]
     const progress = () => [...this.sockets].reduce((sum, { bytesRead }) => sum + bytesRead, this.connectionsTaken + this.closedBytes)
-    const { rounds, durationMs, isQuiet } = await readUntilQuiet(clock, progress, lastReads)
+    const { rounds, durationMs, isQuiet } = await readUntilQuiet(clock, progress, { ...lastReads, maxMs })
     return {
       rounds,
       durationMs: Math.round(durationMs),
--- a/tests/loopDelay.spec.ts
+++ b/tests/loopDelay.spec.ts
@@ -25,4 +25,18 @@
     expect(delay.recentMs).to.equal(0)
     delay.stop()
   })
+
+  it('tells the delay of the present turn, whether or not its timer has run', async () => {
+    const clock = new StoppableClock()
+    const delay = new LoopDelay(clock)
+    await clock.advance(1000)
+    expect(delay.presentMs).to.equal(0)
+    clock.skippedMs = 700
+    expect(delay.presentMs).to.be.within(600, 700)
+    await clock.advance(100)
+    expect(delay.presentMs).to.be.within(600, 700)
+    await clock.advance(200)
+    expect(delay.presentMs).to.equal(0)
+    delay.stop()
+  })
 })
--- a/tests/stopPaused.spec.ts
+++ b/tests/stopPaused.spec.ts
@@ -14,6 +14,7 @@
 const pauseMs = 1300
 const keptConnections = 6
 const pausesAtEnd = 2
+const lateMs = 550
 
 const config = {
   version: 4,
@@ -47,10 +48,16 @@
   /** Resolves with the status of the whole answer, or with how the connection was lost. */
   send (id: string): Promise<string> {
     this.text = ''
-    this.socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ${id}\r\nX-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody`)
+    this.begin(id)
+    this.socket.write('body')
     return new Promise(resolve => { this.onAnswer = resolve })
   }
 
+  /** Sends the head of a request. */
+  begin (id: string): void {
+    this.socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ${id}\r\nX-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\n`)
+  }
+
   close (): void {
     this.socket.destroy()
   }
@@ -154,4 +161,18 @@
       await serves()
     }
   })
+
+  it('ends by itself in time although it was late for SIGTERM', async () => {
+    // Guards against a process that counts its time from when it noticed the signal, and is killed.
+    open().begin('held')
+    await sleep(200)
+    node.signal('SIGSTOP')
+    const ended = node.terminate()
+    await sleep(lateMs)
+    node.signal('SIGCONT')
+    await ended
+    const lines = readFileSync(join(directory, `${node.name}.log`), 'utf8')
+    expect(lines).to.include('graceful shutdown')
+    expect(lines).to.include('node stopped')
+  })
 })
