Read what has arrived before an idle connection is closed

What callers saw: a connection reset with a request on it, outside any stop, by a node that had not been run for longer than the idle timeout. Cause: the same as at a stop: the timer of the idle time runs before the socket has been read. The node now polls and reads, and closes only a connection on which nothing has come.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -236,6 +236,12 @@
     return [...this.sockets].filter(({ destroyed }) => !destroyed).length
   }
 
+  /** Ends a connection whose idle time is over, unless a request has arrived on it. */
+  private async closeUnlessRead (socket: Socket): Promise<void> {
+    await readUntilQuiet(this.options.clock, () => socket.bytesRead, lastReads)
+    if (this.relay.isIdle(socket)) socket.destroy()
+  }
+
   /** Returns how many connections it closed. */
   private closeIdle (): number {
     const idle = [...this.sockets].filter(socket => !socket.destroyed && this.relay.isIdle(socket))
@@ -278,6 +284,7 @@
         this.closedBytes += socket.bytesRead
       })
     })
+    server.on('timeout', (socket: Socket) => { void this.closeUnlessRead(socket) })
     server.on('dropRequest', () => log('warn', 'connection refused: too many clients'))
     return server
   }
--- a/tests/stopPaused.spec.ts
+++ b/tests/stopPaused.spec.ts
@@ -15,6 +15,9 @@
 const keptConnections = 6
 const pausesAtEnd = 2
 const lateMs = 550
+const idleMs = 1500
+/** Time for a new configuration to be in force. */
+const takeUpMs = 1000
 
 const config = {
   version: 4,
@@ -63,7 +66,7 @@
   }
 }
 
-describe('stop of a process that is not run for a while', () => {
+describe('process that is not run for a while', () => {
   let store: StoreStandIn
   let backend: BackendStandIn
   let node: NodeProcess
@@ -175,4 +178,28 @@
     expect(lines).to.include('graceful shutdown')
     expect(lines).to.include('node stopped')
   })
+
+  it('answers what arrived before it closes connections that were idle for too long', async () => {
+    // The same outside a stop: the idle timeout runs out while the process is not run.
+    store.put('op/config', { ...config, version: 5, limits: { ...config.limits, idle_timeout_ms: idleMs } })
+    await sleep(takeUpMs)
+    const kept = Array.from({ length: keptConnections }, open)
+    await Promise.all(kept.map((client, index) => client.send(`first.${index}`)))
+    node.signal('SIGSTOP')
+    const answers = kept.map((client, index) => client.send(`crossing.${index}`))
+    await sleep(idleMs * 2)
+    node.signal('SIGCONT')
+    for (const answer of await Promise.all(answers)) expect(answer, log()).to.equal('200')
+  })
+
+  it('closes connections that are idle for too long', async () => {
+    store.put('op/config', { ...config, version: 5, limits: { ...config.limits, idle_timeout_ms: idleMs } })
+    await sleep(takeUpMs)
+    const kept = open()
+    expect(await kept.send('first')).to.equal('200')
+    await sleep(idleMs / 2)
+    expect(kept.isOpen).to.equal(true)
+    await sleep(idleMs * 1.5)
+    expect(kept.isOpen).to.equal(false)
+  })
 })
