--- a/tests/stopPaused.spec.ts
+++ b/tests/stopPaused.spec.ts
@@ -14,6 +14,10 @@
 const pauseMs = 1300
 const keptConnections = 6
 const pausesAtEnd = 2
+const lateMs = 550
+const idleMs = 1500
+/** Time for a new configuration to be in force. */
+const takeUpMs = 1000
 
 const config = {
   version: 4,
@@ -47,16 +51,22 @@
   /** Resolves with the status of the whole answer, or with how the connection was lost. */
   send (id: string): Promise<string> {
     this.text = ''
-    this.socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ${id}\r\nX-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody`)
+    this.begin(id)
+    this.socket.write('body')
     return new Promise(resolve => { this.onAnswer = resolve })
   }
 
+  /** Sends the head of a request. */
+  begin (id: string): void {
+    this.socket.write(`POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: ${id}\r\nX-Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\n`)
+  }
+
   close (): void {
     this.socket.destroy()
   }
 }
 
-describe('stop of a process that is not run for a while', () => {
+describe('process that is not run for a while', () => {
   let store: StoreStandIn
   let backend: BackendStandIn
   let node: NodeProcess
@@ -154,4 +164,42 @@
       await serves()
     }
   })
+
+  it('ends by itself in time although it was late for SIGTERM', async () => {
+    // Guards against a process that counts its time from when it noticed the signal, and is killed.
+    open().begin('held')
+    await sleep(200)
+    node.signal('SIGSTOP')
+    const ended = node.terminate()
+    await sleep(lateMs)
+    node.signal('SIGCONT')
+    await ended
+    const lines = readFileSync(join(directory, `${node.name}.log`), 'utf8')
+    expect(lines).to.include('graceful shutdown')
+    expect(lines).to.include('node stopped')
+  })
+
+  it('answers what arrived before it closes connections that were idle for too long', async () => {
+    // The same outside a stop: the idle timeout runs out while the process is not run.
+    store.put('op/config', { ...config, version: 5, limits: { ...config.limits, idle_timeout_ms: idleMs } })
+    await sleep(takeUpMs)
+    const kept = Array.from({ length: keptConnections }, open)
+    await Promise.all(kept.map((client, index) => client.send(`first.${index}`)))
+    node.signal('SIGSTOP')
+    const answers = kept.map((client, index) => client.send(`crossing.${index}`))
+    await sleep(idleMs * 2)
+    node.signal('SIGCONT')
+    for (const answer of await Promise.all(answers)) expect(answer, log()).to.equal('200')
+  })
+
+  it('closes connections that are idle for too long', async () => {
+    store.put('op/config', { ...config, version: 5, limits: { ...config.limits, idle_timeout_ms: idleMs } })
+    await sleep(takeUpMs)
+    const kept = open()
+    expect(await kept.send('first')).to.equal('200')
+    await sleep(idleMs / 2)
+    expect(kept.isOpen).to.equal(true)
+    await sleep(idleMs * 1.5)
+    expect(kept.isOpen).to.equal(false)
+  })
 })
