Have the engine itself keep a place before a silent one is given up

What callers saw: streams were still broken off where the other engine accepted the connection and then refused the stream, since it was fuller than the nodes knew; the first engine had been given up by then.

Cause: a place that only the node counts is a belief. What an engine runs is known to the nodes from reports, and its queue and memory are not known at all.

Now the node asks the engine for a place over the new connection and moves only with the ID of the reserved place, which the engine admits first; without one the stream stays. The place ends by itself after a second, is used within half of that, and is given back if the stream goes on meanwhile. Engines whose configuration names no such limit are asked as before.

--- a/src/platform/httpNames.ts
+++ b/src/platform/httpNames.ts
@@ -3,7 +3,7 @@
 import type { Codecs, ControlCall, ForwardOptions, RequestFacts, ResponseFacts, PromptPart } from '../serving/codecs.js'
 import type { EngineOrder, OrderOutcome } from '../serving/deployment.js'
 import type { ResponseHead } from '../serving/responseReader.js'
-import { readBackend, readDeployment, readReport } from './wireSchemas.js'
+import { holdSchema, readBackend, readDeployment, readReport } from './wireSchemas.js'
 
 // Differs for each attempt of a client, so it identifies a request and not a series of retries.
 const requestIdHeader = 'x-attempt-id'
@@ -79,12 +79,13 @@
 
 const endToEndHeaders = new Set(['host', 'content-length', 'content-type', lastEventIdHeader])
 
-function forwardHeaders (rawHeaders: readonly string[], { backendId, deadlineMs, rank, lastEventId }: ForwardOptions): string[] {
+function forwardHeaders (rawHeaders: readonly string[], { backendId, deadlineMs, rank, lastEventId, holdId }: ForwardOptions): string[] {
   const headers = passedOn(rawHeaders, name => systemHeaders.has(name) || name === deadlineHeader ||
     name === 'content-length' || (name === lastEventIdHeader && lastEventId !== undefined))
   headers.push('X-Deadline-Ms', String(Math.max(1, Math.floor(deadlineMs))), 'X-Expect-Instance', backendId)
   if (rank !== undefined) headers.push('X-Request-Urgency', String(Math.min(highestUrgencyValue, rank)))
   if (lastEventId !== undefined) headers.push('Last-Event-Id', String(lastEventId))
+  if (holdId !== undefined) headers.push('X-Hold', holdId)
   return headers
 }
 
@@ -113,6 +114,27 @@
   }
 }
 
+function holdCall (backendId: string, tokens: number, ttlMs: number): ControlCall {
+  return {
+    method: 'POST',
+    path: '/hold-take',
+    headers: ['Content-Type', 'application/json', 'X-Expect-Instance', backendId],
+    body: JSON.stringify({ tokens, ttl_ms: ttlMs })
+  }
+}
+
+function readHold (text: string): string | Error {
+  try {
+    return holdSchema.parse(JSON.parse(text)).hold
+  } catch (error) {
+    return error as Error
+  }
+}
+
+function dropHoldCall (backendId: string, holdId: string): ControlCall {
+  return { method: 'DELETE', path: `/hold-drop/${encodeURIComponent(holdId)}`, headers: ['X-Expect-Instance', backendId], body: '' }
+}
+
 const orderOutcomes: Record<number, OrderOutcome> = {
   200: 'already-done', 202: 'started', 400: 'invalid', 409: 'conflict', 412: 'stale-fence', 421: 'gone'
 }
@@ -127,6 +149,9 @@
   readBackend,
   orderCall,
   readOrderOutcome: status => orderOutcomes[status] ?? 'unknown',
+  holdCall,
+  readHold,
+  dropHoldCall,
   reportCall: { method: 'GET', path: '/report', headers: [], body: '' },
   readReport
 }
--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -49,6 +49,9 @@
   adapterMb: model.adapter_mb ?? 0
 }))
 
+/** Names a reserved place. */
+export const holdSchema = z.object({ hold: z.union([z.string(), z.number()]).transform(String) })
+
 const engineSchema = z.object({
   slots: z.number().positive(),
   // Tokens, although other fields of that name prefix count bytes.
@@ -56,6 +59,8 @@
   weights_mb: z.number().positive(),
   adapter_slots: z.number().min(0).optional(),
   loads_per_s: z.number().positive().optional(),
+  // Longest time for which a place can be reserved.
+  hold_ms: z.number().positive().optional(),
   models: z.array(modelSchema)
 }).transform(engine => ({
   slots: engine.slots,
@@ -63,6 +68,7 @@
   weightsMb: engine.weights_mb,
   adapterSlots: engine.adapter_slots ?? 0,
   storeLoadsPerSecond: engine.loads_per_s ?? 1,
+  longestHoldMs: engine.hold_ms,
   models: engine.models
 }))
 
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -30,6 +30,8 @@
   rank: number | undefined
   /** The stream goes on after this event. */
   lastEventId: number | undefined
+  /** Place at the engine that is reserved for the request. */
+  holdId?: string | undefined
 }
 
 export interface ResponseFacts {
@@ -65,6 +67,11 @@
   readBackend (id: string, text: string): BackendEntry | Error
   orderCall (backendId: string, order: EngineOrder): ControlCall
   readOrderOutcome (status: number): OrderOutcome
+  /** Asks an engine to reserve a place and memory for `tokens`. */
+  holdCall (backendId: string, tokens: number, ttlMs: number): ControlCall
+  /** The ID of the reserved place. */
+  readHold (text: string): string | Error
+  dropHoldCall (backendId: string, holdId: string): ControlCall
   reportCall: ControlCall
   readReport (text: string): EngineReport | Error
 }
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -49,6 +49,13 @@
     })
   }
 
+  /** Takes a certain connection that is idle. Returns false if it is not. */
+  claim (connection: BackendConnection): boolean {
+    const index = this.idle.indexOf(connection)
+    if (index !== -1) this.idle.splice(index, 1)
+    return index !== -1
+  }
+
   /** Takes back a connection on which nothing was sent. */
   giveBack (connection: BackendConnection): void {
     if (!connection.isOpen) return
--- a/src/serving/deployment.ts
+++ b/src/serving/deployment.ts
@@ -49,6 +49,8 @@
   adapterSlots: z.number().min(0),
   /** Loads a second that the weight store serves over all engines. */
   storeLoadsPerSecond: z.number().positive(),
+  /** Longest time for which an engine reserves a place for a request; absent if it cannot. */
+  longestHoldMs: z.number().positive().optional(),
   models: z.array(modelSchema)
 })
 export type EngineType = z.infer<typeof engineTypeSchema>
--- a/src/serving/engineCalls.ts
+++ b/src/serving/engineCalls.ts
@@ -2,6 +2,7 @@
 
 import { ByteBuffer } from '../base/byteBuffer.js'
 import type { Clock } from '../base/clock.js'
+import type { BackendConnection } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, ControlCall } from './codecs.js'
 import type { EngineOrder, EngineReport, OrderOutcome } from './deployment.js'
@@ -33,11 +34,25 @@
     return report instanceof Error ? undefined : report
   }
 
-  private call (server: BackendServer, { method, path, headers, body }: ControlCall): Promise<ControlAnswer | undefined> {
+  /** Reserves a place on `connection`, which is idle again afterwards. Returns its ID, or `undefined` without a place. */
+  async hold (server: BackendServer, connection: BackendConnection, tokens: number, ttlMs: number): Promise<string | undefined> {
+    const answer = await this.call(server, this.codecs.holdCall(server.entry.id, tokens, ttlMs), connection)
+    if (!answer || answer.status !== 200) return undefined
+    const hold = this.codecs.readHold(answer.text)
+    return hold instanceof Error ? undefined : hold
+  }
+
+  /** Gives a reserved place up; without an answer, it ends by itself. */
+  async dropHold (server: BackendServer, connection: BackendConnection, holdId: string): Promise<void> {
+    await this.call(server, this.codecs.dropHoldCall(server.entry.id, holdId), connection)
+  }
+
+  private call (
+    server: BackendServer, { method, path, headers, body }: ControlCall, connection = server.pool.acquire()
+  ): Promise<ControlAnswer | undefined> {
     return new Promise(resolve => {
       const text = new ByteBuffer()
       let status = 0
-      const connection = server.pool.acquire()
       const giveUp = () => {
         cancel()
         connection.destroy()
--- a/src/serving/exchange.ts
+++ b/src/serving/exchange.ts
@@ -175,7 +175,8 @@
       backendId: this.server.entry.id,
       deadlineMs: leftMs,
       rank: request.service.engine ? request.route.rank : undefined,
-      lastEventId: this.exchange.lastEventId
+      lastEventId: this.exchange.lastEventId,
+      holdId: this.place?.holdId
     })
     this.connection = this.place?.take() ?? this.server.pool.acquire()
     this.server.onStarted(request.facts.model, request.facts.adapter, this.tokens, request.route.rank)
--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -14,6 +14,7 @@
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, RequestFacts } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
+import { EngineCalls } from './engineCalls.js'
 import { Exchange, returnAnswer } from './exchange.js'
 import type { AttemptResult, EngineAnswer, MoveSearch } from './exchange.js'
 import type { FleetView } from './fleetView.js'
@@ -159,6 +160,7 @@
 export class Relay {
   private readonly options: RelayOptions
   private readonly clock: Clock
+  private readonly calls: EngineCalls
   private deployment: Deployment | undefined
   private routes = new RouteTable([])
   private services = new Map<string, Service>()
@@ -174,6 +176,7 @@
   constructor (options: RelayOptions) {
     this.options = options
     this.clock = options.clock
+    this.calls = new EngineCalls(options.clock, options.codecs)
   }
 
   setDeployment (deployment: Deployment): void {
@@ -322,7 +325,7 @@
     if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: moveRetryMs }
     const { server, chosenBy, waitMs } = await this.chooseWithLeader(request, progress, { isFirst: false, isLate: false })
     // Answers of the leader that come together are for one free place each.
-    const place = server && this.able(request).includes(server) && await Reservation.at(server, { ...request.facts, rank: request.route.rank }, this.clock)
+    const place = server && this.able(request).includes(server) && await this.reserve(request, server)
     if (!place) {
       budget.giveBack()
       return { kind: 'none', retryAfterMs: Math.max(moveRetryMs, waitMs) }
@@ -334,6 +337,12 @@
     return { kind: 'reserved', move: { place, chosenBy, canBeMade: () => place.isUsable && isInTime(), release } }
   }
 
+  private reserve ({ facts, route, service }: RelayRequest, server: BackendServer): Promise<Reservation | undefined> {
+    const { model, adapter, promptTokens, outputTokens } = facts
+    const terms = { model, adapter, rank: route.rank, tokens: promptTokens + outputTokens, longestHoldMs: service.engine?.longestHoldMs }
+    return Reservation.at(server, terms, { clock: this.clock, calls: this.calls })
+  }
+
   private async attempt (request: RelayRequest, exchange: Exchange, progress: Progress, { server, place, chosenBy }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.facts
     const trace: AttemptTrace = {
--- a/src/serving/reservation.ts
+++ b/src/serving/reservation.ts
@@ -5,57 +5,102 @@
 import { ioTurn } from '../base/ioTurn.js'
 import type { BackendConnection } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
+import type { EngineCalls } from './engineCalls.js'
 
 /** A server that has too many connections resets a new one within this time of accepting it. */
 const resetDelayMs = 25
+/** Time for which an engine reserves a place; the request follows at once. */
+const holdMs = 1000
+/** Part of that time after which the place is not used any more. */
+const holdShare = 0.5
 
 export interface PlaceTerms {
   model: string | undefined
   adapter: string | undefined
   rank: number
+  /** Prompt and output. */
+  tokens: number
+  /** Longest time for which the engines reserve places; they cannot if it is absent. */
+  longestHoldMs: number | undefined
+}
+
+interface PlaceParts {
+  server: BackendServer
+  terms: PlaceTerms
+  clock: Clock
+  calls: EngineCalls
+  connection: BackendConnection
+  /** Absent where places cannot be reserved at the server itself. */
+  holdId: string | undefined
+  endsAtMs: number
 }
 
 export class Reservation {
   private isHeld = true
 
-  private constructor (readonly server: BackendServer, private readonly connection: BackendConnection, private readonly terms: PlaceTerms) {}
+  private constructor (private readonly parts: PlaceParts) {}
 
-  /** Counts the request at `server` from now on and connects. Resolves with `undefined` if the server does not keep the connection. */
-  static async at (server: BackendServer, terms: PlaceTerms, clock: Clock): Promise<Reservation | undefined> {
+  /**
+   * Counts the request at `server` from now on, connects, and has the engine keep a place. Resolves with `undefined` if
+   * it has none or does not keep the connection.
+   */
+  static async at (server: BackendServer, terms: PlaceTerms, { clock, calls }: { clock: Clock, calls: EngineCalls }): Promise<Reservation | undefined> {
+    const { longestHoldMs } = terms
     server.onStarted(terms.model, terms.adapter, 0, terms.rank)
     const connection = await server.pool.connect()
-    if (connection) {
+    if (!connection) server.onUnreachable()
+    else if (longestHoldMs === undefined) {
       await sleep(clock, resetDelayMs)
       await ioTurn()
-      if (connection.isOpen) return new Reservation(server, connection, terms)
+      if (connection.isOpen) return new Reservation({ server, terms, clock, calls, connection, holdId: undefined, endsAtMs: Infinity })
+      server.onUnreachable()
+    } else {
+      const ttlMs = Math.min(holdMs, longestHoldMs)
+      const endsAtMs = clock.nowMs() + ttlMs * holdShare
+      const holdId = await calls.hold(server, connection, terms.tokens, ttlMs)
+      if (holdId !== undefined && server.pool.claim(connection)) {
+        await ioTurn()
+        return new Reservation({ server, terms, clock, calls, connection, holdId, endsAtMs })
+      }
     }
     server.onEnded(terms.model, terms.adapter)
-    server.onUnreachable()
     return undefined
   }
 
+  get server (): BackendServer {
+    return this.parts.server
+  }
+
+  /** ID of the place at the engine. */
+  get holdId (): string | undefined {
+    return this.parts.holdId
+  }
+
   /** Whether a request can be sent now. */
   get isUsable (): boolean {
-    const { model, adapter } = this.terms
-    return this.isHeld && this.connection.isOpen && this.server.isUsable && this.server.serves(model, adapter)
+    const { server, connection, terms: { model, adapter }, clock, endsAtMs } = this.parts
+    return this.isHeld && clock.nowMs() < endsAtMs && connection.isOpen && server.isUsable && server.serves(model, adapter)
   }
 
   /** Ends the hold for a request that is sent on the connection at once. */
   take (): BackendConnection {
     this.end()
-    return this.connection
+    return this.parts.connection
   }
 
   /** Gives the place up. */
   release (): void {
     if (!this.isHeld) return
     this.end()
-    // The server has not said how long it keeps the connection idle.
-    this.connection.destroy()
+    const { server, connection, holdId, calls } = this.parts
+    // A server that was sent nothing has not said how long it keeps the connection idle.
+    if (holdId === undefined) connection.destroy()
+    else void calls.dropHold(server, connection, holdId)
   }
 
   private end (): void {
+    const { server, terms } = this.parts
     this.isHeld = false
-    this.server.onEnded(this.terms.model, this.terms.adapter)
+    server.onEnded(terms.model, terms.adapter)
   }
 }
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -405,6 +405,61 @@
     expect(arrivals).to.equal(1)
   })
 
+  it('keeps a silent engine while another reserves no place', async () => {
+    // Guards against a move to an engine that is fuller than nodes know and refuses the stream.
+    await fixture.start([impatient()], { engine: { ...engine, longestHoldMs: 2000 } })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1300 }), holdsModel)
+    await fixture.addServer('b', shed, holdsModel, { holdAnswer: () => 'HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n' })
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderChoice = { kind: 'engine', id: 'b' }
+    expect(await answer).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received).to.have.length(1)
+    expect(fixture.holds).not.to.have.length(0)
+    expect(fixture.fleet.servers.get('b')!.running).to.equal(0)
+  })
+
+  it('moves to the place that an engine has reserved', async () => {
+    await fixture.start([impatient()], { engine: { ...engine, longestHoldMs: 2000 } })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1900 }), holdsModel)
+    await fixture.addServer('b', stream(6), holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', { headers: { ...forModel.headers, 'x-token-count': '100,20', 'x-hold': 'not-mine' } })
+    await wait(200)
+    fixture.leaderChoice = { kind: 'engine', id: 'b' }
+    expect(await answer).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a', 'b'])
+    expect(fixture.received[1]!.head).to.match(/^x-hold: h1$/im)
+    expect(fixture.received[1]!.head).not.to.include('not-mine')
+    expect(fixture.holds).to.have.length(1)
+  })
+
+  it('gives a reserved place back when the engine goes on meanwhile', async () => {
+    // Guards against places of engines that are held for nobody.
+    await fixture.start([impatient()], { engine: { ...engine, longestHoldMs: 2000 } })
+    let goOn = () => {}
+    await fixture.addServer('a', (socket, head) => {
+      socket.write(streamHead(head) + chunkOf(event(1)))
+      goOn = () => { socket.write(`${chunkOf(event(2))}0\r\n\r\n`) }
+    }, holdsModel)
+    await fixture.addServer('b', stream(2), holdsModel, {
+      holdAnswer: head => {
+        if (head.startsWith('POST')) goOn()
+        return head.startsWith('POST') ? 'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"hold": "h1"}' : 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+      }
+    })
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderChoice = { kind: 'engine', id: 'b' }
+    expect(await answer).to.include({ body: events(2), isComplete: true })
+    await wait(100)
+    expect(fixture.received).to.have.length(1)
+    expect(fixture.holds.at(-1)!.head).to.match(/^DELETE \/hold-drop\/h1 /)
+    expect(fixture.fleet.servers.get('b')!.running).to.equal(0)
+  })
+
   it('goes back to a silent engine when the other one refuses the stream', async () => {
     // Guards against a move that ends the answer because its target was fuller than known.
     await fixture.start([impatient()], { engine })
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -55,6 +55,9 @@
   private active = 0
   private orders = 0
   private fence = 0
+  /** Reserved places, by ID. */
+  private readonly holds = new Map<string, NodeJS.Timeout>()
+  private nextHold = 0
   private isBusy = false
   private adaptersComing = 0
   private beats = 0
@@ -147,6 +150,8 @@
     const expected = request.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.options.id) return this.refuse(request, response, 421)
     if (request.url === '/order') return this.onOrder(JSON.parse(body), response)
+    if (request.url === '/hold-take') return this.takeHold(JSON.parse(body), response)
+    if (request.url?.startsWith('/hold-drop/')) return this.reply(response, this.endHold(request.url.slice('/hold-drop/'.length)) ? 200 : 404, {})
     await this.run(request, response, body)
   }
 
@@ -156,11 +161,12 @@
 
   private async run (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
     const id = String(request.headers['x-attempt-id'] ?? '')
-    const { ledger, slots } = this.options
+    const { ledger } = this.options
     const [model, adapter] = String(request.headers['x-model'] ?? '').split('/')
     ledger.onArrival(id, this.options.id)
     if (this.options.models && !(adapter ? this.models.get(model!)?.has(adapter) : this.models.has(model!))) return this.refuse(request, response, 421)
-    if (this.active >= Math.min(slots, this.slotsNow)) return this.refuse(request, response, 503)
+    const isHeld = this.endHold(String(request.headers['x-hold'] ?? ''))
+    if (!isHeld && this.isFull) return this.refuse(request, response, 503)
     ledger.onRun(id, this.options, `${request.method} ${request.url} ${body}`)
     this.active++
     if (model) this.running.set(model, (this.running.get(model) ?? 0) + 1)
@@ -173,6 +179,22 @@
     }
   }
 
+  private get isFull (): boolean {
+    return this.active + this.holds.size >= Math.min(this.options.slots, this.slotsNow)
+  }
+
+  private takeHold ({ ttl_ms: ttlMs }: { ttl_ms: number }, response: ServerResponse): void {
+    if (this.isFull) return this.reply(response, 503, {}, { 'X-Not-Executed': '1' })
+    const hold = `h${++this.nextHold}`
+    this.holds.set(hold, setTimeout(() => this.endHold(hold), ttlMs))
+    this.reply(response, 200, { hold })
+  }
+
+  private endHold (hold: string): boolean {
+    clearTimeout(this.holds.get(hold))
+    return this.holds.delete(hold)
+  }
+
   private async plain (response: ServerResponse, id: string): Promise<void> {
     await sleep(workMs * (0.5 + this.options.random()))
     if (this.options.random() < this.lostShare) {
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -179,7 +179,7 @@
       {
         name: 'models',
         max_conns: 100,
-        engine: { slots: 12, kv_capacity: 100_000, weights_mb: engineMb, adapter_slots: adapterSlots, loads_per_s: 2, models: models.map(name => ({ name, weights_mb: modelMb, load_s: 0.5, adapters: 4, adapter_mb: 0.1 })) }
+        engine: { slots: 12, kv_capacity: 100_000, weights_mb: engineMb, adapter_slots: adapterSlots, loads_per_s: 2, hold_ms: 2000, models: models.map(name => ({ name, weights_mb: modelMb, load_s: 0.5, adapters: 4, adapter_mb: 0.1 })) }
       }
     ],
     limits: { max_header_bytes: 16384, max_body_bytes: 100_000, header_timeout_ms: 3000, idle_timeout_ms: 4000 }
