Plan a stop's end in its first log line; explain lines about one moment of a request

An idle connection is kept when a request was read and answered while the node looked for one. The line 'shutdown begins' says when the stop ends at the latest. teaselrill explain showed the line 'connection closed before the end of an answer' as a request on route undefined; it shows it as it is now.

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -68,6 +68,8 @@
 }
 
 function requestSentences (line: Line): { atMs: number, text: string }[] {
+  // A line about one moment of the request, such as the end of its connection.
+  if (line.route === undefined) return [{ atMs: line.atMs, text: contextSentence(line) }]
   const startMs = line.atMs - (line.durationMs ?? 0)
   const model = line.model === undefined ? '' : ` for ${String(line.model)}${line.adapter === undefined ? '' : `/${String(line.adapter)}`}`
   const sentences = [{
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -203,7 +203,9 @@
     const startedAtMs = clock.nowMs()
     // The platform counts from its signal, which a late process has not noticed at once.
     const endAtMs = startedAtMs - this.loopDelay.presentMs + settings.shutdownMs - shutdownMarginMs
-    log('info', 'shutdown begins', { connections: this.sockets.size, inProgress: this.relay.active, loopDelayMs: Math.round(this.loopDelay.recentMs) })
+    log('info', 'shutdown begins', {
+      connections: this.sockets.size, inProgress: this.relay.active, loopDelayMs: Math.round(this.loopDelay.recentMs), endsAfterMs: Math.round(endAtMs - startedAtMs)
+    })
     this.isStopping = true
     this.leadership.stop()
     this.relay.closeConnections()
@@ -238,8 +240,9 @@
 
   /** Ends a connection whose idle time is over, unless a request has arrived on it. */
   private async closeUnlessRead (socket: Socket): Promise<void> {
+    const { bytesRead } = socket
     await readUntilQuiet(this.options.clock, () => socket.bytesRead, lastReads)
-    if (this.relay.isIdle(socket)) socket.destroy()
+    if (socket.bytesRead === bytesRead && this.relay.isIdle(socket)) socket.destroy()
   }
 
   /** Returns how many connections it closed. */
--- a/tests/explainLogs.spec.ts
+++ b/tests/explainLogs.spec.ts
@@ -48,4 +48,9 @@
   it('passes over foreign lines and unknown requests', () => {
     expect(explainFromLogs(['garbage', '{"half":', '12:00 host {"time":"2026-01-01T00:00:00Z","event":"x"}'], 'r')).to.deep.equal([])
   })
+
+  it('shows a line about one moment of a request as it is', () => {
+    const line = { time: '2026-01-01T00:00:00Z', event: 'connection closed before the end of an answer', node: 'n', request: 'r', ageMs: 12 }
+    expect(explainFromLogs([JSON.stringify(line)], 'r')).to.deep.equal(['00:00:00.000  n: connection closed before the end of an answer (request r, ageMs 12).'])
+  })
 })
