--- a/scripts/countReporter.cjs
+++ b/scripts/countReporter.cjs
@@ -18,7 +18,8 @@
     super(runner, options)
     const known = knownViolations()
     this.knownRed = []
-    runner.on(Runner.constants.EVENT_TEST_FAIL, (test, { actual }) => {
+    // The base class turns `actual` into text in its own listener.
+    runner.prependListener(Runner.constants.EVENT_TEST_FAIL, (test, { actual }) => {
       const rule = known.get(test.fullTitle())
       const violations = Array.isArray(actual) ? actual : []
       if (rule && violations.length > 0 && violations.every(text => String(text).startsWith(`${rule} `))) this.knownRed.push(test.fullTitle())
