Do not offer a silent stream the engine that it is on

What callers saw: a stream that had gone back to its first engine was sent there once more each time that the engine paused, and its prompt was read anew, where the route allows more servers.

Cause: an engine that may be asked again stayed on that list while it had the request.

--- a/src/serving/relay.ts
+++ b/src/serving/relay.ts
@@ -356,13 +356,13 @@
     }
     progress.attempts.push(trace)
     progress.tried.add(server.entry.id)
+    progress.askableFromMs.delete(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
     const result = await exchange.attempt(server, place)
     if (result.kind !== 'unsent') progress.sends++
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
     if (result.kind === 'moved') progress.askableFromMs.set(server.entry.id, this.clock.nowMs())
     else if (result.kind === 'not-run' && !result.isMisdirected) progress.askableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
-    else progress.askableFromMs.delete(server.entry.id)
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
   }
--- a/tests/relay.spec.ts
+++ b/tests/relay.spec.ts
@@ -405,6 +405,27 @@
     expect(arrivals).to.equal(1)
   })
 
+  it('does not move a stream to the engine that it is on', async () => {
+    // Guards against an engine that was gone back to and counts as another one when it pauses again.
+    await fixture.start([{ ...impatient(), maxAttempts: 8 }], { engine })
+    let runs = 0
+    const twice: Script = (socket, head, count) => {
+      if (runs++ === 0) socket.write(streamHead(head) + chunkOf(event(1)))
+      else setTimeout(() => stream(3)(socket, head, count), 1200)
+    }
+    await fixture.addServer('a', twice, holdsModel)
+    await fixture.addServer('b', (socket, head, count) => {
+      fixture.fleet.servers.get('b')!.runningElsewhere = engine.slots
+      shed(socket, head, count)
+    }, holdsModel)
+    fixture.leaderChoice = { kind: 'engine', id: 'a' }
+    const answer = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderChoice = undefined
+    expect(await answer).to.include({ body: events(3), isComplete: true })
+    expect(runs).to.equal(2)
+  })
+
   it('keeps a silent engine while another reserves no place', async () => {
     // Guards against a move to an engine that is fuller than nodes know and refuses the stream.
     await fixture.start([impatient()], { engine: { ...engine, longestHoldMs: 2000 } })
