Bound the framing of answers of the store and other systems

Callers saw nothing; a store or a server that sends chunk sizes, chunk extensions or one-byte chunks without end kept a node reading until the call timed out: 338 to 1,123 MiB in the 1.5 s of a store call, measured here.

Cause: the limit counted bytes of the body. undici drops framing without a limit, so only the time limit ended such an answer, and the outcome of the test depended on the speed of the machine. Ruled out: the test's bound, which is the limit of 16 MiB and the buffers of two sockets.

Now the connection counts what it has read since the last write to it and is destroyed beyond 18 MiB. Streams of the product's engines, which are read while they come, have an agent of their own without this limit.

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -7,12 +7,20 @@
 import { withTimeout } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
 import { CallError, FailedError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
-
-/** Time limits come from `Clock`, so undici's own are off. */
-export const agentOptions = { headersTimeout: 0, bodyTimeout: 0, connectTimeout: 5000 } as const
+import { limitedConnect } from './limitedConnect.js'
 
 /** Longer answers are given up. */
 const maxAnswerBytes = 16 * 1024 * 1024
+/** An answer with its head and framing. */
+const maxWireBytes = maxAnswerBytes + 2 * 1024 * 1024
+const connectTimeoutMs = 5000
+
+/** Time limits come from `Clock`, so undici's own are off. */
+const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const
+/** For answers that are read while they come, and have limits of their own. */
+export const streamAgentOptions = { ...noTimeouts, connectTimeout: connectTimeoutMs } as const
+/** For answers that are read whole. */
+export const callAgentOptions = { ...noTimeouts, connect: limitedConnect({ timeoutMs: connectTimeoutMs, maxBytes: maxWireBytes }) } as const
 /** A call that brings more interim responses is given up. */
 const maxInterimResponses = 100
 
@@ -70,7 +78,7 @@
 
 /** JSON calls to one address. */
 export class HttpCaller {
-  readonly agent = new Agent(agentOptions)
+  readonly agent = new Agent(callAgentOptions)
 
   constructor (readonly target: string, readonly address: string, private readonly clock: Clock) {}
 
--- a/src/external/httpEngine.ts
+++ b/src/external/httpEngine.ts
@@ -1,12 +1,12 @@
 /** Calls one engine over HTTP. */
 
-import { Client } from 'undici'
+import { Agent, Client } from 'undici'
 import { z } from 'zod'
 import type { Clock } from '../base/clock.js'
 import { NotRunError } from '../base/errors.js'
 import { cacheEventSchema, commandReplySchema, engineStatusSchema, kvExportSchema } from './engine.js'
 import type { CacheEvent, CommandReply, EngineApi, EngineCommand, EngineSession, EngineStatus, InferenceEvent, InferenceRequest, KvExport } from './engine.js'
-import { agentOptions, HttpCaller, mapNetworkError } from './httpCall.js'
+import { callAgentOptions, HttpCaller, mapNetworkError, streamAgentOptions } from './httpCall.js'
 import { HttpEngineStream } from './httpEngineStream.js'
 
 // Calls without a time limit of their own; the largest carries an exported KV cache.
@@ -15,6 +15,7 @@
 export class HttpEngine implements EngineApi {
   readonly engine: string
   private readonly caller: HttpCaller
+  private readonly streamAgent = new Agent(streamAgentOptions)
   private sessions: HttpEngineSession[] = []
 
   constructor ({ engine, address, clock }: { engine: string, address: string, clock: Clock }) {
@@ -57,16 +58,16 @@
   }
 
   /** Ends all connections, also those of sessions. */
-  close (): Promise<void> {
+  async close (): Promise<void> {
     for (const session of this.sessions) session.close()
-    return this.caller.close()
+    await Promise.all([this.caller.close(), this.streamAgent.destroy()])
   }
 
   private stream (requestId: string, path: string, body: unknown, signal?: AbortSignal): HttpEngineStream {
     return new HttpEngineStream({
       engine: this.engine,
       address: this.caller.address,
-      dispatcher: this.caller.agent,
+      dispatcher: this.streamAgent,
       path,
       body: JSON.stringify(body),
       requestId,
@@ -84,7 +85,7 @@
   ended = false
 
   constructor (address: string) {
-    this.client = new Client(`http://${address}`, { ...agentOptions, keepAliveTimeout: 600_000, keepAliveMaxTimeout: 600_000 })
+    this.client = new Client(`http://${address}`, { ...callAgentOptions, keepAliveTimeout: 600_000, keepAliveMaxTimeout: 600_000 })
     this.client.on('disconnect', () => this.end())
     this.client.on('connectionError', () => this.end())
   }
--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -4,6 +4,7 @@
 import { SystemClock } from '../src/base/clock.js'
 import { UnknownOutcomeError } from '../src/base/errors.js'
 import { silentLog } from '../src/base/log.js'
+import { HttpCaller } from '../src/external/httpCall.js'
 import { codecs } from '../src/platform/httpNames.js'
 import { StoreClient } from '../src/platform/storeClient.js'
 import { EngineCalls } from '../src/serving/engineCalls.js'
@@ -19,6 +20,8 @@
 /** Time that the event loop may be kept busy at once, by what one read brings. */
 const longestBlockMs = 400
 const sideRequests = 20
+/** Time limit of calls that must end at a limit on bytes. */
+const callTimeoutMs = 15_000
 
 const chunked = (id: string, status = '200 OK') => `HTTP/1.1 ${status}\r\n${stamped(id)}Transfer-Encoding: chunked\r\n\r\n`
 const streamHead = (id: string) => `HTTP/1.1 200 OK\r\n${stamped(id)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`
@@ -374,14 +377,18 @@
   }
 
   const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-  for (const [name, first, rest] of [
+  const answers = [
     ['a head', 'HTTP/1.1 200 OK\r\n', 'X-A: b\r\n'],
     ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
     ['a chunked body', chunkedHead, chunkOf('x'.repeat(1000))],
     ['a body in chunks of one byte', chunkedHead, chunkOf('x')],
+    ['a chunk size', chunkedHead, '0'],
+    ['a chunk extension', `${chunkedHead}1;`, 'x'],
+    ['chunks of one byte with long extensions', chunkedHead, `1;${'x'.repeat(1000)}\r\nx\r\n`],
     ['a body without length', 'HTTP/1.1 200 OK\r\n\r\n', 'x'],
     ['trailers', `${chunkedHead}0\r\n`, 'X-A: b\r\n']
-  ] as const) {
+  ] as const
+  for (const [name, first, rest] of answers) {
     it(`from the store end at a limit: ${name}`, async () => {
       [prefix, unit] = [first, rest]
       const client = new StoreClient(`127.0.0.1:${port()}`, new SystemClock())
@@ -394,6 +401,34 @@
     })
   }
 
+  for (const [name, first, rest] of answers) {
+    it(`of a call end at a limit that does not depend on time: ${name}`, async () => {
+      // Guards against a limit on the body alone: framing is read without end until the call times out.
+      [prefix, unit] = [first, rest]
+      const caller = new HttpCaller('server', `127.0.0.1:${port()}`, new SystemClock())
+      const error = await caller.answer('/', { timeoutMs: callTimeoutMs }).then(() => undefined, (failure: unknown) => failure)
+      expect(error).to.be.instanceOf(UnknownOutcomeError)
+      expect((error as Error).message).not.to.contain('did not finish')
+      await expectBounded(floods[0]!)
+      await caller.close()
+    })
+  }
+
+  it('are counted for each answer, not for each connection', async () => {
+    const body = 'x'.repeat(6 * 1024 * 1024)
+    const sockets = new Set<Socket>()
+    const healthy = createServer(socket => {
+      sockets.add(socket)
+      socket.on('data', () => socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`))
+    })
+    await new Promise<void>(resolve => healthy.listen(0, '127.0.0.1', resolve))
+    const caller = new HttpCaller('server', `127.0.0.1:${(healthy.address() as AddressInfo).port}`, new SystemClock())
+    for (let count = 0; count < 10; count++) expect((await caller.answer('/', { timeoutMs: callTimeoutMs })).text).to.have.length(body.length)
+    expect(sockets.size).to.be.below(4)
+    await caller.close()
+    healthy.close()
+  })
+
   for (const [name, bytes] of [['no frame', 'x'], ['a frame', '\x00\x1f\xff\xff']] as const) {
     it(`from a peer end at a limit: ${name}`, async () => {
       let joined = 0
