Drop what an earlier leader announced and never ordered

Callers of a model got "waits for a load" until their patience ended, or no node used a copy that its engine held, for as long as the engine ran.

Cause: a leader tells all nodes that a model comes to an engine and which one makes way, and gives the orders up to 8 s later, when requests have ended. A leader that crashes or is cut off in between never gives them. Its successor took the announcement for a fact: it counted the model as coming, so it never loaded it, and kept the other one marked as leaving, so that nothing was sent to it and nothing could replace it. Reports of the engine did not end this, since they never said "coming".

The successor now settles each engine when the engine's report shows no move under way and the leader has none itself: only the report counts. A report that is behind the accepted orders does not settle anything; the engine is asked again.

The new test failed before (the model is not on any engine 9 s after the new leader began) and passes now.

--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -93,21 +93,26 @@
     this.orderedAtMs = this.clock.nowMs()
   }
 
-  /** Takes up what the engine reports to the placement leader. Reports lag behind accepted orders. */
-  updateFromReport (report: EngineReport): void {
+  /**
+   * Takes up what the engine reports to the placement leader, and returns true, unless the report lags behind accepted
+   * orders. When `isSettled`, no move is under way, so that only models of the report count.
+   */
+  updateFromReport (report: EngineReport, { isSettled = false } = {}): boolean {
     this.hasLeaderState = true
     const nowMs = this.clock.nowMs()
     if (report.orderCount < this.orderCount) {
       // A report that is behind for longer than its lag shows that the count was wrong.
-      if (nowMs - this.orderedAtMs < longestReportLagMs) return
+      if (nowMs - this.orderedAtMs < longestReportLagMs) return false
     }
     this.orderCount = report.orderCount
+    if (isSettled) this.forgetMoves()
     this.adoptModels(report.models)
     for (const key of report.adaptersLoading) {
       const [model, adapter] = key.split('/')
       const adapters = this.hosted.get(model!)?.adapters
       if (adapters && !adapters.has(adapter!)) adapters.set(adapter!, this.clock.nowMs() + expectedAdapterLoadMs)
     }
+    return true
   }
 
   /** Takes up what the placement leader says. */
@@ -228,6 +233,13 @@
     return 0.5 ** ((this.clock.nowMs() - this.sampledAtMs) / halfLifeMs)
   }
 
+  private forgetMoves (): void {
+    for (const [name, state] of this.hosted) {
+      if (state.isComing) this.hosted.delete(name)
+      state.isLeaving = false
+    }
+  }
+
   /** What is on its way stays expected, and what is being unloaded stays unused, until the engine shows otherwise. */
   private adoptModels (models: readonly HostedModel[]): void {
     const nowMs = this.clock.nowMs()
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -173,8 +173,6 @@
       control.retryAtMs = this.options.clock.nowMs() + extendMs
       return false
     }
-    // An order of an earlier leader is under way, whose result the report does not show yet.
-    control.isSynced = control.isBusy || !report.isBusy
     this.options.log('info', 'engine state', {
       engine: server.entry.id, orders: report.orderCount, assumedOrders: server.orderCount, isBusy: report.isBusy, models: report.models.map(({ name }) => name)
     })
@@ -183,7 +181,10 @@
       const present = new Set(report.models.flatMap(({ name, adapters }) => adapters.map(adapter => `${name}/${adapter}`)))
       for (const key of control.leavingAdapters) if (!present.has(key)) control.leavingAdapters.delete(key)
     }
-    server.updateFromReport(report)
+    // What an earlier leader announced and did not order never comes.
+    const isCurrent = server.updateFromReport(report, { isSettled: !control.isMoving && !report.isBusy })
+    // An order of an earlier leader is under way, whose result the report does not show yet.
+    control.isSynced = control.isBusy || (isCurrent && !report.isBusy)
     for (const key of control.leavingAdapters) {
       const [model, adapter] = key.split('/')
       server.hosted.get(model!)?.adapters.delete(adapter!)
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -5,7 +5,7 @@
 import type { Deployment, EngineType } from '../src/serving/deployment.js'
 import { FleetView } from '../src/serving/fleetView.js'
 import type { EngineCalls } from '../src/serving/engineCalls.js'
-import type { NodeReport } from '../src/serving/peerMessages.js'
+import type { LeaderReport, NodeReport } from '../src/serving/peerMessages.js'
 import { PlacementLeader } from '../src/serving/placementLeader.js'
 import { FakeCalls, FakeEngine } from './fixtures/fakeEngine.js'
 
@@ -28,13 +28,17 @@
   const engines = new Map(['e0', 'e1', 'e2'].map((id, index) => [id, new FakeEngine(id, type, clock, random, [0, 1, 2].map(offset => `m${index * 3 + offset}`).filter(model => !without.includes(model)))]))
   let report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] }
   const leaders: PlacementLeader[] = []
-  const lead = (fence: number) => {
+  /** What a node knows that has just started. */
+  const newFleet = () => {
     const fleet = new FleetView({ clock, log: silentLog, regionOfZone: {} })
     for (const { id, models } of engines.values()) {
       fleet.put({
         id, service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 64, isDraining: false, models: [...models].map(([name, adapters]) => ({ name, adapters: [...adapters] })), modelsInMemory: [], modelsOnDisk: []
       })
     }
+    return fleet
+  }
+  const lead = (fence: number, { fleet = newFleet(), broadcast = () => {} }: { fleet?: FleetView, broadcast?: (report: LeaderReport) => void } = {}) => {
     const leader = new PlacementLeader({
       clock,
       log: silentLog,
@@ -46,7 +50,7 @@
       startDelayMs: 1000,
       loadWindowMs: 5000,
       ownReport: () => report,
-      broadcast: () => {},
+      broadcast,
       expectedReadingEngines: () => 0,
       onDeposed: () => {},
       mustHold: () => false
@@ -56,12 +60,19 @@
   }
   const ask = (changes: Partial<NodeReport>) => { report = { ...report, ...changes } }
   const stop = () => { for (const leader of leaders) leader.stop() }
-  return { clock, random, engines, lead, ask, stop }
+  return { clock, random, engines, newFleet, lead, ask, stop }
 }
 
 const holds = (engines: Map<string, FakeEngine>, model: string) => [...engines.values()].some(({ models }) => models.has(model))
 const overloads = (engines: Map<string, FakeEngine>) => [...engines.values()].flatMap(({ overloads }) => overloads)
 
+/** Takes up what a leader tells, as a node does. */
+function hear (fleet: FleetView, { hosting }: LeaderReport): void {
+  for (const [id, models] of hosting) {
+    fleet.servers.get(id)!.updateHosting(models.map(([name, readyInMs, phase]) => ({ name, readyInMs, isComing: phase === 'coming', isLeaving: phase === 'leaving', adapters: [] })))
+  }
+}
+
 describe('placement leader', () => {
   it('loads a model for which requests wait, in place of one that nobody uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
@@ -155,6 +166,31 @@
     stop()
   })
 
+  it('loads a model that an earlier leader announced and never ordered', async () => {
+    // Guards against a model that no engine ever loads again, and one that no node ever uses, after the leader has crashed.
+    const { clock, engines, newFleet, lead, ask, stop } = world(1, { without: ['m0'] })
+    engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
+    await clock.advance(300)
+    const fleet = newFleet()
+    let isConnected = true
+    const first = lead(5, { broadcast: report => { if (isConnected) hear(fleet, report) } })
+    const running: NodeReport['running'] = [...engines].flatMap(([id, { models }]) => [...models.keys()].map((model): [string, string, number, number] => [id, model, 1, 2]))
+    ask({ waiting: [['s', 'm0', 20, 0]], running })
+    await clock.advance(2000)
+    expect([...fleet.servers.values()].some(({ hosted }) => hosted.get('m0')?.isComing), 'the move is announced').to.equal(true)
+    isConnected = false
+    first.leader.stop()
+    await clock.advance(500)
+    lead(6, { fleet })
+    ask({ waiting: [['s', 'm0', 20, 0]], running: [] })
+    await clock.advance(9000)
+    expect(holds(engines, 'm0')).to.equal(true)
+    for (const [id, { models }] of engines) {
+      for (const model of models.keys()) expect(fleet.servers.get(id)!.serves(model, undefined), `${model} on ${id}`).to.equal(true)
+    }
+    stop()
+  })
+
   it('drops what was decided for an engine that has started again under its ID', async () => {
     // Guards against an order whose condition holds again by chance after a restart.
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
