Soak: do not take a refused connection for a request lost at a stop

The node's log shows the listener closed about 30 ms before the request, no connection left and no request unread; its timers were late by 405 ms just before.

Cause: the clients took a socket that is not connecting for an established one. A refused socket is not connecting either. That it was a refusal in this run is inferred: the violation did not name its reason.

The check counts every connection that was established, as before, among them those that the process had not accepted yet.

--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -63,9 +63,15 @@
         response.on('error', () => {})
         response.on('close', () => finish({ status: response.statusCode!, isComplete: response.complete, headers: response.headers, body: text, silentMs: performance.now() - lastPartAtMs }))
       })
-      request.on('error', () => {
+      // A socket whose connection is refused is not connecting any more either.
+      let isConnected = false
+      request.on('socket', socket => {
+        isConnected = !socket.connecting
+        socket.once('connect', () => { isConnected = true })
+      })
+      request.on('error', error => {
         if (isOver || hasAnswer) return
-        this.ledger.onLost(id, { isPlannedStop: node.isStopping && request.socket?.connecting === false })
+        this.ledger.onLost(id, { isPlannedStop: node.isStopping && isConnected, reason: error.message })
         finish(undefined)
       })
       request.end(body)
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -158,7 +158,7 @@
   }
 
   /** The connection ended without an answer. */
-  onLost (id: string, { isPlannedStop }: { isPlannedStop: boolean }): void {
+  onLost (id: string, { isPlannedStop, reason }: { isPlannedStop: boolean, reason: string }): void {
     const request = this.sent.get(id)!
     const { kind, node, sentAtMs, runs } = request
     this.count(`${kind} lost`)
@@ -167,7 +167,7 @@
     }
     if (!isPlannedStop || performance.now() - sentAtMs < lossSlackMs) return
     const conditions = [this.store, this.nodes.get(node), ...runs.map(backend => this.backends.get(backend))]
-    if (conditions.every(condition => condition?.wasCalmSince(sentAtMs) ?? true)) this.violation('LOST', `${node} closes the connection of ${id} at its stop, ${Math.round(performance.now() - sentAtMs)} ms after it was sent`)
+    if (conditions.every(condition => condition?.wasCalmSince(sentAtMs) ?? true)) this.violation('LOST', `${node} closes the connection of ${id} at its stop, ${Math.round(performance.now() - sentAtMs)} ms after it was sent: ${reason}`)
   }
 
   /** The client has waited past the route's timeout. */
