--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -67,7 +67,7 @@
       let isConnected = false
       request.on('socket', socket => {
         isConnected = !socket.connecting
-        socket.once('connect', () => { isConnected = true })
+        if (!isConnected) socket.once('connect', () => { isConnected = true })
       })
       request.on('error', error => {
         if (isOver || hasAnswer) return
