--- a/tests/peerLink.spec.ts
+++ b/tests/peerLink.spec.ts
@@ -1,23 +1,12 @@
-import type { AddressInfo } from 'node:net'
-import { createServer } from 'node:net'
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
 import { LeaderLink, PeerServer } from '../src/serving/peerLink.js'
 import type { LeaderReport } from '../src/serving/peerMessages.js'
+import { freePort } from './fixtures/freePort.js'
 import { blockFor } from './fixtures/heldUp.js'
 
 const report: LeaderReport = { fence: 1, hosting: [], running: [] }
 
-function freePort (): Promise<number> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(port))
-    })
-  })
-}
-
 describe('leader link', () => {
   it('is kept when this process was held up and not the leader silent', async () => {
     // Guards against nodes that leave their leader because they did not read what it sent.
--- a/tests/servingNode.spec.ts
+++ b/tests/servingNode.spec.ts
@@ -9,18 +9,9 @@
 import { ServingNode } from '../src/serving/servingNode.js'
 import type { ServingSettings } from '../src/serving/settings.js'
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
+import { freePort } from './fixtures/freePort.js'
 import { answerOf, idOf } from './fixtures/serving.js'
 
-function freePort (): Promise<number> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo
-      server.close(() => resolve(port))
-    })
-  })
-}
-
 function config (version: number, prefix = '/a/'): string {
   return JSON.stringify({
     version,
--- a/tests/soakClients.spec.ts
+++ b/tests/soakClients.spec.ts
@@ -1,16 +1,11 @@
 import { expect } from 'chai'
 import { createServer } from 'node:net'
 import type { AddressInfo, Server } from 'node:net'
+import { blockFor } from './fixtures/heldUp.js'
 import { Clients } from './soak/clients.js'
 import { Ledger, lossSlackMs } from './soak/ledger.js'
 import type { NodeProcess } from './soak/nodeProcess.js'
 
-/** Does not let the event loop run, as on a machine that is too busy. */
-function block (durationMs: number): void {
-  const untilMs = performance.now() + durationMs
-  while (performance.now() < untilMs);
-}
-
 describe('clients of the soak', () => {
   let server: Server
   let ledger: Ledger
@@ -33,8 +28,8 @@
     // A busy machine told a client 338 ms late that its connection was refused, which counted as LOST.
     await new Promise(resolve => server.close(resolve))
     const answer = clients.send(stopping, { kind: 'safe', path: '/' })
-    setImmediate(() => block(2 * lossSlackMs))
-    block(2 * lossSlackMs)
+    setImmediate(() => blockFor(2 * lossSlackMs))
+    blockFor(2 * lossSlackMs)
     expect(await answer).to.equal(undefined)
     expect(ledger.violations).to.deep.equal([])
   })
