Ignore a late answer about the lease of an earlier office

Cause: a node asks the store to keep its lease; the lease has lapsed, and the answer is slow. Meanwhile the watch tells the node that the office is vacant, and it wins it again with another lease. The late answer was taken for one about the new lease: it ended the new office, while the key stayed and the others followed a leader that did not lead.

The answer counts only if the lease is still the one it is about. Test: before, the offices are 2, none, 4, none, 6; after, 2, none, 4.

--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -78,8 +78,11 @@
 
   /** Takes up a newer entry of the same incarnation. Its models are older than what the placement leader says. */
   update (entry: BackendEntry): void {
+    const earlier = new Set(this.entry.models.map(({ name }) => name))
     this.entry = entry
     if (!this.hasLeaderState) return this.adoptModels(entry.models)
+    // An order of an earlier leader was carried out after the present one had asked the engine.
+    if (entry.models.some(({ name }) => !earlier.has(name) && !this.hosted.has(name))) this.isMisknown = true
     // An engine writes its entry when a load has ended.
     for (const { name } of entry.models) {
       const state = this.hosted.get(name)
@@ -200,7 +203,7 @@
     this.isMisknown = true
   }
 
-  /** Whether a request was misdirected since the last call. */
+  /** Whether the server turned out to hold something else since the last call. */
   takeMisknown (): boolean {
     const { isMisknown } = this
     this.isMisknown = false
--- a/src/serving/leadership.ts
+++ b/src/serving/leadership.ts
@@ -119,11 +119,15 @@
   private async renew (): Promise<void> {
     const { store, clock, log } = this.options
     const sentAtMs = clock.nowMs()
-    if (this.leaseId !== undefined && await store.keepLease(this.leaseId)) {
+    const { leaseId } = this
+    const isKept = leaseId !== undefined && await store.keepLease(leaseId)
+    // The office may have been lost and won again with another lease meanwhile.
+    if (this.leaseId !== leaseId) return
+    if (isKept) {
       this.renewedAtMs = sentAtMs
       return
     }
-    log('warn', 'lease ended', { leaseId: this.leaseId })
+    log('warn', 'lease ended', { leaseId })
     this.leaseId = undefined
     // The watch tells that the leader's key is gone, or who holds it now.
     this.loseOffice('the lease has ended')
--- a/tests/leadership.spec.ts
+++ b/tests/leadership.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { VirtualClock } from '../src/base/clock.js'
+import { sleep, VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import { SeededRandom } from '../src/base/random.js'
 import { Leadership } from '../src/serving/leadership.js'
@@ -87,6 +87,28 @@
     expect(leader!.fence).to.be.above(fence!)
   })
 
+  it('keeps an office that it won while the renewal of its earlier lease was answered late', async () => {
+    // Guards against a node that holds the lease and does not lead, while the others follow it.
+    const { clock, state, leaders } = candidates(1)
+    await clock.advance(3000)
+    const [leader] = leaders()
+    const { store, offices } = leader!
+    const keep = store.keepLease.bind(store)
+    const asked: number[] = []
+    store.keepLease = async leaseId => {
+      const isKept = await keep(leaseId)
+      asked.push(leaseId)
+      if (asked.length === 1) await sleep(clock, 700)
+      return isKept
+    }
+    state.leases.clear()
+    while (asked.length === 0) await clock.advance(5)
+    state.write('own/leader', undefined)
+    await clock.advance(5000)
+    expect(offices).to.deep.equal([offices[0], undefined, offices[2]])
+    expect(leader!.fence).to.be.above(offices[0]!)
+  })
+
   it('replaces a leader that is cut from the store, with a higher fence', async () => {
     const { clock, all, leaders } = candidates(4)
     await clock.advance(3000)
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -22,20 +22,26 @@
   version: 1, routes: [], services: [{ name: 's', maxConnections: 100, engine: type }], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 
-function world (seed: number, { without = [] as string[] } = {}) {
+function world (seed: number, { without = [] as string[], models = type.models } = {}) {
+  const engineType = { ...type, models }
   const clock = new VirtualClock(100_000)
   const random = new SeededRandom(seed)
-  const engines = new Map(['e0', 'e1', 'e2'].map((id, index) => [id, new FakeEngine(id, type, clock, random, [0, 1, 2].map(offset => `m${index * 3 + offset}`).filter(model => !without.includes(model)))]))
+  const engines = new Map(['e0', 'e1', 'e2'].map((id, index) => [id, new FakeEngine(id, engineType, clock, random, [0, 1, 2].map(offset => `m${index * 3 + offset}`).filter(model => !without.includes(model)))]))
   let report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] }
   const leaders: PlacementLeader[] = []
-  /** What a node knows that has just started. */
-  const newFleet = () => {
-    const fleet = new FleetView({ clock, log: silentLog, regionOfZone: {} })
-    for (const { id, models } of engines.values()) {
+  /** A node reads the entries that the engines have written. */
+  const readEntries = (fleet: FleetView) => {
+    for (const engine of engines.values()) {
+      engine.settle()
       fleet.put({
-        id, service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 64, isDraining: false, models: [...models].map(([name, adapters]) => ({ name, adapters: [...adapters] })), modelsInMemory: [], modelsOnDisk: []
+        id: engine.id, service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 64, isDraining: false, models: [...engine.models].map(([name, adapters]) => ({ name, adapters: [...adapters] })), modelsInMemory: [], modelsOnDisk: []
       })
     }
+  }
+  /** What a node knows that has just started. */
+  const newFleet = () => {
+    const fleet = new FleetView({ clock, log: silentLog, regionOfZone: {} })
+    readEntries(fleet)
     return fleet
   }
   const lead = (fence: number, { fleet = newFleet(), broadcast = () => {} }: { fleet?: FleetView, broadcast?: (report: LeaderReport) => void } = {}) => {
@@ -44,12 +50,12 @@
       log: silentLog,
       fleet,
       calls: new FakeCalls(engines) as unknown as EngineCalls,
-      deployment: () => deployment,
+      deployment: () => ({ ...deployment, services: [{ name: 's', maxConnections: 100, engine: engineType }] }),
       node: `n${fence}`,
       fence,
       startDelayMs: 1000,
       loadWindowMs: 5000,
-      ownReport: () => report,
+      ownReport: () => ({ ...report, misknown: [...fleet.servers.values()].filter(server => server.takeMisknown()).map(({ entry }) => entry.id) }),
       broadcast,
       expectedReadingEngines: () => 0,
       onDeposed: () => {},
@@ -60,12 +66,22 @@
   }
   const ask = (changes: Partial<NodeReport>) => { report = { ...report, ...changes } }
   const stop = () => { for (const leader of leaders) leader.stop() }
-  return { clock, random, engines, newFleet, lead, ask, stop }
+  return { clock, random, engines, newFleet, readEntries, lead, ask, stop }
 }
 
 const holds = (engines: Map<string, FakeEngine>, model: string) => [...engines.values()].some(({ models }) => models.has(model))
 const overloads = (engines: Map<string, FakeEngine>) => [...engines.values()].flatMap(({ overloads }) => overloads)
 
+/** One request on each copy. */
+const oneOnEach = (engines: Map<string, FakeEngine>): NodeReport['running'] => [...engines].flatMap(([id, { models }]) => [...models.keys()].map((model): [string, string, number, number] => [id, model, 1, 2]))
+/** Engine to which `model` is announced. */
+const announcedOn = (fleet: FleetView, model: string) => [...fleet.servers].find(([, { hosted }]) => hosted.get(model)?.isComing)?.[0]
+
+/** Copies that the engines hold and the node does not use. */
+function unused (engines: Map<string, FakeEngine>, fleet: FleetView): string[] {
+  return [...engines].flatMap(([id, { models }]) => [...models.keys()].filter(model => !fleet.servers.get(id)!.serves(model, undefined)).map(model => `${model} on ${id}`))
+}
+
 /** Takes up what a leader tells, as a node does. */
 function hear (fleet: FleetView, { hosting }: LeaderReport): void {
   for (const [id, models] of hosting) {
@@ -174,10 +190,9 @@
     const fleet = newFleet()
     let isConnected = true
     const first = lead(5, { broadcast: report => { if (isConnected) hear(fleet, report) } })
-    const running: NodeReport['running'] = [...engines].flatMap(([id, { models }]) => [...models.keys()].map((model): [string, string, number, number] => [id, model, 1, 2]))
-    ask({ waiting: [['s', 'm0', 20, 0]], running })
+    ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
     await clock.advance(2000)
-    expect([...fleet.servers.values()].some(({ hosted }) => hosted.get('m0')?.isComing), 'the move is announced').to.equal(true)
+    expect(announcedOn(fleet, 'm0')).not.to.equal(undefined)
     isConnected = false
     first.leader.stop()
     await clock.advance(500)
@@ -185,9 +200,84 @@
     ask({ waiting: [['s', 'm0', 20, 0]], running: [] })
     await clock.advance(9000)
     expect(holds(engines, 'm0')).to.equal(true)
-    for (const [id, { models }] of engines) {
-      for (const model of models.keys()) expect(fleet.servers.get(id)!.serves(model, undefined), `${model} on ${id}`).to.equal(true)
-    }
+    expect(unused(engines, fleet)).to.deep.equal([])
+    stop()
+  })
+
+  for (const gapMs of [0, 300]) {
+    it(`uses a model that a cut-off leader ordered ${gapMs} ms after its successor had asked the engine`, async () => {
+      // Guards against a copy that no node uses: what an engine holds turns out only after the new leader has asked it.
+      const { clock, engines, newFleet, readEntries, lead, ask, stop } = world(1, { without: ['m0'] })
+      engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
+      await clock.advance(300)
+      const fleet = newFleet()
+      let isConnected = true
+      const first = lead(5, { broadcast: report => { if (isConnected) hear(fleet, report) } })
+      ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
+      while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+      isConnected = false
+      lead(6, { fleet })
+      await clock.advance(200 + gapMs)
+      // The first leader does not know yet that it was replaced, and gives its orders when the requests have ended.
+      ask({ running: [], waiting: [] })
+      await clock.advance(1500)
+      first.leader.stop()
+      for (let step = 0; step < 10; step++) {
+        await clock.advance(1000)
+        readEntries(fleet)
+      }
+      expect(holds(engines, 'm0')).to.equal(true)
+      expect(unused(engines, fleet)).to.deep.equal([])
+      stop()
+    })
+  }
+
+  it('uses all models again after the first of two unloads was refused', async () => {
+    // Guards against a copy that is left for ever: it gets no requests and cannot be displaced.
+    const heavy = type.models.map(model => model.name === 'm8' ? { ...model, weightsMb: 140 } : model)
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m8'], models: heavy })
+    engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
+    await clock.advance(300)
+    const { fleet } = lead(5)
+    ask({ waiting: [['s', 'm8', 40, 0]], running: oneOnEach(engines) })
+    while (announcedOn(fleet, 'm8') === undefined) await clock.advance(10)
+    const engine = engines.get(announcedOn(fleet, 'm8')!)!
+    // An order of an earlier leader is carried out late.
+    engine.restart([...engine.models.keys()], 1)
+    ask({ running: [], waiting: [] })
+    await clock.advance(20_000)
+    expect(unused(engines, fleet)).to.deep.equal([])
+    stop()
+  })
+
+  it('takes back what an engine refused for a higher fence', async () => {
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
+    engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
+    await clock.advance(300)
+    const { fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    const id = announcedOn(fleet, 'm0')!
+    void engines.get(id)!.order({ action: 'unload', model: 'none', expectedOrderCount: 9, holder: 'new', fence: 9 })
+    ask({ running: [], waiting: [] })
+    await clock.advance(3000)
+    expect(unused(engines, fleet)).to.deep.equal([])
+    expect(announcedOn(fleet, 'm0')).to.equal(undefined)
+    stop()
+  })
+
+  it('goes on using a model that turned up at its engine when its office ends', async () => {
+    const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0'] })
+    engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
+    await clock.advance(300)
+    const { leader, fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    const engine = engines.get(announcedOn(fleet, 'm0')!)!
+    engine.restart([...engine.models.keys(), 'm0'].slice(1), 2)
+    readEntries(fleet)
+    leader.stop()
+    expect(fleet.servers.get(engine.id)!.serves('m0', undefined)).to.equal(true)
     stop()
   })
 
@@ -215,6 +305,28 @@
     stop()
   })
 
+  it('uses a model that its node ordered in an earlier office, though no request waits for it', async () => {
+    const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0', 'm8'] })
+    engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
+    await clock.advance(300)
+    const engine = engines.get('e0')!
+    const { leader, fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 20, 0]] })
+    engine.roundTripMs = 700
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    engine.roundTripMs = 24
+    leader.stop()
+    lead(6, { fleet })
+    ask({ waiting: [] })
+    for (let step = 0; step < 10; step++) {
+      await clock.advance(1000)
+      readEntries(fleet)
+    }
+    expect(engine.models.has('m0')).to.equal(true)
+    expect(unused(engines, fleet)).to.deep.equal([])
+    stop()
+  })
+
   it('serves every model after leaders that crashed, were cut off or won the office again', async () => {
     for (let seed = 1; seed <= 25; seed++) {
       const { clock, random, engines, newFleet, lead, ask, stop } = world(seed)
@@ -251,6 +363,48 @@
     }
   })
 
+  it('leaves no copy unused, and none expected for ever, with late orders and leaders that overlap', async () => {
+    const heavy = type.models.map(model => model.name === 'm8' ? { ...model, weightsMb: 140 } : model)
+    for (let seed = 1; seed <= 40; seed++) {
+      const { clock, random, engines, newFleet, readEntries, lead, ask, stop } = world(seed, { without: ['m8'], models: heavy })
+      let fence = 1
+      const nodes = [newFleet(), newFleet()]
+      const leadNext = () => {
+        const [own, other] = nodes
+        let isHeard = true
+        const { leader } = lead(++fence, { fleet: own!, broadcast: report => { if (isHeard) hear(other!, report) } })
+        return { leader, cut: () => { isHeard = false } }
+      }
+      let office = leadNext()
+      for (let step = 0; step < 20; step++) {
+        for (const engine of engines.values()) engine.lateShare = random.next() < 0.2 ? 0.3 : 0
+        ask({ waiting: [['s', `m${randomInt(random, modelCount)}`, 10 + randomInt(random, 30), 0]], running: oneOnEach(engines).filter(() => random.next() < 0.4) })
+        await clock.advance(500 + random.next() * 1500)
+        for (const node of nodes) readEntries(node)
+        if (random.next() < 0.6) continue
+        const { leader, cut } = office
+        cut()
+        if (random.next() < 0.4) leader.stop()
+        else {
+          nodes.reverse()
+          clock.setTimer(random.next() * 2500, () => leader.stop())
+        }
+        await clock.advance(random.next() * 400)
+        office = leadNext()
+      }
+      for (const engine of engines.values()) engine.lateShare = 0
+      ask({ waiting: [], running: [] })
+      for (let step = 0; step < 30; step++) {
+        await clock.advance(1000)
+        for (const node of nodes) readEntries(node)
+      }
+      expect(unused(engines, nodes[0]!), `seed ${seed}`).to.deep.equal([])
+      for (let index = 0; index < modelCount; index++) expect(announcedOn(nodes[0]!, `m${index}`), `seed ${seed}: m${index}`).to.equal(undefined)
+      expect(overloads(engines), `seed ${seed}`).to.deep.equal([])
+      stop()
+    }
+  })
+
   it('drops what was decided for an engine that has started again under its ID', async () => {
     // Guards against an order whose condition holds again by chance after a restart.
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
