Do not take an office after its key was seen in other hands

The answer to an election that comes 1.4 s late made its node the leader although the watch had told of the key's removal and of another leader since. The node then led on the old fence, or followed nobody until the key changed.

The answer counts only if no later revision of the key was seen. Test: before, the leader known is the node itself; after, the other one.

--- a/src/serving/leadership.ts
+++ b/src/serving/leadership.ts
@@ -54,6 +54,8 @@
   private isElecting = false
   /** Whether the store was seen without a leader. */
   private isVacant = false
+  /** Newest revision of the leader's key that the store has told. */
+  private seenRevision = 0
   leader: Leader | undefined
 
   constructor (options: LeadershipOptions) {
@@ -105,6 +107,7 @@
 
   onChange ({ key, value, revision }: StoreChange): void {
     if (key !== this.leaderKey) return
+    this.seenRevision = Math.max(this.seenRevision, revision)
     if (value === undefined) return this.onVacant()
     this.isVacant = false
     const [node, ip, incarnation] = value.split(' ')
@@ -156,7 +159,8 @@
         expected: [{ key: this.leaderKey, revision: 0 }],
         writes: [{ key: this.leaderKey, value: `${node} ${ip} ${this.incarnation}`, leaseId: this.leaseId }]
       })
-      if (result.kind !== 'committed') return
+      // The watch may have told of later leaders before this answer came.
+      if (result.kind !== 'committed' || result.revision < this.seenRevision) return
       this.renewedAtMs = sentAtMs
       this.winOffice(result.revision)
     } catch (error) {
--- a/tests/leadership.spec.ts
+++ b/tests/leadership.spec.ts
@@ -109,6 +109,25 @@
     expect(leader!.fence).to.be.above(offices[0]!)
   })
 
+  it('does not take an office after its key was seen in other hands', async () => {
+    // Guards against a node that follows nobody, since the late answer to its election hides the leader since.
+    const { clock, state, all: [candidate] } = candidates(1)
+    const { store, leadership } = candidate!
+    const commit = store.commit.bind(store)
+    store.commit = async change => {
+      const result = await commit(change)
+      await sleep(clock, 1400)
+      return result
+    }
+    while (!state.items.has('own/leader')) await clock.advance(5)
+    await clock.advance(100)
+    state.write('own/leader', undefined)
+    state.write('own/leader', 'n1 10.0.0.9 other')
+    await clock.advance(10_000)
+    expect(leadership.leader?.node).to.equal('n1')
+    expect(leadership.isLeader).to.equal(false)
+  })
+
   it('replaces a leader that is cut from the store, with a higher fence', async () => {
     const { clock, all, leaders } = candidates(4)
     await clock.advance(3000)
