Use all models again after the first of several unloads failed

Callers of a model were refused or waited though its engine held it: a move that unloads two models marks both as leaving. When the first unload was refused, only that one was marked as staying. The second got no requests, could not be displaced and was not loaded there again, until the engine or the leader changed.

All models whose unload was not ordered stay now.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -371,7 +371,7 @@
       control.unordered.unload.delete(model)
       const outcome = await this.order(control, generation, 'unload', model)
       if (outcome !== 'started' && outcome !== 'already-done') {
-        if (!this.isStopped) this.keep(control.server, model)
+        if (!this.isStopped) for (const name of [model, ...control.unordered.unload]) this.keep(control.server, name)
         return false
       }
       // The copy stays listed until its last requests end.
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -204,6 +204,24 @@
     stop()
   })
 
+  it('uses all models again after the first of two unloads was refused', async () => {
+    // Guards against a copy that is left for ever: it gets no requests and cannot be displaced.
+    const heavy = type.models.map(model => model.name === 'm8' ? { ...model, weightsMb: 140 } : model)
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m8'], models: heavy })
+    engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
+    await clock.advance(300)
+    const { fleet } = lead(5)
+    ask({ waiting: [['s', 'm8', 40, 0]], running: oneOnEach(engines) })
+    while (announcedOn(fleet, 'm8') === undefined) await clock.advance(10)
+    const engine = engines.get(announcedOn(fleet, 'm8')!)!
+    // An order of an earlier leader is carried out late.
+    engine.restart([...engine.models.keys()], 1)
+    ask({ running: [], waiting: [] })
+    await clock.advance(20_000)
+    expect(unused(engines, fleet)).to.deep.equal([])
+    stop()
+  })
+
   it('goes on using a model that turned up at its engine when its office ends', async () => {
     const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0'] })
     engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
