Take back what an engine refused for a higher fence

An order that is still queued, or that an engine refuses with a newer fence, is not carried out; its model stayed "leaving" at this node, and got no requests until the successor's first message.

An order counts as given from the call that sends it, and no more once the engine refused it, unless a try before had no answer. Test: before, m8 is unused after 3 s while its engine holds it; after, it is used.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -368,7 +368,6 @@
   private async unloadAll (control: ControlledEngine, generation: number, models: readonly string[]): Promise<boolean> {
     for (const model of models) {
       if (this.isStopped) return false
-      control.unordered.unload.delete(model)
       const outcome = await this.order(control, generation, 'unload', model)
       if (outcome !== 'started' && outcome !== 'already-done') {
         if (!this.isStopped) for (const name of [model, ...control.unordered.unload]) this.keep(control.server, name)
@@ -390,7 +389,6 @@
     }
     for (;;) {
       if (this.isStopped) return false
-      control.unordered.load = undefined
       expect(loadMs)
       const outcome = await this.order(control, generation, 'load', model)
       if (outcome === 'already-done') break
@@ -399,7 +397,6 @@
         break
       }
       if (outcome !== 'conflict' || control.generation !== generation || clock.nowMs() > untilMs || this.isStopped) return false
-      control.unordered.load = model
       await sleep(clock, conflictDelayMs)
     }
     expect(loadMs)
@@ -441,12 +438,15 @@
       let wasUnknown = false
       for (let tries = 0; tries < orderTries && outcome === 'unknown'; tries++) {
         if (!this.mayOrder()) return 'unknown'
+        if (adapter === undefined) noteOrdered(control, action, model, true)
         outcome = await calls.order(server, { action, model, ...(adapter === undefined ? {} : { adapter }), expectedOrderCount: server.orderCount, holder: node, fence })
         if (outcome === 'unknown') wasUnknown = true
       }
       this.options.onOrder?.(action, outcome)
       log('info', 'engine order', { engine: server.entry.id, action, model, adapter, expected: server.orderCount, fence, outcome })
       if (this.isStopped) return 'unknown'
+      const isRefused = !wasUnknown && (outcome === 'conflict' || outcome === 'stale-fence')
+      if (isRefused && adapter === undefined) noteOrdered(control, action, model, false)
       // An engine unloads an adapter that no request uses before it answers, and counts that order too.
       if (outcome === 'started' || (outcome === 'already-done' && action === 'unload' && adapter !== undefined)) server.onOrdered()
       if (outcome === 'stale-fence') {
@@ -521,6 +521,13 @@
   return { loadMs: model.loadMs, isFromStore: true }
 }
 
+/** Notes whether the part of a move that loads or unloads `model` may have reached the engine. */
+function noteOrdered ({ unordered }: ControlledEngine, action: 'load' | 'unload', model: string, isOrdered: boolean): void {
+  if (action === 'load') unordered.load = isOrdered ? undefined : model
+  else if (isOrdered) unordered.unload.delete(model)
+  else unordered.unload.add(model)
+}
+
 function phaseOf ({ isComing, isLeaving }: HostedState): 'held' | 'coming' | 'leaving' {
   if (isLeaving) return 'leaving'
   return isComing ? 'coming' : 'held'
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -222,6 +222,22 @@
     stop()
   })
 
+  it('takes back what an engine refused for a higher fence', async () => {
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
+    engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
+    await clock.advance(300)
+    const { fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    const id = announcedOn(fleet, 'm0')!
+    void engines.get(id)!.order({ action: 'unload', model: 'none', expectedOrderCount: 9, holder: 'new', fence: 9 })
+    ask({ running: [], waiting: [] })
+    await clock.advance(3000)
+    expect(unused(engines, fleet)).to.deep.equal([])
+    expect(announcedOn(fleet, 'm0')).to.equal(undefined)
+    stop()
+  })
+
   it('goes on using a model that turned up at its engine when its office ends', async () => {
     const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0'] })
     engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
