--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -204,6 +204,34 @@
     stop()
   })
 
+  for (const gapMs of [0, 300]) {
+    it(`uses a model that a cut-off leader ordered ${gapMs} ms after its successor had asked the engine`, async () => {
+      // Guards against a copy that no node uses: what an engine holds turns out only after the new leader has asked it.
+      const { clock, engines, newFleet, readEntries, lead, ask, stop } = world(1, { without: ['m0'] })
+      engines.get('e0')!.restart(['m1', 'm2', 'm8'], 0)
+      await clock.advance(300)
+      const fleet = newFleet()
+      let isConnected = true
+      const first = lead(5, { broadcast: report => { if (isConnected) hear(fleet, report) } })
+      ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
+      while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+      isConnected = false
+      lead(6, { fleet })
+      await clock.advance(200 + gapMs)
+      // The first leader does not know yet that it was replaced, and gives its orders when the requests have ended.
+      ask({ running: [], waiting: [] })
+      await clock.advance(1500)
+      first.leader.stop()
+      for (let step = 0; step < 10; step++) {
+        await clock.advance(1000)
+        readEntries(fleet)
+      }
+      expect(holds(engines, 'm0')).to.equal(true)
+      expect(unused(engines, fleet)).to.deep.equal([])
+      stop()
+    })
+  }
+
   it('uses all models again after the first of two unloads was refused', async () => {
     // Guards against a copy that is left for ever: it gets no requests and cannot be displaced.
     const heavy = type.models.map(model => model.name === 'm8' ? { ...model, weightsMb: 140 } : model)
@@ -277,6 +305,28 @@
     stop()
   })
 
+  it('uses a model that its node ordered in an earlier office, though no request waits for it', async () => {
+    const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0', 'm8'] })
+    engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
+    await clock.advance(300)
+    const engine = engines.get('e0')!
+    const { leader, fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 20, 0]] })
+    engine.roundTripMs = 700
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    engine.roundTripMs = 24
+    leader.stop()
+    lead(6, { fleet })
+    ask({ waiting: [] })
+    for (let step = 0; step < 10; step++) {
+      await clock.advance(1000)
+      readEntries(fleet)
+    }
+    expect(engine.models.has('m0')).to.equal(true)
+    expect(unused(engines, fleet)).to.deep.equal([])
+    stop()
+  })
+
   it('serves every model after leaders that crashed, were cut off or won the office again', async () => {
     for (let seed = 1; seed <= 25; seed++) {
       const { clock, random, engines, newFleet, lead, ask, stop } = world(seed)
@@ -313,6 +363,48 @@
     }
   })
 
+  it('leaves no copy unused, and none expected for ever, with late orders and leaders that overlap', async () => {
+    const heavy = type.models.map(model => model.name === 'm8' ? { ...model, weightsMb: 140 } : model)
+    for (let seed = 1; seed <= 40; seed++) {
+      const { clock, random, engines, newFleet, readEntries, lead, ask, stop } = world(seed, { without: ['m8'], models: heavy })
+      let fence = 1
+      const nodes = [newFleet(), newFleet()]
+      const leadNext = () => {
+        const [own, other] = nodes
+        let isHeard = true
+        const { leader } = lead(++fence, { fleet: own!, broadcast: report => { if (isHeard) hear(other!, report) } })
+        return { leader, cut: () => { isHeard = false } }
+      }
+      let office = leadNext()
+      for (let step = 0; step < 20; step++) {
+        for (const engine of engines.values()) engine.lateShare = random.next() < 0.2 ? 0.3 : 0
+        ask({ waiting: [['s', `m${randomInt(random, modelCount)}`, 10 + randomInt(random, 30), 0]], running: oneOnEach(engines).filter(() => random.next() < 0.4) })
+        await clock.advance(500 + random.next() * 1500)
+        for (const node of nodes) readEntries(node)
+        if (random.next() < 0.6) continue
+        const { leader, cut } = office
+        cut()
+        if (random.next() < 0.4) leader.stop()
+        else {
+          nodes.reverse()
+          clock.setTimer(random.next() * 2500, () => leader.stop())
+        }
+        await clock.advance(random.next() * 400)
+        office = leadNext()
+      }
+      for (const engine of engines.values()) engine.lateShare = 0
+      ask({ waiting: [], running: [] })
+      for (let step = 0; step < 30; step++) {
+        await clock.advance(1000)
+        for (const node of nodes) readEntries(node)
+      }
+      expect(unused(engines, nodes[0]!), `seed ${seed}`).to.deep.equal([])
+      for (let index = 0; index < modelCount; index++) expect(announcedOn(nodes[0]!, `m${index}`), `seed ${seed}: m${index}`).to.equal(undefined)
+      expect(overloads(engines), `seed ${seed}`).to.deep.equal([])
+      stop()
+    }
+  })
+
   it('drops what was decided for an engine that has started again under its ID', async () => {
     // Guards against an order whose condition holds again by chance after a restart.
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
