Bound what an engine's own stream may send without events

Cause: only the events read ahead had a limit.

An event longer than 1 MiB ends its stream, only new text is searched, and a connection that brings more than 64 MiB for one answer is closed.

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -13,12 +13,14 @@
 const maxAnswerBytes = 16 * 1024 * 1024
 /** An answer with its head and framing. */
 const maxWireBytes = maxAnswerBytes + 2 * 1024 * 1024
+/** The longest streams, of some hundred thousand tokens, stay below. */
+const maxStreamBytes = 64 * 1024 * 1024
 const connectTimeoutMs = 5000
 
 /** Time limits come from `Clock`, so undici's own are off. */
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const
-/** For answers that are read while they come, and have limits of their own. */
-export const streamAgentOptions = { ...noTimeouts, connectTimeout: connectTimeoutMs } as const
+/** For answers that are read while they come. */
+export const streamAgentOptions = { ...noTimeouts, connect: limitedConnect({ timeoutMs: connectTimeoutMs, maxBytes: maxStreamBytes }) } as const
 /** For answers that are read whole. */
 export const callAgentOptions = { ...noTimeouts, connect: limitedConnect({ timeoutMs: connectTimeoutMs, maxBytes: maxWireBytes }) } as const
 /** A call that brings more interim responses is given up. */
--- a/src/external/httpEngineStream.ts
+++ b/src/external/httpEngineStream.ts
@@ -21,6 +21,8 @@
 // Events that are read ahead of a slow reader; the engine then waits for the connection.
 const maxBufferedEvents = 1_000
 const maxErrorBytes = 10_000
+/** An event that is longer ends its stream. */
+const maxEventChars = 1024 * 1024
 
 interface Waiter {
   resolve: (result: IteratorResult<InferenceEvent>) => void
@@ -95,13 +97,13 @@
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.state !== 'open') return
-    this.rest += this.decoder.decode(chunk, { stream: true })
+    const text = this.decoder.decode(chunk, { stream: true })
     if (this.status !== 200) {
-      this.rest = this.rest.slice(0, maxErrorBytes)
+      this.rest = (this.rest + text).slice(0, maxErrorBytes)
       return
     }
     try {
-      this.readLines()
+      this.read(text)
     } catch (error) {
       return this.fail(error)
     }
@@ -139,6 +141,13 @@
     dispatcher.dispatch({ origin: `http://${address}`, path, method: 'POST', headers: { 'content-type': 'application/json' }, body }, this)
   }
 
+  private read (text: string): void {
+    this.rest += text
+    // Only new text is searched, since an event may come in many small parts.
+    if (text.includes('\n')) this.readLines()
+    if (this.rest.length > maxEventChars) throw new Error(`an event is longer than ${maxEventChars} characters`)
+  }
+
   private readLines (): void {
     let start = 0
     for (let end = this.rest.indexOf('\n'); end >= 0; end = this.rest.indexOf('\n', start)) {
--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -2,15 +2,16 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { SystemClock } from '../src/base/clock.js'
-import { UnknownOutcomeError } from '../src/base/errors.js'
+import { CallError, UnknownOutcomeError } from '../src/base/errors.js'
 import { silentLog } from '../src/base/log.js'
 import { HttpCaller } from '../src/external/httpCall.js'
+import { HttpEngine } from '../src/external/httpEngine.js'
 import { codecs } from '../src/platform/httpNames.js'
 import { StoreClient } from '../src/platform/storeClient.js'
 import { EngineCalls } from '../src/serving/engineCalls.js'
 import { EventSplitter } from '../src/serving/eventStream.js'
 import { LeaderLink, PeerServer } from '../src/serving/peerLink.js'
-import { boundedBytes, dribble, Flood, LoopWatch } from './fixtures/flood.js'
+import { boundedBytes, dribble, Flood, LoopWatch, streamBoundedBytes } from './fixtures/flood.js'
 import { answerOf, chunkOf, idOf, RelayFixture, route, stamped } from './fixtures/serving.js'
 import type { Script } from './fixtures/serving.js'
 
@@ -429,6 +430,26 @@
     healthy.close()
   })
 
+  for (const [name, first, rest] of [
+    ['an event', chunkedHead, chunkOf('x'.repeat(1000))],
+    ['an event in chunks of one byte', chunkedHead, chunkOf('x')],
+    ['empty lines', chunkedHead, chunkOf('\n'.repeat(1000))],
+    ['a chunk extension', `${chunkedHead}1;`, 'x'],
+    ['the text of a failure', chunkedHead.replace('200 OK', '500 Failed'), chunkOf('x'.repeat(1000))]
+  ] as const) {
+    it(`of an engine's own stream end at a limit: ${name}`, async () => {
+      // Guards against a stream that fills the node's memory, or is read for ever.
+      [prefix, unit] = [first, rest]
+      const engine = new HttpEngine({ engine: 'e', address: `127.0.0.1:${port()}`, clock: new SystemClock() })
+      const error = await engine.resume('r', 0, { attemptId: 'a' })[Symbol.asyncIterator]().next().then(() => undefined, (failure: unknown) => failure)
+      expect(error).to.be.instanceOf(CallError)
+      expect(await within(closeWithinMs, floods[0]!.closed), 'the connection is closed').to.equal(true)
+      expect(floods[0]!.takenBytes, 'bytes taken').to.be.below(streamBoundedBytes)
+      expect(watch.stop(), 'longest turn of the event loop, in ms of processor time').to.be.below(longestBlockMs)
+      await engine.close()
+    })
+  }
+
   for (const [name, bytes] of [['no frame', 'x'], ['a frame', '\x00\x1f\xff\xff']] as const) {
     it(`from a peer end at a limit: ${name}`, async () => {
       let joined = 0
