--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -89,6 +89,38 @@
   }
 }
 
+/** Two nodes, of which the first leads next and the other hears it. */
+function succession ({ newFleet, lead }: Pick<ReturnType<typeof world>, 'newFleet' | 'lead'>) {
+  let fence = 0
+  const nodes = [newFleet(), newFleet()]
+  const leadNext = () => {
+    const [own, other] = nodes
+    let isHeard = true
+    const { leader } = lead(++fence, { fleet: own!, broadcast: report => { if (isHeard) hear(other!, report) } })
+    return { leader, cut: () => { isHeard = false } }
+  }
+  return { nodes, leadNext }
+}
+
+/** A node loses the office and wins it again while its order to load m0 on e0 is in flight. */
+async function regainOffice ({ loadFactor = 1 } = {}) {
+  const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0', 'm8'] })
+  engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
+  await clock.advance(300)
+  const engine = engines.get('e0')!
+  const { leader, fleet } = lead(5)
+  ask({ waiting: [['s', 'm0', 20, 0]] })
+  // The order arrives after the next leader has asked the engine what it holds.
+  engine.roundTripMs = 700
+  engine.loadFactor = loadFactor
+  while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+  engine.roundTripMs = 24
+  leader.stop()
+  lead(6, { fleet })
+  ask({ waiting: [] })
+  return { clock, engines, engine, fleet, readEntries, ask, stop }
+}
+
 describe('placement leader', () => {
   it('loads a model for which requests wait, in place of one that nobody uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
@@ -283,20 +315,7 @@
 
   it('counts a load that its node ordered in an earlier office', async () => {
     // Guards against an engine that is ordered to hold too much: what the ended office still writes, the next one of the same node relies on.
-    const { clock, engines, lead, ask, stop } = world(1, { without: ['m0', 'm8'] })
-    engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
-    await clock.advance(300)
-    const engine = engines.get('e0')!
-    const { leader, fleet } = lead(5)
-    ask({ waiting: [['s', 'm0', 20, 0]] })
-    // The order arrives after the next leader has asked the engine what it holds.
-    engine.roundTripMs = 700
-    engine.loadShare = 3
-    while (!fleet.servers.get('e0')!.hosted.get('m0')?.isComing) await clock.advance(10)
-    engine.roundTripMs = 24
-    leader.stop()
-    lead(6, { fleet })
-    ask({ waiting: [] })
+    const { clock, engines, engine, ask, stop } = await regainOffice({ loadFactor: 3 })
     await clock.advance(4000)
     ask({ waiting: [['s', 'm8', 20, 0]] })
     await clock.advance(9000)
@@ -306,18 +325,7 @@
   })
 
   it('uses a model that its node ordered in an earlier office, though no request waits for it', async () => {
-    const { clock, engines, readEntries, lead, ask, stop } = world(1, { without: ['m0', 'm8'] })
-    engines.get('e2')!.restart(['m6', 'm7', 'm1'], 0)
-    await clock.advance(300)
-    const engine = engines.get('e0')!
-    const { leader, fleet } = lead(5)
-    ask({ waiting: [['s', 'm0', 20, 0]] })
-    engine.roundTripMs = 700
-    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
-    engine.roundTripMs = 24
-    leader.stop()
-    lead(6, { fleet })
-    ask({ waiting: [] })
+    const { clock, engines, engine, fleet, readEntries, stop } = await regainOffice()
     for (let step = 0; step < 10; step++) {
       await clock.advance(1000)
       readEntries(fleet)
@@ -331,15 +339,7 @@
     for (let seed = 1; seed <= 25; seed++) {
       const { clock, random, engines, newFleet, lead, ask, stop } = world(seed)
       const isRunning = () => [...engines].flatMap(([id, { models }]) => [...models.keys()].map((model): [string, string, number, number] => [id, model, random.next() < 0.5 ? 1 : 0, 1]))
-      let fence = 1
-      // The node that leads, and one that hears it and may lead next.
-      const nodes = [newFleet(), newFleet()]
-      const leadNext = () => {
-        const [own, other] = nodes
-        let isHeard = true
-        const { leader } = lead(++fence, { fleet: own!, broadcast: report => { if (isHeard) hear(other!, report) } })
-        return { leader, cut: () => { isHeard = false } }
-      }
+      const { nodes, leadNext } = succession({ newFleet, lead })
       let office = leadNext()
       for (let step = 0; step < 20; step++) {
         ask({ waiting: [['s', `m${randomInt(random, modelCount)}`, 10 + randomInt(random, 30), 0]], running: isRunning() })
@@ -367,14 +367,7 @@
     const heavy = type.models.map(model => model.name === 'm8' ? { ...model, weightsMb: 140 } : model)
     for (let seed = 1; seed <= 40; seed++) {
       const { clock, random, engines, newFleet, readEntries, lead, ask, stop } = world(seed, { without: ['m8'], models: heavy })
-      let fence = 1
-      const nodes = [newFleet(), newFleet()]
-      const leadNext = () => {
-        const [own, other] = nodes
-        let isHeard = true
-        const { leader } = lead(++fence, { fleet: own!, broadcast: report => { if (isHeard) hear(other!, report) } })
-        return { leader, cut: () => { isHeard = false } }
-      }
+      const { nodes, leadNext } = succession({ newFleet, lead })
       let office = leadNext()
       for (let step = 0; step < 20; step++) {
         for (const engine of engines.values()) engine.lateShare = random.next() < 0.2 ? 0.3 : 0
@@ -414,8 +407,7 @@
     await clock.advance(300)
     const { fleet } = lead(5)
     // The move to m0 waits for these requests to end.
-    const running: NodeReport['running'] = [...engines].flatMap(([id, { models }]) => [...models.keys()].map((model): [string, string, number, number] => [id, model, 1, 2]))
-    ask({ waiting: [['s', 'm0', 20, 0]], running })
+    ask({ waiting: [['s', 'm0', 20, 0]], running: oneOnEach(engines) })
     await clock.advance(2000)
     for (const one of engines.values()) {
       one.restart([...one.models.keys()], 0)
