Tests: one copy of a node's settings file

stopOutput.spec wrote the settings of soak/nodeProcess again, with the same ports and grace time. It calls settingsText now; its assertions and bounds are the same.

--- a/tests/soak/nodeProcess.ts
+++ b/tests/soak/nodeProcess.ts
@@ -114,7 +114,8 @@
   }
 }
 
-function settingsText (node: string, ip: string, store: string): string {
+/** The settings file of a node. */
+export function settingsText (node: string, ip: string, store: string): string {
   return `node = "${node}"
 ip = "${ip}"
 zone = "z1"
--- a/tests/stopOutput.spec.ts
+++ b/tests/stopOutput.spec.ts
@@ -5,35 +5,16 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
+import { graceMs } from './soak/ledger.js'
+import { settingsText } from './soak/nodeProcess.js'
 import { sleep, StoreStandIn } from './soak/storeStandIn.js'
 
 const program = join(import.meta.dirname, '../src/cli/main.js')
-const graceMs = 6000
 /** Each leaves a log line. */
 const requests = 400
 /** Well before the end of a stop. */
 const fillAfterMs = 1000
 
-const settings = (ip: string, store: string) => `node = "n"
-ip = "${ip}"
-zone = "z1"
-region = "r1"
-port_range = [7310,7315]
-[zones]
-z1 = "r1"
-[listen]
-front = "${ip}:7301"
-ready = "${ip}:7302"
-[limits]
-max_fds = 4100
-[bounds]
-grace_s = ${graceMs / 1000}
-fence_required = true
-[platform]
-address = "${store}"
-ttl_min_ms = 1000
-`
-
 const config = {
   version: 4,
   routes: [{ name: 'r', host: 'h', path_prefix: '/', kind: 'unsafe', timeout_ms: 2000, goal_ms: 500, priority: 0, service: 's', max_attempts: 1 }],
@@ -87,7 +68,7 @@
     store = new StoreStandIn(() => 0.5)
     await store.listen()
     store.put('op/config', config)
-    writeFileSync(join(directory, 'settings.toml'), settings(ip, `127.0.0.1:${store.port}`))
+    writeFileSync(join(directory, 'settings.toml'), settingsText('n', ip, `127.0.0.1:${store.port}`))
     pipe = join(directory, 'output')
     execFileSync('mkfifo', [pipe])
     const output = openSync(pipe, 'r+')
