Heed what backend servers say in responses: that they leave, and pauses they request

Cause: Server-Leaving and the Retry-After of a 503 were not read. A node went on sending to an engine that leaves until its store entry said so, and to one that wants a pause after 250 ms.

Change: decoded in platform/; a leaving incarnation gets nothing more from any node (reports carry it to the leader, which passes it on), also when its entry is listed again, and its models are placed elsewhere. When all servers paused, the client is told the shortest pause at once. Health checks, state queries and commands are no requests and go on.

--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -1,6 +1,6 @@
 /** Codecs for the platform's HTTP requests and responses: headers of clients and backend servers, control requests to engines. */
 
-import type { Codecs, ControlRequest, ForwardOptions, RequestMetadata, ResponseMetadata, PromptPart } from '../serving/codecs.js'
+import type { Codecs, ControlRequest, ForwardOptions, RequestMetadata, RequestedPause, ResponseMetadata, PromptPart } from '../serving/codecs.js'
 import type { EngineCommand, CommandOutcome } from '../serving/deployment.js'
 import type { ResponseHead } from '../serving/responseReader.js'
 import { reservationSchema, readBackend, readDeployment, readReport } from './wireSchemas.js'
@@ -90,13 +90,22 @@
   return headers
 }
 
+/** Only a number of seconds is read. A date would depend on the time of day, which may differ between machines. */
+function readRequestedPause (value: string | undefined): RequestedPause | undefined {
+  if (value === undefined) return undefined
+  const seconds = /^\d{1,300}(\.\d{1,300})?$/.test(value) ? Number(value) : NaN
+  return Number.isNaN(seconds) ? { unreadable: value } : { ms: seconds * 1000 }
+}
+
 function readResponse ({ status, headers }: ResponseHead): ResponseMetadata {
   return {
     requestId: headers.get(requestIdHeader),
     isSigned: headers.has('x-server-stamp'),
     isNotRun: headers.has('x-not-executed') || status === 421,
     isMisdirected: status === 421,
-    isEncoded: (headers.get('content-encoding') ?? 'identity') !== 'identity'
+    isEncoded: (headers.get('content-encoding') ?? 'identity') !== 'identity',
+    isLeaving: headers.get('server-leaving') === '1',
+    requestedPause: status === 503 ? readRequestedPause(headers.get('retry-after')) : undefined
   }
 }
 
--- a/src/serving/adapterPlacement.ts
+++ b/src/serving/adapterPlacement.ts
@@ -43,7 +43,7 @@
     const nowMs = this.options.clock.nowMs()
     const candidates = engines.filter(({ server, isSynced }) => {
       const state = server.replicas.get(model)
-      return isSynced && state && !state.isUnloading && !state.isLoading && server.isUsable
+      return isSynced && state && !state.isUnloading && !state.isLoading && server.isPresent
     })
     const key = `${model}/${adapter}`
     if (candidates.some(({ server, pendingAdapters }) => pendingAdapters.has(key) || server.replicas.get(model)!.adapters.has(adapter))) return
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -1,6 +1,7 @@
 /** What this node knows about one incarnation of a backend server. */
 
 import type { Clock } from '../base/clock.js'
+import type { RequestedPause, ResponseMetadata } from './codecs.js'
 import { ConnectionPool } from './connectionPool.js'
 import type { BackendEntry, EngineReport, LoadedModel } from './deployment.js'
 
@@ -17,6 +18,8 @@
 /** Time without requests after a failed connection, doubled for each further one. */
 const firstEjectionMs = 300
 const maxEjectionMs = 4000
+/** Longest pause that a server can request. */
+const maxPauseMs = 24 * 3600 * 1000
 
 export interface ReplicaState {
   /** Time from which requests can be sent; `Infinity` while unknown. */
@@ -29,6 +32,17 @@
   adapters: Map<string, number>
 }
 
+export interface BackendServerOptions {
+  /** Called when a connection is opened. */
+  onOpened?: () => void
+  /** Called once, when the server has announced that it is leaving. */
+  onLeaving?: () => void
+  /** Called when the server has requested a pause; `appliedMs` is 0 if the request is not readable. */
+  onPauseRequested?: (pause: RequestedPause, appliedMs: number) => void
+  /** Bytes of incomplete responses that this node buffers, shared by all servers. */
+  buffered?: { bytes: number }
+}
+
 /** The placement leader's state of one model on an engine. */
 export interface ReplicaUpdate {
   name: string
@@ -62,6 +76,9 @@
   /** Time from which the server counts as removed and gets no more requests. */
   removalAtMs = Infinity
   private ejectedUntilMs = 0
+  /** Time until which the server wants no requests from this node. */
+  private pausedUntilMs = 0
+  private hasAnnouncedLeaving = false
   private ejections = 0
   /** Requests that the server answered and that failed, since they were last collected. */
   private outcomes = { answered: 0, failed: 0 }
@@ -69,7 +86,8 @@
   private delayMs = 0
   private sampledAtMs: number
 
-  constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, { onOpened, buffered = { bytes: 0 } }: { onOpened?: () => void, buffered?: { bytes: number } } = {}) {
+  constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, private readonly options: BackendServerOptions = {}) {
+    const { onOpened, buffered = { bytes: 0 } } = options
     this.buffered = buffered
     this.pool = new ConnectionPool({ address: entry.address, clock, ...(onOpened ? { onOpened } : {}) })
     this.sampledAtMs = clock.nowMs()
@@ -131,10 +149,47 @@
     }]))
   }
 
-  /** Whether the server may get requests now. */
+  /** Whether the server may get requests from this node now. */
   get isUsable (): boolean {
+    return this.isPresent && this.pauseLeftMs === 0
+  }
+
+  /** Whether the server takes part in the fleet: its models count, and other nodes may send it requests. */
+  get isPresent (): boolean {
     const nowMs = this.clock.nowMs()
-    return !this.entry.isDraining && nowMs < this.removalAtMs && nowMs >= this.ejectedUntilMs
+    return !this.isGoing && nowMs < this.removalAtMs && nowMs >= this.ejectedUntilMs
+  }
+
+  /** Whether the server exits soon, according to its entry or to its responses. */
+  get isGoing (): boolean {
+    return this.entry.isDraining || this.hasAnnouncedLeaving
+  }
+
+  /** Whether a response of the server has announced that it is leaving, to this node or to another one. */
+  get isLeaving (): boolean {
+    return this.hasAnnouncedLeaving
+  }
+
+  /** Remaining time for which the server wants no requests from this node, in milliseconds. */
+  get pauseLeftMs (): number {
+    return Math.max(0, this.pausedUntilMs - this.clock.nowMs())
+  }
+
+  /** Applies what a response says about the server itself. Another server may respond at the address of a misdirected request. */
+  onNotice ({ isLeaving, requestedPause, isMisdirected }: Pick<ResponseMetadata, 'isLeaving' | 'requestedPause' | 'isMisdirected'>): void {
+    if (isMisdirected) return
+    if (isLeaving) this.markLeaving()
+    if (!requestedPause) return
+    const appliedMs = 'ms' in requestedPause ? Math.min(maxPauseMs, requestedPause.ms) : 0
+    this.pausedUntilMs = Math.max(this.pausedUntilMs, this.clock.nowMs() + appliedMs)
+    this.options.onPauseRequested?.(requestedPause, appliedMs)
+  }
+
+  /** The server is leaving. This holds for the rest of its incarnation and is no failure. */
+  markLeaving (): void {
+    if (this.hasAnnouncedLeaving) return
+    this.hasAnnouncedLeaving = true
+    this.options.onLeaving?.()
   }
 
   serves (model: string | undefined, adapter: string | undefined): boolean {
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -44,8 +44,15 @@
   isMisdirected: boolean
   /** The body has a content encoding, which backend servers never use. */
   isEncoded: boolean
+  /** The backend server is about to exit. */
+  isLeaving: boolean
+  /** Pause that a backend server requests when it rejects a request. */
+  requestedPause: RequestedPause | undefined
 }
 
+/** Time for which a backend server wants no more requests from this node, or the header value if it is not a number of seconds. */
+export type RequestedPause = { ms: number } | { unreadable: string }
+
 export interface ControlRequest {
   method: string
   path: string
--- a/src/serving/engineClient.ts
+++ b/src/serving/engineClient.ts
@@ -63,8 +63,12 @@
       for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
       if (body) head += `Content-Length: ${Buffer.byteLength(body)}\r\n`
       connection.send(method, Buffer.from(`${head}\r\n${body}`), {
-        accepts: () => true,
-        onHead: response => { status = response.status },
+        // A server may repeat its response to an earlier request on the connection; those to calls have no request ID.
+        accepts: response => this.codecs.readResponse(response).requestId === undefined,
+        onHead: response => {
+          status = response.status
+          server.onNotice(this.codecs.readResponse(response))
+        },
         onData: data => {
           if (text.length + data.length > maxResponseBytes) abort()
           else text.push(data)
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -7,6 +7,9 @@
 
 /** Servers whose entries expired during a store outage write them again within about this time of its end. */
 const reregistrationMs = 2300
+/** Number of incarnations whose announcement that they are leaving is remembered after their removal. */
+const maxLeavingKept = 4096
+const maxLoggedValueChars = 60
 
 export interface FleetViewOptions {
   clock: Clock
@@ -15,6 +18,9 @@
   onConnectionOpened?: () => void
 }
 
+/** Identifies an incarnation of a backend server: its ID, and its start in Unix milliseconds if it is known. */
+export type Incarnation = [id: string, bornAtMs: number | null]
+
 export class FleetView {
   readonly servers = new Map<string, BackendServer>()
   /** Bytes of incomplete responses that this node buffers. */
@@ -22,6 +28,8 @@
   private readonly options: FleetViewOptions
   private readonly listeners = new Set<() => void>()
   private outageEndedAtMs = -Infinity
+  /** Incarnations that announced that they are leaving, oldest first. An entry that comes back does not make them usable. */
+  private readonly leavingIncarnations = new Set<string>()
 
   constructor (options: FleetViewOptions) {
     this.options = options
@@ -50,14 +58,56 @@
       known.removalAtMs = Infinity
     } else {
       const region = this.options.regionOfZone[entry.availabilityZone] ?? entry.availabilityZone
-      const { onConnectionOpened } = this.options
       known?.pool.closeIdle()
-      this.servers.set(entry.id, new BackendServer(entry, region, this.options.clock, { buffered: this.buffered, ...(onConnectionOpened ? { onOpened: onConnectionOpened } : {}) }))
+      const server = this.createServer(entry, region)
+      this.servers.set(entry.id, server)
+      if (this.leavingIncarnations.has(incarnationKey(incarnationOf(entry)))) server.markLeaving()
       this.options.log('info', 'backend server taken in', { backend: entry.id, service: entry.service, address: entry.address, isRestart: known !== undefined })
     }
     this.notify()
   }
 
+  private createServer (entry: BackendEntry, region: string): BackendServer {
+    const { clock, log, onConnectionOpened } = this.options
+    const server: BackendServer = new BackendServer(entry, region, clock, {
+      buffered: this.buffered,
+      ...(onConnectionOpened ? { onOpened: onConnectionOpened } : {}),
+      onLeaving: () => {
+        log('info', 'backend server leaving', { backend: entry.id })
+        this.rememberLeaving(incarnationOf(entry))
+        server.pool.closeIdle()
+        this.notify()
+      },
+      onPauseRequested: (pause, appliedMs) => {
+        if ('unreadable' in pause) log('warn', 'requested pause ignored: not a number of seconds', { backend: entry.id, value: pause.unreadable.slice(0, maxLoggedValueChars) })
+        else log('info', 'backend server requests a pause', { backend: entry.id, requestedMs: Math.round(pause.ms), appliedMs: Math.round(appliedMs) })
+      }
+    })
+    return server
+  }
+
+  /** Another node has received the announcement that the incarnation is leaving. */
+  onLeaving ([id, bornAtMs]: Incarnation): void {
+    this.rememberLeaving([id, bornAtMs])
+    const server = this.servers.get(id)
+    if (server && (server.entry.bornAtMs ?? null) === bornAtMs) server.markLeaving()
+  }
+
+  /** The known servers that have announced that they are leaving. */
+  get leaving (): Incarnation[] {
+    return [...this.servers.values()].filter(({ isLeaving }) => isLeaving).map(({ entry }) => incarnationOf(entry))
+  }
+
+  private rememberLeaving (incarnation: Incarnation): void {
+    // Without a start time, a later incarnation could not be told apart.
+    if (incarnation[1] === null) return
+    this.leavingIncarnations.add(incarnationKey(incarnation))
+    for (const oldest of this.leavingIncarnations) {
+      if (this.leavingIncarnations.size <= maxLeavingKept) break
+      this.leavingIncarnations.delete(oldest)
+    }
+  }
+
   /** Marks a server as removed; right after a store outage only after the time in which its entry may come back. */
   remove (id: string): void {
     const server = this.servers.get(id)
@@ -91,3 +141,11 @@
     return result
   }
 }
+
+function incarnationOf ({ id, bornAtMs }: BackendEntry): Incarnation {
+  return [id, bornAtMs ?? null]
+}
+
+function incarnationKey ([id, bornAtMs]: Incarnation): string {
+  return `${id}/${bornAtMs}`
+}
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -65,17 +65,18 @@
 
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
-    return { ...this.placement.fullReport(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return { ...this.placement.fullReport(), ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   onReport (report: NodeReport): void {
     this.recordOutcomes(report)
+    for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
     this.placement.onReport(report)
   }
 
-  /** The dispatch decision for a request of any node; `undefined` if this node knows no engine that can serve it. */
+  /** The dispatch decision for a request of any node, which excludes the servers that want none from it; `undefined` if this node knows no engine that can serve it. */
   dispatch (request: DispatchRequest): DispatchDecision | undefined {
-    const servers = this.options.fleet.ofService(request.service).filter(server => server.isUsable && server.serves(request.model, request.adapter))
+    const servers = this.options.fleet.ofService(request.service).filter(server => server.isPresent && server.serves(request.model, request.adapter))
     const candidates = servers.map(server => ({
       id: server.entry.id,
       region: server.region,
@@ -124,7 +125,12 @@
 
   private broadcastUpdate (running: LeaderReport['running']): void {
     if (this.isStopped) return
-    this.options.broadcast({ fence: this.options.fence, news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+  }
+
+  private leavingRows (): Pick<LeaderReport, 'leaving'> {
+    const { leaving } = this.options.fleet
+    return leaving.length > 0 ? { leaving } : {}
   }
 
   private storeUpdate ({ fromRevision, revision, changes }: ChangeRange): LeaderReport['news'] {
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -5,6 +5,9 @@
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { decodeBody, encodeBody } from '../protocol/framing.js'
 
+/** ID and start time of a backend server's incarnation. */
+const incarnationSchema = z.tuple([z.string(), z.number().nullable()])
+
 /** State that a node sends to the leader several times a second. Rows instead of objects save bytes between regions. */
 export const nodeReportSchema = z.object({
   node: z.string(),
@@ -21,7 +24,9 @@
   /** Engines whose actual state differs from the expected one. */
   misknown: z.array(z.string()),
   /** Backend server, requests with a response and failed requests since the last report. */
-  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()]))
+  outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  /** Backend servers that are leaving according to their responses; absent if there are none. */
+  leaving: z.array(incarnationSchema).optional()
 })
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
@@ -131,7 +136,9 @@
   /** Engine, models: engines that changed since the last update. */
   hosting: z.array(z.tuple([z.string(), z.array(modelRowSchema)])),
   /** Engine, requests in progress from all nodes. */
-  running: z.array(z.tuple([z.string(), z.number()]))
+  running: z.array(z.tuple([z.string(), z.number()])),
+  /** Backend servers that are leaving according to their responses to any node; absent if there are none. */
+  leaving: z.array(incarnationSchema).optional()
 })
 export type LeaderReport = z.infer<typeof leaderReportSchema>
 
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -157,7 +157,7 @@
       this.engines.set(server.entry.id, control)
     }
     for (const control of this.engines.values()) {
-      if (control.isSynced || control.isSyncing || this.options.clock.nowMs() < control.retryAtMs || !control.server.isUsable) continue
+      if (control.isSynced || control.isSyncing || this.options.clock.nowMs() < control.retryAtMs || !control.server.isPresent) continue
       control.isSyncing = true
       void this.enqueue(control, () => this.queryState(control)).finally(() => { control.isSyncing = false })
     }
@@ -221,7 +221,7 @@
   }
 
   private enginesOf (service: string): ControlledEngine[] {
-    return [...this.engines.values()].filter(({ server }) => server.entry.service === service && !server.entry.isDraining && server.removalAtMs === Infinity)
+    return [...this.engines.values()].filter(({ server }) => server.entry.service === service && !server.isGoing && server.removalAtMs === Infinity)
   }
 
   private rateOf (service: string, engine: EngineType): LoadRate {
@@ -242,7 +242,7 @@
     return {
       id: server.entry.id,
       adapters: occupiedAdapterSlots(control),
-      isAvailable: control.isSynced && !control.isMoving && server.isUsable && nowMs >= control.retryAtMs,
+      isAvailable: control.isSynced && !control.isMoving && server.isPresent && nowMs >= control.retryAtMs,
       weightsMb: engine.weightsMb,
       adaptersMb,
       slots: engine.slots,
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -213,6 +213,7 @@
   }
 
   private onData (data: Buffer): void {
+    this.server.onNotice(metadata)
     if (!this.isStreaming) {
       this.recordProgress()
       this.recordFirstByte()
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -404,10 +404,17 @@
     this.finish(request, forwarder, progress, { outcome: result?.kind ?? 'refused', status: writer.response.statusCode, reason: search?.reason ?? reasonOf(result) })
   }
 
-  /** Limits `wantedMs` so that the client has enough time left for its retry. */
+  /** Time until the first server that could run the request wants requests from this node; 0 if one does or none exists. */
+  private pauseLeftMs (request: ProxiedRequest): number {
+    const { model, adapter } = request.metadata
+    const servers = this.options.fleet.ofService(request.service.name).filter(server => server.isPresent && server.serves(model, adapter))
+    return servers.length === 0 ? 0 : Math.min(...servers.map(server => server.pauseLeftMs))
+  }
+
+  /** Limits `wantedMs` so that the client has enough time left for its retry. A pause that all servers requested is stated as it is. */
   private retryAfterMs (request: ProxiedRequest, wantedMs: number): number {
     const leftMs = Math.max(0, (request.metadata.deadlineMs ?? request.route.timeoutMs) - (this.clock.nowMs() - request.arrivedAtMs))
-    return Math.min(wantedMs, leftMs * maxRetryAfterShare)
+    return Math.max(this.pauseLeftMs(request), Math.min(wantedMs, leftMs * maxRetryAfterShare))
   }
 
   /** Finds the best server for the request; waits while its model is being loaded or all engines are full. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -177,6 +177,8 @@
     metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.active)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that accept requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
+    metrics.gauge('teaselrill_backends_leaving', 'Backend servers that announced in a response that they are leaving', () => this.fleet.leaving.length)
+    metrics.gauge('teaselrill_backends_paused', 'Backend servers that want no requests from this node for a while', () => [...this.fleet.servers.values()].filter(server => server.isPresent && server.pauseLeftMs > 0).length)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
@@ -366,7 +368,7 @@
     else this.onLeaderReport(message)
   }
 
-  private onLeaderReport ({ news, hosting, running }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [] }: LeaderReport): void {
     if (news) {
       const { fromRevision, revision, ageMs, nodeCount, returnedMsAgo } = news
       // Before the changes, which include the removal of entries that expired during the outage.
@@ -381,6 +383,7 @@
         name, readyInMs, isLoading: phase === 'coming', isUnloading: phase === 'leaving', adapters: adapters.map(([adapter, inMs]) => ({ name: adapter, readyInMs: inMs }))
       })))
     }
+    for (const incarnation of leaving) this.fleet.onLeaving(incarnation)
     this.recordRunning(running)
     if (hosting.length > 0) this.fleet.notify()
   }
@@ -395,6 +398,7 @@
     const running: NodeReport['running'] = []
     const outcomes: NodeReport['outcomes'] = []
     const misknown: string[] = []
+    const { leaving } = this.fleet
     for (const [id, server] of this.fleet.servers) {
       const { answered, failed } = server.collectOutcomes()
       if (server.collectStateMismatch()) misknown.push(id)
@@ -410,7 +414,8 @@
       used: this.demand.takeUsedAdapters(),
       missing: this.demand.takeMissingModels(),
       misknown,
-      outcomes
+      outcomes,
+      ...(leaving.length > 0 ? { leaving } : {})
     }
   }
 
@@ -435,8 +440,8 @@
     let bestMs: number | undefined
     for (const server of this.fleet.ofService(service)) {
       const state = server.replicas.get(model)
-      if (!state || state.isUnloading || !server.isUsable) continue
-      const readyAtMs = Math.max(state.readyAtMs, adapter === undefined ? 0 : state.adapters.get(adapter) ?? Infinity)
+      if (!state || state.isUnloading || !server.isPresent) continue
+      const readyAtMs = Math.max(state.readyAtMs, nowMs + server.pauseLeftMs, adapter === undefined ? 0 : state.adapters.get(adapter) ?? Infinity)
       if (readyAtMs !== Infinity) bestMs = Math.min(bestMs ?? Infinity, Math.max(0, readyAtMs - nowMs))
     }
     return bestMs
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -25,6 +25,8 @@
       drain: sabotage('drain', 'DRAIN', 'orders', ['backendDrains']),
       configuration: sabotage('configuration', 'CONFIG', 'orders', ['configChange']),
       memory: sabotage('memory', 'LIMIT', 'models', ['backendCrash']),
+      leaving: sabotage('notices', 'DRAIN', 'orders', ['backendLeaves']),
+      pauses: sabotage('notices', 'BUDGET', 'orders', ['backendTurnsAway']),
       silence: sabotage('silence', 'LOST', 'models', ['enginePauses'])
     })
   })
@@ -41,6 +43,20 @@
     expect(rulesOf(await sabotaged.drain!)).to.include('DRAIN')
   })
 
+  it('reports requests to servers that said in a response that they are leaving', async () => {
+    expect(rulesOf(await sabotaged.leaving!)).to.include('DRAIN')
+  })
+
+  it('reports requests to servers within the pause that they requested', async () => {
+    expect(rulesOf(await sabotaged.pauses!)).to.include('BUDGET')
+  })
+
+  it('keeps the pauses and announcements that servers make in responses', async () => {
+    const { violations, counts } = await run({ seed: 31, durationMs: 20_000, only: ['backendLeaves', 'backendTurnsAway', 'stop'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['unsafe 200']).to.be.above(20)
+  })
+
   it('reports a configuration that is not taken up', async () => {
     expect(rulesOf(await sabotaged.configuration!)).to.include('CONFIG')
   })
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -46,6 +46,10 @@
   pausedUntilMs = -Infinity
   /** Requests that it runs at the same time; it refuses further ones as not run. */
   slotsNow = Infinity
+  /** Pause that it requests of every sender whose request it rejects meanwhile; it runs none. */
+  requestedPauseMs = 0
+  /** Whether all its answers say that it is leaving. */
+  private isLeaving = false
   private state: 'ready' | 'draining' = 'ready'
   private isDead = false
   private address = ''
@@ -106,6 +110,14 @@
     this.options.store.remove(`servers/${this.options.id}`)
   }
 
+  /** Says only in its answers that it leaves, serves for a while and ends. */
+  async leave (serveMs: number): Promise<void> {
+    this.isLeaving = true
+    await sleep(serveMs)
+    while (this.active > 0) await sleep(50)
+    this.crash()
+  }
+
   crash (): void {
     this.isDead = true
     this.options.ledger.backends.get(this.options.id)?.begin('gone')
@@ -155,6 +167,11 @@
     await this.run(request, response, body)
   }
 
+  private turnAway (request: IncomingMessage, response: ServerResponse, id: string): void {
+    this.options.ledger.onPauseRequested(id, this.options.id, this.requestedPauseMs)
+    this.reply(response, 503, {}, { 'X-Not-Executed': '1', 'X-Attempt-Id': id, 'Retry-After': String(this.requestedPauseMs / 1000) })
+  }
+
   private refuse (request: IncomingMessage, response: ServerResponse, status: number): void {
     this.reply(response, status, {}, { 'X-Not-Executed': '1', 'X-Attempt-Id': String(request.headers['x-attempt-id'] ?? '') })
   }
@@ -164,6 +181,11 @@
     const { ledger } = this.options
     const [model, adapter] = String(request.headers['x-model'] ?? '').split('/')
     ledger.onArrival(id, this.options.id)
+    if (this.requestedPauseMs > 0) return this.turnAway(request, response, id)
+    if (this.isLeaving) {
+      response.setHeader('Server-Leaving', '1')
+      response.once('finish', () => ledger.onLeavingAnswer(id, this.options.id))
+    }
     if (this.options.models && !(adapter ? this.models.get(model!)?.has(adapter) : this.models.has(model!))) return this.refuse(request, response, 421)
     const isHeld = this.endHold(String(request.headers['x-hold'] ?? ''))
     if (!isHeld && this.isFull) return this.refuse(request, response, 503)
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -57,6 +57,10 @@
 /** Places that engines have beyond what they run when they become nearly full. */
 const mostPlacesLeft = 1
 
+/** Longer than the time within which nodes must have stopped using a leaving server. */
+const leavingServesMs = 6000
+const turnAwayPauseMs = 2500
+
 export const faults: Record<string, Fault> = {
   kill: world => disturbNode(world, 'kill', async node => node.signal('SIGKILL')),
   killSeries: (world, durationMs) => disturbNode(world, 'kill series', async node => {
@@ -117,6 +121,18 @@
     await world.replaceBackend(backend)
     await backend.drain(5000)
   },
+  backendLeaves: async world => {
+    const backend = world.pickBackend()
+    await world.replaceBackend(backend)
+    await backend.leave(leavingServesMs)
+  },
+  // Says so only to those whose requests it turns away; the others run elsewhere.
+  backendTurnsAway: async (world, durationMs) => {
+    const backend = world.pickBackend()
+    backend.requestedPauseMs = turnAwayPauseMs
+    await sleep(durationMs)
+    backend.requestedPauseMs = 0
+  },
   backendFails: (world, durationMs) => disturbBackend(world, 'fails', async backend => {
     backend.isFailing = true
     await sleep(durationMs)
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -20,6 +20,10 @@
 /** Requests that may be passed on and then end with the connection. */
 const mostUnanswered = 3
 
+/** Requests that may reach a backend server from one node within a pause that it requested, from this long after its answer. */
+const mostWithinPause = 2
+const pauseSlackMs = 500
+
 const promises = new Set([408, 421, 429, 503])
 
 /** Something that may be under a fault; promises with a time bound hold only without. */
@@ -81,6 +85,10 @@
   readonly backends = new Map<string, Condition>()
   private readonly sent = new Map<string, Sent>()
   private readonly drainingAtMs = new Map<string, number>()
+  /** Time of the first answer to each node in which a backend server said that it leaves, by `NODE/BACKEND`. */
+  private readonly leavingAtMs = new Map<string, number>()
+  /** Pauses that backend servers requested, by `NODE/BACKEND`, with the requests that arrived within them. */
+  private readonly pauses = new Map<string, { fromMs: number, untilMs: number, arrivals: number }>()
   private unanswered = 0
   private readonly fences = new Map<string, Map<number, string>>()
   private readonly startMs = performance.now()
@@ -101,8 +109,36 @@
     this.drainingAtMs.set(backend, performance.now())
   }
 
+  onLeavingAnswer (id: string, backend: string): void {
+    const key = `${this.sent.get(id)?.node}/${backend}`
+    if (!this.leavingAtMs.has(key)) this.leavingAtMs.set(key, performance.now())
+  }
+
+  onPauseRequested (id: string, backend: string, pauseMs: number): void {
+    const nowMs = performance.now()
+    const key = `${this.sent.get(id)?.node}/${backend}`
+    // A later request does not forgive arrivals within an earlier pause.
+    if (nowMs < (this.pauses.get(key)?.untilMs ?? 0)) return
+    this.pauses.set(key, { fromMs: nowMs + pauseSlackMs, untilMs: nowMs + pauseMs, arrivals: 0 })
+  }
+
+  /** Checks what the backend server said of itself in its answers to this node. A restart or pause of the node excuses it. */
+  private checkNotices (id: string, backend: string, { node, sentAtMs }: Sent): void {
+    const key = `${node}/${backend}`
+    const nowMs = performance.now()
+    const condition = this.nodes.get(node)
+    const leavingAtMs = this.leavingAtMs.get(key)
+    if (leavingAtMs !== undefined && sentAtMs > leavingAtMs + drainMs && condition?.wasCalmSince(leavingAtMs)) {
+      this.violation('DRAIN', `${node} sends ${id} to ${backend} ${Math.round(nowMs - leavingAtMs)} ms after its answer said that it leaves`)
+    }
+    const pause = this.pauses.get(key)
+    if (!pause || nowMs < pause.fromMs || nowMs > pause.untilMs || !condition?.wasCalmSince(pause.fromMs)) return
+    if (++pause.arrivals > mostWithinPause) this.violation('BUDGET', `${node} sends ${id} to ${backend} within the pause that it requested, as the ${pause.arrivals}th`)
+  }
+
   onArrival (id: string, backend: string): void {
     const request = this.sent.get(id)
+    if (request) this.checkNotices(id, backend, request)
     const sinceMs = this.drainingAtMs.get(backend)
     if (!request || sinceMs === undefined || performance.now() - sinceMs <= drainMs) return
     const isCalm = [this.store, this.nodes.get(request.node), this.backends.get(backend)].every(condition => condition?.wasCalmSince(sinceMs) ?? true)
