Discard requests that were read late and whose clients have left

Change: while the event loop was late within the last two seconds, one poll of the sockets goes between reading a request and forwarding it.

Result: before, 12 of 12 requests of clients that left during a SIGSTOP ran (stopPaused.spec) and 9 of 9 behind a blocked event loop (requestProxy.spec); now none.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -5,6 +5,7 @@
 import { match } from 'ts-pattern'
 import { sleep } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
+import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
@@ -32,6 +33,8 @@
 const maxRetryAfterShare = 0.33
 /** One log line is written per this many successful requests that needed no retry, did not wait and met their objectives. */
 const plainRequestsPerLogLine = 100
+/** Event-loop delay from which requests count as read late: their clients may have left before. */
+const lateReadMs = 100
 /** Interval at which a waiting request looks for an engine again. */
 const waitPollMs = 25
 /** The same for requests that can no longer meet their objective, so that the others are dispatched first. */
@@ -208,11 +211,7 @@
       if (!earlier.response.headersSent) earlier.response.shouldKeepAlive = earlier.isKeepAlive
       await earlier.finished
     }
-    // The response could not be written any more, so the request is not forwarded.
-    if (socket.writableEnded || socket.destroyed) {
-      this.options.log('info', 'request discarded: client connection closed', { request: metadata.requestId })
-      return open.end()
-    }
+    if (this.discardIfClosed(socket, open)) return
     if (this.isClosing) this.announceClose(open)
     const writer = new ResponseWriter(request, response)
     const { deployment } = this
@@ -227,12 +226,25 @@
     const body = await readBody(request, deployment.limits.maxBodyBytes)
     if (body === 'too-large') return writer.sendError(413, 'the request body is too large')
     if (body === 'left') return
+    if ((this.options.loopDelayMs?.() ?? Infinity) > lateReadMs) {
+      // The request may have been sent long ago. Whether its client has closed the connection since is read after it.
+      await ioTurn()
+      if (this.discardIfClosed(socket, open)) return
+    }
     const service = this.services.get(serviceOf(route, metadata.requestId ?? ''))
     if (!service) return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
     const deadlineAtMs = arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
     await this.serve({ metadata, route, service, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
   }
 
+  /** Discards a request whose response could not be written any more, so that it is not forwarded. Returns whether it did. */
+  private discardIfClosed (socket: Socket, open: OpenRequest): boolean {
+    if (!socket.writableEnded && !socket.destroyed) return false
+    this.options.log('info', 'request discarded: client connection closed', { request: open.requestId })
+    open.end()
+    return true
+  }
+
   /** Rejects all further requests, and waiting ones whose response has not started: they could not be finished before the shutdown. */
   refuseRequests (): void {
     this.isRefusing = true
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net'
 import { expect } from 'chai'
 import { blockEventLoop } from './fixtures/blockEventLoop.js'
 import { responseTo, chunk, requestIdOf, RequestProxyFixture, route, signedHeaders } from './fixtures/requestProxyFixture.js'
@@ -554,6 +555,24 @@
     expect(fixture.received).to.have.length(1)
   })
 
+  // Guards against requests that reach a server although their clients left before this process could read them.
+  for (const [how, leave] of [['closed', (socket: Socket) => socket.destroySoon()], ['reset', (socket: Socket) => socket.resetAndDestroy()]] as const) {
+    it(`does not forward requests read late from connections that their clients have ${how}`, async () => {
+      await fixture.start([route({ kind: 'idempotent' })])
+      await fixture.addServer('a', ok)
+      const kept = fixture.connect()
+      kept.socket.write(requestText('kept'))
+      await until(() => kept.text().includes('ok'), 'the first response')
+      const fresh = Array.from({ length: 8 }, () => fixture.connect())
+      await Promise.all(fresh.map(({ socket }) => new Promise(resolve => socket.once('connect', resolve))))
+      for (const [index, { socket }] of [kept, ...fresh].entries()) socket.write(requestText(`late${index}`), () => leave(socket))
+      await new Promise(resolve => setImmediate(resolve))
+      blockEventLoop(300)
+      await wait(200)
+      expect(fixture.received.map(({ head }) => requestIdOf(head))).to.deep.equal(['kept'])
+    })
+  }
+
   it('rejects a request body over the limit', async () => {
     await fixture.start([route()])
     await fixture.addServer('a', ok)
--- a/tests/stopPaused.spec.ts
+++ b/tests/stopPaused.spec.ts
@@ -72,6 +72,7 @@
   let store: StoreStandIn
   let backend: BackendStandIn
   let node: NodeProcess
+  let ledger: Ledger
   let directory: string
   let clients: Client[]
 
@@ -99,7 +100,7 @@
   beforeEach(async () => {
     clients = []
     directory = mkdtempSync(join(tmpdir(), 'teaselrill-stop-'))
-    const ledger = new Ledger()
+    ledger = new Ledger()
     const random = () => 0.5
     store = new StoreStandIn(random)
     await store.listen()
@@ -196,6 +197,25 @@
     for (const result of await Promise.all(results)) expect(result, log()).to.equal('200')
   })
 
+  it('does not forward requests whose clients left while it was paused', async () => {
+    // Guards against running requests that lay in the sockets until their clients had given up.
+    const kept = Array.from({ length: idleConnections }, open)
+    await Promise.all(kept.map((client, index) => client.send(`first.${index}`)))
+    node.signal('SIGSTOP')
+    const fresh = Array.from({ length: idleConnections }, open)
+    await sleep(50)
+    for (const [index, client] of [...kept, ...fresh].entries()) void client.send(`left.${index}`)
+    await sleep(50)
+    for (const client of [...kept, ...fresh]) client.close()
+    await sleep(pauseMs)
+    node.signal('SIGCONT')
+    expect(await open().send('after'), log()).to.equal('200')
+    await sleep(200)
+    // The ledger knows no request of this suite, so it reports each one that runs.
+    expect(ledger.violations.filter(text => text.includes(' runs left.'))).to.deep.equal([])
+    expect(ledger.violations.filter(text => text.includes(' runs after'))).to.have.length(1)
+  })
+
   it('closes connections that are idle for too long', async () => {
     store.put('op/config', { ...config, version: 5, limits: { ...config.limits, idle_timeout_ms: idleMs } })
     await sleep(configDelayMs)
