--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -99,7 +99,7 @@
 
 function readResponse ({ status, headers }: ResponseHead): ResponseMetadata {
   return {
-    requestId: headers.get(requestIdHeader),
+    requestId: headers.get(requestIdHeader) || undefined,
     isSigned: headers.has('x-server-stamp'),
     isNotRun: headers.has('x-not-executed') || status === 421,
     isMisdirected: status === 421,
--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -9,6 +9,8 @@
 
 /** A healthy backend server accepts within one round trip; the rest covers one lost SYN packet on a link with a short round trip. */
 const connectTimeoutMs = 1000
+/** Number of requests on a connection to which a server may repeat its response. */
+const maxRequestIds = 64
 
 /** How a request/response exchange ended without a complete response. */
 export interface ExchangeFailure {
@@ -20,8 +22,11 @@
 }
 
 export interface ResponseHandler {
-  /** Returns whether the response belongs to the request; other responses are skipped. */
-  accepts (head: ResponseHead): boolean
+  /**
+   * Returns whether the response belongs to the request; other responses are skipped. With `isFirst`, the connection has carried no
+   * other request, so the response cannot belong to one.
+   */
+  accepts (head: ResponseHead, context: { isFirst: boolean }): boolean
   onHead (head: ResponseHead): void
   onData (data: Buffer): void
   onEnd (): void
@@ -57,6 +62,10 @@
   /** Idle timeout of the server, in milliseconds, if its last response named one. */
   keepAliveMs: number | undefined
   idleSinceMs = 0
+  /** IDs of the last requests on this connection, oldest first. */
+  private readonly requestIds: string[] = []
+  /** Requests and calls sent on this connection. */
+  private exchanges = 0
   private readonly socket: Socket
   private readonly reader: ResponseReader
   private readonly options: ConnectionOptions
@@ -72,7 +81,7 @@
     const [host, port] = options.address.split(':')
     this.socket = connect({ host: host!, port: Number(port), noDelay: true })
     this.reader = new ResponseReader({
-      accepts: head => this.active!.handler.accepts(head),
+      accepts: head => this.active!.handler.accepts(head, { isFirst: this.exchanges === 1 }),
       onHead: head => this.onHead(head),
       onData: data => this.active?.handler.onData(data),
       onEnd: leftover => this.onEnd(leftover),
@@ -90,8 +99,21 @@
     return !this.isClosed
   }
 
+  /**
+   * Whether a response to the request may still arrive on this connection: a server that repeats an earlier response could answer
+   * another attempt of the same request with it.
+   */
+  hasCarried (requestId: string): boolean {
+    return this.requestIds.includes(requestId)
+  }
+
   /** Sends a request. Must not be called while another is in progress. */
-  send (method: string, bytes: Buffer, handler: ResponseHandler): void {
+  send (method: string, bytes: Buffer, handler: ResponseHandler, { requestId }: { requestId?: string | undefined } = {}): void {
+    this.exchanges++
+    if (requestId !== undefined) {
+      this.requestIds.push(requestId)
+      if (this.requestIds.length > maxRequestIds) this.requestIds.shift()
+    }
     this.active = { handler, bytes, isWritten: false }
     this.reader.expect(method)
     if (this.isClosed) this.failActive('the connection was closed', true)
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -33,11 +33,13 @@
     return this.idle.length > 0
   }
 
-  /** Returns the most recently used idle connection, or a new one. */
-  acquire (): BackendConnection {
+  /** Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one. */
+  acquire (requestId?: string): BackendConnection {
     this.closeExpired()
-    const pooled = this.idle.pop()
+    const index = requestId === undefined ? this.idle.length - 1 : this.idle.findLastIndex(connection => !connection.hasCarried(requestId))
+    const [pooled] = index === -1 ? [] : this.idle.splice(index, 1)
     if (pooled) return pooled
+    this.idle.shift()?.destroy()
     return this.openConnection()
   }
 
--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -14,6 +14,11 @@
   bytes: Buffer
 }
 
+/** Whether the event consists of comments and `retry` fields, which carry no data. */
+export function isComment (event: Buffer): boolean {
+  return /^(?:(?:(?::|retry:)[^\r\n]*)?\r?\n)*$/.test(event.toString('latin1'))
+}
+
 export class EventSplitter {
   private pending = new ByteBuffer()
 
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -8,12 +8,14 @@
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs } from './codecs.js'
-import { EventSplitter } from './eventStream.js'
+import { EventSplitter, isComment } from './eventStream.js'
 import type { StreamEvent } from './eventStream.js'
 import type { ProxiedRequest } from './requestProxy.js'
 import type { Reservation } from './reservation.js'
 import type { ResponseHead } from './responseReader.js'
 
+/** Statuses that promise clients that their request did not run. */
+const promisingStatuses = new Set([408, 421, 429, 503])
 /** An idempotent request without a response fails over to another server after this multiple of its objective. */
 const idempotentStallFactor = 2
 /** Largest response that is not a stream: it is buffered until it is complete. */
@@ -83,6 +85,8 @@
   hasClientLeft = false
   /** Whether a part of the response has been sent to the client. */
   hasResponseStarted = false
+  /** Content type of the response that has been started. */
+  contentType: string | undefined
   /** Whether any server may have started to run the request. */
   mayHaveRun = false
   firstByteMs: number | undefined
@@ -148,6 +152,8 @@
   private connection: BackendConnection | undefined
   private head: ResponseHead | undefined
   private isStreaming = false
+  /** Whether the response continues a stream that another attempt has started. */
+  private isContinuation = false
   private readonly body = new ByteBuffer()
   private readonly splitter = new EventSplitter()
   /** Bytes received since the last new event. */
@@ -178,28 +184,28 @@
       lastEventId: this.forwarder.lastEventId,
       reservationId: this.reservation?.holdId
     })
-    this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire()
+    this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire(request.metadata.requestId)
     this.server.onStarted(request.metadata.model, request.metadata.adapter, this.tokens, request.route.rank)
     this.cancelTimers.push(clock.setTimer(leftMs, () => { void this.onDeadline() }))
     this.watchProgress()
     this.connection.send(request.method, encodeRequest(request, headers), {
-      accepts: head => this.accepts(head),
+      accepts: (head, { isFirst }) => this.accepts(head, isFirst),
       onHead: head => this.onHead(head),
       onData: data => this.onData(data),
       onEnd: () => this.onEnd(),
       onFailure: failure => this.onConnectionFailure(failure)
-    })
+    }, { requestId: request.metadata.requestId })
   }
 
   onClientLeft (): void {
     this.abandon({ kind: 'client-left' })
   }
 
-  /** Whether the response belongs to this request; others belong to earlier requests on the connection. */
-  private accepts (head: ResponseHead): boolean {
+  /** Whether the response belongs to this request. A failure without an ID does only if it cannot belong to an earlier request. */
+  private accepts (head: ResponseHead, isFirst: boolean): boolean {
     const { requestId } = this.forwarder.codecs.readResponse(head)
     const isOwn = requestId === this.forwarder.request.metadata.requestId
-    return isOwn || (requestId === undefined && (head.status < 200 || head.status >= 300))
+    return isOwn || (isFirst && requestId === undefined && (head.status < 200 || head.status >= 300))
   }
 
   private onHead (head: ResponseHead): void {
@@ -207,13 +213,17 @@
     this.recordProgress()
     const { request, codecs } = this.forwarder
     const metadata = codecs.readResponse(head)
+    this.server.onNotice(metadata)
     const isSuccess = head.status >= 200 && head.status < 300
     if (isSuccess && (!metadata.isSigned || metadata.isEncoded)) return this.reject('the successful response is not signed or its body is encoded')
     this.isStreaming = isSuccess && request.route.kind === 'stream'
+    if (!this.isStreaming || !this.forwarder.hasResponseStarted) return
+    this.isContinuation = true
+    const contentType = head.headers.get('content-type')
+    if (contentType !== this.forwarder.contentType) this.reject(`the content type ${contentType} does not continue the stream`)
   }
 
   private onData (data: Buffer): void {
-    this.server.onNotice(metadata)
     if (!this.isStreaming) {
       this.recordProgress()
       this.recordFirstByte()
@@ -251,6 +261,9 @@
         this.recordProgress()
         this.recordFirstByte()
         forwarder.onEventForwarded()
+      } else if (this.isContinuation && !isComment(bytes)) {
+        gap = 'an event without an ID does not continue the stream'
+        break
       }
       forwarded.push(bytes)
     }
@@ -264,6 +277,7 @@
     if (!forwarder.hasResponseStarted) {
       forwarder.hasResponseStarted = true
       forwarder.firstByteMs = forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
+      forwarder.contentType = this.head!.headers.get('content-type')
       response.writeHead(this.head!.status, this.head!.statusText, forwarder.codecs.returnHeaders(this.head!))
     }
     if (response.write(bytes) || this.isPaused) return
@@ -284,6 +298,10 @@
     const { status } = this.head!
     if (metadata.isNotRun) return this.finish(this.failure(''))
     if (!this.isStreaming) {
+      if (promisingStatuses.has(status)) {
+        this.server.onFailed()
+        return this.finish({ kind: 'unknown', reason: `the backend server responded with ${status} without stating that it did not run the request` })
+      }
       if (status >= 500) this.server.onFailed()
       else this.server.onResponse(forwarder.clock.nowMs() - this.startedAtMs)
       const backendResponse = { head: this.head!, body: this.body.bytes }
