Engine calls: read the sockets before a call counts as timed out

Cause: the 400 ms timer of a call to an engine runs before the sockets are read when the process was late, so a response that had arrived was dropped: a reserved slot was lost, a command counted as unknown.

Change: one poll of the sockets between the timer and the timeout.

--- a/src/serving/engineClient.ts
+++ b/src/serving/engineClient.ts
@@ -2,6 +2,7 @@
 
 import { ByteBuffer } from '../base/byteBuffer.js'
 import type { Clock } from '../base/clock.js'
+import { ioTurn } from '../base/ioTurn.js'
 import type { BackendConnection } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, ControlRequest } from './codecs.js'
@@ -53,12 +54,21 @@
     return new Promise(resolve => {
       const text = new ByteBuffer()
       let status = 0
-      const abort = () => {
+      let isEnded = false
+      const end = (response: ControlResponse | undefined) => {
+        isEnded = true
         cancel()
+        resolve(response)
+      }
+      const abort = () => {
         connection.destroy()
-        resolve(undefined)
+        end(undefined)
       }
-      const cancel = this.clock.setTimer(callTimeoutMs, abort)
+      const cancel = this.clock.setTimer(callTimeoutMs, async () => {
+        // The response may have arrived while the event loop was blocked.
+        await ioTurn()
+        if (!isEnded) abort()
+      })
       let head = `${method} ${path} HTTP/1.1\r\nHost: ${server.entry.address}\r\n`
       for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
       if (body) head += `Content-Length: ${Buffer.byteLength(body)}\r\n`
@@ -73,14 +83,8 @@
           if (text.length + data.length > maxResponseBytes) abort()
           else text.push(data)
         },
-        onEnd: () => {
-          cancel()
-          resolve({ status, text: text.bytes.toString('utf8') })
-        },
-        onFailure: () => {
-          cancel()
-          resolve(undefined)
-        }
+        onEnd: () => end({ status, text: text.bytes.toString('utf8') }),
+        onFailure: () => end(undefined)
       })
     })
   }
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -457,6 +457,25 @@
     expect(fixture.reservationCalls).to.have.length(1)
   })
 
+  it('uses a reservation whose response arrived while the event loop was blocked', async () => {
+    // Guards against a timeout that runs before the response is read: the slot is lost and a second one reserved.
+    await fixture.start([shortPatienceRoute()], { engine: { ...engine, maxReservationMs: 2000 } })
+    await fixture.addServer('a', pausing(6, { before: 3, pauseMs: 1900 }), withModel)
+    await fixture.addServer('b', stream(6), withModel, {
+      reservationResponse: () => {
+        setImmediate(() => blockEventLoop(450))
+        return 'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"hold": "h1"}'
+      }
+    })
+    fixture.leaderDecision = { kind: 'engine', id: 'a' }
+    const response = fixture.send('id1', forModel)
+    await wait(200)
+    fixture.leaderDecision = { kind: 'engine', id: 'b' }
+    expect(await response).to.include({ body: events(6), isComplete: true })
+    expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a', 'b'])
+    expect(fixture.reservationCalls).to.have.length(1)
+  })
+
   it('releases a reservation when the stalled engine resumes meanwhile', async () => {
     // Guards against reserved slots that nobody uses.
     await fixture.start([shortPatienceRoute()], { engine: { ...engine, maxReservationMs: 2000 } })
