Product interface: engines that name no request keep their refusals

Cause: takes every refusal without x-request-id as unknown, so an engine built before it would have none that counts as "not run", and no command.

Change: answers to commands need a name only to be refused for another one. The first refusal of an engine without a name is unknown; from then on its requests have a connection each, on which no other answer can arrive, and refusals without a name count again.

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -52,10 +52,15 @@
 /** Header in which a caller names the request, and the server repeats it in the answer. */
 export const requestIdHeader = 'x-request-id'
 
-/** Throws `UnknownOutcomeError` if the answer names another request or none: a server may send an earlier answer once more. */
-export function checkAnswers (target: string, headers: Record<string, string | string[] | undefined>, requestId: string): void {
+/**
+ * Throws `UnknownOutcomeError` if the answer names another request, or none although `isNameExpected`: a server may send an
+ * earlier answer once more.
+ */
+export function checkAnswers (
+  target: string, headers: Record<string, string | string[] | undefined>, requestId: string, { isNameExpected }: { isNameExpected: boolean }
+): void {
   const answered = headers[requestIdHeader]
-  if (answered !== requestId) throw new UnknownOutcomeError(target, `the answer names ${answered === undefined ? 'no request' : 'another request'}`)
+  if (answered !== requestId && (answered !== undefined || isNameExpected)) throw new UnknownOutcomeError(target, `the answer names ${answered === undefined ? 'no request' : 'another request'}`)
 }
 
 /** Throws `NotRunError` for a 503 with `x-not-run: true`, with the time of `retry-after`. */
@@ -77,7 +82,7 @@
   body?: unknown
   timeoutMs: number
   signal?: AbortSignal
-  /** The answer must name this request. */
+  /** The answer must not name another request. */
   requestId?: string
   /** Replaces the caller's own connections. */
   dispatcher?: Dispatcher
@@ -98,7 +103,7 @@
   /** The parsed body of a successful answer; `undefined` for an empty one. */
   async json (path: string, options: HttpCallOptions): Promise<unknown> {
     const { status, headers, text } = await this.answer(path, options)
-    if (options.requestId !== undefined) checkAnswers(this.target, headers, options.requestId)
+    if (options.requestId !== undefined) checkAnswers(this.target, headers, options.requestId, { isNameExpected: false })
     checkNotRun(this.target, status, headers, text)
     if (status >= 300) throw new FailedError(this.target, `${options.method ?? 'GET'} ${path} answered ${status}: ${text}`)
     try {
--- a/src/external/httpEngine.ts
+++ b/src/external/httpEngine.ts
@@ -15,8 +15,10 @@
 export class HttpEngine implements EngineApi {
   readonly engine: string
   private readonly caller: HttpCaller
-  private readonly streamAgent = new Agent(streamAgentOptions)
+  private streamAgent = new Agent(streamAgentOptions)
   private sessions: HttpEngineSession[] = []
+  /** Whether refusals name their request. An engine that once did not gets a connection for each request, on which no other answer can arrive. */
+  private namesRequests = true
 
   constructor ({ engine, address, clock }: { engine: string, address: string, clock: Clock }) {
     this.engine = engine
@@ -63,6 +65,14 @@
     await Promise.all([this.caller.close(), this.streamAgent.destroy()])
   }
 
+  private onRefusal (namesRequest: boolean): void {
+    if (namesRequest === this.namesRequests) return
+    this.namesRequests = namesRequest
+    // Requests in progress go on.
+    this.streamAgent.close().catch(() => {})
+    this.streamAgent = new Agent(streamAgentOptions)
+  }
+
   private stream ({ requestId, attemptId }: Pick<InferenceRequest, 'requestId' | 'attemptId'>, path: string, body: unknown, signal?: AbortSignal): HttpEngineStream {
     return new HttpEngineStream({
       engine: this.engine,
@@ -72,6 +82,8 @@
       body: JSON.stringify(body),
       requestId,
       attemptId,
+      isNameExpected: this.namesRequests,
+      onRefusal: namesRequest => this.onRefusal(namesRequest),
       signal,
       // The engine cannot tell an abort from a cut connection, after which it keeps the request for a resume.
       onAbort: () => { this.cancel(requestId).catch(() => {}) }
--- a/src/external/httpEngineStream.ts
+++ b/src/external/httpEngineStream.ts
@@ -14,6 +14,10 @@
   body: string
   requestId: string
   attemptId: string
+  /** Whether refusals of the engine name their request. Otherwise the request has a connection of its own. */
+  isNameExpected: boolean
+  /** Called with whether a refusal or failure names a request. */
+  onRefusal: (namesRequest: boolean) => void
   signal: AbortSignal | undefined
   /** Called when `signal` aborts before the end marker. */
   onAbort: () => void
@@ -94,10 +98,12 @@
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
     this.status = status
     this.headers = headers
+    // The events of a success name their attempt themselves.
     if (status === 200) return
+    const { engine, attemptId, isNameExpected, onRefusal } = this.options
+    onRefusal(headers[requestIdHeader] !== undefined)
     try {
-      // The events of a success name their attempt themselves.
-      checkAnswers(this.options.engine, headers, this.options.attemptId)
+      checkAnswers(engine, headers, attemptId, { isNameExpected })
     } catch (error) {
       this.fail(error)
     }
@@ -142,11 +148,11 @@
   }
 
   private send (): void {
-    const { engine, address, path, body, attemptId, dispatcher, signal } = this.options
+    const { engine, address, path, body, attemptId, isNameExpected, dispatcher, signal } = this.options
     checkNotAborted(engine, signal)
     this.state = 'open'
     signal?.addEventListener('abort', this.abort, { once: true })
-    dispatcher.dispatch({ origin: `http://${address}`, path, method: 'POST', headers: { 'content-type': 'application/json', [requestIdHeader]: attemptId }, body }, this)
+    dispatcher.dispatch({ origin: `http://${address}`, path, method: 'POST', headers: { 'content-type': 'application/json', [requestIdHeader]: attemptId }, body, reset: !isNameExpected }, this)
   }
 
   private read (text: string): void {
--- a/src/external/httpService.ts
+++ b/src/external/httpService.ts
@@ -52,9 +52,8 @@
 
   private checkRequest (headers: Record<string, string | string[] | undefined>, requestId: string, isNameExpected: boolean): void {
     this.namesRequests = headers[requestIdHeader] !== undefined
-    if (!this.namesRequests && !isNameExpected) return
     try {
-      checkAnswers(this.server, headers, requestId)
+      checkAnswers(this.server, headers, requestId, { isNameExpected })
     } catch (error) {
       // The answers on this connection may be one behind from now on. Calls in progress on others go on.
       this.callAgent.close().catch(() => {})
