Log the prompt parts of requests, and the ends of backend servers

Change: request lines name the shared parts, sends their events and writing time. A connection with a request that closes leads to one connection attempt: if it is refused, the server's process has ended (log line, metric).

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -11,7 +11,9 @@
   running: z.number(),
   runningElsewhere: z.number(),
   alternatives: z.number(),
-  result: z.string()
+  result: z.string(),
+  events: z.number().optional(),
+  writingMs: z.number().optional()
 })
 
 const lineSchema = z.looseObject({
@@ -79,7 +81,7 @@
   for (const send of line.sends ?? []) {
     sentences.push({
       atMs: startMs + send.afterMs,
-      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}.`
+      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}.`
     })
   }
   if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it.` })
--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -74,6 +74,8 @@
   private isConnected = false
   private isClosed = false
   private isConfirming = false
+  /** Whether the server's machine refused the connection: no process listens at the address. */
+  wasRefused = false
   private cancelConnectTimer: CancelTimer
 
   constructor (options: ConnectionOptions) {
@@ -91,7 +93,10 @@
     this.socket.on('connect', () => this.onConnect())
     this.socket.on('data', data => this.onData(data))
     this.socket.on('end', () => this.onServerClosed())
-    this.socket.on('error', error => this.fail(error.message))
+    this.socket.on('error', (error: NodeJS.ErrnoException) => {
+      this.wasRefused = error.code === 'ECONNREFUSED'
+      this.fail(error.message)
+    })
     this.socket.on('close', () => { if (!this.isConfirming) this.fail('the connection was closed') })
   }
 
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -37,6 +37,8 @@
   onOpened?: () => void
   /** Called once, when the server has announced that it is leaving. */
   onLeaving?: () => void
+  /** Called once, when the server is found to have ended without an announcement, with the requests of this node that it was running. */
+  onExited?: (running: number) => void
   /** Called when the server has requested a pause; `appliedMs` is 0 if the request is not readable. */
   onPauseRequested?: (pause: RequestedPause, appliedMs: number) => void
   /** Bytes of incomplete responses that this node buffers, shared by all servers. */
@@ -82,6 +84,9 @@
   private ejections = 0
   /** Requests that the server answered and that failed, since they were last collected. */
   private outcomes = { answered: 0, failed: 0 }
+  /** Whether the process of this incarnation was found to have ended. */
+  private hasExited = false
+  private exitCheck: Promise<boolean> | undefined
   private failures = 0
   private delayMs = 0
   private sampledAtMs: number
@@ -192,6 +197,22 @@
     this.options.onLeaving?.()
   }
 
+  /**
+   * To be called when a connection with a request in progress has closed. Resolves with whether the server's process has ended
+   * without an announcement: its machine refuses connections. A reset, a cut, a paused or a leaving server does not count.
+   */
+  async confirmExit (): Promise<boolean> {
+    if (this.isGoing) return false
+    const running = this.running
+    this.exitCheck ??= this.pool.isRefused().finally(() => { this.exitCheck = undefined })
+    const isRefused = await this.exitCheck
+    if (isRefused && !this.hasExited) {
+      this.hasExited = true
+      this.options.onExited?.(running)
+    }
+    return this.hasExited
+  }
+
   serves (model: string | undefined, adapter: string | undefined): boolean {
     if (model === undefined) return true
     const state = this.replicas.get(model)
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -44,10 +44,22 @@
   }
 
   /** Opens a connection in place of the oldest idle one, if any. Resolves with `undefined` if the server does not accept it. */
-  connect (): Promise<BackendConnection | undefined> {
+  async connect (): Promise<BackendConnection | undefined> {
+    const connection = await this.tryConnect()
+    return connection.isOpen ? connection : undefined
+  }
+
+  /** Whether the server's machine refuses a connection now. An accepted connection is added to the pool. */
+  async isRefused (): Promise<boolean> {
+    const connection = await this.tryConnect()
+    this.release(connection)
+    return connection.wasRefused
+  }
+
+  private tryConnect (): Promise<BackendConnection> {
     this.idle.shift()?.destroy()
     return new Promise(resolve => {
-      const connection = this.openConnection({ onConnected: () => resolve(connection), onFailed: () => resolve(undefined) })
+      const connection: BackendConnection = this.openConnection({ onConnected: () => resolve(connection), onFailed: () => resolve(connection) })
     })
   }
 
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -25,6 +25,8 @@
   readonly servers = new Map<string, BackendServer>()
   /** Bytes of incomplete responses that this node buffers. */
   readonly buffered = { bytes: 0 }
+  /** Backend servers that ended without an announcement while they ran requests of this node. */
+  exits = 0
   private readonly options: FleetViewOptions
   private readonly listeners = new Set<() => void>()
   private outageEndedAtMs = -Infinity
@@ -78,6 +80,10 @@
         server.pool.closeIdle()
         this.notify()
       },
+      onExited: running => {
+        log('warn', 'backend server ended', { backend: entry.id, running })
+        this.exits++
+      },
       onPauseRequested: (pause, appliedMs) => {
         if ('unreadable' in pause) log('warn', 'requested pause ignored: not a number of seconds', { backend: entry.id, value: pause.unreadable.slice(0, maxLoggedValueChars) })
         else log('info', 'backend server requests a pause', { backend: entry.id, requestedMs: Math.round(pause.ms), appliedMs: Math.round(appliedMs) })
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -72,7 +72,7 @@
   /** The server stated that it did not run the request. */
   | { kind: 'not-run', reason: string, isMisdirected: boolean }
   /** The request was sent and no complete response was received. */
-  | { kind: 'unknown', reason: string }
+  | { kind: 'unknown', reason: string, isConnectionLost?: boolean }
   | { kind: 'timeout', reason: string }
   /** The server was abandoned for a failover target. */
   | { kind: 'moved', reason: string, target: FailoverTarget }
@@ -97,6 +97,8 @@
   lastEventId: number | undefined
   /** Reserves a failover target, if there is one. */
   readonly reserveMove: () => Promise<FailoverSearch>
+  /** What the last attempt has sent to the client: its events, and the time from the first of them to the attempt's end. */
+  lastAnswer: { events: number, writingMs: number | undefined } = { events: 0, writingMs: undefined }
   private current: Attempt | undefined
 
   constructor ({ request, response, codecs, clock, reserveMove }: Pick<RequestForwarder, 'request' | 'response' | 'codecs' | 'clock' | 'reserveMove'>) {
@@ -161,6 +163,8 @@
   private isFinished = false
   private isPaused = false
   private hasFirstByte = false
+  private events = 0
+  private firstEventAtMs: number | undefined
   private lastProgressMs: number
   private cancelTimers: CancelTimer[] = []
 
@@ -261,6 +265,8 @@
         this.recordProgress()
         this.recordFirstByte()
         forwarder.onEventForwarded()
+        this.events++
+        this.firstEventAtMs ??= forwarder.clock.nowMs()
       } else if (this.isContinuation && !isComment(bytes)) {
         gap = 'an event without an ID does not continue the stream'
         break
@@ -320,7 +326,8 @@
     if (isUnreachable) this.server.onUnreachable()
     else this.server.onFailed()
     if (!wasSent) return this.finish({ kind: 'unsent', reason })
-    this.finish(this.failure(reason))
+    const result = this.failure(reason)
+    this.finish(result.kind === 'unknown' ? { ...result, isConnectionLost: true } : result)
   }
 
   /** Result of an attempt without a complete response: `not-run` if the head states it, else `unknown`. */
@@ -416,6 +423,8 @@
     this.server.buffered.bytes -= this.body.length
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
+    const { firstEventAtMs } = this
+    this.forwarder.lastAnswer = { events: this.events, writingMs: firstEventAtMs === undefined ? undefined : this.forwarder.clock.nowMs() - firstEventAtMs }
     this.resolve(result)
   }
 }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -8,7 +8,7 @@
 import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
-import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
+import type { DispatchRequest, DispatchDecision, PromptPart } from '../policy/dispatcher.js'
 import { RetryBudget } from '../policy/retry.js'
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
@@ -37,6 +37,8 @@
 const lateReadMs = 100
 /** Interval at which a waiting request looks for an engine again. */
 const waitPollMs = 25
+const maxLoggedParts = 16
+const maxLoggedPartChars = 32
 /** The same for requests that can no longer meet their objective, so that the others are dispatched first. */
 const latePollMs = 100
 /** Interval at which a failover target is searched for again while a server is unresponsive. */
@@ -70,6 +72,10 @@
   /** Number of other servers that could have accepted the request. */
   alternatives: number
   result: string
+  /** Events of this attempt that were sent to the client. */
+  events?: number
+  /** Time from the first of them to the end of the attempt. */
+  writingMs?: number
 }
 
 export interface RequestRecord {
@@ -376,6 +382,9 @@
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
     if (result.kind === 'moved') progress.retryableFromMs.set(server.entry.id, this.clock.nowMs())
     else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
+    const { events, writingMs } = forwarder.lastAnswer
+    if (request.route.kind === 'stream') Object.assign(trace, { events, writingMs: writingMs === undefined ? undefined : Math.round(writingMs) })
+    if (result.kind === 'unknown' && result.isConnectionLost) void server.confirmExit()
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
   }
@@ -607,6 +616,7 @@
       model: request.metadata.model,
       adapter: request.metadata.adapter,
       promptTokens: request.metadata.promptTokens,
+      parts: loggedParts(request.metadata.sharedParts),
       configVersion: this.deployment?.version,
       sends: progress.attempts,
       readAfterMs: Math.round(request.readAtMs - request.arrivedAtMs),
@@ -631,6 +641,11 @@
   return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
 }
 
+/** IDs of the shared prompt parts, shortened for the log. */
+function loggedParts (parts: readonly PromptPart[]): string[] {
+  return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
+}
+
 function reasonOf (result: AttemptResult | undefined): string | undefined {
   return result && 'reason' in result ? result.reason : undefined
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -178,6 +178,7 @@
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that accept requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
     metrics.gauge('teaselrill_backends_leaving', 'Backend servers that announced in a response that they are leaving', () => this.fleet.leaving.length)
+    metrics.gauge('teaselrill_backends_ended', 'Backend servers that ended without an announcement while they ran requests of this node, since the start', () => this.fleet.exits)
     metrics.gauge('teaselrill_backends_paused', 'Backend servers that want no requests from this node for a while', () => [...this.fleet.servers.values()].filter(server => server.isPresent && server.pauseLeftMs > 0).length)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
