--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -91,3 +91,12 @@
     expect(counts['stream 200']).to.be.above(100)
   })
 })
+
+describe('soak of prompts that end engines', () => {
+  it('stops sending prompts with a part under which engines ended', async () => {
+    // Every node sent new requests with the part, and continued cut streams, as if the ends had nothing in common (BUDGET).
+    const { violations, counts } = await run({ seed: 1, nodeCount: 5, durationMs: 25_000, only: ['deadlyPart'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['deadly arrivals']).to.be.above(0)
+  })
+})
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -18,6 +18,8 @@
 const loadMs = 500
 const adapterMs = 20
 const pausePollMs = 10
+/** Time from the start of an answer until a deadly prompt part ends the engine; its first event may come before. */
+const deadlyMs = { shortest: 10, longest: 60 }
 
 interface Order { op: string, model: string, adapter?: string, expected?: number, holder: string, fence: number }
 
@@ -32,6 +34,15 @@
   store: StoreStandIn
   ledger: Ledger
   random: () => number
+  /** Engines only: prompt parts that end an engine when it begins to answer. */
+  deadlyParts?: ReadonlySet<string>
+  /** Called when such a part has ended the engine. */
+  onKilled?: (backend: BackendStandIn) => void
+}
+
+/** IDs of the parts of a prompt that other prompts may share. */
+function sharedPartsOf (request: IncomingMessage): string[] {
+  return String(request.headers['x-prompt-prefix'] ?? '').split(',').slice(0, -1).map(part => part.split(':')[0]!)
 }
 
 export class BackendStandIn {
@@ -181,6 +192,8 @@
     const { ledger } = this.options
     const [model, adapter] = String(request.headers['x-model'] ?? '').split('/')
     ledger.onArrival(id, this.options.id)
+    const deadly = sharedPartsOf(request).find(part => this.options.deadlyParts?.has(part))
+    if (deadly !== undefined) ledger.onDeadlyArrival(deadly, id)
     if (this.requestedPauseMs > 0) return this.turnAway(request, response, id)
     if (this.isLeaving) {
       response.setHeader('Server-Leaving', '1')
@@ -193,6 +206,7 @@
     this.active++
     if (model) this.running.set(model, (this.running.get(model) ?? 0) + 1)
     try {
+      if (deadly !== undefined) void this.endSoon(deadly)
       if (model) await this.stream(request, response, id)
       else await this.plain(response, id)
     } finally {
@@ -201,6 +215,16 @@
     }
   }
 
+  /** Ends the engine as a request with a deadly prompt part does. */
+  private async endSoon (part: string): Promise<void> {
+    const { eventMs = usualEventMs, ledger, onKilled, random } = this.options
+    await sleep(eventMs + deadlyMs.shortest + random() * (deadlyMs.longest - deadlyMs.shortest))
+    if (this.isDead) return
+    ledger.onKilled(part)
+    this.crash()
+    onKilled?.(this)
+  }
+
   private get isFull (): boolean {
     return this.active + this.holds.size >= Math.min(this.options.slots, this.slotsNow)
   }
--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -13,6 +13,8 @@
   kind: Kind
   path: string
   model?: string
+  /** Shared prompt parts, in order; the last part of a prompt is always the request's own. */
+  parts?: readonly string[]
 }
 
 export class Clients {
@@ -27,7 +29,7 @@
   }
 
   /** Resolves with the answer, or with `undefined` if none came. */
-  send (node: NodeProcess, { kind, path, model }: Call): Promise<Outcome | undefined> {
+  send (node: NodeProcess, { kind, path, model, parts = [] }: Call): Promise<Outcome | undefined> {
     const id = `${node.name}.${++this.nextId}`
     const method = kind === 'safe' ? 'GET' : 'POST'
     const body = kind === 'safe' ? '' : `body of ${id}`
@@ -35,7 +37,7 @@
     this.pending++
     return new Promise<Outcome | undefined>(resolve => {
       const headers: Record<string, string> = { Host: host, 'X-Attempt-Id': id, 'X-Deadline-Ms': String(timeoutMs[kind]) }
-      if (model !== undefined) Object.assign(headers, { 'X-Model': model, 'X-Token-Count': '20,20', 'X-Prompt-Prefix': 'aa:10,bb:10' })
+      if (model !== undefined) Object.assign(headers, { 'X-Model': model, 'X-Token-Count': '20,20', 'X-Prompt-Prefix': [...parts, `e${this.nextId.toString(16)}`].map(part => `${part}:10`).join() })
       const request = httpRequest({ ...node.clientsAddress, method, path, headers, agent: this.agentOf(node.name) })
       let isOver = false
       let hasAnswer = false
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -60,6 +60,9 @@
 /** Longer than the time within which nodes must have stopped using a leaving server. */
 const leavingServesMs = 6000
 const turnAwayPauseMs = 2500
+/** Prompts with a part that ends engines come for longer than other faults last. */
+const shortestDeadlyMs = 10_000
+const deadlyPartFactor = 3
 
 export const faults: Record<string, Fault> = {
   kill: world => disturbNode(world, 'kill', async node => node.signal('SIGKILL')),
@@ -158,6 +161,8 @@
     await sleep(durationMs)
     backend.lateShare = 0
   }),
+  // Its requests go on while other faults come and go.
+  deadlyPart: (world, durationMs) => world.playDeadlyPart(shortestDeadlyMs + deadlyPartFactor * durationMs),
   configChange: async world => world.changeConfig(),
   configStorm: async world => {
     for (let change = 0; change < 4; change++) {
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -24,6 +24,13 @@
 const mostWithinPause = 2
 const pauseSlackMs = 500
 
+/** Ends of engines under one prompt part after which it must be known, and the requests with it that may still arrive from the contact time on. */
+const mostEnds = 5
+const mostDeadlyArrivals = 3
+/** Sound requests from twice the contact time after the last counted end: the least number to judge, and the share that must be served. */
+const fewestJudged = 20
+const leastServedShare = 0.5
+
 const promises = new Set([408, 421, 429, 503])
 
 /** Something that may be under a fault; promises with a time bound hold only without. */
@@ -90,6 +97,11 @@
   /** Pauses that backend servers requested, by `NODE/BACKEND`, with the requests that arrived within them. */
   private readonly pauses = new Map<string, { fromMs: number, untilMs: number, arrivals: number }>()
   private unanswered = 0
+  /** Times at which engines ended, by the deadly prompt part that ended them. */
+  private readonly endsAtMs = new Map<string, number[]>()
+  private readonly deadlyArrivals = new Map<string, number>()
+  /** Sound requests that share the other parts of deadly ones, after the time in which those must have been found. */
+  private readonly neighbours = { sent: 0, served: 0 }
   private readonly fences = new Map<string, Map<number, string>>()
   private readonly startMs = performance.now()
 
@@ -136,6 +148,40 @@
     if (++pause.arrivals > mostWithinPause) this.violation('BUDGET', `${node} sends ${id} to ${backend} within the pause that it requested, as the ${pause.arrivals}th`)
   }
 
+  /** An engine has ended because it began to answer a prompt with `part`. */
+  onKilled (part: string): void {
+    this.endsAtMs.set(part, [...this.endsAtMs.get(part) ?? [], performance.now()])
+    this.count('engines ended by a prompt part')
+  }
+
+  /** A request with a deadly prompt part has reached an engine. */
+  onDeadlyArrival (part: string, id: string): void {
+    this.count('deadly arrivals')
+    const nowMs = performance.now()
+    const fifthAtMs = this.endsAtMs.get(part)?.[mostEnds - 1]
+    const node = this.sent.get(id)?.node ?? ''
+    if (fifthAtMs === undefined || nowMs < fifthAtMs + contactMs || !this.store.wasCalmSince(nowMs) || !this.nodes.get(node)?.wasCalmSince(nowMs)) return
+    const arrivals = (this.deadlyArrivals.get(part) ?? 0) + 1
+    this.deadlyArrivals.set(part, arrivals)
+    if (arrivals > mostDeadlyArrivals) this.violation('BUDGET', `${node} sends ${id} with ${part}, under which ${this.endsAtMs.get(part)!.length} engines ended: the ${arrivals}th since it must be known`)
+  }
+
+  /** A sound request that shares its first part with deadly ones of `part` has ended. */
+  onNeighbour (part: string, { sentAtMs, isServed }: { sentAtMs: number, isServed: boolean }): void {
+    const ends = this.endsAtMs.get(part) ?? []
+    const lastAtMs = ends[Math.min(ends.length, mostEnds) - 1]
+    if (lastAtMs === undefined || sentAtMs < lastAtMs + 2 * contactMs || !this.store.wasCalmSince(sentAtMs)) return
+    this.neighbours.sent++
+    if (isServed) this.neighbours.served++
+  }
+
+  /** Checks at the end of a run that sound requests were served beside deadly ones. */
+  checkNeighbours (): void {
+    const { sent, served } = this.neighbours
+    if (sent >= fewestJudged && served < leastServedShare * sent) this.violation('LOST', `of ${sent} sound requests beside deadly ones ${served} were served`)
+    if (sent > 0) this.counts['neighbours served in 100'] = Math.round(100 * served / sent)
+  }
+
   onArrival (id: string, backend: string): void {
     const request = this.sent.get(id)
     if (request) this.checkNotices(id, backend, request)
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -61,6 +61,7 @@
       await sleep(200 + random() * 1800)
     }
     await Promise.all([traffic, ...running])
+    world.ledger.checkNeighbours()
     if (!mustHeal) return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd: NaN }
     await sleep(healMs)
     const servedAtEnd = await world.traffic(performance.now() + calmMs)
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -18,6 +18,15 @@
 const plainServers = 3
 const requestGapMs = 25
 const maxPending = 150
+/** First part of all prompts, and parts that some prompts share. */
+const firstPart = 'aa'
+const subjects = Array.from({ length: 40 }, (_, index) => `b${index}`)
+/** Share of the streams whose prompt has a deadly part while there is one. */
+const deadlyShare = 0.12
+const mostDeadlyParts = 1
+/** Time after which an engine that a prompt part ended is replaced. */
+const shortestAbsenceMs = 1500
+const absenceSpreadMs = 1500
 /** Clients' connections to each node; where there are only streams, none waits for another to end. */
 const connectionsEach = 8
 
@@ -44,8 +53,12 @@
   private readonly changes: Change[] = []
   /** Newest version whose effect each process has shown, by node and incarnation. */
   private readonly shown = new Map<string, Change & { seenAtMs: number }>()
+  /** Prompt parts that end engines. */
+  private readonly deadlyParts = new Set<string>()
+  private nextDeadlyPart = 0
   private nextBackend = 0
   private version = 3
+  private isOver = false
   private readonly service: string | undefined
   private readonly models: readonly string[]
   private readonly onlyStreams: boolean
@@ -70,6 +83,7 @@
   }
 
   async stop (): Promise<void> {
+    this.isOver = true
     await Promise.all(this.nodes.map(node => node.end()))
     this.clients.close()
     for (const backend of this.backends.values()) if (!backend.isGone) backend.crash()
@@ -93,6 +107,27 @@
     await this.addBackend(service, held)
   }
 
+  /** Sends prompts with a part that ends engines for `durationMs`, unless as many such parts as may be are in play. */
+  async playDeadlyPart (durationMs: number): Promise<void> {
+    if (this.deadlyParts.size >= mostDeadlyParts) return
+    const part = `dead${this.nextDeadlyPart++}`
+    this.deadlyParts.add(part)
+    await sleep(durationMs)
+    this.deadlyParts.delete(part)
+  }
+
+  private async replaceKilled (backend: BackendStandIn): Promise<void> {
+    await sleep(shortestAbsenceMs + this.random() * absenceSpreadMs)
+    if (!this.isOver) await this.replaceBackend(backend)
+  }
+
+  /** Shared parts of a prompt, with a deadly one at any place if `deadly` is given. */
+  private partsOfPrompt (deadly: string | undefined): string[] {
+    const parts = [firstPart, this.pick(subjects)]
+    if (deadly !== undefined) parts.splice(Math.floor(this.random() * (parts.length + 1)), 0, deadly)
+    return parts
+  }
+
   /** Accepts a new configuration: a route of its own for each version, the oldest dropped. */
   changeConfig (): void {
     // The store accepts nothing while it is not up; the operator tries again later.
@@ -117,12 +152,19 @@
     const node = this.pick(this.nodes)
     const kind = this.onlyStreams ? 1 : this.random()
     if (kind < 0.2) return await this.probe(node)
+    const deadly = this.deadlyParts.size > 0 && this.random() < deadlyShare ? this.pick([...this.deadlyParts]) : undefined
+    const neighbourOf = [...this.deadlyParts].at(-1)
+    const sentAtMs = performance.now()
     const call: Call = kind < 0.4
       ? { kind: 'unsafe', path: '/order/1' }
-      : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', model: this.pick(this.models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
+      : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', parts: this.partsOfPrompt(deadly), model: this.pick(this.models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
     const outcome = await this.clients.send(node, call)
     if (outcome?.status === 404) this.ledger.violation('DENIED', `${node.name} answers 404 to ${call.path}`)
-    return outcome?.status === 200 && outcome.isComplete
+    const isServed = outcome?.status === 200 && outcome.isComplete
+    if (call.kind !== 'stream') return isServed
+    if (deadly === undefined && neighbourOf !== undefined) this.ledger.onNeighbour(neighbourOf, { sentAtMs, isServed })
+    // Callers of deadly prompts are owed nothing but an end.
+    return isServed || deadly !== undefined
   }
 
   /** Asks for a route of one version, which shows the configuration that is in force at the node. */
@@ -157,7 +199,7 @@
   private async addBackend (service: string, held?: string[]): Promise<void> {
     const id = `i-${++this.nextBackend}`
     const { store, ledger, random } = this
-    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(held ? { models: held } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
+    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(held ? { models: held, deadlyParts: this.deadlyParts, onKilled: killed => { void this.replaceKilled(killed) } } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
     ledger.backends.set(id, new Condition())
     this.backends.set(id, backend)
     await backend.start()
