--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -104,6 +104,8 @@
   zone: z.string(),
   slots: z.number().positive(),
   state: z.enum(['ready', 'draining']),
+  // Needed for no request, so an entry without a readable version is good.
+  version: z.union([z.string(), z.number()]).transform(String).optional().catch(undefined),
   models: replicasSchema.default([]),
   // `seq` is not read here: it counts the writes of the entry, unlike the field of this name in an engine's report.
   born: z.number().int().optional(),
@@ -151,6 +153,7 @@
     availabilityZone: backend.zone,
     slots: backend.slots,
     isDraining: backend.state === 'draining',
+    softwareVersion: backend.version,
     bornAtMs: backend.born,
     models: replicasOf(backend.models),
     modelsInMemory: backend.at_hand.in_memory.map(withoutVersion),
--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -94,8 +94,11 @@
   outcomesUpdatedAtMs: number
 }
 
-/** An engine for the request, or the delay after which to send the dispatch request again. */
-export type DispatchDecision = { kind: 'engine', id: string } | { kind: 'wait', forMs: number }
+/**
+ * An engine for the request, or the delay after which to send the dispatch request again. With `trial`, the request may be sent
+ * although its prompt parts are under suspicion.
+ */
+export type DispatchDecision = { kind: 'engine', id: string, trial?: string } | { kind: 'wait', forMs: number }
 
 export class Dispatcher {
   private readonly clock: Clock
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -337,3 +337,8 @@
     }
   }
 }
+
+/** Service and version of the software that a backend server runs. */
+export function softwareOf ({ service, softwareVersion }: BackendEntry): string {
+  return `${service}/${softwareVersion ?? ''}`
+}
--- a/src/serving/deployment.ts
+++ b/src/serving/deployment.ts
@@ -95,6 +95,8 @@
   availabilityZone: z.string(),
   slots: z.number(),
   isDraining: z.boolean(),
+  /** Version of the software that it runs. */
+  softwareVersion: z.string().optional(),
   /** Start of this incarnation, Unix milliseconds. */
   bornAtMs: z.number().optional(),
   /** Engines only: loaded models with their adapters. */
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -148,10 +148,10 @@
   }
 }
 
-function incarnationOf ({ id, bornAtMs }: BackendEntry): Incarnation {
+export function incarnationOf ({ id, bornAtMs }: BackendEntry): Incarnation {
   return [id, bornAtMs ?? null]
 }
 
-function incarnationKey ([id, bornAtMs]: Incarnation): string {
+export function incarnationKey ([id, bornAtMs]: Incarnation): string {
   return `${id}/${bornAtMs}`
 }
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -3,21 +3,27 @@
 import type { CancelTimer } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import { Dispatcher } from '../policy/dispatcher.js'
-import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
+import type { DispatchCandidate, DispatchDecision, DispatchRequest } from '../policy/dispatcher.js'
+import { trialPollMs } from '../policy/partQuarantine.js'
+import type { PartQuarantine } from '../policy/partQuarantine.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
 import { ChangeFeed } from './changeFeed.js'
-import type { CoordinationStore, StoreChange } from './coordination.js'
+import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
 import { packChanges } from './peerMessages.js'
 import type { LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
+import { softwareOf } from './backendServer.js'
 import type { StoreView } from './storeView.js'
+import type { StoredQuarantine } from './storedQuarantine.js'
 
 /** Changes that arrive within this time are sent to the other nodes in one message. */
 const updateDelayMs = 20
 /** Shortest time between two writes of the fleet size. */
 const sizeWriteIntervalMs = 5000
+/** The same for the quarantine. */
+const quarantineWriteIntervalMs = 1000
 
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
@@ -25,6 +31,9 @@
   size: FleetSize
   /** Store key of the fleet size. */
   sizeKey: string
+  quarantine: PartQuarantine
+  /** The quarantine in the store. */
+  stored: StoredQuarantine
   /** Report of this node itself. */
   ownReport: () => NodeReport
 }
@@ -38,6 +47,7 @@
   private changeFeed: ChangeFeed
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
+  private quarantineWrittenAtMs = -Infinity
   private isStopped = false
 
   constructor (options: LeaderTermOptions) {
@@ -65,15 +75,24 @@
 
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
-    return { ...this.placement.fullReport(), ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    const parts = this.options.quarantine.allFacts()
+    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   onReport (report: NodeReport): void {
     this.recordOutcomes(report)
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
+    if (report.parts) this.options.quarantine.merge(report.parts, { isNews: true })
     this.placement.onReport(report)
   }
 
+  /** Sends news about prompt parts to all nodes. */
+  broadcastParts (): void {
+    const parts = this.options.quarantine.takeFacts()
+    if (parts && !this.isStopped) this.options.broadcast({ fence: this.options.fence, parts, hosting: [], running: [] })
+    this.writeQuarantine()
+  }
+
   /** The dispatch decision for a request of any node, which excludes the servers that want none from it; `undefined` if this node knows no engine that can serve it. */
   dispatch (request: DispatchRequest): DispatchDecision | undefined {
     const servers = this.options.fleet.ofService(request.service).filter(server => server.isPresent && server.serves(request.model, request.adapter))
@@ -85,7 +104,25 @@
       running: server.running + server.runningElsewhere
     }))
     if (request.isFirst) this.prefillDemand.add(`${request.service}/${request.model}`, this.dispatcher.minimumPrefillMs(request, candidates))
-    return this.dispatcher.choose(request, candidates)
+    return this.decideOnParts(request, candidates)
+  }
+
+  /** Requests with prompt parts under suspicion are sent one at a time; those with quarantined ones wait until their node refuses them. */
+  private decideOnParts (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
+    const { quarantine } = this.options
+    const check = quarantine.check(request.sharedParts)
+    if (check.kind === 'clear') return this.dispatcher.choose(request, candidates)
+    const trial = check.kind === 'suspect' ? quarantine.beginTrial(check) : undefined
+    if (!trial) return { kind: 'wait', forMs: trialPollMs }
+    const inTrial = quarantine.enginesInTrial
+    const free = candidates.filter(({ id }) => !request.excluded.includes(id) && !inTrial.includes(id))
+    const decision = this.dispatcher.choose(request, trial.isIsolated ? leastRunning(free) : free)
+    if (decision?.kind === 'engine') {
+      quarantine.setTrialEngine(trial.id, decision.id)
+      return { ...decision, trial: trial.id }
+    }
+    quarantine.endTrial(trial.id)
+    return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs } : undefined)
   }
 
   /** A store change that other nodes need. */
@@ -114,11 +151,37 @@
     this.dispatcher.keepOnly(id => fleet.servers.has(id))
     size.count(linkCount + 1)
     this.writeSize(storedSize)
+    this.watchQuarantine()
     const running = this.placement.runningRows()
     this.broadcastUpdate(running)
     return running
   }
 
+  private watchQuarantine (): void {
+    const { fleet, quarantine, stored } = this.options
+    quarantine.onSoftware(new Set([...fleet.servers.values()].filter(({ isPresent }) => isPresent).map(({ entry }) => softwareOf(entry))))
+    for (const [key, { part, reason, author }] of stored.lifts) {
+      this.options.log('info', 'prompt part lifted by an operator', { part, reason, author })
+      quarantine.lift([part])
+      stored.lifts.delete(key)
+      this.commit('lift of a prompt part not removed', { remove: [key] })
+    }
+    this.writeQuarantine()
+  }
+
+  /** Keeps the verdicts in the store for nodes that start while no other node knows them. */
+  private writeQuarantine (): void {
+    const { clock, quarantine, stored } = this.options
+    if (this.isStopped || !stored.differsFrom(quarantine.list) || clock.nowMs() - this.quarantineWrittenAtMs < quarantineWriteIntervalMs) return
+    this.quarantineWrittenAtMs = clock.nowMs()
+    this.commit('quarantine not written', { writes: [stored.writeOf(quarantine.verdictFacts)] })
+  }
+
+  private commit (failure: string, change: { writes?: StoreWrite[], remove?: string[] }): void {
+    const { store, log } = this.options
+    store.commit({ expected: [], ...change }).catch(error => log('warn', failure, { error: messageOf(error) }))
+  }
+
   private recordOutcomes ({ outcomes }: NodeReport): void {
     for (const [backend, answered, failed] of outcomes) this.dispatcher.onOutcomes(backend, answered, failed)
   }
@@ -147,10 +210,14 @@
 
   /** Stores the number of nodes for nodes that start while no leader counts them. */
   private writeSize (storedSize: number): void {
-    const { clock, store, log, size, sizeKey } = this.options
+    const { clock, size, sizeKey } = this.options
     if (size.value === storedSize || clock.nowMs() - this.sizeWrittenAtMs < sizeWriteIntervalMs) return
     this.sizeWrittenAtMs = clock.nowMs()
-    store.commit({ expected: [], writes: [{ key: sizeKey, value: String(size.value) }] })
-      .catch(error => log('warn', 'fleet size not written', { size: size.value, error: messageOf(error) }))
+    this.commit('fleet size not written', { writes: [{ key: sizeKey, value: String(size.value) }] })
   }
 }
+
+/** The candidate with the fewest requests. */
+function leastRunning (candidates: readonly DispatchCandidate[]): DispatchCandidate[] {
+  return [...candidates].sort((left, right) => left.running - right.running).slice(0, 1)
+}
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -81,6 +81,11 @@
     return this.link !== undefined
   }
 
+  /** Whether messages can be sent. */
+  get isConnected (): boolean {
+    return this.link !== undefined && !this.link.socket.connecting
+  }
+
   stop (): void {
     this.cancelCheck()
     this.address = undefined
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -3,6 +3,7 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { z } from 'zod'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
+import { partFactsSchema } from '../policy/partQuarantine.js'
 import { decodeBody, encodeBody } from '../protocol/framing.js'
 
 /** ID and start time of a backend server's incarnation. */
@@ -26,7 +27,9 @@
   /** Backend server, requests with a response and failed requests since the last report. */
   outcomes: z.array(z.tuple([z.string(), z.number(), z.number()])),
   /** Backend servers that are leaving according to their responses; absent if there are none. */
-  leaving: z.array(incarnationSchema).optional()
+  leaving: z.array(incarnationSchema).optional(),
+  /** What this node has found out about prompt parts; absent without news. */
+  parts: partFactsSchema.optional()
 })
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
@@ -70,6 +73,8 @@
   ask: z.number(),
   /** The engine for the request. Without it and `waitMs`, the leader knows no suitable engine. */
   engine: z.string().optional(),
+  /** ID of the trial as which the request may be sent: its prompt parts are under suspicion. */
+  trial: z.string().optional(),
   /** Delay before the next dispatch request: no engine has free capacity now. */
   waitMs: z.number().optional()
 })
@@ -77,11 +82,12 @@
 
 export function encodeDispatchDecision (choice: DispatchDecision | undefined): Omit<DispatchReply, 'ask'> {
   if (!choice) return {}
-  return choice.kind === 'engine' ? { engine: choice.id } : { waitMs: Math.ceil(choice.forMs) }
+  if (choice.kind === 'engine') return { engine: choice.id, ...(choice.trial === undefined ? {} : { trial: choice.trial }) }
+  return { waitMs: Math.ceil(choice.forMs) }
 }
 
-export function decodeDispatchDecision ({ engine, waitMs }: DispatchReply): DispatchDecision | undefined {
-  if (engine !== undefined) return { kind: 'engine', id: engine }
+export function decodeDispatchDecision ({ engine, trial, waitMs }: DispatchReply): DispatchDecision | undefined {
+  if (engine !== undefined) return { kind: 'engine', id: engine, ...(trial === undefined ? {} : { trial }) }
   return waitMs === undefined ? undefined : { kind: 'wait', forMs: waitMs }
 }
 
@@ -138,7 +144,9 @@
   /** Engine, requests in progress from all nodes. */
   running: z.array(z.tuple([z.string(), z.number()])),
   /** Backend servers that are leaving according to their responses to any node; absent if there are none. */
-  leaving: z.array(incarnationSchema).optional()
+  leaving: z.array(incarnationSchema).optional(),
+  /** What all nodes have found out about prompt parts; absent without news. */
+  parts: partFactsSchema.optional()
 })
 export type LeaderReport = z.infer<typeof leaderReportSchema>
 
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -5,6 +5,7 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
 import { stallTimeoutMs } from '../policy/streamPatience.js'
+import { hasGoneOn } from '../policy/partQuarantine.js'
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs } from './codecs.js'
@@ -97,12 +98,17 @@
   lastEventId: number | undefined
   /** Reserves a failover target, if there is one. */
   readonly reserveMove: () => Promise<FailoverSearch>
-  /** What the last attempt has sent to the client: its events, and the time from the first of them to the attempt's end. */
-  lastAnswer: { events: number, writingMs: number | undefined } = { events: 0, writingMs: undefined }
+  /** The last attempt: when it was sent, its events that were sent to the client, and the time from the first of them to its end. */
+  lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined } = { sentAtMs: 0, events: 0, writingMs: undefined }
+  /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
+  readonly onGoneOn: (sentAtMs: number) => void
   private current: Attempt | undefined
 
-  constructor ({ request, response, codecs, clock, reserveMove }: Pick<RequestForwarder, 'request' | 'response' | 'codecs' | 'clock' | 'reserveMove'>) {
+  constructor (
+    { request, response, codecs, clock, reserveMove, onGoneOn }: Pick<RequestForwarder, 'request' | 'response' | 'codecs' | 'clock' | 'reserveMove' | 'onGoneOn'>
+  ) {
     this.reserveMove = reserveMove
+    this.onGoneOn = onGoneOn
     this.request = request
     this.response = response
     this.codecs = codecs
@@ -165,6 +171,7 @@
   private hasFirstByte = false
   private events = 0
   private firstEventAtMs: number | undefined
+  private hasGoneOn = false
   private lastProgressMs: number
   private cancelTimers: CancelTimer[] = []
 
@@ -267,6 +274,7 @@
         forwarder.onEventForwarded()
         this.events++
         this.firstEventAtMs ??= forwarder.clock.nowMs()
+        if (hasGoneOn({ events: this.events, writingMs: this.writingMs })) this.recordGoneOn()
       } else if (this.isContinuation && !isComment(bytes)) {
         gap = 'an event without an ID does not continue the stream'
         break
@@ -277,6 +285,16 @@
     if (gap !== undefined) this.reject(gap)
   }
 
+  private get writingMs (): number | undefined {
+    return this.firstEventAtMs === undefined ? undefined : this.forwarder.clock.nowMs() - this.firstEventAtMs
+  }
+
+  private recordGoneOn (): void {
+    if (this.hasGoneOn) return
+    this.hasGoneOn = true
+    this.forwarder.onGoneOn(this.startedAtMs)
+  }
+
   private write (bytes: Buffer): void {
     const { forwarder } = this
     const { response } = forwarder
@@ -423,8 +441,9 @@
     this.server.buffered.bytes -= this.body.length
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
-    const { firstEventAtMs } = this
-    this.forwarder.lastAnswer = { events: this.events, writingMs: firstEventAtMs === undefined ? undefined : this.forwarder.clock.nowMs() - firstEventAtMs }
+    const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
+    if (result.kind === 'done' && isSuccess) this.recordGoneOn()
+    this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs }
     this.resolve(result)
   }
 }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -9,15 +9,19 @@
 import type { Log } from '../base/log.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, DispatchDecision, PromptPart } from '../policy/dispatcher.js'
+import { hasGoneOn, trialPollMs } from '../policy/partQuarantine.js'
+import type { PartCheck, PartQuarantine, Verdict } from '../policy/partQuarantine.js'
 import { RetryBudget } from '../policy/retry.js'
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
+import { softwareOf } from './backendServer.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, RequestMetadata } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
 import { RequestForwarder, sendBackendResponse } from './requestForwarder.js'
 import type { AttemptResult, BackendResponse, FailoverSearch } from './requestForwarder.js'
+import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
@@ -50,6 +54,8 @@
 const minimumConnections = 4
 /** A server with a larger recent share of failures on this node is excluded from dispatch, whatever the other nodes observe. */
 const failingShare = 0.35
+/** A request is not sent again after so many engines have ended when they began to answer it. */
+const maxEndsPerRequest = 2
 
 export interface RequestProxySettings {
   region: string
@@ -99,6 +105,7 @@
   codecs: Codecs
   fleet: FleetView
   demand: ModelDemand
+  quarantine: PartQuarantine
   settings: RequestProxySettings
   /** Number of nodes that share the retry budgets and the connections of backend servers. */
   nodeCount: () => number
@@ -152,12 +159,15 @@
   retryableFromMs: Map<string, number>
   /** Whether the last server reported that it is not the expected server or does not hold the model. */
   wasMisdirected: boolean
+  /** Engines that ended before or when they began to answer. */
+  ends: number
   attempts: AttemptTrace[]
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'] }
-  | { kind: 'refused', reason: string, retryAfterMs: number }
+  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined }
+  /** With `verdict`, the request has prompt parts in quarantine. */
+  | { kind: 'refused', reason: string, retryAfterMs: number, verdict?: Verdict }
   | { kind: 'left' }
 
 interface Selection {
@@ -165,6 +175,10 @@
   chosenBy: AttemptTrace['chosenBy']
   /** Time until the next search if there is no server. */
   waitMs: number
+  /** ID of the trial as which the request may be sent. */
+  trial?: string | undefined
+  /** What keeps a request with these prompt parts from being sent now. */
+  heldBy?: Exclude<PartCheck, { kind: 'clear' }>
 }
 
 export class RequestProxy {
@@ -312,8 +326,15 @@
   private async serve (request: ProxiedRequest, writer: ResponseWriter): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
-    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, attempts: [] }
-    const forwarder: RequestForwarder = new RequestForwarder({ request, response: writer.response, codecs, clock, reserveMove: () => this.reserveFailover(request, progress) })
+    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [] }
+    const forwarder: RequestForwarder = new RequestForwarder({
+      request,
+      response: writer.response,
+      codecs,
+      clock,
+      reserveMove: () => this.reserveFailover(request, progress),
+      onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(request.metadata.sharedParts, sentAtMs)
+    })
     let result: AttemptResult | undefined
     let hasReservedRetry = false
     for (;;) {
@@ -340,9 +361,11 @@
   private async reserveFailover (request: ProxiedRequest, progress: Progress): Promise<FailoverSearch> {
     const budget = this.budgetOf(request.service.name)
     const isInTime = () => this.clock.nowMs() <= request.deadlineAtMs - minimumAttemptMs
-    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && this.chooseLocally(request, progress) !== undefined
+    const isUnsuspected = () => this.options.quarantine.check(request.metadata.sharedParts).kind === 'clear'
+    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.chooseLocally(request, progress) !== undefined
     if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
-    const { server, chosenBy, waitMs } = await this.selectServer(request, progress, { isFirst: false, isLate: false })
+    const { server, chosenBy, waitMs, trial } = await this.selectServer(request, progress, { isFirst: false, isLate: false })
+    if (trial !== undefined) this.options.quarantine.endTrial(trial)
     // Several dispatch replies that arrive together may name the same free slot, so capacity is checked again.
     const reservation = server && this.availableServers(request).includes(server) && await this.reserve(request, server)
     if (!reservation) {
@@ -353,7 +376,7 @@
       reservation.release()
       budget.returnRetry()
     }
-    return { kind: 'reserved', target: { reservation, chosenBy, isUsable: () => reservation.isUsable && isInTime(), release } }
+    return { kind: 'reserved', target: { reservation, chosenBy, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
   }
 
   private reserve ({ metadata, route, service }: ProxiedRequest, server: BackendServer): Promise<Reservation | undefined> {
@@ -362,7 +385,7 @@
     return Reservation.reserveAt(server, options, { clock: this.clock, calls: this.calls })
   }
 
-  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.metadata
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
@@ -384,17 +407,33 @@
     else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
     const { events, writingMs } = forwarder.lastAnswer
     if (request.route.kind === 'stream') Object.assign(trace, { events, writingMs: writingMs === undefined ? undefined : Math.round(writingMs) })
-    if (result.kind === 'unknown' && result.isConnectionLost) void server.confirmExit()
+    if (result.kind === 'unknown' && result.isConnectionLost) await this.onConnectionLost(request, forwarder, server, progress)
+    if (trial !== undefined) this.options.quarantine.endTrial(trial)
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
   }
 
+  /** Records the end of an engine under a request that it had not begun to answer, or only just. */
+  private async onConnectionLost (request: ProxiedRequest, forwarder: RequestForwarder, server: BackendServer, progress: Progress): Promise<void> {
+    const { lastAnswer } = forwarder
+    const { sharedParts: parts } = request.metadata
+    if (parts.length === 0 || hasGoneOn(lastAnswer)) {
+      void server.confirmExit()
+      return
+    }
+    if (!await server.confirmExit()) return
+    progress.ends++
+    const { entry } = server
+    this.options.quarantine.recordEnd({ engine: incarnationKey(incarnationOf(entry)), software: softwareOf(entry), sentAtMs: lastAnswer.sentAtMs, parts })
+  }
+
   /** Whether the request may be retried after `result`. Takes the retry from the budget unless nothing was sent. */
   private mayRetry (request: ProxiedRequest, forwarder: RequestForwarder, result: AttemptResult, progress: Progress): boolean {
     const { route } = request
     if (forwarder.hasClientLeft || this.clock.nowMs() > request.deadlineAtMs - minimumAttemptMs) return false
     // No server received the request, so this is not a retry.
     if (result.kind === 'unsent') return true
+    if (progress.ends >= maxEndsPerRequest) return false
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
     const mayHaveRun = result.kind !== 'not-run'
     if (mayHaveRun && !isRetryable) return false
@@ -413,6 +452,11 @@
       forwarder.abortResponse()
       return this.finish(request, forwarder, progress, { outcome: 'broken-off', status: 0, reason: reasonOf(result), searchEnd: search?.reason })
     }
+    if (search?.verdict) {
+      if (forwarder.mayHaveRun) writer.sendError(502, search.reason)
+      else writer.sendError(503, search.reason, search.retryAfterMs)
+      return this.finish(request, forwarder, progress, { outcome: 'quarantined', status: writer.response.statusCode, reason: search.reason })
+    }
     const retryAfterMs = search?.retryAfterMs ?? busyRetryAfterMs
     match(result)
       .with({ kind: 'answer' }, ({ response }) => writer.sendResponse(response, this.options.codecs.returnHeaders(response.head)))
@@ -454,8 +498,9 @@
     request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { isRetry, startedAtMs }: { isRetry: boolean, startedAtMs: number }
   ): Promise<Search> {
     let selection = await this.selectServer(request, progress, { isFirst: !isRetry, isLate: false })
-    if (forwarder.hasClientLeft) return { kind: 'left' }
-    if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
+    if (forwarder.hasClientLeft) return this.leaveWith(selection)
+    if (selection.server) return foundBy(selection.server, selection)
+    if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
     const { model, adapter } = request.metadata
     if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server accepts requests', retryAfterMs: busyRetryAfterMs }
     const modelEntry = request.service.engine.models.find(({ name }) => name === model)
@@ -479,6 +524,9 @@
         if (decision.kind === 'refuse') {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           const name = adapter === undefined ? model : `${model}/${adapter}`
+          if (selection.heldBy?.kind === 'suspect') {
+            return { kind: 'refused', reason: `${selection.heldBy.ends} engines ended under requests with the same prompt part, and no trial was possible in time`, retryAfterMs: decision.retryAfterMs }
+          }
           const reason = decision.reason === 'full' ? `all engines with ${name} are full` : `no engine is ready with ${name}`
           return { kind: 'refused', reason, retryAfterMs: decision.retryAfterMs }
         }
@@ -490,14 +538,27 @@
         await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.waitForChange(waitPollMs))
         if (forwarder.hasClientLeft) return { kind: 'left' }
         selection = await this.selectServer(request, progress, { isFirst: false, isLate })
-        if (forwarder.hasClientLeft) return { kind: 'left' }
-        if (selection.server) return { kind: 'found', server: selection.server, chosenBy: selection.chosenBy }
+        if (forwarder.hasClientLeft) return this.leaveWith(selection)
+        if (selection.server) return foundBy(selection.server, selection)
+        if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
       }
     } finally {
       waiting.end()
     }
   }
 
+  /** The client has left while a server was selected. */
+  private leaveWith ({ trial }: Selection): Search {
+    if (trial !== undefined) this.options.quarantine.endTrial(trial)
+    return { kind: 'left' }
+  }
+
+  private refusalOf (verdict: Verdict): Extract<Search, { kind: 'refused' }> {
+    const { parts, ends, untilMs } = verdict
+    const reason = `${ends} engines ended under requests with the prompt part ${loggedParts(parts.map(id => ({ id }))).join(' and ')}; requests with it are refused`
+    return { kind: 'refused', reason, retryAfterMs: Math.max(0, untilMs - this.clock.nowMs()), verdict }
+  }
+
   /** Servers that may be tried next. */
   private candidates (request: ProxiedRequest, progress: Progress): BackendServer[] {
     const { sends, tried, retryableFromMs } = progress
@@ -513,13 +574,38 @@
   private async selectServer (
     request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
   ): Promise<Selection> {
+    const { quarantine } = this.options
+    const { sharedParts } = request.metadata
+    const early = quarantine.check(sharedParts)
+    if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
     // The leader measures the demand for a model by these requests, also while no engine holds it.
     const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
     const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
-    if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: decision.forMs }
+    const trial = decision?.kind === 'engine' ? decision.trial : undefined
+    // Meanwhile a verdict may have been made.
+    const check = quarantine.check(sharedParts)
+    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
+    if (check.kind === 'refused') {
+      if (trial !== undefined) quarantine.endTrial(trial)
+      return { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy }
+    }
+    if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: decision.forMs, ...heldBy }
     // Meanwhile the server may have been removed, or its last free connection may be in use.
     const chosen = decision && this.candidates(request, progress).find(({ entry }) => entry.id === decision.id)
-    return chosen ? { server: chosen, chosenBy: 'leader', waitMs: waitPollMs } : { server: this.chooseLocally(request, progress), chosenBy: 'node', waitMs: waitPollMs }
+    if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
+    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial }
+    const server = this.chooseLocally(request, progress)
+    if (!server && trial !== undefined) quarantine.endTrial(trial)
+    return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
+  }
+
+  /** Without a leader that grants trials, a node tries a part once for itself. */
+  private selectForOwnTrial (request: ProxiedRequest, progress: Progress, check: Extract<PartCheck, { kind: 'suspect' }>): Selection {
+    const { quarantine } = this.options
+    const held = { server: undefined, chosenBy: 'node', waitMs: trialPollMs, heldBy: check } as const
+    const server = check.ends > 1 || check.isVerdictOver ? undefined : this.chooseLocally(request, progress)
+    const trial = server && quarantine.beginTrial(check)
+    return trial ? { server, chosenBy: 'node', waitMs: trialPollMs, trial: trial.id } : held
   }
 
   private dispatchRequestOf (
@@ -642,10 +728,14 @@
 }
 
 /** IDs of the shared prompt parts, shortened for the log. */
-function loggedParts (parts: readonly PromptPart[]): string[] {
+function loggedParts (parts: readonly Pick<PromptPart, 'id'>[]): string[] {
   return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
 }
 
+function foundBy (server: BackendServer, { chosenBy, trial }: Selection): Extract<Search, { kind: 'found' }> {
+  return { kind: 'found', server, chosenBy, trial }
+}
+
 function reasonOf (result: AttemptResult | undefined): string | undefined {
   return result && 'reason' in result ? result.reason : undefined
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -11,6 +11,8 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
+import { PartQuarantine } from '../policy/partQuarantine.js'
+import type { Verdict } from '../policy/partQuarantine.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
@@ -29,6 +31,7 @@
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
+import { StoredQuarantine } from './storedQuarantine.js'
 import { StoreView } from './storeView.js'
 
 /** The load balancer removes a node after two failed checks, one a second; new connections may still be on their way then. */
@@ -80,6 +83,8 @@
   private readonly size: FleetSize
   private readonly dispatch: DispatchClient
   private readonly loopDelay: LoopDelay
+  private readonly quarantine: PartQuarantine
+  private readonly storedQuarantine: StoredQuarantine
   /** Set while this node leads. */
   private leaderTerm: LeaderTerm | undefined
   /** Number of nodes in the store. */
@@ -87,6 +92,7 @@
   private reportTicks = 0
   private cancelReports: CancelTimer = () => {}
   private cancelDemandReport: CancelTimer | undefined
+  private cancelParts: CancelTimer | undefined
   private deployment: Deployment | undefined
   private hasBackends = false
   private isStopping = false
@@ -99,12 +105,21 @@
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
     this.loopDelay = new LoopDelay(clock)
+    this.storedQuarantine = new StoredQuarantine(codecs.keys.own)
+    this.quarantine = new PartQuarantine({
+      clock,
+      name: settings.node,
+      onVerdict: verdict => log('warn', 'prompt parts quarantined', this.verdictFields(verdict)),
+      onReleased: verdict => log('info', 'prompt parts released', this.verdictFields(verdict)),
+      onFacts: () => { this.cancelParts ??= clock.setTimer(demandReportDelayMs, () => this.sendParts()) }
+    })
     this.requestProxy = new RequestProxy({
       clock,
       log,
       codecs,
       fleet: this.fleet,
       demand: this.demand,
+      quarantine: this.quarantine,
       settings: {
         region: settings.region,
         availabilityZone: settings.availabilityZone,
@@ -135,7 +150,10 @@
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
-        if (!('ask' in message)) return this.leaderTerm?.onReport(message)
+        if (!('ask' in message)) {
+          this.leaderTerm?.onReport(message)
+          return this.sendParts()
+        }
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
       },
       onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) }
@@ -144,7 +162,11 @@
       clock,
       log,
       onMessage: message => this.onLeaderMessage(message),
-      onConnected: () => { this.link.send(this.report()) },
+      onConnected: () => {
+        // The new leader may know none of it.
+        const parts = this.quarantine.allFacts()
+        this.link.send({ ...this.report(), ...(parts ? { parts } : {}) })
+      },
       onLost: () => this.dispatch.onLost()
     })
     this.storeView = new StoreView({
@@ -180,6 +202,8 @@
     metrics.gauge('teaselrill_backends_leaving', 'Backend servers that announced in a response that they are leaving', () => this.fleet.leaving.length)
     metrics.gauge('teaselrill_backends_ended', 'Backend servers that ended without an announcement while they ran requests of this node, since the start', () => this.fleet.exits)
     metrics.gauge('teaselrill_backends_paused', 'Backend servers that want no requests from this node for a while', () => [...this.fleet.servers.values()].filter(server => server.isPresent && server.pauseLeftMs > 0).length)
+    metrics.gauge('teaselrill_parts_quarantined', 'Sets of prompt parts whose requests are refused because they ended engines', () => this.quarantine.list.filter(({ untilMs }) => untilMs > this.options.clock.nowMs()).length)
+    metrics.gauge('teaselrill_parts_suspected', 'Prompt parts whose requests are sent one at a time because engines ended under them', () => this.quarantine.suspectCount)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
@@ -229,6 +253,7 @@
     this.requestProxy.logUnfinishedRequests()
     this.storeView.stop()
     this.cancelReports()
+    this.cancelParts?.()
     this.link.stop()
     this.peers.stop()
     this.readiness.close()
@@ -311,10 +336,33 @@
     else if (change.key.startsWith(keys.backends)) {
       if (!this.onBackend(change)) return
     } else if (change.key === this.sizeKey) this.onStoredSize(change.value)
-    else if (change.key.startsWith(keys.own)) this.leadership.onChange(change)
+    else if (change.key.startsWith(keys.own)) this.onOwnKey(change)
     this.leaderTerm?.onChange(change)
   }
 
+  private onOwnKey (change: StoreChange): void {
+    this.leadership.onChange(change)
+    const verdicts = this.storedQuarantine.onChange(change)
+    if (verdicts instanceof Error) this.options.log('warn', 'stored quarantine ignored', { key: change.key, error: verdicts.message })
+    else if (verdicts) this.quarantine.merge({ ends: [], survivals: [], verdicts, endedTrials: [] }, { isNews: false })
+  }
+
+  /** Sends what is new about prompt parts: the leader to all nodes, the others to the leader. */
+  private sendParts (): void {
+    this.cancelParts?.()
+    this.cancelParts = undefined
+    if (this.leaderTerm) return this.leaderTerm.broadcastParts()
+    // Without a connection it is sent as a whole when there is one.
+    if (!this.link.isConnected) return
+    const parts = this.quarantine.takeFacts()
+    if (parts) this.link.send({ ...this.report(), parts })
+  }
+
+  private verdictFields ({ parts, ends, firstEndAtMs, untilMs, renewals, software }: Verdict): Record<string, unknown> {
+    const nowMs = this.options.clock.nowMs()
+    return { parts, ends, firstEndMsAgo: Math.round(nowMs - firstEndAtMs), leftMs: Math.round(untilMs - nowMs), renewals, software }
+  }
+
   private get sizeKey (): string {
     return `${this.options.codecs.keys.own}size`
   }
@@ -338,6 +386,8 @@
       storeView: this.storeView,
       size: this.size,
       sizeKey: this.sizeKey,
+      quarantine: this.quarantine,
+      stored: this.storedQuarantine,
       fleet: this.fleet,
       engineClient: this.engineClient,
       deployment: () => this.deployment,
@@ -361,7 +411,10 @@
 
   /** The leader's dispatch decision for a request; `undefined` if there is none in time. */
   private async dispatchForAll (ask: DispatchRequest): Promise<DispatchDecision | undefined> {
-    return this.leaderTerm ? this.leaderTerm.dispatch(ask) : await this.dispatch.requestDispatch(ask)
+    if (this.leaderTerm) return this.leaderTerm.dispatch(ask)
+    // The leader's decision must rest on what this node has just seen.
+    this.sendParts()
+    return await this.dispatch.requestDispatch(ask)
   }
 
   private onLeaderMessage (message: LeaderMessage): void {
@@ -369,7 +422,8 @@
     else this.onLeaderReport(message)
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [] }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts }: LeaderReport): void {
+    if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
       const { fromRevision, revision, ageMs, nodeCount, returnedMsAgo } = news
       // Before the changes, which include the removal of entries that expired during the outage.
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -27,7 +27,8 @@
       memory: sabotage('memory', 'LIMIT', 'models', ['backendCrash']),
       leaving: sabotage('notices', 'DRAIN', 'orders', ['backendLeaves']),
       pauses: sabotage('notices', 'BUDGET', 'orders', ['backendTurnsAway']),
-      silence: sabotage('silence', 'LOST', 'models', ['enginePauses'])
+      silence: sabotage('silence', 'LOST', 'models', ['enginePauses']),
+      quarantine: sabotage('quarantine', 'BUDGET', 'models', ['deadlyPart'])
     })
   })
 
@@ -69,6 +70,10 @@
     expect(rulesOf(await sabotaged.silence!)).to.include('LOST')
   })
 
+  it('reports requests with a prompt part under which engines ended', async () => {
+    expect(rulesOf(await sabotaged.quarantine!)).to.include('BUDGET')
+  })
+
   it('keeps all promises under overlapping faults', async () => {
     const { violations, counts } = await run({ seed: 7, durationMs: 15_000 })
     expect(violations).to.deep.equal([])
