--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -181,6 +181,27 @@
     stop()
   })
 
+  for (const afterMs of [20, 200, 500, 900]) {
+    it(`counts an adapter on its way when another leader follows after ${afterMs} ms`, async () => {
+      // Guards against one adapter too many after a change of the leader: the engine reports those on their way apart.
+      const { clock, engines, lead, ask, stop } = world(1)
+      const engine = engines.get('e0')!
+      engine.adapterLoadMs = 800
+      const first = lead(5).leader
+      ask({ adapters: Array.from({ length: 4 }, (_, index) => ['s', 'm0', `a${index}`, 1]) })
+      for (let step = 0; engine.adaptersOnTheirWay < 4 && step < 100; step++) await clock.advance(20)
+      await clock.advance(afterMs)
+      first.stop()
+      lead(6)
+      ask({ adapters: Array.from({ length: 4 }, (_, index) => ['s', 'm0', `a${10 + index}`, 1]) })
+      await clock.advance(5000)
+      engine.completeDue()
+      expect(overloads(engines)).to.deep.equal([])
+      expect([...engine.models.get('m0')!].some(adapter => adapter.startsWith('a1'))).to.equal(true)
+      stop()
+    })
+  }
+
   it('counts an evicted adapter until the engine has unloaded it', async () => {
     // Guards against overloading an engine that becomes unresponsive while an adapter is replaced and others are requested.
     const { clock, engines, lead, ask, stop } = world(1)
