Refuse requests late in a planned stop, and answer the rest before the end

Cause: that the node refuses was checked before the body was read, and not before another attempt.

Change: checked after the body and before each attempt of a request whose answer has not started; what is in progress 0.4 s before the kill and has no answer yet gets 502, which promises nothing.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -148,6 +148,11 @@
     return this.lastEventAtMs === undefined ? undefined : this.clock.nowMs() - this.lastEventAtMs
   }
 
+  /** Ends an attempt whose answer has not started, as one that may have run. */
+  abandon (reason: string): void {
+    if (!this.hasResponseStarted) this.current?.onAbandoned(reason)
+  }
+
   /** Closes the client's connection, so that a partial response does not look complete. */
   abortResponse (): void {
     this.response.destroy()
@@ -212,6 +217,10 @@
     this.abandon({ kind: 'client-left' })
   }
 
+  onAbandoned (reason: string): void {
+    this.abandon({ kind: 'unknown', reason })
+  }
+
   /** Whether the response belongs to this request. A failure without an ID does only if it cannot belong to an earlier request. */
   private accepts (head: ResponseHead, isFirst: boolean): boolean {
     const { requestId } = this.forwarder.codecs.readResponse(head)
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -171,6 +171,9 @@
   | { kind: 'refused', reason: string, retryAfterMs: number, verdict?: Verdict }
   | { kind: 'left' }
 
+/** Requests whose answer has not started are not sent on a node that is about to end. */
+const shuttingDown: Search = { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
+
 interface Selection {
   server: BackendServer | undefined
   chosenBy: AttemptTrace['chosenBy']
@@ -192,6 +195,8 @@
   private readonly budgets = new Map<string, RetryBudget>()
   private isClosing = false
   private isRefusing = false
+  private isEnding = false
+  private readonly forwarders = new Set<RequestForwarder>()
   private plainRequests = 0
   private readonly open = new Set<OpenRequest>()
   private readonly connections = new WeakMap<Socket, ClientConnection>()
@@ -257,6 +262,8 @@
       return writer.sendError(404, 'no route matches the host and path')
     }
     const body = await readBody(request, deployment.limits.maxBodyBytes)
+    // A long body may be complete only when what is sent on could not be finished any more.
+    if (this.isRefusing && body !== 'left') return writer.sendError(503, 'this node is shutting down', 0)
     if (body === 'too-large') return writer.sendError(413, 'the request body is too large')
     if (body === 'left') return
     if ((this.options.loopDelayMs?.() ?? Infinity) > lateReadMs) {
@@ -283,6 +290,12 @@
     this.isRefusing = true
   }
 
+  /** Answers requests in progress whose answer has not started with 502, since the process is about to end. They may have run. */
+  abandonRequests (): void {
+    this.isEnding = true
+    for (const forwarder of this.forwarders) forwarder.abandon('this node is shutting down')
+  }
+
   /** Logs every request whose connection is about to be closed before its response is complete. */
   logUnfinishedRequests (): void {
     for (const { requestId, arrivedAtMs, response } of this.open) {
@@ -348,6 +361,15 @@
       reserveMove: () => this.reserveFailover(request, progress),
       onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(request.metadata.sharedParts, sentAtMs)
     })
+    this.forwarders.add(forwarder)
+    try {
+      await this.attemptUntilDone(request, writer, forwarder, progress)
+    } finally {
+      this.forwarders.delete(forwarder)
+    }
+  }
+
+  private async attemptUntilDone (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress): Promise<void> {
     let result: AttemptResult | undefined
     let hasReservedRetry = false
     for (;;) {
@@ -446,7 +468,7 @@
     if (forwarder.hasClientLeft || this.clock.nowMs() > request.deadlineAtMs - minimumAttemptMs) return false
     // No server received the request, so this is not a retry.
     if (result.kind === 'unsent') return true
-    if (progress.ends >= maxEndsPerRequest) return false
+    if (progress.ends >= maxEndsPerRequest || this.isEnding) return false
     const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
     const mayHaveRun = result.kind !== 'not-run'
     if (mayHaveRun && !isRetryable) return false
@@ -510,6 +532,7 @@
   private async searchServer (
     request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { isRetry, startedAtMs }: { isRetry: boolean, startedAtMs: number }
   ): Promise<Search> {
+    if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
     let selection = await this.selectServer(request, progress, { isFirst: !isRetry, isLate: false })
     if (forwarder.hasClientLeft) return this.leaveWith(selection)
     if (selection.server) return foundBy(selection.server, selection)
@@ -544,7 +567,7 @@
           return { kind: 'refused', reason, retryAfterMs: decision.retryAfterMs }
         }
         // Once the response has started, the request cannot be rejected.
-        if (this.isRefusing && !forwarder.hasResponseStarted) return { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
+        if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
         // A request whose response has started has priority over requests that can still be rejected.
         const isLate = decision.isLate && !forwarder.hasResponseStarted
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -38,6 +38,8 @@
 /** Time before the platform kills the process at which the remaining requests are abandoned. */
 const shutdownMarginMs = 400
 const shutdownPollMs = 50
+/** Time for the last answers to leave this process; part of the margin. */
+const finalAnswersMs = 100
 /** Limits of reading data that has arrived before connections are closed. */
 const finalReadLimits = { maxRounds: 64, maxMs: 200 }
 /** Larger than the platform's limits on request heads, which are checked by size. */
@@ -248,6 +250,8 @@
       lastRead = await this.readWhatArrived(Math.max(shutdownPollMs, Math.min(finalReadLimits.maxMs, endAtMs - clock.nowMs())))
       this.closeIdle()
     }
+    this.requestProxy.abandonRequests()
+    await sleep(clock, finalAnswersMs)
     log('info', 'requests in progress at the end', { count: this.requestProxy.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
     this.requestProxy.logUnfinishedRequests()
     this.storeView.stop()
