--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 /** The `teaselrill` command. Exit codes: 0 success, 1 failure, 2 bad usage or input. */
 
 import { readFileSync, writeFileSync } from 'node:fs'
+import { userInfo } from 'node:os'
 import sade from 'sade'
 import type { Sade } from 'sade'
 import { SystemClock } from '../base/clock.js'
@@ -10,9 +11,9 @@
 import { configCheck, configDiff, configGet, configHistory, configPropose } from './configCommands.js'
 import { runNode } from './nodeCommand.js'
 import { OperatorsClient } from './operatorsClient.js'
-import { nodeAccess, optionalInteger, optionalText, print, printError, printJson, readInput, valueOptions } from './options.js'
+import { nodeAccess, optionalInteger, optionalText, print, printError, printJson, readInput, requiredText, valueOptions } from './options.js'
 import type { CommandOptions } from './options.js'
-import { renderData } from './renderData.js'
+import { renderData, renderTable } from './renderData.js'
 
 const clock = new SystemClock()
 
@@ -57,6 +58,28 @@
   return exitOk
 }
 
+/** Prints the prompt parts whose requests are refused on the users' platform. */
+async function listQuarantines (options: CommandOptions): Promise<number> {
+  const commands = await import('../platform/quarantineCommands.js')
+  const verdicts = await commands.listQuarantines(optionalText(options, 'settings'), clock)
+  if (options.json) printJson(verdicts)
+  else if (verdicts.length === 0) print('no prompt part is in quarantine')
+  else {
+    print(renderTable(['parts', 'engines ended', 'first end, s ago', 'left, s', 'renewals', 'software'], verdicts.map(({ parts, ends, firstEndAgeMs, leftMs, renewals, software }) => ({
+      parts, 'engines ended': ends, 'first end, s ago': Math.round(firstEndAgeMs / 1000), 'left, s': Math.round(leftMs / 1000), renewals, software
+    }))))
+  }
+  return exitOk
+}
+
+async function liftQuarantine (part: string, options: CommandOptions): Promise<number> {
+  const commands = await import('../platform/quarantineCommands.js')
+  const lift = { part, reason: requiredText(options, 'reason'), author: optionalText(options, 'author') ?? userInfo().username }
+  await commands.liftQuarantine(optionalText(options, 'settings'), clock, lift)
+  print(`the placement leader will let requests with ${part} pass`)
+  return exitOk
+}
+
 function withAccess (program: Sade): Sade {
   return program
     .option('--settings', 'Settings file of a node, or one with only [operators] listen and [deployment] key')
@@ -83,6 +106,14 @@
     .action(async (options: CommandOptions) => (await import('../platform/serve.js')).serve({
       linesPerSecond: optionalInteger(options, 'log-lines', { min: 1 }), metricsPort: optionalInteger(options, 'metrics-port', { min: 1 })
     }))
+  withJson(program.command('quarantine list', 'Print the prompt parts whose requests are refused because engines ended under them'))
+    .option('--settings', 'Settings file of a node on the users\' platform; by default the one that the platform names')
+    .action((options: CommandOptions) => listQuarantines(options))
+  program.command('quarantine lift <part>', 'Let requests with a prompt part in quarantine pass again')
+    .option('--settings', 'Settings file of a node on the users\' platform; by default the one that the platform names')
+    .option('--reason', 'Why it is lifted (required)')
+    .option('--author', 'Name of the operator; by default the user name')
+    .action((part: string, options: CommandOptions) => liftQuarantine(part, options))
   withJson(program.command('config check <file>', 'Check a fleet configuration and print all findings'))
     .action((file: string, options: CommandOptions) => configCheck(file, options))
   withAccess(withJson(program.command('config get', 'Print the fleet configuration in force')))
--- a/src/serving/storedQuarantine.ts
+++ b/src/serving/storedQuarantine.ts
@@ -1,10 +1,14 @@
 /** The quarantine of prompt parts in the platform's store, and the lifts that operators write there. */
 
+import { createHash } from 'node:crypto'
 import { z } from 'zod'
+import { partKey } from '../policy/partEvidence.js'
 import { verdictFactSchema } from '../policy/partQuarantine.js'
 import type { Verdict, VerdictFact } from '../policy/partQuarantine.js'
 import type { StoreChange, StoreWrite } from './coordination.js'
 
+export type { VerdictFact }
+
 const storedVerdictsSchema = z.array(verdictFactSchema)
 
 /** An operator's word that requests with a part may be sent again. */
@@ -14,6 +18,11 @@
 export const quarantineKey = (ownPrefix: string) => `${ownPrefix}quarantine`
 export const liftPrefix = (ownPrefix: string) => `${ownPrefix}lift/`
 
+/** The write with which an operator lifts the quarantine of a part. Its key has a fixed length, whatever the part's ID is. */
+export function liftWrite (ownPrefix: string, lift: Lift): StoreWrite {
+  return { key: `${liftPrefix(ownPrefix)}${createHash('sha256').update(lift.part).digest('hex')}`, value: JSON.stringify({ ...lift, part: partKey(lift.part) }) }
+}
+
 /** Returns an `Error` if the text is not a list of verdicts. */
 export function readVerdicts (text: string): VerdictFact[] | Error {
   return parseJson(storedVerdictsSchema, text)
