--- a/tests/servingNode.spec.ts
+++ b/tests/servingNode.spec.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../src/base/random.js'
 import { codecs } from '../src/platform/httpCodecs.js'
 import { ServingNode } from '../src/serving/servingNode.js'
+import { liftWrite } from '../src/serving/storedQuarantine.js'
 import type { ServingSettings } from '../src/serving/settings.js'
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 import { freePort } from './fixtures/freePort.js'
@@ -23,12 +24,12 @@
 
 const beat = (address: string, state = 'ready') => JSON.stringify({ service: 's', address, zone: 'z', slots: 4, state, seq: 1, born: 1 })
 
-function get (port: number, path: string): Promise<{ status: number, body: string, connection: string | undefined }> {
+function get (port: number, path: string, extraHeaders: Record<string, string> = {}): Promise<{ status: number, body: string, connection: string | undefined, retryAfter: number }> {
   return new Promise((resolve, reject) => {
-    httpRequest({ host: '127.0.0.1', port, path, headers: { host: 'h', 'x-attempt-id': 'id', connection: 'keep-alive' }, agent: false }, response => {
+    httpRequest({ host: '127.0.0.1', port, path, headers: { host: 'h', 'x-attempt-id': 'id', connection: 'keep-alive', ...extraHeaders }, agent: false }, response => {
       let body = ''
       response.on('data', data => { body += data })
-      response.on('end', () => resolve({ status: response.statusCode!, body, connection: response.headers.connection }))
+      response.on('end', () => resolve({ status: response.statusCode!, body, connection: response.headers.connection, retryAfter: Number(response.headers['retry-after']) }))
     }).on('error', reject).end()
   })
 }
@@ -118,6 +119,25 @@
     await until(async () => (await get(ports.clients, '/a/')).status === 503)
   })
 
+  // Guards against a node that starts late, or a fleet that was restarted, and sends what others know to end engines.
+  it('refuses requests with parts that the store says are in quarantine, until an operator lifts it', async () => {
+    const verdict = { parts: ['5c'], ends: 3, firstEndAgeMs: 9000, lastEndAgeMs: 1000, leftMs: 600_000, renewals: 0, hasHistory: false, software: ['s/1'] }
+    state.write('teaselrill/quarantine', JSON.stringify([verdict]))
+    publish()
+    await until(async () => (await get(ports.clients, '/a/')).status === 200)
+    const withPart = () => get(ports.clients, '/a/', { 'x-prompt-prefix': 'aa:10,5c:10,e1:10' })
+    const refused = await withPart()
+    expect(refused.status).to.equal(503)
+    expect(refused.body).to.contain('5c')
+    expect(refused.retryAfter).to.be.within(500, 600)
+    // The last part belongs to the request itself.
+    expect((await get(ports.clients, '/a/', { 'x-prompt-prefix': 'aa:10,5c:10' })).status).to.equal(200)
+    const lift = liftWrite('teaselrill/', { part: '5c', reason: 'test', author: 'kaja' })
+    state.write(lift.key, lift.value)
+    await until(async () => (await withPart()).status === 200)
+    await until(async () => !state.items.has(lift.key) && state.items.get('teaselrill/quarantine')?.value === '[]')
+  })
+
   it('finishes requests in progress at a shutdown, and closes connections', async () => {
     publish()
     await until(async () => (await get(ports.clients, '/a/')).status === 200)
