Quarantine: nodes without a leader tell each other, and a cut request waits briefly for the cause

Change: the leader tells each node the addresses of all; news about prompt parts goes to them directly while there is no leader. From the second end on only the node to which the parts fall by rendezvous hashing tries them.

A cut request waits at most 250 ms for the check whether its engine has ended.

--- a/src/policy/partQuarantine.ts
+++ b/src/policy/partQuarantine.ts
@@ -6,6 +6,7 @@
 
 import { z } from 'zod'
 import type { CancelTimer, Clock } from '../base/clock.js'
+import { rendezvousOwner } from '../base/hash.js'
 import type { PromptPart } from './dispatcher.js'
 import { PartEvidence, partKeys, partsOf, settleMs } from './partEvidence.js'
 import type { EngineEnd, Suspicion } from './partEvidence.js'
@@ -87,6 +88,15 @@
   isIsolated: boolean
 }
 
+/**
+ * Whether a node may try parts without a leader that grants trials: each node once after the first end, later only the one of
+ * `nodes` to which the parts fall, and nobody after a verdict.
+ */
+export function mayTryAlone ({ parts, ends, isVerdictOver }: Extract<PartCheck, { kind: 'suspect' }>, node: string, nodes: readonly string[]): boolean {
+  if (isVerdictOver) return false
+  return ends < endsBeforeIsolation || rendezvousOwner([...parts].sort().join(), nodes) === node
+}
+
 export interface PartQuarantineOptions {
   clock: Clock
   /** Makes the IDs of trials of this node unique. */
@@ -133,7 +143,8 @@
       const present = parts.filter(part => keys.includes(part))
       if (present.length === 0) continue
       if (present.length === parts.length && nowMs < verdict.untilMs) return { kind: 'refused', verdict }
-      isVerdictOver = true
+      // With only some of the parts, a request may be sound and is tried at once.
+      isVerdictOver ||= nowMs >= verdict.untilMs
       for (const part of present) suspects.set(part, verdict.ends)
     }
     for (const part of keys) {
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -24,6 +24,8 @@
 const sizeWriteIntervalMs = 5000
 /** The same for the quarantine. */
 const quarantineWriteIntervalMs = 1000
+/** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
+const nodesIntervalMs = 30_000
 
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
@@ -36,6 +38,8 @@
   stored: StoredQuarantine
   /** Report of this node itself. */
   ownReport: () => NodeReport
+  /** IP addresses of all nodes. */
+  nodeAddresses: () => string[]
 }
 
 export class LeaderTerm {
@@ -48,6 +52,7 @@
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
   private quarantineWrittenAtMs = -Infinity
+  private nodesSentAtMs = -Infinity
   private isStopped = false
 
   constructor (options: LeaderTermOptions) {
@@ -76,7 +81,7 @@
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
     const parts = this.options.quarantine.allFacts()
-    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   onReport (report: NodeReport): void {
@@ -154,9 +159,17 @@
     this.watchQuarantine()
     const running = this.placement.runningRows()
     this.broadcastUpdate(running)
+    this.broadcastNodes()
     return running
   }
 
+  private broadcastNodes (): void {
+    const { clock, broadcast, fence, nodeAddresses } = this.options
+    if (this.isStopped || clock.nowMs() - this.nodesSentAtMs < nodesIntervalMs) return
+    this.nodesSentAtMs = clock.nowMs()
+    broadcast({ fence, nodes: nodeAddresses(), hosting: [], running: [] })
+  }
+
   private watchQuarantine (): void {
     const { fleet, quarantine, stored } = this.options
     quarantine.onSoftware(new Set([...fleet.servers.values()].filter(({ isPresent }) => isPresent).map(({ entry }) => softwareOf(entry))))
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -14,6 +14,8 @@
 /** Reports arrive several times a second, so a connection without data for this long is dead. */
 const peerTimeoutMs = 1600
 const reconnectMs = 250
+/** Time for a single message to a node. */
+const sendOnceTimeoutMs = 1000
 /** The connection to a peer that does not read is closed before it fills this process's memory. */
 const maxBufferedBytes = 512 * 1024
 
@@ -126,6 +128,20 @@
   }
 }
 
+/** Sends a message to other nodes over connections that are closed after it. A node that cannot be reached goes without it. */
+export function sendOnce (addresses: readonly { host: string, port: number }[], message: NodeMessage, { clock, log }: { clock: Clock, log: Log }): void {
+  const frame = encodeFrame(message)
+  for (const address of addresses) {
+    const socket = connect(address)
+    const cancel = clock.setTimer(sendOnceTimeoutMs, () => socket.destroy())
+    socket.on('error', error => log('info', 'node not reached without a leader', { address: address.host, error: error.message }))
+    socket.on('close', cancel)
+    // The other side may be a leader, which answers.
+    socket.resume()
+    socket.once('connect', () => socket.end(frame))
+  }
+}
+
 type Send = (message: LeaderMessage) => void
 
 /** The leader's connections to the nodes. */
@@ -153,6 +169,11 @@
     return this.links.size
   }
 
+  /** IP addresses of the connected nodes. */
+  get addresses (): string[] {
+    return [...new Set([...this.links].map(({ socket }) => socket.remoteAddress).filter(address => address !== undefined))]
+  }
+
   broadcast (report: LeaderMessage): void {
     if (this.links.size === 0) return
     const frame = encodeFrame(report)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -146,7 +146,9 @@
   /** Backend servers that are leaving according to their responses to any node; absent if there are none. */
   leaving: z.array(incarnationSchema).optional(),
   /** What all nodes have found out about prompt parts; absent without news. */
-  parts: partFactsSchema.optional()
+  parts: partFactsSchema.optional(),
+  /** IP addresses of all nodes, now and then: what a node finds out while there is no leader goes to them. */
+  nodes: z.array(z.string()).optional()
 })
 export type LeaderReport = z.infer<typeof leaderReportSchema>
 
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -57,6 +57,8 @@
 const failingShare = 0.35
 /** A request is not sent again after so many engines have ended when they began to answer it. */
 const maxEndsPerRequest = 2
+/** A cut request does not wait longer for the check whether its server has ended; a refused connection takes one round trip. */
+const maxExitCheckMs = 250
 
 export interface RequestProxySettings {
   region: string
@@ -107,6 +109,8 @@
   fleet: FleetView
   demand: ModelDemand
   quarantine: PartQuarantine
+  /** Whether this node may try prompt parts while no leader grants trials. */
+  mayTryAlone: (check: Extract<PartCheck, { kind: 'suspect' }>) => boolean
   settings: RequestProxySettings
   /** Number of nodes that share the retry budgets and the connections of backend servers. */
   nodeCount: () => number
@@ -448,18 +452,22 @@
     return result
   }
 
-  /** Records the end of an engine under a request that it had not begun to answer, or only just. */
+  /**
+   * A connection with a request in progress has closed. If its engine has ended and had not begun to answer, or only just, that is
+   * evidence against the prompt's parts, and the request must not be sent again before it is known.
+   */
   private async onConnectionLost (request: ProxiedRequest, forwarder: RequestForwarder, server: BackendServer, progress: Progress): Promise<void> {
     const { lastAnswer } = forwarder
     const { sharedParts: parts } = request.metadata
-    if (parts.length === 0 || hasGoneOn(lastAnswer)) {
-      void server.confirmExit()
-      return
-    }
-    if (!await server.confirmExit()) return
-    progress.ends++
     const { entry } = server
-    this.options.quarantine.recordEnd({ engine: incarnationKey(incarnationOf(entry)), software: softwareOf(entry), sentAtMs: lastAnswer.sentAtMs, parts })
+    const confirmed = server.confirmExit()
+    if (parts.length === 0 || hasGoneOn(lastAnswer)) return
+    const recorded = confirmed.then(hasExited => {
+      if (!hasExited) return
+      progress.ends++
+      this.options.quarantine.recordEnd({ engine: incarnationKey(incarnationOf(entry)), software: softwareOf(entry), sentAtMs: lastAnswer.sentAtMs, parts })
+    })
+    await Promise.race([recorded, sleep(this.clock, maxExitCheckMs)])
   }
 
   /** Whether the request may be retried after `result`. Takes the retry from the budget unless nothing was sent. */
@@ -635,11 +643,11 @@
     return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
   }
 
-  /** Without a leader that grants trials, a node tries a part once for itself. */
+  /** A trial without a leader that grants it. */
   private selectForOwnTrial (request: ProxiedRequest, progress: Progress, check: Extract<PartCheck, { kind: 'suspect' }>): Selection {
     const { quarantine } = this.options
     const held = { server: undefined, chosenBy: 'node', waitMs: trialPollMs, heldBy: check } as const
-    const server = check.ends > 1 || check.isVerdictOver ? undefined : this.chooseLocally(request, progress)
+    const server = this.options.mayTryAlone(check) ? this.chooseLocally(request, progress) : undefined
     const trial = server && quarantine.beginTrial(check)
     return trial ? { server, chosenBy: 'node', waitMs: trialPollMs, trial: trial.id } : held
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -10,7 +10,7 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
-import { PartQuarantine } from '../policy/partQuarantine.js'
+import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
@@ -24,7 +24,7 @@
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
 import { LoopDelay } from './loopDelay.js'
-import { LeaderLink, PeerServer } from './peerLink.js'
+import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
 import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, unpackChanges } from './peerMessages.js'
 import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
 import { RequestProxy } from './requestProxy.js'
@@ -94,6 +94,8 @@
   private cancelReports: CancelTimer = () => {}
   private cancelDemandReport: CancelTimer | undefined
   private cancelParts: CancelTimer | undefined
+  /** IP addresses of the other nodes, from the last leader. */
+  private otherNodes: string[] = []
   private deployment: Deployment | undefined
   private hasBackends = false
   private isStopping = false
@@ -121,6 +123,7 @@
       fleet: this.fleet,
       demand: this.demand,
       quarantine: this.quarantine,
+      mayTryAlone: check => mayTryAlone(check, settings.ip, [settings.ip, ...this.otherNodes]),
       settings: {
         region: settings.region,
         availabilityZone: settings.availabilityZone,
@@ -152,7 +155,9 @@
       clock,
       onMessage: (message, reply) => {
         if (!('ask' in message)) {
-          this.leaderTerm?.onReport(message)
+          if (this.leaderTerm) this.leaderTerm.onReport(message)
+          // A node that has no leader tells all others.
+          else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
@@ -352,10 +357,11 @@
     this.cancelParts?.()
     this.cancelParts = undefined
     if (this.leaderTerm) return this.leaderTerm.broadcastParts()
-    // Without a connection it is sent as a whole when there is one.
-    if (!this.link.isConnected) return
     const parts = this.quarantine.takeFacts()
-    if (parts) this.link.send({ ...this.report(), parts })
+    if (!parts) return
+    if (this.link.isConnected) this.link.send({ ...this.report(), parts })
+    // The next leader gets everything when this node connects to it.
+    else sendOnce(this.otherNodes.map(host => ({ host, port: this.options.settings.peersPort })), { ...this.report(), parts }, this.options)
   }
 
   private verdictFields ({ parts, ends, firstEndAtMs, untilMs, renewals, software }: Verdict): Record<string, unknown> {
@@ -388,6 +394,7 @@
       sizeKey: this.sizeKey,
       quarantine: this.quarantine,
       stored: this.storedQuarantine,
+      nodeAddresses: () => [settings.ip, ...this.peers.addresses],
       fleet: this.fleet,
       engineClient: this.engineClient,
       deployment: () => this.deployment,
@@ -422,7 +429,8 @@
     else this.onLeaderReport(message)
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
+    if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
     if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
       const { fromRevision, revision, ageMs, nodeCount, returnedMsAgo } = news
--- a/tests/partQuarantine.spec.ts
+++ b/tests/partQuarantine.spec.ts
@@ -119,7 +119,10 @@
 
   it('makes no wrong verdict without a leader, and ends it when there is one again', async () => {
     const worlds = await play(seeds, { leaderless: [{ fromMs: 300, untilMs: 15_000 }] })
-    expect(summary(worlds).wrong).to.deep.equal([])
+    const { wrong, servedShare } = summary(worlds)
+    expect(wrong).to.deep.equal([])
+    // Guards against a first part of all prompts that is held since a verdict names it beside another one.
+    expect(servedShare).to.be.at.least(0.95)
     for (const { arrivalsAtMs, startMs } of worlds) {
       expect([...arrivalsAtMs.values()].flat().filter(atMs => atMs > startMs + 15_000 + contactMs).length).to.be.at.most(mostLateArrivals)
     }
--- a/tests/peerLink.spec.ts
+++ b/tests/peerLink.spec.ts
@@ -1,7 +1,8 @@
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
-import { LeaderLink, PeerServer } from '../src/serving/peerLink.js'
-import type { LeaderReport } from '../src/serving/peerMessages.js'
+import { silentLog } from '../src/base/log.js'
+import { LeaderLink, PeerServer, sendOnce } from '../src/serving/peerLink.js'
+import type { LeaderReport, NodeMessage, NodeReport } from '../src/serving/peerMessages.js'
 import { freePort } from './fixtures/freePort.js'
 import { blockEventLoop } from './fixtures/blockEventLoop.js'
 
@@ -39,3 +40,19 @@
     expect(events).not.to.include('placement leader silent')
   })
 })
+
+describe('message without a leader', () => {
+  it('reaches the nodes that are there', async () => {
+    // Guards against nodes that cannot tell each other under which prompt parts engines end while no node leads.
+    const clock = new SystemClock()
+    const received: NodeMessage[] = []
+    const ports = [await freePort(), await freePort(), await freePort()]
+    const servers = ports.slice(0, 2).map(() => new PeerServer({ clock, onMessage: message => received.push(message), onJoined: send => send(report) }))
+    await Promise.all(servers.map((server, index) => server.listen('127.0.0.1', ports[index]!)))
+    const parts = { ends: [], survivals: [['5c', 7]], verdicts: [], endedTrials: [] } satisfies NodeReport['parts']
+    sendOnce(ports.map(port => ({ host: '127.0.0.1', port })), { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [], parts }, { clock, log: silentLog })
+    for (let tries = 0; received.length < 2 && tries < 100; tries++) await new Promise(resolve => setTimeout(resolve, 10))
+    expect(received.map(message => 'parts' in message && message.parts)).to.deep.equal([parts, parts])
+    for (const server of servers) server.stop()
+  })
+})
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -88,6 +88,22 @@
     })
   }
 
+  // Guards against a cut stream that ends the next engine too before anybody knows why.
+  it('does not send a request on after two engines have ended under it', async () => {
+    await fixture.start([route({ kind: 'stream', resumable: true, maxAttempts: 3 })])
+    const end: Script = socket => {
+      fixture.closeListeners()
+      socket.resetAndDestroy()
+    }
+    for (const id of ['a', 'b', 'c']) await fixture.addServer(id, end)
+    // The connections to the others are open before their listeners close.
+    for (const server of fixture.fleet.ofService('s')) server.pool.release((await server.pool.connect())!)
+    const response = await fixture.send('id1', { headers: { 'x-prompt-prefix': 'aa:1,dd:1,e1:1' } })
+    expect(response.status).to.equal(502)
+    expect(fixture.received).to.have.length(2)
+    expect(fixture.quarantine.check([{ id: 'dd' }])).to.include({ kind: 'suspect', ends: 2 })
+  })
+
   it('answers a request whose handling throws', async () => {
     await fixture.start([route()])
     await fixture.addServer('a', ok)
