Quarantine: more ends are needed before any other part is known to be sound

Cause: three ends do not tell a part of some prompts from one of all prompts unless some answer has gone on with the rest of them.

Change: two more ends as long as no answer has gone on with another part of the same prompts.

--- a/src/policy/partEvidence.ts
+++ b/src/policy/partEvidence.ts
@@ -18,6 +18,8 @@
 const endsNeeded = 3
 /** The same for a part with which answers went on shortly before. */
 const endsNeededWithHistory = 4
+/** Further ends needed while no answer has gone on with any other part of the same prompts. */
+const endsInsteadOfControl = 2
 /** Time within which an answer that went on counts as history of its parts. */
 const historyMs = 60_000
 /** A burst of unrelated ends is shorter than this, so ends of a part with history count only if they are as far apart. */
@@ -167,7 +169,8 @@
     for (const end of withPart) if (counted.length === 0 || end.lastSentAtMs.get(part)! >= counted.at(-1)!.atMs + spacingMs) counted.push(end)
     const last = counted.at(-1)!
     const isUnrelated = ({ atMs, lastSentAtMs }: KnownEnd) => atMs >= first.atMs - burstMs && atMs <= last.atMs && !lastSentAtMs.has(part)
-    const needed = (hasHistory ? endsNeededWithHistory : endsNeeded) + (all.some(isUnrelated) ? 1 : 0)
+    const usual = (hasHistory ? endsNeededWithHistory : endsNeeded) + (all.some(isUnrelated) ? 1 : 0)
+    const needed = usual + (this.hasControl(counted.slice(-usual), part) ? 0 : endsInsteadOfControl)
     const decisive = counted.slice(-needed)
     const companions = this.sharedBy(decisive, part)
     return {
@@ -182,6 +185,15 @@
     }
   }
 
+  /**
+   * Whether answers have gone on with another part of the same prompts. Without, as in a fleet that has just started, the ends do not
+   * tell a part of some prompts from one of all prompts.
+   */
+  private hasControl (ends: readonly KnownEnd[], part: string): boolean {
+    const sinceMs = ends[0]!.atMs - historyMs
+    return ends.some(({ requests }) => requests.some(({ parts }) => parts.includes(part) && parts.some(other => other !== part && this.survivalOf(other) > sinceMs)))
+  }
+
   /** Parts that were in the same prompt as `part` at each of the ends, without those with which an answer has gone on since the first. */
   private sharedBy (ends: readonly EngineEnd[], part: string): string[] {
     const besides = ends.map(({ requests }) => new Set(requests.filter(({ parts }) => parts.includes(part)).flatMap(({ parts }) => parts)))
