--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -9,10 +9,12 @@
 /** IDs of backend servers are header values of requests to them. */
 const backendIdPattern = /^[\x21-\x7e]{1,200}$/
 
+const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
+
 /** IP:PORT to which a connection can be opened. */
-export const addressSchema = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'IP:PORT').refine(text => {
+export const addressSchema = z.string().refine(text => {
   const [ip, port] = text.split(':')
-  return ip!.split('.').every(octet => Number(octet) <= maxOctet) && Number(port) >= 1 && Number(port) <= maxPort
+  return addressPattern.test(text) && ip!.split('.').every(octet => Number(octet) <= maxOctet) && Number(port) >= 1 && Number(port) <= maxPort
 }, 'IP:PORT')
 
 const kinds: Record<string, RequestKind> = { safe: 'idempotent', unsafe: 'unsafe', streaming: 'stream' }
