--- a/src/policy/partEvidence.ts
+++ b/src/policy/partEvidence.ts
@@ -3,8 +3,8 @@
 import { createHash } from 'node:crypto'
 import type { PromptPart } from './dispatcher.js'
 
-/** Time for which the end of an engine counts. */
-const evidenceMs = 120_000
+/** Time for which the end of an engine counts: a part may be asked for rarely. */
+const evidenceMs = 24 * 3600 * 1000
 /** Limits that bound memory and messages, whatever clients send. */
 const maxEnds = 64
 const maxRequestsPerEnd = 128
@@ -89,6 +89,8 @@
   private readonly ends = new Map<string, KnownEnd>()
   /** The ends by time, oldest first; `undefined` after a change. */
   private ordered: KnownEnd[] | undefined
+  /** Number of the ends at which each part was present. */
+  private readonly endCounts = new Map<string, number>()
   /** Time at which the last request was sent whose answer went on, by part; least recently changed first. */
   private readonly survivedAtMs = new Map<string, number>()
 
@@ -98,7 +100,7 @@
     this.ordered = undefined
     if (!known) {
       const end: KnownEnd = { engine, software, atMs, requests: [], lastSentAtMs: new Map() }
-      addRequests(end, requests)
+      this.addRequests(end, requests)
       this.ends.set(engine, end)
       const byTime = this.byTime()
       if (byTime.length > maxEnds) this.deleteOldest(byTime)
@@ -107,7 +109,21 @@
     known.atMs = Math.min(known.atMs, atMs)
     const isKnown = (request: CutRequest) => known.requests.some(({ parts, sentAtMs }) =>
       Math.abs(sentAtMs - request.sentAtMs) < conversionMs && parts.length === request.parts.length && parts.every((part, index) => part === request.parts[index]))
-    return addRequests(known, requests.filter(request => !isKnown(request))) > 0
+    return this.addRequests(known, requests.filter(request => !isKnown(request))) > 0
+  }
+
+  /** Adds requests up to the limit. Returns their number. */
+  private addRequests (end: KnownEnd, requests: readonly CutRequest[]): number {
+    const added = requests.slice(0, maxRequestsPerEnd - end.requests.length)
+    end.requests.push(...added)
+    for (const { parts, sentAtMs } of added) {
+      for (const part of parts) {
+        const lastMs = end.lastSentAtMs.get(part)
+        if (lastMs === undefined) this.endCounts.set(part, (this.endCounts.get(part) ?? 0) + 1)
+        end.lastSentAtMs.set(part, Math.max(sentAtMs, lastMs ?? -Infinity))
+      }
+    }
+    return added.length
   }
 
   /** An answer to a request with `part` that was sent at `sentAtMs` has gone on. Returns whether it is later than those known. */
@@ -146,16 +162,22 @@
   private deleteOldest ([oldest]: readonly KnownEnd[]): KnownEnd[] {
     this.ends.delete(oldest!.engine)
     this.ordered = undefined
+    for (const part of oldest!.lastSentAtMs.keys()) {
+      const left = this.endCounts.get(part)! - 1
+      if (left > 0) this.endCounts.set(part, left)
+      else this.endCounts.delete(part)
+    }
     return this.byTime()
   }
 
   /** Whether `part` was present at as many ends as a proof takes at least. */
-  mayBeProved (part: string, nowMs: number): boolean {
-    return this.recentEnds(nowMs).filter(({ lastSentAtMs }) => lastSentAtMs.has(part)).length >= endsNeeded
+  mayBeProved (part: string): boolean {
+    return (this.endCounts.get(part) ?? 0) >= endsNeeded
   }
 
   /** What the ends say about `part`; `undefined` if nothing. */
   suspicionOf (part: string, nowMs: number): Suspicion | undefined {
+    if (!this.endCounts.has(part)) return undefined
     const survivedAtMs = this.survivalOf(part)
     const all = this.recentEnds(nowMs)
     // An answer that was begun after an end and went on shows that the part did not cause that end.
@@ -206,16 +228,6 @@
   }
 }
 
-/** Adds requests up to the limit. Returns their number. */
-function addRequests (end: KnownEnd, requests: readonly CutRequest[]): number {
-  const added = requests.slice(0, maxRequestsPerEnd - end.requests.length)
-  end.requests.push(...added)
-  for (const { parts, sentAtMs } of added) {
-    for (const part of parts) end.lastSentAtMs.set(part, Math.max(sentAtMs, end.lastSentAtMs.get(part) ?? -Infinity))
-  }
-  return added.length
-}
-
 /** All parts of the requests under which the engine ended. */
 export function partsOf ({ requests }: EngineEnd): string[] {
   return [...new Set(requests.flatMap(({ parts }) => parts))]
--- a/src/policy/partQuarantine.ts
+++ b/src/policy/partQuarantine.ts
@@ -337,8 +337,7 @@
 
   /** Draws the conclusions on `parts` when all nodes have told what they know. */
   private decideLater (parts: readonly string[]): void {
-    const nowMs = this.clock.nowMs()
-    for (const part of parts) if (this.evidence.mayBeProved(part, nowMs)) this.undecided.add(part)
+    for (const part of parts) if (this.evidence.mayBeProved(part)) this.undecided.add(part)
     if (this.undecided.size > 0) this.cancelDecision ??= this.clock.setTimer(settleMs, () => this.decide())
   }
 
--- a/tests/partQuarantine.spec.ts
+++ b/tests/partQuarantine.spec.ts
@@ -174,6 +174,18 @@
     expect(quarantine.list.map(({ parts }) => parts)).to.deep.equal([['deadly']])
   })
 
+  // Guards against a part that ends an engine every half hour all day long.
+  it('finds a part that is asked for rarely', async () => {
+    for (let end = 0; end < 3; end++) {
+      await clock.advance(1_800_000)
+      quarantine.recordSurvival([{ id: 'first' }], clock.nowMs())
+      await endEngine()
+      quarantine.recordSurvival([{ id: 'first' }], clock.nowMs())
+    }
+    await clock.advance(1000)
+    expect(quarantine.check(shared).kind).to.equal('refused')
+  })
+
   // Guards against a verdict for ever, and against all nodes that try again at the end.
   it('is followed by one trial, and by a longer one if that ends an engine', async () => {
     await convict()
