Quarantine: bound the parts that are kept and sent, by number and not by request

Cause, found by reading: 64 ends of 128 requests with 65 long IDs each would have made messages of megabytes; the connection to the leader is closed when 512 KiB wait on it, so a client account with such prompts could have kept nodes from it. Change: 256 parts for each end, 2,048 parts of the newest ends to a node that connects, 64 verdicts, IDs up to 40 characters.

Measured: partQuarantine.spec 'bounds what clients can name' with 64 ends of as many parts as clients can name: all facts stay below 300,000 characters.

--- a/src/policy/partEvidence.ts
+++ b/src/policy/partEvidence.ts
@@ -7,10 +7,12 @@
 const evidenceMs = 24 * 3600 * 1000
 /** Limits that bound memory and messages, whatever clients send. */
 const maxEnds = 64
-const maxRequestsPerEnd = 128
+/** Of an end, over all its requests. */
+const maxPartsPerEnd = 256
 const maxSurvivals = 4096
 const maxPartsPerRequest = 64
-const maxIdChars = 64
+const maxIdChars = 40
+const digestChars = 32
 /** Stands for the parts of a request beyond the limit, so that they cannot hide. */
 const furtherPartsKey = 'further parts'
 
@@ -78,7 +80,7 @@
 
 /** Key of a part: its ID, or the digest of a long one. */
 export function partKey (id: string): string {
-  return id.length <= maxIdChars ? id : `sha256:${createHash('sha256').update(id).digest('hex').slice(0, maxIdChars / 2)}`
+  return id.length <= maxIdChars ? id : `sha256:${createHash('sha256').update(id).digest('hex').slice(0, digestChars)}`
 }
 
 /**
@@ -114,15 +116,19 @@
 
   /** Adds requests up to the limit. Returns their number. */
   private addRequests (end: KnownEnd, requests: readonly CutRequest[]): number {
-    const added = requests.slice(0, maxRequestsPerEnd - end.requests.length)
-    end.requests.push(...added)
-    for (const { parts, sentAtMs } of added) {
+    let roomParts = maxPartsPerEnd - end.requests.reduce((sum, { parts }) => sum + parts.length, 0)
+    const added: CutRequest[] = []
+    for (const { parts, sentAtMs } of requests) {
+      if (parts.length > roomParts) break
+      roomParts -= parts.length
+      added.push({ parts, sentAtMs })
       for (const part of parts) {
         const lastMs = end.lastSentAtMs.get(part)
         if (lastMs === undefined) this.endCounts.set(part, (this.endCounts.get(part) ?? 0) + 1)
         end.lastSentAtMs.set(part, Math.max(sentAtMs, lastMs ?? -Infinity))
       }
     }
+    end.requests.push(...added)
     return added.length
   }
 
--- a/src/policy/partQuarantine.ts
+++ b/src/policy/partQuarantine.ts
@@ -16,7 +16,9 @@
 /** The same for parts with which answers went on shortly before: a mistake would cost most there. */
 const quarantineWithHistoryMs = 30_000
 const maxQuarantineMs = 24 * 3600 * 1000
-const maxVerdicts = 256
+const maxVerdicts = 64
+/** Parts of the newest ends that are sent to a node that connects: the connection is closed if too much waits to be sent. */
+const maxPartsSent = 2048
 /** Time without a result after which a trial no longer excludes others. */
 const maxTrialMs = 5000
 /** Time between the second end of an engine and the next trial, in which unrelated ends show themselves. */
@@ -261,7 +263,9 @@
 
   /** All facts that matter, for a node that has just connected or a new leader; `undefined` if there are none. */
   allFacts (): PartFacts | undefined {
-    const ends = this.evidence.recentEnds(this.clock.nowMs())
+    let partCount = 0
+    const newestFirst = [...this.evidence.recentEnds(this.clock.nowMs())].reverse()
+    const ends = newestFirst.filter(({ requests }) => (partCount += requests.reduce((sum, { parts }) => sum + parts.length, 0)) <= maxPartsSent)
     if (ends.length === 0 && this.verdicts.size === 0) return undefined
     const parts = new Set([...ends.flatMap(partsOf), ...this.list.flatMap(verdict => verdict.parts)])
     return this.factsOf(new Set(ends.map(({ engine }) => engine)), parts, new Set(this.verdicts.keys()))
--- a/tests/partQuarantine.spec.ts
+++ b/tests/partQuarantine.spec.ts
@@ -246,6 +246,14 @@
     expect(quarantine.check([...long, ...many]).kind).to.equal('refused')
     for (let end = 0; end < 1000; end++) quarantine.recordEnd({ engine: `x${end}`, software: 's/1', sentAtMs: clock.nowMs(), parts: [{ id: `y${end}` }] })
     expect(quarantine.allFacts()!.ends.length).to.equal(64)
+    // Each end with as many parts as clients can name.
+    for (let end = 0; end < 64; end++) {
+      for (let request = 0; request < 20; request++) {
+        const parts = Array.from({ length: 100 }, (_, index) => ({ id: `${end}.${request}.${index}`.padEnd(40, 'x') }))
+        quarantine.recordEnd({ engine: `z${end}`, software: 's/1', sentAtMs: clock.nowMs(), parts })
+      }
+    }
+    expect(JSON.stringify(quarantine.allFacts()).length).to.be.below(300_000)
   })
 
   // Guards against a fleet that has just started and refuses all requests, because the first ones had different parts that end engines.
