Log and count answers without a length or chunks

Successful requests were logged one in a hundred, and no line said whether an answer had a length, so the logs could not tell whether broken-off answers that look complete are those whose end is the close of a connection (docs/incidents/answers-that-only- look-complete.md).

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -13,7 +13,8 @@
   alternatives: z.number(),
   result: z.string(),
   events: z.number().optional(),
-  writingMs: z.number().optional()
+  writingMs: z.number().optional(),
+  isUnframed: z.boolean().optional()
 })
 
 const lineSchema = z.looseObject({
@@ -81,7 +82,7 @@
   for (const send of line.sends ?? []) {
     sentences.push({
       atMs: startMs + send.afterMs,
-      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}.`
+      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}${send.isUnframed ? '; the answer had neither a length nor chunks' : ''}.`
     })
   }
   if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it.` })
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -98,8 +98,8 @@
   lastEventId: number | undefined
   /** Reserves a failover target, if there is one. */
   readonly reserveMove: () => Promise<FailoverSearch>
-  /** The last attempt: when it was sent, its events that were sent to the client, and the time from the first of them to its end. */
-  lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined } = { sentAtMs: 0, events: 0, writingMs: undefined }
+  /** The last attempt: when it was sent, its events that were sent to the client, the time from the first of them to its end, and whether its response had neither a length nor chunks. */
+  lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined, isUnframed: boolean } = { sentAtMs: 0, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
   readonly onGoneOn: (sentAtMs: number) => void
   private current: Attempt | undefined
@@ -452,7 +452,7 @@
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
     const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
     if (result.kind === 'done' && isSuccess) this.recordGoneOn()
-    this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs }
+    this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs, isUnframed: this.head?.endsWithConnection ?? false }
     this.resolve(result)
   }
 }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -86,6 +86,8 @@
   events?: number
   /** Time from the first of them to the end of the attempt. */
   writingMs?: number
+  /** The response had neither a length nor chunks. */
+  isUnframed?: true
 }
 
 export interface RequestRecord {
@@ -101,6 +103,8 @@
   /** Time spent waiting for a server. */
   waitedMs: number
   attempts: number
+  /** Attempts whose response had neither a length nor chunks. */
+  unframed: number
 }
 
 export interface RequestProxyOptions {
@@ -445,7 +449,8 @@
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
     if (result.kind === 'moved') progress.retryableFromMs.set(server.entry.id, this.clock.nowMs())
     else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
-    const { events, writingMs } = forwarder.lastAnswer
+    const { events, writingMs, isUnframed } = forwarder.lastAnswer
+    if (isUnframed) trace.isUnframed = true
     if (request.route.kind === 'stream') Object.assign(trace, { events, writingMs: writingMs === undefined ? undefined : Math.round(writingMs) })
     if (result.kind === 'unknown' && result.isConnectionLost) await this.onConnectionLost(request, forwarder, server, progress)
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
@@ -733,10 +738,11 @@
       firstByteMs: forwarder.firstByteMs === undefined ? undefined : Math.round(forwarder.firstByteMs),
       longestGapMs: Math.round(forwarder.longestGapMs),
       waitedMs: Math.round(progress.waitedMs),
-      attempts: progress.sends
+      attempts: progress.sends,
+      unframed: progress.attempts.filter(({ isUnframed }) => isUnframed).length
     }
     this.options.onFinished?.(record)
-    const isPlain = outcome === 'done' && progress.sends === 1 && record.waitedMs < waitPollMs &&
+    const isPlain = outcome === 'done' && progress.sends === 1 && record.unframed === 0 && record.waitedMs < waitPollMs &&
       (record.firstByteMs ?? 0) <= request.route.objectiveMs && record.longestGapMs <= (request.route.gapObjectiveMs ?? Infinity)
     if (isPlain && this.plainRequests++ % plainRequestsPerLogLine !== 0) return
     this.options.log('info', isPlain ? 'request served (sample)' : 'request ended', {
