Take the close of a connection for the end of an answer only if the server's process outlived it

Callers saw streams and plain answers that ended as complete in the middle: their engine had crashed behind a cut, or while the node was frozen, and something accepted connections at its address again when the close was read.

Cause: a kernel closes the connections of a killed process in order, just as the process does at the end of an answer without a length or chunks, and confirmEnd asked only whether the address accepts a connection.

An answer without length is complete now only if a connection that was open before the request was sent answers a question after the close (GET /report, or the health path of a plain service): a process that is killed closes all its connections, so this one cannot lead to a later process. Otherwise the answer is broken off, or resumed. The pool keeps such a connection for a server that has not shown yet that it sends lengths, or that sends none; a question keeps it from being closed as idle while an answer lasts.

Two tests took 'the server no longer accepts connections' for its exit, while it went on answering on open ones, as a draining server does. They now end it as a kernel does: listener and all connections close, in order. That is harder to tell from the end of an answer.

--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -1,7 +1,7 @@
 /** Codecs for the platform's HTTP requests and responses: headers of clients and backend servers, control requests to engines. */
 
 import type { Codecs, ControlRequest, ForwardOptions, RequestMetadata, RequestedPause, ResponseMetadata, PromptPart } from '../serving/codecs.js'
-import type { EngineCommand, CommandOutcome } from '../serving/deployment.js'
+import type { EngineCommand, CommandOutcome, Service } from '../serving/deployment.js'
 import type { ResponseHead } from '../serving/responseReader.js'
 import { reservationSchema, readBackend, readDeployment, readReport } from './wireSchemas.js'
 
@@ -149,6 +149,14 @@
   200: 'already-done', 202: 'started', 400: 'invalid', 409: 'conflict', 412: 'stale-fence', 421: 'gone'
 }
 
+const reportRequest: ControlRequest = { method: 'GET', path: '/report', headers: [], body: '' }
+
+/** A report needs no slot; plain services have no reports. */
+function livenessRequest ({ engine, healthPath }: Service): ControlRequest | undefined {
+  if (engine) return reportRequest
+  return healthPath === undefined ? undefined : { ...reportRequest, path: healthPath }
+}
+
 export const codecs: Codecs = {
   readRequest,
   forwardHeaders,
@@ -162,6 +170,7 @@
   reservationRequest,
   readReservation,
   releaseRequest,
-  reportRequest: { method: 'GET', path: '/report', headers: [], body: '' },
+  reportRequest,
+  livenessRequest,
   readReport
 }
--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -89,8 +89,10 @@
 const serviceSchema = z.object({
   name: z.string(),
   max_conns: z.number().positive(),
+  // Written into request lines.
+  health_path: z.string().regex(/^\/[\x21-\x7e]*$/).optional().catch(undefined),
   engine: engineSchema.nullish()
-}).transform(service => ({ name: service.name, maxConnections: service.max_conns, engine: service.engine ?? undefined }))
+}).transform(service => ({ name: service.name, maxConnections: service.max_conns, healthPath: service.health_path, engine: service.engine ?? undefined }))
 
 const configSchema = z.object({
   version: z.number().int(),
--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -3,6 +3,7 @@
 import { connect, Socket } from 'node:net'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
+import type { LivenessQuestion, ProcessEvidence } from './processEvidence.js'
 import { ResponseReader } from './responseReader.js'
 import type { ResponseHead } from './responseReader.js'
 
@@ -35,7 +36,12 @@
 interface ActiveExchange {
   handler: ResponseHandler
   bytes: Buffer
+  isRequest: boolean
   isWritten: boolean
+  /** Order in which it was written, among what the evidence orders. */
+  sentAt: number
+  /** Whether the end of a response without a length needs no evidence, because the head says everything. */
+  endsAtHead: boolean
 }
 
 export interface ConnectionOptions {
@@ -45,8 +51,8 @@
   onIdle (connection: BackendConnection): void
   onClosed (connection: BackendConnection): void
   onBytes (): void
-  /** Whether the server accepts connections right now. */
-  confirmAlive (): Promise<boolean>
+  /** Shows whether the server's process outlived a response that ended with its connection. */
+  evidence: ProcessEvidence
   /** Called when the server has accepted the connection. */
   onConnected? (): void
 }
@@ -71,6 +77,8 @@
   /** Idle timeout of the server, in milliseconds, if its last response named one. */
   keepAliveMs: number | undefined
   idleSinceMs = 0
+  /** Order from which the process at the other end is known to have been there. */
+  processSince = Infinity
   /** IDs of the last requests on this connection, oldest first. */
   private readonly requestIds: string[] = []
   /** Requests and calls sent on this connection. */
@@ -80,9 +88,11 @@
   private readonly options: ConnectionOptions
   private active: ActiveExchange | undefined
   private keepsAlive = true
-  private isConnected = false
+  private hasConnected = false
   private isClosed = false
   private isConfirming = false
+  /** Whether the request must not be written yet. */
+  private isPreparing = false
   /** Whether the server's machine refused the connection: no process listens at the address. */
   wasRefused = false
   private cancelConnectTimer: CancelTimer
@@ -112,6 +122,15 @@
     return !this.isClosed
   }
 
+  /** Whether the server has accepted the connection, and it is open. */
+  get isConnected (): boolean {
+    return this.hasConnected && !this.isClosed
+  }
+
+  get isBusy (): boolean {
+    return this.active !== undefined
+  }
+
   /**
    * Whether a response to the request may still arrive on this connection: a server that repeats an earlier response could answer
    * another attempt of the same request with it.
@@ -120,17 +139,49 @@
     return this.requestIds.includes(requestId)
   }
 
-  /** Sends a request. Must not be called while another is in progress. */
+  /** Sends a request, or a call if it has no ID. Must not be called while another is in progress. */
   send (method: string, bytes: Buffer, handler: ResponseHandler, { requestId }: { requestId?: string | undefined } = {}): void {
-    this.exchanges++
     if (requestId !== undefined) {
       this.requestIds.push(requestId)
       if (this.requestIds.length > maxRequestIds) this.requestIds.shift()
     }
-    this.active = { handler, bytes, isWritten: false }
+    const isRequest = requestId !== undefined
+    const active = this.begin(method, { handler, bytes, isRequest, endsAtHead: false })
+    if (this.isClosed) return this.failActive('the connection was closed', true)
+    const prepared = this.options.evidence.prepare(this, { isRequest })
+    this.isPreparing = prepared !== undefined
+    void prepared?.then(() => {
+      this.isPreparing = false
+      if (this.active === active) this.writeWhenReady()
+    })
+    this.writeWhenReady()
+  }
+
+  /** Asks whether the server's process is alive. Resolves with false if it does not answer within `timeoutMs`, and closes the connection. */
+  ask ({ method, bytes, accepts }: LivenessQuestion, { timeoutMs }: { timeoutMs: number }): Promise<boolean> {
+    return new Promise(resolve => {
+      let isAnswered = false
+      const finish = () => {
+        cancel()
+        resolve(isAnswered)
+      }
+      const cancel = this.options.clock.setTimer(timeoutMs, async () => {
+        // The answer may have arrived while the event loop was blocked.
+        await ioTurn()
+        if (this.active === active) this.fail('no answer to a question in time')
+      })
+      const handler: ResponseHandler = { accepts, onHead: () => { isAnswered = true }, onData: () => {}, onEnd: finish, onFailure: finish }
+      const active = this.begin(method, { handler, bytes, isRequest: false, endsAtHead: true })
+      if (this.isClosed) this.failActive('the connection was closed', true)
+      else this.writeWhenReady()
+    })
+  }
+
+  private begin (method: string, exchange: Pick<ActiveExchange, 'handler' | 'bytes' | 'isRequest' | 'endsAtHead'>): ActiveExchange {
+    this.exchanges++
+    this.active = { ...exchange, isWritten: false, sentAt: Infinity }
     this.reader.expect(method)
-    if (this.isClosed) this.failActive('the connection was closed', true)
-    else if (this.isConnected) this.write()
+    return this.active
   }
 
   pause (): void {
@@ -149,21 +200,25 @@
 
   private onConnect (): void {
     this.cancelConnectTimer()
-    this.isConnected = true
+    this.hasConnected = true
+    this.processSince = this.options.evidence.nextOrder()
     this.options.onBytes()
     this.options.onConnected?.()
-    if (this.active) this.write()
+    this.writeWhenReady()
   }
 
   private async onConnectTimeout (): Promise<void> {
     // The server may have accepted while the event loop was blocked.
     await ioTurn()
-    if (!this.isConnected) this.fail('the connection was not accepted before the connect timeout')
+    if (!this.hasConnected) this.fail('the connection was not accepted before the connect timeout')
   }
 
-  private write (): void {
-    this.active!.isWritten = true
-    this.socket.write(this.active!.bytes)
+  private writeWhenReady (): void {
+    const { active } = this
+    if (!active || active.isWritten || this.isPreparing || !this.isConnected) return
+    active.isWritten = true
+    active.sentAt = this.options.evidence.nextOrder()
+    this.socket.write(active.bytes)
   }
 
   private onData (data: Buffer): void {
@@ -176,6 +231,7 @@
   private onHead (head: ResponseHead): void {
     this.keepsAlive = head.keepsAlive
     this.keepAliveMs = keepAliveMs(head)
+    this.options.evidence.onHead(this, head, this.active!)
     this.active!.handler.onHead(head)
   }
 
@@ -194,17 +250,18 @@
   }
 
   private onServerClosed (): void {
-    if (this.active && this.reader.endsWithConnection) void this.confirmEnd(this.active)
+    const { active } = this
+    if (active && this.reader.endsWithConnection && !active.endsAtHead) void this.confirmEnd(active)
     else this.fail('the server closed the connection')
   }
 
-  /** A server that exits closes its connections just as it does at the end of a body without length, so check that it still accepts connections. */
+  /** The connection of a process that is killed closes just as at the end of a body without length. */
   private async confirmEnd (active: ActiveExchange): Promise<void> {
     this.isConfirming = true
-    const isAlive = await this.options.confirmAlive()
+    const isAlive = await this.options.evidence.isProcessAlive(active.sentAt)
     this.isConfirming = false
     if (this.active !== active) return this.fail('the connection was closed')
-    if (!isAlive || !this.reader.close()) this.fail('the server exited during a response without a length')
+    if (!isAlive || !this.reader.close()) this.fail('a response without a length ended, and nothing shows that its server outlived it')
   }
 
   private fail (reason: string): void {
@@ -213,7 +270,7 @@
     this.cancelConnectTimer()
     this.socket.destroy()
     this.options.onClosed(this)
-    this.failActive(reason, !this.isConnected)
+    this.failActive(reason, !this.hasConnected)
   }
 
   private failActive (reason: string, isUnreachable: boolean): void {
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -4,6 +4,7 @@
 import type { RequestedPause, ResponseMetadata } from './codecs.js'
 import { ConnectionPool } from './connectionPool.js'
 import type { BackendEntry, EngineReport, LoadedModel } from './deployment.js'
+import type { LivenessQuestion } from './processEvidence.js'
 
 /** Weight of a new sample in the moving averages of failure share and delay. */
 const smoothing = 0.25
@@ -43,6 +44,8 @@
   onPauseRequested?: (pause: RequestedPause, appliedMs: number) => void
   /** Bytes of incomplete responses that this node buffers, shared by all servers. */
   buffered?: { bytes: number }
+  /** A call that shows whether the server's process is alive, if its service has one. */
+  questionOf?: (entry: BackendEntry) => LivenessQuestion | undefined
 }
 
 /** The placement leader's state of one model on an engine. */
@@ -92,9 +95,9 @@
   private sampledAtMs: number
 
   constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, private readonly options: BackendServerOptions = {}) {
-    const { onOpened, buffered = { bytes: 0 } } = options
+    const { onOpened, questionOf, buffered = { bytes: 0 } } = options
     this.buffered = buffered
-    this.pool = new ConnectionPool({ address: entry.address, clock, ...(onOpened ? { onOpened } : {}) })
+    this.pool = new ConnectionPool({ address: entry.address, clock, onOpened, questionOf: questionOf && (() => questionOf(this.entry)) })
     this.sampledAtMs = clock.nowMs()
     this.applyModels(entry.models)
   }
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -1,7 +1,7 @@
 /** Interface of the platform adapter: translations between the wire format and the types of the serving node. Contains no policy. */
 
 import type { PromptPart } from '../policy/dispatcher.js'
-import type { BackendEntry, Deployment, EngineCommand, EngineReport, CommandOutcome } from './deployment.js'
+import type { BackendEntry, Deployment, EngineCommand, EngineReport, CommandOutcome, Service } from './deployment.js'
 import type { ResponseHead } from './responseReader.js'
 
 export type { PromptPart }
@@ -80,5 +80,7 @@
   readReservation (text: string): string | Error
   releaseRequest (backendId: string, reservationId: string): ControlRequest
   reportRequest: ControlRequest
+  /** A call that a server of the service answers while its process is alive; `undefined` if there is none. */
+  livenessRequest (service: Service): ControlRequest | undefined
   readReport (text: string): EngineReport | Error
 }
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -2,22 +2,29 @@
 
 import type { Clock } from '../base/clock.js'
 import { BackendConnection } from './backendConnection.js'
+import { ProcessEvidence } from './processEvidence.js'
+import type { LivenessQuestion, WitnessPool } from './processEvidence.js'
 
 /** Idle time after which a connection is not reused if the server does not announce a keep-alive timeout. */
 const defaultIdleMs = 4000
 /** Share of the server's keep-alive timeout after which a connection is not reused, so that a request is not sent while the server closes it. */
 const idleShare = 0.7
 
-export class ConnectionPool {
+export class ConnectionPool implements WitnessPool {
   /** Time at which bytes were last received from the server, or a connection to it was last established. */
   lastReceivedAtMs: number
-  private readonly idle: BackendConnection[] = []
-  private readonly open = new Set<BackendConnection>()
+  readonly idle: BackendConnection[] = []
+  readonly open = new Set<BackendConnection>()
+  private readonly evidence: ProcessEvidence
   private readonly address: string
   private readonly clock: Clock
   private readonly onOpened: () => void
 
-  constructor ({ address, clock, onOpened = () => {} }: { address: string, clock: Clock, onOpened?: () => void }) {
+  /** Without a question, no response without a length or chunks counts as complete. */
+  constructor (
+    { address, clock, onOpened = () => {}, questionOf = () => undefined }: { address: string, clock: Clock, onOpened?: (() => void) | undefined, questionOf?: (() => LivenessQuestion | undefined) | undefined }
+  ) {
+    this.evidence = new ProcessEvidence({ clock, pool: this, questionOf })
     this.address = address
     this.clock = clock
     this.onOpened = onOpened
@@ -30,19 +37,28 @@
 
   get hasIdle (): boolean {
     this.closeExpired()
-    return this.idle.length > 0
+    return this.idle.length > this.evidence.reserved
   }
 
-  /** Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one. */
+  /**
+   * Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one.
+   * Calls may use the connection that is reserved as evidence: they are short.
+   */
   acquire (requestId?: string): BackendConnection {
     this.closeExpired()
-    const index = requestId === undefined ? this.idle.length - 1 : this.idle.findLastIndex(connection => !connection.hasCarried(requestId))
+    const isReserved = requestId !== undefined && !this.hasIdle
+    const index = isReserved ? -1 : this.idle.findLastIndex(connection => requestId === undefined || !connection.hasCarried(requestId))
     const [pooled] = index === -1 ? [] : this.idle.splice(index, 1)
     if (pooled) return pooled
-    this.idle.shift()?.destroy()
+    this.closeOldestIdle()
     return this.openConnection()
   }
 
+  /** Closes an idle connection in favour of a new one, unless it serves as evidence. */
+  private closeOldestIdle (): void {
+    if (this.hasIdle) this.idle.shift()?.destroy()
+  }
+
   /** Opens a connection in place of the oldest idle one, if any. Resolves with `undefined` if the server does not accept it. */
   async connect (): Promise<BackendConnection | undefined> {
     const connection = await this.tryConnect()
@@ -57,7 +73,7 @@
   }
 
   private tryConnect (): Promise<BackendConnection> {
-    this.idle.shift()?.destroy()
+    this.closeOldestIdle()
     return new Promise(resolve => {
       const connection: BackendConnection = this.openConnection({ onConnected: () => resolve(connection), onFailed: () => resolve(connection) })
     })
@@ -77,11 +93,17 @@
     this.idle.push(connection)
   }
 
-  /** Whether the server accepts a connection now. The connection is added to the pool. */
-  async confirmAlive (): Promise<boolean> {
-    const connection = await this.connect()
-    if (connection) this.release(connection)
-    return connection !== undefined
+  /** Opens a connection in addition to the others. Resolves when it is idle or has failed. */
+  openSpare (): Promise<void> {
+    return new Promise(resolve => {
+      const connection: BackendConnection = this.openConnection({
+        onConnected: () => {
+          this.release(connection)
+          resolve()
+        },
+        onFailed: resolve
+      })
+    })
   }
 
   private openConnection ({ onConnected, onFailed }: { onConnected?: () => void, onFailed?: () => void } = {}): BackendConnection {
@@ -95,7 +117,7 @@
         onFailed?.()
       },
       onBytes: () => { this.lastReceivedAtMs = this.clock.nowMs() },
-      confirmAlive: () => this.confirmAlive(),
+      evidence: this.evidence,
       ...(onConnected ? { onConnected } : {})
     })
     this.open.add(connection)
--- a/src/serving/deployment.ts
+++ b/src/serving/deployment.ts
@@ -59,6 +59,8 @@
   name: z.string(),
   /** Connections that one backend server accepts from all nodes together. */
   maxConnections: z.number().positive(),
+  /** Path of the health check, which servers answer whatever their state. */
+  healthPath: z.string().optional(),
   /** Absent for plain services. */
   engine: engineTypeSchema.optional()
 })
--- a/src/serving/engineClient.ts
+++ b/src/serving/engineClient.ts
@@ -6,7 +6,8 @@
 import type { BackendConnection } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { Codecs, ControlRequest } from './codecs.js'
-import type { EngineCommand, EngineReport, CommandOutcome } from './deployment.js'
+import type { EngineCommand, EngineReport, CommandOutcome, Service } from './deployment.js'
+import type { LivenessQuestion } from './processEvidence.js'
 
 /** An engine responds within a round trip; callers retry a command that timed out. */
 const callTimeoutMs = 400
@@ -69,10 +70,7 @@
         await ioTurn()
         if (!isEnded) abort()
       })
-      let head = `${method} ${path} HTTP/1.1\r\nHost: ${server.entry.address}\r\n`
-      for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
-      if (body) head += `Content-Length: ${Buffer.byteLength(body)}\r\n`
-      connection.send(method, Buffer.from(`${head}\r\n${body}`), {
+      connection.send(method, encodeCall(server.entry.address, { method, path, headers, body }), {
         // A server may repeat its response to an earlier request on the connection; those to calls have no request ID.
         accepts: response => this.codecs.readResponse(response).requestId === undefined,
         onHead: response => {
@@ -89,3 +87,17 @@
     })
   }
 }
+
+/** The bytes of a call to the server at `address`. */
+export function encodeCall (address: string, { method, path, headers, body }: ControlRequest): Buffer {
+  let head = `${method} ${path} HTTP/1.1\r\nHost: ${address}\r\n`
+  for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
+  if (body) head += `Content-Length: ${Buffer.byteLength(body)}\r\n`
+  return Buffer.from(`${head}\r\n${body}`)
+}
+
+/** The question whether a server of `service` is alive, if there is one. Its answer has no request ID. */
+export function livenessQuestion (codecs: Codecs, address: string, service: Service | undefined): LivenessQuestion | undefined {
+  const call = service && codecs.livenessRequest(service)
+  return call && { method: call.method, bytes: encodeCall(address, call), accepts: head => codecs.readResponse(head).requestId === undefined }
+}
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -4,6 +4,7 @@
 import type { Log } from '../base/log.js'
 import { BackendServer } from './backendServer.js'
 import type { BackendEntry } from './deployment.js'
+import type { LivenessQuestion } from './processEvidence.js'
 
 /** Servers whose entries expired during a store outage write them again within about this time of its end. */
 const reregistrationMs = 2300
@@ -16,6 +17,8 @@
   log: Log
   regionOfZone: Record<string, string>
   onConnectionOpened?: () => void
+  /** A call that shows whether the process of a server is alive, if its service has one. */
+  questionOf?: (entry: BackendEntry) => LivenessQuestion | undefined
 }
 
 /** Identifies an incarnation of a backend server: its ID, and its start in Unix milliseconds if it is known. */
@@ -70,10 +73,11 @@
   }
 
   private createServer (entry: BackendEntry, region: string): BackendServer {
-    const { clock, log, onConnectionOpened } = this.options
+    const { clock, log, onConnectionOpened, questionOf } = this.options
     const server: BackendServer = new BackendServer(entry, region, clock, {
       buffered: this.buffered,
       ...(onConnectionOpened ? { onOpened: onConnectionOpened } : {}),
+      ...(questionOf ? { questionOf } : {}),
       onLeaving: () => {
         log('info', 'backend server leaving', { backend: entry.id })
         this.rememberLeaving(incarnationOf(entry))
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -16,7 +16,7 @@
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
 import { DispatchClient } from './dispatchClient.js'
-import { EngineClient } from './engineClient.js'
+import { EngineClient, livenessQuestion } from './engineClient.js'
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
 import { LeaderTerm } from './leaderTerm.js'
@@ -103,7 +103,13 @@
   constructor (options: ServingNodeOptions) {
     this.options = options
     const { settings, codecs, store, clock, random, log } = options
-    this.fleet = new FleetView({ clock, log, regionOfZone: settings.regionOfZone, onConnectionOpened: () => options.metrics?.onConnectionOpened() })
+    this.fleet = new FleetView({
+      clock,
+      log,
+      regionOfZone: settings.regionOfZone,
+      onConnectionOpened: () => options.metrics?.onConnectionOpened(),
+      questionOf: ({ address, service }) => livenessQuestion(codecs, address, this.deployment?.services.find(({ name }) => name === service))
+    })
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -1,10 +1,13 @@
+import type { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'chai'
-import { requestIdOf, RequestProxyFixture, route, signedHeaders } from './fixtures/requestProxyFixture.js'
+import { requestIdOf, RequestProxyFixture, responseTo, route, signedHeaders } from './fixtures/requestProxyFixture.js'
 import type { Script } from './fixtures/requestProxyFixture.js'
 
 const events = (from: number, last: number) => Array.from({ length: last - from + 1 }, (_, index) => `id: ${from + index}\ndata: t\n\n`).join('')
 const streamHead = (head: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}Content-Type: text/event-stream\r\n\r\n`
 const plainHead = (head: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}\r\n`
+const answered = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
 describe('answers without a length or chunks', () => {
   let fixture: RequestProxyFixture
@@ -31,4 +34,88 @@
     const response = await fixture.send('id1')
     expect(response.status, 'the answer looks complete').to.equal(502)
   })
+
+  // The same where the stream can go on at another engine.
+  it('go on at another engine when a stream ends with its engine', async () => {
+    await fixture.start([route({ kind: 'stream', resumable: true })])
+    await fixture.addServer('a', restartsWithin(head => streamHead(head) + events(1, 2)))
+    const sent = fixture.send('id1')
+    while (fixture.received.length === 0) await sleep(5)
+    await fixture.addServer('b', (socket, head) => { socket.end(streamHead(head) + events(3, 4)) })
+    expect(await sent).to.include({ status: 200, isComplete: true, body: events(1, 4) })
+    expect(fixture.received[1]!.head).to.match(/last-event-id: 2/i)
+  })
+
+  // Guards against a first answer that is lost because nothing could show that its server was alive.
+  for (const kind of ['stream', 'unsafe'] as const) {
+    it(`are whole from the first one on: ${kind}`, async () => {
+      await fixture.start([route({ kind, maxAttempts: 1 })])
+      await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + events(1, 2)) })
+      for (const id of ['id1', 'id2', 'id3']) expect(await fixture.send(id), id).to.include({ status: 200, isComplete: true, body: events(1, 2) })
+    })
+  }
+
+  it('are whole when many end at the same moment', async () => {
+    await fixture.start([route({ maxAttempts: 1 })])
+    const sockets: Socket[] = []
+    await fixture.addServer('a', (socket, head) => {
+      socket.write(plainHead(head))
+      if (sockets.push(socket) === 12) for (const each of sockets) each.end('whole')
+    }, { slots: 12 })
+    const responses = await Promise.all(Array.from({ length: 12 }, (_, index) => fixture.send(`id${index}`)))
+    expect(responses.map(({ status, body }) => `${status} ${body}`)).to.deep.equal(Array(12).fill('200 whole'))
+    expect(fixture.questions.length).to.be.within(1, 3)
+  })
+
+  // Guards against an answer that is broken off because of a cut that its server outlived.
+  it('are whole when the question about their server is answered late', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 5000 })])
+    fixture.answerQuestion = socket => { setTimeout(() => socket.write(answered), 1200) }
+    await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + events(1, 2)) })
+    expect(await fixture.send('id1')).to.include({ isComplete: true, body: events(1, 2) })
+  })
+
+  // Guards against a client that waits for the end of its answer until it gives up.
+  it('are broken off when the question about their server is not answered', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 10_000 })])
+    fixture.answerQuestion = () => {}
+    await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + events(1, 2)) })
+    const startMs = performance.now()
+    expect((await fixture.send('id1')).isComplete).to.equal(false)
+    expect(performance.now() - startMs).to.be.below(4000)
+  })
+
+  it('are broken off at the deadline when the question is not answered before it', async () => {
+    await fixture.start([route({ maxAttempts: 1, timeoutMs: 400 })])
+    fixture.answerQuestion = () => {}
+    await fixture.addServer('a', (socket, head) => { socket.end(`${plainHead(head)}part`) })
+    expect((await fixture.send('id1')).status).to.equal(504)
+  })
+
+  // Guards against an earlier answer that is read as the answer to the question.
+  it('are broken off when only an answer to another request follows the question', async () => {
+    await fixture.start([route({ maxAttempts: 1, timeoutMs: 5000 })])
+    fixture.answerQuestion = socket => { socket.end(responseTo('id0', 'repeated')) }
+    await fixture.addServer('a', (socket, head) => { socket.end(`${plainHead(head)}part`) })
+    expect((await fixture.send('id1')).status).to.equal(502)
+  })
+
+  // Guards against evidence that the server closes as idle while a long answer lasts.
+  it('are whole when they last longer than connections may be idle', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 10_000, objectiveMs: 3000 })])
+    fixture.idleTimeoutMs = 2000
+    await fixture.addServer('a', (socket, head) => {
+      socket.write(streamHead(head) + events(1, 1))
+      setTimeout(() => socket.end(events(2, 2)), 5000)
+    })
+    expect(await fixture.send('id1')).to.include({ isComplete: true, body: events(1, 2) })
+  })
+
+  it('need no second connection once the server sends lengths', async () => {
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), 'ok')) })
+    for (const id of ['id1', 'id2', 'id3']) expect((await fixture.send(id)).status).to.equal(200)
+    expect(fixture.fleet.servers.get('a')!.pool.openCount).to.be.at.most(2)
+    expect(fixture.questions).to.have.length(0)
+  })
 })
--- a/tests/brokenAnswers.spec.ts
+++ b/tests/brokenAnswers.spec.ts
@@ -102,10 +102,7 @@
   it('are broken off by the end of their server', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
     await fixture.addServer('a', (socket, head) => {
-      socket.write(streamHead(head, '') + events(1, 2), () => {
-        fixture.closeListeners()
-        socket.end()
-      })
+      socket.write(streamHead(head, '') + events(1, 2), () => { fixture.endServers() })
     })
     expect((await fixture.send('id1')).isComplete).to.equal(false)
   })
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -214,13 +214,13 @@
     expect((await fixture.send('id1')).status).to.equal(502)
   })
 
-  it('completes a body without length only if its server still accepts connections', async () => {
+  it('completes a body without length only if its server has not exited', async () => {
     // Guards against mistaking the exit of a server for the end of its response.
     await fixture.start([route({ maxAttempts: 1 })])
     const script: Script = (socket, head, count) => {
       socket.write(`HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}\r\npart`, () => {
-        if (count === 2) fixture.closeListeners()
-        socket.end()
+        if (count === 2) fixture.endServers()
+        else socket.end()
       })
     }
     await fixture.addServer('a', script)
