Send on long answers with a length that came without one

A client that reads slowly saw an answer end in order after a part of its bytes: the node had passed an answer without length on as it came and got SIGKILL meanwhile, and the kernel's close is the end of such a body for every HTTP client.

A body of more than 16 KiB is sent with its length now, once its end is proved. A shorter one still goes out as it came: it leaves the process with its head in one write, so a kill cannot cut it, and a server that lives may stop within it and close in order.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -25,6 +25,11 @@
 const smallResponseBytes = 64 * 1024
 /** Limit on the buffered bytes of all incomplete responses on this node. */
 const maxBufferedBytes = 16 * 1024 * 1024
+/**
+ * A larger body that came without a length is sent with one. A smaller one reaches the client's kernel in one write with its head, so
+ * that the end of this process cannot cut it short.
+ */
+const maxUnframedBytes = 16 * 1024
 /** A stream is abandoned after this many bytes without a new event. */
 const maxStaleBytes = 1024 * 1024
 
@@ -34,11 +39,11 @@
 }
 
 /**
- * Sends a complete response to the client. If the body was delimited by the close of the server's connection, the client's
- * connection is closed too: a `Content-Length` would state that the body is complete, which is not certain.
+ * Sends a complete response to the client. A short body that was delimited by the close of the server's connection is passed on as it
+ * came: a server may stop within it and close the connection although it lives on, so a `Content-Length` would state too much.
  */
 export function sendBackendResponse (response: ServerResponse, { head, body }: BackendResponse, headers: string[]): void {
-  if (head.endsWithConnection) {
+  if (head.endsWithConnection && body.length <= maxUnframedBytes) {
     response.shouldKeepAlive = false
     response.useChunkedEncodingByDefault = false
     response.writeHead(head.status, head.statusText, [...headers, 'Connection', 'close'])
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -111,6 +111,16 @@
     expect(await fixture.send('id1')).to.include({ isComplete: true, body: events(1, 2) })
   })
 
+  // Guards against an answer that the end of this node cuts short in order.
+  it('are sent on with a length if they are long', async () => {
+    await fixture.start([route({ maxAttempts: 1 })])
+    const body = 'x'.repeat(20_000)
+    await fixture.addServer('a', (socket, head) => { socket.end(plainHead(head) + body) })
+    const response = await fixture.send('id1')
+    expect(response).to.include({ status: 200, isComplete: true, body })
+    expect(response.headers).to.include({ 'content-length': '20000' })
+  })
+
   it('need no second connection once the server sends lengths', async () => {
     await fixture.start([route()])
     await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), 'ok')) })
