Keep sound answers without a length whole where servers usually send lengths

Callers lost the first answer without a length of a server that had sent lengths before: the node had no second connection to it, so nothing showed that the server outlived the answer.

A request that cannot be repeated gets its evidence whatever the server sent before. One that can may go on at the same server, which has the rest: a stream with Last-Event-Id, a plain request as a whole. An idle connection serves as evidence only while requests are in progress, so that a lone request still uses the connection that is open ('does not send a request on after two engines have ended under it' failed without).

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -19,6 +19,15 @@
   /** Whether the connection was refused or could not be opened. */
   isUnreachable: boolean
   reason: string
+  /** The response may be complete: it ended with its connection, and nothing shows that its server outlived it. */
+  isEndUnproved?: boolean
+}
+
+export interface SendOptions {
+  /** Absent for calls. */
+  requestId?: string | undefined
+  /** Whether the request may be sent again if the end of its response cannot be proved. */
+  isRepeatable?: boolean
 }
 
 export interface ResponseHandler {
@@ -140,7 +149,7 @@
   }
 
   /** Sends a request, or a call if it has no ID. Must not be called while another is in progress. */
-  send (method: string, bytes: Buffer, handler: ResponseHandler, { requestId }: { requestId?: string | undefined } = {}): void {
+  send (method: string, bytes: Buffer, handler: ResponseHandler, { requestId, isRepeatable = true }: SendOptions = {}): void {
     if (requestId !== undefined) {
       this.requestIds.push(requestId)
       if (this.requestIds.length > maxRequestIds) this.requestIds.shift()
@@ -148,7 +157,7 @@
     const isRequest = requestId !== undefined
     const active = this.begin(method, { handler, bytes, isRequest, endsAtHead: false })
     if (this.isClosed) return this.failActive('the connection was closed', true)
-    const prepared = this.options.evidence.prepare(this, { isRequest })
+    const prepared = this.options.evidence.prepare(this, { isRequest, isRepeatable })
     this.isPreparing = prepared !== undefined
     void prepared?.then(() => {
       this.isPreparing = false
@@ -261,22 +270,23 @@
     const isAlive = await this.options.evidence.isProcessAlive(active.sentAt)
     this.isConfirming = false
     if (this.active !== active) return this.fail('the connection was closed')
-    if (!isAlive || !this.reader.close()) this.fail('a response without a length ended, and nothing shows that its server outlived it')
+    if (isAlive && this.reader.close()) return
+    this.fail('a response without a length ended, and nothing shows that its server outlived it', { isEndUnproved: true })
   }
 
-  private fail (reason: string): void {
+  private fail (reason: string, details: Pick<ExchangeFailure, 'isEndUnproved'> = {}): void {
     if (this.isClosed) return
     this.isClosed = true
     this.cancelConnectTimer()
     this.socket.destroy()
     this.options.onClosed(this)
-    this.failActive(reason, !this.hasConnected)
+    this.failActive(reason, !this.hasConnected, details)
   }
 
-  private failActive (reason: string, isUnreachable: boolean): void {
+  private failActive (reason: string, isUnreachable: boolean, details: Pick<ExchangeFailure, 'isEndUnproved'> = {}): void {
     const active = this.active
     if (!active) return
     this.active = undefined
-    active.handler.onFailure({ wasSent: active.isWritten, isUnreachable, reason })
+    active.handler.onFailure({ wasSent: active.isWritten, isUnreachable, reason, ...details })
   }
 }
--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -77,17 +77,22 @@
     return this.sendsUnframed !== false && this.questionOf() !== undefined
   }
 
-  /** Number of idle connections that must not carry requests, since they serve as evidence. */
+  /** Number of idle connections that must not carry requests, since they serve as evidence for those in progress. */
   get reserved (): number {
-    return this.isWanted ? 1 : 0
+    return this.isWanted && this.isInUse ? 1 : 0
+  }
+
+  private get isInUse (): boolean {
+    return [...this.pool.open].some(({ isBusy }) => isBusy)
   }
 
   /** Provides for evidence on what is about to be sent on `connection`. It must not be sent before the promise resolves. */
-  prepare (connection: BackendConnection, { isRequest }: { isRequest: boolean }): Promise<void> | undefined {
-    if (!this.isWanted || this.pool.idle.some(other => other !== connection && other.isConnected)) return undefined
+  prepare (connection: BackendConnection, { isRequest, isRepeatable }: { isRequest: boolean, isRepeatable: boolean }): Promise<void> | undefined {
+    if (!this.isWanted && (isRepeatable || !this.questionOf())) return undefined
+    if (this.pool.idle.some(other => other !== connection && other.isConnected)) return undefined
     // Before the server's first response, only a request that would have the only connection gets a second one.
     const isFirst = isRequest && ![...this.pool.open].some(other => other !== connection && other.isConnected)
-    if (this.sendsUnframed === undefined && !isFirst) return undefined
+    if (this.sendsUnframed === undefined && isRepeatable && !isFirst) return undefined
     void this.refreshWhileInUse()
     return this.openSpareInTime()
   }
@@ -167,7 +172,7 @@
   private async refreshWhileInUse (): Promise<void> {
     if (this.isRefreshing) return
     this.isRefreshing = true
-    while (this.isWanted && [...this.pool.open].some(({ isBusy }) => isBusy)) {
+    while (this.isWanted && this.isInUse) {
       const witness = this.firstIdle
       const periodMs = Math.min(refreshMs, (witness?.keepAliveMs ?? Infinity) * refreshShare)
       const idleMs = witness ? this.clock.nowMs() - witness.idleSinceMs : 0
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -78,7 +78,7 @@
   /** The server stated that it did not run the request. */
   | { kind: 'not-run', reason: string, isMisdirected: boolean }
   /** The request was sent and no complete response was received. */
-  | { kind: 'unknown', reason: string, isConnectionLost?: boolean }
+  | { kind: 'unknown', reason: string, isConnectionLost?: boolean, isEndUnproved?: boolean }
   | { kind: 'timeout', reason: string }
   /** The server was abandoned for a failover target. */
   | { kind: 'moved', reason: string, target: FailoverTarget }
@@ -215,7 +215,7 @@
       onData: data => this.onData(data),
       onEnd: () => this.onEnd(),
       onFailure: failure => this.onConnectionFailure(failure)
-    }, { requestId: request.metadata.requestId })
+    }, { requestId: request.metadata.requestId, isRepeatable: isRepeatable(request) })
   }
 
   onClientLeft (): void {
@@ -354,12 +354,12 @@
     this.finish({ kind: 'done' })
   }
 
-  private onConnectionFailure ({ wasSent, isUnreachable, reason }: ExchangeFailure): void {
+  private onConnectionFailure ({ wasSent, isUnreachable, reason, isEndUnproved = false }: ExchangeFailure): void {
     if (isUnreachable) this.server.onUnreachable()
     else this.server.onFailed()
     if (!wasSent) return this.finish({ kind: 'unsent', reason })
     const result = this.failure(reason)
-    this.finish(result.kind === 'unknown' ? { ...result, isConnectionLost: true } : result)
+    this.finish(result.kind === 'unknown' ? { ...result, isConnectionLost: true, isEndUnproved } : result)
   }
 
   /** Result of an attempt without a complete response: `not-run` if the head states it, else `unknown`. */
@@ -392,8 +392,7 @@
   /** Starts a failover when the server makes no progress and a slot on another server is reserved. */
   private watchProgress (): void {
     const { route } = this.forwarder.request
-    const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
-    if (!isRetryable) return
+    if (!isRepeatable(this.forwarder.request)) return
     const limitMs = route.kind === 'idempotent' ? idempotentStallFactor * route.objectiveMs : stallTimeoutMs(route)
     const checkAfter = (delayMs: number) => { this.cancelTimers.push(this.forwarder.clock.setTimer(delayMs, () => { void check() })) }
     const check = async () => {
@@ -462,6 +461,11 @@
   }
 }
 
+/** Whether the request may be sent again although it may have run: as a whole, or for the rest of its stream. */
+export function isRepeatable ({ route }: ProxiedRequest): boolean {
+  return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
+}
+
 function encodeRequest ({ method, path, body }: ProxiedRequest, headers: readonly string[]): Buffer {
   let head = `${method} ${path} HTTP/1.1\r\n`
   for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -21,7 +21,7 @@
 import type { Codecs, RequestMetadata } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
-import { RequestForwarder } from './requestForwarder.js'
+import { isRepeatable, RequestForwarder } from './requestForwarder.js'
 import type { AttemptResult, FailoverSearch } from './requestForwarder.js'
 import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
@@ -447,7 +447,9 @@
     const result = await forwarder.attempt(server, reservation)
     if (result.kind !== 'unsent') progress.sends++
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
-    if (result.kind === 'moved') progress.retryableFromMs.set(server.entry.id, this.clock.nowMs())
+    // The server may well be sound and complete the rest.
+    const isEndUnproved = result.kind === 'unknown' && result.isEndUnproved
+    if (result.kind === 'moved' || isEndUnproved) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs())
     else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
     const { events, writingMs, isUnframed } = forwarder.lastAnswer
     if (isUnframed) trace.isUnframed = true
@@ -478,14 +480,12 @@
 
   /** Whether the request may be retried after `result`. Takes the retry from the budget unless nothing was sent. */
   private mayRetry (request: ProxiedRequest, forwarder: RequestForwarder, result: AttemptResult, progress: Progress): boolean {
-    const { route } = request
     if (forwarder.hasClientLeft || this.clock.nowMs() > request.deadlineAtMs - minimumAttemptMs) return false
     // No server received the request, so this is not a retry.
     if (result.kind === 'unsent') return true
     if (progress.ends >= maxEndsPerRequest || this.isEnding) return false
-    const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
     const mayHaveRun = result.kind !== 'not-run'
-    if (mayHaveRun && !isRetryable) return false
+    if (mayHaveRun && !isRepeatable(request)) return false
     if (result.kind === 'answer' && result.response.head.status < 500) return false
     // The limit is on the number of servers: trying a server again does not count.
     const hasServer = progress.sends < maxServers(request, progress) || (forwarder.hasResponseStarted && progress.retryableFromMs.size > 0)
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -100,6 +100,19 @@
     expect((await fixture.send('id1')).status).to.equal(502)
   })
 
+  // Guards against answers of servers that usually send lengths.
+  it('are whole after answers with a length, and streams go on at the same engine', async () => {
+    for (const kind of ['unsafe', 'stream'] as const) {
+      await fixture.start([route({ kind, resumable: kind === 'stream' })])
+      await fixture.addServer(kind, (socket, head, count) => {
+        if (count === 1) socket.write(`HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}Content-Length: ${events(1, 2).length}\r\n\r\n${events(1, 2)}`)
+        else socket.end(streamHead(head) + (head.includes('Last-Event-Id') ? '' : events(1, 2)))
+      }, { service: 's' })
+      for (const id of ['id1', 'id2', 'id3']) expect(await fixture.send(id), `${kind} ${id}`).to.include({ status: 200, isComplete: true, body: events(1, 2) })
+      fixture.fleet.servers.delete(kind)
+    }
+  })
+
   // Guards against evidence that the server closes as idle while a long answer lasts.
   it('are whole when they last longer than connections may be idle', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 10_000, objectiveMs: 3000 })])
