Treat external answers without a length or chunks as broken off

The same cause elsewhere: undici takes the close of a connection for the end of a body without length, so an answer that was cut by the end of its sender counted as whole: a call of the product's own interface returned its first part with a length, and a call whose answer had not begun its body counted as answered with nothing. Nothing shows there that the sender lived on, so such an answer is unknown now, in the one place that reads all of them (readWhole). Streams of the product's own engines have an end marker.

The new tests fail before ('complete' instead of UnknownOutcomeError).

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -16,6 +16,7 @@
 /** The longest streams, of some hundred thousand tokens, stay below. */
 const maxStreamBytes = 64 * 1024 * 1024
 const connectTimeoutMs = 5000
+const statusesWithoutBody = new Set([204, 304])
 
 /** Time limits come from `Clock`, so undici's own are off. */
 const noTimeouts = { headersTimeout: 0, bodyTimeout: 0 } as const
@@ -26,13 +27,20 @@
 /** A call that brings more interim responses is given up. */
 const maxInterimResponses = 100
 
-/** The whole body. Throws and closes the connection when it is too long. */
-export async function readWhole (body: AsyncIterable<Uint8Array>): Promise<Uint8Array> {
+/**
+ * The whole body. Throws when it is too long, and closes the connection, or when it has neither a length nor chunks: the connection of
+ * a process that is killed closes in order, as at the end of such a body.
+ */
+export async function readWhole (
+  { statusCode, headers, body }: Pick<Dispatcher.ResponseData, 'statusCode' | 'headers'> & { body: AsyncIterable<Uint8Array> }, { method }: { method: string }
+): Promise<Uint8Array> {
   const whole = new ByteBuffer()
   for await (const part of body) {
     if (whole.length + part.length > maxAnswerBytes) throw new Error(`the answer is longer than ${maxAnswerBytes} bytes`)
     whole.push(part)
   }
+  const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  if (!isFramed && method !== 'HEAD' && !statusesWithoutBody.has(statusCode)) throw new Error('the answer has neither a length nor chunks, so its end cannot be told from the end of its sender')
   return whole.bytes
 }
 
@@ -127,7 +135,7 @@
           headers: { ...(body === undefined ? {} : { 'content-type': 'application/json' }), ...(requestId === undefined ? {} : { [requestIdHeader]: requestId }) },
           body: body === undefined ? null : JSON.stringify(body)
         })
-        return { status: answer.statusCode, headers: answer.headers, text: new TextDecoder().decode(await readWhole(answer.body)) }
+        return { status: answer.statusCode, headers: answer.headers, text: new TextDecoder().decode(await readWhole(answer, { method })) }
       }, { action: `${method} ${path} at ${this.address}` })
     } catch (error) {
       throw mapNetworkError(this.target, error)
--- a/src/external/httpService.ts
+++ b/src/external/httpService.ts
@@ -41,7 +41,7 @@
         headers: { ...endToEnd(headers), [requestIdHeader]: requestId },
         body: body.length > 0 ? body : null
       })
-      const bytes = await readWhole(answer.body)
+      const bytes = await readWhole(answer, { method })
       this.checkRequest(answer.headers, requestId, namesRequests)
       checkNotRun(this.server, answer.statusCode, answer.headers)
       return { status: answer.statusCode, headers: endToEnd(answer.headers), body: bytes }
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -1,6 +1,11 @@
-import type { Socket } from 'node:net'
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import { UnknownOutcomeError } from '../src/base/errors.js'
+import { HttpCaller } from '../src/external/httpCall.js'
+import { HttpService } from '../src/external/httpService.js'
 import { requestIdOf, RequestProxyFixture, responseTo, route, signedHeaders } from './fixtures/requestProxyFixture.js'
 import type { Script } from './fixtures/requestProxyFixture.js'
 
@@ -142,3 +147,20 @@
     expect(fixture.questions).to.have.length(0)
   })
 })
+
+describe('calls to external systems', () => {
+  // Guards against the close of a connection that is taken for an empty or a whole answer.
+  for (const body of ['', '{}']) {
+    it(`do not take the close of a connection for the end of an answer: ${JSON.stringify(body)}`, async () => {
+      const server = createServer(socket => { socket.once('data', () => socket.end(`HTTP/1.1 200 OK\r\n\r\n${body}`)) })
+      await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+      const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+      const caller = new HttpCaller('store', address, new SystemClock())
+      const service = new HttpService({ server: 's1', address, clock: new SystemClock() })
+      const calls = [caller.json('/', { timeoutMs: 1000 }), service.call({ requestId: 'r1', method: 'POST', path: '/', headers: {}, body: Buffer.from('x') }, {})]
+      for (const call of calls) expect(await call.then(() => 'complete', (error: Error) => error), 'looks complete').to.be.instanceOf(UnknownOutcomeError)
+      await Promise.all([caller.close(), service.close()])
+      server.close()
+    })
+  }
+})
