--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -3,6 +3,7 @@
 import { connect, Socket } from 'node:net'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
+import type { ByteBudget } from './byteBudget.js'
 import type { LivenessQuestion, ProcessEvidence } from './processEvidence.js'
 import { ResponseReader } from './responseReader.js'
 import type { ResponseHead } from './responseReader.js'
@@ -62,6 +63,8 @@
   onBytes (): void
   /** Shows whether the server's process outlived a response that ended with its connection. */
   evidence: ProcessEvidence
+  /** Counts the bytes of an incomplete head or chunk line. */
+  buffered: ByteBudget
   /** Called when the server has accepted the connection. */
   onConnected? (): void
 }
@@ -92,6 +95,7 @@
   private readonly requestIds: string[] = []
   /** Requests and calls sent on this connection. */
   private exchanges = 0
+  private heldBytes = 0
   private readonly socket: Socket
   private readonly reader: ResponseReader
   private readonly options: ConnectionOptions
@@ -235,6 +239,13 @@
     // Unsolicited bytes must not be parsed as the next response.
     if (!this.active) return this.fail('bytes arrived without a request')
     this.reader.push(data)
+    if (!this.isClosed && !this.hold(this.reader.pendingBytes)) this.fail('the node holds too many bytes of responses')
+  }
+
+  private hold (bytes: number): boolean {
+    const isHeld = this.options.buffered.resize(this.heldBytes, bytes)
+    if (isHeld) this.heldBytes = bytes
+    return isHeld
   }
 
   private onHead (head: ResponseHead): void {
@@ -277,6 +288,7 @@
   private fail (reason: string, details: Pick<ExchangeFailure, 'isEndUnproved'> = {}): void {
     if (this.isClosed) return
     this.isClosed = true
+    this.hold(0)
     this.cancelConnectTimer()
     this.socket.destroy()
     this.options.onClosed(this)
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -1,6 +1,7 @@
 /** What this node knows about one incarnation of a backend server. */
 
 import type { Clock } from '../base/clock.js'
+import { ByteBudget } from './byteBudget.js'
 import type { RequestedPause, ResponseMetadata } from './codecs.js'
 import { ConnectionPool } from './connectionPool.js'
 import type { BackendEntry, EngineReport, LoadedModel } from './deployment.js'
@@ -42,8 +43,8 @@
   onExited?: (running: number) => void
   /** Called when the server has requested a pause; `appliedMs` is 0 if the request is not readable. */
   onPauseRequested?: (pause: RequestedPause, appliedMs: number) => void
-  /** Bytes of incomplete responses that this node buffers, shared by all servers. */
-  buffered?: { bytes: number }
+  /** Bytes of responses that this node holds, shared by all servers. */
+  buffered?: ByteBudget
   /** A call that shows whether the server's process is alive, if its service has one. */
   questionOf?: (entry: BackendEntry) => LivenessQuestion | undefined
 }
@@ -65,8 +66,8 @@
   readonly runningByModel = new Map<string, { count: number, rank: number }>()
   running = 0
   pendingTokens = 0
-  /** Bytes of incomplete responses that this node buffers, shared by all servers. */
-  readonly buffered: { bytes: number }
+  /** Bytes of responses that this node holds, shared by all servers. */
+  readonly buffered: ByteBudget
   /** Requests of the other nodes in progress, from the leader's last update. */
   runningElsewhere = 0
   replicas = new Map<string, ReplicaState>()
@@ -95,9 +96,9 @@
   private sampledAtMs: number
 
   constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, private readonly options: BackendServerOptions = {}) {
-    const { onOpened, questionOf, buffered = { bytes: 0 } } = options
+    const { onOpened, questionOf, buffered = new ByteBudget() } = options
     this.buffered = buffered
-    this.pool = new ConnectionPool({ address: entry.address, clock, onOpened, questionOf: questionOf && (() => questionOf(this.entry)) })
+    this.pool = new ConnectionPool({ address: entry.address, clock, onOpened, buffered, questionOf: questionOf && (() => questionOf(this.entry)) })
     this.sampledAtMs = clock.nowMs()
     this.applyModels(entry.models)
   }
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from '../base/clock.js'
 import { BackendConnection } from './backendConnection.js'
+import { ByteBudget } from './byteBudget.js'
 import { ProcessEvidence } from './processEvidence.js'
 import type { LivenessQuestion, WitnessPool } from './processEvidence.js'
 
@@ -10,20 +11,30 @@
 /** Share of the server's keep-alive timeout after which a connection is not reused, so that a request is not sent while the server closes it. */
 const idleShare = 0.7
 
+export interface ConnectionPoolOptions {
+  address: string
+  clock: Clock
+  onOpened?: (() => void) | undefined
+  questionOf?: (() => LivenessQuestion | undefined) | undefined
+  buffered?: ByteBudget | undefined
+}
+
 export class ConnectionPool implements WitnessPool {
   /** Time at which bytes were last received from the server, or a connection to it was last established. */
   lastReceivedAtMs: number
   readonly idle: BackendConnection[] = []
   readonly open = new Set<BackendConnection>()
   private readonly evidence: ProcessEvidence
+  private readonly buffered: ByteBudget
   private readonly address: string
   private readonly clock: Clock
   private readonly onOpened: () => void
 
   /** Without a question, no response without a length or chunks counts as complete. */
   constructor (
-    { address, clock, onOpened = () => {}, questionOf = () => undefined }: { address: string, clock: Clock, onOpened?: (() => void) | undefined, questionOf?: (() => LivenessQuestion | undefined) | undefined }
+    { address, clock, onOpened = () => {}, questionOf = () => undefined, buffered = new ByteBudget() }: ConnectionPoolOptions
   ) {
+    this.buffered = buffered
     this.evidence = new ProcessEvidence({ clock, pool: this, questionOf })
     this.address = address
     this.clock = clock
@@ -118,6 +129,7 @@
       },
       onBytes: () => { this.lastReceivedAtMs = this.clock.nowMs() },
       evidence: this.evidence,
+      buffered: this.buffered,
       ...(onConnected ? { onConnected } : {})
     })
     this.open.add(connection)
--- a/src/serving/engineClient.ts
+++ b/src/serving/engineClient.ts
@@ -58,6 +58,7 @@
       let isEnded = false
       const end = (response: ControlResponse | undefined) => {
         isEnded = true
+        server.buffered.resize(text.length, 0)
         cancel()
         resolve(response)
       }
@@ -78,7 +79,8 @@
           server.onNotice(this.codecs.readResponse(response))
         },
         onData: data => {
-          if (text.length + data.length > maxResponseBytes) abort()
+          const bytes = text.length + data.length
+          if (bytes > maxResponseBytes || !server.buffered.resize(text.length, bytes)) abort()
           else text.push(data)
         },
         onEnd: () => end({ status, text: text.bytes.toString('utf8') }),
--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -42,6 +42,10 @@
     return events
   }
 
+  get pendingBytes (): number {
+    return this.pending.length
+  }
+
   /** Bytes after the last complete event. */
   get remainder (): Buffer {
     return this.pending.bytes
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
 import { BackendServer } from './backendServer.js'
+import { ByteBudget } from './byteBudget.js'
 import type { BackendEntry } from './deployment.js'
 import type { LivenessQuestion } from './processEvidence.js'
 
@@ -26,8 +27,8 @@
 
 export class FleetView {
   readonly servers = new Map<string, BackendServer>()
-  /** Bytes of incomplete responses that this node buffers. */
-  readonly buffered = { bytes: 0 }
+  /** Bytes of responses that this node holds. */
+  readonly buffered = new ByteBudget()
   /** Backend servers that ended without an announcement while they ran requests of this node. */
   exits = 0
   private readonly options: FleetViewOptions
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -21,10 +21,6 @@
 const idempotentStallFactor = 2
 /** Largest response that is not a stream: it is buffered until it is complete. */
 const maxResponseBytes = 8 * 1024 * 1024
-/** Responses up to this size are buffered even if `maxBufferedBytes` is reached. */
-const smallResponseBytes = 64 * 1024
-/** Limit on the buffered bytes of all incomplete responses on this node. */
-const maxBufferedBytes = 16 * 1024 * 1024
 /**
  * A larger body that came without a length is sent with one. A smaller one reaches the client's kernel in one write with its head, so
  * that the end of this process cannot cut it short.
@@ -176,6 +172,7 @@
   private readonly splitter = new EventSplitter()
   /** Bytes received since the last new event. */
   private staleBytes = 0
+  private heldBytes = 0
   private isFinished = false
   private isPaused = false
   private hasFirstByte = false
@@ -256,16 +253,31 @@
     }
     this.staleBytes += data.length
     this.onEvents(this.splitter.push(data))
+    if (!this.hold(this.splitter.pendingBytes)) this.reject('the node holds too many bytes of responses')
     if (this.staleBytes > maxStaleBytes) this.reject('too many bytes were received without a new event')
   }
 
   /** Buffers a part of a response that is sent to the client when it is complete. */
   private bufferBody (data: Buffer): void {
     const bytes = this.body.length + data.length
-    const exceedsBuffer = bytes > smallResponseBytes && this.server.buffered.bytes + data.length > maxBufferedBytes
-    if (bytes > maxResponseBytes || exceedsBuffer) return this.reject(`the response is too large: ${bytes} bytes received`)
+    if (bytes > maxResponseBytes || !this.hold(bytes)) return this.reject(`the response is too large: ${bytes} bytes received`)
     this.body.push(data)
-    this.server.buffered.bytes += data.length
+  }
+
+  /** Counts the bytes of the response that this node holds. Returns false if they are too many. */
+  private hold (bytes: number): boolean {
+    if (this.isFinished) return true
+    const isHeld = this.server.buffered.resize(this.heldBytes, bytes)
+    if (isHeld) this.heldBytes = bytes
+    return isHeld
+  }
+
+  /** Releases the bytes; those of a response for the client only when it has read them or left. */
+  private releaseHeld (result: AttemptResult): void {
+    const { heldBytes, server: { buffered }, forwarder: { response } } = this
+    const isForClient = !this.isStreaming && (result.kind === 'done' || result.kind === 'answer')
+    if (isForClient && !response.destroyed) response.once('close', () => buffered.resize(heldBytes, 0))
+    else buffered.resize(heldBytes, 0)
   }
 
   /** Sends the new events to the client, in one write because a chunk may hold thousands. Ends the attempt at a gap in their IDs. */
@@ -451,7 +463,7 @@
     if (this.isFinished) return
     this.isFinished = true
     for (const cancel of this.cancelTimers.splice(0)) cancel()
-    this.server.buffered.bytes -= this.body.length
+    this.releaseHeld(result)
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
     const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -66,6 +66,11 @@
     return this.state === 'until-close' && !this.isSkipping
   }
 
+  /** Bytes of an incomplete head, chunk line or trailer. */
+  get pendingBytes (): number {
+    return this.pending.length
+  }
+
   push (input: Buffer): void {
     let data = this.pending.length > 0 ? Buffer.concat([this.pending, input]) : input
     this.pending = empty
--- a/tests/unboundedResponses.spec.ts
+++ b/tests/unboundedResponses.spec.ts
@@ -179,6 +179,41 @@
     expect(fixture.fleet.buffered.bytes).to.equal(0)
   })
 
+  // Guards against a limit for each answer whose sum over many exhausts the memory.
+  for (const [name, prefix, kind] of [
+    ['events without an end', (id: string) => `${streamHead(id)}${chunk(event(1) + 'x'.repeat(600 * 1024))}`, 'stream'],
+    ['header lines', (id: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(id)}${'X-A: b\r\n'.repeat(7500)}`, 'unsafe']
+  ] as const) {
+    it(`of many requests share one limit: ${name}`, async () => {
+      await fixture.start([route({ kind, maxAttempts: 1, timeoutMs: 3000, objectiveMs: 2500 })])
+      for (const server of ['a', 'b', 'c']) await fixture.addServer(server, (socket, head) => { socket.write(prefix(requestIdOf(head))) }, { slots: 400 })
+      let maxHeldBytes = 0
+      const timer = setInterval(() => { maxHeldBytes = Math.max(maxHeldBytes, fixture.fleet.buffered.bytes) }, 1)
+      await Promise.all(Array.from({ length: 120 }, (_, index) => fixture.send(`id${index}`).catch(() => {})))
+      clearInterval(timer)
+      expect(maxHeldBytes).to.be.within(1024 * 1024, 32 * 1024 * 1024)
+      expect(fixture.fleet.buffered.bytes).to.equal(0)
+    })
+  }
+
+  // Guards against complete answers that are no longer counted while their clients do not read them.
+  it('that are complete count until their clients have read them', async () => {
+    const body = 'x'.repeat(7 * 1024 * 1024)
+    await fixture.start([route({ maxAttempts: 1, timeoutMs: 4000 })])
+    await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), body)) }, { slots: 40 })
+    const clients = Array.from({ length: 12 }, (_, index) => {
+      const { socket } = fixture.connect()
+      socket.pause()
+      socket.write(`POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id${index}\r\nContent-Length: 1\r\n\r\nx`)
+      return socket
+    })
+    while (fixture.records.length < clients.length) await new Promise(resolve => setTimeout(resolve, 20))
+    expect(fixture.records.filter(({ status }) => status === 200)).to.have.length.within(1, 2)
+    expect(fixture.fleet.buffered.bytes).to.be.within(1, 16 * 1024 * 1024)
+    for (const socket of clients) socket.destroy()
+    while (fixture.fleet.buffered.bytes > 0) await new Promise(resolve => setTimeout(resolve, 20))
+  })
+
   it('are distinguished from large complete responses', async () => {
     const body = 'abcdefgh'.repeat(512 * 1024)
     await fixture.start([route({ timeoutMs: 10_000 })])
