Soak: servers that end in order, links that hold up what was sent, answers without length

The soak could not find answers that only look complete: all its answers had a length or chunks, its servers reset their connections when they ended, its links dropped bytes or delayed them by 150 ms, and no address was taken again. Three in ten answers end with their connection now; backendReborn ends a server as a kernel ends a killed process, behind a link that holds up everything, and starts the same server or another one at its address; linkHolds is such a link to a server that lives on. With the evidence switched off (--sabotage ends) the soak reports ORDER.

Two faults of the soak's own were found with it and mended: a connection that had lost bytes was ended in order, which TCP cannot do, and an engine that loses the answer of a stream closed the connection in order. Both are resets now.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -28,7 +28,8 @@
       leaving: sabotage('notices', 'DRAIN', 'orders', ['backendLeaves']),
       pauses: sabotage('notices', 'BUDGET', 'orders', ['backendTurnsAway']),
       silence: sabotage('silence', 'LOST', 'models', ['enginePauses']),
-      quarantine: sabotage('quarantine', 'BUDGET', 'models', ['deadlyPart'])
+      quarantine: sabotage('quarantine', 'BUDGET', 'models', ['deadlyPart']),
+      ends: sabotage('ends', 'ORDER', 'models', ['backendReborn'])
     })
   })
 
@@ -74,6 +75,16 @@
     expect(rulesOf(await sabotaged.quarantine!)).to.include('BUDGET')
   })
 
+  it('reports answers that only look complete', async () => {
+    expect(rulesOf(await sabotaged.ends!)).to.include('ORDER')
+  })
+
+  it('keeps answers whole when servers end behind a link that holds up what they sent', async () => {
+    const { violations, counts } = await run({ seed: 32, durationMs: 20_000, only: ['backendReborn', 'linkHolds', 'pause'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['stream 200']).to.be.above(20)
+  })
+
   it('keeps all promises under overlapping faults', async () => {
     const { violations, counts } = await run({ seed: 7, durationMs: 15_000 })
     expect(violations).to.deep.equal([])
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -18,6 +18,9 @@
 const loadMs = 500
 const adapterMs = 20
 const pausePollMs = 10
+/** Share of the answers that have neither a length nor chunks, and the pause within a plain one. */
+const unframedShare = 0.3
+const partPauseMs = 20
 /** Time from the start of an answer until a deadly prompt part ends the engine; its first event may come before. */
 const deadlyMs = { shortest: 10, longest: 60 }
 
@@ -38,6 +41,8 @@
   deadlyParts?: ReadonlySet<string>
   /** Called when such a part has ended the engine. */
   onKilled?: (backend: BackendStandIn) => void
+  /** Link of a server that has ended, whose address this one takes. */
+  proxy?: FaultProxy
 }
 
 /** IDs of the parts of a prompt that other prompts may share. */
@@ -59,6 +64,8 @@
   slotsNow = Infinity
   /** Pause that it requests of every sender whose request it rejects meanwhile; it runs none. */
   requestedPauseMs = 0
+  /** Whether another process has started under its ID since its end. */
+  isBack = false
   /** Whether all its answers say that it is leaving. */
   private isLeaving = false
   private state: 'ready' | 'draining' = 'ready'
@@ -89,7 +96,9 @@
       this.sockets.add(socket)
       socket.on('close', () => this.sockets.delete(socket))
     })
-    this.proxy = new FaultProxy(() => ({ host: '127.0.0.1', port: (this.server.address() as AddressInfo | null)?.port ?? 1 }))
+    const target = () => ({ host: '127.0.0.1', port: (this.server.address() as AddressInfo | null)?.port ?? 1 })
+    this.proxy = options.proxy ?? new FaultProxy(target)
+    this.proxy.target = target
   }
 
   get isGone (): boolean {
@@ -106,7 +115,7 @@
 
   async start (): Promise<void> {
     await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
-    this.address = await this.proxy.listen()
+    this.address = this.proxy.address ?? await this.proxy.listen()
     void this.beat()
   }
 
@@ -131,11 +140,21 @@
   }
 
   crash (): void {
+    this.end()
+    for (const socket of this.sockets) socket.resetAndDestroy()
+    this.proxy.close()
+  }
+
+  /** Ends as a killed process does: its kernel closes all connections in order. Another server may take its address. */
+  kill (): void {
+    this.end()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  private end (): void {
     this.isDead = true
     this.options.ledger.backends.get(this.options.id)?.begin('gone')
     this.server.close()
-    for (const socket of this.sockets) socket.resetAndDestroy()
-    this.proxy.close()
   }
 
   private async beat (): Promise<void> {
@@ -145,7 +164,7 @@
       await sleep(beatMs)
     }
     while (missed++ < 3) await sleep(beatMs)
-    this.options.store.remove(`servers/${this.options.id}`)
+    if (!this.isBack) this.options.store.remove(`servers/${this.options.id}`)
   }
 
   private report (): boolean {
@@ -170,6 +189,7 @@
       return
     }
     const body = Buffer.concat(chunks).toString()
+    if (request.url === '/health') return this.reply(response, 200, {})
     if (request.url === '/report') return this.reply(response, 200, this.engineReport())
     const expected = request.headers['x-expect-instance']
     if (expected !== undefined && expected !== this.options.id) return this.refuse(request, response, 421)
@@ -249,13 +269,21 @@
       return
     }
     if (this.isFailing) return this.reply(response, 500, {}, { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
-    this.reply(response, 200, { answer: id, by: this.options.id }, { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
+    const headers = { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id }
+    const answer = { answer: id, by: this.options.id }
+    if (this.options.random() >= unframedShare) return this.reply(response, 200, answer, headers)
+    const text = JSON.stringify(answer)
+    endWithConnection(response).writeHead(200, headers)
+    response.write(text.slice(0, text.length / 2))
+    await sleep(partPauseMs)
+    response.end(text.slice(text.length / 2))
   }
 
   private async stream (request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
     const { eventMs = usualEventMs } = this.options
     const from = Number(request.headers['last-event-id'] ?? 0) + 1
     await sleep(eventMs)
+    if (this.options.random() < unframedShare) endWithConnection(response)
     response.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
     for (let event = from; event <= streamEvents; event++) {
       while (performance.now() < this.pausedUntilMs && !response.destroyed) await sleep(pausePollMs)
@@ -263,7 +291,8 @@
       response.write(`id: ${event}\ndata: ${id}.${event}\n\n`)
       await sleep(eventMs)
       if (this.options.random() < this.lostShare / streamEvents) {
-        response.destroy()
+        // The end of an answer without a length would not show that it was lost.
+        response.socket?.resetAndDestroy()
         return
       }
     }
@@ -333,3 +362,8 @@
     this.report()
   }
 }
+
+/** Makes the response one without a length or chunks. */
+function endWithConnection (response: ServerResponse): ServerResponse {
+  return Object.assign(response, { shouldKeepAlive: false, useChunkedEncodingByDefault: false })
+}
--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -8,37 +8,62 @@
 
 export class FaultProxy {
   mode: ProxyMode = 'pass'
+  /** IP:PORT once it listens. */
+  address: string | undefined
   delayMs = 0
   private readonly server: Server
+  /** While the link is held up: resolves when it goes on. */
+  private held: { done: Promise<void>, release: () => void } | undefined
   private readonly sockets = new Set<Socket>()
   /** Sockets to which nothing is passed any more, since bytes for them were lost. */
   private readonly cut = new Set<Socket>()
   /** What is still delayed, by the socket that it goes to. */
   private readonly queues = new Map<Socket, Promise<void>>()
 
-  constructor (private readonly target: () => { host: string, port: number }) {
-    this.server = createServer(client => this.accept(client))
+  constructor (public target: () => { host: string, port: number }) {
+    this.server = createServer(client => { void this.accept(client) })
   }
 
   async listen (): Promise<string> {
     await new Promise<void>(resolve => this.server.listen(0, '127.0.0.1', resolve))
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`
+    return this.address
   }
 
   resetAll (): void {
     for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
+  /** Holds up what is sent from now on, also new connections and the ends of connections. */
+  hold (): void {
+    let release = () => {}
+    this.held ??= { done: new Promise(resolve => { release = resolve }), release: () => release() }
+  }
+
+  /** Delivers what was held up. */
+  release (): void {
+    this.held?.release()
+    this.held = undefined
+  }
+
   close (): void {
     this.server.close()
     this.resetAll()
+    this.release()
   }
 
-  private accept (client: Socket): void {
+  private async accept (client: Socket): Promise<void> {
     if (this.mode === 'reset') {
       client.resetAndDestroy()
       return
     }
+    if (this.held) {
+      client.pause()
+      client.on('error', () => {})
+      await this.held.done
+      if (client.destroyed) return
+      client.resume()
+    }
     const server = connect(this.target())
     for (const [socket, other] of [[client, server], [server, client]] as const) {
       this.sockets.add(socket)
@@ -46,15 +71,18 @@
       socket.on('error', () => other.resetAndDestroy())
       socket.on('close', () => {
         this.sockets.delete(socket)
-        other.destroy()
+        this.later(other, () => {
+          if (this.cut.has(other)) other.resetAndDestroy()
+          else other.destroy()
+        })
       })
     }
     client.on('data', data => this.pass(server, data, this.mode === 'drop-requests'))
     server.on('data', data => this.pass(client, data, this.mode === 'drop-answers'))
     server.on('close', () => this.cut.delete(server))
     client.on('close', () => this.cut.delete(client))
-    client.on('end', () => this.later(server, () => server.end()))
-    server.on('end', () => this.later(client, () => client.end()))
+    // A connection that has lost bytes does not end in order.
+    for (const [from, to] of [[client, server], [server, client]] as const) from.on('end', () => this.later(to, () => { if (!this.cut.has(to)) to.end() }))
   }
 
   private pass (to: Socket, data: Buffer, isDropped: boolean): void {
@@ -67,10 +95,12 @@
   private later (to: Socket, action: () => void): void {
     const dueAtMs = performance.now() + this.delayMs
     const earlier = this.queues.get(to)
-    if (!earlier && this.delayMs === 0) return action()
+    const { held } = this
+    if (!earlier && this.delayMs === 0 && !held) return action()
     // Bytes that come right after a delay was lifted must not overtake those that are still delayed.
     const queue = (earlier ?? Promise.resolve()).then(async () => {
       await sleep(Math.max(0, dueAtMs - performance.now()))
+      await held?.done
       action()
       if (this.queues.get(to) === queue) this.queues.delete(to)
     })
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -60,6 +60,8 @@
 /** Longer than the time within which nodes must have stopped using a leaving server. */
 const leavingServesMs = 6000
 const turnAwayPauseMs = 2500
+/** Longest time between a cut, the end of the server behind it, its successor and the end of the cut. */
+const rebornStepMs = 500
 /** Prompts with a part that ends engines come for longer than other faults last. */
 const shortestDeadlyMs = 10_000
 const deadlyPartFactor = 3
@@ -119,6 +121,22 @@
     backend.crash()
     await world.replaceBackend(backend)
   }),
+  // Its connections close in order, and what it sent arrives when another process has its address.
+  backendReborn: world => disturbBackend(world, 'reborn', async backend => {
+    backend.proxy.hold()
+    await sleep(world.random() * rebornStepMs)
+    backend.kill()
+    await sleep(world.random() * rebornStepMs)
+    await world.takeAddress(backend, { isSame: world.random() < 0.5 })
+    await sleep(world.random() * rebornStepMs)
+    backend.proxy.release()
+  }),
+  // A link that holds up what is sent, and a server that outlives it.
+  linkHolds: (world, durationMs) => disturbBackend(world, 'link holds', async ({ proxy }) => {
+    proxy.hold()
+    await sleep(durationMs)
+    proxy.release()
+  }),
   backendDrains: async world => {
     const backend = world.pickBackend()
     await world.replaceBackend(backend)
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -3,6 +3,7 @@
 import { BackendStandIn, engineMb, adapterSlots, modelMb } from './backendStandIn.js'
 import { Clients, host, timeoutMs } from './clients.js'
 import type { Call } from './clients.js'
+import type { FaultProxy } from './faultProxy.js'
 import { configMs, Condition, gapObjectiveMs, Ledger, objectiveMs } from './ledger.js'
 import { NodeProcess } from './nodeProcess.js'
 import { sleep, StoreStandIn } from './storeStandIn.js'
@@ -107,6 +108,13 @@
     await this.addBackend(service, held)
   }
 
+  /** Another process takes the address of a server that has ended: the same server, or one that nobody has seen yet. */
+  async takeAddress (backend: BackendStandIn, { isSame }: { isSame: boolean }): Promise<void> {
+    const { id, service, models: held } = backend.options
+    backend.isBack = isSame
+    await this.addBackend(service, held, { id: isSame ? id : undefined, proxy: backend.proxy })
+  }
+
   /** Sends prompts with a part that ends engines for `durationMs`, unless as many such parts as may be are in play. */
   async playDeadlyPart (durationMs: number): Promise<void> {
     if (this.deadlyParts.size >= mostDeadlyParts) return
@@ -196,11 +204,11 @@
     return sentAtMs > atMs + configMs && this.ledger.store.wasCalmSince(atMs) && node.condition.wasCalmSince(atMs)
   }
 
-  private async addBackend (service: string, held?: string[]): Promise<void> {
-    const id = `i-${++this.nextBackend}`
+  private async addBackend (service: string, held?: string[], { id = `i-${++this.nextBackend}`, proxy }: { id?: string | undefined, proxy?: FaultProxy } = {}): Promise<void> {
     const { store, ledger, random } = this
-    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(held ? { models: held, deadlyParts: this.deadlyParts, onKilled: killed => { void this.replaceKilled(killed) } } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
-    ledger.backends.set(id, new Condition())
+    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(proxy ? { proxy } : {}), ...(held ? { models: held, deadlyParts: this.deadlyParts, onKilled: killed => { void this.replaceKilled(killed) } } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
+    if (!ledger.backends.has(id)) ledger.backends.set(id, new Condition())
+    ledger.backends.get(id)!.end('gone')
     this.backends.set(id, backend)
     await backend.start()
   }
@@ -217,7 +225,7 @@
       ...versions.map(one => route(`v${one}`, 'safe', 'orders'))
     ],
     services: [
-      { name: 'orders', max_conns: 100 },
+      { name: 'orders', max_conns: 100, health_path: '/health' },
       {
         name: 'models',
         max_conns: 100,
