--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -55,6 +55,13 @@
   }
 }
 
+/** Headers that say what a request asks for. The others belong to its sender or its connection. */
+const contentHeaders = ['host', 'x-model', 'x-token-count', 'x-prompt-prefix', 'content-type']
+
+function contentOf ({ method, path, headers }: Parameters<Codecs['contentOf']>[0]): string {
+  return JSON.stringify([method, path, ...contentHeaders.map(name => headers[name] ?? null)])
+}
+
 /** Lower-case header names that `Connection` headers declare as hop-by-hop. */
 function namesInConnectionHeader (rawHeaders: readonly string[]): Set<string> {
   const names = new Set<string>()
@@ -159,6 +166,7 @@
 
 export const codecs: Codecs = {
   readRequest,
+  contentOf,
   forwardHeaders,
   readResponse,
   returnHeaders,
--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -52,6 +52,8 @@
   promptTokens: number
   /** Prompt parts that other requests share, in order. */
   sharedParts: readonly PromptPart[]
+  /** Identity of the request, if engines have ended under any. */
+  identity?: string | undefined
   rank: number
   region: string
   availabilityZone: string
--- a/src/policy/partEvidence.ts
+++ b/src/policy/partEvidence.ts
@@ -13,11 +13,14 @@
 const maxPartsPerRequest = 64
 const maxIdChars = 40
 const digestChars = 32
+const identityPrefix = 'request:'
 /** Stands for the parts of a request beyond the limit, so that they cannot hide. */
 const furtherPartsKey = 'further parts'
 
 /** Ends under requests with a part, one after the other, that show that the part causes them. */
 const endsNeeded = 3
+/** The same for one request that is sent again: nothing else has its identity. */
+const endsNeededOfRequest = 2
 /** The same for a part with which answers went on shortly before. */
 const endsNeededWithHistory = 4
 /** Further ends needed while no answer has gone on with any other part of the same prompts. */
@@ -70,6 +73,18 @@
   isProved: boolean
 }
 
+/**
+ * Identity of a request, by which it is known again when it is sent again: a digest of all that a server gets of it apart from its ID and
+ * times. It stands beside the parts of its prompt, none of which has a colon in its ID.
+ */
+export function requestIdentity (content: string, body: Uint8Array): string {
+  return identityPrefix + createHash('sha256').update(content).update('\n').update(body).digest('hex').slice(0, digestChars)
+}
+
+export function isIdentity (key: string): boolean {
+  return key.startsWith(identityPrefix)
+}
+
 /** Keys of the shared parts of a request: their IDs, or digests of long ones. At most 65. */
 export function partKeys (parts: readonly Pick<PromptPart, 'id'>[]): string[] {
   const keys = new Set(parts.slice(0, maxPartsPerRequest).map(({ id }) => partKey(id)))
@@ -178,7 +193,7 @@
 
   /** Whether `part` was present at as many ends as a proof takes at least. */
   mayBeProved (part: string): boolean {
-    return (this.endCounts.get(part) ?? 0) >= endsNeeded
+    return (this.endCounts.get(part) ?? 0) >= (isIdentity(part) ? endsNeededOfRequest : endsNeeded)
   }
 
   /** What the ends say about `part`; `undefined` if nothing. */
@@ -197,8 +212,9 @@
     for (const end of withPart) if (counted.length === 0 || end.lastSentAtMs.get(part)! >= counted.at(-1)!.atMs + spacingMs) counted.push(end)
     const last = counted.at(-1)!
     const isUnrelated = ({ atMs, lastSentAtMs }: KnownEnd) => atMs >= first.atMs - burstMs && atMs <= last.atMs && !lastSentAtMs.has(part)
-    const usual = (hasHistory ? endsNeededWithHistory : endsNeeded) + (all.some(isUnrelated) ? 1 : 0)
-    const needed = usual + (this.hasControl(counted.slice(-usual), part) ? 0 : endsInsteadOfControl)
+    const usual = (hasHistory ? endsNeededWithHistory : isIdentity(part) ? endsNeededOfRequest : endsNeeded) + (all.some(isUnrelated) ? 1 : 0)
+    // Other requests do not have its identity, so they need not show that it is not what all have in common.
+    const needed = usual + (isIdentity(part) || this.hasControl(counted.slice(-usual), part) ? 0 : endsInsteadOfControl)
     const decisive = counted.slice(-needed)
     const companions = this.sharedBy(decisive, part)
     return {
--- a/src/policy/partQuarantine.ts
+++ b/src/policy/partQuarantine.ts
@@ -8,7 +8,7 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { rendezvousOwner } from '../base/hash.js'
 import type { PromptPart } from './dispatcher.js'
-import { PartEvidence, partKeys, partsOf, settleMs } from './partEvidence.js'
+import { isIdentity, PartEvidence, partKeys, partsOf, settleMs } from './partEvidence.js'
 import type { EngineEnd, Suspicion } from './partEvidence.js'
 
 /** Duration of the first quarantine; each further one of the same parts lasts twice as long. */
@@ -126,6 +126,8 @@
   private readonly evidence = new PartEvidence()
   /** Answers of this node that went on; becomes evidence when a part is suspected. */
   private readonly own = new PartEvidence()
+  /** The same for identities of requests, which are too many to be kept beside the parts. */
+  private readonly ownRequests = new PartEvidence()
   private readonly verdicts = new Map<string, Verdict>()
   private readonly trials = new Map<string, { parts: string[], startedAtMs: number, engine: string | undefined }>()
   private nextTrial = 1
@@ -142,18 +144,23 @@
     this.clock = options.clock
   }
 
-  /** Whether a request with these shared parts may be sent. */
-  check (sharedParts: readonly Pick<PromptPart, 'id'>[]): PartCheck {
-    if (sharedParts.length === 0 || (this.verdicts.size === 0 && !this.evidence.hasEnds)) return { kind: 'clear' }
+  /** Whether anything is known that may concern a request. */
+  get hasEvidence (): boolean {
+    return this.verdicts.size > 0 || this.evidence.hasEnds
+  }
+
+  /** Whether a request with these shared parts, and its identity among them, may be sent. */
+  check (parts: readonly Pick<PromptPart, 'id'>[]): PartCheck {
+    if (parts.length === 0 || !this.hasEvidence) return { kind: 'clear' }
     const nowMs = this.clock.nowMs()
-    const keys = partKeys(sharedParts)
+    const keys = partKeys(parts)
     const suspects = new Map<string, number>()
     let isVerdictOver = false
     for (const verdict of this.verdicts.values()) {
-      const parts = this.partsInForce(verdict)
-      const present = parts.filter(part => keys.includes(part))
+      const inForce = this.partsInForce(verdict)
+      const present = inForce.filter(part => keys.includes(part))
       if (present.length === 0) continue
-      if (present.length === parts.length && nowMs < verdict.untilMs) return { kind: 'refused', verdict }
+      if (present.length === inForce.length && nowMs < verdict.untilMs) return { kind: 'refused', verdict }
       // With only some of the parts, a request may be sound and is tried at once.
       isVerdictOver ||= nowMs >= verdict.untilMs
       for (const part of present) suspects.set(part, verdict.ends)
@@ -208,7 +215,7 @@
   /** The answer to a request of this node that was sent at `sentAtMs` has gone on. */
   recordSurvival (sharedParts: readonly Pick<PromptPart, 'id'>[], sentAtMs: number): void {
     const keys = partKeys(sharedParts)
-    for (const part of keys) this.own.addSurvival(part, sentAtMs)
+    for (const part of keys) this.ownOf(part).addSurvival(part, sentAtMs)
     this.tellSurvivals(keys)
   }
 
@@ -321,13 +328,17 @@
     }
   }
 
+  private ownOf (part: string): PartEvidence {
+    return isIdentity(part) ? this.ownRequests : this.own
+  }
+
   /** Makes own answers that went on evidence, where they change what is known about a suspected part. */
   private tellSurvivals (parts: readonly string[]): void {
     if (this.verdicts.size === 0 && !this.evidence.hasEnds) return
     const nowMs = this.clock.nowMs()
     const inVerdicts = new Set(this.list.flatMap(verdict => this.partsInForce(verdict)))
     for (const part of parts) {
-      const ownAtMs = this.own.survivalOf(part)
+      const ownAtMs = this.ownOf(part).survivalOf(part)
       if (ownAtMs <= this.evidence.survivalOf(part)) continue
       const suspicion = this.evidence.suspicionOf(part, nowMs)
       if (inVerdicts.has(part) || (suspicion && (ownAtMs > suspicion.firstAtMs || !suspicion.hasHistory))) this.addSurvival(part, ownAtMs, { isNews: true })
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -62,6 +62,8 @@
 
 export interface Codecs {
   readRequest (headers: Record<string, string | string[] | undefined>): RequestMetadata
+  /** What servers get of a request, apart from its ID and times: the same whenever a client sends the same request again. */
+  contentOf (request: { method: string, path: string, headers: Record<string, string | string[] | undefined> }): string
   /** Headers for the backend server: the client's, without hop-by-hop headers and those reserved for the system, plus the node's own. */
   forwardHeaders (rawHeaders: readonly string[], options: ForwardOptions): string[]
   readResponse (head: ResponseHead): ResponseMetadata
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -116,7 +116,7 @@
   /** Requests with prompt parts under suspicion are sent one at a time; those with quarantined ones wait until their node refuses them. */
   private decideOnParts (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
     const { quarantine } = this.options
-    const check = quarantine.check(request.sharedParts)
+    const check = quarantine.check(evidenceParts(request))
     if (check.kind === 'clear') return this.dispatcher.choose(request, candidates)
     const trial = check.kind === 'suspect' ? quarantine.beginTrial(check) : undefined
     if (!trial) return { kind: 'wait', forMs: trialPollMs }
@@ -235,3 +235,8 @@
 function leastRunning (candidates: readonly DispatchCandidate[]): DispatchCandidate[] {
   return [...candidates].sort((left, right) => left.running - right.running).slice(0, 1)
 }
+
+/** The parts of a request that evidence may concern: its identity, if it is known, and the parts of its prompt. */
+function evidenceParts ({ identity, sharedParts }: DispatchRequest): { id: string }[] {
+  return [...(identity === undefined ? [] : [{ id: identity }]), ...sharedParts]
+}
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -41,27 +41,30 @@
   row: z.tuple([z.string(), z.string(), z.string().nullable(), z.number(), z.number(), z.string(), z.string(), z.number().nullable()]),
   /** ID and tokens of the prompt parts that are shared with other requests. */
   parts: z.array(z.tuple([z.string(), z.number()])),
+  /** Identity of the request, if engines have ended under any. */
+  identity: z.string().optional(),
   excluded: z.array(z.string()),
   isFirst: z.boolean(),
   isLate: z.boolean()
 })
 export type DispatchRequestMessage = z.infer<typeof dispatchRequestSchema>
 
-export function encodeDispatchRequest ({ service, model, adapter, promptTokens, sharedParts, rank, region, availabilityZone, gapObjectiveMs, excluded, isFirst, isLate }: DispatchRequest): Omit<DispatchRequestMessage, 'ask'> {
+export function encodeDispatchRequest ({ service, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs, excluded, isFirst, isLate }: DispatchRequest): Omit<DispatchRequestMessage, 'ask'> {
   return {
     row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone, gapObjectiveMs ?? null],
     parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
+    ...(identity === undefined ? {} : { identity }),
     excluded: [...excluded],
     isFirst,
     isLate
   }
 }
 
-export function decodeDispatchRequest ({ row, parts, excluded, isFirst, isLate }: DispatchRequestMessage): DispatchRequest {
+export function decodeDispatchRequest ({ row, parts, identity, excluded, isFirst, isLate }: DispatchRequestMessage): DispatchRequest {
   const [service, model, adapter, promptTokens, rank, region, availabilityZone, gapObjectiveMs] = row
   const sharedParts = parts.map(([id, tokens]) => ({ id, tokens }))
   return {
-    service, model, adapter: adapter ?? undefined, promptTokens, sharedParts, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, isFirst, isLate
+    service, model, adapter: adapter ?? undefined, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, isFirst, isLate
   }
 }
 
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../base/log.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, DispatchDecision, PromptPart } from '../policy/dispatcher.js'
+import { requestIdentity } from '../policy/partEvidence.js'
 import { hasGoneOn, trialPollMs } from '../policy/partQuarantine.js'
 import type { PartCheck, PartQuarantine, SuspectCheck, Verdict } from '../policy/partQuarantine.js'
 import { RetryBudget } from '../policy/retry.js'
@@ -44,7 +45,7 @@
 /** Interval at which a waiting request looks for an engine again. */
 const waitPollMs = 25
 const maxLoggedParts = 16
-const maxLoggedPartChars = 32
+const maxLoggedPartChars = 40
 /** The same for requests that can no longer meet their objective, so that the others are dispatched first. */
 const latePollMs = 100
 /** Interval at which a failover target is searched for again while a server is unresponsive. */
@@ -135,6 +136,8 @@
   path: string
   rawHeaders: readonly string[]
   body: Buffer
+  /** By which the request is known when it is sent again. Computed at the first call. */
+  identity: () => string
   arrivedAtMs: number
   /** Time at which the last byte of the body was received. */
   readAtMs: number
@@ -283,7 +286,9 @@
     const service = this.services.get(serviceOf(route, metadata.requestId ?? ''))
     if (!service) return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
     const deadlineAtMs = arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
-    await this.serve({ metadata, route, service, method: request.method ?? 'GET', path, rawHeaders: request.rawHeaders, body, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
+    const { method = 'GET', headers } = request
+    const identity = once(() => requestIdentity(this.options.codecs.contentOf({ method, path, headers }), body))
+    await this.serve({ metadata, route, service, method, path, rawHeaders: request.rawHeaders, body, identity, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
   }
 
   /** Discards a request whose response could not be written any more, so that it is not forwarded. Returns whether it did. */
@@ -368,7 +373,7 @@
       codecs,
       clock,
       reserveMove: () => this.reserveFailover(request, progress),
-      onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(request.metadata.sharedParts, sentAtMs)
+      onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
     })
     this.forwarders.add(forwarder)
     try {
@@ -405,7 +410,7 @@
   private async reserveFailover (request: ProxiedRequest, progress: Progress): Promise<FailoverSearch> {
     const budget = this.budgetOf(request.service.name)
     const isInTime = () => this.clock.nowMs() <= request.deadlineAtMs - minimumAttemptMs
-    const isUnsuspected = () => this.options.quarantine.check(request.metadata.sharedParts).kind === 'clear'
+    const isUnsuspected = () => this.options.quarantine.check(this.evidenceParts(request)).kind === 'clear'
     const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.chooseLocally(request, progress) !== undefined
     if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
     const { server, chosenBy, waitMs, trial } = await this.selectServer(request, progress, { isFirst: false, isLate: false })
@@ -466,10 +471,10 @@
    */
   private async onConnectionLost (request: ProxiedRequest, forwarder: RequestForwarder, server: BackendServer, progress: Progress): Promise<void> {
     const { lastAnswer } = forwarder
-    const { sharedParts: parts } = request.metadata
     const { entry } = server
     const confirmed = server.confirmExit()
-    if (parts.length === 0 || hasGoneOn(lastAnswer)) return
+    if (hasGoneOn(lastAnswer)) return
+    const parts = identified(request)
     const recorded = confirmed.then(hasExited => {
       if (!hasExited) return
       progress.ends++
@@ -625,15 +630,14 @@
     request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
   ): Promise<Selection> {
     const { quarantine } = this.options
-    const { sharedParts } = request.metadata
-    const early = quarantine.check(sharedParts)
+    const early = quarantine.check(this.evidenceParts(request))
     if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
     // The leader measures the demand for a model by these requests, also while no engine holds it.
     const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
     const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
     const trial = decision?.kind === 'engine' ? decision.trial : undefined
     // Meanwhile a verdict may have been made.
-    const check = quarantine.check(sharedParts)
+    const check = quarantine.check(this.evidenceParts(request))
     const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
     if (check.kind === 'refused') {
       if (trial !== undefined) quarantine.endTrial(trial)
@@ -669,7 +673,8 @@
     const candidates = new Set(this.candidates(request, progress).map(({ entry }) => entry.id))
     const tried = [...progress.tried].filter(id => !candidates.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
-    return { service: service.name, model, adapter, promptTokens, sharedParts, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
+    const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
+    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
   }
 
   private chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
@@ -709,6 +714,11 @@
     return server.pool.openCount < share || server.pool.hasIdle
   }
 
+  /** What evidence may concern: the identity of the request, while there is any evidence, and the shared parts of its prompt. */
+  private evidenceParts (request: ProxiedRequest): readonly Pick<PromptPart, 'id'>[] {
+    return this.options.quarantine.hasEvidence ? identified(request) : request.metadata.sharedParts
+  }
+
   private budgetOf (service: string): RetryBudget {
     let budget = this.budgets.get(service)
     if (!budget) {
@@ -754,6 +764,7 @@
       adapter: request.metadata.adapter,
       promptTokens: request.metadata.promptTokens,
       parts: loggedParts(request.metadata.sharedParts),
+      identity: this.options.quarantine.hasEvidence ? request.identity() : undefined,
       configVersion: this.deployment?.version,
       sends: progress.attempts,
       readAfterMs: Math.round(request.readAtMs - request.arrivedAtMs),
@@ -778,6 +789,17 @@
   return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
 }
 
+/** Identity of the request, and the shared parts of its prompt. */
+function identified ({ identity, metadata: { sharedParts } }: ProxiedRequest): Pick<PromptPart, 'id'>[] {
+  return [{ id: identity() }, ...sharedParts]
+}
+
+/** Calls `compute` at the first call and returns its result at each. */
+function once<T> (compute: () => T): () => T {
+  let result: { value: T } | undefined
+  return () => (result ??= { value: compute() }).value
+}
+
 /** IDs of the shared prompt parts, shortened for the log. */
 function loggedParts (parts: readonly Pick<PromptPart, 'id'>[]): string[] {
   return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
