--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -166,7 +166,9 @@
   }),
   // Sound engines pause while they read long prompts and refuse what exceeds their slots, so neither excuses anything.
   enginePauses: async world => {
-    world.pick(world.engines).pausedUntilMs = performance.now() + shortestPauseMs + world.random() * (longestPauseMs - shortestPauseMs)
+    // All may have ended, and their successors not have begun.
+    const engine: BackendStandIn | undefined = world.pick(world.engines)
+    if (engine) engine.pausedUntilMs = performance.now() + shortestPauseMs + world.random() * (longestPauseMs - shortestPauseMs)
   },
   enginesFull: async (world, durationMs) => {
     const { engines } = world
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -193,7 +193,7 @@
 
   onRun (id: string, { id: backend, service }: { id: string, service: string }, content: string): void {
     const request = this.sent.get(id)
-    if (!request) return this.violation('UNASKED', `${backend} runs ${id}, which no client sent`)
+    if (!request) return this.violation('UNASKED', `${backend} runs ${id} (${content}), which no client sent`)
     if (request.content !== content) this.violation('UNASKED', `${backend} runs ${id} as ${content}`)
     if ((service === 'models') !== (request.kind === 'stream')) this.violation('ROUTE', `${id} runs at ${service}`)
     request.runs.push(backend)
