--- a/tests/soak/nodeProcess.ts
+++ b/tests/soak/nodeProcess.ts
@@ -20,6 +20,9 @@
 /** Addresses that this process has given to nodes. */
 let addresses = 0
 const mostAddresses = 250
+/** A node that outlives the soak would call whatever has its store's port later. */
+const children = new Set<ChildProcess>()
+process.once('exit', () => { for (const child of children) child.kill('SIGKILL') })
 
 export interface NodeOptions {
   index: number
@@ -102,10 +105,12 @@
     const child = spawn(process.execPath, args, { env: { PATH: process.env.PATH, TEASELRILL_NODE_FILE: this.settingsPath }, stdio: ['ignore', output, output] })
     closeSync(output)
     this.child = child
+    children.add(child)
     this.incarnation++
     this.isExpectedToEnd = this.isStopping = false
     for (const fault of ['down', 'grace ends']) this.condition.end(fault)
     child.on('exit', (code, signal) => {
+      children.delete(child)
       this.child = undefined
       if (!this.isExpectedToEnd && this.isWanted) this.options.ledger.violation('EXIT', `${this.name} ends by itself with ${code ?? signal}`)
       this.condition.begin('down', { isPlanned: this.isStopping })
