--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -38,8 +38,9 @@
  * Sends a complete response to the client. A short body that was delimited by the close of the server's connection is passed on as it
  * came: a server may stop within it and close the connection although it lives on, so a `Content-Length` would state too much.
  */
-export function sendBackendResponse (response: ServerResponse, { head, body }: BackendResponse, headers: string[]): void {
-  if (head.endsWithConnection && body.length <= maxUnframedBytes) {
+export function sendBackendResponse (response: ServerResponse, { head, body }: BackendResponse, headers: string[]): ClientFraming {
+  const framing = head.endsWithConnection && body.length <= maxUnframedBytes ? 'connection' : 'length'
+  if (framing === 'connection') {
     response.shouldKeepAlive = false
     response.useChunkedEncodingByDefault = false
     response.writeHead(head.status, head.statusText, [...headers, 'Connection', 'close'])
@@ -47,8 +48,12 @@
     response.writeHead(head.status, head.statusText, [...headers, 'Content-Length', String(body.length)])
   }
   response.end(body)
+  return framing
 }
 
+/** What tells the client where its response ends: a length, a last chunk, or the close of its connection. */
+export type ClientFraming = 'length' | 'chunks' | 'connection'
+
 /** A reserved slot on another server, and a reserved retry, for a request whose server is unresponsive. */
 export interface FailoverTarget {
   reservation: Reservation
@@ -103,6 +108,8 @@
   lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined, isUnframed: boolean } = { sentAtMs: 0, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
   readonly onGoneOn: (sentAtMs: number) => void
+  /** How a backend server's response was sent to the client. */
+  framing: ClientFraming | undefined
   private current: Attempt | undefined
 
   constructor (
@@ -328,6 +335,7 @@
       forwarder.hasResponseStarted = true
       forwarder.firstByteMs = forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
       forwarder.contentType = this.head!.headers.get('content-type')
+      forwarder.framing = 'chunks'
       response.writeHead(this.head!.status, this.head!.statusText, forwarder.codecs.returnHeaders(this.head!))
     }
     if (response.write(bytes) || this.isPaused) return
@@ -357,7 +365,7 @@
       const backendResponse = { head: this.head!, body: this.body.bytes }
       forwarder.firstByteMs ??= forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
       if (status >= 500 || forwarder.hasResponseStarted) return this.finish({ kind: 'answer', response: backendResponse })
-      sendBackendResponse(forwarder.response, backendResponse, forwarder.codecs.returnHeaders(backendResponse.head))
+      forwarder.framing = sendBackendResponse(forwarder.response, backendResponse, forwarder.codecs.returnHeaders(backendResponse.head))
       return this.finish({ kind: 'done' })
     }
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -28,6 +28,7 @@
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
+import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
 
 /** Usual time until a backend server starts its response; a request with less time left is not sent. */
@@ -69,45 +70,6 @@
   retryBudget: { share: number, windowMs: number, allowance: number }
 }
 
-/** One attempt of a request, as it is logged. */
-export interface AttemptTrace {
-  /** Time from the request's arrival to the start of the attempt. */
-  afterMs: number
-  backend: string
-  /** Whether the placement leader or this node chose the server. */
-  chosenBy: 'leader' | 'node'
-  /** Requests of this node in progress on the server. */
-  running: number
-  /** Requests of the other nodes in progress on the server, as last received. */
-  runningElsewhere: number
-  /** Number of other servers that could have accepted the request. */
-  alternatives: number
-  result: string
-  /** Events of this attempt that were sent to the client. */
-  events?: number
-  /** Time from the first of them to the end of the attempt. */
-  writingMs?: number
-  /** The response had neither a length nor chunks. */
-  isUnframed?: true
-}
-
-export interface RequestRecord {
-  route: string
-  service: string
-  kind: Route['kind']
-  outcome: string
-  status: number
-  durationMs: number
-  firstByteMs: number | undefined
-  /** Longest pause between events of a stream. */
-  longestGapMs: number
-  /** Time spent waiting for a server. */
-  waitedMs: number
-  attempts: number
-  /** Attempts whose response had neither a length nor chunks. */
-  unframed: number
-}
-
 export interface RequestProxyOptions {
   clock: Clock
   log: Log
@@ -749,7 +711,8 @@
       longestGapMs: Math.round(forwarder.longestGapMs),
       waitedMs: Math.round(progress.waitedMs),
       attempts: progress.sends,
-      unframed: progress.attempts.filter(({ isUnframed }) => isUnframed).length
+      unframed: progress.attempts.filter(({ isUnframed }) => isUnframed).length,
+      framing: forwarder.framing
     }
     this.options.onFinished?.(record)
     const isPlain = outcome === 'done' && progress.sends === 1 && record.unframed === 0 && record.waitedMs < waitPollMs &&
--- /dev/null
+++ b/src/serving/requestRecord.ts
@@ -0,0 +1,45 @@
+/** What is logged and counted of each request. */
+
+import type { Route } from './deployment.js'
+import type { ClientFraming } from './requestForwarder.js'
+
+/** One attempt of a request, as it is logged. */
+export interface AttemptTrace {
+  /** Time from the request's arrival to the start of the attempt. */
+  afterMs: number
+  backend: string
+  /** Whether the placement leader or this node chose the server. */
+  chosenBy: 'leader' | 'node'
+  /** Requests of this node in progress on the server. */
+  running: number
+  /** Requests of the other nodes in progress on the server, as last received. */
+  runningElsewhere: number
+  /** Number of other servers that could have accepted the request. */
+  alternatives: number
+  result: string
+  /** Events of this attempt that were sent to the client. */
+  events?: number
+  /** Time from the first of them to the end of the attempt. */
+  writingMs?: number
+  /** The response had neither a length nor chunks. */
+  isUnframed?: true
+}
+
+export interface RequestRecord {
+  route: string
+  service: string
+  kind: Route['kind']
+  outcome: string
+  status: number
+  durationMs: number
+  firstByteMs: number | undefined
+  /** Longest pause between events of a stream. */
+  longestGapMs: number
+  /** Time spent waiting for a server. */
+  waitedMs: number
+  attempts: number
+  /** Attempts whose response had neither a length nor chunks. */
+  unframed: number
+  /** How the response to the client ended, or would have; `undefined` if it came from this node. */
+  framing: ClientFraming | undefined
+}
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -6,7 +6,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
-import type { RequestRecord } from './requestProxy.js'
+import type { RequestRecord } from './requestRecord.js'
 
 // From the shortest objectives to the longest deadlines.
 const secondsBuckets = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.5, 3, 6, 12, 30]
@@ -17,7 +17,7 @@
   private readonly registry = new Registry()
   private readonly requests = this.counter('teaselrill_requests_total', 'Requests by kind, outcome and status', ['kind', 'outcome', 'status'])
   private readonly retries = this.counter('teaselrill_repeats_total', 'Attempts of requests after the first one', ['kind'])
-  private readonly unframed = this.counter('teaselrill_unframed_answers_total', 'Attempts whose answer had neither a length nor chunks, by the outcome of the request', ['kind', 'outcome'])
+  private readonly unframed = this.counter('teaselrill_unframed_answers_total', 'Attempts whose answer had neither a length nor chunks, by the outcome of the request and the framing of its response', ['kind', 'outcome', 'framing'])
   private readonly storeCalls = this.counter('teaselrill_store_calls_total', 'Calls to the platform store by name and status', ['call', 'status'])
   private readonly commands = this.counter('teaselrill_engine_orders_total', 'Commands to engines by action and outcome', ['action', 'outcome'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
@@ -39,10 +39,10 @@
     this.gauge('teaselrill_resident_memory_bytes', 'Resident memory of the process', () => process.memoryUsage.rss())
   }
 
-  onFinished ({ kind, outcome, status, durationMs, firstByteMs, longestGapMs, waitedMs, attempts, unframed }: RequestRecord): void {
+  onFinished ({ kind, outcome, status, durationMs, firstByteMs, longestGapMs, waitedMs, attempts, unframed, framing }: RequestRecord): void {
     this.requests.inc({ kind, outcome, status })
     if (attempts > 1) this.retries.inc({ kind }, attempts - 1)
-    if (unframed > 0) this.unframed.inc({ kind, outcome }, unframed)
+    if (unframed > 0) this.unframed.inc({ kind, outcome, framing: framing ?? 'none' }, unframed)
     this.duration.observe({ kind }, durationMs / 1000)
     this.waiting.observe({ kind }, waitedMs / 1000)
     if (kind === 'stream') this.longestGap.observe({ kind }, longestGapMs / 1000)
