--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -207,8 +207,9 @@
     } catch (error) {
       const { requestId } = this.options.codecs.readRequest(request.headers)
       this.options.log('error', 'request handling failed', { request: requestId, error: messageOf(error), stack: (error as Error).stack })
-      if (response.headersSent) response.destroy()
-      else new ResponseWriter(request, response).sendError(502, 'the request could not be handled')
+      const writer = new ResponseWriter(request, response)
+      if (response.headersSent) writer.abort()
+      else writer.sendError(502, 'the request could not be handled')
     }
   }
 
@@ -331,7 +332,7 @@
     const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [] }
     const forwarder: RequestForwarder = new RequestForwarder({
       request,
-      response: writer.response,
+      writer,
       codecs,
       clock,
       reserveMove: () => this.reserveFailover(request, progress),
@@ -465,7 +466,7 @@
     { result, search }: { result: AttemptResult | undefined, search?: Extract<Search, { kind: 'refused' }> }
   ): void {
     if (forwarder.hasResponseStarted) {
-      forwarder.abortResponse()
+      writer.abort()
       return this.finish(request, forwarder, progress, { outcome: 'broken-off', status: 0, reason: reasonOf(result), searchEnd: search?.reason })
     }
     if (search?.verdict) {
@@ -712,7 +713,7 @@
       waitedMs: Math.round(progress.waitedMs),
       attempts: progress.sends,
       unframed: progress.attempts.filter(({ isUnframed }) => isUnframed).length,
-      framing: forwarder.framing
+      framing: forwarder.writer.framing
     }
     this.options.onFinished?.(record)
     const isPlain = outcome === 'done' && progress.sends === 1 && record.unframed === 0 && record.waitedMs < waitPollMs &&
--- a/src/serving/requestRecord.ts
+++ b/src/serving/requestRecord.ts
@@ -1,7 +1,7 @@
 /** What is logged and counted of each request. */
 
+import type { ClientFraming } from './clientExchange.js'
 import type { Route } from './deployment.js'
-import type { ClientFraming } from './requestForwarder.js'
 
 /** One attempt of a request, as it is logged. */
 export interface AttemptTrace {
