--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -68,7 +68,8 @@
   sendResponse ({ head, body }: BackendResponse, headers: string[]): void {
     if (this.response.destroyed) return
     this.framing = head.endsWithConnection ? 'connection' : 'length'
-    this.writeHead(head, head.endsWithConnection ? headers : [...headers, 'Content-Length', String(body.length)])
+    const length = head.isBodiless ? head.headers.get('content-length') : String(body.length)
+    this.writeHead(head, head.endsWithConnection || length === undefined ? headers : [...headers, 'Content-Length', length])
     this.response.end(body)
   }
 
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -20,6 +20,8 @@
   keepsAlive: boolean
   /** Whether the body has no length and is delimited by the close of the connection. */
   endsWithConnection: boolean
+  /** Whether there is no body, whatever length the head states. */
+  isBodiless: boolean
 }
 
 export interface ResponseSink {
@@ -119,6 +121,7 @@
     if (head.status >= 100 && head.status < 200) return this.addExtra(end + 4) ? rest : undefined
     const framing = framingOf(head, this.withoutBody)
     if (typeof framing === 'string') return this.invalid(framing)
+    if (framing.state === 'done') head.isBodiless = true
     if (framing.state === 'until-close') Object.assign(head, { keepsAlive: false, endsWithConnection: true })
     this.state = framing.state
     this.remainingBytes = framing.bytes
@@ -218,7 +221,7 @@
   }
   const connection = (headers.get('connection') ?? '').toLowerCase()
   const keepsAlive = match[1] === '1' ? !/\bclose\b/.test(connection) : /\bkeep-alive\b/.test(connection)
-  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive, endsWithConnection: false }
+  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive, endsWithConnection: false, isBodiless: false }
 }
 
 function framingOf (head: ResponseHead, withoutBody: boolean): { state: State, bytes: number } | string {
--- a/tests/unstatedEnds.spec.ts
+++ b/tests/unstatedEnds.spec.ts
@@ -121,4 +121,17 @@
     while (!text().includes('data: t')) await once(socket, 'data')
     expect(text().endsWith(`${events(1, 1)}:`), text()).to.equal(true)
   })
+
+  // Guards against a length of 0 that the node gives to answers that have no body of their own.
+  for (const [method, status, headers, expected] of [
+    ['HEAD', '200 OK', 'Content-Length: 80000\r\n', '80000'], ['HEAD', '200 OK', '', undefined], ['POST', '204 No Content', '', undefined], ['POST', '304 Not Modified', 'Content-Length: 80000\r\n', '80000']
+  ] as const) {
+    it(`keep the length that their server stated: ${method}, ${status}, ${expected ?? 'none'}`, async () => {
+      await fixture.start([route({ maxAttempts: 1 })])
+      await fixture.addServer('a', (socket, head) => { socket.write(`HTTP/1.1 ${status}\r\n${signedHeaders(requestIdOf(head))}${headers}\r\n`) })
+      const response = await fixture.send('id1', { method, body: '' })
+      expect(response.isComplete).to.equal(true)
+      expect(response.headers['content-length']).to.equal(expected)
+    })
+  }
 })
