--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -73,6 +73,8 @@
   /** Time at which the last event was sent to the client. */
   lastEventAtMs: number | undefined
   lastEventId: number | undefined
+  /** Whether the last attempt's stream ended in order after a whole event, and only proof of its end was missing. */
+  mayBeAtEnd = false
   /** Reserves a failover target, if there is one. */
   readonly reserveMove: () => Promise<FailoverSearch>
   /** The last attempt: when it was sent, its events that were sent to the client, the time from the first of them to its end, and whether its response had neither a length nor chunks. */
@@ -341,15 +343,18 @@
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
     if (!this.hasBroughtEnd) return this.finish({ kind: 'unknown', reason: 'the stream ended without an event and without a length or chunks' })
     if (!forwarder.hasResponseStarted) this.write(Buffer.alloc(0))
-    if (!forwarder.writer.mayEndAfter(this.head!)) return this.finish({ kind: 'unknown', reason: 'nothing states the end of the stream', isEndUnproved: true })
+    if (!forwarder.writer.mayEndAfter(this.head!)) return this.finish({ kind: 'unknown', reason: 'nothing states the end of the stream', isEndUnproved: this.events > 0 })
     forwarder.writer.endStream()
     this.finish({ kind: 'done' })
   }
 
-  /** Whether the end of the response can be the end of the stream. One that brings nothing and states nothing does not show that nothing is left. */
+  /**
+   * Whether the end of the response can be the end of the stream. A response that brings nothing and states nothing is one only if what
+   * its client has may be the whole stream.
+   */
   private get hasBroughtEnd (): boolean {
-    const { hasResponseStarted, request } = this.forwarder
-    const mayBeEmpty = !hasResponseStarted && request.metadata.lastEventId !== undefined
+    const { hasResponseStarted, mayBeAtEnd, request } = this.forwarder
+    const mayBeEmpty = hasResponseStarted ? mayBeAtEnd : request.metadata.lastEventId !== undefined
     return !this.head!.endsWithConnection || this.events > 0 || this.hasEventsWithoutId || mayBeEmpty
   }
 
@@ -455,6 +460,7 @@
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
     const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
     if (result.kind === 'done' && isSuccess) this.recordGoneOn()
+    this.forwarder.mayBeAtEnd = result.kind === 'unknown' && result.isEndUnproved === true && this.splitter.remainder.length === 0
     this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs, isUnframed: this.head?.endsWithConnection ?? false }
     this.resolve(result)
   }
--- a/tests/unstatedEnds.spec.ts
+++ b/tests/unstatedEnds.spec.ts
@@ -83,6 +83,19 @@
     expect(await fixture.send('id1')).to.include({ isComplete: false, events: `${events(1, 2)}:` })
   })
 
+  // Guards against a whole stream that is broken off because its engine, asked for the rest, has nothing to bring.
+  it('are the end when an engine ends in order, cannot be shown to live, and then brings nothing', async () => {
+    await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 5000 })])
+    let isAnswering = false
+    fixture.answerQuestion = socket => { if (isAnswering) socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n') }
+    await fixture.addServer('a', (socket, head) => {
+      isAnswering = /last-event-id/i.test(head)
+      socket.end(headOf(head) + (isAnswering ? '' : events(1, 2)))
+    })
+    expect(await fixture.send('id1')).to.include({ status: 200, isComplete: true, events: events(1, 2) })
+    expect(fixture.received).to.have.length(2)
+  })
+
   // Guards against a stream that looks complete because the node is killed while it passes it on: its kernel closes the connection in order.
   it('leave their client inside an event while they last', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
