--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -29,7 +29,10 @@
       pauses: sabotage('notices', 'BUDGET', 'orders', ['backendTurnsAway']),
       silence: sabotage('silence', 'LOST', 'models', ['enginePauses']),
       quarantine: sabotage('quarantine', 'BUDGET', 'models', ['deadlyPart']),
-      ends: sabotage('ends', 'ORDER', 'models', ['backendReborn'])
+      ends: sabotage('ends', 'ORDER', 'models', ['backendReborn']),
+      statedEnds: sabotage('statedEnds', 'ORDER', 'models', ['answersStop']),
+      statedLengths: sabotage('statedEnds', 'MIXED', 'orders', ['answersStop']),
+      openEnds: sabotage('openEnds', 'ORDER', 'models', ['kill'])
     })
   })
 
@@ -79,6 +82,24 @@
     expect(rulesOf(await sabotaged.ends!)).to.include('ORDER')
   })
 
+  it('reports streams whose end no server stated', async () => {
+    expect(rulesOf(await sabotaged.statedEnds!)).to.include('ORDER')
+  })
+
+  it('reports plain answers whose end no server stated', async () => {
+    expect(rulesOf(await sabotaged.statedLengths!)).to.include('MIXED')
+  })
+
+  it('reports streams that end in order with their node', async () => {
+    expect(rulesOf(await sabotaged.openEnds!)).to.include('ORDER')
+  })
+
+  it('states no end that no server stated, also when nodes are killed or stopped', async () => {
+    const { violations, counts } = await run({ seed: 36, durationMs: 20_000, only: ['answersStop', 'answersStop', 'kill', 'stop', 'backendReborn'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['answers stopped']).to.be.above(10)
+  })
+
   it('keeps answers whole when servers end behind a link that holds up what they sent', async () => {
     const { violations, counts } = await run({ seed: 32, durationMs: 20_000, only: ['backendReborn', 'linkHolds', 'pause'] })
     expect(violations).to.deep.equal([])
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -21,6 +21,11 @@
 /** Share of the answers that have neither a length nor chunks, and the pause within a plain one. */
 const unframedShare = 0.3
 const partPauseMs = 20
+/** Length of a long plain answer, of which a server that stops sends half, and the share of such answers. */
+export const longAnswerBytes = 80_000
+const longShare = 0.05
+/** Share of the runs of an engine that stops which repeat the last event that their caller has. */
+const repeatShare = 0.3
 /** Time from the start of an answer until a deadly prompt part ends the engine; its first event may come before. */
 const deadlyMs = { shortest: 10, longest: 60 }
 
@@ -57,6 +62,8 @@
   lateShare = 0
   /** Share of answers that are lost after the request has run. */
   lostShare = 0
+  /** Share of answers, without a length or chunks, that it ends in order before they are done, and lives on. */
+  stopShare = 0
   isFailing = false
   /** Until when its streams stand still; the engine answers everything else meanwhile. */
   pausedUntilMs = -Infinity
@@ -271,23 +278,28 @@
     if (this.isFailing) return this.reply(response, 500, {}, { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
     const headers = { 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id }
     const answer = { answer: id, by: this.options.id }
-    if (this.options.random() >= unframedShare) return this.reply(response, 200, answer, headers)
-    const text = JSON.stringify(answer)
+    const isStopping = this.options.random() < this.stopShare
+    if (!isStopping && this.options.random() >= unframedShare) return this.reply(response, 200, answer, headers)
+    const text = JSON.stringify(answer).padEnd(this.options.random() < longShare ? longAnswerBytes : 0)
     endWithConnection(response).writeHead(200, headers)
     response.write(text.slice(0, text.length / 2))
     await sleep(partPauseMs)
-    response.end(text.slice(text.length / 2))
+    if (isStopping) this.options.ledger.onStopped(id)
+    response.end(isStopping ? undefined : text.slice(text.length / 2))
   }
 
   private async stream (request: IncomingMessage, response: ServerResponse, id: string): Promise<void> {
     const { eventMs = usualEventMs } = this.options
-    const from = Number(request.headers['last-event-id'] ?? 0) + 1
+    const stopsBefore = this.options.random() < this.stopShare ? 1 + Math.floor(this.options.random() * streamEvents) : Infinity
+    const last = Number(request.headers['last-event-id'] ?? 0)
+    const from = last > 0 && this.options.random() < this.stopShare * repeatShare ? last : last + 1
     await sleep(eventMs)
-    if (this.options.random() < unframedShare) endWithConnection(response)
+    if (stopsBefore !== Infinity || this.options.random() < unframedShare) endWithConnection(response)
     response.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': id, 'X-Server-Stamp': this.options.id })
     for (let event = from; event <= streamEvents; event++) {
       while (performance.now() < this.pausedUntilMs && !response.destroyed) await sleep(pausePollMs)
       if (response.destroyed) return
+      if (event >= stopsBefore) return this.stopStream(response, id, event)
       response.write(`id: ${event}\ndata: ${id}.${event}\n\n`)
       await sleep(eventMs)
       if (this.options.random() < this.lostShare / streamEvents) {
@@ -299,6 +311,12 @@
     response.end()
   }
 
+  /** Ends a stream in order before `event` or inside it. */
+  private stopStream (response: ServerResponse, id: string, event: number): void {
+    this.options.ledger.onStopped(id)
+    response.end(this.options.random() < 0.5 ? `id: ${event}\ndata: ${id}` : '')
+  }
+
   private reply (response: ServerResponse, status: number, body: object, headers: Record<string, string> = {}): void {
     if (response.destroyed) return
     const text = JSON.stringify(body)
--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -41,6 +41,7 @@
       const request = httpRequest({ ...node.clientsAddress, method, path, headers, agent: this.agentOf(node.name) })
       let isOver = false
       let hasAnswer = false
+      let hasFailed = false
       const finish = (outcome: Outcome | undefined) => {
         if (isOver) return
         isOver = true
@@ -57,13 +58,19 @@
         hasAnswer = true
         let text = ''
         let lastPartAtMs = performance.now()
+        const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
         response.setEncoding('utf8')
         response.on('data', (data: string) => {
           text += data
           lastPartAtMs = performance.now()
         })
         response.on('error', () => {})
-        response.on('close', () => finish({ status: response.statusCode!, isComplete: response.complete, headers: response.headers, body: text, silentMs: performance.now() - lastPartAtMs }))
+        response.on('close', () => {
+          const body = isFramed ? text : text.replaceAll(/^:\n\n/gm, '')
+          // Without a length or chunks, Node.js counts a response as complete, whatever ends its connection.
+          const isInsideEvent = !isFramed && kind === 'stream' && response.statusCode === 200 && body !== '' && !body.endsWith('\n\n')
+          finish({ status: response.statusCode!, isComplete: response.complete && !hasFailed && !isInsideEvent, isFramed, headers: response.headers, body: isInsideEvent ? body.replace(/:$/, '') : body, silentMs: performance.now() - lastPartAtMs })
+        })
       })
       // A socket whose connection is refused is not connecting any more either.
       let isConnected = false
@@ -72,6 +79,7 @@
         if (!isConnected) socket.once('connect', () => { isConnected = true })
       })
       request.on('error', error => {
+        hasFailed = true
         if (isOver || hasAnswer) return
         this.ledger.onLost(id, { isPlannedStop: node.isStopping && isConnected, reason: error.message })
         finish(undefined)
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -159,6 +159,11 @@
     await sleep(durationMs)
     backend.isFailing = false
   }),
+  answersStop: (world, durationMs) => disturbBackend(world, 'answers stop', async backend => {
+    backend.stopShare = 0.5
+    await sleep(durationMs)
+    backend.stopShare = 0
+  }),
   answersLost: (world, durationMs) => disturbBackend(world, 'answers lost', async backend => {
     backend.lostShare = 0.4
     await sleep(durationMs)
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -1,5 +1,7 @@
 /** What clients sent and backend servers ran, and the promises that this shows kept or broken. */
 
+import { longAnswerBytes } from './backendStandIn.js'
+
 export type Kind = 'safe' | 'unsafe' | 'stream'
 
 /** Bounds of the deployment that the soak plays. */
@@ -78,6 +80,8 @@
   status: number
   /** Whether the connection ended as an answer that is complete does. */
   isComplete: boolean
+  /** Whether it has a length or chunks. */
+  isFramed: boolean
   headers: Record<string, string | string[] | undefined>
   body: string
   /** Time since the last part of the answer, at its end. */
@@ -97,6 +101,8 @@
   /** Pauses that backend servers requested, by `NODE/BACKEND`, with the requests that arrived within them. */
   private readonly pauses = new Map<string, { fromMs: number, untilMs: number, arrivals: number }>()
   private unanswered = 0
+  /** Requests whose answer a server ended in order before it was done, without a length or chunks. */
+  private readonly stopped = new Set<string>()
   /** Times at which engines ended, by the deadly prompt part that ended them. */
   private readonly endsAtMs = new Map<string, number[]>()
   private readonly deadlyArrivals = new Map<string, number>()
@@ -117,6 +123,11 @@
     this.sent.set(id, { kind, node, content, sentAtMs: performance.now(), runs: [], status: undefined })
   }
 
+  onStopped (id: string): void {
+    this.stopped.add(id)
+    this.count('answers stopped')
+  }
+
   onDraining (backend: string): void {
     this.drainingAtMs.set(backend, performance.now())
   }
@@ -211,15 +222,17 @@
 
   /** An answer that has begun and ended. */
   onAnswer (id: string, outcome: Outcome, { events, timeoutMs }: { events: number, timeoutMs: number }): void {
-    const { status, isComplete, headers, body } = outcome
+    const { status, isComplete, isFramed, headers, body } = outcome
     const request = this.sent.get(id)!
     request.status = status
-    if (status === 200 && !isComplete) this.onBrokenOff(id, request, outcome, timeoutMs)
+    if (status === 200 && !isComplete && !this.stopped.has(id)) this.onBrokenOff(id, request, outcome, timeoutMs)
     this.count(`${request.kind} ${status}${isComplete ? '' : ' cut'}`)
     if (status >= 200 && status < 300) {
       if (!headers['x-server-stamp'] || headers['x-attempt-id'] !== id) this.violation('MIXED', `${id} is answered without its stamp or with another ID`)
-      if (request.kind === 'stream') this.checkEvents(id, body, isComplete, events)
-      else if (isComplete && !isWhole(body, id, headers['x-server-stamp'])) this.violation('MIXED', `${id} gets ${body.slice(0, 80)}`)
+      // What a server ended in order without a length or chunks may reach its client in this way, too.
+      const mayBePart = this.stopped.has(id) && !isFramed
+      if (request.kind === 'stream') this.checkEvents(id, body, isComplete && !mayBePart, events)
+      else if (isComplete && !mayBePart && !isWhole(body, id, headers['x-server-stamp'])) this.violation('MIXED', `${id} gets ${body.slice(0, 80)}`)
     }
     if (promises.has(status) && request.kind === 'unsafe' && request.runs.length > 0) this.violation('REFUSED', `${id} gets ${status} and ran at ${request.runs.join()}`)
   }
@@ -271,5 +284,6 @@
 }
 
 function isWhole (body: string, id: string, stamp: string | string[] | undefined): boolean {
-  return body === JSON.stringify({ answer: id, by: stamp })
+  const answer = JSON.stringify({ answer: id, by: stamp })
+  return body === answer || body === answer.padEnd(longAnswerBytes)
 }
