--- a/tests/soak/storeStandIn.ts
+++ b/tests/soak/storeStandIn.ts
@@ -6,6 +6,9 @@
 
 interface Item { key: string, value: string, revision: number, created_rev: number, lease: number }
 type StoreEvent = Item | { key: string, revision: number, tombstone: true }
+interface Lease { ttlMs: number, endsAtMs: number }
+/** What a copy of the store holds. */
+export interface StoreCopy { items: Map<string, Item>, history: StoreEvent[], forgotten: number, revision: number, leases: Map<number, Lease>, nextLease: number }
 interface Body { ttl_ms: number, expected?: Item[], writes?: Item[], remove?: string[] }
 export type StoreMode = 'up' | 'refuses' | 'busy' | 'silent' | 'slow'
 
@@ -18,12 +21,14 @@
   lostShare = 0
   /** Whether leases run out while the store is not up. */
   lapses = true
-  readonly items = new Map<string, Item>()
+  items = new Map<string, Item>()
   private history: StoreEvent[] = []
   private forgotten = 0
   private revision = 7
-  private readonly leases = new Map<number, { ttlMs: number, endsAtMs: number }>()
+  private leases = new Map<number, Lease>()
   private nextLease = 1
+  /** Rises by one with each return from a copy; `undefined` if the store does not state it. */
+  era: number | undefined = 3
   private readonly server: Server
   private readonly timer: NodeJS.Timeout
   port = 0
@@ -60,6 +65,18 @@
     this.history = []
   }
 
+  copy (): StoreCopy {
+    const { items, history, forgotten, revision, leases, nextLease } = this
+    return { items: new Map(items), history: [...history], forgotten, revision, leases: new Map([...leases].map(([id, lease]) => [id, { ...lease }])), nextLease }
+  }
+
+  /** Comes back from a copy: what was acknowledged since is gone, and its revisions and leases are given out again. */
+  restore (copy: StoreCopy): void {
+    Object.assign(this, copy)
+    if (this.era !== undefined) this.era++
+    for (const lease of this.leases.values()) lease.endsAtMs = performance.now() + lease.ttlMs
+  }
+
   private write (key: string, value: string, lease: number): void {
     const item = { key, value, revision: ++this.revision, created_rev: this.items.get(key)?.created_rev ?? this.revision, lease }
     this.items.set(key, item)
@@ -85,12 +102,12 @@
     const url = new URL(request.url ?? '/', 'http://store')
     const body = chunks.length > 0 ? JSON.parse(Buffer.concat(chunks).toString()) : {}
     if (this.mode === 'silent') return
-    if (this.mode === 'refuses') return reply(response, 503, {})
-    if (this.mode === 'busy') return reply(response, 429, {})
+    if (this.mode === 'refuses') return reply(response, 503, {}, this.era)
+    if (this.mode === 'busy') return reply(response, 429, {}, this.era)
     await sleep(this.mode === 'slow' ? slowMs : 2)
     const [status, answer] = await this.answer(request.method ?? 'GET', url, body)
     if (request.method !== 'GET' && this.random() < this.lostShare) request.socket.destroy()
-    else reply(response, status, answer)
+    else reply(response, status, answer, this.era)
   }
 
   private async answer (method: string, url: URL, body: Body): Promise<[number, object]> {
@@ -116,7 +133,7 @@
   private async watch (prefix: string, after: number, waitMs: number): Promise<[number, object]> {
     const untilMs = performance.now() + waitMs
     for (;;) {
-      if (after < this.forgotten) return [410, {}]
+      if (after < this.forgotten || after > this.revision) return [410, {}]
       const events = this.history.filter(event => event.revision > after && event.key.startsWith(prefix))
       if (events.length > 0 || performance.now() > untilMs) return [200, { events, as_of: this.revision }]
       await sleep(watchPollMs)
@@ -133,9 +150,9 @@
   }
 }
 
-function reply (response: ServerResponse, status: number, body: object): void {
+function reply (response: ServerResponse, status: number, body: object, era: number | undefined): void {
   if (response.destroyed) return
-  response.writeHead(status, { 'Content-Type': 'application/json' })
+  response.writeHead(status, { 'Content-Type': 'application/json', ...(era === undefined ? {} : { 'Store-Era': String(era) }) })
   response.end(JSON.stringify(body))
 }
 
--- /dev/null
+++ b/tests/storeReturn.spec.ts
@@ -0,0 +1,146 @@
+import { createServer } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
+import { request as httpRequest } from 'node:http'
+import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import type { LogFields } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
+import { codecs } from '../src/platform/httpCodecs.js'
+import { StoreClient } from '../src/platform/storeClient.js'
+import type { ServingSettings } from '../src/serving/settings.js'
+import { ServingNode } from '../src/serving/servingNode.js'
+import { freePort } from './fixtures/freePort.js'
+import { requestIdOf, responseTo } from './fixtures/requestProxyFixture.js'
+import { StoreStandIn } from './soak/storeStandIn.js'
+import type { StoreCopy } from './soak/storeStandIn.js'
+
+const configOf = (version: number, prefixes: string[]) => ({
+  version,
+  routes: prefixes.map(prefix => ({ name: prefix, host: 'h', path_prefix: `/${prefix}/`, kind: 'safe', timeout_ms: 5000, goal_ms: 300, priority: 0, service: 's', max_attempts: 1 })),
+  services: [{ name: 's', max_conns: 50 }],
+  limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
+})
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
+
+async function until (condition: () => unknown, what: string): Promise<void> {
+  for (let tries = 0; tries < 400; tries++) {
+    if (await condition()) return
+    await sleep(25)
+  }
+  expect.fail(`not in time: ${what}`)
+}
+
+class Node {
+  readonly lines: { event: string, fields: LogFields }[] = []
+  readonly store: StoreClient
+  private node: ServingNode | undefined
+  private clientsPort = 0
+
+  constructor (readonly name: string, private readonly ip: string, storePort: number) {
+    this.store = new StoreClient(`127.0.0.1:${storePort}`, new SystemClock())
+  }
+
+  async start (): Promise<void> {
+    this.clientsPort = await freePort()
+    const settings: ServingSettings = {
+      node: this.name, ip: this.ip, availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `${this.ip}:${this.clientsPort}`, readinessAddress: `${this.ip}:${await freePort()}`, peersPort: await freePort(), maxFileDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownTimeoutMs: 1000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000
+    }
+    this.node = new ServingNode({ settings, codecs, store: this.store, clock: new SystemClock(), random: new SeededRandom(1), log: (_level, event, fields = {}) => { this.lines.push({ event, fields }) } })
+    await this.node.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.node?.stop()
+    await this.store.close()
+  }
+
+  /** Fencing tokens of this node's terms. */
+  get fences (): number[] {
+    return this.lines.filter(({ event }) => event === 'placement leader is this node').map(({ fields }) => Number(fields.fence))
+  }
+
+  get (path: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      httpRequest({ host: this.ip, port: this.clientsPort, path, headers: { host: 'h', 'x-attempt-id': 'id' }, agent: false }, response => {
+        response.resume()
+        response.on('end', () => resolve(response.statusCode!))
+      }).on('error', reject).end()
+    })
+  }
+}
+
+describe('store that comes back from a copy', () => {
+  let store: StoreStandIn
+  let backend: Server
+  const nodes: Node[] = []
+
+  beforeEach(async () => {
+    store = new StoreStandIn(() => 0.5)
+    await store.listen()
+    backend = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', data => socket.write(responseTo(requestIdOf(data.toString()), 'ok')))
+    })
+    await new Promise<void>(resolve => backend.listen(0, '127.0.0.1', resolve))
+    store.put('op/config', configOf(4, ['a']))
+    beat('i1', 1)
+  })
+
+  afterEach(async () => {
+    await Promise.all(nodes.splice(0).map(node => node.stop()))
+    store.close()
+    backend.close()
+  })
+
+  function beat (id: string, seq: number, state = 'ready'): void {
+    store.put(`servers/${id}`, { service: 's', address: `127.0.0.1:${(backend.address() as AddressInfo).port}`, zone: 'z', slots: 4, state, seq, born: 1 })
+  }
+
+  async function startNode (index = 0): Promise<Node> {
+    const node = new Node(`n${index}`, `127.0.0.${1 + index}`, store.port)
+    nodes.push(node)
+    await node.start()
+    return node
+  }
+
+  /** Takes the store away, brings it back from `copy` and changes it before nodes are let in again. */
+  async function restore (copy: StoreCopy, change: () => void): Promise<void> {
+    store.mode = 'refuses'
+    await sleep(200)
+    store.restore(copy)
+    change()
+    await sleep(100)
+    store.mode = 'up'
+  }
+
+  // Guards against a route that is never served because its revision had stood for another state (CONFIG).
+  it('does not hide a change whose revision the node knew from before', async () => {
+    const node = await startNode()
+    await until(async () => await node.get('/a/1') === 200, 'the first route is served')
+    const copy = store.copy()
+    for (let seq = 2; seq < 30; seq++) beat('i1', seq)
+    await sleep(600)
+    await restore(copy, () => {
+      store.put('op/config', configOf(5, ['a', 'b']))
+      for (let seq = 30; seq < 80; seq++) beat('i1', seq)
+    })
+    await sleep(2500)
+    expect(await node.get('/b/1'), 'the route is not served').to.equal(200)
+  })
+
+  // Guards against fencing tokens that fall or are given out twice (ONE, and engines that refuse every order).
+  it('does not make fencing tokens fall', async () => {
+    const copy = store.copy()
+    for (let seq = 2; seq < 30; seq++) beat('i1', seq)
+    const node = await startNode()
+    await until(() => node.fences.length > 0, 'a leader')
+    await restore(copy, () => beat('i1', 30))
+    await until(() => node.fences.length > 1, 'a leader after the return')
+    const [before, after] = node.fences
+    expect(after! > before!, `the fence ${after} follows ${before}`).to.equal(true)
+    expect(Number.isSafeInteger(after)).to.equal(true)
+    const fresh = await startNode(1)
+    await until(() => fresh.lines.some(({ event, fields }) => event === 'placement leader known' && fields.fence === after), 'a fresh node knows the same fence')
+  })
+})
