--- a/src/platform/quarantineCommands.ts
+++ b/src/platform/quarantineCommands.ts
@@ -33,5 +33,5 @@
 
 /** Writes the lift, which the placement leader carries out when it reads it. */
 export async function liftQuarantine (settingsFile: string | undefined, clock: Clock, lift: Lift): Promise<void> {
-  await withStore(settingsFile, clock, store => store.commit({ expected: [], writes: [liftWrite(codecs.keys.own, lift)] }))
+  await withStore(settingsFile, clock, store => store.commit({ writes: [liftWrite(codecs.keys.own, lift)] }))
 }
--- a/src/serving/coordination.ts
+++ b/src/serving/coordination.ts
@@ -1,10 +1,18 @@
-/** Interface to the platform's store: revisions, conditional commits, leases and watches. */
+/** Interface to the platform's store: positions, conditional commits, leases and watches. Positions are those of `storePosition`. */
+
+/** A lease. Its ID may be given out again in another era of the store. */
+export interface StoreLease {
+  era: number
+  id: number
+}
 
 export interface StoreItem {
   key: string
   value: string
-  /** Revision of the last change. */
+  /** Position of the last change. */
   revision: number
+  /** Lease with which the key ends. */
+  lease?: StoreLease
 }
 
 /** A change of one key; without `value` the key was removed. */
@@ -12,18 +20,13 @@
   key: string
   revision: number
   value?: string
-}
-
-export interface StoreCondition {
-  key: string
-  /** 0: the key must not exist. */
-  revision: number
+  lease?: StoreLease
 }
 
 export interface StoreWrite {
   key: string
   value: string
-  leaseId?: number
+  lease?: StoreLease
 }
 
 export type CommitResult =
@@ -40,15 +43,16 @@
  * of unknown outcome may still take effect later while its conditions hold.
  */
 export interface CoordinationStore {
-  /** All items whose key starts with `prefix`. A watch from `revision` returns every later change. */
+  /** All items whose key starts with `prefix`, in one era. A watch from `revision` returns every later change. */
   list (prefix: string): Promise<{ items: StoreItem[], revision: number }>
-  /** Waits up to `waitMs` for changes after `afterRevision`. */
+  /** Waits up to `waitMs` for changes after `afterRevision`. The history is lost, too, if the store has come back from a copy since. */
   watch (prefix: string, afterRevision: number, options: { waitMs: number }): Promise<WatchResult>
-  commit (change: { expected: StoreCondition[], writes?: StoreWrite[], remove?: string[] }): Promise<CommitResult>
-  /** Returns the lease's ID. Its time runs from the arrival of the call at the store. */
-  grantLease (ttlMs: number): Promise<number>
-  /** Renews the lease. Returns false if it has ended. */
-  keepLease (leaseId: number): Promise<boolean>
-  endLease (leaseId: number): Promise<void>
+  /** All or nothing; none of the keys `absent` may exist. A condition on a revision could hold by accident in another era. */
+  commit (change: { absent?: string[], writes?: StoreWrite[], remove?: string[] }): Promise<CommitResult>
+  /** The lease's time runs from the arrival of the call at the store. */
+  grantLease (ttlMs: number): Promise<StoreLease>
+  /** Renews the lease. Returns false if it has ended, or if the store has come back from a copy since it was granted. */
+  keepLease (lease: StoreLease): Promise<boolean>
+  endLease (lease: StoreLease): Promise<void>
   close (): Promise<void>
 }
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -193,7 +193,7 @@
 
   private commit (failure: string, change: { writes?: StoreWrite[], remove?: string[] }): void {
     const { store, log } = this.options
-    store.commit({ expected: [], ...change }).catch(error => log('warn', failure, { error: messageOf(error) }))
+    store.commit(change).catch(error => log('warn', failure, { error: messageOf(error) }))
   }
 
   private recordOutcomes ({ outcomes }: NodeReport): void {
--- a/src/serving/leadership.ts
+++ b/src/serving/leadership.ts
@@ -5,7 +5,7 @@
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
-import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
+import type { CoordinationStore, StoreChange, StoreItem, StoreLease } from './coordination.js'
 
 /** A leader that crashed is replaced after this time. */
 const leaseTtlMs = 3000
@@ -19,7 +19,7 @@
 export interface Leader {
   node: string
   ip: string
-  /** Revision of the leader's key: grows with each leader. */
+  /** Position of the leader's key in the store's history: grows with each leader. */
   fence: number
 }
 
@@ -35,8 +35,8 @@
   /** Processor time that the node has, in cores. */
   cores: number
   minimumLeaseMs: number
-  /** Called with the fencing token when this node becomes leader, with `undefined` when it stops being it. */
-  onOwnLeadership (fence: number | undefined): void
+  /** Called with the fencing token when this node becomes leader, with `undefined` when it stops being it. With `isOwnSuccessor`, it led last, as far as it knows. */
+  onOwnLeadership (fence: number | undefined, context: { isOwnSuccessor: boolean }): void
   /** Called when the known leader changes to another node or to none. */
   onLeader (leader: Leader | undefined): void
 }
@@ -46,7 +46,7 @@
   private readonly leaderKey: string
   /** Distinguishes this process's writes from those of an earlier process of the node. */
   private readonly incarnation: string
-  private leaseId: number | undefined
+  private lease: StoreLease | undefined
   /** Time at which the last successful renewal was sent. */
   private renewedAtMs = -Infinity
   private isStopped = false
@@ -54,8 +54,10 @@
   private isElecting = false
   /** Whether the store was last seen without a leader key. */
   private isLeaderKeyAbsent = false
-  /** Newest revision of the leader's key that the watch has reported. */
+  /** Newest position of the leader's key that the watch has reported. */
   private seenRevision = 0
+  /** The last node that was known to lead. */
+  private lastLeader: string | undefined
   leader: Leader | undefined
 
   constructor (options: LeadershipOptions) {
@@ -81,7 +83,7 @@
         if (this.ownFence !== undefined) await this.renew()
         else if (this.leader === undefined && this.isLeaderKeyAbsent) await this.elect()
       } catch (error) {
-        log('warn', 'lease not renewed', { error: messageOf(error), leaseId: this.leaseId })
+        log('warn', 'lease not renewed', { error: messageOf(error), leaseId: this.lease?.id })
         delayMs = retryMs
       }
       await sleep(clock, delayMs)
@@ -105,33 +107,44 @@
     this.onChange(items.find(({ key }) => key === this.leaderKey) ?? { key: this.leaderKey, revision: 0 })
   }
 
-  onChange ({ key, value, revision }: StoreChange): void {
+  onChange ({ key, value, revision, lease }: StoreChange): void {
     if (key !== this.leaderKey) return
     this.seenRevision = Math.max(this.seenRevision, revision)
     if (value === undefined) return this.onLeaderKeyRemoved()
     this.isLeaderKeyAbsent = false
     const [node, ip, incarnation] = value.split(' ')
-    if (node === this.options.node && incarnation === this.incarnation) return this.startTerm(revision)
+    if (node === this.options.node && incarnation === this.incarnation) {
+      this.adopt(lease)
+      return this.startTerm(revision)
+    }
     this.endTerm(`${node} is the leader`)
     if (this.leader?.fence === revision) return
     this.leader = { node: node!, ip: ip!, fence: revision }
+    this.lastLeader = node
     this.options.log('info', 'placement leader known', { leader: node, fence: revision })
     this.options.onLeader(this.leader)
   }
 
+  /** This node's key has come back with the store from a copy, and its lease with it. */
+  private adopt (lease: StoreLease | undefined): void {
+    if (!lease || lease.era <= (this.lease?.era ?? -1)) return
+    this.lease = lease
+    this.renewedAtMs = this.options.clock.nowMs()
+  }
+
   private async renew (): Promise<void> {
     const { store, clock, log } = this.options
     const sentAtMs = clock.nowMs()
-    const { leaseId } = this
-    const isRenewed = leaseId !== undefined && await store.keepLease(leaseId)
+    const { lease } = this
+    const isRenewed = lease !== undefined && await store.keepLease(lease)
     // Meanwhile this node may have lost the leadership and won it again with another lease.
-    if (this.leaseId !== leaseId) return
+    if (this.lease !== lease) return
     if (isRenewed) {
       this.renewedAtMs = sentAtMs
       return
     }
-    log('warn', 'lease ended', { leaseId })
-    this.leaseId = undefined
+    log('warn', 'lease ended', { leaseId: lease?.id, era: lease?.era })
+    this.lease = undefined
     // The watch reports the removal of the leader's key, or the new leader.
     this.endTerm('the lease has ended')
   }
@@ -154,10 +167,10 @@
       await sleep(clock, random.next() * electionJitterMs + singleCoreDelayMs / cores)
       if (!this.isLeaderKeyAbsent || this.isStopped) return
       const sentAtMs = clock.nowMs()
-      this.leaseId = await store.grantLease(Math.max(leaseTtlMs, minimumLeaseMs))
+      const lease = this.lease = await store.grantLease(Math.max(leaseTtlMs, minimumLeaseMs))
       const result = await store.commit({
-        expected: [{ key: this.leaderKey, revision: 0 }],
-        writes: [{ key: this.leaderKey, value: `${node} ${ip} ${this.incarnation}`, leaseId: this.leaseId }]
+        absent: [this.leaderKey],
+        writes: [{ key: this.leaderKey, value: `${node} ${ip} ${this.incarnation}`, lease }]
       })
       // The watch may have reported a later leader before this response arrived.
       if (result.kind !== 'committed' || result.revision < this.seenRevision) return
@@ -177,7 +190,9 @@
     this.isLeaderKeyAbsent = false
     this.leader = { node: this.options.node, ip: this.options.ip, fence }
     this.options.log('info', 'placement leader is this node', { fence })
-    this.options.onOwnLeadership(fence)
+    const isOwnSuccessor = this.lastLeader === this.options.node
+    this.lastLeader = this.options.node
+    this.options.onOwnLeadership(fence, { isOwnSuccessor })
   }
 
   private endTerm (reason: string): void {
@@ -185,6 +200,6 @@
     this.options.log('info', 'no longer placement leader', { fence: this.ownFence, reason })
     this.ownFence = undefined
     this.leader = undefined
-    this.options.onOwnLeadership(undefined)
+    this.options.onOwnLeadership(undefined, { isOwnSuccessor: false })
   }
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -154,7 +154,7 @@
       ip: settings.ip,
       cores: settings.cores,
       minimumLeaseMs: settings.store.minimumLeaseMs,
-      onOwnLeadership: fence => this.onOwnLeadership(fence),
+      onOwnLeadership: (fence, context) => this.onOwnLeadership(fence, context),
       onLeader: leader => this.onLeader(leader)
     })
     this.peers = new PeerServer({
@@ -384,12 +384,15 @@
     if (!this.leaderTerm) this.size.adopt(this.storedSize)
   }
 
-  private onOwnLeadership (fence: number | undefined): void {
+  private onOwnLeadership (fence: number | undefined, { isOwnSuccessor }: { isOwnSuccessor: boolean }): void {
     this.leaderTerm?.stop()
     this.leaderTerm = undefined
     this.size.stopCounting()
     if (fence === undefined) return
     const { clock, log, settings, store } = this.options
+    const startDelayMs = settings.enginesCheckFences ? successionDelayMs : settings.holderGapMs
+    // After a return from a copy no lease separates this term from the one before.
+    const sinceReturnMs = isOwnSuccessor ? Infinity : this.storeView.eraAgeMs(fence)
     this.link.setLeader(undefined)
     this.leaderTerm = new LeaderTerm({
       clock,
@@ -406,7 +409,7 @@
       deployment: () => this.deployment,
       node: settings.node,
       fence,
-      startDelayMs: settings.enginesCheckFences ? successionDelayMs : settings.holderGapMs,
+      startDelayMs: Math.max(startDelayMs, settings.holderGapMs - sinceReturnMs),
       loadWindowMs: settings.loadWindowMs,
       ownReport: () => this.report(),
       broadcast: report => this.peers.broadcast(report),
--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../base/random.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { ChangeRange } from './peerMessages.js'
+import { eraOf } from './storePosition.js'
 
 /** Duration of a watch; an unresponsive connection is noticed after this time plus the store client's margin. */
 const watchWaitMs = 2000
@@ -29,7 +30,7 @@
   onChange (change: StoreChange): void
   /** All changes up to `revision` have been passed to `onChange`. */
   onRevision? (revision: number): void
-  /** The store is available again after an outage. */
+  /** The store is available again after an outage, or has come back from a copy. */
   onOutageEnded (): void
 }
 
@@ -53,6 +54,8 @@
   lastResponseAtMs = -Infinity
   /** End of the last outage that this node saw. */
   outageEndedAtMs: number | undefined
+  /** Era of the store in which it was listed last, and the time at which this node first read it. */
+  private era: { value: number, sinceMs: number } | undefined
   /** Time at which the last applied feed message was current. */
   private feedCurrentAtMs = -Infinity
 
@@ -74,6 +77,11 @@
     return this.options.clock.nowMs() - Math.max(this.lastResponseAtMs, this.feedCurrentAtMs)
   }
 
+  /** Time for which this node has known the era of `position`. */
+  eraAgeMs (position: number): number {
+    return this.era && eraOf(position) <= this.era.value ? this.options.clock.nowMs() - this.era.sinceMs : 0
+  }
+
   async run (): Promise<void> {
     while (!this.isStopped) {
       if (this.revision !== undefined && this.isFedByLeader) {
@@ -95,6 +103,8 @@
   /** Applies the changes of the leader's feed, unless this node lacks changes before them. */
   onFeed ({ fromRevision, revision, changes }: ChangeRange, ageMs: number): void {
     // Ignores a leader that is behind what this node has read itself.
+    // What the leader has read since the store came back from a copy does not continue what this node knows.
+    if (this.revision !== undefined && eraOf(revision) > eraOf(this.revision)) this.revision = undefined
     if (this.revision === undefined || this.revision < fromRevision || revision < this.revision || this.options.isLeader?.()) return
     this.feedCurrentAtMs = Math.max(this.feedCurrentAtMs, this.options.clock.nowMs() - ageMs)
     if (this.isFedByLeader) this.onAvailable()
@@ -109,6 +119,7 @@
     if (this.revision === undefined) {
       const { items, revision } = await store.list('')
       this.onResponse()
+      this.onEra(eraOf(revision))
       this.revision = revision
       listener.onItems(items)
       listener.onRevision?.(revision)
@@ -117,6 +128,7 @@
     const result = await store.watch('', this.revision, { waitMs: isLeading ? leaderWatchWaitMs : watchWaitMs })
     if (this.isStopped) return
     this.onResponse()
+    if (this.revision === undefined) return
     if (result.kind === 'history-lost') {
       log('warn', 'store history lost', { revision: this.revision })
       this.revision = undefined
@@ -129,6 +141,18 @@
     if (result.changes.length > 0) await sleep(clock, isLeading ? leaderBatchDelayMs : batchDelayMs)
   }
 
+  /** Entries that were written since the copy are missing, as after an outage. */
+  private onEra (value: number): void {
+    if (this.era?.value === value) return
+    const nowMs = this.options.clock.nowMs()
+    if (this.era) {
+      this.options.log('warn', 'store came back from a copy', { era: value, earlier: this.era.value })
+      this.outageEndedAtMs = nowMs
+      this.options.listener.onOutageEnded()
+    }
+    this.era = { value, sinceMs: nowMs }
+  }
+
   private onResponse (): void {
     this.lastResponseAtMs = this.options.clock.nowMs()
     this.onAvailable()
--- a/tests/changeFeed.spec.ts
+++ b/tests/changeFeed.spec.ts
@@ -6,6 +6,7 @@
 import type { StoreChange } from '../src/serving/coordination.js'
 import { FleetSize } from '../src/serving/fleetSize.js'
 import { packChanges, unpackChanges } from '../src/serving/peerMessages.js'
+import { positionOf } from '../src/serving/storePosition.js'
 import { StoreView } from '../src/serving/storeView.js'
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 
@@ -135,6 +136,19 @@
     expect(follower.isFedByLeader).to.equal(false)
   })
 
+  // Guards against a node that misses what changed while the store came back from a copy, because the leader has seen it first.
+  it('reads the store again when the leader has read it in a later era', async () => {
+    const { clock, state, follower, followerStore, seen, join } = pair()
+    await join()
+    const { calls } = followerStore
+    state.revision = positionOf(1, 3)
+    state.items.set('told/config', { key: 'told/config', value: 'new', revision: positionOf(1, 2), leaseId: undefined })
+    follower.onFeed({ fromRevision: state.revision, revision: state.revision, changes: [] }, 0)
+    await clock.advance(1500)
+    expect(followerStore.calls).to.be.above(calls)
+    expect(seen.get('told/config')).to.equal('new')
+  })
+
   it('reports the end of an outage once', async () => {
     const { clock, leaderStore, followerStore, returns, join } = pair()
     await join()
--- a/tests/leadership.spec.ts
+++ b/tests/leadership.spec.ts
@@ -15,6 +15,7 @@
   readonly terms: (number | undefined)[] = []
   fence: number | undefined
   outages = 0
+  isOwnSuccessor = false
 
   constructor (readonly name: string, state: StoreState, clock: VirtualClock, seed: number, cores: number) {
     this.store = new MemoryStore(state)
@@ -29,8 +30,9 @@
       ip: `10.0.0.${seed}`,
       cores,
       minimumLeaseMs: 1000,
-      onOwnLeadership: fence => {
+      onOwnLeadership: (fence, { isOwnSuccessor }) => {
         this.fence = fence
+        this.isOwnSuccessor = isOwnSuccessor
         this.terms.push(fence)
       },
       onLeader: () => {}
@@ -95,9 +97,9 @@
     const { store, terms } = leader!
     const keep = store.keepLease.bind(store)
     const renewed: number[] = []
-    store.keepLease = async leaseId => {
-      const isRenewed = await keep(leaseId)
-      renewed.push(leaseId)
+    store.keepLease = async lease => {
+      const isRenewed = await keep(lease)
+      renewed.push(lease.id)
       if (renewed.length === 1) await sleep(clock, 700)
       return isRenewed
     }
@@ -185,6 +187,58 @@
     expect(leader!.fence).to.equal(undefined)
   })
 
+  describe('with a store that comes back from a copy', () => {
+    it('goes on with a higher fencing token if the key and the lease are in the copy', async () => {
+      const { clock, state, all, leaders } = candidates(3)
+      await clock.advance(3000)
+      const [leader] = leaders()
+      const { fence } = leader!
+      const copy = state.copy()
+      await clock.advance(2000)
+      state.restore(copy)
+      await clock.advance(6000)
+      expect(leaders()).to.deep.equal([leader])
+      expect(leader!.fence).to.be.above(fence!)
+      expect(leader!.isOwnSuccessor).to.equal(true)
+      expect(all.map(({ leadership }) => leadership.leader?.fence)).to.deep.equal(all.map(() => leader!.fence))
+    })
+
+    it('elects a leader with a higher fencing token if the copy has none', async () => {
+      const { clock, state, all, leaders } = candidates(3)
+      const copy = state.copy()
+      await clock.advance(5000)
+      const { fence } = leaders()[0]!
+      state.restore(copy)
+      await clock.advance(3000)
+      expect(leaders()).to.have.length(1)
+      expect(leaders()[0]!.fence).to.be.above(fence!)
+      expect(all.every(({ outages }) => outages === 1)).to.equal(true)
+    })
+
+    // Guards against two leaders whose orders alternate, since no lease separates their terms.
+    it('tells an earlier leader whose key comes back that another one led since', async () => {
+      const { clock, state, all, leaders } = candidates(2)
+      await clock.advance(3000)
+      const [earlier] = leaders()
+      const copy = state.copy()
+      earlier!.store.fault = 'silent'
+      await clock.advance(8000)
+      earlier!.store.fault = 'none'
+      await clock.advance(6000)
+      const [later] = leaders()
+      expect(later).to.not.equal(earlier)
+      state.restore(copy)
+      await clock.advance(3000)
+      expect(leaders()).to.deep.equal([earlier])
+      expect(earlier!.isOwnSuccessor).to.equal(false)
+      expect(earlier!.fence).to.be.above(later!.terms.at(-2) ?? 0)
+      // Its lease came back with the key, and is renewed.
+      await clock.advance(10_000)
+      expect(leaders()).to.deep.equal([earlier])
+      expect(all.every(({ leadership }) => leadership.leader?.node === earlier!.name)).to.equal(true)
+    })
+  })
+
   it('lists the store again when its history was lost', async () => {
     const { clock, state, all, leaders } = candidates(3)
     await clock.advance(3000)
