--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -123,7 +123,8 @@
   // Needed for no request, so an entry without a readable version is good.
   version: z.union([z.string(), z.number()]).transform(String).optional().catch(undefined),
   models: replicasSchema.default([]),
-  // `seq` is not read here: it counts the writes of the entry, unlike the field of this name in an engine's report.
+  // Counts the writes of the entry, unlike the field of this name in an engine's report.
+  seq: z.number().optional().catch(undefined),
   born: z.number().int().optional(),
   at_hand: nearbyWeightsSchema
 })
@@ -172,6 +173,7 @@
     isDraining: backend.state === 'draining',
     softwareVersion: backend.version,
     bornAtMs: backend.born,
+    writes: backend.seq,
     models: replicasOf(backend.models),
     modelsInMemory: backend.at_hand.in_memory.map(withoutVersion),
     modelsOnDisk: backend.at_hand.on_disk.map(withoutVersion)
--- a/src/serving/deployment.ts
+++ b/src/serving/deployment.ts
@@ -101,6 +101,8 @@
   softwareVersion: z.string().optional(),
   /** Start of this incarnation, Unix milliseconds. */
   bornAtMs: z.number().optional(),
+  /** Number of times that this incarnation has written its entry. */
+  writes: z.number().optional(),
   /** Engines only: loaded models with their adapters. */
   models: z.array(loadedModelSchema),
   /** Engines only: models whose weights load faster, from memory or disk. */
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -11,6 +11,7 @@
 const reregistrationMs = 2300
 /** Number of incarnations whose announcement that they are leaving is remembered after their removal. */
 const maxLeavingKept = 4096
+const maxRemovedKept = 4096
 const maxLoggedValueChars = 60
 
 export interface FleetViewOptions {
@@ -36,6 +37,8 @@
   private outageEndedAtMs = -Infinity
   /** Incarnations that announced that they are leaving, oldest first. An entry that comes back does not make them usable. */
   private readonly leavingIncarnations = new Set<string>()
+  /** Writes of the last entries of removed incarnations, oldest first: an entry that comes back with the store from a copy is no newer. */
+  private readonly removedWrites = new Map<string, number>()
 
   constructor (options: FleetViewOptions) {
     this.options = options
@@ -56,8 +59,13 @@
     this.outageEndedAtMs = Math.max(this.outageEndedAtMs, atMs)
   }
 
-  put (entry: BackendEntry): void {
+  /** Takes in an entry. Returns false if this node has known a newer one, or the removal of the incarnation. */
+  put (entry: BackendEntry): boolean {
     const known = this.servers.get(entry.id)
+    if (this.isOutdated(entry, known)) {
+      this.options.log('info', 'older backend entry ignored', { backend: entry.id, writes: entry.writes })
+      return false
+    }
     if (known && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address) {
       if (entry.isDraining && !known.entry.isDraining) this.options.log('info', 'backend server draining', { backend: entry.id })
       known.update(entry)
@@ -71,6 +79,14 @@
       this.options.log('info', 'backend server taken in', { backend: entry.id, service: entry.service, address: entry.address, isRestart: known !== undefined })
     }
     this.notify()
+    return true
+  }
+
+  private isOutdated (entry: BackendEntry, known: BackendServer | undefined): boolean {
+    if (entry.writes === undefined || entry.bornAtMs === undefined) return false
+    if (known?.entry.bornAtMs === entry.bornAtMs && entry.writes < (known.entry.writes ?? 0)) return true
+    const isRemoved = known?.entry.bornAtMs !== entry.bornAtMs || known.removalAtMs <= this.options.clock.nowMs()
+    return isRemoved && entry.writes <= (this.removedWrites.get(incarnationKey(incarnationOf(entry))) ?? -1)
   }
 
   private createServer (entry: BackendEntry, region: string): BackendServer {
@@ -113,10 +129,7 @@
     // Without a start time, a later incarnation could not be told apart.
     if (incarnation[1] === null) return
     this.leavingIncarnations.add(incarnationKey(incarnation))
-    for (const oldest of this.leavingIncarnations) {
-      if (this.leavingIncarnations.size <= maxLeavingKept) break
-      this.leavingIncarnations.delete(oldest)
-    }
+    dropOldest(this.leavingIncarnations, maxLeavingKept)
   }
 
   /** Marks a server as removed; right after a store outage only after the time in which its entry may come back. */
@@ -125,6 +138,9 @@
     if (!server || server.removalAtMs !== Infinity) return
     const nowMs = this.options.clock.nowMs()
     server.removalAtMs = Math.max(nowMs, this.outageEndedAtMs + reregistrationMs)
+    const { entry } = server
+    if (entry.bornAtMs !== undefined && entry.writes !== undefined) this.removedWrites.set(incarnationKey(incarnationOf(entry)), entry.writes)
+    dropOldest(this.removedWrites, maxRemovedKept)
     this.options.log('info', 'backend server entry removed', { backend: id, inMs: Math.round(server.removalAtMs - nowMs) })
     this.notify()
   }
@@ -153,6 +169,14 @@
   }
 }
 
+/** Deletes the oldest keys beyond `mostKeys`. */
+function dropOldest (kept: Set<string> | Map<string, unknown>, mostKeys: number): void {
+  for (const oldest of kept.keys()) {
+    if (kept.size <= mostKeys) return
+    kept.delete(oldest)
+  }
+}
+
 export function incarnationOf ({ id, bornAtMs }: BackendEntry): Incarnation {
   return [id, bornAtMs ?? null]
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -529,9 +529,9 @@
     const known = this.fleet.servers.get(id)
     const before = known?.removalAtMs === Infinity ? routingKey(known.entry) : undefined
     const entry = this.readBackend(key, value)
-    if (entry) this.fleet.put(entry)
+    const isTaken = entry !== undefined && this.fleet.put(entry)
     this.fleet.deleteRemoved()
-    return entry !== undefined && routingKey(entry) !== before
+    return isTaken && routingKey(entry) !== before
   }
 
   private readBackend (key: string, value: string) {
--- a/tests/storeReturn.spec.ts
+++ b/tests/storeReturn.spec.ts
@@ -129,6 +129,23 @@
     expect(await node.get('/b/1'), 'the route is not served').to.equal(200)
   })
 
+  // Guards against requests to a server that had said since the copy that it drains, or had left, and looks ready again (DRAIN).
+  for (const leaves of ['drains', 'has left'] as const) {
+    it(`does not believe an older entry of a server that ${leaves}`, async () => {
+      const node = await startNode()
+      await until(async () => await node.get('/a/1') === 200, 'the server is used')
+      const copy = store.copy()
+      if (leaves === 'drains') beat('i1', 2, 'draining')
+      else store.remove('servers/i1')
+      await until(async () => await node.get('/a/1') === 503, 'the server is not used')
+      await restore(copy, () => store.put('op/config', configOf(5, ['a', 'b'])))
+      await until(async () => await node.get('/b/1') !== 404, 'the store is read again')
+      expect(await node.get('/b/1'), 'the server looks ready').to.equal(503)
+      beat('i1', 3)
+      await until(async () => await node.get('/b/1') === 200, 'a newer entry is believed')
+    })
+  }
+
   // Guards against fencing tokens that fall or are given out twice (ONE, and engines that refuse every order).
   it('does not make fencing tokens fall', async () => {
     const copy = store.copy()
