--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -30,7 +30,7 @@
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
-import { StoredQuarantine } from './storedQuarantine.js'
+import { quarantineKey, StoredQuarantine } from './storedQuarantine.js'
 import { StoreView } from './storeView.js'
 
 /** The load balancer removes a node after two failed checks, one a second; new connections may still be on their way then. */
@@ -188,7 +188,7 @@
       log,
       isLeader: () => this.leadership.isLeader,
       listener: {
-        onItems: items => this.onItems(items),
+        onItems: (items, context) => this.onItems(items, context),
         onChange: change => this.onChange(change),
         onRevision: revision => this.leaderTerm?.onRevision(revision),
         onOutageEnded: () => this.fleet.onOutageEnded(clock.nowMs())
@@ -331,31 +331,35 @@
     return server
   }
 
-  private onItems (items: readonly StoreItem[]): void {
+  private onItems (items: readonly StoreItem[], { isReturn }: { isReturn: boolean }): void {
     const { keys } = this.options.codecs
     const backends = items.filter(({ key }) => key.startsWith(keys.backends)).map(item => this.readBackend(item.key, item.value))
     this.fleet.replaceAll(backends.filter(entry => entry !== undefined))
     this.hasBackends = true
     this.leadership.onItems(items.filter(({ key }) => key.startsWith(keys.own)))
-    for (const item of items) if (!item.key.startsWith(keys.backends)) this.onChange(item)
+    for (const item of items) if (!item.key.startsWith(keys.backends)) this.onChange(item, { isReturn })
+    // What the leader must write again.
+    const present = new Set(items.map(({ key }) => key))
+    for (const key of [this.sizeKey, quarantineKey(keys.own)]) if (!present.has(key)) this.onOwnKey({ key, revision: 0 }, { isReturn })
     this.leaderTerm?.onResync()
   }
 
-  private onChange (change: StoreChange): void {
+  private onChange (change: StoreChange, { isReturn = false } = {}): void {
     const { keys } = this.options.codecs
     if (change.key === keys.deployment && change.value !== undefined) this.onDeployment(change.value)
     else if (change.key.startsWith(keys.backends)) {
       if (!this.onBackend(change)) return
-    } else if (change.key === this.sizeKey) this.onStoredSize(change.value)
-    else if (change.key.startsWith(keys.own)) this.onOwnKey(change)
+    } else if (change.key.startsWith(keys.own)) this.onOwnKey(change, { isReturn })
     this.leaderTerm?.onChange(change)
   }
 
-  private onOwnKey (change: StoreChange): void {
+  /** After a return from a copy, verdicts of this node go before those in the store, which may have been lifted since. */
+  private onOwnKey (change: StoreChange, { isReturn }: { isReturn: boolean }): void {
+    if (change.key === this.sizeKey) return this.onStoredSize(change.value)
     this.leadership.onChange(change)
     const verdicts = this.storedQuarantine.onChange(change)
     if (verdicts instanceof Error) this.options.log('warn', 'stored quarantine ignored', { key: change.key, error: verdicts.message })
-    else if (verdicts) this.quarantine.merge({ ends: [], survivals: [], verdicts, endedTrials: [] }, { isNews: false })
+    else if (verdicts && !isReturn) this.quarantine.merge({ ends: [], survivals: [], verdicts, endedTrials: [] }, { isNews: false })
   }
 
   /** Sends what is new about prompt parts: the leader to all nodes, the others to the leader. */
--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -25,8 +25,8 @@
 const minFeedSleepMs = 20
 
 export interface StoreViewListener {
-  /** Replaces all known items. */
-  onItems (items: readonly StoreItem[]): void
+  /** Replaces all known items. With `isReturn`, the store has come back from a copy, and what this node knows may be newer. */
+  onItems (items: readonly StoreItem[], context: { isReturn: boolean }): void
   onChange (change: StoreChange): void
   /** All changes up to `revision` have been passed to `onChange`. */
   onRevision? (revision: number): void
@@ -119,9 +119,9 @@
     if (this.revision === undefined) {
       const { items, revision } = await store.list('')
       this.onResponse()
-      this.onEra(eraOf(revision))
+      const isReturn = this.enterEra(eraOf(revision))
       this.revision = revision
-      listener.onItems(items)
+      listener.onItems(items, { isReturn })
       listener.onRevision?.(revision)
     }
     const isLeading = isLeader?.() ?? false
@@ -141,16 +141,18 @@
     if (result.changes.length > 0) await sleep(clock, isLeading ? leaderBatchDelayMs : batchDelayMs)
   }
 
-  /** Entries that were written since the copy are missing, as after an outage. */
-  private onEra (value: number): void {
-    if (this.era?.value === value) return
+  /** Returns whether the store has come back from a copy. Entries that were written since the copy are then missing, as after an outage. */
+  private enterEra (value: number): boolean {
+    if (this.era?.value === value) return false
     const nowMs = this.options.clock.nowMs()
+    const isReturn = this.era !== undefined
     if (this.era) {
       this.options.log('warn', 'store came back from a copy', { era: value, earlier: this.era.value })
       this.outageEndedAtMs = nowMs
       this.options.listener.onOutageEnded()
     }
     this.era = { value, sinceMs: nowMs }
+    return isReturn
   }
 
   private onResponse (): void {
--- a/tests/storeReturn.spec.ts
+++ b/tests/storeReturn.spec.ts
@@ -9,6 +9,7 @@
 import { StoreClient } from '../src/platform/storeClient.js'
 import type { ServingSettings } from '../src/serving/settings.js'
 import { ServingNode } from '../src/serving/servingNode.js'
+import { liftWrite } from '../src/serving/storedQuarantine.js'
 import { freePort } from './fixtures/freePort.js'
 import { requestIdOf, responseTo } from './fixtures/requestProxyFixture.js'
 import { StoreStandIn } from './soak/storeStandIn.js'
@@ -60,9 +61,9 @@
     return this.lines.filter(({ event }) => event === 'placement leader is this node').map(({ fields }) => Number(fields.fence))
   }
 
-  get (path: string): Promise<number> {
+  get (path: string, headers: Record<string, string> = {}): Promise<number> {
     return new Promise((resolve, reject) => {
-      httpRequest({ host: this.ip, port: this.clientsPort, path, headers: { host: 'h', 'x-attempt-id': 'id' }, agent: false }, response => {
+      httpRequest({ host: this.ip, port: this.clientsPort, path, headers: { host: 'h', 'x-attempt-id': 'id', ...headers }, agent: false }, response => {
         response.resume()
         response.on('end', () => resolve(response.statusCode!))
       }).on('error', reject).end()
@@ -146,6 +147,41 @@
     })
   }
 
+  const verdict = { parts: ['5c'], ends: 3, firstEndAgeMs: 9000, lastEndAgeMs: 1000, leftMs: 600_000, renewals: 0, hasHistory: false, software: ['s/1'] }
+  const withPart = { 'x-prompt-prefix': 'aa:10,5c:10,e1:10' }
+  const storedVerdicts = () => Buffer.from(store.items.get('teaselrill/quarantine')?.value ?? '', 'base64').toString()
+
+  // Guards against verdicts and counts that nobody writes again, so that a fresh node does not know them.
+  it('writes again what this system had written since the copy', async () => {
+    const copy = store.copy()
+    const node = await startNode()
+    await until(async () => await node.get('/a/1') === 200 && store.items.has('teaselrill/size'), 'a leader')
+    store.put('teaselrill/quarantine', [verdict])
+    await until(async () => await node.get('/a/1', withPart) === 503, 'the part is refused')
+    await restore(copy, () => beat('i1', 2))
+    expect(store.items.has('teaselrill/quarantine')).to.equal(false)
+    await until(() => storedVerdicts().includes('5c'), 'the verdict is written again')
+    await until(() => store.items.has('teaselrill/size'), 'the size is written again')
+    expect(await node.get('/a/1', withPart)).to.equal(503)
+  })
+
+  // Guards against a lifted quarantine that comes back with the store.
+  it('does not bring a verdict back that was lifted since the copy', async () => {
+    const node = await startNode()
+    await until(async () => await node.get('/a/1') === 200, 'a leader')
+    store.put('teaselrill/quarantine', [verdict])
+    await until(async () => await node.get('/a/1', withPart) === 503, 'the part is refused')
+    const copy = store.copy()
+    const { key, value } = liftWrite('teaselrill/', { part: '5c', reason: 'test', author: 'kaja' })
+    store.put(key, JSON.parse(value))
+    await until(() => storedVerdicts() === '[]', 'the lift is carried out')
+    await sleep(2000)
+    await restore(copy, () => store.put('op/config', configOf(5, ['a', 'b'])))
+    await until(async () => await node.get('/b/1') === 200, 'the store is read again')
+    expect(await node.get('/b/1', withPart), 'the verdict is back').to.equal(200)
+    await until(() => storedVerdicts() === '[]', 'the older verdict is replaced')
+  })
+
   // Guards against fencing tokens that fall or are given out twice (ONE, and engines that refuse every order).
   it('does not make fencing tokens fall', async () => {
     const copy = store.copy()
