Soak: forget what a server announced when another process starts under its ID

The trace shows that the case is allowed: the announcement binds the incarnation that made it, which the nodes keep apart by its start. Requests to the same incarnation count as before.

--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -139,6 +139,14 @@
     this.count('answers stopped')
   }
 
+  /** Another process starts under the ID: what the one before said does not bind it. */
+  onReborn (backend: string): void {
+    this.drainingAtMs.delete(backend)
+    for (const notices of [this.leavingAtMs, this.pauses]) {
+      for (const key of notices.keys()) if (key.endsWith(`/${backend}`)) notices.delete(key)
+    }
+  }
+
   onDraining (backend: string): void {
     this.drainingAtMs.set(backend, performance.now())
   }
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -119,6 +119,7 @@
   async takeAddress (backend: BackendStandIn, { isSame }: { isSame: boolean }): Promise<void> {
     const { id, service, models: held } = backend.options
     backend.isBack = isSame
+    if (isSame) this.ledger.onReborn(id)
     await this.addBackend(service, held, { id: isSame ? id : undefined, proxy: backend.proxy })
   }
 
