--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -73,7 +73,7 @@
   /** Time at which the last event was sent to the client. */
   lastEventAtMs: number | undefined
   lastEventId: number | undefined
-  /** Whether the last attempt's stream ended in order after a whole event, and only proof of its end was missing. */
+  /** Whether the last attempt's stream ended in order, or fell silent, after a whole event: its client may have all of it. */
   mayBeAtEnd = false
   /** Reserves a failover target, if there is one. */
   readonly reserveMove: () => Promise<FailoverSearch>
@@ -460,7 +460,8 @@
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
     const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
     if (result.kind === 'done' && isSuccess) this.recordGoneOn()
-    this.forwarder.mayBeAtEnd = result.kind === 'unknown' && result.isEndUnproved === true && this.splitter.remainder.length === 0
+    const mayHaveEnded = result.kind === 'moved' || (result.kind === 'unknown' && result.isEndUnproved === true)
+    this.forwarder.mayBeAtEnd = mayHaveEnded && this.splitter.remainder.length === 0
     this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs, isUnframed: this.head?.endsWithConnection ?? false }
     this.resolve(result)
   }
--- a/tests/unstatedEnds.spec.ts
+++ b/tests/unstatedEnds.spec.ts
@@ -96,6 +96,18 @@
     expect(fixture.received).to.have.length(2)
   })
 
+  // The same where the first engine's end does not arrive.
+  it('are the end when an engine falls silent after the last event and another one brings nothing', async () => {
+    await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 8000 })])
+    const script: Script = (socket, head) => {
+      if (/last-event-id/i.test(head)) socket.end(headOf(head))
+      else socket.write(headOf(head) + events(1, 2))
+    }
+    for (const id of ['a', 'b']) await fixture.addServer(id, script)
+    expect(await fixture.send('id1')).to.include({ status: 200, isComplete: true, events: events(1, 2) })
+    expect(fixture.received).to.have.length(2)
+  })
+
   // Guards against a stream that looks complete because the node is killed while it passes it on: its kernel closes the connection in order.
   it('leave their client inside an event while they last', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
