--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -92,6 +92,14 @@
   await turnNodesAway(world, awayMs)
 }
 
+/** Takes what an engine holds of adapters, so that the leader has orders to give. */
+async function replaceEngine (world: World): Promise<void> {
+  const engine = world.engines[0]
+  if (!engine) return
+  engine.crash()
+  await world.replaceBackend(engine)
+}
+
 /** The leader ends, and a successor that the copy does not know is elected late, so that its fence is far above the copy. */
 async function forgetLeader (world: World): Promise<void> {
   const node = world.nodes.find(({ name }) => name === world.ledger.leader)
@@ -105,10 +113,13 @@
   await returnFromCopy(world, {
     meanwhile: async () => {
       await turnNodesAway(world, electionDelayMs)
+      await replaceEngine(world)
       await sleep(firstOrdersMs)
     },
     awayMs: 0
   })
+  await replaceEngine(world)
+  await sleep(firstOrdersMs)
   world.isForgettingLeader = false
 }
 
