--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -26,10 +26,14 @@
   condition.end(name)
 }
 
+let storeFaults = 0
+
 async function disturbStore (world: World, name: string, action: () => Promise<void>): Promise<void> {
-  world.ledger.store.begin(name)
+  // The end of one fault must not end another of its name that still lasts.
+  const fault = `${name} ${++storeFaults}`
+  world.ledger.store.begin(fault)
   await action()
-  world.ledger.store.end(name)
+  world.ledger.store.end(fault)
 }
 
 const storeIn = (mode: StoreMode): Fault => (world, durationMs) => disturbStore(world, mode, async () => {
