--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -89,6 +89,8 @@
   /** Idle timeout of the server, in milliseconds, if its last response named one. */
   keepAliveMs: number | undefined
   idleSinceMs = 0
+  /** Whether its server seemed unreachable, and nothing has been received on this connection since. */
+  mayBeDead = false
   /** Order from which the process at the other end is known to have been there. */
   processSince = Infinity
   /** IDs of the last requests on this connection, oldest first. */
@@ -235,6 +237,7 @@
   }
 
   private onData (data: Buffer): void {
+    this.mayBeDead = false
     this.options.onBytes()
     // Unsolicited bytes must not be parsed as the next response.
     if (!this.active) return this.fail('bytes arrived without a request')
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -48,26 +48,28 @@
 
   get hasIdle (): boolean {
     this.closeExpired()
-    return this.idle.length > this.evidence.reserved
+    return this.idle.length > 0 && this.unreserved.length > 0
   }
 
-  /**
-   * Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one.
-   * Calls may use the connection that is reserved as evidence: they are short.
-   */
+  /** Idle connections that may carry requests, least recently used first. */
+  private get unreserved (): BackendConnection[] {
+    const { reserved } = this.evidence
+    return this.idle.filter(connection => connection !== reserved)
+  }
+
+  /** Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one. */
   acquire (requestId?: string): BackendConnection {
     this.closeExpired()
-    const isReserved = requestId !== undefined && !this.hasIdle
-    const index = isReserved ? -1 : this.idle.findLastIndex(connection => requestId === undefined || !connection.hasCarried(requestId))
-    const [pooled] = index === -1 ? [] : this.idle.splice(index, 1)
-    if (pooled) return pooled
+    const pooled = this.unreserved.findLast(connection => requestId === undefined || !connection.hasCarried(requestId))
+    if (pooled && this.claim(pooled)) return pooled
     this.closeOldestIdle()
     return this.openConnection()
   }
 
   /** Closes an idle connection in favour of a new one, unless it serves as evidence. */
   private closeOldestIdle (): void {
-    if (this.hasIdle) this.idle.shift()?.destroy()
+    this.closeExpired()
+    this.unreserved[0]?.destroy()
   }
 
   /** Opens a connection in place of the oldest idle one, if any. Resolves with `undefined` if the server does not accept it. */
@@ -122,7 +124,10 @@
     const connection = new BackendConnection({
       address: this.address,
       clock: this.clock,
-      onIdle: idle => { this.idle.push(idle) },
+      onIdle: idle => {
+        this.idle.push(idle)
+        this.closeExpired()
+      },
       onClosed: closed => {
         this.remove(closed)
         onFailed?.()
@@ -136,19 +141,18 @@
     return connection
   }
 
-  /** Closes the idle connections, which may be dead. */
+  /** Closes the idle connections, which may be dead. The one that serves as evidence is closed only when it is no longer needed. */
   closeIdle (): void {
-    for (const connection of this.idle.splice(0)) connection.destroy()
+    for (const connection of this.idle) connection.mayBeDead = true
+    this.closeExpired()
   }
 
   private closeExpired (): void {
+    if (this.idle.length === 0) return
     const nowMs = this.clock.nowMs()
-    while (this.idle.length > 0) {
-      const oldest = this.idle[0]!
-      const limitMs = (oldest.keepAliveMs ?? defaultIdleMs / idleShare) * idleShare
-      if (nowMs - oldest.idleSinceMs < limitMs) return
-      this.idle.shift()
-      oldest.destroy()
+    for (const connection of this.unreserved) {
+      const limitMs = (connection.keepAliveMs ?? defaultIdleMs / idleShare) * idleShare
+      if (connection.mayBeDead || nowMs - connection.idleSinceMs >= limitMs) connection.destroy()
     }
   }
 
@@ -156,5 +160,6 @@
     this.open.delete(connection)
     const index = this.idle.indexOf(connection)
     if (index !== -1) this.idle.splice(index, 1)
+    this.closeExpired()
   }
 }
--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -77,13 +77,14 @@
     return this.sendsUnframed !== false && this.questionOf() !== undefined
   }
 
-  /** Number of idle connections that must not carry requests, since they serve as evidence for those in progress. */
-  get reserved (): number {
-    return this.isWanted && this.isInUse ? 1 : 0
+  /** The idle connection that must not carry requests, since it serves as evidence for those in progress. */
+  get reserved (): BackendConnection | undefined {
+    return this.isWanted && this.isInUse ? this.firstIdle : undefined
   }
 
   private get isInUse (): boolean {
-    return [...this.pool.open].some(({ isBusy }) => isBusy)
+    for (const { isBusy } of this.pool.open) if (isBusy) return true
+    return false
   }
 
   /** Provides for evidence on what is about to be sent on `connection`. It must not be sent before the promise resolves. */
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -12,6 +12,7 @@
 const events = (from: number, last: number) => Array.from({ length: last - from + 1 }, (_, index) => `id: ${from + index}\ndata: t\n\n`).join('')
 const streamHead = (head: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}Content-Type: text/event-stream\r\n\r\n`
 const plainHead = (head: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}\r\n`
+const sleep = (delayMs: number) => new Promise<void>(resolve => setTimeout(resolve, delayMs))
 const answered = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
 describe('answers without a length or chunks', () => {
@@ -127,6 +128,25 @@
     expect(await fixture.send('id1')).to.include({ isComplete: true, events: events(1, 2) })
   })
 
+  // Guards against a node that closes the connection that it needs as evidence: for another one, or because its server seems unreachable.
+  for (const close of ['in favour of a new one', 'of a server that seems unreachable'] as const) {
+    it(`are whole when idle connections are closed meanwhile: ${close}`, async () => {
+      await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
+      await fixture.addServer('a', (socket, head) => {
+        if (requestIdOf(head) === 'id2') return socket.write(responseTo('id2', 'id: 1\ndata: t\n\n'))
+        socket.write(streamHead(head) + events(1, 1))
+        setTimeout(() => socket.end(events(2, 2)), 500)
+      })
+      const server = fixture.fleet.servers.get('a')!
+      const response = fixture.send('id1')
+      await sleep(200)
+      await fixture.send('id2')
+      if (close === 'in favour of a new one') await server.pool.connect()
+      else server.onUnreachable()
+      expect(await response).to.include({ isComplete: true, events: events(1, 2) })
+    })
+  }
+
   it('are whole, and passed on as they came, if they are long', async () => {
     await fixture.start([route({ maxAttempts: 1 })])
     const body = 'x'.repeat(100_000)
