--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -90,6 +90,7 @@
   /** Provides for evidence on what is about to be sent on `connection`. It must not be sent before the promise resolves. */
   prepare (connection: BackendConnection, { isRequest, isRepeatable }: { isRequest: boolean, isRepeatable: boolean }): Promise<void> | undefined {
     if (!this.isWanted && (isRepeatable || !this.questionOf())) return undefined
+    if (this.isWanted) void this.refreshWhileInUse()
     if (this.pool.idle.some(other => other !== connection && other.isConnected)) return undefined
     // Before the server's first response, only a request that would have the only connection gets a second one.
     const isFirst = isRequest && ![...this.pool.open].some(other => other !== connection && other.isConnected)
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -147,6 +147,19 @@
     })
   }
 
+  // Guards against evidence that the server closes as idle before it begins its answer.
+  it('are whole when connections may not be idle until their head comes', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 10_000, objectiveMs: 3000 })])
+    fixture.idleTimeoutMs = 2000
+    await fixture.addServer('a', (socket, head, count) => {
+      if (count === 2) socket.write(responseTo('id2', events(1, 2)))
+      else setTimeout(() => socket.end(streamHead(head) + events(1, 2)), count === 1 ? 0 : 800)
+    })
+    for (const id of ['id1', 'id2']) await fixture.send(id)
+    await sleep(1800)
+    expect(await fixture.send('id3')).to.include({ isComplete: true, events: events(1, 2) })
+  })
+
   it('are whole, and passed on as they came, if they are long', async () => {
     await fixture.start([route({ maxAttempts: 1 })])
     const body = 'x'.repeat(100_000)
