--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -147,7 +147,10 @@
       const witness = this.questionOf() && this.witnessFor(Math.min(...ends.map(({ sentAt }) => sentAt)))
       const provable = witness ? ends.filter(({ sentAt }) => witness.processSince < sentAt) : []
       for (const end of ends) if (!provable.includes(end)) end.resolve(false)
-      if (witness && provable.length > 0 && await this.ask(witness)) for (const end of provable) end.resolve(true)
+      if (!witness || provable.length === 0) continue
+      // The answer may close this connection, and shows that another one leads to the same process.
+      if (this.pool.idle.length === 1 && this.isInUse) await this.openSpareInTime()
+      if (await this.ask(witness)) for (const end of provable) end.resolve(true)
     }
   }
 
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -160,6 +160,18 @@
     expect(await fixture.send('id3')).to.include({ isComplete: true, events: events(1, 2) })
   })
 
+  // Guards against a server that closes the connection with its answer to the question, so that nothing is left for later ends.
+  it('are whole when the server closes connections on which it was asked', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
+    fixture.answerQuestion = socket => { socket.end('HTTP/1.1 200 OK\r\n\r\n') }
+    await fixture.addServer('a', (socket, head, count) => {
+      socket.write(streamHead(head) + events(1, 1))
+      setTimeout(() => socket.end(events(2, 2)), count * 300)
+    })
+    const responses = await Promise.all(['id1', 'id2', 'id3'].map(id => fixture.send(id)))
+    for (const response of responses) expect(response).to.include({ isComplete: true, events: events(1, 2) })
+  })
+
   it('are whole, and passed on as they came, if they are long', async () => {
     await fixture.start([route({ maxAttempts: 1 })])
     const body = 'x'.repeat(100_000)
