--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -5,7 +5,7 @@
 import type { RequestedPause, ResponseMetadata } from './codecs.js'
 import { ConnectionPool } from './connectionPool.js'
 import type { BackendEntry, EngineReport, LoadedModel } from './deployment.js'
-import type { LivenessQuestion } from './processEvidence.js'
+import type { FramingRecord, LivenessQuestion } from './processEvidence.js'
 
 /** Weight of a new sample in the moving averages of failure share and delay. */
 const smoothing = 0.25
@@ -47,6 +47,8 @@
   buffered?: ByteBudget
   /** A call that shows whether the server's process is alive, if its service has one. */
   questionOf?: (entry: BackendEntry) => LivenessQuestion | undefined
+  /** Shared by the servers of a service. */
+  framing?: FramingRecord
 }
 
 /** The placement leader's state of one model on an engine. */
@@ -96,9 +98,9 @@
   private sampledAtMs: number
 
   constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, private readonly options: BackendServerOptions = {}) {
-    const { onOpened, questionOf, buffered = new ByteBudget() } = options
+    const { onOpened, questionOf, buffered = new ByteBudget(), framing } = options
     this.buffered = buffered
-    this.pool = new ConnectionPool({ address: entry.address, clock, onOpened, buffered, questionOf: questionOf && (() => questionOf(this.entry)) })
+    this.pool = new ConnectionPool({ address: entry.address, clock, onOpened, buffered, framing, questionOf: questionOf && (() => questionOf(this.entry)) })
     this.sampledAtMs = clock.nowMs()
     this.applyModels(entry.models)
   }
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../base/clock.js'
 import { BackendConnection } from './backendConnection.js'
 import { ByteBudget } from './byteBudget.js'
-import { ProcessEvidence } from './processEvidence.js'
+import { FramingRecord, ProcessEvidence } from './processEvidence.js'
 import type { LivenessQuestion, WitnessPool } from './processEvidence.js'
 
 /** Idle time after which a connection is not reused if the server does not announce a keep-alive timeout. */
@@ -17,6 +17,8 @@
   onOpened?: (() => void) | undefined
   questionOf?: (() => LivenessQuestion | undefined) | undefined
   buffered?: ByteBudget | undefined
+  /** Shared by the servers of a service. */
+  framing?: FramingRecord | undefined
 }
 
 export class ConnectionPool implements WitnessPool {
@@ -32,10 +34,10 @@
 
   /** Without a question, no response without a length or chunks counts as complete. */
   constructor (
-    { address, clock, onOpened = () => {}, questionOf = () => undefined, buffered = new ByteBudget() }: ConnectionPoolOptions
+    { address, clock, onOpened = () => {}, questionOf = () => undefined, buffered = new ByteBudget(), framing = new FramingRecord(clock) }: ConnectionPoolOptions
   ) {
     this.buffered = buffered
-    this.evidence = new ProcessEvidence({ clock, pool: this, questionOf })
+    this.evidence = new ProcessEvidence({ clock, pool: this, questionOf, framing })
     this.address = address
     this.clock = clock
     this.onOpened = onOpened
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -5,6 +5,7 @@
 import { BackendServer } from './backendServer.js'
 import { ByteBudget } from './byteBudget.js'
 import type { BackendEntry } from './deployment.js'
+import { FramingRecord } from './processEvidence.js'
 import type { LivenessQuestion } from './processEvidence.js'
 
 /** Servers whose entries expired during a store outage write them again within about this time of its end. */
@@ -32,6 +33,7 @@
   readonly buffered = new ByteBudget()
   /** Backend servers that ended without an announcement while they ran requests of this node. */
   exits = 0
+  private readonly framings = new Map<string, FramingRecord>()
   private readonly options: FleetViewOptions
   private readonly listeners = new Set<() => void>()
   private outageEndedAtMs = -Infinity
@@ -93,6 +95,7 @@
     const { clock, log, onConnectionOpened, questionOf } = this.options
     const server: BackendServer = new BackendServer(entry, region, clock, {
       buffered: this.buffered,
+      framing: this.framingOf(entry.service),
       ...(onConnectionOpened ? { onOpened: onConnectionOpened } : {}),
       ...(questionOf ? { questionOf } : {}),
       onLeaving: () => {
@@ -113,6 +116,13 @@
     return server
   }
 
+  private framingOf (service: string): FramingRecord {
+    const known = this.framings.get(service)
+    const framing = known ?? new FramingRecord(this.options.clock)
+    if (!known) this.framings.set(service, framing)
+    return framing
+  }
+
   /** Another node has received the announcement that the incarnation is leaving. */
   onLeaving ([id, bornAtMs]: Incarnation): void {
     this.rememberLeaving([id, bornAtMs])
--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -18,8 +18,10 @@
 /** Share of the server's idle timeout after which it is used, if that is sooner. */
 const refreshShare = 0.5
 const minRefreshPauseMs = 100
-/** Time after the last response without a length or chunks until the server counts as one that sends none. */
+/** Time after the last response without a length or chunks until the servers of its service count as ones that send none. */
 const unframedMemoryMs = 600_000
+/** Successful responses with a length or chunks until they count as ones that send none, if there was none. */
+const minFramedResponses = 20
 
 /** A call that every server answers at once, whatever its state. */
 export interface LivenessQuestion {
@@ -40,6 +42,30 @@
   claim (connection: BackendConnection): boolean
 }
 
+/** Whether the servers of a service send responses without a length or chunks. What one of them does is expected of the others. */
+export class FramingRecord {
+  private lastUnframedAtMs = -Infinity
+  private framedResponses = 0
+
+  constructor (private readonly clock: Clock) {}
+
+  onFramed (): void {
+    this.framedResponses++
+  }
+
+  onUnframed (): void {
+    this.lastUnframedAtMs = this.clock.nowMs()
+  }
+
+  get hasUnframed (): boolean {
+    return this.clock.nowMs() - this.lastUnframedAtMs <= unframedMemoryMs
+  }
+
+  get mayBeUnframed (): boolean {
+    return this.framedResponses < minFramedResponses || this.hasUnframed
+  }
+}
+
 interface PendingEnd {
   /** Order of the request. */
   sentAt: number
@@ -52,16 +78,17 @@
   private readonly questionOf: () => LivenessQuestion | undefined
   /** Number of connections opened and requests sent so far, which orders them. */
   private order = 0
-  /** Whether the server has responded without a length or chunks; `undefined` before its first response. */
-  private sendsUnframed: boolean | undefined
-  private lastUnframedAtMs = -Infinity
+  private readonly framing: FramingRecord
   private spare: Promise<void> | undefined
   private readonly pendingEnds = new Set<PendingEnd>()
   private asked: BackendConnection | undefined
   private isRefreshing = false
 
-  constructor ({ clock, pool, questionOf }: { clock: Clock, pool: WitnessPool, questionOf: () => LivenessQuestion | undefined }) {
+  constructor (
+    { clock, pool, questionOf, framing }: { clock: Clock, pool: WitnessPool, questionOf: () => LivenessQuestion | undefined, framing: FramingRecord }
+  ) {
     this.clock = clock
+    this.framing = framing
     this.pool = pool
     this.questionOf = questionOf
   }
@@ -73,8 +100,7 @@
 
   /** Whether a response without a length or chunks is to be expected. */
   private get isWanted (): boolean {
-    if (this.sendsUnframed && this.clock.nowMs() - this.lastUnframedAtMs > unframedMemoryMs) this.sendsUnframed = false
-    return this.sendsUnframed !== false && this.questionOf() !== undefined
+    return this.framing.mayBeUnframed && this.questionOf() !== undefined
   }
 
   /** The idle connection that must not carry requests, since it serves as evidence for those in progress. */
@@ -92,9 +118,9 @@
     if (!this.isWanted && (isRepeatable || !this.questionOf())) return undefined
     if (this.isWanted) void this.refreshWhileInUse()
     if (this.pool.idle.some(other => other !== connection && other.isConnected)) return undefined
-    // Before the server's first response, only a request that would have the only connection gets a second one.
+    // Before the first response, only a request that would have the only connection gets a second one.
     const isFirst = isRequest && ![...this.pool.open].some(other => other !== connection && other.isConnected)
-    if (this.sendsUnframed === undefined && isRepeatable && !isFirst) return undefined
+    if (!this.framing.hasUnframed && isRepeatable && !isFirst) return undefined
     void this.refreshWhileInUse()
     return this.openSpareInTime()
   }
@@ -117,10 +143,9 @@
       if (other.processSince > connection.processSince && other.processSince < sentAt) other.processSince = connection.processSince
     }
     if (head.endsWithConnection) {
-      this.sendsUnframed = true
-      this.lastUnframedAtMs = this.clock.nowMs()
+      this.framing.onUnframed()
       void this.refreshWhileInUse()
-    } else if (isRequest && head.status >= 200 && head.status < 300) this.sendsUnframed ??= false
+    } else if (isRequest && head.status >= 200 && head.status < 300) this.framing.onFramed()
   }
 
   /** Whether the process to which a request was sent at `sentAt` is alive now. Resolves with false if nothing shows it in time. */
--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -172,6 +172,29 @@
     for (const response of responses) expect(response).to.include({ isComplete: true, events: events(1, 2) })
   })
 
+  // Guards against an answer that is asked for again because its server, or this node's first answers, had lengths.
+  for (const framed of [1, 30]) {
+    it(`are whole at once after ${framed} with a length, if others of the service came without`, async () => {
+      await fixture.start([route({ kind: 'stream', resumable: true })])
+      fixture.idleTimeoutMs = 100
+      await fixture.addServer('b', (socket, head, count) => {
+        if (count <= framed) socket.write(responseTo(requestIdOf(head), events(1, 2)))
+        else socket.end(streamHead(head) + (head.includes('Last-Event-Id') ? '' : events(1, 2)))
+      })
+      await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + (head.includes('Last-Event-Id') ? '' : events(1, 2))) })
+      const sendTo = (server: string, id: string) => {
+        for (const { entry } of fixture.fleet.servers.values()) fixture.fleet.put({ ...entry, isDraining: entry.id !== server })
+        return fixture.send(id)
+      }
+      for (let index = 1; index <= framed; index++) await sendTo('b', `id${index}`)
+      if (framed > 1) await sendTo('a', 'id0')
+      await sleep(200)
+      const earlier = fixture.received.length
+      expect(await sendTo('b', 'id99')).to.include({ isComplete: true, events: events(1, 2) })
+      expect(fixture.received.slice(earlier)).to.have.length(1)
+    })
+  }
+
   it('are whole, and passed on as they came, if they are long', async () => {
     await fixture.start([route({ maxAttempts: 1 })])
     const body = 'x'.repeat(100_000)
