Soak: end the nodes also when a signal ends the soak

A soak that was ended by SIGTERM left its nodes running.

Nodes were ended when the process exits, which a signal skips by default. SIGINT, SIGTERM and SIGHUP now exit. Seen with three nodes: after SIGTERM all three ran on before, none after each of the three signals now.

--- a/tests/soak/nodeProcess.ts
+++ b/tests/soak/nodeProcess.ts
@@ -23,6 +23,8 @@
 /** A node that outlives the soak would call whatever has its store's port later. */
 const children = new Set<ChildProcess>()
 process.once('exit', () => { for (const child of children) child.kill('SIGKILL') })
+// A signal that ends the process by default would skip the line above.
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) process.once(signal, () => process.exit(1))
 
 export interface NodeOptions {
   index: number
