--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -208,6 +208,7 @@
     metrics.gauge('teaselrill_ready', '1 if the node accepts clients', () => this.isReady ? 1 : 0)
     metrics.gauge('teaselrill_config_version', 'Version of the configuration in force', () => this.deployment?.version ?? 0)
     metrics.gauge('teaselrill_store_age_seconds', 'Age of the view of the store, directly or through the leader', () => this.storeView.ageMs / 1000)
+    metrics.gauge('teaselrill_store_era', 'Era of the store to which the view belongs, directly or through the leader; -1 without a view', () => this.storeView.currentEra ?? -1)
     metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.active)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that accept requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -77,6 +77,11 @@
     return this.options.clock.nowMs() - Math.max(this.lastResponseAtMs, this.feedCurrentAtMs)
   }
 
+  /** Era of the store to which this view belongs; `undefined` until the items have been listed. */
+  get currentEra (): number | undefined {
+    return this.revision === undefined ? undefined : eraOf(this.revision)
+  }
+
   /** Time for which this node has known the era of `position`. */
   eraAgeMs (position: number): number {
     return this.era && eraOf(position) <= this.era.value ? this.options.clock.nowMs() - this.era.sinceMs : 0
--- a/tests/storeReturn.spec.ts
+++ b/tests/storeReturn.spec.ts
@@ -8,6 +8,7 @@
 import { codecs } from '../src/platform/httpCodecs.js'
 import { StoreClient } from '../src/platform/storeClient.js'
 import type { ServingSettings } from '../src/serving/settings.js'
+import { ServingMetrics } from '../src/serving/servingMetrics.js'
 import { ServingNode } from '../src/serving/servingNode.js'
 import { liftWrite } from '../src/serving/storedQuarantine.js'
 import { freePort } from './fixtures/freePort.js'
@@ -35,10 +36,12 @@
 class Node {
   readonly lines: { event: string, fields: LogFields }[] = []
   readonly store: StoreClient
+  private readonly metrics: ServingMetrics
   private node: ServingNode | undefined
   private clientsPort = 0
 
   constructor (readonly name: string, private readonly ip: string, storePort: number) {
+    this.metrics = new ServingMetrics(name)
     this.store = new StoreClient(`127.0.0.1:${storePort}`, new SystemClock())
   }
 
@@ -47,7 +50,7 @@
     const settings: ServingSettings = {
       node: this.name, ip: this.ip, availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `${this.ip}:${this.clientsPort}`, readinessAddress: `${this.ip}:${await freePort()}`, peersPort: await freePort(), maxFileDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownTimeoutMs: 1000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000
     }
-    this.node = new ServingNode({ settings, codecs, store: this.store, clock: new SystemClock(), random: new SeededRandom(1), log: (_level, event, fields = {}) => { this.lines.push({ event, fields }) } })
+    this.node = new ServingNode({ settings, metrics: this.metrics, codecs, store: this.store, clock: new SystemClock(), random: new SeededRandom(1), log: (_level, event, fields = {}) => { this.lines.push({ event, fields }) } })
     await this.node.start()
   }
 
@@ -61,6 +64,10 @@
     return this.lines.filter(({ event }) => event === 'placement leader is this node').map(({ fields }) => Number(fields.fence))
   }
 
+  async metric (name: string): Promise<number> {
+    return Number(new RegExp(`^${name}\\{.*\\} (\\S+)`, 'm').exec(await this.metrics.text())?.[1])
+  }
+
   get (path: string, headers: Record<string, string> = {}): Promise<number> {
     return new Promise((resolve, reject) => {
       httpRequest({ host: this.ip, port: this.clientsPort, path, headers: { host: 'h', 'x-attempt-id': 'id', ...headers }, agent: false }, response => {
@@ -130,6 +137,16 @@
     expect(await node.get('/b/1'), 'the route is not served').to.equal(200)
   })
 
+  // Guards against nodes that stay in an earlier era while nothing shows it.
+  it('shows the era that each node has reached', async () => {
+    await Promise.all([startNode(), startNode(1)])
+    const areIn = async (era: number) => (await Promise.all(nodes.map(node => node.metric('teaselrill_store_era')))).every(value => value === era)
+    const era = store.era!
+    await until(() => areIn(era), 'the items are listed')
+    await restore(store.copy(), () => {})
+    await until(() => areIn(era + 1), 'the nodes are in the new era')
+  })
+
   // Guards against requests to a server that had said since the copy that it drains, or had left, and looks ready again (DRAIN).
   for (const leaves of ['drains', 'has left'] as const) {
     it(`does not believe an older entry of a server that ${leaves}`, async () => {
