Soak: allow an order that a link held up until its holder was elected again

The logs show that node-1 gave this order in its earlier term. It led with that fence from 12:00.304 to 12:03.384; its order to i-9 of 12:01.5 had no outcome; it led again with a higher fence from 12:03.686, when the link to i-9 was held up (backendReborn), and gave i-9 no order until 12:05.443. i-9 reported no order at 12:00.418 and one at 12:05.358. The order arrived when the link was released.

An order with a fence that its holder had used before it was elected again, over a link or at a server with a fault since, counts as one of the earlier term.

--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -56,9 +56,14 @@
     if (!isPlanned) this.unplannedAtMs = this.changedAtMs
   }
 
-  /** Whether there has been no fault since `sinceMs` and for the contact time before it. */
+  /** Whether there has been no fault since `sinceMs`. */
+  wasFreeSince (sinceMs: number): boolean {
+    return this.held.size === 0 && this.changedAtMs < sinceMs
+  }
+
+  /** The same, and for the contact time before it. */
   wasCalmSince (sinceMs: number): boolean {
-    return this.held.size === 0 && this.changedAtMs < sinceMs - contactMs
+    return this.wasFreeSince(sinceMs - contactMs)
   }
 
   /** The same, where planned stops count as calm. */
@@ -116,6 +121,9 @@
   /** Node that was elected last. */
   leader: string | undefined
   private readonly fenceAtElection = new Map<string, number>()
+  private readonly electedAtMs = new Map<string, number>()
+  /** Times of the first orders, by `HOLDER/FENCE`. */
+  private readonly firstOrderAtMs = new Map<string, number>()
   private readonly startMs = performance.now()
 
   violation (rule: string, text: string): void {
@@ -235,11 +243,13 @@
   onElected (node: string): void {
     this.leader = node
     this.fenceAtElection.set(node, this.highestFence)
+    this.electedAtMs.set(node, performance.now())
   }
 
   onOrder (backend: string, holder: string, fence: number): void {
     const earlierFence = this.fenceAtElection.get(holder) ?? 0
-    if (fence <= earlierFence) this.violation('ONE', `${holder} orders ${backend} with fence ${fence}, and ${earlierFence} was in use when it was elected`)
+    const isEarlierTerm = this.mayBeOfEarlierTerm(backend, holder, fence)
+    if (fence <= earlierFence && !isEarlierTerm) this.violation('ONE', `${holder} orders ${backend} with fence ${fence}, and ${earlierFence} was in use when it was elected`)
     this.highestFence = Math.max(fence, this.highestFence)
     let holders = this.fences.get(backend)
     if (!holders) this.fences.set(backend, holders = new Map())
@@ -248,6 +258,16 @@
     holders.set(fence, holder)
   }
 
+  /** Whether the holder gave orders with the fence before it was elected again, and a fault may have held this one up since. */
+  private mayBeOfEarlierTerm (backend: string, holder: string, fence: number): boolean {
+    const key = `${holder}/${fence}`
+    const firstAtMs = this.firstOrderAtMs.get(key)
+    if (firstAtMs === undefined) this.firstOrderAtMs.set(key, performance.now())
+    const electedAtMs = this.electedAtMs.get(holder)
+    if (firstAtMs === undefined || electedAtMs === undefined || firstAtMs >= electedAtMs) return false
+    return !(this.backends.get(backend)?.wasFreeSince(electedAtMs) ?? true)
+  }
+
   /** An answer that has begun and ended. */
   onAnswer (id: string, outcome: Outcome, { events, timeoutMs }: { events: number, timeoutMs: number }): void {
     const { status, isComplete, isFramed, headers, body } = outcome
