--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -73,7 +73,7 @@
   /** Time at which the last event was sent to the client. */
   lastEventAtMs: number | undefined
   lastEventId: number | undefined
-  /** Whether the last attempt's stream ended in order, or fell silent, after a whole event: its client may have all of it. */
+  /** Whether the last attempt that brought anything ended in order, or fell silent, after a whole event: its client may have the whole stream. */
   mayBeAtEnd = false
   /** Reserves a failover target, if there is one. */
   readonly reserveMove: () => Promise<FailoverSearch>
@@ -461,7 +461,8 @@
     const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
     if (result.kind === 'done' && isSuccess) this.recordGoneOn()
     const mayHaveEnded = result.kind === 'moved' || (result.kind === 'unknown' && result.isEndUnproved === true)
-    this.forwarder.mayBeAtEnd = mayHaveEnded && this.splitter.remainder.length === 0
+    // An attempt that brought nothing leaves open whether the client has the whole stream.
+    this.forwarder.mayBeAtEnd = this.splitter.remainder.length === 0 && (mayHaveEnded || (this.events === 0 && this.forwarder.mayBeAtEnd))
     this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs, isUnframed: this.head?.endsWithConnection ?? false }
     this.resolve(result)
   }
--- a/tests/unstatedEnds.spec.ts
+++ b/tests/unstatedEnds.spec.ts
@@ -108,6 +108,26 @@
     expect(fixture.received).to.have.length(2)
   })
 
+  // Guards against a whole stream that is broken off because an attempt between its end and the empty run was refused.
+  it('are the end when an engine cannot be shown to live, another one refuses, and the first then brings nothing', async () => {
+    await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 8000 })])
+    let isAnswering = false
+    fixture.answerQuestion = socket => {
+      if (isAnswering) socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+      else socket.destroy()
+    }
+    const refuse: Script = (socket, head) => {
+      isAnswering = true
+      socket.write(`HTTP/1.1 503 Service Unavailable\r\n${signedHeaders(requestIdOf(head), 'X-Not-Executed: 1\r\n')}Content-Length: 0\r\n\r\n`)
+    }
+    await fixture.addServer('a', async (socket, head, count) => {
+      if (count === 1) await fixture.addServer('b', refuse)
+      socket.end(headOf(head) + (count === 1 ? events(1, 2) : ''))
+    })
+    expect(await fixture.send('id1')).to.include({ status: 200, isComplete: true, events: events(1, 2) })
+    expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a', 'b', 'a'])
+  })
+
   // Guards against a stream that looks complete because the node is killed while it passes it on: its kernel closes the connection in order.
   it('leave their client inside an event while they last', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
