Open the second connection before any question in one place

The question at the end of an answer and the regular use of the connection each opened a second connection first, with a condition of their own. `ask` does it for both.

--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -172,10 +172,7 @@
       const witness = this.questionOf() && this.witnessFor(Math.min(...ends.map(({ sentAt }) => sentAt)))
       const provable = witness ? ends.filter(({ sentAt }) => witness.processSince < sentAt) : []
       for (const end of ends) if (!provable.includes(end)) end.resolve(false)
-      if (!witness || provable.length === 0) continue
-      // The answer may close this connection, and shows that another one leads to the same process.
-      if (this.pool.idle.length === 1 && this.isInUse) await this.openSpareInTime()
-      if (await this.ask(witness)) for (const end of provable) end.resolve(true)
+      if (witness && provable.length > 0 && await this.ask(witness)) for (const end of provable) end.resolve(true)
     }
   }
 
@@ -191,7 +188,10 @@
 
   private async ask (witness: BackendConnection): Promise<boolean> {
     const question = this.questionOf()
-    if (!question || this.asked || !this.pool.claim(witness)) return false
+    if (!question || this.asked) return false
+    // The answer may close this connection, and shows that another one leads to the same process.
+    if (this.pool.idle.length === 1 && this.isInUse) await this.openSpareInTime()
+    if (this.asked || !this.pool.claim(witness)) return false
     this.asked = witness
     const isAnswered = await witness.ask(question, { timeoutMs: answerTimeoutMs })
     this.asked = undefined
@@ -207,8 +207,6 @@
       const periodMs = Math.min(refreshMs, (witness?.keepAliveMs ?? Infinity) * refreshShare)
       const idleMs = witness ? this.clock.nowMs() - witness.idleSinceMs : 0
       if (witness && !this.asked && idleMs >= periodMs) {
-        // The answer shows that another connection leads to the same process, in case the server closes this one after it.
-        if (this.pool.idle.length === 1) await this.openSpareInTime()
         await this.ask(witness)
         void this.askForEnds()
       }
