--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -107,9 +107,9 @@
 
   /** Applies the changes of the leader's feed, unless this node lacks changes before them. */
   onFeed ({ fromRevision, revision, changes }: ChangeRange, ageMs: number): void {
-    // Ignores a leader that is behind what this node has read itself.
     // What the leader has read since the store came back from a copy does not continue what this node knows.
     if (this.revision !== undefined && eraOf(revision) > eraOf(this.revision)) this.revision = undefined
+    // Ignores a leader that is behind what this node has read itself.
     if (this.revision === undefined || this.revision < fromRevision || revision < this.revision || this.options.isLeader?.()) return
     this.feedCurrentAtMs = Math.max(this.feedCurrentAtMs, this.options.clock.nowMs() - ageMs)
     if (this.isFedByLeader) this.onAvailable()
