Tests: one piece for the framing of answers, their heads and events

Whether a response has a length or chunks, and a stream without the node's comments, were written out in the proxy's fixture, the soak's clients and a test; the head and events of a stream, and the answer to a liveness question, in two or three tests each. They are in tests/fixtures now. Two tests had a sleep of their own beside node:timers/promises.

--- a/tests/answerEnds.spec.ts
+++ b/tests/answerEnds.spec.ts
@@ -1,19 +1,16 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
 import { UnknownOutcomeError } from '../src/base/errors.js'
 import { HttpCaller } from '../src/external/httpCall.js'
 import { HttpService } from '../src/external/httpService.js'
 import { maxUnframedBytes } from '../src/serving/clientExchange.js'
-import { requestIdOf, RequestProxyFixture, responseTo, route, signedHeaders } from './fixtures/requestProxyFixture.js'
+import { aliveAnswer, events, requestIdOf, RequestProxyFixture, responseTo, route, signedHeaders, streamHead } from './fixtures/requestProxyFixture.js'
 import type { Script } from './fixtures/requestProxyFixture.js'
 
-const events = (from: number, last: number) => Array.from({ length: last - from + 1 }, (_, index) => `id: ${from + index}\ndata: t\n\n`).join('')
-const streamHead = (head: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}Content-Type: text/event-stream\r\n\r\n`
 const plainHead = (head: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}\r\n`
-const sleep = (delayMs: number) => new Promise<void>(resolve => setTimeout(resolve, delayMs))
-const answered = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
 describe('answers without a length or chunks', () => {
   let fixture: RequestProxyFixture
@@ -74,7 +71,7 @@
   // Guards against an answer that is broken off because of a cut that its server outlived.
   it('are whole when the question about their server is answered late', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 5000 })])
-    fixture.answerQuestion = socket => { setTimeout(() => socket.write(answered), 1200) }
+    fixture.answerQuestion = socket => { setTimeout(() => socket.write(aliveAnswer), 1200) }
     await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + events(1, 2)) })
     expect(await fixture.send('id1')).to.include({ isComplete: true, events: events(1, 2) })
   })
--- a/tests/brokenAnswers.spec.ts
+++ b/tests/brokenAnswers.spec.ts
@@ -1,12 +1,11 @@
 import type { Socket } from 'node:net'
 import { expect } from 'chai'
-import { chunk, requestIdOf, RequestProxyFixture, responseTo, route, signedHeaders } from './fixtures/requestProxyFixture.js'
+import { chunk, requestIdOf, RequestProxyFixture, responseTo, route, signedHeaders, streamHead } from './fixtures/requestProxyFixture.js'
 import type { Script } from './fixtures/requestProxyFixture.js'
 
 const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`
 const events = (from: number, last: number) => Array.from({ length: last - from + 1 }, (_, index) => event(from + index)).join('')
 const firstEventOf = (head: string) => Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? 0) + 1
-const streamHead = (head: string, framing: string) => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}Content-Type: text/event-stream\r\n${framing}\r\n`
 const resumable = () => route({ kind: 'stream', resumable: true })
 const lastEvent = 6
 
--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -1,6 +1,7 @@
 /** Clients that keep their connections to a node for as long as it keeps them. */
 
 import { Agent, request as httpRequest } from 'node:http'
+import { isFramed, withoutComments } from '../fixtures/framing.js'
 import { streamEvents } from './backendStandIn.js'
 import type { Kind, Ledger, Outcome } from './ledger.js'
 import type { NodeProcess } from './nodeProcess.js'
@@ -58,7 +59,7 @@
         hasAnswer = true
         let text = ''
         let lastPartAtMs = performance.now()
-        const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
+        const hasFraming = isFramed(response.headers)
         response.setEncoding('utf8')
         response.on('data', (data: string) => {
           text += data
@@ -66,10 +67,10 @@
         })
         response.on('error', () => {})
         response.on('close', () => {
-          const body = isFramed ? text : text.replaceAll(/^:\n\n/gm, '')
+          const body = hasFraming ? text : withoutComments(text)
           // Without a length or chunks, Node.js counts a response as complete, whatever ends its connection.
-          const isInsideEvent = !isFramed && kind === 'stream' && response.statusCode === 200 && body !== '' && !body.endsWith('\n\n')
-          finish({ status: response.statusCode!, isComplete: response.complete && !hasFailed && !isInsideEvent, isFramed, headers: response.headers, body: isInsideEvent ? body.replace(/:$/, '') : body, silentMs: performance.now() - lastPartAtMs })
+          const isInsideEvent = !hasFraming && kind === 'stream' && response.statusCode === 200 && body !== '' && !body.endsWith('\n\n')
+          finish({ status: response.statusCode!, isComplete: response.complete && !hasFailed && !isInsideEvent, isFramed: hasFraming, headers: response.headers, body: isInsideEvent ? body.replace(/:$/, '') : body, silentMs: performance.now() - lastPartAtMs })
         })
       })
       // A socket whose connection is refused is not connecting any more either.
--- a/tests/storeReturn.spec.ts
+++ b/tests/storeReturn.spec.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Server } from 'node:net'
 import { request as httpRequest } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
 import type { LogFields } from '../src/base/log.js'
@@ -23,8 +24,6 @@
   limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
 })
 
-const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
-
 async function until (condition: () => unknown, what: string): Promise<void> {
   for (let tries = 0; tries < 400; tries++) {
     if (await condition()) return
--- a/tests/unstatedEnds.spec.ts
+++ b/tests/unstatedEnds.spec.ts
@@ -1,15 +1,14 @@
 import { once } from 'node:events'
 import { expect } from 'chai'
 import { Stream } from 'openai/streaming'
-import { chunk, requestIdOf, RequestProxyFixture, route, signedHeaders } from './fixtures/requestProxyFixture.js'
+import { isFramed } from './fixtures/framing.js'
+import { aliveAnswer, chunk, events, requestIdOf, RequestProxyFixture, route, signedHeaders, streamHead } from './fixtures/requestProxyFixture.js'
 import type { ClientResponse, Script } from './fixtures/requestProxyFixture.js'
 
-const events = (from: number, last: number) => Array.from({ length: last - from + 1 }, (_, index) => `id: ${from + index}\ndata: t\n\n`).join('')
-const headOf = (head: string, extra = '') => `HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head))}Content-Type: text/event-stream\r\n${extra}\r\n`
-const chunkedHead = (head: string) => headOf(head, 'Transfer-Encoding: chunked\r\n')
+const chunkedHead = (head: string) => streamHead(head, 'Transfer-Encoding: chunked\r\n')
 
 /** Whether the response has a length or chunks, and all of it has arrived. */
-const isStatedComplete = ({ isComplete, headers }: ClientResponse) => isComplete && (headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined)
+const isStatedComplete = ({ isComplete, headers }: ClientResponse) => isComplete && isFramed(headers)
 
 describe('answers whose end no server stated', () => {
   let fixture: RequestProxyFixture
@@ -19,7 +18,7 @@
   // Guards against a last chunk on a stream whose engine lives and closed the connection in order before its end.
   it('get no last chunk when a stream stops between two events', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
-    await fixture.addServer('a', (socket, head) => { socket.end(headOf(head) + events(1, 2)) })
+    await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + events(1, 2)) })
     const response = await fixture.send('id1')
     expect(isStatedComplete(response), 'the stream is framed as complete').to.equal(false)
     expect(response).to.include({ status: 200, isComplete: true, events: events(1, 2) })
@@ -28,7 +27,7 @@
   // The same before the first event: nothing has been sent yet, so the client can still get a failure.
   it('become a failure when a stream stops after its head', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
-    await fixture.addServer('a', (socket, head) => { socket.end(headOf(head)) })
+    await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head)) })
     const response = await fixture.send('id1')
     expect(isStatedComplete(response) && response.status === 200, 'the stream is framed as complete').to.equal(false)
     expect(response.status).to.equal(502)
@@ -48,9 +47,9 @@
     await fixture.start([route({ kind: 'stream', resumable: true })])
     await fixture.addServer('a', (socket, head, count) => {
       if (count === 1) socket.write(chunkedHead(head) + chunk(events(1, 2)), () => socket.destroy())
-      else socket.end(headOf(head) + (count === 2 ? events(3, 3) : ''))
+      else socket.end(streamHead(head) + (count === 2 ? events(3, 3) : ''))
     })
-    await fixture.addServer('b', (socket, head) => { socket.end(headOf(head) + events(3, 3)) })
+    await fixture.addServer('b', (socket, head) => { socket.end(streamHead(head) + events(3, 3)) })
     const response = await fixture.send('id1')
     expect(isStatedComplete(response), 'the joined stream is framed as complete').to.equal(false)
     expect(response.body).to.equal(events(1, 3))
@@ -63,7 +62,7 @@
       const script: Script = (socket, head) => {
         const last = /last-event-id: (\d+)/i.exec(head)?.[1]
         if (last === undefined) socket.write(chunkedHead(head) + chunk(events(1, 2)), () => socket.destroy())
-        else if (last === '2') socket.end(headOf(head) + events(2, 3))
+        else if (last === '2') socket.end(streamHead(head) + events(2, 3))
         else socket.write(`${chunkedHead(head)}${left === '' ? '' : chunk(left)}0\r\n\r\n`)
       }
       for (const id of ['a', 'b']) await fixture.addServer(id, script)
@@ -76,8 +75,8 @@
   it('are not taken for the end when the run that continues a stream brings nothing', async () => {
     await fixture.start([route({ kind: 'stream', resumable: true })])
     const script: Script = (socket, head) => {
-      if (/last-event-id/i.test(head)) socket.end(headOf(head))
-      else socket.write(headOf(head) + events(1, 2), () => setTimeout(() => socket.resetAndDestroy(), 20))
+      if (/last-event-id/i.test(head)) socket.end(streamHead(head))
+      else socket.write(streamHead(head) + events(1, 2), () => setTimeout(() => socket.resetAndDestroy(), 20))
     }
     for (const id of ['a', 'b']) await fixture.addServer(id, script)
     expect(await fixture.send('id1')).to.include({ isComplete: false, events: `${events(1, 2)}:` })
@@ -87,10 +86,10 @@
   it('are the end when an engine ends in order, cannot be shown to live, and then brings nothing', async () => {
     await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 5000 })])
     let isAnswering = false
-    fixture.answerQuestion = socket => { if (isAnswering) socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n') }
+    fixture.answerQuestion = socket => { if (isAnswering) socket.write(aliveAnswer) }
     await fixture.addServer('a', (socket, head) => {
       isAnswering = /last-event-id/i.test(head)
-      socket.end(headOf(head) + (isAnswering ? '' : events(1, 2)))
+      socket.end(streamHead(head) + (isAnswering ? '' : events(1, 2)))
     })
     expect(await fixture.send('id1')).to.include({ status: 200, isComplete: true, events: events(1, 2) })
     expect(fixture.received).to.have.length(2)
@@ -100,8 +99,8 @@
   it('are the end when an engine falls silent after the last event and another one brings nothing', async () => {
     await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 8000 })])
     const script: Script = (socket, head) => {
-      if (/last-event-id/i.test(head)) socket.end(headOf(head))
-      else socket.write(headOf(head) + events(1, 2))
+      if (/last-event-id/i.test(head)) socket.end(streamHead(head))
+      else socket.write(streamHead(head) + events(1, 2))
     }
     for (const id of ['a', 'b']) await fixture.addServer(id, script)
     expect(await fixture.send('id1')).to.include({ status: 200, isComplete: true, events: events(1, 2) })
@@ -113,7 +112,7 @@
     await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 8000 })])
     let isAnswering = false
     fixture.answerQuestion = socket => {
-      if (isAnswering) socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+      if (isAnswering) socket.write(aliveAnswer)
       else socket.destroy()
     }
     const refuse: Script = (socket, head) => {
@@ -122,7 +121,7 @@
     }
     await fixture.addServer('a', async (socket, head, count) => {
       if (count === 1) await fixture.addServer('b', refuse)
-      socket.end(headOf(head) + (count === 1 ? events(1, 2) : ''))
+      socket.end(streamHead(head) + (count === 1 ? events(1, 2) : ''))
     })
     expect(await fixture.send('id1')).to.include({ status: 200, isComplete: true, events: events(1, 2) })
     expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a', 'b', 'a'])
@@ -133,7 +132,7 @@
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
     let continued = (_text: string) => {}
     await fixture.addServer('a', (socket, head) => {
-      socket.write(headOf(head) + events(1, 1))
+      socket.write(streamHead(head) + events(1, 1))
       continued = text => { socket.end(text) }
     })
     const { socket, text } = fixture.connect()
@@ -149,7 +148,7 @@
   it('are read as they were sent by an OpenAI client', async () => {
     await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
     const parts = ['{"n":1}', '{"n":2}', '[DONE]']
-    await fixture.addServer('a', (socket, head) => { socket.end(headOf(head) + parts.map((part, index) => `id: ${index + 1}\ndata: ${part}\n\n`).join('')) })
+    await fixture.addServer('a', (socket, head) => { socket.end(streamHead(head) + parts.map((part, index) => `id: ${index + 1}\ndata: ${part}\n\n`).join('')) })
     const { body } = await fixture.send('id1')
     const read: unknown[] = []
     for await (const part of Stream.fromSSEResponse(new Response(body), new AbortController())) read.push(part)
