Serving: move client connections and server selection out of the request proxy

Open client requests move to clientRequests.ts, the choice of a server for an attempt to serverSelection.ts; behaviour is unchanged.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -1,24 +1,23 @@
 /** Accepts client requests, forwards each to a backend server and returns the response. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import { match } from 'ts-pattern'
 import { sleep } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
-import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, DispatchDecision, PromptPart } from '../policy/dispatcher.js'
 import { requestIdentity } from '../policy/partEvidence.js'
-import { hasGoneOn, trialPollMs } from '../policy/partQuarantine.js'
-import type { PartCheck, PartQuarantine, SuspectCheck, Verdict } from '../policy/partQuarantine.js'
+import { hasGoneOn } from '../policy/partQuarantine.js'
+import type { PartQuarantine, SuspectCheck, Verdict } from '../policy/partQuarantine.js'
 import { RetryBudget } from '../policy/retry.js'
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
 import { softwareOf } from './backendServer.js'
 import type { BackendServer } from './backendServer.js'
 import { readBody, ResponseWriter } from './clientExchange.js'
+import { ClientRequests } from './clientRequests.js'
 import type { Codecs, RequestMetadata } from './codecs.js'
 import type { Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
@@ -30,6 +29,8 @@
 import type { ModelDemand } from './modelDemand.js'
 import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
+import { identified, maxServers, ServerSelection, waitPollMs } from './serverSelection.js'
+import type { Progress, Selection } from './serverSelection.js'
 
 /** Usual time until a backend server starts its response; a request with less time left is not sent. */
 const minimumAttemptMs = 20
@@ -43,8 +44,6 @@
 const plainRequestsPerLogLine = 100
 /** Event-loop delay from which requests count as read late: their clients may have left before. */
 const lateReadMs = 100
-/** Interval at which a waiting request looks for an engine again. */
-const waitPollMs = 25
 const maxLoggedParts = 16
 const maxLoggedPartChars = 40
 /** The same for requests that can no longer meet their objective, so that the others are dispatched first. */
@@ -53,11 +52,6 @@
 const failoverRetryMs = 120
 /** Share of the fleet's retry budget that the nodes use: each node counts in its own window, so the sum can exceed the budget. */
 const retryBudgetShare = 0.7
-/** Share of a backend server's connections that the nodes use; the rest is for the old connections of restarted nodes, which stay open for a while. */
-const connectionShare = 0.9
-const minimumConnections = 4
-/** A server with a larger recent share of failures on this node is excluded from dispatch, whatever the other nodes observe. */
-const failingShare = 0.35
 /** A request is not sent again after so many engines have ended when they began to answer it. */
 const maxEndsPerRequest = 2
 /** A cut request does not wait longer for the check whether its server has ended; a refused connection takes one round trip. */
@@ -106,39 +100,6 @@
   deadlineAtMs: number
 }
 
-/** A client request whose response is not complete. */
-interface OpenRequest {
-  requestId: string | undefined
-  arrivedAtMs: number
-  response: ServerResponse
-  /** Whether the client asked for a persistent connection. */
-  isKeepAlive: boolean
-  /** Resolves when the response is complete or the connection is closed. */
-  finished: Promise<void>
-  end: () => void
-}
-
-interface ClientConnection {
-  /** In order of arrival. */
-  open: Set<OpenRequest>
-  /** Value of `socket.bytesRead` when the last response was completed. */
-  bytesReadAtLastResponse: number | undefined
-}
-
-interface Progress {
-  /** Attempts in which a server may have received the request. */
-  sends: number
-  waitedMs: number
-  tried: Set<string>
-  /** Tried servers that rejected the request without running it or were unresponsive, with the time from which they may be tried again. */
-  retryableFromMs: Map<string, number>
-  /** Whether the last server reported that it is not the expected server or does not hold the model. */
-  wasMisdirected: boolean
-  /** Engines that ended before or when they began to answer. */
-  ends: number
-  attempts: AttemptTrace[]
-}
-
 type Search =
   | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined }
   /** With `verdict`, the request has prompt parts in quarantine. */
@@ -148,21 +109,11 @@
 /** Requests whose answer has not started are not sent on a node that is about to end. */
 const shuttingDown: Search = { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
 
-interface Selection {
-  server: BackendServer | undefined
-  chosenBy: AttemptTrace['chosenBy']
-  /** Time until the next search if there is no server. */
-  waitMs: number
-  /** ID of the trial as which the request may be sent. */
-  trial?: string | undefined
-  /** What keeps a request with these prompt parts from being sent now. */
-  heldBy?: Exclude<PartCheck, { kind: 'clear' }>
-}
-
 export class RequestProxy {
   private readonly options: RequestProxyOptions
   private readonly clock: Clock
   private readonly calls: EngineClient
+  private readonly selection: ServerSelection
   private deployment: Deployment | undefined
   private routes = new RouteTable([])
   private services = new Map<string, Service>()
@@ -172,15 +123,15 @@
   private isEnding = false
   private readonly forwarders = new Set<RequestForwarder>()
   private plainRequests = 0
-  private readonly open = new Set<OpenRequest>()
-  private readonly connections = new WeakMap<Socket, ClientConnection>()
-  /** Requests received since the start. */
-  arrivals = 0
+  /** Requests of clients whose responses are not complete. */
+  readonly clients: ClientRequests
 
   constructor (options: RequestProxyOptions) {
     this.options = options
     this.clock = options.clock
     this.calls = new EngineClient(options.clock, options.codecs)
+    this.clients = new ClientRequests(options.clock, options.log)
+    this.selection = new ServerSelection(options)
   }
 
   setDeployment (deployment: Deployment): void {
@@ -189,15 +140,10 @@
     this.services = new Map(deployment.services.map(service => [service.name, service]))
   }
 
-  /** Number of requests whose response is not complete. */
-  get active (): number {
-    return this.open.size
-  }
-
   /** Adds `Connection: close` to every response that has not started yet. */
   closeConnections (): void {
     this.isClosing = true
-    for (const open of this.open) this.announceClose(open)
+    this.clients.announceCloseToAll()
   }
 
   /** Answers a client's request. An error in this program is logged and answered with 502, which promises nothing. */
@@ -217,15 +163,15 @@
     const arrivedAtMs = this.clock.nowMs()
     const { socket } = request
     const metadata = this.options.codecs.readRequest(request.headers)
-    const earlier = this.latestRequestOn(socket)
-    const open = this.register(request, response, metadata.requestId)
+    const earlier = this.clients.latestOn(socket)
+    const open = this.clients.register(request, response, metadata.requestId)
     if (earlier) {
       // The earlier response must not close the connection any more, unless its head has been sent.
       if (!earlier.response.headersSent) earlier.response.shouldKeepAlive = earlier.isKeepAlive
       await earlier.finished
     }
-    if (this.discardIfClosed(socket, open)) return
-    if (this.isClosing) this.announceClose(open)
+    if (this.clients.discardIfClosed(socket, open)) return
+    if (this.isClosing) this.clients.announceClose(open)
     const writer = new ResponseWriter(request, response)
     const { deployment } = this
     if (this.isRefusing) return writer.sendError(503, 'this node is shutting down', 0)
@@ -244,7 +190,7 @@
     if ((this.options.loopDelayMs?.() ?? Infinity) > lateReadMs) {
       // The request may have been sent long ago. Whether its client has closed the connection since is read after it.
       await ioTurn()
-      if (this.discardIfClosed(socket, open)) return
+      if (this.clients.discardIfClosed(socket, open)) return
     }
     const service = this.services.get(serviceOf(route, metadata.requestId ?? ''))
     if (!service) return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
@@ -254,14 +200,6 @@
     await this.serve({ metadata, route, service, method, path, rawHeaders: request.rawHeaders, body, identity, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
   }
 
-  /** Discards a request whose response could not be written any more, so that it is not forwarded. Returns whether it did. */
-  private discardIfClosed (socket: Socket, open: OpenRequest): boolean {
-    if (!socket.writableEnded && !socket.destroyed) return false
-    this.options.log('info', 'request discarded: client connection closed', { request: open.requestId })
-    open.end()
-    return true
-  }
-
   /** Rejects all further requests, and waiting ones whose response has not started: they could not be finished before the shutdown. */
   refuseRequests (): void {
     this.isRefusing = true
@@ -273,59 +211,6 @@
     for (const forwarder of this.forwarders) forwarder.abandon('this node is shutting down')
   }
 
-  /** Logs every request whose connection is about to be closed before its response is complete. */
-  logUnfinishedRequests (): void {
-    for (const { requestId, arrivedAtMs, response } of this.open) {
-      this.options.log('warn', 'connection closed before the end of an answer', {
-        request: requestId, ageMs: Math.round(this.clock.nowMs() - arrivedAtMs), hasBegun: response.headersSent
-      })
-    }
-  }
-
-  private register ({ socket }: IncomingMessage, response: ServerResponse, requestId: string | undefined): OpenRequest {
-    this.arrivals++
-    const connection = this.connectionOf(socket)
-    let onFinished = () => {}
-    const finished = new Promise<void>(resolve => { onFinished = resolve })
-    const end = () => {
-      this.open.delete(open)
-      connection.open.delete(open)
-      connection.bytesReadAtLastResponse = socket.bytesRead
-      onFinished()
-    }
-    const open = { requestId, arrivedAtMs: this.clock.nowMs(), response, isKeepAlive: response.shouldKeepAlive, finished, end }
-    this.open.add(open)
-    connection.open.add(open)
-    response.once('close', end)
-    return open
-  }
-
-  /** Whether the connection has served requests, all responses are complete, and no byte has been received since. */
-  isIdle (socket: Socket): boolean {
-    const connection = this.connections.get(socket)
-    return connection !== undefined && connection.open.size === 0 && connection.bytesReadAtLastResponse === socket.bytesRead
-  }
-
-  private connectionOf (socket: Socket): ClientConnection {
-    const existing = this.connections.get(socket)
-    if (existing) return existing
-    const connection: ClientConnection = { open: new Set(), bytesReadAtLastResponse: undefined }
-    this.connections.set(socket, connection)
-    // Node.js does not emit `close` on the response to a pipelined request while it waits behind another one.
-    socket.once('close', () => { for (const { end } of [...connection.open]) end() })
-    return connection
-  }
-
-  private latestRequestOn (socket: Socket): OpenRequest | undefined {
-    return [...this.connectionOf(socket).open].at(-1)
-  }
-
-  /** Adds `Connection: close` to the response, unless it has started or a later request arrived on the connection. */
-  private announceClose (open: OpenRequest): void {
-    const { response } = open
-    if (!response.headersSent && this.latestRequestOn(response.req.socket) === open) response.shouldKeepAlive = false
-  }
-
   private async serve (request: ProxiedRequest, writer: ResponseWriter): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
@@ -373,13 +258,13 @@
   private async reserveFailover (request: ProxiedRequest, progress: Progress): Promise<FailoverSearch> {
     const budget = this.budgetOf(request.service.name)
     const isInTime = () => this.clock.nowMs() <= request.deadlineAtMs - minimumAttemptMs
-    const isUnsuspected = () => this.options.quarantine.check(this.evidenceParts(request)).kind === 'clear'
-    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.chooseLocally(request, progress) !== undefined
+    const isUnsuspected = () => this.options.quarantine.check(this.selection.evidenceParts(request)).kind === 'clear'
+    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.selection.chooseLocally(request, progress) !== undefined
     if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
-    const { server, chosenBy, waitMs, trial } = await this.selectServer(request, progress, { isFirst: false, isLate: false })
+    const { server, chosenBy, waitMs, trial } = await this.selection.select(request, progress, { isFirst: false, isLate: false })
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     // Several dispatch replies that arrive together may name the same free slot, so capacity is checked again.
-    const reservation = server && this.availableServers(request).includes(server) && await this.reserve(request, server)
+    const reservation = server && this.selection.availableServers(request).includes(server) && await this.reserve(request, server)
     if (!reservation) {
       budget.returnRetry()
       return { kind: 'none', retryAfterMs: Math.max(failoverRetryMs, waitMs) }
@@ -405,7 +290,7 @@
       chosenBy,
       running: server.running,
       runningElsewhere: server.runningElsewhere,
-      alternatives: this.availableServers(request).length - 1,
+      alternatives: this.selection.availableServers(request).length - 1,
       result: 'in progress'
     }
     progress.attempts.push(trace)
@@ -486,17 +371,10 @@
     this.finish(request, forwarder, progress, { outcome: result?.kind ?? 'refused', status: writer.response.statusCode, reason: search?.reason ?? reasonOf(result) })
   }
 
-  /** Time until the first server that could run the request wants requests from this node; 0 if one does or none exists. */
-  private pauseLeftMs (request: ProxiedRequest): number {
-    const { model, adapter } = request.metadata
-    const servers = this.options.fleet.ofService(request.service.name).filter(server => server.isPresent && server.serves(model, adapter))
-    return servers.length === 0 ? 0 : Math.min(...servers.map(server => server.pauseLeftMs))
-  }
-
   /** Limits `wantedMs` so that the client has enough time left for its retry. A pause that all servers requested is stated as it is. */
   private retryAfterMs (request: ProxiedRequest, wantedMs: number): number {
     const leftMs = Math.max(0, (request.metadata.deadlineMs ?? request.route.timeoutMs) - (this.clock.nowMs() - request.arrivedAtMs))
-    return Math.max(this.pauseLeftMs(request), Math.min(wantedMs, leftMs * maxRetryAfterShare))
+    return Math.max(this.selection.pauseLeftMs(request), Math.min(wantedMs, leftMs * maxRetryAfterShare))
   }
 
   /** Finds the best server for the request; waits while its model is being loaded or all engines are full. */
@@ -515,7 +393,7 @@
     request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { isRetry, startedAtMs }: { isRetry: boolean, startedAtMs: number }
   ): Promise<Search> {
     if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
-    let selection = await this.selectServer(request, progress, { isFirst: !isRetry, isLate: false })
+    let selection = await this.selection.select(request, progress, { isFirst: !isRetry, isLate: false })
     if (forwarder.hasClientLeft) return this.leaveWith(selection)
     if (selection.server) return foundBy(selection.server, selection)
     if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
@@ -555,7 +433,7 @@
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
         await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.waitForChange(waitPollMs))
         if (forwarder.hasClientLeft) return { kind: 'left' }
-        selection = await this.selectServer(request, progress, { isFirst: false, isLate })
+        selection = await this.selection.select(request, progress, { isFirst: false, isLate })
         if (forwarder.hasClientLeft) return this.leaveWith(selection)
         if (selection.server) return foundBy(selection.server, selection)
         if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
@@ -577,111 +455,6 @@
     return { kind: 'refused', reason, retryAfterMs: Math.max(0, untilMs - this.clock.nowMs()), verdict }
   }
 
-  /** Servers that may be tried next. */
-  private candidates (request: ProxiedRequest, progress: Progress): BackendServer[] {
-    const { sends, tried, retryableFromMs } = progress
-    const availableServers = this.availableServers(request)
-    const untried = sends < maxServers(request, progress) ? availableServers.filter(({ entry }) => !tried.has(entry.id)) : []
-    if (untried.length > 0) return untried
-    // A server that rejected the request may have free capacity again, and an unresponsive one may have recovered. A server that failed is not tried twice.
-    const nowMs = this.clock.nowMs()
-    return availableServers.filter(({ entry }) => nowMs >= (retryableFromMs.get(entry.id) ?? Infinity))
-  }
-
-  /** Selects a server by the leader's dispatch decision, or locally if there is none. */
-  private async selectServer (
-    request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
-  ): Promise<Selection> {
-    const { quarantine } = this.options
-    const early = quarantine.check(this.evidenceParts(request))
-    if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
-    // The leader measures the demand for a model by these requests, also while no engine holds it.
-    const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
-    const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
-    const trial = decision?.kind === 'engine' ? decision.trial : undefined
-    // Meanwhile a verdict may have been made.
-    const check = quarantine.check(this.evidenceParts(request))
-    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
-    if (check.kind === 'refused') {
-      if (trial !== undefined) quarantine.endTrial(trial)
-      return { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy }
-    }
-    if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: decision.forMs, ...heldBy }
-    // Meanwhile the server may have been removed, or its last free connection may be in use.
-    const chosen = decision && this.candidates(request, progress).find(({ entry }) => entry.id === decision.id)
-    if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
-    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial }
-    const server = this.chooseLocally(request, progress)
-    if (!server && trial !== undefined) quarantine.endTrial(trial)
-    return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
-  }
-
-  /** A trial without a leader that grants it. */
-  private selectForOwnTrial (request: ProxiedRequest, progress: Progress, check: SuspectCheck): Selection {
-    const { quarantine } = this.options
-    const held = { server: undefined, chosenBy: 'node', waitMs: trialPollMs, heldBy: check } as const
-    const server = this.options.mayTryAlone(check) ? this.chooseLocally(request, progress) : undefined
-    const trial = server && quarantine.beginTrial(check)
-    return trial ? { server, chosenBy: 'node', waitMs: trialPollMs, trial: trial.id } : held
-  }
-
-  private dispatchRequestOf (
-    request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
-  ): DispatchRequest | undefined {
-    const { metadata, route, service } = request
-    const { model, adapter, promptTokens, sharedParts } = metadata
-    if (model === undefined || !service.engine) return undefined
-    const { region, availabilityZone } = this.options.settings
-    const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
-    const candidates = new Set(this.candidates(request, progress).map(({ entry }) => entry.id))
-    const tried = [...progress.tried].filter(id => !candidates.has(id))
-    const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
-    const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
-    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
-  }
-
-  private chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
-    const { settings } = this.options
-    const candidates = this.candidates(request, progress)
-    if (candidates.length === 0) return undefined
-    const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
-    const scored = candidates.map(server => ({
-      id: server.entry.id,
-      region: server.region,
-      availabilityZone: server.entry.availabilityZone,
-      slots: server.entry.slots,
-      running: server.running + server.runningElsewhere,
-      pendingTokens: server.pendingTokens,
-      failureShare: server.failureShare,
-      excessDelayMs: server.smoothedDelayMs - baselineMs,
-      server
-    }))
-    return chooseBackend(scored, {
-      region: settings.region,
-      availabilityZone: settings.availabilityZone,
-      affinityKey: request.metadata.sharedParts.at(-1)?.id,
-      isEngine: request.service.engine !== undefined
-    })?.server
-  }
-
-  /** Servers that can accept the request now. */
-  private availableServers (request: ProxiedRequest): BackendServer[] {
-    const { model, adapter } = request.metadata
-    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) &&
-      this.hasConnection(request, server) && hasCapacity(request, server))
-  }
-
-  /** Whether there is an idle connection, or one may be opened within this node's share of the server's connections. */
-  private hasConnection (request: ProxiedRequest, server: BackendServer): boolean {
-    const share = Math.max(minimumConnections, Math.floor(request.service.maxConnections * connectionShare / Math.max(1, this.options.nodeCount())))
-    return server.pool.openCount < share || server.pool.hasIdle
-  }
-
-  /** What evidence may concern: the identity of the request, while there is any evidence, and the shared parts of its prompt. */
-  private evidenceParts (request: ProxiedRequest): readonly Pick<PromptPart, 'id'>[] {
-    return this.options.quarantine.hasEvidence ? identified(request) : request.metadata.sharedParts
-  }
-
   private budgetOf (service: string): RetryBudget {
     let budget = this.budgets.get(service)
     if (!budget) {
@@ -742,22 +515,6 @@
   }
 }
 
-/** Maximum number of servers that may be tried. A server that turned out not to hold the model does not count. */
-function maxServers ({ route }: ProxiedRequest, { wasMisdirected }: Progress): number {
-  return route.maxAttempts + (wasMisdirected ? 1 : 0)
-}
-
-/** Whether the server can start the request soon: engines queue requests beyond their batch, where clients would time out. */
-function hasCapacity ({ service, route }: ProxiedRequest, server: BackendServer): boolean {
-  if (!service.engine) return true
-  return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
-}
-
-/** Identity of the request, and the shared parts of its prompt. */
-function identified ({ identity, metadata: { sharedParts } }: ProxiedRequest): Pick<PromptPart, 'id'>[] {
-  return [{ id: identity() }, ...sharedParts]
-}
-
 /** Calls `compute` at the first call and returns its result at each. */
 function once<T> (compute: () => T): () => T {
   let result: { value: T } | undefined
--- /dev/null
+++ b/src/serving/serverSelection.ts
@@ -0,0 +1,182 @@
+/** Selects the backend server for each attempt of a request: by the placement leader's dispatch decision, or by this node. */
+
+import { batchShare, chooseBackend } from '../policy/engineChoice.js'
+import type { DispatchRequest, PromptPart } from '../policy/dispatcher.js'
+import { trialPollMs } from '../policy/partQuarantine.js'
+import type { PartCheck, SuspectCheck } from '../policy/partQuarantine.js'
+import type { BackendServer } from './backendServer.js'
+import type { ProxiedRequest, RequestProxyOptions } from './requestProxy.js'
+import type { AttemptTrace } from './requestRecord.js'
+
+/** Interval at which a waiting request looks for an engine again. */
+export const waitPollMs = 25
+/** Share of a backend server's connections that the nodes use; the rest is for the old connections of restarted nodes, which stay open for a while. */
+const connectionShare = 0.9
+const minimumConnections = 4
+/** A server with a larger recent share of failures on this node is excluded from dispatch, whatever the other nodes observe. */
+const failingShare = 0.35
+
+/** What is known of a request's attempts so far. */
+export interface Progress {
+  /** Attempts in which a server may have received the request. */
+  sends: number
+  waitedMs: number
+  tried: Set<string>
+  /** Tried servers that rejected the request without running it or were unresponsive, with the time from which they may be tried again. */
+  retryableFromMs: Map<string, number>
+  /** Whether the last server reported that it is not the expected server or does not hold the model. */
+  wasMisdirected: boolean
+  /** Engines that ended before or when they began to answer. */
+  ends: number
+  attempts: AttemptTrace[]
+}
+
+/** A server for the next attempt, or the time until the next search. */
+export interface Selection {
+  server: BackendServer | undefined
+  chosenBy: AttemptTrace['chosenBy']
+  /** Time until the next search if there is no server. */
+  waitMs: number
+  /** ID of the trial as which the request may be sent. */
+  trial?: string | undefined
+  /** What keeps a request with these prompt parts from being sent now. */
+  heldBy?: Exclude<PartCheck, { kind: 'clear' }>
+}
+
+export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch'>
+
+export class ServerSelection {
+  private readonly options: ServerSelectionOptions
+
+  constructor (options: ServerSelectionOptions) {
+    this.options = options
+  }
+
+  /** Servers that may be tried next. */
+  candidates (request: ProxiedRequest, progress: Progress): BackendServer[] {
+    const { sends, tried, retryableFromMs } = progress
+    const availableServers = this.availableServers(request)
+    const untried = sends < maxServers(request, progress) ? availableServers.filter(({ entry }) => !tried.has(entry.id)) : []
+    if (untried.length > 0) return untried
+    // A server that rejected the request may have free capacity again, and an unresponsive one may have recovered. A server that failed is not tried twice.
+    const nowMs = this.options.clock.nowMs()
+    return availableServers.filter(({ entry }) => nowMs >= (retryableFromMs.get(entry.id) ?? Infinity))
+  }
+
+  /** Selects a server by the leader's dispatch decision, or locally if there is none. */
+  async select (
+    request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
+  ): Promise<Selection> {
+    const { quarantine } = this.options
+    const early = quarantine.check(this.evidenceParts(request))
+    if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
+    // The leader measures the demand for a model by these requests, also while no engine holds it.
+    const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
+    const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
+    const trial = decision?.kind === 'engine' ? decision.trial : undefined
+    // Meanwhile a verdict may have been made.
+    const check = quarantine.check(this.evidenceParts(request))
+    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
+    if (check.kind === 'refused') {
+      if (trial !== undefined) quarantine.endTrial(trial)
+      return { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy }
+    }
+    if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: decision.forMs, ...heldBy }
+    // Meanwhile the server may have been removed, or its last free connection may be in use.
+    const chosen = decision && this.candidates(request, progress).find(({ entry }) => entry.id === decision.id)
+    if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
+    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial }
+    const server = this.chooseLocally(request, progress)
+    if (!server && trial !== undefined) quarantine.endTrial(trial)
+    return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
+  }
+
+  /** A trial without a leader that grants it. */
+  private selectForOwnTrial (request: ProxiedRequest, progress: Progress, check: SuspectCheck): Selection {
+    const { quarantine } = this.options
+    const held = { server: undefined, chosenBy: 'node', waitMs: trialPollMs, heldBy: check } as const
+    const server = this.options.mayTryAlone(check) ? this.chooseLocally(request, progress) : undefined
+    const trial = server && quarantine.beginTrial(check)
+    return trial ? { server, chosenBy: 'node', waitMs: trialPollMs, trial: trial.id } : held
+  }
+
+  private dispatchRequestOf (
+    request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
+  ): DispatchRequest | undefined {
+    const { metadata, route, service } = request
+    const { model, adapter, promptTokens, sharedParts } = metadata
+    if (model === undefined || !service.engine) return undefined
+    const { region, availabilityZone } = this.options.settings
+    const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
+    const candidates = new Set(this.candidates(request, progress).map(({ entry }) => entry.id))
+    const tried = [...progress.tried].filter(id => !candidates.has(id))
+    const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
+    const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
+    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
+  }
+
+  chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
+    const { settings } = this.options
+    const candidates = this.candidates(request, progress)
+    if (candidates.length === 0) return undefined
+    const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
+    const scored = candidates.map(server => ({
+      id: server.entry.id,
+      region: server.region,
+      availabilityZone: server.entry.availabilityZone,
+      slots: server.entry.slots,
+      running: server.running + server.runningElsewhere,
+      pendingTokens: server.pendingTokens,
+      failureShare: server.failureShare,
+      excessDelayMs: server.smoothedDelayMs - baselineMs,
+      server
+    }))
+    return chooseBackend(scored, {
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+      affinityKey: request.metadata.sharedParts.at(-1)?.id,
+      isEngine: request.service.engine !== undefined
+    })?.server
+  }
+
+  /** Servers that can accept the request now. */
+  availableServers (request: ProxiedRequest): BackendServer[] {
+    const { model, adapter } = request.metadata
+    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) &&
+      this.hasConnection(request, server) && hasCapacity(request, server))
+  }
+
+  /** Whether there is an idle connection, or one may be opened within this node's share of the server's connections. */
+  private hasConnection (request: ProxiedRequest, server: BackendServer): boolean {
+    const share = Math.max(minimumConnections, Math.floor(request.service.maxConnections * connectionShare / Math.max(1, this.options.nodeCount())))
+    return server.pool.openCount < share || server.pool.hasIdle
+  }
+
+  /** What evidence may concern: the identity of the request, while there is any evidence, and the shared parts of its prompt. */
+  evidenceParts (request: ProxiedRequest): readonly Pick<PromptPart, 'id'>[] {
+    return this.options.quarantine.hasEvidence ? identified(request) : request.metadata.sharedParts
+  }
+
+  /** Time until the first server that could run the request wants requests from this node; 0 if one does or none exists. */
+  pauseLeftMs (request: ProxiedRequest): number {
+    const { model, adapter } = request.metadata
+    const servers = this.options.fleet.ofService(request.service.name).filter(server => server.isPresent && server.serves(model, adapter))
+    return servers.length === 0 ? 0 : Math.min(...servers.map(server => server.pauseLeftMs))
+  }
+}
+
+/** Maximum number of servers that may be tried. A server that turned out not to hold the model does not count. */
+export function maxServers ({ route }: ProxiedRequest, { wasMisdirected }: Progress): number {
+  return route.maxAttempts + (wasMisdirected ? 1 : 0)
+}
+
+/** Whether the server can start the request soon: engines queue requests beyond their batch, where clients would time out. */
+function hasCapacity ({ service, route }: ProxiedRequest, server: BackendServer): boolean {
+  if (!service.engine) return true
+  return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
+}
+
+/** Identity of the request, and the shared parts of its prompt. */
+export function identified ({ identity, metadata: { sharedParts } }: ProxiedRequest): Pick<PromptPart, 'id'>[] {
+  return [{ id: identity() }, ...sharedParts]
+}
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -209,7 +209,7 @@
     metrics.gauge('teaselrill_config_version', 'Version of the configuration in force', () => this.deployment?.version ?? 0)
     metrics.gauge('teaselrill_store_age_seconds', 'Age of the view of the store, directly or through the leader', () => this.storeView.ageMs / 1000)
     metrics.gauge('teaselrill_store_era', 'Era of the store to which the view belongs, directly or through the leader; -1 without a view', () => this.storeView.currentEra ?? -1)
-    metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.active)
+    metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.clients.active)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that accept requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
     metrics.gauge('teaselrill_backends_leaving', 'Backend servers that announced in a response that they are leaving', () => this.fleet.leaving.length)
@@ -244,7 +244,7 @@
     // The platform counts from its signal, which a delayed process notices late.
     const endAtMs = startedAtMs - this.loopDelay.currentMs + settings.shutdownTimeoutMs - shutdownMarginMs
     log('info', 'shutdown begins', {
-      connections: this.sockets.size, inProgress: this.requestProxy.active, loopDelayMs: Math.round(this.loopDelay.recentMs), endsAfterMs: Math.round(endAtMs - startedAtMs)
+      connections: this.sockets.size, inProgress: this.requestProxy.clients.active, loopDelayMs: Math.round(this.loopDelay.recentMs), endsAfterMs: Math.round(endAtMs - startedAtMs)
     })
     this.isStopping = true
     this.leadership.stop()
@@ -257,15 +257,15 @@
     const closed = this.closeIdle()
     this.requestProxy.refuseRequests()
     log('info', 'clients no longer taken', { ...lastRead, afterMs: Math.round(elapsedMs()), closed })
-    while (this.requestProxy.active > 0 && clock.nowMs() < endAtMs) {
+    while (this.requestProxy.clients.active > 0 && clock.nowMs() < endAtMs) {
       await sleep(clock, shutdownPollMs)
       lastRead = await this.readWhatArrived(Math.max(shutdownPollMs, Math.min(finalReadLimits.maxMs, endAtMs - clock.nowMs())))
       this.closeIdle()
     }
     this.requestProxy.abandonRequests()
     await sleep(clock, finalAnswersMs)
-    log('info', 'requests in progress at the end', { count: this.requestProxy.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
-    this.requestProxy.logUnfinishedRequests()
+    log('info', 'requests in progress at the end', { count: this.requestProxy.clients.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
+    this.requestProxy.clients.logUnfinished()
     this.storeView.stop()
     this.cancelReports()
     this.cancelParts?.()
@@ -285,12 +285,12 @@
   private async closeUnlessRead (socket: Socket): Promise<void> {
     const { bytesRead } = socket
     await readUntilQuiet(this.options.clock, () => socket.bytesRead, finalReadLimits)
-    if (socket.bytesRead === bytesRead && this.requestProxy.isIdle(socket)) socket.destroy()
+    if (socket.bytesRead === bytesRead && this.requestProxy.clients.isIdle(socket)) socket.destroy()
   }
 
   /** Closes idle connections. Returns their number. */
   private closeIdle (): number {
-    const idle = [...this.sockets].filter(socket => !socket.destroyed && this.requestProxy.isIdle(socket))
+    const idle = [...this.sockets].filter(socket => !socket.destroyed && this.requestProxy.clients.isIdle(socket))
     for (const socket of idle) socket.destroy()
     return idle.length
   }
@@ -298,7 +298,7 @@
   /** Reads data that has arrived at the clients' sockets, since a late timer runs before they are read. Close connections in the same event-loop iteration. */
   private async readWhatArrived (maxMs = finalReadLimits.maxMs): Promise<Record<string, number | boolean>> {
     const { clock } = this.options
-    const [taken, read] = [this.connectionsAccepted, this.requestProxy.arrivals]
+    const [taken, read] = [this.connectionsAccepted, this.requestProxy.clients.arrivals]
     const progress = () => [...this.sockets].reduce((sum, { bytesRead }) => sum + bytesRead, this.connectionsAccepted + this.closedBytes)
     const { rounds, durationMs, isQuiet } = await readUntilQuiet(clock, progress, { ...finalReadLimits, maxMs })
     return {
@@ -306,8 +306,8 @@
       durationMs: Math.round(durationMs),
       isQuiet,
       connectionsTaken: this.connectionsAccepted - taken,
-      requestsRead: this.requestProxy.arrivals - read,
-      inProgress: this.requestProxy.active,
+      requestsRead: this.requestProxy.clients.arrivals - read,
+      inProgress: this.requestProxy.clients.active,
       loopDelayMs: Math.round(this.loopDelay.recentMs)
     }
   }
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -671,7 +671,7 @@
     await until(() => fixture.received.length > 0, 'the first request')
     socket.write(requestText('id2'))
     await until(() => text().includes('for id1') && text().includes('for id2'), 'both responses')
-    await until(() => fixture.proxy.active === 0, 'the end of both requests')
+    await until(() => fixture.proxy.clients.active === 0, 'the end of both requests')
   })
 
   it('does not forward a request sent after a response with Connection: close has started', async () => {
@@ -683,7 +683,7 @@
     await until(() => text().includes('data: t2'), 'the first response')
     socket.write(requestText('id2'))
     await until(() => text().endsWith('0\r\n\r\n') && socket.readableEnded, 'the end of the connection')
-    await until(() => fixture.proxy.active === 0, 'the end of both requests')
+    await until(() => fixture.proxy.clients.active === 0, 'the end of both requests')
     expect(fixture.received).to.have.length(1)
   })
 
@@ -693,7 +693,7 @@
     const { socket, text } = fixture.connect()
     socket.write(requestText('id1') + requestText('id2'))
     await until(() => text().endsWith('part') && socket.readableEnded, 'the end of the connection')
-    await until(() => fixture.proxy.active === 0, 'the end of both requests')
+    await until(() => fixture.proxy.clients.active === 0, 'the end of both requests')
     expect(fixture.received).to.have.length(1)
   })
 
