--- a/src/gateway/identify.ts
+++ b/src/gateway/identify.ts
@@ -1,15 +1,11 @@
 /** Finds the customer of a request from its API key. */
 
-import { createHash, timingSafeEqual } from 'node:crypto'
+import { timingSafeEqual } from 'node:crypto'
 import type { FleetConfig } from '../config/fleetConfig.js'
+import { hashKey } from '../policy/accountKeys.js'
 import type { Filter } from './exchange.js'
 import { ProblemError } from './problem.js'
 
-/** SHA-256 of an API key, in hex, as the fleet configuration stores it. */
-export function hashApiKey (apiKey: string): string {
-  return createHash('sha256').update(apiKey).digest('hex')
-}
-
 /** The customer whose key has the hash `apiKeySha256`. The time taken does not depend on how much of a hash matches. */
 export function findCustomer (config: FleetConfig, apiKeySha256: string): string | undefined {
   const wanted = Buffer.from(apiKeySha256, 'hex')
@@ -27,7 +23,7 @@
     if (scheme?.toLowerCase() !== 'bearer' || !apiKey) {
       throw new ProblemError(401, 'unauthorized', 'not-run', 'send the API key as "Authorization: Bearer KEY"')
     }
-    exchange.customer = findCustomer(config(), hashApiKey(apiKey))
+    exchange.customer = findCustomer(config(), hashKey(apiKey))
     if (!exchange.customer) throw new ProblemError(401, 'unauthorized', 'not-run', 'the API key is not known')
     exchange.trace.add('identify', `customer ${exchange.customer}`)
     await next()
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -26,13 +26,16 @@
   region: z.string(),
   port_range: z.tuple([z.number().int(), z.number().int()]),
   zones: z.record(z.string(), z.string()),
+  // Parts of the platform's rules that are in force.
+  contracts: z.array(z.string()).default([]),
   listen: z.object({ front: addressSchema, ready: addressSchema }),
   limits: z.object({
     max_fds: positive.default(4100),
+    memory_mb: positive.default(350),
     cpu_share: positive.default(1),
     // A speed factor of the CPU, not a number of CPUs.
     cores: positive.default(1)
-  }).default({ max_fds: 4100, cpu_share: 1, cores: 1 }),
+  }).default({ max_fds: 4100, memory_mb: 350, cpu_share: 1, cores: 1 }),
   bounds: z.object({
     grace_s: positive.default(8),
     budget_ratio: z.number().default(0.2),
@@ -40,7 +43,9 @@
     budget_slack: z.number().default(50),
     fence_required: z.boolean().default(false),
     lease_ms: positive.default(3000),
-    ceiling_window_s: positive.default(5)
+    ceiling_window_s: positive.default(5),
+    revoke_strict: z.boolean().default(false),
+    revoke_ms: positive.default(5000)
   }),
   platform: z.object({ address: addressSchema, ttl_min_ms: positive.default(1000) })
 })
@@ -80,6 +85,9 @@
     // Commands of successive placement leaders to one engine must be further apart than a lease.
     holderGapMs: bounds.lease_ms,
     // The platform tolerates some loads beyond the rate. They are not used, so that loads of the previous placement leader fit in.
-    loadWindowMs: bounds.ceiling_window_s * 1000
+    loadWindowMs: bounds.ceiling_window_s * 1000,
+    sharesServers: own.contracts.includes('pool'),
+    keyRemovalMs: bounds.revoke_strict ? bounds.revoke_ms : undefined,
+    memoryMb: limits.memory_mb
   }
 }
--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -1,7 +1,8 @@
 /** Schemas of the JSON that the platform's operator and backend servers write, decoded into this project's types. */
 
 import { z } from 'zod'
-import type { BackendEntry, Deployment, EngineReport, RequestKind } from '../serving/deployment.js'
+import { hashKey } from '../policy/accountKeys.js'
+import type { Account, AccountQuota, BackendEntry, Deployment, EngineReport, RequestKind } from '../serving/deployment.js'
 
 /** Largest port number. */
 const maxPort = 65_535
@@ -32,7 +33,8 @@
   split: z.array(z.object({ service: z.string(), weight: z.number().min(0) })).optional(),
   max_attempts: z.number().int().min(1).optional(),
   resumable: z.boolean().optional(),
-  gap_target_ms: z.number().positive().nullish()
+  gap_target_ms: z.number().positive().nullish(),
+  public: z.boolean().optional()
 }).transform(route => ({
   name: route.name,
   host: route.host,
@@ -44,7 +46,8 @@
   targets: route.split?.length ? route.split.filter(target => target.weight > 0) : [{ service: route.service ?? '', weight: 1 }],
   maxAttempts: route.max_attempts ?? 1,
   resumable: route.resumable ?? false,
-  gapObjectiveMs: route.gap_target_ms ?? undefined
+  gapObjectiveMs: route.gap_target_ms ?? undefined,
+  isPublic: route.public ?? false
 }))
 
 const modelSchema = z.object({
@@ -94,6 +97,23 @@
   engine: engineSchema.nullish()
 }).transform(service => ({ name: service.name, maxConnections: service.max_conns, healthPath: service.health_path, engine: service.engine ?? undefined }))
 
+const tenantSchema = z.object({
+  name: z.string(),
+  keys: z.array(z.string()).default([]),
+  priority: z.number().int().min(0).nullish(),
+  unit: z.string().nullish(),
+  plain_tokens: z.number().min(0).nullish(),
+  // 0 or absent: no limit.
+  rate_per_s: z.number().min(0).nullish(),
+  burst: z.number().min(0).nullish()
+}).transform((tenant): Account => {
+  const perSecond = tenant.rate_per_s ?? 0
+  const quota: AccountQuota | undefined = perSecond > 0
+    ? { unit: tenant.unit === 'token_count' ? 'tokens' : 'requests', perSecond, burst: tenant.burst || perSecond, plainTokens: tenant.plain_tokens ?? 0 }
+    : undefined
+  return { name: tenant.name, keyHashes: tenant.keys.map(hashKey), rank: tenant.priority ?? undefined, quota }
+})
+
 const configSchema = z.object({
   version: z.number().int(),
   routes: z.array(routeSchema),
@@ -108,8 +128,9 @@
     maxBodyBytes: limits.max_body_bytes,
     headerTimeoutMs: limits.header_timeout_ms,
     idleTimeoutMs: limits.idle_timeout_ms
-  }))
-})
+  })),
+  tenants: z.array(tenantSchema).nullish()
+}).transform(({ tenants, ...config }) => ({ ...config, accounts: tenants ?? undefined }))
 
 const replicasSchema = z.array(z.object({ name: z.string(), adapters: z.array(z.string()).default([]) }))
 const nearbyWeightsSchema = z.object({ in_memory: z.array(z.string()).default([]), on_disk: z.array(z.string()).default([]) }).default({ in_memory: [], on_disk: [] })
--- a/src/prove/world.ts
+++ b/src/prove/world.ts
@@ -6,7 +6,7 @@
 import { silentLog } from '../base/log.js'
 import { randomChoice, randomInt, SeededRandom } from '../base/random.js'
 import { configKey } from '../config/proposal.js'
-import { hashApiKey } from '../gateway/identify.js'
+import { hashKey } from '../policy/accountKeys.js'
 import { NodeCore } from '../gateway/nodeCore.js'
 import type { NodeCoreOptions } from '../gateway/nodeCore.js'
 import type { Vm } from '../external/vmList.js'
@@ -72,7 +72,7 @@
 [rank.browsing]
 patienceMs = 20s
 
-${Object.entries(apiKeys).map(([rank, key]) => `[customer.${rank}-customer]\napiKeySha256 = ${hashApiKey(key)}\nrank = ${rank}\n`).join('\n')}
+${Object.entries(apiKeys).map(([rank, key]) => `[customer.${rank}-customer]\napiKeySha256 = ${hashKey(key)}\nrank = ${rank}\n`).join('\n')}
 ${modelNames.map(name => `[model.${name}]\npool = main\nversion = ${versions[name] ?? '1'}\nmemoryBytes = ${modelBytes}\n`).join('\n')}
 ${adapterNames.map((name, index) => `[adapter.${name}]\nbaseModel = m${index % 5}\nmemoryBytes = ${adapterBytes}\n`).join('\n')}
 [service.orders]
--- a/src/serving/deployment.ts
+++ b/src/serving/deployment.ts
@@ -25,7 +25,9 @@
   maxAttempts: z.number().int().min(1),
   resumable: z.boolean(),
   /** Longest pause between stream events within the objective. */
-  gapObjectiveMs: z.number().positive().optional()
+  gapObjectiveMs: z.number().positive().optional(),
+  /** Whether requests need no key although the deployment has accounts. */
+  isPublic: z.boolean().default(false)
 })
 export type Route = z.infer<typeof routeSchema>
 
@@ -74,11 +76,35 @@
 })
 export type ClientLimits = z.infer<typeof clientLimitsSchema>
 
+/** Limit on what all nodes together run for an account, as a token bucket. */
+export const accountQuotaSchema = z.object({
+  /** What `perSecond`, `burst` and the cost of a request are counted in. */
+  unit: z.enum(['tokens', 'requests']),
+  perSecond: z.number().positive(),
+  burst: z.number().positive(),
+  /** Cost of a request that states no token counts, if the unit is tokens. */
+  plainTokens: z.number().min(0)
+})
+export type AccountQuota = z.infer<typeof accountQuotaSchema>
+
+/** A client account. */
+export const accountSchema = z.object({
+  name: z.string(),
+  /** SHA-256 of the account's keys, in hex. */
+  keyHashes: z.array(z.string()),
+  /** Rank of the account's requests; absent if the routes decide. */
+  rank: z.number().int().min(0).optional(),
+  quota: accountQuotaSchema.optional()
+})
+export type Account = z.infer<typeof accountSchema>
+
 export const deploymentSchema = z.object({
   version: z.number().int(),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
-  limits: clientLimitsSchema
+  limits: clientLimitsSchema,
+  /** Absent if requests need no keys. */
+  accounts: z.array(accountSchema).optional()
 })
 export type Deployment = z.infer<typeof deploymentSchema>
 
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -173,12 +173,12 @@
     const headers = codecs.forwardHeaders(request.rawHeaders, {
       backendId: this.server.entry.id,
       deadlineMs: leftMs,
-      rank: request.service.engine ? request.route.rank : undefined,
+      rank: request.service.engine ? request.rank : undefined,
       lastEventId: this.forwarder.lastEventId,
       reservationId: this.reservation?.holdId
     })
     this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire(request.metadata.requestId)
-    this.server.onStarted(request.metadata.model, request.metadata.adapter, this.tokens, request.route.rank)
+    this.server.onStarted(request.metadata.model, request.metadata.adapter, this.tokens, request.rank)
     this.cancelTimers.push(clock.setTimer(leftMs, () => { void this.onDeadline() }))
     this.watchProgress()
     this.connection.send(request.method, encodeRequest(request, headers), {
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -19,7 +19,7 @@
 import { readBody, ResponseWriter } from './clientExchange.js'
 import { ClientRequests } from './clientRequests.js'
 import type { Codecs, RequestMetadata } from './codecs.js'
-import type { Deployment, Route, Service } from './deployment.js'
+import type { Account, Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
 import { isRepeatable, RequestForwarder } from './requestForwarder.js'
 import type { AttemptResult, FailoverSearch } from './requestForwarder.js'
@@ -87,6 +87,10 @@
 export interface ProxiedRequest {
   metadata: RequestMetadata
   route: Route
+  /** Account that holds the request's key; absent without a key. */
+  account?: Account | undefined
+  /** 0 is the most urgent: the account's rank, or else the route's. */
+  rank: number
   service: Service
   method: string
   path: string
@@ -197,7 +201,7 @@
     const deadlineAtMs = arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
     const { method = 'GET', headers } = request
     const identity = once(() => requestIdentity(this.options.codecs.contentOf({ method, path, headers }), body))
-    await this.serve({ metadata, route, service, method, path, rawHeaders: request.rawHeaders, body, identity, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
+    await this.serve({ metadata, route, rank: route.rank, service, method, path, rawHeaders: request.rawHeaders, body, identity, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
   }
 
   /** Rejects all further requests, and waiting ones whose response has not started: they could not be finished before the shutdown. */
@@ -276,9 +280,9 @@
     return { kind: 'reserved', target: { reservation, chosenBy, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
   }
 
-  private reserve ({ metadata, route, service }: ProxiedRequest, server: BackendServer): Promise<Reservation | undefined> {
+  private reserve ({ metadata, rank, service }: ProxiedRequest, server: BackendServer): Promise<Reservation | undefined> {
     const { model, adapter, promptTokens, outputTokens } = metadata
-    const options = { model, adapter, rank: route.rank, tokens: promptTokens + outputTokens, maxReservationMs: service.engine?.maxReservationMs }
+    const options = { model, adapter, rank, tokens: promptTokens + outputTokens, maxReservationMs: service.engine?.maxReservationMs }
     return Reservation.reserveAt(server, options, { clock: this.clock, calls: this.calls })
   }
 
@@ -412,7 +416,7 @@
       startedAtMs,
       shortestLoadMs: Math.min(modelEntry.warmLoadMs, modelEntry.diskLoadMs, modelEntry.loadMs)
     }
-    const waiting = this.options.demand.wait(request.service.name, model, adapter, request.route.rank)
+    const waiting = this.options.demand.wait(request.service.name, model, adapter, request.rank)
     try {
       for (;;) {
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
@@ -495,7 +499,7 @@
     this.options.log('info', isPlain ? 'request served (sample)' : 'request ended', {
       request: request.metadata.requestId,
       ...record,
-      rank: request.route.rank,
+      rank: request.rank,
       deadlineMs: Math.round(request.deadlineAtMs - request.arrivedAtMs),
       model: request.metadata.model,
       adapter: request.metadata.adapter,
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -103,7 +103,7 @@
   private dispatchRequestOf (
     request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
   ): DispatchRequest | undefined {
-    const { metadata, route, service } = request
+    const { metadata, route, rank, service } = request
     const { model, adapter, promptTokens, sharedParts } = metadata
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
@@ -112,7 +112,7 @@
     const tried = [...progress.tried].filter(id => !candidates.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
     const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
-    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank: route.rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
+    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
   }
 
   chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
@@ -171,9 +171,9 @@
 }
 
 /** Whether the server can start the request soon: engines queue requests beyond their batch, where clients would time out. */
-function hasCapacity ({ service, route }: ProxiedRequest, server: BackendServer): boolean {
+function hasCapacity ({ service, rank }: ProxiedRequest, server: BackendServer): boolean {
   if (!service.engine) return true
-  return server.running + server.runningElsewhere < service.engine.slots * batchShare(route.rank)
+  return server.running + server.runningElsewhere < service.engine.slots * batchShare(rank)
 }
 
 /** Identity of the request, and the shared parts of its prompt. */
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -26,4 +26,10 @@
   holderGapMs: number
   /** Window over which the load rate of the weight store is limited. */
   loadWindowMs: number
+  /** Whether nodes queue waiting requests at the placement leader, which also learns what each server takes. */
+  sharesServers: boolean
+  /** Longest time after the operator has removed a key for which requests with it may run, at any node; absent if only nodes that hear of it are bound. */
+  keyRemovalMs?: number | undefined
+  /** Memory of the machine, in megabytes. */
+  memoryMb: number
 }
--- a/src/standins/localDeployment.ts
+++ b/src/standins/localDeployment.ts
@@ -6,7 +6,7 @@
 import { SystemClock } from '../base/clock.js'
 import type { LogLevel } from '../base/log.js'
 import { propose } from '../config/proposal.js'
-import { hashApiKey } from '../gateway/identify.js'
+import { hashKey } from '../policy/accountKeys.js'
 import { HttpKeyValueStore } from '../external/httpKeyValueStore.js'
 import type { Vm } from '../external/vmList.js'
 import { scriptPath, startProcess } from './processes.js'
@@ -34,7 +34,7 @@
 adapterBytes = 2GiB
 
 ${Object.entries(localApiKeys).map(([rank, key]) => `[customer.${rank}-customer]
-apiKeySha256 = ${hashApiKey(key)}
+apiKeySha256 = ${hashKey(key)}
 rank = ${rank}
 `).join('\n')}
 ${['gourd-advisor', 'bombilla-finder', 'crack-diagnosis', 'curing-guide', 'gift-writer', 'order-helper', 'archive-reader'].map(name => `[model.${name}]
--- a/tests/callerRequests.spec.ts
+++ b/tests/callerRequests.spec.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check'
 import { expect } from 'chai'
 import { parseFleetConfig, serviceForPath } from '../src/config/parseFleetConfig.js'
-import { findCustomer, hashApiKey } from '../src/gateway/identify.js'
+import { findCustomer } from '../src/gateway/identify.js'
+import { hashKey } from '../src/policy/accountKeys.js'
 import { AnswerFormat, parseChatRequest, parseCompletionRequest } from '../src/gateway/openai.js'
 import { ProblemError, problemResponse } from '../src/gateway/problem.js'
 
@@ -59,9 +60,9 @@
   })
 
   it('knows customers by the hash of their key', () => {
-    const { config } = parseFleetConfig(`[customer.shop]\napiKeySha256 = ${hashApiKey('secret')}\n`, { file: 'f', version: 1 })
-    expect(findCustomer(config!, hashApiKey('secret'))).to.equal('shop')
-    expect(findCustomer(config!, hashApiKey('other'))).to.equal(undefined)
+    const { config } = parseFleetConfig(`[customer.shop]\napiKeySha256 = ${hashKey('secret')}\n`, { file: 'f', version: 1 })
+    expect(findCustomer(config!, hashKey('secret'))).to.equal('shop')
+    expect(findCustomer(config!, hashKey('other'))).to.equal(undefined)
   })
 
   // Guards against a stream without end marker or usage, which client libraries wait for.
--- a/tests/servingNode.spec.ts
+++ b/tests/servingNode.spec.ts
@@ -60,7 +60,7 @@
     store = new MemoryStore(state)
     ports = { clients: await freePort(), ready: await freePort(), peers: await freePort() }
     const settings: ServingSettings = {
-      node: 'n', ip: '127.0.0.1', availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `127.0.0.1:${ports.clients}`, readinessAddress: `127.0.0.1:${ports.ready}`, peersPort: ports.peers, maxFileDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownTimeoutMs: 8000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000
+      node: 'n', ip: '127.0.0.1', availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `127.0.0.1:${ports.clients}`, readinessAddress: `127.0.0.1:${ports.ready}`, peersPort: ports.peers, maxFileDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownTimeoutMs: 8000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000, sharesServers: false, memoryMb: 350
     }
     responseDelayMs = 0
     answer = 'ok'
--- a/tests/storeReturn.spec.ts
+++ b/tests/storeReturn.spec.ts
@@ -47,7 +47,7 @@
   async start (): Promise<void> {
     this.clientsPort = await freePort()
     const settings: ServingSettings = {
-      node: this.name, ip: this.ip, availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `${this.ip}:${this.clientsPort}`, readinessAddress: `${this.ip}:${await freePort()}`, peersPort: await freePort(), maxFileDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownTimeoutMs: 1000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000
+      node: this.name, ip: this.ip, availabilityZone: 'z', region: 'r', regionOfZone: { z: 'r' }, clientsAddress: `${this.ip}:${this.clientsPort}`, readinessAddress: `${this.ip}:${await freePort()}`, peersPort: await freePort(), maxFileDescriptors: 4000, cores: 1, store: { address: '', minimumLeaseMs: 1000 }, shutdownTimeoutMs: 1000, retryBudget: { share: 0.2, windowMs: 10_000, allowance: 10 }, enginesCheckFences: true, holderGapMs: 3000, loadWindowMs: 5000, sharesServers: false, memoryMb: 350
     }
     this.node = new ServingNode({ settings, metrics: this.metrics, codecs, store: this.store, clock: new SystemClock(), random: new SeededRandom(1), log: (_level, event, fields = {}) => { this.lines.push({ event, fields }) } })
     await this.node.start()
