Placement: disregard loaded adapters that no request uses

A load of a model holds up an engine's adapter loads, so the planner charged each loaded adapter. Where servers are shared, only adapters used within the last 3 s count.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -35,6 +35,8 @@
 const confirmQueries = 20
 /** Time without further moves on an engine after one failed. */
 const failedMoveDelayMs = 800
+/** An adapter without requests for this long is not expected to be needed again during a load. */
+const adapterUseMs = 3000
 /** Longest time for which a load is retried while the engine still unloads other models. */
 const maxUnloadWaitMs = 12_000
 
@@ -60,6 +62,8 @@
   onSuperseded: () => void
   /** Whether no commands may be sent because the lease may have ended. */
   mustPauseCommands: () => boolean
+  /** Whether loaded adapters without recent requests are disregarded when an engine is chosen for a model. */
+  sharesServers?: boolean
 }
 
 export class PlacementLeader {
@@ -241,7 +245,7 @@
     const adaptersMb = [...server.replicas].reduce((sum, [name, { adapters }]) => sum + adapters.size * (modelOf.get(name)?.adapterMb ?? 0), 0)
     return {
       id: server.entry.id,
-      adapters: occupiedAdapterSlots(control),
+      adapters: this.options.sharesServers ? recentlyUsedAdapters(control, nowMs) : occupiedAdapterSlots(control),
       isAvailable: control.isSynced && !control.isMoving && server.isPresent && nowMs >= control.retryAtMs,
       weightsMb: engine.weightsMb,
       adaptersMb,
@@ -514,6 +518,13 @@
   }
 }
 
+/** Adapters of the engine that requests have used lately, which a load of a model holds up. */
+function recentlyUsedAdapters ({ usedAtMs }: ControlledEngine, nowMs: number): number {
+  let count = 0
+  for (const atMs of usedAtMs.values()) if (nowMs - atMs <= adapterUseMs) count++
+  return count
+}
+
 function loadSource (server: BackendServer, engine: EngineType, name: string): { loadMs: number, isFromStore: boolean } {
   const model = engine.models.find(candidate => candidate.name === name)
   if (!model) return { loadMs: Infinity, isFromStore: true }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -416,6 +416,7 @@
       fence,
       startDelayMs: Math.max(startDelayMs, settings.holderGapMs - sinceReturnMs),
       loadWindowMs: settings.loadWindowMs,
+      sharesServers: settings.sharesServers,
       ownReport: () => this.report(),
       broadcast: report => this.peers.broadcast(report),
       onCommand: (action, outcome) => this.options.metrics?.onCommand(action, outcome),
