Serving: check the keys of client accounts

Where the configuration has accounts, each request's key is checked when it arrives and again when its body is complete. Servers get the name of the account instead of the key, and the account's rank takes precedence. The store view counts its own watches and lists from when they were sent; a node that follows the leader puts a stamp into its reports, and the leader confirms what its own view covers.

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -33,7 +33,8 @@
 /** Events that change what a node believes about the fleet. */
 const fleetEvents = new Set([
   'store lost', 'store regained', 'store history lost', 'configuration in force', 'placement leader is this node',
-  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'graceful shutdown', 'log lines left out'
+  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'graceful shutdown', 'log lines left out',
+  'configuration too old for keys', 'configuration recent enough for keys'
 ])
 
 function parse (text: string): Line | undefined {
@@ -73,11 +74,16 @@
 function requestSentences (line: Line): { atMs: number, text: string }[] {
   // A line about one moment of the request, such as the end of its connection.
   if (line.route === undefined) return [{ atMs: line.atMs, text: contextSentence(line) }]
+  const account = line.account === undefined ? '' : ` of account ${String(line.account)}`
+  if (line.event === 'request refused for its key') {
+    const age = line.configAgeMs === undefined ? 'was never confirmed as current' : `was last known to be current ${String(line.configAgeMs)} ms before`
+    return [{ atMs: line.atMs, text: `${line.node} refused request ${line.request}${account} on route ${String(line.route)} with status ${String(line.status)}: ${String(line.reason)}. Its configuration ${String(line.configVersion)} ${age}.` }]
+  }
   const startMs = line.atMs - (line.durationMs ?? 0)
   const model = line.model === undefined ? '' : ` for ${String(line.model)}${line.adapter === undefined ? '' : `/${String(line.adapter)}`}`
   const sentences = [{
     atMs: startMs,
-    text: `${line.node} took request ${line.request} on route ${String(line.route)} (${String(line.kind)}, rank ${String(line.rank)})${model}, with ${String(line.deadlineMs)} ms to its deadline and configuration ${String(line.configVersion)}.`
+    text: `${line.node} took request ${line.request}${account} on route ${String(line.route)} (${String(line.kind)}, rank ${String(line.rank)})${model}, with ${String(line.deadlineMs)} ms to its deadline and configuration ${String(line.configVersion)}.`
   }]
   for (const send of line.sends ?? []) {
     sentences.push({
--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -13,6 +13,8 @@
 // 0 to 9; 0 runs first.
 const urgencyHeader = 'x-request-urgency'
 const highestUrgencyValue = 9
+const keyHeader = 'x-api-key'
+const accountHeader = 'x-tenant'
 
 /** Headers reserved for the system; values from a client must not reach an engine. */
 const systemHeaders = new Set([
@@ -51,7 +53,8 @@
     promptTokens: promptTokens ?? 0,
     outputTokens: parseInteger(firstValue(headers['x-length-hint'])) ?? maxOutputTokens ?? 0,
     sharedParts: sharedPartsOf(firstValue(headers['x-prompt-prefix'])),
-    lastEventId: parseInteger(firstValue(headers[lastEventIdHeader]))
+    lastEventId: parseInteger(firstValue(headers[lastEventIdHeader])),
+    key: firstValue(headers[keyHeader]) || undefined
   }
 }
 
@@ -87,13 +90,19 @@
 
 const endToEndHeaders = new Set(['host', 'content-length', 'content-type', lastEventIdHeader])
 
-function forwardHeaders (rawHeaders: readonly string[], { backendId, deadlineMs, rank, lastEventId, reservationId }: ForwardOptions): string[] {
+function withoutAccount (rawHeaders: readonly string[]): string[] {
+  const isKept = (name: string) => name !== keyHeader && name !== accountHeader
+  return rawHeaders.filter((_text, index) => isKept(rawHeaders[index - index % 2]!.toLowerCase()))
+}
+
+function forwardHeaders (rawHeaders: readonly string[], { backendId, deadlineMs, rank, lastEventId, reservationId, account }: ForwardOptions): string[] {
   const headers = forwardable(rawHeaders, name => systemHeaders.has(name) || name === deadlineHeader ||
     name === 'content-length' || (name === lastEventIdHeader && lastEventId !== undefined))
   headers.push('X-Deadline-Ms', String(Math.max(1, Math.floor(deadlineMs))), 'X-Expect-Instance', backendId)
   if (rank !== undefined) headers.push('X-Request-Urgency', String(Math.min(highestUrgencyValue, rank)))
   if (lastEventId !== undefined) headers.push('Last-Event-Id', String(lastEventId))
   if (reservationId !== undefined) headers.push('X-Hold', reservationId)
+  if (account !== undefined) headers.push('X-Tenant', account)
   return headers
 }
 
@@ -167,6 +176,7 @@
 export const codecs: Codecs = {
   readRequest,
   contentOf,
+  withoutAccount,
   forwardHeaders,
   readResponse,
   returnHeaders,
--- a/src/platform/serve.ts
+++ b/src/platform/serve.ts
@@ -52,7 +52,7 @@
   const store = new StoreClient(settings.store.address, clock, (name, status) => metrics.onStoreCall(name, status))
   // The seed differs at each start, so that nodes restarted together do not act at the same times.
   const random = new SeededRandom(hash32(`${settings.node} ${process.hrtime.bigint()}`))
-  const node = new ServingNode({ settings, codecs, store, clock, random, log, metrics })
+  const node = new ServingNode({ settings, codecs, store, clock, random, log, metrics, wallMs: Date.now })
   const stopSignal = new Promise<string>(resolve => {
     for (const signal of ['SIGTERM', 'SIGINT'] as const) process.on(signal, () => resolve(signal))
   })
--- a/src/serving/changeFeed.ts
+++ b/src/serving/changeFeed.ts
@@ -40,6 +40,11 @@
     return this.changes.some(({ change }) => change.revision > this.sentRevision)
   }
 
+  /** A node with all changes up to this revision knows everything that the leader knows and other nodes need. */
+  get neededRevision (): number {
+    return this.hasUnsent ? this.revision : this.sentRevision
+  }
+
   /** The changes that have not been sent yet, which count as sent from now on. */
   nextRange (): ChangeRange {
     this.discardOld()
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -20,6 +20,8 @@
   /** Prompt parts that are shared with other requests, in order. */
   sharedParts: PromptPart[]
   lastEventId: number | undefined
+  /** Key of the client's account, which must not be logged. */
+  key: string | undefined
 }
 
 /** Values that the node adds to a forwarded request. */
@@ -32,6 +34,8 @@
   lastEventId: number | undefined
   /** ID of the slot that the engine has reserved for the request. */
   reservationId?: string | undefined
+  /** Name of the account for which the request runs. */
+  account?: string | undefined
 }
 
 export interface ResponseMetadata {
@@ -64,6 +68,8 @@
   readRequest (headers: Record<string, string | string[] | undefined>): RequestMetadata
   /** What servers get of a request, apart from its ID and times: the same whenever a client sends the same request again. */
   contentOf (request: { method: string, path: string, headers: Record<string, string | string[] | undefined> }): string
+  /** A client's headers without its key and without an account's name, which only the node states. */
+  withoutAccount (rawHeaders: readonly string[]): string[]
   /** Headers for the backend server: the client's, without hop-by-hop headers and those reserved for the system, plus the node's own. */
   forwardHeaders (rawHeaders: readonly string[], options: ForwardOptions): string[]
   readResponse (head: ResponseHead): ResponseMetadata
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -11,7 +11,7 @@
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
 import { packChanges } from './peerMessages.js'
-import type { LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
+import type { Confirmation, LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
 import { softwareOf } from './backendServer.js'
@@ -84,6 +84,12 @@
     return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
+  /** Confirms a node's view of the store as far as this node's own is confirmed; `undefined` if it is not. */
+  confirm (stamp: Confirmation['stamp']): Confirmation | undefined {
+    const ageMs = this.options.storeView.confirmedAgeMs
+    return this.isStopped || !Number.isFinite(ageMs) ? undefined : { stamp, revision: this.changeFeed.neededRevision, ageMs: Math.ceil(ageMs) }
+  }
+
   onReport (report: NodeReport): void {
     this.recordOutcomes(report)
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -9,6 +9,9 @@
 /** ID and start time of a backend server's incarnation. */
 const incarnationSchema = z.tuple([z.string(), z.number().nullable()])
 
+/** A point in time by a node's steady clock and its wall clock, in milliseconds. */
+const stampSchema = z.tuple([z.number(), z.number()])
+
 /** State that a node sends to the leader several times a second. Rows instead of objects save bytes between regions. */
 export const nodeReportSchema = z.object({
   node: z.string(),
@@ -29,7 +32,9 @@
   /** Backend servers that are leaving according to their responses; absent if there are none. */
   leaving: z.array(incarnationSchema).optional(),
   /** What this node has found out about prompt parts; absent without news. */
-  parts: partFactsSchema.optional()
+  parts: partFactsSchema.optional(),
+  /** Time of the report by the node's clocks, if it wants its view of the store confirmed. */
+  stamp: stampSchema.optional()
 })
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
@@ -155,5 +160,13 @@
 })
 export type LeaderReport = z.infer<typeof leaderReportSchema>
 
-export const leaderMessageSchema = z.union([dispatchReplySchema, leaderReportSchema])
+/** The leader's reply to a report with a stamp: a view with all changes up to `revision` was current `ageMs` before the stamp. */
+export const confirmationSchema = z.object({
+  stamp: stampSchema,
+  revision: z.number(),
+  ageMs: z.number()
+})
+export type Confirmation = z.infer<typeof confirmationSchema>
+
+export const leaderMessageSchema = z.union([dispatchReplySchema, leaderReportSchema, confirmationSchema])
 export type LeaderMessage = z.infer<typeof leaderMessageSchema>
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -175,7 +175,8 @@
       deadlineMs: leftMs,
       rank: request.service.engine ? request.rank : undefined,
       lastEventId: this.forwarder.lastEventId,
-      reservationId: this.reservation?.holdId
+      reservationId: this.reservation?.holdId,
+      account: request.account?.name
     })
     this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire(request.metadata.requestId)
     this.server.onStarted(request.metadata.model, request.metadata.adapter, this.tokens, request.rank)
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -15,6 +15,7 @@
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
 import { softwareOf } from './backendServer.js'
+import type { AccountCheck } from './accountCheck.js'
 import type { BackendServer } from './backendServer.js'
 import { readBody, ResponseWriter } from './clientExchange.js'
 import { ClientRequests } from './clientRequests.js'
@@ -71,6 +72,7 @@
   fleet: FleetView
   demand: ModelDemand
   quarantine: PartQuarantine
+  accounts: AccountCheck
   /** Whether this node may try prompt parts while no leader grants trials. */
   mayTryAlone: (check: SuspectCheck) => boolean
   settings: RequestProxySettings
@@ -87,7 +89,7 @@
 export interface ProxiedRequest {
   metadata: RequestMetadata
   route: Route
-  /** Account that holds the request's key; absent without a key. */
+  /** Account that holds the request's key; absent without a known key. */
   account?: Account | undefined
   /** 0 is the most urgent: the account's rank, or else the route's. */
   rank: number
@@ -140,6 +142,7 @@
 
   setDeployment (deployment: Deployment): void {
     this.deployment = deployment
+    this.options.accounts.setDeployment(deployment)
     this.routes = new RouteTable(deployment.routes)
     this.services = new Map(deployment.services.map(service => [service.name, service]))
   }
@@ -186,6 +189,11 @@
       request.resume()
       return writer.sendError(404, 'no route matches the host and path')
     }
+    const early = this.options.accounts.check(metadata, route)
+    if ('status' in early) {
+      request.resume()
+      return writer.sendError(early.status, early.reason, early.retryAfterMs)
+    }
     const body = await readBody(request, deployment.limits.maxBodyBytes)
     // A long body may be complete only when what is sent on could not be finished any more.
     if (this.isRefusing && body !== 'left') return writer.sendError(503, 'this node is shutting down', 0)
@@ -198,10 +206,15 @@
     }
     const service = this.services.get(serviceOf(route, metadata.requestId ?? ''))
     if (!service) return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
+    // The body may have taken long, and the key may have been removed meanwhile.
+    const access = this.options.accounts.check(metadata, route)
+    if ('status' in access) return writer.sendError(access.status, access.reason, access.retryAfterMs)
+    const { account } = access
+    const rawHeaders = this.options.accounts.isActive ? this.options.codecs.withoutAccount(request.rawHeaders) : request.rawHeaders
     const deadlineAtMs = arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs)
     const { method = 'GET', headers } = request
     const identity = once(() => requestIdentity(this.options.codecs.contentOf({ method, path, headers }), body))
-    await this.serve({ metadata, route, rank: route.rank, service, method, path, rawHeaders: request.rawHeaders, body, identity, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
+    await this.serve({ metadata, route, account, rank: account?.rank ?? route.rank, service, method, path, rawHeaders, body, identity, arrivedAtMs, readAtMs: this.clock.nowMs(), deadlineAtMs }, writer)
   }
 
   /** Rejects all further requests, and waiting ones whose response has not started: they could not be finished before the shutdown. */
@@ -500,6 +513,7 @@
       request: request.metadata.requestId,
       ...record,
       rank: request.rank,
+      account: request.account?.name,
       deadlineMs: Math.round(request.deadlineAtMs - request.arrivedAtMs),
       model: request.metadata.model,
       adapter: request.metadata.adapter,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -21,6 +21,7 @@
   private readonly storeCalls = this.counter('teaselrill_store_calls_total', 'Calls to the platform store by name and status', ['call', 'status'])
   private readonly commands = this.counter('teaselrill_engine_orders_total', 'Commands to engines by action and outcome', ['action', 'outcome'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
+  private readonly keyRefusals = this.counter('teaselrill_key_refusals_total', 'Requests refused for their key: unknown-key with 401, stale with 503 since the configuration may be too old', ['reason'])
   private readonly firstByte = this.histogram('teaselrill_first_byte_seconds', 'Time from arrival to the first byte of the response')
   private readonly duration = this.histogram('teaselrill_request_duration_seconds', 'Time from arrival to the end of the response')
   private readonly longestGap = this.histogram('teaselrill_longest_event_gap_seconds', 'Longest pause between events of a stream')
@@ -61,6 +62,10 @@
     this.connections.inc()
   }
 
+  onKeyRefused (reason: string): void {
+    this.keyRefusals.inc({ reason })
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   gauge (name: string, help: string, read: () => number): void {
     this.registry.registerMetric(new Gauge({ name, help, registers: [], collect () { this.set(read()) } }))
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -12,6 +12,7 @@
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
+import { AccountCheck } from './accountCheck.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
@@ -50,6 +51,8 @@
 const reportMs = 250
 /** Number of nodes beyond which reports are sent half as often, since the leader reads all of them. */
 const manyNodes = 32
+/** Shortest time between two requests for a confirmation of the store's view, beside the regular ones. */
+const minConfirmationIntervalMs = 100
 /** Demand for a model or adapter is reported after this time, together with other new demand. */
 const demandReportDelayMs = 2
 /** A leader that crashed may have sent a command up to one renewal interval before its lease began to expire. */
@@ -63,6 +66,8 @@
   random: Random
   log: Log
   metrics?: ServingMetrics
+  /** Time of day in milliseconds, for the age of the configuration on machines that were suspended. */
+  wallMs?: () => number
 }
 
 export class ServingNode {
@@ -70,6 +75,8 @@
   private readonly fleet: FleetView
   private readonly requestProxy: RequestProxy
   private readonly storeView: StoreView
+  private readonly accounts: AccountCheck
+  private confirmationRequestedAtMs = -Infinity
   private readonly demand: ModelDemand
   private readonly clients: Server
   private readonly sockets = new Set<Socket>()
@@ -122,6 +129,13 @@
       onReleased: verdict => log('info', 'prompt parts released', this.verdictFields(verdict)),
       onFacts: () => { this.cancelParts ??= clock.setTimer(demandReportDelayMs, () => this.sendParts()) }
     })
+    this.accounts = new AccountCheck({
+      log,
+      confirmedAgeMs: () => this.storeView.confirmedAgeMs,
+      keyRemovalMs: settings.keyRemovalMs,
+      onRefused: reason => options.metrics?.onKeyRefused(reason),
+      onStale: () => this.requestConfirmation()
+    })
     this.requestProxy = new RequestProxy({
       clock,
       log,
@@ -129,6 +143,7 @@
       fleet: this.fleet,
       demand: this.demand,
       quarantine: this.quarantine,
+      accounts: this.accounts,
       mayTryAlone: check => mayTryAlone(check, settings.ip, [settings.ip, ...this.otherNodes]),
       settings: {
         region: settings.region,
@@ -161,6 +176,8 @@
       clock,
       onMessage: (message, reply) => {
         if (!('ask' in message)) {
+          const confirmation = message.stamp && this.leaderTerm?.confirm(message.stamp)
+          if (confirmation) reply(confirmation)
           if (this.leaderTerm) this.leaderTerm.onReport(message)
           // A node that has no leader tells all others.
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
@@ -177,7 +194,7 @@
       onConnected: () => {
         // The new leader may know none of it.
         const parts = this.quarantine.allFacts()
-        this.link.send({ ...this.report(), ...(parts ? { parts } : {}) })
+        this.link.send({ ...this.stampedReport(), ...(parts ? { parts } : {}) })
       },
       onLost: () => this.dispatch.onLost()
     })
@@ -185,8 +202,10 @@
       store,
       clock,
       random,
+      wallMs: options.wallMs ?? Date.now,
       log,
       isLeader: () => this.leadership.isLeader,
+      needsConfirmation: () => this.accounts.isActive,
       listener: {
         onItems: (items, context) => this.onItems(items, context),
         onChange: change => this.onChange(change),
@@ -208,6 +227,7 @@
     metrics.gauge('teaselrill_ready', '1 if the node accepts clients', () => this.isReady ? 1 : 0)
     metrics.gauge('teaselrill_config_version', 'Version of the configuration in force', () => this.deployment?.version ?? 0)
     metrics.gauge('teaselrill_store_age_seconds', 'Age of the view of the store, directly or through the leader', () => this.storeView.ageMs / 1000)
+    metrics.gauge('teaselrill_config_confirmed_age_seconds', 'Time since which the configuration is not known to have been current; -1 if it never was', () => Number.isFinite(this.storeView.confirmedAgeMs) ? this.storeView.confirmedAgeMs / 1000 : -1)
     metrics.gauge('teaselrill_store_era', 'Era of the store to which the view belongs, directly or through the leader; -1 without a view', () => this.storeView.currentEra ?? -1)
     metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.clients.active)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
@@ -224,7 +244,7 @@
   }
 
   get isReady (): boolean {
-    return !this.isStopping && this.deployment !== undefined && this.hasBackends
+    return !this.isStopping && this.deployment !== undefined && this.hasBackends && !this.accounts.isStale
   }
 
   async start (): Promise<void> {
@@ -440,6 +460,7 @@
 
   private onLeaderMessage (message: LeaderMessage): void {
     if ('ask' in message) this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
+    else if ('stamp' in message) this.storeView.onConfirmation(message)
     else this.onLeaderReport(message)
   }
 
@@ -496,11 +517,24 @@
     }
   }
 
+  private stampedReport (): NodeReport {
+    return { ...this.report(), ...(this.accounts.isActive ? { stamp: this.storeView.stamp() } : {}) }
+  }
+
+  /** Asks the leader at once whether this node's view is current, as after a freeze of this process. */
+  private requestConfirmation (): void {
+    const nowMs = this.options.clock.nowMs()
+    if (this.leaderTerm || nowMs - this.confirmationRequestedAtMs < minConfirmationIntervalMs) return
+    this.confirmationRequestedAtMs = nowMs
+    this.link.send(this.stampedReport())
+  }
+
   private exchangeReports (): void {
     this.reportTicks++
+    this.accounts.logStaleness()
     if (this.size.value > manyNodes && this.reportTicks % 2 !== 0) return
     if (this.leaderTerm) this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount, this.storedSize))
-    else this.link.send(this.report())
+    else this.link.send(this.stampedReport())
   }
 
   private reportDemandSoon (): void {
--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -5,14 +5,23 @@
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
+import { ConfirmedAge } from '../policy/confirmedAge.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
-import type { ChangeRange } from './peerMessages.js'
+import type { ChangeRange, Confirmation } from './peerMessages.js'
 import { eraOf } from './storePosition.js'
 
 /** Duration of a watch; an unresponsive connection is noticed after this time plus the store client's margin. */
 const watchWaitMs = 2000
 /** The leader's watch returns at least this often, so that the age of its feed stays known. */
 const leaderWatchWaitMs = 400
+/**
+ * Waits of watches where the confirmed age matters: it grows by twice the wait while nothing changes. A store with engines answers
+ * before that, so these add no calls there.
+ */
+const confirmingWaitMs = 300
+const leaderConfirmingWaitMs = 100
+/** Confirmed age from which a node watches the store itself although the leader's feed arrives. */
+const maxUnconfirmedMs = 2000
 /** Delay between watches, which batches changes: engines write all the time, and the store limits the number of calls. */
 const batchDelayMs = 250
 const leaderBatchDelayMs = 120
@@ -38,10 +47,14 @@
   store: CoordinationStore
   clock: Clock
   random: Random
+  /** Time of day in milliseconds; it goes on while the machine is suspended. */
+  wallMs: () => number
   log: Log
   listener: StoreViewListener
   /** Whether other nodes depend on this node's view. */
   isLeader? (): boolean
+  /** Whether decisions depend on the confirmed age of this view. */
+  needsConfirmation? (): boolean
 }
 
 export class StoreView {
@@ -59,8 +72,11 @@
   /** Time at which the last applied feed message was current. */
   private feedCurrentAtMs = -Infinity
 
+  private readonly confirmed: ConfirmedAge
+
   constructor (options: StoreViewOptions) {
     this.options = options
+    this.confirmed = new ConfirmedAge(options.clock, options.wallMs)
   }
 
   get isInOutage (): boolean {
@@ -77,6 +93,20 @@
     return this.options.clock.nowMs() - Math.max(this.lastResponseAtMs, this.feedCurrentAtMs)
   }
 
+  /**
+   * Time since which this view is not known to have been current, in milliseconds; infinite if it never was. Counts from when the
+   * store or the leader was asked, since answers may stay unread while this process is frozen.
+   */
+  get confirmedAgeMs (): number {
+    return this.confirmed.ageMs
+  }
+
+  /** Stamp for a report to the leader, which confirms this view by its reply. */
+  stamp (): Confirmation['stamp'] {
+    const { steadyMs, wallMs } = this.confirmed.now()
+    return [Math.floor(steadyMs), Math.floor(wallMs)]
+  }
+
   /** Era of the store to which this view belongs; `undefined` until the items have been listed. */
   get currentEra (): number | undefined {
     return this.revision === undefined ? undefined : eraOf(this.revision)
@@ -89,7 +119,7 @@
 
   async run (): Promise<void> {
     while (!this.isStopped) {
-      if (this.revision !== undefined && this.isFedByLeader) {
+      if (this.revision !== undefined && this.isFedByLeader && !this.isConfirmationOverdue) {
         await sleep(this.options.clock, Math.max(minFeedSleepMs, this.feedCurrentAtMs + maxFeedAgeMs - this.options.clock.nowMs()))
         continue
       }
@@ -116,21 +146,39 @@
     for (const [key, changeRevision, value] of changes) {
       if (changeRevision > this.revision) this.options.listener.onChange({ key, revision: changeRevision, ...(value === null ? {} : { value }) })
     }
+    this.onRevision(revision)
+  }
+
+  /** The leader's reply to a stamp of this node. */
+  onConfirmation ({ stamp: [steadyMs, wallMs], revision, ageMs }: Confirmation): void {
+    this.confirmed.confirmAt(revision, { steadyMs, wallMs }, ageMs)
+    if (this.revision !== undefined) this.confirmed.onRevision(this.revision)
+  }
+
+  private get isConfirmationOverdue (): boolean {
+    return this.options.needsConfirmation?.() === true && this.confirmedAgeMs > maxUnconfirmedMs
+  }
+
+  private onRevision (revision: number): void {
     this.revision = revision
+    this.confirmed.onRevision(revision)
   }
 
   private async step (): Promise<void> {
     const { store, clock, log, listener, isLeader } = this.options
     if (this.revision === undefined) {
+      const listedAt = this.confirmed.now()
       const { items, revision } = await store.list('')
       this.onResponse()
       const isReturn = this.enterEra(eraOf(revision))
       this.revision = revision
       listener.onItems(items, { isReturn })
+      this.confirmed.confirm(listedAt)
       listener.onRevision?.(revision)
     }
     const isLeading = isLeader?.() ?? false
-    const result = await store.watch('', this.revision, { waitMs: isLeading ? leaderWatchWaitMs : watchWaitMs })
+    const watchedAt = this.confirmed.now()
+    const result = await store.watch('', this.revision, { waitMs: this.watchWaitMs(isLeading) })
     if (this.isStopped) return
     this.onResponse()
     if (this.revision === undefined) return
@@ -141,11 +189,17 @@
     }
     // Some of them may have arrived through the leader's feed meanwhile.
     for (const change of result.changes) if (change.revision > this.revision) listener.onChange(change)
-    this.revision = Math.max(this.revision, result.revision)
+    this.onRevision(Math.max(this.revision, result.revision))
+    this.confirmed.confirm(watchedAt)
     listener.onRevision?.(this.revision)
     if (result.changes.length > 0) await sleep(clock, isLeading ? leaderBatchDelayMs : batchDelayMs)
   }
 
+  private watchWaitMs (isLeading: boolean): number {
+    if (this.options.needsConfirmation?.()) return isLeading ? leaderConfirmingWaitMs : confirmingWaitMs
+    return isLeading ? leaderWatchWaitMs : watchWaitMs
+  }
+
   /** Returns whether the store has come back from a copy. Entries that were written since the copy are then missing, as after an outage. */
   private enterEra (value: number): boolean {
     if (this.era?.value === value) return false
--- a/tests/changeFeed.spec.ts
+++ b/tests/changeFeed.spec.ts
@@ -35,6 +35,7 @@
     store,
     clock,
     random: new SeededRandom(1),
+    wallMs: () => clock.nowMs(),
     log: silentLog,
     isLeader: () => isLeader,
     listener: {
--- a/tests/explainLogs.spec.ts
+++ b/tests/explainLogs.spec.ts
@@ -53,4 +53,14 @@
     const line = { time: '2026-01-01T00:00:00Z', event: 'connection closed before the end of an answer', node: 'n', request: 'r', ageMs: 12 }
     expect(explainFromLogs([JSON.stringify(line)], 'r')).to.deep.equal(['00:00:00.000  n: connection closed before the end of an answer (request r, ageMs 12).'])
   })
+
+  // Guards against refusals for keys of which an operator cannot tell the account or the reason.
+  it('names the account and the reason of a refusal for a key', () => {
+    const line = { time: '2026-01-01T00:00:00.000Z', node: 'n1', event: 'request refused for its key', request: 'id', route: 'r', account: 'a', status: 503, reason: 'not current', configVersion: 4, configAgeMs: 4800 }
+    expect(explainFromLogs([JSON.stringify(line)], 'id')).to.deep.equal([
+      '00:00:00.000  n1 refused request id of account a on route r with status 503: not current. Its configuration 4 was last known to be current 4800 ms before.'
+    ])
+    const ended = { ...line, event: 'request ended', kind: 'stream', rank: 1, deadlineMs: 100, outcome: 'done', durationMs: 10 }
+    indexOf(explainFromLogs([JSON.stringify(ended)], 'id'), /n1 took request id of account a on route r/)
+  })
 })
--- a/tests/leadership.spec.ts
+++ b/tests/leadership.spec.ts
@@ -41,6 +41,7 @@
       store: this.store,
       clock,
       random,
+      wallMs: () => clock.nowMs(),
       log: silentLog,
       listener: {
         onItems: items => this.leadership.onItems(items),
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -131,6 +131,19 @@
     expect(codecs.readRequest({ 'x-deadline-ms': 'soon' }).deadlineMs).to.equal(undefined)
   })
 
+  // Guards against keys that reach backend servers, and against clients that name an account themselves.
+  it('keeps the key of a request apart and states the account itself', () => {
+    expect(codecs.readRequest({ 'x-api-key': 'k1' }).key).to.equal('k1')
+    expect(codecs.readRequest({ 'x-api-key': '' }).key).to.equal(undefined)
+    const rawHeaders = codecs.withoutAccount(['X-API-Key', 'k1', 'Accept', 'x-api-key', 'x-tenant', 'other', 'X-TENANT', 'third'])
+    expect(rawHeaders).to.deep.equal(['Accept', 'x-api-key'])
+    const options = { backendId: 'i', deadlineMs: 100, rank: undefined, lastEventId: undefined }
+    expect(codecs.forwardHeaders(rawHeaders, { ...options, account: 'a' }).join(' ')).to.include('X-Tenant a')
+    expect(codecs.forwardHeaders(rawHeaders, options).join(' ')).not.to.include('X-Tenant')
+    const content = (key: string) => codecs.contentOf({ method: 'GET', path: '/', headers: { 'x-api-key': key, 'x-tenant': key } })
+    expect(content('k1')).to.equal(content('k2'))
+  })
+
   it('detects from a response whether the request ran', () => {
     expect(codecs.readResponse(head(503, ['X-Not-Executed', '1']))).to.include({ isNotRun: true, isMisdirected: false })
     expect(codecs.readResponse(head(421, []))).to.include({ isNotRun: true, isMisdirected: true })
