--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -173,7 +173,9 @@
   try {
     value = JSON.parse(text)
   } catch (error) {
-    return error as Error
+    // The message of the parser quotes the text, which may contain keys of accounts.
+    const position = /at position \d+/.exec((error as Error).message)?.[0]
+    return new Error(`not valid JSON${position === undefined ? '' : ` ${position}`}`)
   }
   const result = schema.safeParse(value)
   return result.success ? map(result.data) : new Error(z.prettifyError(result.error))
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -144,6 +144,13 @@
     expect(content('k1')).to.equal(content('k2'))
   })
 
+  // Guards against keys in the log line of a configuration that cannot be read.
+  it('names no content of a configuration that is not JSON', () => {
+    const error = codecs.readDeployment('{"tenants": [{"name": "a", "keys": ["secret-key", oops]}]}')
+    expect(error).to.be.instanceOf(Error)
+    expect((error as Error).message).to.include('not valid JSON').and.not.to.match(/secret|key|oops/)
+  })
+
   it('detects from a response whether the request ran', () => {
     expect(codecs.readResponse(head(503, ['X-Not-Executed', '1']))).to.include({ isNotRun: true, isMisdirected: false })
     expect(codecs.readResponse(head(421, []))).to.include({ isNotRun: true, isMisdirected: true })
