Change feed: claim no change that came before the leader's key

A leader that learns of its election from the watch begins its term in the middle of a batch of changes. Its feed then covered the earlier changes of the batch without containing them, so followers missed, for example, a configuration that removes a key. The feed now starts at the leader's key. accountNodes spec, 'claims no change for the feed that came before the leader's key': the feed began at 3 with the leader's key at 5 before, and passes now.

--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -60,7 +60,8 @@
     const { clock, storeView, ownReport } = options
     this.dispatcher = new Dispatcher(clock)
     this.prefillDemand = new PrefillDemand(clock)
-    this.changeFeed = new ChangeFeed(clock, storeView.revision ?? 0)
+    // The term may begin in the middle of a batch of changes, whose earlier ones the feed lacks; they precede the leader's key.
+    this.changeFeed = new ChangeFeed(clock, Math.max(storeView.revision ?? 0, options.fence))
     this.placement = new PlacementLeader({
       ...options,
       ownReport: () => {
