--- a/tests/changeFeed.spec.ts
+++ b/tests/changeFeed.spec.ts
@@ -160,6 +160,19 @@
     expect(returns()).to.equal(1)
   })
 
+  // Guards against a node that counts as current while the leader has not passed on the removal of a key.
+  it('asks of a current node every recorded change, and no others', () => {
+    const feed = new ChangeFeed(new VirtualClock(0), 3)
+    feed.advance(4)
+    expect(feed.neededRevision).to.equal(3)
+    feed.record({ key: 'told/config', revision: 5, value: 'v2' })
+    feed.advance(6)
+    expect(feed.neededRevision).to.equal(6)
+    feed.nextRange()
+    feed.advance(7)
+    expect(feed.neededRevision).to.equal(6)
+  })
+
   it('packs and unpacks changes', () => {
     expect(unpackChanges(packChanges([['a', 1, 'x'], ['b', 2, null]]))).to.deep.equal([['a', 1, 'x'], ['b', 2, null]])
     expect(unpackChanges(packChanges([]))).to.deep.equal([])
