--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import type { Sade } from 'sade'
 import { SystemClock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
+import { FindingsError } from '../base/findings.js'
 import { CommandError, exitBadInput, exitFailure, exitOk, UsageError } from './commandErrors.js'
 import { configCheck, configDiff, configGet, configHistory, configPropose } from './configCommands.js'
 import { runNode } from './nodeCommand.js'
@@ -173,7 +174,7 @@
   } catch (error) {
     if (error instanceof SadeExit) return exitBadInput
     printError(messageOf(error))
-    return error instanceof UsageError ? exitBadInput : exitFailure
+    return error instanceof UsageError || error instanceof FindingsError ? exitBadInput : exitFailure
   }
 }
 
