--- a/src/platform/quarantineCommands.ts
+++ b/src/platform/quarantineCommands.ts
@@ -1,24 +1,10 @@
 /** `teaselrill quarantine`: lists and lifts quarantines of prompt parts, through the platform's store. */
 
-import { readFileSync } from 'node:fs'
 import type { Clock } from '../base/clock.js'
 import { liftWrite, quarantineKey, readVerdicts } from '../serving/storedQuarantine.js'
 import type { Lift, VerdictFact } from '../serving/storedQuarantine.js'
 import { codecs } from './httpCodecs.js'
-import { readSettingsFile, settingsPath } from './settingsFile.js'
-import { StoreClient } from './storeClient.js'
-
-/** Calls `action` with the store of the settings file. Rejects with `FindingsError` for unusable settings, and with the errors of `CoordinationStore`. */
-async function withStore<T> (settingsFile: string | undefined, clock: Clock, action: (store: StoreClient) => Promise<T>): Promise<T> {
-  const path = settingsFile ?? settingsPath()
-  const { store: { address } } = readSettingsFile(readFileSync(path, 'utf8'), path)
-  const store = new StoreClient(address, clock)
-  try {
-    return await action(store)
-  } finally {
-    await store.close()
-  }
-}
+import { withStore } from './storeAccess.js'
 
 /** The quarantines in the store, whose ages and remaining times are those of the moment at which they were written. */
 export function listQuarantines (settingsFile: string | undefined, clock: Clock): Promise<VerdictFact[]> {
