Commands: check and compare configurations of the users' platform

config check and config diff accepted only the product's own INI format, so a mistake in a platform configuration showed only once nodes had read it. Both now recognise the platform's JSON by its content.

config diff takes --in-force FILE in both formats. config propose refuses the platform's format, since findings of the other format quote lines with keys.

--- a/src/cli/configCommands.ts
+++ b/src/cli/configCommands.ts
@@ -9,6 +9,7 @@
 import { formatFinding, hasErrors } from '../base/findings.js'
 import { parseFleetConfig } from '../config/parseFleetConfig.js'
 import type { ConfigChange, ProposalResult } from '../config/proposal.js'
+import type * as platformConfigFile from '../platform/configFile.js'
 import { CommandError, exitBadInput, exitFailure, exitOk, UsageError } from './commandErrors.js'
 import { diffConfigs, formatDifferences } from './configDiff.js'
 import { OperatorsClient } from './operatorsClient.js'
@@ -21,9 +22,16 @@
 const proposalRetryDelayMs = 500
 const inForcePollMs = 250
 
+/** Loads the code for the format of the users' platform if the text is in that format. */
+async function platformFormat (text: string) {
+  // A section of the product's own format does not start with a brace.
+  return /^\s*\[?\s*\{/.test(text) ? import('../platform/configFile.js') : undefined
+}
+
 /** Prints all findings. Warnings do not fail the check. */
-export function configCheck (file: string, options: CommandOptions): number {
-  const { findings } = parseFleetConfig(readInput(file), { file, version: 1 })
+export async function configCheck (file: string, options: CommandOptions): Promise<number> {
+  const text = readInput(file)
+  const findings = (await platformFormat(text))?.checkPlatformConfig(text, { file }) ?? parseFleetConfig(text, { file, version: 1 }).findings
   if (options.json) printJson({ findings })
   else print([...findings.map(formatFinding), summary(file, findings)].join('\n'))
   return hasErrors(findings) ? exitBadInput : exitOk
@@ -45,11 +53,39 @@
 
 export async function configDiff (clock: Clock, file: string, options: CommandOptions): Promise<number> {
   const text = readInput(file)
+  const inForceFile = optionalText(options, 'in-force')
+  if (inForceFile !== undefined && ['settings', 'operators', 'key-file'].some(name => options[name] !== undefined)) {
+    throw new UsageError('--in-force excludes --settings, --operators and --key-file')
+  }
+  const inForceText = inForceFile === undefined ? undefined : readInput(inForceFile)
+  const platform = await platformFormat(text)
+  if (inForceText !== undefined && !!platform !== !!await platformFormat(inForceText)) throw new UsageError(`"${file}" and "${inForceFile}" have different formats`)
+  if (platform) return platformDiff(platform, clock, { file, text, inForceText }, options)
   requireNoErrors(parseFleetConfig(text, { file, version: 1 }).findings)
-  const config = await new OperatorsClient(nodeAccess(options), clock).config()
+  const config = inForceText === undefined ? await new OperatorsClient(nodeAccess(options), clock).config() : { version: 0, text: inForceText }
   const differences = diffConfigs(config?.text ?? '', text)
   if (options.json) printJson({ version: config?.version ?? 0, differences })
-  else print(differences.length > 0 ? formatDifferences(differences) : `no difference from version ${config?.version ?? 0}`)
+  else print(differences.length > 0 ? formatDifferences(differences) : `no difference from ${inForceFile ?? `version ${config?.version ?? 0}`}`)
+  return exitOk
+}
+
+/** Compares with the given text, or with the configuration in the store of the settings file. */
+async function platformDiff (
+  { checkPlatformConfig, diffPlatformTexts, formatPlatformDifferences }: typeof platformConfigFile,
+  clock: Clock,
+  { file, text, inForceText }: { file: string, text: string, inForceText: string | undefined },
+  options: CommandOptions
+): Promise<number> {
+  if (options.operators !== undefined || options['key-file'] !== undefined) throw new UsageError('a configuration of the users\' platform is compared with its store: give --settings FILE or --in-force FILE')
+  requireNoErrors(checkPlatformConfig(text, { file }))
+  const { readStoredConfig } = await import('../platform/storeAccess.js')
+  const settingsFile = optionalText(options, 'settings')
+  if (settingsFile !== undefined) readInput(settingsFile)
+  const diff = diffPlatformTexts(inForceText ?? await readStoredConfig(settingsFile, clock), text)
+  if (diff instanceof Error) throw new CommandError(diff.message)
+  if (options.json) printJson(diff)
+  else print(diff.differences.length > 0 ? formatPlatformDifferences(diff.differences) : `no difference from version ${diff.version}`)
+  if (diff.warning !== undefined) printError(`warning: ${diff.warning}`)
   return exitOk
 }
 
@@ -70,6 +106,8 @@
   const base = optionalInteger(options, 'base', { min: 0 })
   const deadlineMs = clock.nowMs() + (optionalInteger(options, 'timeout-ms', { min: 1 }) ?? defaultTimeoutMs)
   const text = readInput(file)
+  // Findings quote lines, and those of this format may contain keys of accounts.
+  if (await platformFormat(text)) throw new UsageError(`"${file}" is in the format of the users' platform, whose operator writes it to the store`)
   requireNoErrors(parseFleetConfig(text, { file, version: 1 }).findings)
   const client = new OperatorsClient(nodeAccess(options), clock)
   const baseVersion = base ?? (await client.config())?.version ?? 0
--- a/src/cli/options.ts
+++ b/src/cli/options.ts
@@ -12,7 +12,7 @@
 export type CommandOptions = Record<string, unknown>
 
 /** Options with a value. All others are switches. */
-export const valueOptions = ['settings', 'operators', 'key-file', 'reason', 'author', 'base', 'timeout-ms', 'proposal-id', 'html', 'logs', 'log-lines', 'metrics-port']
+export const valueOptions = ['settings', 'operators', 'in-force', 'key-file', 'reason', 'author', 'base', 'timeout-ms', 'proposal-id', 'html', 'logs', 'log-lines', 'metrics-port']
 
 /** The value of an option, or `undefined` if it is absent. Throws `UsageError` if it has no value or several. */
 export function optionalText (options: CommandOptions, name: string): string | undefined {
--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -114,7 +114,7 @@
   return { name: tenant.name, keyHashes: tenant.keys.map(hashKey), rank: tenant.priority ?? undefined, quota }
 })
 
-const configSchema = z.object({
+export const configSchema = z.object({
   version: z.number().int(),
   routes: z.array(routeSchema),
   services: z.array(serviceSchema),
@@ -132,6 +132,9 @@
   tenants: z.array(tenantSchema).nullish()
 }).transform(({ tenants, ...config }) => ({ ...config, accounts: tenants ?? undefined }))
 
+/** The configuration as the platform's operator writes it. */
+export type WireConfig = z.input<typeof configSchema>
+
 const replicasSchema = z.array(z.object({ name: z.string(), adapters: z.array(z.string()).default([]) }))
 const nearbyWeightsSchema = z.object({ in_memory: z.array(z.string()).default([]), on_disk: z.array(z.string()).default([]) }).default({ in_memory: [], on_disk: [] })
 
@@ -168,14 +171,19 @@
   return models.map(({ name, adapters }) => ({ name, adapters: adapters.map(withoutVersion) }))
 }
 
+/** Position of an error of `JSON.parse` in the text, if it is known. The message itself quotes the text, which may contain keys of accounts. */
+export function jsonErrorPosition (error: unknown): number | undefined {
+  const position = /at position (\d+)/.exec((error as Error).message)?.[1]
+  return position === undefined ? undefined : Number(position)
+}
+
 function parse<S extends z.ZodType, T> (schema: S, text: string, map: (value: z.infer<S>) => T): T | Error {
   let value: unknown
   try {
     value = JSON.parse(text)
   } catch (error) {
-    // The message of the parser quotes the text, which may contain keys of accounts.
-    const position = /at position \d+/.exec((error as Error).message)?.[0]
-    return new Error(`not valid JSON${position === undefined ? '' : ` ${position}`}`)
+    const position = jsonErrorPosition(error)
+    return new Error(`not valid JSON${position === undefined ? '' : ` at position ${position}`}`)
   }
   const result = schema.safeParse(value)
   return result.success ? map(result.data) : new Error(z.prettifyError(result.error))
