--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import type { Sade } from 'sade'
 import { SystemClock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
+import { FindingsError } from '../base/findings.js'
 import { CommandError, exitBadInput, exitFailure, exitOk, UsageError } from './commandErrors.js'
 import { configCheck, configDiff, configGet, configHistory, configPropose } from './configCommands.js'
 import { runNode } from './nodeCommand.js'
@@ -114,11 +115,12 @@
     .option('--reason', 'Why it is lifted (required)')
     .option('--author', 'Name of the operator; by default the user name')
     .action((part: string, options: CommandOptions) => liftQuarantine(part, options))
-  withJson(program.command('config check <file>', 'Check a fleet configuration and print all findings'))
+  withJson(program.command('config check <file>', 'Check a configuration, of a fleet or of the users\' platform, and print all findings'))
     .action((file: string, options: CommandOptions) => configCheck(file, options))
   withAccess(withJson(program.command('config get', 'Print the fleet configuration in force')))
     .action((options: CommandOptions) => configGet(clock, options))
-  withAccess(withJson(program.command('config diff <file>', 'Compare a file with the configuration in force, by section and key')))
+  withAccess(withJson(program.command('config diff <file>', 'Compare a file with the configuration in force, by section and key, or by path on the users\' platform')))
+    .option('--in-force', 'File that is compared with, instead of the configuration in force')
     .action((file: string, options: CommandOptions) => configDiff(clock, file, options))
   withAccess(withJson(program.command('config propose <file>', 'Propose a file as the next version and wait until it is in force on each node')))
     .option('--reason', 'Why the configuration changes (required)')
@@ -173,7 +175,7 @@
   } catch (error) {
     if (error instanceof SadeExit) return exitBadInput
     printError(messageOf(error))
-    return error instanceof UsageError ? exitBadInput : exitFailure
+    return error instanceof UsageError || error instanceof FindingsError ? exitBadInput : exitFailure
   }
 }
 
