--- a/src/policy/replicaPlanning.ts
+++ b/src/policy/replicaPlanning.ts
@@ -12,6 +12,8 @@
 const firstRankWeight = 4
 /** Cost of unloading a model that has had no requests yet, since demand for it may start suddenly. */
 const unusedModelCost = 0.3
+/** Cost of unloading a surplus replica, divided by the number of surplus replicas: of a model with few, demand may need them again. */
+const surplusReplicaCost = 0.1
 /** Cost per running request of unloading a surplus replica: the request completes, but its cached prompt is lost. */
 const runningCostShare = 0.05
 /** Share of the waiting requests' value that is lost per second until the replica is ready. */
@@ -69,6 +71,8 @@
   idleMs: number
   /** Expected prefill load of the model when a load that starts now has completed; 1 fully occupies one engine. */
   prefillUtilization: number
+  /** Requests expected in progress then if none had to wait; 0 if not estimated. */
+  expectedRunning?: number
 }
 
 export interface ReplicaMove {
@@ -84,13 +88,17 @@
   demands: readonly ReplicaDemand[]
   /** Loads from the weight store that may start now. */
   availableStoreLoads: number
+  /** Whether a surplus replica of a model with many of them is unloaded before one of a model with few. */
+  prefersManySurplus?: boolean
 }
 
 /** Number of replicas that a model needs for its running and waiting requests. */
-export function replicasNeeded ({ running, waiting, idleMs, prefillUtilization }: ReplicaDemand, slots: number): number {
+export function replicasNeeded ({ running, waiting, idleMs, prefillUtilization, expectedRunning = 0 }: ReplicaDemand, slots: number): number {
   if (running + waiting === 0) return idleMs < idleRetentionMs ? 1 : 0
+  // In a burst most requests are refused, so those in progress and waiting are far fewer than those that could run.
+  const occupied = Math.max(running + waiting, expectedRunning)
   // Waiting and running requests accumulate on overloaded replicas, so their number alone would overestimate the replicas needed.
-  return Math.max(1, Math.ceil(prefillUtilization / targetPrefillUtilization), Math.ceil((running + waiting) / (slots * targetSlotUtilization)))
+  return Math.max(1, Math.ceil(prefillUtilization / targetPrefillUtilization), Math.ceil(occupied / (slots * targetSlotUtilization)))
 }
 
 interface Shortage {
@@ -107,8 +115,8 @@
 }
 
 /** Moves to start now, the most valuable first; at most one per engine. */
-export function planReplicas ({ engines, demands, availableStoreLoads }: ReplicaPlanningInput): ReplicaMove[] {
-  const planner = new ReplicaPlanner(engines, demands)
+export function planReplicas ({ engines, demands, availableStoreLoads, prefersManySurplus = false }: ReplicaPlanningInput): ReplicaMove[] {
+  const planner = new ReplicaPlanner(engines, demands, prefersManySurplus)
   const moves: ReplicaMove[] = []
   const usedEngineIds = new Set<string>()
   let remainingStoreLoads = availableStoreLoads
@@ -141,7 +149,7 @@
   private readonly replicaCounts = new Map<string, number>()
   private readonly slots: number
 
-  constructor (private readonly engines: readonly ReplicaEngine[], demands: readonly ReplicaDemand[]) {
+  constructor (private readonly engines: readonly ReplicaEngine[], demands: readonly ReplicaDemand[], private readonly prefersManySurplus: boolean) {
     for (const demand of demands) this.demandByModel.set(demand.model, demand)
     for (const { replicas } of engines) {
       for (const { model, isUnloading } of replicas) if (!isUnloading) this.replicaCounts.set(model, this.replicaCount(model) + 1)
@@ -202,7 +210,8 @@
     const weight = rankWeight(demand.rank)
     const needed = this.targetReplicas(demand)
     const replicas = this.replicaCount(replica.model)
-    if (replicas > Math.max(1, needed)) return inProgress
+    const surplus = replicas - Math.max(1, needed)
+    if (surplus > 0) return inProgress + (this.prefersManySurplus ? surplusReplicaCost / surplus : 0)
     if (demand.running + demand.waiting === 0) return demand.idleMs === Infinity ? unusedModelCost : weight / (1 + demand.idleMs / idleRetentionMs) ** 2 / 2
     if (replica.ageMs < minimumResidenceMs) return Infinity
     // The share of its requests that the remaining replicas cannot serve.
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -7,6 +7,7 @@
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartQuarantine } from '../policy/partQuarantine.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
+import { RunTime } from '../policy/runTime.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
@@ -48,6 +49,10 @@
   private readonly dispatcher: Dispatcher
   /** By `SERVICE/MODEL`. */
   private readonly prefillDemand: PrefillDemand
+  /** Arrivals of requests, by `SERVICE/MODEL`. */
+  private readonly arrivals: PrefillDemand
+  /** By service. */
+  private readonly runTimes = new Map<string, RunTime>()
   private changeFeed: ChangeFeed
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
@@ -60,6 +65,7 @@
     const { clock, storeView, ownReport } = options
     this.dispatcher = new Dispatcher(clock)
     this.prefillDemand = new PrefillDemand(clock)
+    this.arrivals = new PrefillDemand(clock)
     // The term may begin in the middle of a batch of changes, whose earlier ones the feed lacks; they precede the leader's key.
     this.changeFeed = new ChangeFeed(clock, Math.max(storeView.revision ?? 0, options.fence))
     this.placement = new PlacementLeader({
@@ -69,7 +75,8 @@
         this.recordOutcomes(report)
         return report
       },
-      expectedPrefillEngines: (service, model, horizonMs) => this.prefillDemand.estimate(`${service}/${model}`, horizonMs).expectedEngines
+      expectedPrefillEngines: (service, model, horizonMs) => this.prefillDemand.estimate(`${service}/${model}`, horizonMs).expectedEngines,
+      ...(options.sharesServers ? { expectedRunning: (service, model, horizonMs) => this.expectedRunning(service, model, horizonMs) } : {})
     })
   }
 
@@ -116,6 +123,7 @@
       slots: server.entry.slots,
       running: server.running + server.runningElsewhere
     }))
+    if (request.isFirst) this.arrivals.add(`${request.service}/${request.model}`, 1)
     if (request.isFirst) this.prefillDemand.add(`${request.service}/${request.model}`, this.dispatcher.minimumPrefillMs(request, candidates))
     return this.decideOnParts(request, candidates)
   }
@@ -166,6 +174,7 @@
     this.writeSize(storedSize)
     this.watchQuarantine()
     const running = this.placement.runningRows()
+    this.recordRunning(running)
     this.broadcastUpdate(running)
     this.broadcastNodes()
     return running
@@ -204,7 +213,31 @@
   }
 
   private recordOutcomes ({ outcomes }: NodeReport): void {
-    for (const [backend, answered, failed] of outcomes) this.dispatcher.onOutcomes(backend, answered, failed)
+    for (const [backend, answered, failed] of outcomes) {
+      this.dispatcher.onOutcomes(backend, answered, failed)
+      const service = this.options.fleet.servers.get(backend)?.entry.service
+      if (service !== undefined) this.runTimeOf(service).onBegun(answered)
+    }
+  }
+
+  private recordRunning (running: LeaderReport['running']): void {
+    const sums = new Map<string, number>([...this.runTimes.keys()].map(service => [service, 0]))
+    for (const [backend, count] of running) {
+      const service = this.options.fleet.servers.get(backend)?.entry.service
+      if (service !== undefined) sums.set(service, (sums.get(service) ?? 0) + count)
+    }
+    for (const [service, sum] of sums) this.runTimeOf(service).setRunning(sum)
+  }
+
+  private runTimeOf (service: string): RunTime {
+    const known = this.runTimes.get(service)
+    const runTime = known ?? new RunTime(this.options.clock)
+    if (!known) this.runTimes.set(service, runTime)
+    return runTime
+  }
+
+  private expectedRunning (service: string, model: string, horizonMs: number): number {
+    return this.arrivals.estimate(`${service}/${model}`, horizonMs).expectedEngines * this.runTimeOf(service).meanMs
   }
 
   private broadcastUpdate (running: LeaderReport['running']): void {
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -58,11 +58,13 @@
   onCommand?: (action: string, outcome: CommandOutcome) => void
   /** Engines' worth of prefill work expected for the model within `horizonMs`. */
   expectedPrefillEngines: (service: string, model: string, horizonMs: number) => number
+  /** Requests for the model expected in progress within `horizonMs` if none had to wait. */
+  expectedRunning?: (service: string, model: string, horizonMs: number) => number
   /** Called when an engine rejects a command because it has seen a higher fencing token. */
   onSuperseded: () => void
   /** Whether no commands may be sent because the lease may have ended. */
   mustPauseCommands: () => boolean
-  /** Whether loaded adapters without recent requests are disregarded when an engine is chosen for a model. */
+  /** Whether adapters without recent requests are disregarded, and surplus replicas weighed by their number, when an engine is chosen for a model. */
   sharesServers?: boolean
 }
 
@@ -216,6 +218,7 @@
     const moves = planReplicas({
       engines: controls.map(control => this.replicaEngine(control, engine, running.get(control.server.entry.id) ?? new Map())),
       demands: this.demands(service, engine, running),
+      prefersManySurplus: this.options.sharesServers ?? false,
       availableStoreLoads: this.rateOf(service.name, engine).available()
     })
     for (const move of moves) {
@@ -297,7 +300,8 @@
         waiting: count?.waiting ?? 0,
         rank: demand?.rank ?? Infinity,
         idleMs: demand ? nowMs - demand.atMs : Infinity,
-        prefillUtilization: this.options.expectedPrefillEngines(service.name, name, loadMs)
+        prefillUtilization: this.options.expectedPrefillEngines(service.name, name, loadMs),
+        expectedRunning: this.options.expectedRunning?.(service.name, name, loadMs) ?? 0
       }
     })
   }
--- a/tests/replicaPlanning.spec.ts
+++ b/tests/replicaPlanning.spec.ts
@@ -4,6 +4,7 @@
 import type { ReplicaEngine, Replica, ReplicaDemand } from '../src/policy/replicaPlanning.js'
 import { LoadRate } from '../src/policy/loadRate.js'
 import { PrefillDemand } from '../src/policy/prefillDemand.js'
+import { RunTime } from '../src/policy/runTime.js'
 
 const weightsMb = 70
 const slots = 64
@@ -54,6 +55,37 @@
     expect(replicasNeeded(createDemand('rare', { waiting: 1, idleMs: 0 }), 64)).to.equal(1)
   })
 
+  it('derives replicas from the requests that would run if none were refused', () => {
+    // Failure: most requests of a burst are refused, so those in progress fill the replicas that there are and claim no more.
+    expect(replicasNeeded(createDemand('burst', { running: 26, waiting: 32, expectedRunning: 120, idleMs: 0 }), 12)).to.equal(17)
+    expect(replicasNeeded(createDemand('ending', { running: 50, expectedRunning: 3, idleMs: 0 }), 12)).to.equal(7)
+  })
+
+  it('estimates how long requests run from those in progress', async () => {
+    // Failure: the estimate follows a count of requests that lags or stalls, and replicas are planned for runs of a minute.
+    const clock = new VirtualClock(0)
+    const runTime = new RunTime(clock)
+    expect(runTime.meanMs).to.equal(2000)
+    for (let second = 0; second < 30; second++) {
+      runTime.setRunning(80)
+      runTime.onBegun(100)
+      await clock.runUntil(clock.nowMs() + 1000)
+    }
+    expect(runTime.meanMs).to.be.closeTo(800, 120)
+    runTime.setRunning(5000)
+    await clock.runUntil(clock.nowMs() + 60_000)
+    expect(runTime.meanMs).to.equal(5000)
+  })
+
+  it('unloads a surplus replica of the model that has most of them', () => {
+    // Failure: before any demand is known, the second replica of a model is unloaded although another model has five.
+    const replicas = ['few', 'few', 'many', 'many', 'many', 'many', 'many']
+    const engines = replicas.map((model, index) => engine(`e${index}`, [createReplica(model), createReplica(`x${index}`), createReplica(`y${index}`)]))
+    const demands = ['few', 'many', ...replicas.flatMap((_, index) => [`x${index}`, `y${index}`])].map(model => createDemand(model))
+    const [move] = planReplicas({ engines, demands: [...demands, createDemand('rare', { waiting: 1, idleMs: 0 })], availableStoreLoads: 6, prefersManySurplus: true })
+    expect(move!.unload).to.deep.equal(['many'])
+  })
+
   it('extrapolates rising demand to the end of a load', async () => {
     // Failure: demand for a model doubles within 8 s, but a load takes 9 s and completes too late.
     const clock = new VirtualClock(1000)
