--- a/src/policy/runTime.ts
+++ b/src/policy/runTime.ts
@@ -44,7 +44,8 @@
     const elapsedMs = nowMs - this.updatedAtMs
     this.updatedAtMs = nowMs
     const weight = Math.exp(-elapsedMs / timeConstantMs)
-    this.runningMs = (this.runningMs + this.running * elapsedMs) * weight
+    // The integral of the requests in progress, with the same decay.
+    this.runningMs = this.runningMs * weight + this.running * timeConstantMs * (1 - weight)
     this.begun *= weight
   }
 }
