--- a/src/policy/runTime.ts
+++ b/src/policy/runTime.ts
@@ -35,6 +35,7 @@
   }
 
   get meanMs (): number {
+    this.advance()
     const meanMs = (this.runningMs + priorRequests * priorRunMs) / (this.begun + priorRequests)
     return Math.min(maxRunMs, Math.max(minimumRunMs, meanMs))
   }
