Make the request queue independent of the product's rank names

Cause: the placement leader needs the same order for waiting requests of the platform, whose ranks are numbers. Change: ranks, their values and guaranteed shares, and the rank that yields to late items are passed to the queue. Result: admission.spec passes unchanged apart from the constructor.

--- a/src/bench/currentPolicy.ts
+++ b/src/bench/currentPolicy.ts
@@ -30,7 +30,7 @@
 
 const keptMinimumKeys: Readonly<Record<Rank, string>> = { urgent: 'kept urgent', live: 'kept live', browsing: 'kept browsing' }
 
-interface Item extends QueueItem {
+interface Item extends QueueItem<Rank> {
   request: BenchRequest
   /** Versioned name of the base model. */
   base: string
@@ -54,7 +54,7 @@
     const { loop, deployment } = world
     const { config } = deployment
     this.random = new SeededRandom(1000 + index)
-    this.queue = new RequestQueue({ clock: loop, config: () => config })
+    this.queue = new RequestQueue({ clock: loop, ranks, shareOf: rank => config.ranks[rank], yieldingRank: 'browsing' })
     this.admission = new Admission({ clock: loop, config: () => config, nodeCount: () => deployment.nodes.length })
     this.router = new Router({
       clock: loop,
@@ -124,7 +124,7 @@
     this.retries.onRequest()
     this.countDemand(item)
     const decision = this.admission.decide(item, {
-      queue: this.queue as unknown as RequestQueue<QueueItem>, engines: this.views, loadTimeMs: this.loadTimeMs()
+      queue: this.queue as unknown as RequestQueue<QueueItem<Rank>>, engines: this.views, loadTimeMs: this.loadTimeMs()
     })
     if (!decision.admitted) {
       this.world.giveUp(request, 'shed')
--- a/src/gateway/nodeCore.ts
+++ b/src/gateway/nodeCore.ts
@@ -30,6 +30,7 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
+import { ranks } from '../config/fleetConfig.js'
 import type { FleetConfig } from '../config/fleetConfig.js'
 import type { ProposalResult } from '../config/proposal.js'
 import type { EngineApi } from '../external/engine.js'
@@ -207,7 +208,7 @@
     this.scheduler = new Scheduler({
       clock,
       log,
-      queue: new RequestQueue({ clock, config: () => this.config() }),
+      queue: new RequestQueue({ clock, ranks, shareOf: rank => this.config().ranks[rank], yieldingRank: 'browsing' }),
       admission: new Admission({ clock, config: () => this.config(), nodeCount: () => this.readyNodes() }),
       router: new Router({ clock, random, location: identity, nodeCount: () => this.readyNodes(), crossRegionPrice: () => this.config().fleet.crossRegionPrice }),
       config: () => this.config(),
--- a/src/gateway/scheduler.ts
+++ b/src/gateway/scheduler.ts
@@ -17,7 +17,7 @@
 import type { RequestTrace } from './trace.js'
 
 /** A request that waits for an engine. */
-export interface PendingRequest extends QueueItem {
+export interface PendingRequest extends QueueItem<Rank> {
   route: RouteRequest
   trace: RequestTrace
   /** What the last look for an engine found. */
@@ -150,7 +150,7 @@
 
   private admit (pending: PendingRequest): boolean {
     const decision = this.options.admission.decide(pending, {
-      queue: this.options.queue as unknown as RequestQueue<QueueItem>,
+      queue: this.options.queue as unknown as RequestQueue<QueueItem<Rank>>,
       engines: this.options.engines(),
       loadTimeMs: this.options.loadTimeMs()
     })
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -12,7 +12,7 @@
   | { admitted: false, reason: string, retryAfterMs: number }
 
 export interface AdmissionState {
-  queue: RequestQueue<QueueItem>
+  queue: RequestQueue<QueueItem<Rank>>
   /** All known engines, with or without the model. */
   engines: EngineEntry[]
   /** Recent mean duration of a model load. */
@@ -49,7 +49,7 @@
     this.ceilings = new CeilingLimiter(clock, nodeCount)
   }
 
-  decide (request: QueueItem & { ceilingRequestsPerSecond?: number }, state: AdmissionState): AdmissionDecision {
+  decide (request: QueueItem<Rank> & { ceilingRequestsPerSecond?: number }, state: AdmissionState): AdmissionDecision {
     const nowMs = this.clock.nowMs()
     state.queue.recordDemand(request.rank)
     if (request.deadlineMs <= nowMs) return refusal('deadline has passed', minRetryAfterMs)
@@ -87,7 +87,7 @@
   }
 
   /** Estimated time until dispatch, from the requests ahead in the queue and the recent completion rate of the model. */
-  private expectedWaitMs (request: QueueItem, { queue }: AdmissionState, nowMs: number): number {
+  private expectedWaitMs (request: QueueItem<Rank>, { queue }: AdmissionState, nowMs: number): number {
     const { ranks: rankConfigs } = this.config()
     let ahead = 0
     for (const rank of ranks) {
--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -1,10 +1,16 @@
-/** Request queue of one node: ranks by value with a guaranteed share, customers by start-time fair queueing, then by deadline. */
+/** Queue of waiting requests: ranks by value with a guaranteed share, customers by start-time fair queueing, then by deadline. */
 
 import type { Clock } from '../base/clock.js'
-import { ranks } from '../config/fleetConfig.js'
-import type { FleetConfig, Rank } from '../config/fleetConfig.js'
 
-export interface QueueItem {
+/** How a rank competes with the others. */
+export interface RankShare {
+  /** Ranks with a larger value are served first. */
+  requestValue: number
+  /** Share of the rank's demand that is served whatever the other ranks ask for, 0 to 1. */
+  minimumShare: number
+}
+
+export interface QueueItem<Rank = unknown> {
   requestId: string
   rank: Rank
   customer: string
@@ -22,7 +28,6 @@
   late?: boolean
 }
 
-const leastUrgent = ranks[ranks.length - 1]!
 /** Largest credit of a rank, in requests, so that a rank cannot accumulate a burst that displaces others. */
 const maxCredit = 20
 /**
@@ -106,31 +111,44 @@
   return first
 }
 
-/** Waiting requests of one node. */
+export interface RequestQueueOptions<Rank> {
+  clock: Clock
+  /** All ranks, the most urgent first. */
+  ranks: readonly Rank[]
+  shareOf: (rank: Rank) => RankShare
+  /** Rank whose items on time yield to the late items of all ranks, except for its guaranteed share. */
+  yieldingRank?: Rank
+}
+
+/** Waiting requests. */
 export class RequestQueue<Item extends QueueItem> {
-  private readonly config: () => FleetConfig
   private readonly clock: Clock
-  private readonly rankQueues = new Map<Rank, RankQueue<Item>>()
+  private readonly ranks: readonly Item['rank'][]
+  private readonly shareOf: (rank: Item['rank']) => RankShare
+  private readonly yieldingRank: Item['rank'] | undefined
+  private readonly rankQueues = new Map<Item['rank'], RankQueue<Item>>()
   /**
    * Items past `targetAtMs`, served after on-time items except those of the least urgent rank: they miss their target anyway, and
    * would make on-time items late too.
    */
-  private readonly lateQueues = new Map<Rank, RankQueue<Item>>()
+  private readonly lateQueues = new Map<Item['rank'], RankQueue<Item>>()
   private readonly lateIds = new Set<string>()
   private nextLateCheckMs = 0
   private customerSequence = 0
   private guaranteedBudget = maxGuaranteedBudget
   /** Recent requests by rank, decayed to `demandAtMs`. */
-  private readonly demand: Record<Rank, number> = { urgent: 0, live: 0, browsing: 0 }
+  private readonly demand = new Map<Item['rank'], number>()
   private demandAtMs = 0
   private readonly byId = new Map<string, Item>()
-  private readonly modelCounts = new Map<string, Map<Rank, number>>()
+  private readonly modelCounts = new Map<string, Map<Item['rank'], number>>()
 
-  constructor ({ clock, config }: { clock: Clock, config: () => FleetConfig }) {
+  constructor ({ clock, ranks, shareOf, yieldingRank }: RequestQueueOptions<Item['rank']>) {
     this.clock = clock
-    this.config = config
+    this.ranks = ranks
+    this.shareOf = shareOf
+    this.yieldingRank = yieldingRank
     for (const queues of [this.rankQueues, this.lateQueues]) {
-      for (const rank of ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), models: new Map(), virtualTime: 0, size: 0, credit: 0, earliestTargetMs: Infinity, earliestDeadlineMs: Infinity })
+      for (const rank of this.ranks) queues.set(rank, { customers: new Map(), finishTags: new Map(), models: new Map(), virtualTime: 0, size: 0, credit: 0, earliestTargetMs: Infinity, earliestDeadlineMs: Infinity })
     }
   }
 
@@ -138,29 +156,33 @@
    * Counts a request towards the demand of its rank, whether or not it is admitted afterwards. Called by `Admission.decide`, since
    * the guaranteed share refers to demand, not to admitted requests.
    */
-  recordDemand (rank: Rank): void {
-    const { ranks: rankConfigs } = this.config()
+  recordDemand (rank: Item['rank']): void {
+    const share = this.shareOf(rank)
     this.decayDemand()
-    const own = this.demand[rank] + 1
-    this.demand[rank] = own
-    const moreValuable = ranks.filter(other => rankConfigs[other].requestValue > rankConfigs[rank].requestValue)
-      .reduce((sum, other) => sum + this.demand[other], 0)
+    const own = this.demandOf(rank) + 1
+    this.demand.set(rank, own)
+    const moreValuable = this.ranks.filter(other => this.shareOf(other).requestValue > share.requestValue)
+      .reduce((sum, other) => sum + this.demandOf(other), 0)
     // Only more valuable ranks can displace a rank. Credit for an overload that the rank causes itself would take batch slots from the
     // others: at 20 times the demand, a sixth of the browsing requests went to full engines ahead of urgent ones.
-    const counted = moreValuable > 0 ? Math.min(1, moreValuable / own) : rank === ranks[0] ? 1 : 0
+    const counted = moreValuable > 0 ? Math.min(1, moreValuable / own) : rank === this.ranks[0] ? 1 : 0
     const queue = this.rankQueues.get(rank)!
-    queue.credit = Math.min(maxCredit, queue.credit + rankConfigs[rank].minimumShare * counted)
+    queue.credit = Math.min(maxCredit, queue.credit + share.minimumShare * counted)
   }
 
   private decayDemand (): void {
     const nowMs = this.clock.nowMs()
     const factor = Math.exp((this.demandAtMs - nowMs) / demandTimeConstantMs)
     this.demandAtMs = nowMs
-    for (const rank of ranks) this.demand[rank] *= factor
+    for (const [rank, count] of this.demand) this.demand.set(rank, count * factor)
+  }
+
+  private demandOf (rank: Item['rank']): number {
+    return this.demand.get(rank) ?? 0
   }
 
   /** Number of requests of the rank that may be served ahead of more valuable ranks. */
-  credit (rank: Rank): number {
+  credit (rank: Item['rank']): number {
     return this.rankQueues.get(rank)!.credit
   }
 
@@ -206,9 +228,9 @@
     if (this.byId.size === 0) return undefined
     this.moveLateItems()
     const order = this.rankOrder()
-    const search = (queues: Map<Rank, RankQueue<Item>>, rank: Rank) => this.nextOfRank(rank, queues.get(rank)!, canDispatch, models)
+    const search = (queues: Map<Item['rank'], RankQueue<Item>>, rank: Item['rank']) => this.nextOfRank(rank, queues.get(rank)!, canDispatch, models)
     for (const rank of order) {
-      if (rank === leastUrgent && !this.servesGuaranteedShare(rank)) continue
+      if (rank === this.yieldingRank && !this.servesGuaranteedShare(rank)) continue
       const item = search(this.rankQueues, rank)
       if (item) return item
     }
@@ -216,7 +238,8 @@
       const item = search(this.lateQueues, rank)
       if (item) return item
     }
-    return order.includes(leastUrgent) ? search(this.rankQueues, leastUrgent) : undefined
+    const { yieldingRank } = this
+    return yieldingRank !== undefined && order.includes(yieldingRank) ? search(this.rankQueues, yieldingRank) : undefined
   }
 
   /** Removes and returns the items whose deadline has passed. */
@@ -232,18 +255,18 @@
     return expired
   }
 
-  size (rank?: Rank): number {
+  size (rank?: Item['rank']): number {
     return rank === undefined ? this.byId.size : this.rankQueues.get(rank)!.size + this.lateQueues.get(rank)!.size
   }
 
   /** Number of the customer's on-time items in the rank, and of customers with on-time items in it. */
-  customerShare (rank: Rank, customer: string): { waiting: number, customers: number } {
+  customerShare (rank: Item['rank'], customer: string): { waiting: number, customers: number } {
     const rankQueue = this.rankQueues.get(rank)!
     return { waiting: rankQueue.customers.get(customer)?.count ?? 0, customers: rankQueue.customers.size }
   }
 
   /** Number of waiting items of a model and rank, without late ones, which do not delay others. */
-  sizeOfModel (model: string, rank: Rank): number {
+  sizeOfModel (model: string, rank: Item['rank']): number {
     return this.modelCounts.get(model)?.get(rank) ?? 0
   }
 
@@ -267,21 +290,20 @@
   }
 
   /** Ranks with waiting items: those below their guaranteed share first, then by value. */
-  private rankOrder (): Rank[] {
-    const { ranks: rankConfigs } = this.config()
-    return ranks.filter(rank => this.size(rank) > 0).sort((left, right) => {
+  private rankOrder (): Item['rank'][] {
+    return this.ranks.filter(rank => this.size(rank) > 0).sort((left, right) => {
       const leftGuaranteed = this.servesGuaranteedShare(left) ? 1 : 0
       const rightGuaranteed = this.servesGuaranteedShare(right) ? 1 : 0
-      return rightGuaranteed - leftGuaranteed || rankConfigs[right].requestValue - rankConfigs[left].requestValue
+      return rightGuaranteed - leftGuaranteed || this.shareOf(right).requestValue - this.shareOf(left).requestValue
     })
   }
 
-  private servesGuaranteedShare (rank: Rank): boolean {
+  private servesGuaranteedShare (rank: Item['rank']): boolean {
     return this.credit(rank) >= 1 && this.guaranteedBudget >= 1
   }
 
   private nextOfRank (
-    rank: Rank, rankQueue: RankQueue<Item>, canDispatch: (item: Item) => DispatchCheck, models: ReadonlySet<string> | undefined
+    rank: Item['rank'], rankQueue: RankQueue<Item>, canDispatch: (item: Item) => DispatchCheck, models: ReadonlySet<string> | undefined
   ): Item | undefined {
     if (rankQueue.size === 0) return undefined
     const heads = this.headsOf(rankQueue, models)
@@ -299,7 +321,7 @@
         rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
         customer.startTag += item.costTokens / customer.weight
         const onTimeQueue = this.rankQueues.get(item.rank)!
-        this.guaranteedBudget = Math.min(maxGuaranteedBudget, this.guaranteedBudget + guaranteedDispatchShare - (item.usesGuaranteedShare && item.rank !== ranks[0] ? 1 : 0))
+        this.guaranteedBudget = Math.min(maxGuaranteedBudget, this.guaranteedBudget + guaranteedDispatchShare - (item.usesGuaranteedShare && item.rank !== this.ranks[0] ? 1 : 0))
         onTimeQueue.credit = Math.max(0, onTimeQueue.credit - 1)
         this.detach(item)
         return item
--- a/tests/admission.spec.ts
+++ b/tests/admission.spec.ts
@@ -1,12 +1,15 @@
 import { expect } from 'chai'
 import { VirtualClock } from '../src/base/clock.js'
 import { Admission } from '../src/policy/admission.js'
+import { ranks } from '../src/config/fleetConfig.js'
+import type { Rank } from '../src/config/fleetConfig.js'
 import { RequestQueue } from '../src/policy/queue.js'
+import type { QueueItem } from '../src/policy/queue.js'
 import { testConfig, createEngine, createItem } from './fixtures/policy.js'
 
 function setUp () {
   const clock = new VirtualClock()
-  const queue = new RequestQueue({ clock, config: () => testConfig })
+  const queue = new RequestQueue<QueueItem<Rank>>({ clock, ranks, shareOf: rank => testConfig.ranks[rank], yieldingRank: 'browsing' })
   return { clock, queue, admission: new Admission({ clock, config: () => testConfig }) }
 }
 
