--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -8,6 +8,7 @@
 const sendSchema = z.object({
   afterMs: z.number(),
   backend: z.string(),
+  chosenBy: z.string().optional(),
   running: z.number(),
   runningElsewhere: z.number(),
   alternatives: z.number(),
@@ -82,10 +83,10 @@
   for (const send of line.sends ?? []) {
     sentences.push({
       atMs: startMs + send.afterMs,
-      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}${send.isUnframed ? '; the answer had neither a length nor chunks' : ''}.`
+      text: `${line.node} sent it to ${send.backend}${chooserOf(send.chosenBy)}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}${send.isUnframed ? '; the answer had neither a length nor chunks' : ''}.`
     })
   }
-  if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it.` })
+  if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it${typeof line.queuedMs === 'number' && line.queuedMs > 0 ? `, ${line.queuedMs} ms of them in the placement leader's queue` : ''}.` })
   if (typeof line.silentMs === 'number' && line.outcome === 'broken-off') {
     const search = line.searchEnd === undefined ? 'no other server was looked for' : `the search for another server ended with: ${String(line.searchEnd)}`
     sentences.push({ atMs: line.atMs, text: `The answer had begun; its last event was ${String(line.lastEventId)}, ${String(line.silentMs)} ms before; ${search}. The node was ${line.isStopping === true ? 'stopping' : 'not stopping'}, and its timers had been late by up to ${String(line.loopDelayMs)} ms.` })
@@ -95,6 +96,12 @@
   return sentences
 }
 
+function chooserOf (chosenBy: string | undefined): string {
+  if (chosenBy === 'queue') return ', assigned from the placement leader\'s queue'
+  if (chosenBy === 'leader') return ', chosen by the placement leader'
+  return chosenBy === 'node' ? ', chosen by itself' : ''
+}
+
 function contextSentence ({ event, node, time: _time, atMs: _atMs, level: _level, ...fields }: Line): string {
   const details = Object.entries(fields).filter(([, value]) => value !== undefined).map(([name, value]) => `${name} ${typeof value === 'string' ? value : JSON.stringify(value)}`)
   return `${node}: ${event}${details.length > 0 ? ` (${details.join(', ')})` : ''}.`
--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -59,6 +59,8 @@
   availabilityZone: string
   /** IDs of backend servers that must not be chosen. */
   excluded: readonly string[]
+  /** IDs of the backend servers that may be chosen; absent if all may. */
+  only?: readonly string[] | undefined
   /** Longest gap between events that meets the objective. */
   gapObjectiveMs: number | undefined
   /** Whether this is the first dispatch request for the inference request. */
@@ -98,13 +100,15 @@
 
 /**
  * An engine for the request, or the delay after which to send the dispatch request again. With `trial`, the request may be sent
- * although its prompt parts are under suspicion.
+ * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission.
  */
-export type DispatchDecision = { kind: 'engine', id: string, trial?: string } | { kind: 'wait', forMs: number }
+export type DispatchDecision = { kind: 'engine', id: string, trial?: string } | { kind: 'wait', forMs: number, isForTrial?: true }
 
 export class Dispatcher {
   private readonly clock: Clock
   private readonly engines = new Map<string, EngineState>()
+  /** Prefill time of each assignment, for its return. */
+  private readonly assignedPrefillMs = new WeakMap<DispatchRequest, number>()
 
   constructor (clock: Clock) {
     this.clock = clock
@@ -115,7 +119,7 @@
    * `undefined` if no candidate is allowed.
    */
   choose (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
-    const usable = candidates.filter(({ id }) => !request.excluded.includes(id))
+    const usable = candidates.filter(({ id }) => !request.excluded.includes(id) && (request.only?.includes(id) ?? true))
     if (usable.length === 0) return undefined
     let best: { state: EngineState, id: string, prefillMs: number } | undefined
     let bestMs = Infinity
@@ -146,6 +150,18 @@
     return { kind: 'engine', id: best.id }
   }
 
+  /** Takes back an assignment that was not used, so that its slot is free at once. */
+  returnAssignment (request: DispatchRequest, engine: string): void {
+    const state = this.engines.get(engine)
+    const prefillMs = this.assignedPrefillMs.get(request)
+    if (!state || prefillMs === undefined) return
+    this.assignedPrefillMs.delete(request)
+    // The assignments are alike for `recentlyAssigned`; removing the latest keeps the others counted until reports show them.
+    state.assignedAtMs.pop()
+    state.prefillDoneAtMs -= prefillMs
+    state.batchPrefillMs = Math.max(0, state.batchPrefillMs - prefillMs)
+  }
+
   /** Shortest prefill time on any candidate, considering cached prompt parts; without candidates, that of the entire prompt. */
   minimumPrefillMs (request: DispatchRequest, candidates: readonly DispatchCandidate[]): number {
     return Math.min(request.promptTokens / prefillTokensPerMs, ...candidates.map(({ id }) => this.prefillMs(request, this.stateOf(id))))
@@ -168,6 +184,7 @@
     const nowMs = this.clock.nowMs()
     state.prefillDoneAtMs = Math.max(state.prefillDoneAtMs, nowMs) + prefillMs
     state.batchPrefillMs += prefillMs
+    this.assignedPrefillMs.set(request, prefillMs)
     state.assignedAtMs.push(nowMs)
     for (const part of request.sharedParts) {
       const key = prefixKey(request, part)
--- /dev/null
+++ b/src/policy/slotQueue.ts
@@ -0,0 +1,342 @@
+/** Queue of the requests of all nodes that wait for an engine. The placement leader keeps it, and assigns engines as slots become free. */
+
+import type { CancelTimer, Clock } from '../base/clock.js'
+import type { DispatchDecision, DispatchRequest } from './dispatcher.js'
+import { RequestQueue } from './queue.js'
+import type { DispatchCheck, QueueItem } from './queue.js'
+
+/** Interval of the search for free slots while requests wait. */
+const passIntervalMs = 20
+/** Shortest time between two passes that reports cause; all nodes report several times a second. */
+const minimumPassGapMs = 10
+/** Duration after which a pass stops. The next one goes on with the models that it did not reach. */
+const maxPassMs = 5
+/** Requests under suspicion that one pass tries. */
+const maxHeldPerPass = 8
+/** Time within which a node may return an assignment; later, reports show what is running. */
+const returnableMs = 2000
+/** Ranks from this number on share one place in the order. The platform's ranks are small numbers. */
+const leastUrgentRank = 9
+/** Rank of answers that have begun. */
+const begunRank = -1
+const slotRanks = Array.from({ length: leastUrgentRank + 2 }, (_, index) => index + begunRank)
+/** Share of the demand of each rank that is served even if more urgent ranks need all slots; accounts may not fall below a quarter of the mean. */
+const guaranteedShare = 0.3
+/** Window over which the assignments of a model are counted. */
+const rateWindowMs = 4000
+/** Time for which requests for a model must have waited, and assignments that must have been made meanwhile, until its rate is known. */
+const minimumRateMs = 1000
+const minimumRateCount = 8
+/** A request is refused at once only if its expected wait exceeds the time left by this factor, since the rate varies. */
+const clearRefusalFactor = 1.5
+const minimumRetryAfterMs = 250
+const maxRetryAfterMs = 5000
+/** `retryAfterMs` for a request whose patience has ended. */
+const expiredRetryAfterMs = 1200
+
+/** What the order of waiting requests depends on. */
+export interface QueuePlace {
+  /** Account of the request; requests without one share a place. */
+  account: string | undefined
+  costTokens: number
+  /** Time for which the request still waits. */
+  leftMs: number
+  /** Time until the request can no longer meet its objective. */
+  inTimeMs: number
+  /** Whether the client has received part of the answer. */
+  hasBegun: boolean
+}
+
+export type RefusalReason = 'hopeless' | 'expired'
+
+export type SlotAnswer =
+  | { kind: 'engine', id: string, trial?: string }
+  | { kind: 'refused', retryAfterMs: number }
+  /** This queue does not exist any more. */
+  | { kind: 'lost' }
+
+export interface SlotRequest {
+  /** Identifies the request among all nodes. */
+  id: string
+  dispatch: DispatchRequest
+  place: QueuePlace
+  /** Called once, possibly before `submit` returns. */
+  onAnswer: (answer: SlotAnswer) => void
+}
+
+interface Entry extends QueueItem<number> {
+  request: SlotRequest
+  /** `SERVICE/MODEL`, over which the rate is measured. */
+  rateKey: string
+  decision?: Extract<DispatchDecision, { kind: 'engine' }>
+}
+
+interface ModelRate {
+  waiting: number
+  /** Since when requests have been waiting without interruption. */
+  waitingSinceMs: number
+  assignedAtMs: number[]
+}
+
+interface Assignment {
+  dispatch: DispatchRequest
+  decision: Extract<DispatchDecision, { kind: 'engine' }>
+  atMs: number
+}
+
+export interface SlotQueueOptions {
+  clock: Clock
+  /** Assigns the request to an engine, or says why it must wait. */
+  decide: (request: DispatchRequest) => DispatchDecision | undefined
+  /** Takes back an assignment that was not used. */
+  onReturned: (request: DispatchRequest, decision: Extract<DispatchDecision, { kind: 'engine' }>) => void
+  onAssigned?: ((queuedMs: number) => void) | undefined
+  onRefused?: ((reason: RefusalReason, request: SlotRequest) => void) | undefined
+}
+
+export class SlotQueue {
+  private readonly options: SlotQueueOptions
+  private readonly clock: Clock
+  private readonly queue: RequestQueue<Entry>
+  private readonly entries = new Map<string, Entry>()
+  /** Entries whose prompt parts are under suspicion; they are tried in turn. */
+  private readonly held = new Map<string, Entry>()
+  private readonly rates = new Map<string, ModelRate>()
+  /** Assignments that may still be returned, oldest first. */
+  private readonly assignments = new Map<string, Assignment>()
+  /** Models, by rank, without a place in the current pass, and in the one before if that was cut short. */
+  private readonly blocked = new Set<string>()
+  private wasCut = false
+  private lastPassAtMs = -Infinity
+  private cancelTimer: CancelTimer | undefined
+
+  constructor (options: SlotQueueOptions) {
+    this.options = options
+    this.clock = options.clock
+    this.queue = new RequestQueue<Entry>({
+      clock: options.clock,
+      ranks: slotRanks,
+      shareOf: rank => ({ requestValue: -rank, minimumShare: rank === begunRank ? 1 : guaranteedShare })
+    })
+  }
+
+  /** Number of waiting requests. */
+  get size (): number {
+    return this.entries.size
+  }
+
+  /** Answers the request at once if an engine takes it or if it clearly cannot be served in time. Returns whether it waits otherwise. */
+  submit (request: SlotRequest): boolean {
+    const entry = this.entryOf(request)
+    this.queue.recordDemand(entry.rank)
+    this.queue.add(entry)
+    this.entries.set(request.id, entry)
+    this.countWaiting(entry, 1)
+    // Only this model: a search for all of them at each arrival would cost more than the wait until the next pass.
+    this.assign(new Set(), this.clock.nowMs() + maxPassMs, new Set([entry.model]))
+    if (!this.entries.has(request.id)) return false
+    const expectedMs = this.expectedWaitMs(entry)
+    if (expectedMs !== undefined && expectedMs > request.place.leftMs * clearRefusalFactor) {
+      const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minimumRetryAfterMs, expectedMs - request.place.leftMs))
+      this.refuse(entry, 'hopeless', retryAfterMs)
+      return false
+    }
+    this.startTimer()
+    return true
+  }
+
+  /** The request no longer needs an engine: it leaves the queue, or its assignment is taken back. Returns whether it was an assignment. */
+  cancel (id: string): boolean {
+    const entry = this.entries.get(id)
+    if (entry) {
+      this.detach(entry)
+      return false
+    }
+    const assignment = this.assignments.get(id)
+    if (!assignment) return false
+    this.assignments.delete(id)
+    if (this.clock.nowMs() - assignment.atMs <= returnableMs) {
+      this.options.onReturned(assignment.dispatch, assignment.decision)
+      this.onCapacity()
+    }
+    return true
+  }
+
+  /** Removes the waiting requests of a node whose connection has closed. */
+  drop (isDropped: (id: string) => boolean): void {
+    for (const entry of [...this.entries.values()]) if (isDropped(entry.requestId)) this.detach(entry)
+  }
+
+  /** The load or the replicas of engines have changed. */
+  onCapacity (): void {
+    if (this.entries.size > 0 && this.clock.nowMs() - this.lastPassAtMs >= minimumPassGapMs) this.pass()
+  }
+
+  /** Ends the queue; its requests are answered with `lost`. */
+  stop (): void {
+    this.cancelTimer?.()
+    this.cancelTimer = undefined
+    for (const entry of [...this.entries.values()]) {
+      this.detach(entry)
+      entry.request.onAnswer({ kind: 'lost' })
+    }
+  }
+
+  /** Assigns free slots in order, for a bounded time. */
+  pass (): void {
+    const nowMs = this.clock.nowMs()
+    this.lastPassAtMs = nowMs
+    for (const entry of this.queue.removeExpired(nowMs)) this.refuse(entry, 'expired', expiredRetryAfterMs)
+    if (!this.wasCut) this.blocked.clear()
+    this.wasCut = !this.assign(this.blocked, nowMs + maxPassMs)
+    this.tryHeld(nowMs)
+    for (const [id, { atMs }] of this.assignments) {
+      if (nowMs - atMs <= returnableMs) break
+      this.assignments.delete(id)
+    }
+    for (const [key, { waiting, assignedAtMs }] of this.rates) if (waiting === 0 && (assignedAtMs.at(-1) ?? 0) < nowMs - rateWindowMs) this.rates.delete(key)
+  }
+
+  private startTimer (): void {
+    this.cancelTimer ??= this.clock.setTimer(passIntervalMs, () => {
+      this.cancelTimer = undefined
+      this.pass()
+      if (this.entries.size > 0) this.startTimer()
+    })
+  }
+
+  /** Returns whether it was completed before `untilMs`. */
+  private assign (blocked: Set<string>, untilMs: number, models?: ReadonlySet<string>): boolean {
+    let isComplete = true
+    for (;;) {
+      const suspects: Entry[] = []
+      const check = (entry: Entry): DispatchCheck => {
+        const key = `${entry.rank} ${entry.late} ${entry.model}`
+        // The dispatcher's answer depends on the model and the rank, so another entry would be refused too.
+        if (blocked.has(key)) return 'model-blocked'
+        if (this.clock.nowMs() >= untilMs) {
+          isComplete = false
+          return 'model-blocked'
+        }
+        const decision = this.decide(entry)
+        if (decision?.kind === 'engine') {
+          entry.decision = decision
+          return true
+        }
+        if (decision?.isForTrial) {
+          suspects.push(entry)
+          return false
+        }
+        blocked.add(key)
+        return 'model-blocked'
+      }
+      const entry = this.queue.next(check, models)
+      for (const suspect of suspects) {
+        this.queue.remove(suspect.requestId)
+        this.held.set(suspect.requestId, suspect)
+      }
+      if (entry) this.onAssigned(entry, entry.decision!)
+      else if (suspects.length === 0) return isComplete
+    }
+  }
+
+  /** Entries under suspicion wait for a trial of their own, without delaying others of their model. */
+  private tryHeld (nowMs: number): void {
+    for (const entry of [...this.held.values()].slice(0, maxHeldPerPass)) {
+      this.held.delete(entry.requestId)
+      if (nowMs > entry.deadlineMs) {
+        this.refuse(entry, 'expired', expiredRetryAfterMs)
+        continue
+      }
+      const decision = this.decide(entry)
+      if (decision?.kind === 'engine') this.onAssigned(entry, decision)
+      else if (decision?.isForTrial) this.held.set(entry.requestId, entry)
+      else this.queue.add(entry)
+    }
+  }
+
+  private decide (entry: Entry): DispatchDecision | undefined {
+    const { dispatch } = entry.request
+    dispatch.isLate = entry.rank !== begunRank && this.clock.nowMs() > (entry.targetAtMs ?? Infinity)
+    return this.options.decide(dispatch)
+  }
+
+  private onAssigned (entry: Entry, decision: Extract<DispatchDecision, { kind: 'engine' }>): void {
+    const { id, dispatch, onAnswer } = entry.request
+    const atMs = this.clock.nowMs()
+    this.assignments.set(id, { dispatch, decision, atMs })
+    this.rateOf(entry.rateKey).assignedAtMs.push(atMs)
+    this.detach(entry)
+    this.options.onAssigned?.(atMs - entry.enqueuedAtMs)
+    onAnswer(decision)
+  }
+
+  private refuse (entry: Entry, reason: RefusalReason, retryAfterMs: number): void {
+    this.detach(entry)
+    this.options.onRefused?.(reason, entry.request)
+    entry.request.onAnswer({ kind: 'refused', retryAfterMs })
+  }
+
+  private detach (entry: Entry): void {
+    if (!this.entries.delete(entry.requestId)) return
+    this.queue.remove(entry.requestId)
+    this.held.delete(entry.requestId)
+    this.countWaiting(entry, -1)
+  }
+
+  /**
+   * Expected wait, from the entries ahead and the rate at which waiting requests of the model were assigned lately; `undefined` while
+   * the rate is not known or the guaranteed share serves the entry.
+   */
+  private expectedWaitMs ({ rank, rateKey, model, customer }: Entry): number | undefined {
+    const nowMs = this.clock.nowMs()
+    if (rank === begunRank) return undefined
+    const { waitingSinceMs, assignedAtMs } = this.rateOf(rateKey)
+    const fromMs = Math.max(waitingSinceMs, nowMs - rateWindowMs)
+    while (assignedAtMs.length > 0 && assignedAtMs[0]! < nowMs - rateWindowMs) assignedAtMs.shift()
+    const count = assignedAtMs.filter(atMs => atMs >= fromMs).length
+    if (nowMs - fromMs < minimumRateMs || count < minimumRateCount || this.queue.credit(rank) >= 1) return undefined
+    let ahead = 0
+    for (const other of slotRanks) {
+      if (other > rank) break
+      const waiting = this.queue.sizeOfModel(model, other)
+      const share = this.queue.customerShare(other, customer)
+      // Fair queueing serves the other customers about as often as this one before its turn.
+      ahead += other === rank ? Math.min(waiting - 1, share.waiting * share.customers) : waiting
+    }
+    return ahead * (nowMs - fromMs) / count
+  }
+
+  private countWaiting ({ rateKey }: Entry, change: number): void {
+    const rate = this.rateOf(rateKey)
+    if (rate.waiting === 0) rate.waitingSinceMs = this.clock.nowMs()
+    rate.waiting += change
+  }
+
+  private rateOf (key: string): ModelRate {
+    let rate = this.rates.get(key)
+    if (!rate) this.rates.set(key, rate = { waiting: 0, waitingSinceMs: this.clock.nowMs(), assignedAtMs: [] })
+    return rate
+  }
+
+  private entryOf (request: SlotRequest): Entry {
+    const { id, dispatch, place } = request
+    const { service, model, adapter, rank, excluded, only } = dispatch
+    const nowMs = this.clock.nowMs()
+    const rateKey = `${service}/${model}`
+    return {
+      requestId: id,
+      rank: place.hasBegun ? begunRank : Math.min(rank, leastUrgentRank),
+      customer: place.account ?? '',
+      customerWeight: 1,
+      // Requests that may go to other engines do not block each other.
+      model: [rateKey, adapter ?? '', [...excluded].sort().join(), only?.join() ?? ''].join(' '),
+      deadlineMs: nowMs + place.leftMs,
+      enqueuedAtMs: nowMs,
+      costTokens: place.costTokens,
+      ...(place.hasBegun ? {} : { targetAtMs: nowMs + place.inTimeMs }),
+      rateKey,
+      request
+    }
+  }
+}
--- a/src/policy/waitForEngine.ts
+++ b/src/policy/waitForEngine.ts
@@ -36,19 +36,29 @@
   | { kind: 'wait', isLate: boolean }
   | { kind: 'refuse', reason: 'full' | 'not-loaded', retryAfterMs: number }
 
+/** Time until which the request waits at most. */
+export function waitUntilMs (conditions: Pick<WaitConditions, 'isStream' | 'objectiveMs' | 'gapObjectiveMs' | 'lastProgressAtMs' | 'lastAttemptAtMs'>): number {
+  return Math.min(conditions.lastAttemptAtMs, conditions.isStream ? conditions.lastProgressAtMs + streamPatienceMs(conditions) * patienceShare : Infinity)
+}
+
+/** Time from which the waiting request can no longer meet its objective. */
+export function lateAtMs ({ lastProgressAtMs, objectiveMs }: Pick<WaitConditions, 'lastProgressAtMs' | 'objectiveMs'>): number {
+  return lastProgressAtMs + objectiveMs * inTimeShare
+}
+
 /**
  * Decides at `nowMs` whether the request keeps waiting. `readyInMs` is the expected time until an engine has the required model and
  * adapter loaded: 0 if one has but is full, `undefined` if no load is planned.
  */
 export function decideWait (conditions: WaitConditions, nowMs: number, readyInMs: number | undefined): WaitDecision {
-  const { lastProgressAtMs, startedAtMs, objectiveMs, shortestLoadMs } = conditions
-  const waitUntilMs = Math.min(conditions.lastAttemptAtMs, conditions.isStream ? lastProgressAtMs + streamPatienceMs(conditions) * patienceShare : Infinity)
+  const { startedAtMs, shortestLoadMs } = conditions
+  const untilMs = waitUntilMs(conditions)
   // A load planned later than this would complete after the callers have left.
-  const planUntilMs = Math.min(waitUntilMs, Math.max(startedAtMs + placementDecisionMs, waitUntilMs - shortestLoadMs))
-  if (nowMs > waitUntilMs || (readyInMs === undefined ? nowMs > planUntilMs : nowMs + readyInMs > waitUntilMs)) {
+  const planUntilMs = Math.min(untilMs, Math.max(startedAtMs + placementDecisionMs, untilMs - shortestLoadMs))
+  if (nowMs > untilMs || (readyInMs === undefined ? nowMs > planUntilMs : nowMs + readyInMs > untilMs)) {
     return readyInMs === 0
       ? { kind: 'refuse', reason: 'full', retryAfterMs: fullRetryAfterMs }
       : { kind: 'refuse', reason: 'not-loaded', retryAfterMs: (readyInMs ?? placementDecisionMs) + readyMarginMs }
   }
-  return { kind: 'wait', isLate: nowMs > lastProgressAtMs + objectiveMs * inTimeShare }
+  return { kind: 'wait', isLate: nowMs > lateAtMs(conditions) }
 }
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -3,8 +3,10 @@
 import type { Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
-import { encodeDispatchRequest } from './peerMessages.js'
-import type { DispatchRequestMessage } from './peerMessages.js'
+import type { QueuePlace, SlotAnswer } from '../policy/slotQueue.js'
+import { encodeDispatchRequest, encodePlace } from './peerMessages.js'
+import type { NodeMessage } from './peerMessages.js'
+import { QueuedSlot } from './queuedSlot.js'
 
 /** Three times the round trip between regions. Without a reply in time, this node chooses the server itself. */
 const replyTimeoutMs = 70
@@ -13,21 +15,33 @@
 
 export interface DispatchClientOptions {
   clock: Clock
+  /** Timeouts in a row after which no dispatch requests are sent for a while. */
+  timeoutsBeforePause?: number
   /** Sends the message, or returns false if there is no connection. */
-  send (message: DispatchRequestMessage): boolean
+  send (message: NodeMessage): boolean
+}
+
+interface OpenSlot {
+  slot: QueuedSlot
+  onFirstReply: () => void
 }
 
 export class DispatchClient {
   private readonly clock: Clock
-  private readonly send: (message: DispatchRequestMessage) => boolean
+  private readonly timeoutsBeforePause: number
+  private readonly send: (message: NodeMessage) => boolean
   private readonly pending = new Map<number, (decision: DispatchDecision | undefined) => void>()
+  /** Requests in the leader's queue, or on their way to it. */
+  private readonly slots = new Map<number, OpenSlot>()
   private nextNumber = 1
+  private timeoutsInARow = 0
   private pausedUntilMs = 0
   /** Dispatch requests without a reply in time. */
   timeouts = 0
 
-  constructor ({ clock, send }: DispatchClientOptions) {
+  constructor ({ clock, timeoutsBeforePause = 1, send }: DispatchClientOptions) {
     this.clock = clock
+    this.timeoutsBeforePause = timeoutsBeforePause
     this.send = send
   }
 
@@ -45,23 +59,88 @@
     })
   }
 
+  /**
+   * Asks for an engine, and for a place in the leader's queue if there is none now. Resolves at the first reply, or with `undefined`
+   * if there is no connection or no reply within `timeoutMs`.
+   */
+  requestSlot (request: DispatchRequest, place: QueuePlace, timeoutMs: number): Promise<QueuedSlot | undefined> {
+    if (this.clock.nowMs() < this.pausedUntilMs) return Promise.resolve(undefined)
+    const number = this.nextNumber++
+    if (!this.send({ ask: number, ...encodeDispatchRequest(request), place: encodePlace(place) })) return Promise.resolve(undefined)
+    const slot = new QueuedSlot({
+      clock: this.clock,
+      excluded: request.excluded,
+      onCancel: () => {
+        this.slots.delete(number)
+        this.send({ cancel: number })
+      }
+    })
+    return new Promise(resolve => {
+      const cancel = this.clock.setTimer(timeoutMs, () => { void this.onSlotTimeout(number, () => resolve(undefined)) })
+      const onFirstReply = () => {
+        cancel()
+        resolve(slot)
+      }
+      this.slots.set(number, { slot, onFirstReply })
+    })
+  }
+
   onReply (number: number, decision: DispatchDecision | undefined): void {
     const resolve = this.pending.get(number)
     this.pending.delete(number)
+    if (decision) this.timeoutsInARow = 0
     resolve?.(decision)
   }
 
+  /** Returns whether the reply belongs to a request for a slot. An engine for a request that does not exist any more is returned. */
+  onSlotReply (number: number, reply: SlotAnswer | { kind: 'queued' }): boolean {
+    const open = this.slots.get(number)
+    if (!open) {
+      if (this.pending.has(number)) return false
+      if (reply.kind === 'engine') this.send({ cancel: number })
+      return true
+    }
+    this.timeoutsInARow = 0
+    if (reply.kind === 'queued') open.slot.wasQueued = true
+    else {
+      this.slots.delete(number)
+      open.slot.deliver(reply)
+    }
+    open.onFirstReply()
+    return true
+  }
+
   private async onTimeout (number: number): Promise<void> {
     // The reply may have arrived while the event loop was blocked.
     await ioTurn()
     if (!this.pending.has(number)) return
+    this.countTimeout()
+    this.onReply(number, undefined)
+  }
+
+  private async onSlotTimeout (number: number, giveUp: () => void): Promise<void> {
+    await ioTurn()
+    const open = this.slots.get(number)
+    if (!open || open.slot.wasQueued) return
+    this.countTimeout()
+    open.slot.cancel()
+    giveUp()
+  }
+
+  private countTimeout (): void {
     this.timeouts++
+    if (++this.timeoutsInARow < this.timeoutsBeforePause) return
+    this.timeoutsInARow = 0
     this.pausedUntilMs = this.clock.nowMs() + unresponsivePauseMs
-    this.onReply(number, undefined)
   }
 
   /** Completes all pending requests without a decision, since the connection to the leader was lost. */
   onLost (): void {
     for (const number of [...this.pending.keys()]) this.onReply(number, undefined)
+    for (const [number, { slot, onFirstReply }] of [...this.slots]) {
+      this.slots.delete(number)
+      slot.deliver({ kind: 'lost' })
+      onFirstReply()
+    }
   }
 }
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -6,12 +6,15 @@
 import type { DispatchCandidate, DispatchDecision, DispatchRequest } from '../policy/dispatcher.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartQuarantine } from '../policy/partQuarantine.js'
+import { SlotQueue } from '../policy/slotQueue.js'
+import type { QueuePlace, RefusalReason, SlotAnswer, SlotRequest } from '../policy/slotQueue.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
-import { packChanges } from './peerMessages.js'
-import type { LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
+import { decodeDispatchRequest, encodeSlotAnswer, packChanges } from './peerMessages.js'
+import type { DispatchRequestMessage, LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
+import type { Send } from './peerLink.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
 import { softwareOf } from './backendServer.js'
@@ -40,12 +43,20 @@
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
   nodeAddresses: () => string[]
+  onSlotAssigned?: ((queuedMs: number) => void) | undefined
+  onSlotRefused?: ((reason: RefusalReason) => void) | undefined
+  onSlotReturned?: (() => void) | undefined
 }
 
 export class LeaderTerm {
   private readonly options: LeaderTermOptions
   private readonly placement: PlacementLeader
+  /** Requests of all nodes that wait for an engine. */
+  readonly slots: SlotQueue
   private readonly dispatcher: Dispatcher
+  /** Number of each node's connection. */
+  private readonly connections = new WeakMap<Send, number>()
+  private nextConnection = 1
   /** By `SERVICE/MODEL`. */
   private readonly prefillDemand: PrefillDemand
   private changeFeed: ChangeFeed
@@ -60,6 +71,17 @@
     const { clock, storeView, ownReport } = options
     this.dispatcher = new Dispatcher(clock)
     this.prefillDemand = new PrefillDemand(clock)
+    this.slots = new SlotQueue({
+      clock,
+      decide: request => this.decideOnParts(request, this.candidatesOf(request)),
+      onReturned: (request, { id, trial }) => {
+        this.dispatcher.returnAssignment(request, id)
+        if (trial !== undefined) options.quarantine.endTrial(trial)
+        options.onSlotReturned?.()
+      },
+      onAssigned: options.onSlotAssigned,
+      onRefused: (reason, request) => this.onSlotRefused(reason, request)
+    })
     this.changeFeed = new ChangeFeed(clock, storeView.revision ?? 0)
     this.placement = new PlacementLeader({
       ...options,
@@ -75,6 +97,7 @@
   stop (): void {
     this.isStopped = true
     this.cancelUpdate?.()
+    this.slots.stop()
     this.placement.stop()
   }
 
@@ -89,6 +112,7 @@
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
     if (report.parts) this.options.quarantine.merge(report.parts, { isNews: true })
     this.placement.onReport(report)
+    this.slots.onCapacity()
   }
 
   /** Sends news about prompt parts to all nodes. */
@@ -101,16 +125,59 @@
 
   /** The dispatch decision for a request of any node, which excludes the servers that want none from it; `undefined` if this node knows no engine that can serve it. */
   dispatch (request: DispatchRequest): DispatchDecision | undefined {
+    const candidates = this.candidatesOf(request)
+    this.countPrefill(request, candidates)
+    return this.decideOnParts(request, candidates)
+  }
+
+  /** Like `dispatch`, but lets the request wait for an engine. Returns whether it waits; otherwise it has been answered. */
+  queueForSlot (request: SlotRequest): boolean {
+    this.countPrefill(request.dispatch, this.candidatesOf(request.dispatch))
+    return this.slots.submit(request)
+  }
+
+  /** A node asks for a slot. `reply` identifies its connection. */
+  onSlotRequest (message: DispatchRequestMessage, place: QueuePlace, reply: Send): void {
+    const { ask } = message
+    const onAnswer = (answer: SlotAnswer) => reply({ ask, ...encodeSlotAnswer(answer) })
+    if (this.queueForSlot({ id: this.slotId(reply, ask), dispatch: decodeDispatchRequest(message), place, onAnswer })) reply({ ask, queued: true })
+  }
+
+  onSlotCancel (ask: number, reply: Send): void {
+    this.slots.cancel(this.slotId(reply, ask))
+  }
+
+  /** The connection of a node has closed. */
+  onNodeLeft (reply: Send): void {
+    const prefix = this.slotId(reply, '')
+    this.slots.drop(id => id.startsWith(prefix))
+  }
+
+  private slotId (reply: Send, ask: number | string): string {
+    let connection = this.connections.get(reply)
+    if (connection === undefined) this.connections.set(reply, connection = this.nextConnection++)
+    return `${connection}/${ask}`
+  }
+
+  private onSlotRefused (reason: RefusalReason, { dispatch, place }: SlotRequest): void {
+    this.options.log('info', 'waiting request refused', { reason, model: dispatch.model, rank: dispatch.rank, leftMs: Math.round(place.leftMs), queued: this.slots.size })
+    this.options.onSlotRefused?.(reason)
+  }
+
+  private candidatesOf (request: DispatchRequest): DispatchCandidate[] {
     const servers = this.options.fleet.ofService(request.service).filter(server => server.isPresent && server.serves(request.model, request.adapter))
-    const candidates = servers.map(server => ({
+    return servers.map(server => ({
       id: server.entry.id,
       region: server.region,
       availabilityZone: server.entry.availabilityZone,
       slots: server.entry.slots,
       running: server.running + server.runningElsewhere
     }))
+  }
+
+  /** The demand for prefill, to which each request counts once. */
+  private countPrefill (request: DispatchRequest, candidates: readonly DispatchCandidate[]): void {
     if (request.isFirst) this.prefillDemand.add(`${request.service}/${request.model}`, this.dispatcher.minimumPrefillMs(request, candidates))
-    return this.decideOnParts(request, candidates)
   }
 
   /** Requests with prompt parts under suspicion are sent one at a time; those with quarantined ones wait until their node refuses them. */
@@ -119,7 +186,7 @@
     const check = quarantine.check(evidenceParts(request))
     if (check.kind === 'clear') return this.dispatcher.choose(request, candidates)
     const trial = check.kind === 'suspect' ? quarantine.beginTrial(check) : undefined
-    if (!trial) return { kind: 'wait', forMs: trialPollMs }
+    if (!trial) return { kind: 'wait', forMs: trialPollMs, isForTrial: true }
     const inTrial = quarantine.enginesInTrial
     const free = candidates.filter(({ id }) => !request.excluded.includes(id) && !inTrial.includes(id))
     const decision = this.dispatcher.choose(request, trial.isIsolated ? leastRunning(free) : free)
@@ -128,7 +195,7 @@
       return { ...decision, trial: trial.id }
     }
     quarantine.endTrial(trial.id)
-    return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs } : undefined)
+    return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs, isForTrial: true } : undefined)
   }
 
   /** A store change that other nodes need. */
@@ -161,6 +228,7 @@
     const running = this.placement.runningRows()
     this.broadcastUpdate(running)
     this.broadcastNodes()
+    this.slots.onCapacity()
     return running
   }
 
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { partFactsSchema } from '../policy/partQuarantine.js'
+import type { QueuePlace, SlotAnswer } from '../policy/slotQueue.js'
 import { decodeBody, encodeBody } from '../protocol/framing.js'
 
 /** ID and start time of a backend server's incarnation. */
@@ -44,31 +45,47 @@
   /** Identity of the request, if engines have ended under any. */
   identity: z.string().optional(),
   excluded: z.array(z.string()),
+  /** The engines that may be chosen; absent if all may. */
+  only: z.array(z.string()).optional(),
+  /** Account, cost in tokens, time left, time left to meet the objective, whether the answer has begun. Present if the request waits in the leader's queue. */
+  place: z.tuple([z.string().nullable(), z.number(), z.number(), z.number(), z.boolean()]).optional(),
   isFirst: z.boolean(),
   isLate: z.boolean()
 })
 export type DispatchRequestMessage = z.infer<typeof dispatchRequestSchema>
 
-export function encodeDispatchRequest ({ service, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs, excluded, isFirst, isLate }: DispatchRequest): Omit<DispatchRequestMessage, 'ask'> {
+export function encodeDispatchRequest ({ service, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs, excluded, only, isFirst, isLate }: DispatchRequest): Omit<DispatchRequestMessage, 'ask'> {
   return {
     row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone, gapObjectiveMs ?? null],
     parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
     ...(identity === undefined ? {} : { identity }),
     excluded: [...excluded],
+    ...(only === undefined ? {} : { only: [...only] }),
     isFirst,
     isLate
   }
 }
 
-export function decodeDispatchRequest ({ row, parts, identity, excluded, isFirst, isLate }: DispatchRequestMessage): DispatchRequest {
+export function decodeDispatchRequest ({ row, parts, identity, excluded, only, isFirst, isLate }: DispatchRequestMessage): DispatchRequest {
   const [service, model, adapter, promptTokens, rank, region, availabilityZone, gapObjectiveMs] = row
   const sharedParts = parts.map(([id, tokens]) => ({ id, tokens }))
   return {
-    service, model, adapter: adapter ?? undefined, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, isFirst, isLate
+    service, model, adapter: adapter ?? undefined, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, only, isFirst, isLate
   }
 }
 
-export const nodeMessageSchema = z.union([dispatchRequestSchema, nodeReportSchema])
+export function encodePlace ({ account, costTokens, leftMs, inTimeMs, hasBegun }: QueuePlace): NonNullable<DispatchRequestMessage['place']> {
+  return [account ?? null, costTokens, Math.round(leftMs), Math.round(inTimeMs), hasBegun]
+}
+
+export function decodePlace ([account, costTokens, leftMs, inTimeMs, hasBegun]: NonNullable<DispatchRequestMessage['place']>): QueuePlace {
+  return { account: account ?? undefined, costTokens, leftMs, inTimeMs, hasBegun }
+}
+
+/** The node no longer needs the engine of a dispatch request: it leaves the queue, or its assignment is taken back. */
+export const slotCancelSchema = z.object({ cancel: z.number() })
+
+export const nodeMessageSchema = z.union([dispatchRequestSchema, slotCancelSchema, nodeReportSchema])
 export type NodeMessage = z.infer<typeof nodeMessageSchema>
 
 /** The leader's reply to a dispatch request. */
@@ -79,7 +96,11 @@
   /** ID of the trial as which the request may be sent: its prompt parts are under suspicion. */
   trial: z.string().optional(),
   /** Delay before the next dispatch request: no engine has free capacity now. */
-  waitMs: z.number().optional()
+  waitMs: z.number().optional(),
+  /** The request waits in the leader's queue; another reply with the same number follows. */
+  queued: z.literal(true).optional(),
+  /** The request cannot be served in time; the client may return after this time. */
+  refusedMs: z.number().optional()
 })
 export type DispatchReply = z.infer<typeof dispatchReplySchema>
 
@@ -94,6 +115,20 @@
   return waitMs === undefined ? undefined : { kind: 'wait', forMs: waitMs }
 }
 
+/** A reply that ends the wait in the leader's queue. */
+export function encodeSlotAnswer (answer: SlotAnswer): Omit<DispatchReply, 'ask'> {
+  if (answer.kind === 'engine') return encodeDispatchDecision(answer)
+  return answer.kind === 'refused' ? { refusedMs: Math.ceil(answer.retryAfterMs) } : {}
+}
+
+/** The leader's reply to a request for a place in its queue. */
+export function decodeSlotReply (reply: DispatchReply): SlotAnswer | { kind: 'queued' } {
+  if (reply.queued) return { kind: 'queued' }
+  if (reply.refusedMs !== undefined) return { kind: 'refused', retryAfterMs: reply.refusedMs }
+  const decision = decodeDispatchDecision(reply)
+  return decision?.kind === 'engine' ? decision : { kind: 'lost' }
+}
+
 const adapterRowSchema = z.tuple([z.string(), z.number()])
 export const replicaPhaseSchema = z.enum(['held', 'coming', 'leaving'])
 /** Name, time until it is ready, phase, adapters. */
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -29,7 +29,7 @@
 export interface FailoverTarget {
   reservation: Reservation
   /** Whether the placement leader or this node chose the server. */
-  chosenBy: 'leader' | 'node'
+  chosenBy: 'leader' | 'queue' | 'node'
   /** Whether the request can still be sent to the server. */
   isUsable (): boolean
   /** Releases the slot and returns the retry to the budget. */
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -11,6 +11,7 @@
 import { requestIdentity } from '../policy/partEvidence.js'
 import { hasGoneOn } from '../policy/partQuarantine.js'
 import type { PartQuarantine, SuspectCheck, Verdict } from '../policy/partQuarantine.js'
+import type { QueuePlace } from '../policy/slotQueue.js'
 import { RetryBudget } from '../policy/retry.js'
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
@@ -29,13 +30,14 @@
 import type { ModelDemand } from './modelDemand.js'
 import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
-import { identified, maxServers, ServerSelection, waitPollMs } from './serverSelection.js'
-import type { Progress, Selection } from './serverSelection.js'
+import type { QueuedSlot } from './queuedSlot.js'
+import { identified, maxServers, minimumAttemptMs, ServerSelection, slotCheckMs, waitPollMs } from './serverSelection.js'
+import type { Progress, QueueWait, Selection } from './serverSelection.js'
 
-/** Usual time until a backend server starts its response; a request with less time left is not sent. */
-const minimumAttemptMs = 20
 /** Delay before a request that servers rejected is retried: an immediate retry would reach the same full servers. */
 const busyRetryAfterMs = 250
+/** The same where the placement leader queues requests: it knows when the server has a free slot. */
+const queuedRetryAfterMs = 100
 /** `Retry-After` if the configuration may be missing: a node usually receives it within this time after its start. */
 const startingRetryAfterMs = 500
 /** Upper limit of `Retry-After`, as a share of the client's remaining time; clients ignore larger values. */
@@ -80,6 +82,8 @@
   loopDelayMs?: () => number
   /** Requests a dispatch decision that considers the requests of all nodes. Resolves with `undefined` if none arrives in time. */
   requestDispatch?: (dispatchRequest: DispatchRequest) => Promise<DispatchDecision | undefined>
+  /** Where the placement leader queues waiting requests: asks for an engine or a place in the queue. Resolves with `undefined` without a reply in time. */
+  requestSlot?: (dispatchRequest: DispatchRequest, place: QueuePlace, timeoutMs: number) => Promise<QueuedSlot | undefined>
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -218,7 +222,7 @@
   private async serve (request: ProxiedRequest, writer: ResponseWriter): Promise<void> {
     const { clock, codecs } = this.options
     this.budgetOf(request.service.name).onRequest()
-    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [] }
+    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [], slots: [] }
     const forwarder: RequestForwarder = new RequestForwarder({
       request,
       writer,
@@ -307,7 +311,7 @@
     // The server may well be sound and complete the rest.
     const isEndUnproved = result.kind === 'unknown' && result.isEndUnproved
     if (result.kind === 'moved' || isEndUnproved) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs())
-    else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + busyRetryAfterMs)
+    else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + (this.selection.waitsInQueue(request) ? queuedRetryAfterMs : busyRetryAfterMs))
     const { events, writingMs, isUnframed } = forwarder.lastAnswer
     if (isUnframed) trace.isUnframed = true
     if (request.route.kind === 'stream') Object.assign(trace, { events, writingMs: writingMs === undefined ? undefined : Math.round(writingMs) })
@@ -346,7 +350,9 @@
     if (result.kind === 'answer' && result.response.head.status < 500) return false
     // The limit is on the number of servers: trying a server again does not count.
     const hasServer = progress.sends < maxServers(request, progress) || (forwarder.hasResponseStarted && progress.retryableFromMs.size > 0)
-    return hasServer && this.budgetOf(request.service.name).tryRetry()
+    // Where the leader queues requests, a rejected one waits again.
+    const waitsAgain = result.kind === 'not-run' && !result.isMisdirected && this.selection.waitsInQueue(request)
+    return (hasServer || waitsAgain) && this.budgetOf(request.service.name).tryRetry()
   }
 
   /** Responds with an error, or aborts a started response, when no further attempt is made. */
@@ -390,6 +396,7 @@
       return await this.searchServer(request, forwarder, progress, { isRetry, startedAtMs })
     } finally {
       progress.waitedMs += this.clock.nowMs() - startedAtMs
+      for (const slot of progress.slots) if (!slot.answer) slot.cancel()
     }
   }
 
@@ -397,7 +404,8 @@
     request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { isRetry, startedAtMs }: { isRetry: boolean, startedAtMs: number }
   ): Promise<Search> {
     if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
-    let selection = await this.selection.select(request, progress, { isFirst: !isRetry, isLate: false })
+    const wait: QueueWait = { lastProgressAtMs: forwarder.lastEventAtMs ?? request.arrivedAtMs, hasBegun: forwarder.hasResponseStarted }
+    let selection = await this.selection.select(request, progress, { isFirst: !isRetry, isLate: false, wait })
     if (forwarder.hasClientLeft) return this.leaveWith(selection)
     if (selection.server) return foundBy(selection.server, selection)
     if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
@@ -411,7 +419,7 @@
       isStream: request.route.kind === 'stream',
       objectiveMs: request.route.objectiveMs,
       gapObjectiveMs: request.route.gapObjectiveMs,
-      lastProgressAtMs: forwarder.lastEventAtMs ?? request.arrivedAtMs,
+      lastProgressAtMs: wait.lastProgressAtMs,
       lastAttemptAtMs: request.deadlineAtMs - minimumAttemptMs,
       startedAtMs,
       shortestLoadMs: Math.min(modelEntry.warmLoadMs, modelEntry.diskLoadMs, modelEntry.loadMs)
@@ -421,6 +429,7 @@
       for (;;) {
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
         const decision = decideWait(conditions, this.clock.nowMs(), expectedMs)
+        if (selection.refusedMs !== undefined) return { kind: 'refused', reason: `the wait for an engine with ${model} would be too long`, retryAfterMs: selection.refusedMs }
         if (decision.kind === 'refuse') {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           const name = adapter === undefined ? model : `${model}/${adapter}`
@@ -435,9 +444,9 @@
         // A request whose response has started has priority over requests that can still be rejected.
         const isLate = decision.isLate && !forwarder.hasResponseStarted
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
-        await (pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.waitForChange(waitPollMs))
+        await (selection.slot ? selection.slot.wait(slotCheckMs) : pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.waitForChange(waitPollMs))
         if (forwarder.hasClientLeft) return { kind: 'left' }
-        selection = await this.selection.select(request, progress, { isFirst: false, isLate })
+        selection = await this.selection.select(request, progress, { isFirst: false, isLate, wait: { ...wait, slot: selection.slot } })
         if (forwarder.hasClientLeft) return this.leaveWith(selection)
         if (selection.server) return foundBy(selection.server, selection)
         if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
@@ -448,7 +457,8 @@
   }
 
   /** The client has left while a server was selected. */
-  private leaveWith ({ trial }: Selection): Search {
+  private leaveWith ({ trial, slot }: Selection): Search {
+    slot?.cancel()
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     return { kind: 'left' }
   }
@@ -488,6 +498,7 @@
       firstByteMs: forwarder.firstByteMs === undefined ? undefined : Math.round(forwarder.firstByteMs),
       longestGapMs: Math.round(forwarder.longestGapMs),
       waitedMs: Math.round(progress.waitedMs),
+      ...(progress.slots.length > 0 ? { queuedMs: Math.round(progress.slots.reduce((sum, slot) => sum + slot.queuedMs, 0)) } : {}),
       attempts: progress.sends,
       unframed: progress.attempts.filter(({ isUnframed }) => isUnframed).length,
       framing: forwarder.writer.framing
--- a/src/serving/requestRecord.ts
+++ b/src/serving/requestRecord.ts
@@ -8,8 +8,8 @@
   /** Time from the request's arrival to the start of the attempt. */
   afterMs: number
   backend: string
-  /** Whether the placement leader or this node chose the server. */
-  chosenBy: 'leader' | 'node'
+  /** Whether the placement leader chose the server at once or from its queue, or this node did. */
+  chosenBy: 'leader' | 'queue' | 'node'
   /** Requests of this node in progress on the server. */
   running: number
   /** Requests of the other nodes in progress on the server, as last received. */
@@ -37,6 +37,8 @@
   longestGapMs: number
   /** Time spent waiting for a server. */
   waitedMs: number
+  /** Part of it in the placement leader's queue; absent where there is none. */
+  queuedMs?: number | undefined
   attempts: number
   /** Attempts whose response had neither a length nor chunks. */
   unframed: number
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -1,10 +1,14 @@
 /** Selects the backend server for each attempt of a request: by the placement leader's dispatch decision, or by this node. */
 
+import { sleep } from '../base/clock.js'
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, PromptPart } from '../policy/dispatcher.js'
+import type { QueuePlace } from '../policy/slotQueue.js'
+import { lateAtMs, waitUntilMs } from '../policy/waitForEngine.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartCheck, SuspectCheck } from '../policy/partQuarantine.js'
 import type { BackendServer } from './backendServer.js'
+import type { QueuedSlot } from './queuedSlot.js'
 import type { ProxiedRequest, RequestProxyOptions } from './requestProxy.js'
 import type { AttemptTrace } from './requestRecord.js'
 
@@ -13,6 +17,18 @@
 /** Share of a backend server's connections that the nodes use; the rest is for the old connections of restarted nodes, which stay open for a while. */
 const connectionShare = 0.9
 const minimumConnections = 4
+/** Usual time until a backend server starts its response; a request with less time left is not sent. */
+export const minimumAttemptMs = 20
+/** Share of the objective within which the leader's first reply must arrive, and its limits: a few round trips between regions. */
+const firstReplyShare = 0.25
+const minimumFirstReplyMs = 70
+const maxFirstReplyMs = 150
+/** Time within which a request whose leader was lost finds the next one; then its node chooses. */
+const nextLeaderMs = 150
+/** Interval at which a queued request looks whether its client and its patience are still there. */
+export const slotCheckMs = 50
+/** Shortest time between two requests for a slot, when servers that were excluded may be chosen again. */
+const minimumAskIntervalMs = 100
 /** A server with a larger recent share of failures on this node is excluded from dispatch, whatever the other nodes observe. */
 const failingShare = 0.35
 
@@ -29,6 +45,16 @@
   /** Engines that ended before or when they began to answer. */
   ends: number
   attempts: AttemptTrace[]
+  /** Requests for a slot in the placement leader's queue. */
+  slots: QueuedSlot[]
+}
+
+/** A search that waits in the placement leader's queue. */
+export interface QueueWait {
+  lastProgressAtMs: number
+  hasBegun: boolean
+  /** The place that it has. */
+  slot?: QueuedSlot | undefined
 }
 
 /** A server for the next attempt, or the time until the next search. */
@@ -39,11 +65,15 @@
   waitMs: number
   /** ID of the trial as which the request may be sent. */
   trial?: string | undefined
+  /** The place in the leader's queue, or the assignment. */
+  slot?: QueuedSlot
+  /** The leader refuses the request: time after which the client may return. */
+  refusedMs?: number
   /** What keeps a request with these prompt parts from being sent now. */
   heldBy?: Exclude<PartCheck, { kind: 'clear' }>
 }
 
-export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch'>
+export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch' | 'requestSlot'>
 
 export class ServerSelection {
   private readonly options: ServerSelectionOptions
@@ -63,11 +93,20 @@
     return availableServers.filter(({ entry }) => nowMs >= (retryableFromMs.get(entry.id) ?? Infinity))
   }
 
-  /** Selects a server by the leader's dispatch decision, or locally if there is none. */
+  /** Servers to which the leader's queue may assign the request. The leader knows their free slots better than this node. */
+  private queueCandidates (request: ProxiedRequest, progress: Progress): BackendServer[] {
+    const { sends, tried, retryableFromMs } = progress
+    const nowMs = this.options.clock.nowMs()
+    const mayTryOthers = sends < maxServers(request, progress)
+    return this.reachableServers(request).filter(({ entry: { id } }) => tried.has(id) ? nowMs >= (retryableFromMs.get(id) ?? Infinity) : mayTryOthers)
+  }
+
+  /** Selects a server by the leader's dispatch decision, or locally if there is none. With `wait`, the request waits in the leader's queue if there is one. */
   async select (
-    request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
+    request: ProxiedRequest, progress: Progress, { isFirst, isLate, wait }: { isFirst: boolean, isLate: boolean, wait?: QueueWait }
   ): Promise<Selection> {
     const { quarantine } = this.options
+    if (wait && this.waitsInQueue(request)) return this.selectFromQueue(request, progress, { isFirst, isLate, wait })
     const early = quarantine.check(this.evidenceParts(request))
     if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
     // The leader measures the demand for a model by these requests, also while no engine holds it.
@@ -91,6 +130,80 @@
     return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
   }
 
+  /** Whether the leader keeps a queue in which the request waits for an engine. */
+  waitsInQueue ({ service, metadata }: ProxiedRequest): boolean {
+    return this.options.requestSlot !== undefined && service.engine !== undefined && metadata.model !== undefined
+  }
+
+  private async selectFromQueue (
+    request: ProxiedRequest, progress: Progress, { isFirst, isLate, wait }: { isFirst: boolean, isLate: boolean, wait: QueueWait }
+  ): Promise<Selection> {
+    const { quarantine } = this.options
+    const early = quarantine.check(this.evidenceParts(request))
+    if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
+    const slot = await this.slotFor(request, progress, { isFirst, isLate, wait })
+    const { answer } = slot ?? {}
+    const trial = answer?.kind === 'engine' ? answer.trial : undefined
+    const giveBack = () => {
+      slot?.cancel()
+      if (trial !== undefined) quarantine.endTrial(trial)
+    }
+    // Meanwhile a verdict may have been made.
+    const check = quarantine.check(this.evidenceParts(request))
+    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
+    if (check.kind === 'refused') {
+      giveBack()
+      return { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy }
+    }
+    if (!slot || answer?.kind === 'lost') {
+      if (check.kind === 'suspect') return this.selectForOwnTrial(request, progress, check)
+      return { server: this.chooseLocally(request, progress), chosenBy: 'node', waitMs: waitPollMs, ...heldBy }
+    }
+    if (!answer) return { server: undefined, chosenBy: 'queue', waitMs: slotCheckMs, slot, ...heldBy }
+    if (answer.kind === 'refused') return { server: undefined, chosenBy: 'queue', waitMs: 0, refusedMs: answer.retryAfterMs, ...heldBy }
+    const server = this.queueCandidates(request, progress).find(({ entry }) => entry.id === answer.id)
+    if (!server || (check.kind === 'suspect' && trial === undefined)) {
+      // The server was removed or has no connection left, or the leader does not know the suspicion yet. The request asks again.
+      giveBack()
+      return { server: undefined, chosenBy: 'queue', waitMs: trialPollMs, ...heldBy }
+    }
+    return { server, chosenBy: slot.wasQueued ? 'queue' : 'leader', waitMs: waitPollMs, trial, slot }
+  }
+
+  /** The request's place in the leader's queue, or an assignment; `undefined` if there is no leader or no reply in time. */
+  private async slotFor (
+    request: ProxiedRequest, progress: Progress, { isFirst, isLate, wait }: { isFirst: boolean, isLate: boolean, wait: QueueWait }
+  ): Promise<QueuedSlot | undefined> {
+    const { clock, requestSlot } = this.options
+    const { slot: known } = wait
+    if (known?.answer && known.answer.kind !== 'lost') return known
+    const hasCandidates = this.queueCandidates(request, progress).length > 0
+    const dispatchRequest = isFirst || hasCandidates ? this.dispatchRequestOf(request, progress, { isFirst, isLate, isQueued: true }) : undefined
+    if (known && !known.answer) {
+      const mayAskAgain = clock.nowMs() - known.askedAtMs >= minimumAskIntervalMs
+      if (!dispatchRequest || !mayAskAgain || known.excluded.every(id => dispatchRequest.excluded.includes(id))) return known
+      known.cancel()
+    }
+    if (!dispatchRequest || !requestSlot) return undefined
+    const { route: { objectiveMs } } = request
+    const timeoutMs = Math.min(maxFirstReplyMs, Math.max(minimumFirstReplyMs, objectiveMs * firstReplyShare))
+    const untilMs = clock.nowMs() + (known?.answer?.kind === 'lost' ? nextLeaderMs : 0)
+    for (;;) {
+      const slot = await requestSlot(dispatchRequest, this.placeOf(request, wait), timeoutMs)
+      if (slot) progress.slots.push(slot)
+      if ((slot && slot.answer?.kind !== 'lost') || clock.nowMs() >= untilMs) return slot
+      await sleep(clock, waitPollMs)
+    }
+  }
+
+  private placeOf ({ account, metadata, route, deadlineAtMs }: ProxiedRequest, { lastProgressAtMs, hasBegun }: QueueWait): QueuePlace {
+    const nowMs = this.options.clock.nowMs()
+    const { objectiveMs, gapObjectiveMs } = route
+    const untilMs = waitUntilMs({ isStream: route.kind === 'stream', objectiveMs, gapObjectiveMs, lastProgressAtMs, lastAttemptAtMs: deadlineAtMs - minimumAttemptMs })
+    const inTimeMs = lateAtMs({ lastProgressAtMs, objectiveMs }) - nowMs
+    return { account: account?.name, costTokens: metadata.promptTokens + metadata.outputTokens, leftMs: untilMs - nowMs, inTimeMs, hasBegun }
+  }
+
   /** A trial without a leader that grants it. */
   private selectForOwnTrial (request: ProxiedRequest, progress: Progress, check: SuspectCheck): Selection {
     const { quarantine } = this.options
@@ -101,18 +214,20 @@
   }
 
   private dispatchRequestOf (
-    request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
+    request: ProxiedRequest, progress: Progress, { isFirst, isLate, isQueued = false }: { isFirst: boolean, isLate: boolean, isQueued?: boolean }
   ): DispatchRequest | undefined {
     const { metadata, route, rank, service } = request
     const { model, adapter, promptTokens, sharedParts } = metadata
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
-    const candidates = new Set(this.candidates(request, progress).map(({ entry }) => entry.id))
+    const candidates = new Set((isQueued ? this.queueCandidates(request, progress) : this.candidates(request, progress)).map(({ entry }) => entry.id))
     const tried = [...progress.tried].filter(id => !candidates.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
     const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
-    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
+    // After its last attempt on another server, the request may only return to one that rejected it.
+    const only = isQueued && progress.sends >= maxServers(request, progress) ? [...candidates] : undefined
+    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, only, isFirst, isLate }
   }
 
   chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
@@ -141,9 +256,13 @@
 
   /** Servers that can accept the request now. */
   availableServers (request: ProxiedRequest): BackendServer[] {
+    return this.reachableServers(request).filter(server => hasCapacity(request, server))
+  }
+
+  /** Servers that serve the request's model and to which this node has a connection, or may open one. */
+  private reachableServers (request: ProxiedRequest): BackendServer[] {
     const { model, adapter } = request.metadata
-    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) &&
-      this.hasConnection(request, server) && hasCapacity(request, server))
+    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server))
   }
 
   /** Whether there is an idle connection, or one may be opened within this node's share of the server's connections. */
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -25,6 +25,9 @@
   private readonly duration = this.histogram('teaselrill_request_duration_seconds', 'Time from arrival to the end of the response')
   private readonly longestGap = this.histogram('teaselrill_longest_event_gap_seconds', 'Longest pause between events of a stream')
   private readonly waiting = this.histogram('teaselrill_wait_seconds', 'Time that a request waited for a backend server')
+  private readonly slotQueue = new Histogram({ name: 'teaselrill_slot_queue_seconds', help: 'Time from the request for a slot to the assignment, at the placement leader', buckets: secondsBuckets, registers: [this.registry] })
+  private readonly slotRefusals = this.counter('teaselrill_slot_refusals_total', 'Requests that the placement leader refused a slot, by reason', ['reason'])
+  private readonly slotReturns = this.counter('teaselrill_slot_returns_total', 'Assignments that nodes returned unused to the placement leader', [])
   private readonly eventLoop = monitorEventLoopDelay({ resolution: eventLoopResolutionMs })
   private server: Server | undefined
 
@@ -57,6 +60,18 @@
     this.commands.inc({ action, outcome })
   }
 
+  onSlotAssigned (queuedMs: number): void {
+    this.slotQueue.observe(queuedMs / 1000)
+  }
+
+  onSlotRefused (reason: string): void {
+    this.slotRefusals.inc({ reason })
+  }
+
+  onSlotReturned (): void {
+    this.slotReturns.inc()
+  }
+
   onConnectionOpened (): void {
     this.connections.inc()
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -12,6 +12,7 @@
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
+import type { QueuePlace } from '../policy/slotQueue.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
@@ -25,8 +26,9 @@
 import { ModelDemand } from './modelDemand.js'
 import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
-import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, unpackChanges } from './peerMessages.js'
+import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, decodePlace, decodeSlotReply, unpackChanges } from './peerMessages.js'
 import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
+import { QueuedSlot } from './queuedSlot.js'
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
@@ -52,6 +54,8 @@
 const manyNodes = 32
 /** Demand for a model or adapter is reported after this time, together with other new demand. */
 const demandReportDelayMs = 2
+/** Where servers are shared by many nodes, choosing alone overloads them, so a single late reply does not stop dispatch requests. */
+const sharedTimeoutsBeforePause = 3
 /** A leader that crashed may have sent a command up to one renewal interval before its lease began to expire. */
 const successionDelayMs = 1000
 
@@ -91,6 +95,8 @@
   /** Number of nodes in the store. */
   private storedSize = 0
   private reportTicks = 0
+  /** Number of this node's requests for slots while it led. */
+  private ownSlots = 0
   private cancelReports: CancelTimer = () => {}
   private cancelDemandReport: CancelTimer | undefined
   private cancelParts: CancelTimer | undefined
@@ -112,7 +118,7 @@
     })
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
-    this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
+    this.dispatch = new DispatchClient({ clock, timeoutsBeforePause: settings.sharesServers ? sharedTimeoutsBeforePause : 1, send: message => this.link.send(message) })
     this.loopDelay = new LoopDelay(clock)
     this.storedQuarantine = new StoredQuarantine(codecs.keys.own)
     this.quarantine = new PartQuarantine({
@@ -138,6 +144,7 @@
       nodeCount: () => this.size.value,
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
+      ...(settings.sharesServers ? { requestSlot: (ask: DispatchRequest, place: QueuePlace, timeoutMs: number) => this.requestSlot(ask, place, timeoutMs) } : {}),
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.engineClient = new EngineClient(clock, codecs)
@@ -160,15 +167,18 @@
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
+        if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message.cancel, reply)
         if (!('ask' in message)) {
           if (this.leaderTerm) this.leaderTerm.onReport(message)
           // A node that has no leader tells all others.
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
+        if (message.place) return this.leaderTerm?.onSlotRequest(message, decodePlace(message.place), reply)
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
       },
-      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) }
+      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
+      onLeft: send => this.leaderTerm?.onNodeLeft(send)
     })
     this.link = new LeaderLink({
       clock,
@@ -219,6 +229,7 @@
     metrics.gauge('teaselrill_parts_suspected', 'Prompt parts whose requests are sent one at a time because engines ended under them', () => this.quarantine.suspectCount)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
+    metrics.gauge('teaselrill_slots_queued', 'Requests of all nodes that wait for an engine in the queue of this node as placement leader', () => this.leaderTerm?.slots.size ?? 0)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
     metrics.gauge('teaselrill_placement_leader', '1 if this node sends the commands to engines', () => this.leaderTerm ? 1 : 0)
   }
@@ -417,6 +428,9 @@
       startDelayMs: Math.max(startDelayMs, settings.holderGapMs - sinceReturnMs),
       loadWindowMs: settings.loadWindowMs,
       ownReport: () => this.report(),
+      onSlotAssigned: queuedMs => this.options.metrics?.onSlotAssigned(queuedMs),
+      onSlotRefused: reason => this.options.metrics?.onSlotRefused(reason),
+      onSlotReturned: () => this.options.metrics?.onSlotReturned(),
       broadcast: report => this.peers.broadcast(report),
       onCommand: (action, outcome) => this.options.metrics?.onCommand(action, outcome),
       onSuperseded: () => this.leadership.resign(),
@@ -438,9 +452,23 @@
     return await this.dispatch.requestDispatch(ask)
   }
 
+  /** Asks for an engine in the order of all nodes' requests; `undefined` without a reply in time. */
+  private async requestSlot (dispatch: DispatchRequest, place: QueuePlace, timeoutMs: number): Promise<QueuedSlot | undefined> {
+    const { leaderTerm } = this
+    if (!leaderTerm) {
+      this.sendParts()
+      return await this.dispatch.requestSlot(dispatch, place, timeoutMs)
+    }
+    const id = `own/${this.ownSlots++}`
+    const slot = new QueuedSlot({ clock: this.options.clock, excluded: dispatch.excluded, onCancel: () => { leaderTerm.slots.cancel(id) } })
+    slot.wasQueued = leaderTerm.queueForSlot({ id, dispatch, place, onAnswer: answer => slot.deliver(answer) })
+    return slot
+  }
+
   private onLeaderMessage (message: LeaderMessage): void {
-    if ('ask' in message) this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
-    else this.onLeaderReport(message)
+    if (!('ask' in message)) return this.onLeaderReport(message)
+    if (this.options.settings.sharesServers && this.dispatch.onSlotReply(message.ask, decodeSlotReply(message))) return
+    this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
   }
 
   private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
