--- /dev/null
+++ b/tests/queuedRequests.spec.ts
@@ -0,0 +1,147 @@
+import { setTimeout as wait } from 'node:timers/promises'
+import { expect } from 'chai'
+import { SystemClock } from '../src/base/clock.js'
+import type { DispatchRequest } from '../src/policy/dispatcher.js'
+import type { QueuePlace } from '../src/policy/slotQueue.js'
+import { DispatchClient } from '../src/serving/dispatchClient.js'
+import type { NodeMessage } from '../src/serving/peerMessages.js'
+import { RequestProxyFixture, requestIdOf, responseTo, route } from './fixtures/requestProxyFixture.js'
+import type { Script } from './fixtures/requestProxyFixture.js'
+
+const request: DispatchRequest = { service: 's', model: 'm', adapter: undefined, promptTokens: 10, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], gapObjectiveMs: 300, isFirst: true, isLate: false }
+const place: QueuePlace = { account: undefined, costTokens: 10, leftMs: 1000, inTimeMs: 100, hasBegun: false }
+const engine = { slots: 4, cacheTokens: 1000, weightsMb: 100, adapterSlots: 2, storeLoadsPerSecond: 1, models: [{ name: 'm', weightsMb: 10, loadMs: 9000, warmLoadMs: 9000, diskLoadMs: 9000, adapterMb: 1 }] }
+const withModel = { models: [{ name: 'm', adapters: [] }] }
+const forModel = { headers: { 'x-model': 'm' } }
+const serve: Script = (socket, head) => { socket.write(responseTo(requestIdOf(head), 'ok')) }
+const reject: Script = socket => { socket.write('HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n') }
+
+describe('requests in the queue of the placement leader', () => {
+  /** What this node sent to the leader. */
+  let sent: NodeMessage[]
+  let isLinked: boolean
+  /** The leader's side: called with each request. */
+  let onAsk: (ask: number, message: Extract<NodeMessage, { ask: number }>) => void
+  let client: DispatchClient
+  let fixture: RequestProxyFixture
+
+  beforeEach(() => {
+    sent = []
+    isLinked = true
+    onAsk = () => {}
+    client = new DispatchClient({
+      clock: new SystemClock(),
+      timeoutsBeforePause: 3,
+      send: message => {
+        if (!isLinked) return false
+        sent.push(message)
+        if ('ask' in message) setImmediate(() => onAsk(message.ask, message))
+        return true
+      }
+    })
+    fixture = new RequestProxyFixture({ requestSlot: (dispatch, where, timeoutMs) => client.requestSlot(dispatch, where, timeoutMs) })
+  })
+
+  afterEach(() => fixture.stop())
+
+  const queue = (ask: number) => client.onSlotReply(ask, { kind: 'queued' })
+  const assign = (ask: number, id: string) => client.onSlotReply(ask, { kind: 'engine', id })
+  const cancelled = () => sent.filter(message => 'cancel' in message)
+
+  // Guards against a node that stops asking a responsive leader after a single late reply, or never stops asking a paused one.
+  it('pauses after three timeouts in a row', async () => {
+    for (let index = 0; index < 2; index++) expect(await client.requestSlot(request, place, 10)).to.equal(undefined)
+    onAsk = queue
+    expect((await client.requestSlot(request, place, 100))?.wasQueued).to.equal(true)
+    onAsk = () => {}
+    for (let index = 0; index < 4; index++) expect(await client.requestSlot(request, place, 10)).to.equal(undefined)
+    expect(sent.filter(message => 'ask' in message)).to.have.length(6)
+    expect(client.timeouts).to.equal(5)
+  })
+
+  // Guards against slots that stay empty because the request to which they were assigned does not exist any more.
+  it('returns an engine for a request that is gone', async () => {
+    expect(await client.requestSlot(request, place, 10)).to.equal(undefined)
+    assign(1, 'a')
+    expect(cancelled()).to.deep.equal([{ cancel: 1 }, { cancel: 1 }])
+  })
+
+  // Guards against nodes that overload engines by their own choice while the leader lets a request wait.
+  it('does not send a queued request before the leader assigns an engine', async () => {
+    onAsk = queue
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 1 })], { engine })
+    await fixture.addServer('a', serve, withModel)
+    const response = fixture.send('id1', forModel)
+    await wait(400)
+    expect(fixture.received).to.have.length(0)
+    assign(1, 'a')
+    expect((await response).status).to.equal(200)
+    expect(sent).to.have.length(1)
+    expect(fixture.records[0]!.queuedMs).to.be.within(300, 1000)
+  })
+
+  // Guards against requests that wait for a leader whose connection is lost, and against a second choice while the next leader is there.
+  it('asks the next leader when the link closes, and chooses alone without one', async () => {
+    onAsk = queue
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 1 })], { engine })
+    await fixture.addServer('a', serve, withModel)
+    const response = fixture.send('id1', forModel)
+    await wait(100)
+    client.onLost()
+    await wait(300)
+    expect(fixture.received).to.have.length(0)
+    expect(sent.filter(message => 'ask' in message)).to.have.length(2)
+    isLinked = false
+    client.onLost()
+    expect((await response).status).to.equal(200)
+  })
+
+  // Guards against entries and assignments that outlive their client.
+  it('leaves the queue when the client leaves', async () => {
+    onAsk = queue
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 1 })], { engine })
+    await fixture.addServer('a', serve, withModel)
+    const { socket } = fixture.connect()
+    socket.write('GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\nX-Model: m\r\n\r\n')
+    await wait(100)
+    socket.destroy()
+    await wait(150)
+    expect(cancelled()).to.deep.equal([{ cancel: 1 }])
+  })
+
+  // Guards against clients that wait for their deadline although the leader knows that no engine becomes free in time.
+  it('refuses at once what the leader refuses', async () => {
+    onAsk = ask => client.onSlotReply(ask, { kind: 'refused', retryAfterMs: 300 })
+    await fixture.start([route({ kind: 'idempotent' })], { engine })
+    await fixture.addServer('a', serve, withModel)
+    const response = await fixture.send('id1', forModel)
+    expect(response.status).to.equal(503)
+    expect(Number(response.headers['retry-after'])).to.be.closeTo(0.3, 0.05)
+  })
+
+  // Guards against a rejection that goes back to the client although the engine has room a moment later.
+  it('lets a rejected request wait again for the only engine that its route allows', async () => {
+    const restrictions: unknown[] = []
+    onAsk = (ask, { only }) => {
+      restrictions.push(only)
+      assign(ask, 'a')
+    }
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 1 })], { engine })
+    await fixture.addServer('a', (socket, head, count) => (count < 3 ? reject : serve)(socket, head, count), withModel)
+    await fixture.addServer('b', serve, withModel)
+    expect((await fixture.send('id1', forModel)).status).to.equal(200)
+    expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a', 'a', 'a'])
+    expect(restrictions).to.deep.equal([undefined, ['a'], ['a']])
+  })
+
+  // Guards against requests that reach more engines than their route allows, and against repeats beyond the deadline and the budget.
+  it('sends a rejected request to no more engines than its route allows', async () => {
+    let asks = 0
+    onAsk = ask => assign(ask, ['a', 'b', 'c'][asks++ % 3]!)
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 2, timeoutMs: 1500 })], { engine })
+    for (const id of ['a', 'b', 'c']) await fixture.addServer(id, reject, withModel)
+    expect((await fixture.send('id1', forModel)).status).to.equal(503)
+    expect(new Set(fixture.received.map(({ server }) => server)).size).to.equal(2)
+    expect(fixture.received.length).to.be.at.most(8)
+  })
+})
--- /dev/null
+++ b/tests/slotQueue.spec.ts
@@ -0,0 +1,197 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import type { Clock } from '../src/base/clock.js'
+import type { DispatchDecision, DispatchRequest } from '../src/policy/dispatcher.js'
+import { SlotQueue } from '../src/policy/slotQueue.js'
+import type { QueuePlace, SlotAnswer } from '../src/policy/slotQueue.js'
+
+type Changes = Partial<Pick<DispatchRequest, 'model' | 'rank' | 'excluded'> & QueuePlace>
+
+/** A queue in front of one engine per model, whose free slots the test sets. */
+class World {
+  free: Record<string, number> = {}
+  readonly served: string[] = []
+  readonly answers = new Map<string, SlotAnswer>()
+  decisions = 0
+  decide = (request: DispatchRequest): DispatchDecision | undefined => {
+    this.decisions++
+    const free = this.free[request.model] ?? 0
+    if (free === 0) return { kind: 'wait', forMs: 40 }
+    this.free[request.model] = free - 1
+    return { kind: 'engine', id: `e-${request.model}` }
+  }
+
+  readonly queue: SlotQueue
+
+  constructor (readonly clock: Clock = new VirtualClock(1000)) {
+    this.queue = new SlotQueue({ clock, decide: request => this.decide(request), onReturned: ({ model }) => { this.free[model] = (this.free[model] ?? 0) + 1 } })
+  }
+
+  submit (id: string, { model = 'm', rank = 0, excluded = [], account = 'a', costTokens = 100, leftMs = 60_000, inTimeMs = 50_000, hasBegun = false }: Changes = {}): boolean {
+    const dispatch: DispatchRequest = { service: 's', model, adapter: undefined, promptTokens: 10, sharedParts: [], rank, region: 'r', availabilityZone: 'z', excluded, gapObjectiveMs: 300, isFirst: true, isLate: false }
+    return this.queue.submit({
+      id,
+      dispatch,
+      place: { account, costTokens, leftMs, inTimeMs, hasBegun },
+      onAnswer: answer => {
+        this.answers.set(id, answer)
+        if (answer.kind === 'engine') this.served.push(id)
+      }
+    })
+  }
+
+  pass (free: number, model = 'm'): void {
+    this.free[model] = free
+    this.queue.pass()
+  }
+}
+
+describe('queue for slots', () => {
+  // Guards against bursts in which requests are lost, assigned twice, or overtaken by later ones.
+  it('serves a burst of one rank in order', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    const ids = Array.from({ length: 300 }, (_, index) => `r${index}`)
+    for (const id of ids) expect(world.submit(id)).to.equal(true)
+    for (let round = 0; round < 100; round++) {
+      world.free.m = 3
+      await clock.advance(20)
+    }
+    expect(world.served).to.deep.equal(ids)
+    expect(world.queue.size).to.equal(0)
+  })
+
+  // Guards against accounts that get less than a quarter of the mean share while an account of a more urgent rank floods all slots.
+  it('serves small accounts of a less urgent rank during a flood', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    const submitted = { flood: 0, small: 0 }
+    const accountOf = (id: string) => id.startsWith('flood') ? 'flood' : 'small'
+    for (let round = 0; round < 1000; round++) {
+      for (let index = 0; index < 10; index++) world.submit(`flood${submitted.flood++}`, { account: 'flood', inTimeMs: 300, leftMs: 2000 })
+      if (round % 2 === 0) world.submit(`small${submitted.small++}`, { account: `small${round % 6}`, rank: 2, inTimeMs: 300, leftMs: 2000 })
+      world.free.m = 2
+      await clock.advance(20)
+    }
+    const served = { flood: 0, small: 0 }
+    for (const id of world.served) served[accountOf(id)]++
+    const shareOfAll = world.served.length / (submitted.flood + submitted.small)
+    expect(served.small / submitted.small).to.be.above(shareOfAll / 4)
+    expect(served.flood).to.be.above(served.small)
+  })
+
+  // Guards against a flooding account that delays the other accounts of its rank.
+  it('shares the slots of a rank between its accounts', () => {
+    const world = new World()
+    for (let index = 0; index < 100; index++) world.submit(`flood${index}`, { account: 'flood' })
+    for (let index = 0; index < 10; index++) world.submit(`small${index}`, { account: 'small' })
+    world.pass(20)
+    expect(world.served.filter(id => id.startsWith('small'))).to.have.length(10)
+  })
+
+  // Guards against requests that miss their objective because a late one, whose objective is missed anyway, goes first.
+  it('serves late requests behind those still in time, and begun answers first', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    world.submit('late', { inTimeMs: 100, leftMs: 2000 })
+    await clock.advance(200)
+    world.submit('in time', { rank: 3 })
+    world.submit('begun', { rank: 3, inTimeMs: -500, hasBegun: true })
+    world.pass(3)
+    expect(world.served).to.deep.equal(['begun', 'in time', 'late'])
+  })
+
+  // Guards against slots that stay empty because they were assigned to requests that no longer exist.
+  it('drops cancelled requests and gives returned assignments to the next', () => {
+    const world = new World()
+    for (const id of ['a', 'b', 'c']) world.submit(id)
+    expect(world.queue.cancel('a')).to.equal(false)
+    world.pass(1)
+    expect(world.queue.cancel('b')).to.equal(true)
+    expect(world.queue.cancel('b')).to.equal(false)
+    world.queue.pass()
+    expect(world.served).to.deep.equal(['b', 'c'])
+  })
+
+  // Guards against a node whose connection closed and whose requests still take slots.
+  it('drops the requests of a closed connection', () => {
+    const world = new World()
+    for (const id of ['1/1', '1/2', '12/1']) world.submit(id)
+    world.queue.drop(id => id.startsWith('1/'))
+    world.pass(3)
+    expect(world.served).to.deep.equal(['12/1'])
+  })
+
+  // Guards against one full model, or one request that may not go to a free engine, that holds up the others.
+  it('passes over models and requests without a place', () => {
+    const world = new World()
+    const { decide } = world
+    world.decide = request => request.excluded.length > 0 ? { kind: 'wait', forMs: 40 } : decide(request)
+    world.submit('bound', { excluded: ['e-m'] })
+    for (let index = 0; index < 400; index++) world.submit(`full${index}`, { model: 'full', account: `a${index % 40}`, rank: index % 3 })
+    world.submit('other')
+    world.decisions = 0
+    world.pass(1)
+    expect(world.served).to.deep.equal(['other'])
+    expect(world.decisions).to.be.at.most(4)
+  })
+
+  // Guards against a leader that does not answer because it searches a long queue, and against models that it never reaches.
+  it('bounds a pass and goes on where it stopped', () => {
+    let nowMs = 1000
+    const world = new World({ nowMs: () => nowMs, setTimer: () => () => {} })
+    for (let index = 0; index < 50; index++) world.submit(`r${index}`, { model: `m${index}` })
+    const { decide } = world
+    world.decide = request => {
+      nowMs++
+      return decide(request)
+    }
+    world.free.m49 = 1
+    for (let pass = 0; pass < 10 && world.served.length === 0; pass++) {
+      const startedAtMs = nowMs
+      world.queue.pass()
+      expect(nowMs - startedAtMs).to.be.at.most(6)
+    }
+    expect(world.served).to.deep.equal(['r49'])
+  })
+
+  // Guards against requests under suspicion that block their model, or are not tried again.
+  it('lets requests that wait for a trial wait apart', () => {
+    const world = new World()
+    const { decide } = world
+    let isTrialFree = false
+    world.decide = request => request.rank === 1 && !isTrialFree ? { kind: 'wait', forMs: 50, isForTrial: true } : decide(request)
+    world.submit('suspect', { rank: 1 })
+    world.submit('behind', { rank: 2 })
+    world.pass(2)
+    expect(world.served).to.deep.equal(['behind'])
+    isTrialFree = true
+    world.queue.pass()
+    expect(world.served).to.deep.equal(['behind', 'suspect'])
+  })
+
+  // Guards against callers who wait until their patience ends for a slot that cannot become free in time, and against refusals below that.
+  it('refuses at once only what clearly cannot be served in time', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    for (let index = 0; index < 200; index++) world.submit(`r${index}`)
+    expect(world.submit('unknown rate', { leftMs: 100 })).to.equal(true)
+    for (let round = 0; round < 100; round++) {
+      world.free.m = round % 2
+      await clock.advance(20)
+    }
+    // 25 requests a second, and about 150 are ahead.
+    expect(world.submit('patient', { leftMs: 5000 })).to.equal(true)
+    expect(world.submit('hopeless', { leftMs: 3000 })).to.equal(false)
+    expect(world.answers.get('hopeless')).to.include({ kind: 'refused' })
+    expect(world.submit('other account', { account: 'b', leftMs: 3000 })).to.equal(true)
+  })
+
+  // Guards against requests that wait for a leader that no longer leads.
+  it('answers waiting requests when the leader stops', () => {
+    const world = new World()
+    world.submit('a')
+    world.queue.stop()
+    expect(world.answers.get('a')).to.deep.equal({ kind: 'lost' })
+  })
+})
