--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -30,6 +30,9 @@
 /** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
 const nodesIntervalMs = 30_000
 
+/** Shortest time between two evaluations of the reported load for waiting requests, which reads the reports of all nodes. */
+const loadRefreshMs = 50
+
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
   storeView: StoreView
@@ -43,6 +46,8 @@
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
   nodeAddresses: () => string[]
+  /** Requests in progress by engine, as reported by now. */
+  onLoad?: ((running: LeaderReport['running']) => void) | undefined
   onSlotAssigned?: ((queuedMs: number) => void) | undefined
   onSlotRefused?: ((reason: RefusalReason) => void) | undefined
   onSlotReturned?: (() => void) | undefined
@@ -64,6 +69,7 @@
   private sizeWrittenAtMs = -Infinity
   private quarantineWrittenAtMs = -Infinity
   private nodesSentAtMs = -Infinity
+  private loadRefreshedAtMs = -Infinity
   private isStopped = false
 
   constructor (options: LeaderTermOptions) {
@@ -112,6 +118,15 @@
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
     if (report.parts) this.options.quarantine.merge(report.parts, { isNews: true })
     this.placement.onReport(report)
+    if (this.slots.size > 0) this.refreshLoad()
+  }
+
+  /** Requests wait, so what the reports say of the engines' load is used before the next status. */
+  private refreshLoad (): void {
+    const { clock, onLoad } = this.options
+    if (clock.nowMs() - this.loadRefreshedAtMs < loadRefreshMs) return
+    this.loadRefreshedAtMs = clock.nowMs()
+    onLoad?.(this.placement.runningRows())
     this.slots.onCapacity()
   }
 
@@ -228,7 +243,6 @@
     const running = this.placement.runningRows()
     this.broadcastUpdate(running)
     this.broadcastNodes()
-    this.slots.onCapacity()
     return running
   }
 
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -428,6 +428,7 @@
       startDelayMs: Math.max(startDelayMs, settings.holderGapMs - sinceReturnMs),
       loadWindowMs: settings.loadWindowMs,
       ownReport: () => this.report(),
+      onLoad: running => this.recordRunning(running),
       onSlotAssigned: queuedMs => this.options.metrics?.onSlotAssigned(queuedMs),
       onSlotRefused: reason => this.options.metrics?.onSlotRefused(reason),
       onSlotReturned: () => this.options.metrics?.onSlotReturned(),
--- a/tests/explainLogs.spec.ts
+++ b/tests/explainLogs.spec.ts
@@ -39,6 +39,15 @@
     indexOf(sentences, /waited 8745 ms/)
   })
 
+  it('names the queue of the placement leader', () => {
+    // Guards against a wait whose place cannot be told from a search of the node itself.
+    const line = JSON.parse(lines.find(text => text.includes('a8b8a341f00b1462') && text.includes('"sends"'))!.replace(/^[^{]*/, '')) as { sends: object[] }
+    const sends = line.sends.map(send => ({ ...send, chosenBy: 'queue' }))
+    const sentences = explainFromLogs([JSON.stringify({ ...line, sends, queuedMs: 321 })], 'a8b8a341f00b1462')
+    indexOf(sentences, /sent it to i-\w+, assigned from the placement leader's queue/)
+    indexOf(sentences, /321 ms of them in the placement leader's queue/)
+  })
+
   it('puts the lines of several nodes in the order of time', () => {
     const sentences = explainFromLogs([...lines].reverse(), 'a8b8a341f00b1462')
     const times = sentences.map(sentence => sentence.slice(0, 12))
