Shared queue: count the assignments of an engine exactly

Cause: reports show a freed slot up to 500 ms late, and an assignment counts twice for 350 ms once a report shows it. Change: nodes announce the end of each assigned attempt, and report how many of their running requests the leader assigned.

--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -82,6 +82,8 @@
   slots: number
   /** Requests in progress, as last reported. */
   running: number
+  /** Whether `running` includes all assignments, so that those of the last moments are not added. */
+  isExact?: boolean
 }
 
 interface EngineState {
@@ -128,7 +130,7 @@
     const limitMs = batchLimitMs(request)
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
-      const running = candidate.running + this.recentlyAssigned(state)
+      const running = candidate.running + (candidate.isExact ? 0 : this.recentlyAssigned(state))
       if (running >= candidate.slots * batchShare(request.rank)) {
         waitMs = Math.min(waitMs, fullEngineWaitMs)
         continue
--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -13,8 +13,10 @@
 const maxPassMs = 5
 /** Requests under suspicion that one pass tries. */
 const maxHeldPerPass = 8
-/** Time within which a node may return an assignment; later, reports show what is running. */
+/** Time within which a node may return an assignment unused. */
 const returnableMs = 2000
+/** An assignment whose end was never announced is forgotten after this time, longer than any request. */
+const maxAssignmentMs = 600_000
 /** Ranks from this number on share one place in the order. The platform's ranks are small numbers. */
 const leastUrgentRank = 9
 /** Rank of answers that have begun. */
@@ -102,8 +104,10 @@
   /** Entries whose prompt parts are under suspicion; they are tried in turn. */
   private readonly held = new Map<string, Entry>()
   private readonly rates = new Map<string, ModelRate>()
-  /** Assignments that may still be returned, oldest first. */
+  /** Assignments whose requests have not ended, oldest first. */
   private readonly assignments = new Map<string, Assignment>()
+  /** Number of them by engine. */
+  private readonly assignedCounts = new Map<string, number>()
   /** Models, by rank, without a place in the current pass, and in the one before if that was cut short. */
   private readonly blocked = new Set<string>()
   private wasCut = false
@@ -154,16 +158,35 @@
     }
     const assignment = this.assignments.get(id)
     if (!assignment) return false
-    this.assignments.delete(id)
-    if (this.clock.nowMs() - assignment.atMs <= returnableMs) {
-      this.options.onReturned(assignment.dispatch, assignment.decision)
-      this.onCapacity()
-    }
+    this.release(id, assignment)
+    if (this.clock.nowMs() - assignment.atMs <= returnableMs) this.options.onReturned(assignment.dispatch, assignment.decision)
+    this.onCapacity()
     return true
   }
 
-  /** Removes the waiting requests of a node whose connection has closed. */
+  /** The attempt for which an engine was assigned has ended, so its slot is free. */
+  end (id: string): void {
+    const assignment = this.assignments.get(id)
+    if (!assignment) return
+    this.release(id, assignment)
+    this.onCapacity()
+  }
+
+  /** Number of assignments to the engine whose requests have not ended. */
+  assignedTo (engine: string): number {
+    return this.assignedCounts.get(engine) ?? 0
+  }
+
+  private release (id: string, { decision }: Assignment): void {
+    this.assignments.delete(id)
+    const count = this.assignedTo(decision.id) - 1
+    if (count > 0) this.assignedCounts.set(decision.id, count)
+    else this.assignedCounts.delete(decision.id)
+  }
+
+  /** Removes the requests of a node whose connection has closed. The node's next reports show which of them are running. */
   drop (isDropped: (id: string) => boolean): void {
+    for (const [id, assignment] of [...this.assignments]) if (isDropped(id)) this.release(id, assignment)
     for (const entry of [...this.entries.values()]) if (isDropped(entry.requestId)) this.detach(entry)
   }
 
@@ -190,9 +213,9 @@
     if (!this.wasCut) this.blocked.clear()
     this.wasCut = !this.assign(this.blocked, nowMs + maxPassMs)
     this.tryHeld(nowMs)
-    for (const [id, { atMs }] of this.assignments) {
-      if (nowMs - atMs <= returnableMs) break
-      this.assignments.delete(id)
+    for (const [id, assignment] of this.assignments) {
+      if (nowMs - assignment.atMs <= maxAssignmentMs) break
+      this.release(id, assignment)
     }
     for (const [key, { waiting, assignedAtMs }] of this.rates) if (waiting === 0 && (assignedAtMs.at(-1) ?? 0) < nowMs - rateWindowMs) this.rates.delete(key)
   }
@@ -265,6 +288,7 @@
     const { id, dispatch, onAnswer } = entry.request
     const atMs = this.clock.nowMs()
     this.assignments.set(id, { dispatch, decision, atMs })
+    this.assignedCounts.set(decision.id, this.assignedTo(decision.id) + 1)
     this.rateOf(entry.rateKey).assignedAtMs.push(atMs)
     this.detach(entry)
     this.options.onAssigned?.(atMs - entry.enqueuedAtMs)
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -70,9 +70,9 @@
     const slot = new QueuedSlot({
       clock: this.clock,
       excluded: request.excluded,
-      onCancel: () => {
+      onCancel: hasRun => {
         this.slots.delete(number)
-        this.send({ cancel: number })
+        this.send({ cancel: number, ...(hasRun ? { hasRun } : {}) })
       }
     })
     return new Promise(resolve => {
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -13,7 +13,7 @@
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
 import { decodeDispatchRequest, encodeSlotAnswer, packChanges } from './peerMessages.js'
-import type { DispatchRequestMessage, LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
+import type { DispatchRequestMessage, SlotCancel, LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
 import type { Send } from './peerLink.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
@@ -30,7 +30,7 @@
 /** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
 const nodesIntervalMs = 30_000
 
-/** Shortest time between two evaluations of the reported load for waiting requests, which reads the reports of all nodes. */
+/** Time for which an evaluation of the reported load is used, since it reads the reports of all nodes. */
 const loadRefreshMs = 50
 
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
@@ -46,8 +46,8 @@
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
   nodeAddresses: () => string[]
-  /** Requests in progress by engine, as reported by now. */
-  onLoad?: ((running: LeaderReport['running']) => void) | undefined
+  /** Whether all nodes ask for slots and announce when they are free. */
+  sharesServers: boolean
   onSlotAssigned?: ((queuedMs: number) => void) | undefined
   onSlotRefused?: ((reason: RefusalReason) => void) | undefined
   onSlotReturned?: (() => void) | undefined
@@ -70,6 +70,7 @@
   private quarantineWrittenAtMs = -Infinity
   private nodesSentAtMs = -Infinity
   private loadRefreshedAtMs = -Infinity
+  private unassignedByEngine = new Map<string, number>()
   private isStopped = false
 
   constructor (options: LeaderTermOptions) {
@@ -118,16 +119,16 @@
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
     if (report.parts) this.options.quarantine.merge(report.parts, { isNews: true })
     this.placement.onReport(report)
-    if (this.slots.size > 0) this.refreshLoad()
   }
 
-  /** Requests wait, so what the reports say of the engines' load is used before the next status. */
-  private refreshLoad (): void {
-    const { clock, onLoad } = this.options
-    if (clock.nowMs() - this.loadRefreshedAtMs < loadRefreshMs) return
-    this.loadRefreshedAtMs = clock.nowMs()
-    onLoad?.(this.placement.runningRows())
-    this.slots.onCapacity()
+  /** Requests in progress that this leader did not assign: those of nodes that chose by themselves, and of its predecessor. */
+  private unassigned (id: string): number {
+    const nowMs = this.options.clock.nowMs()
+    if (nowMs - this.loadRefreshedAtMs >= loadRefreshMs) {
+      this.loadRefreshedAtMs = nowMs
+      this.unassignedByEngine = this.placement.unassignedByEngine()
+    }
+    return this.unassignedByEngine.get(id) ?? 0
   }
 
   /** Sends news about prompt parts to all nodes. */
@@ -158,8 +159,10 @@
     if (this.queueForSlot({ id: this.slotId(reply, ask), dispatch: decodeDispatchRequest(message), place, onAnswer })) reply({ ask, queued: true })
   }
 
-  onSlotCancel (ask: number, reply: Send): void {
-    this.slots.cancel(this.slotId(reply, ask))
+  onSlotCancel ({ cancel, hasRun }: SlotCancel, reply: Send): void {
+    const id = this.slotId(reply, cancel)
+    if (hasRun) this.slots.end(id)
+    else this.slots.cancel(id)
   }
 
   /** The connection of a node has closed. */
@@ -186,7 +189,9 @@
       region: server.region,
       availabilityZone: server.entry.availabilityZone,
       slots: server.entry.slots,
-      running: server.running + server.runningElsewhere
+      ...(this.options.sharesServers
+        ? { running: this.slots.assignedTo(server.entry.id) + this.unassigned(server.entry.id), isExact: true }
+        : { running: server.running + server.runningElsewhere })
     }))
   }
 
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -19,6 +19,8 @@
   adapters: z.array(z.tuple([z.string(), z.string(), z.string(), z.number()])),
   /** Engine, model, requests in progress, most urgent rank. */
   running: z.array(z.tuple([z.string(), z.string(), z.number(), z.number()])),
+  /** Engine, requests in progress or about to be sent that the leader assigned; absent without any. */
+  assigned: z.array(z.tuple([z.string(), z.number()])).optional(),
   /** Engine, model, adapter of requests in progress or ended since the last report. */
   used: z.array(z.tuple([z.string(), z.string(), z.string()])),
   /** Service and model of requests that an engine rejected because the model was not loaded. */
@@ -82,8 +84,9 @@
   return { account: account ?? undefined, costTokens, leftMs, inTimeMs, hasBegun }
 }
 
-/** The node no longer needs the engine of a dispatch request: it leaves the queue, or its assignment is taken back. */
-export const slotCancelSchema = z.object({ cancel: z.number() })
+/** The node no longer needs the engine of a dispatch request: it leaves the queue, or its assignment is taken back. With `hasRun`, the slot was used and is free again. */
+export const slotCancelSchema = z.object({ cancel: z.number(), hasRun: z.literal(true).optional() })
+export type SlotCancel = z.infer<typeof slotCancelSchema>
 
 export const nodeMessageSchema = z.union([dispatchRequestSchema, slotCancelSchema, nodeReportSchema])
 export type NodeMessage = z.infer<typeof nodeMessageSchema>
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -505,6 +505,21 @@
     return [...this.runningByEngine()].map(([engine, models]) => [engine, [...models.values()].reduce((sum, count) => sum + count, 0)])
   }
 
+  /** Requests in progress by engine that the leader did not assign, as the nodes reported them. */
+  unassignedByEngine (): Map<string, number> {
+    const nowMs = this.options.clock.nowMs()
+    const result = new Map<string, number>()
+    for (const { report, atMs } of this.reports.values()) {
+      if (nowMs - atMs > maxReportAgeMs) continue
+      const own = new Map<string, number>()
+      for (const [engine, , count] of report.running) own.set(engine, (own.get(engine) ?? 0) + count)
+      for (const [engine, count] of report.assigned ?? []) own.set(engine, (own.get(engine) ?? 0) - count)
+      // Negative if an assigned request has not been sent yet.
+      for (const [engine, count] of own) if (count > 0) result.set(engine, (result.get(engine) ?? 0) + count)
+    }
+    return result
+  }
+
   private replicaRow (server: BackendServer): LeaderReport['hosting'][number] {
     const nowMs = this.options.clock.nowMs()
     const left = (readyAtMs: number) => Math.max(0, Math.round(readyAtMs - nowMs))
--- a/src/serving/queuedSlot.ts
+++ b/src/serving/queuedSlot.ts
@@ -5,7 +5,7 @@
 
 export class QueuedSlot {
   private readonly clock: Clock
-  private readonly onCancel: () => void
+  private readonly onCancel: (hasRun: boolean) => void
   private readonly waiters = new Set<() => void>()
   private endedAtMs: number | undefined
   private isCancelled = false
@@ -17,8 +17,8 @@
   /** The end of the wait; absent while the request is in the queue. */
   answer: SlotAnswer | undefined
 
-  /** `onCancel` tells the leader that the request, or the engine assigned to it, is not needed. */
-  constructor ({ clock, excluded, onCancel }: { clock: Clock, excluded: readonly string[], onCancel: () => void }) {
+  /** `onCancel` tells the leader that the request, or the engine assigned to it, is not needed, or that its slot was used and is free. */
+  constructor ({ clock, excluded, onCancel }: { clock: Clock, excluded: readonly string[], onCancel: (hasRun: boolean) => void }) {
     this.clock = clock
     this.excluded = excluded
     this.onCancel = onCancel
@@ -37,12 +37,31 @@
     for (const waiter of [...this.waiters]) waiter()
   }
 
+  /** Whether the leader counts this request at an engine. */
+  get isHeld (): boolean {
+    return this.answer?.kind === 'engine' && !this.isCancelled
+  }
+
+  /** Whether the leader has no place for this request any more. */
+  get isOver (): boolean {
+    return this.isCancelled || (this.answer !== undefined && this.answer.kind !== 'engine')
+  }
+
   /** Leaves the queue, or returns an assignment that is not used. */
   cancel (): void {
-    if (this.isCancelled || (this.answer && this.answer.kind !== 'engine')) return
+    this.leave(false)
+  }
+
+  /** The attempt at the assigned engine has ended. */
+  end (): void {
+    this.leave(true)
+  }
+
+  private leave (hasRun: boolean): void {
+    if (this.isOver) return
     this.isCancelled = true
     this.endedAtMs ??= this.clock.nowMs()
-    this.onCancel()
+    this.onCancel(hasRun)
   }
 
   /** Resolves with the answer or after `maxMs`. */
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -109,7 +109,7 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined }
+  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined, slot?: QueuedSlot | undefined }
   /** With `verdict`, the request has prompt parts in quarantine. */
   | { kind: 'refused', reason: string, retryAfterMs: number, verdict?: Verdict }
   | { kind: 'left' }
@@ -236,6 +236,8 @@
       await this.attemptUntilDone(request, writer, forwarder, progress)
     } finally {
       this.forwarders.delete(forwarder)
+      // After an error in this program, a slot may still be held.
+      for (const slot of progress.slots) slot.cancel()
     }
   }
 
@@ -290,7 +292,7 @@
     return Reservation.reserveAt(server, options, { clock: this.clock, calls: this.calls })
   }
 
-  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial, slot }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.metadata
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
@@ -306,6 +308,8 @@
     progress.retryableFromMs.delete(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
     const result = await forwarder.attempt(server, reservation)
+    if (result.kind === 'unsent') slot?.cancel()
+    else slot?.end()
     if (result.kind !== 'unsent') progress.sends++
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
     // The server may well be sound and complete the rest.
@@ -541,8 +545,8 @@
   return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
 }
 
-function foundBy (server: BackendServer, { chosenBy, trial }: Selection): Extract<Search, { kind: 'found' }> {
-  return { kind: 'found', server, chosenBy, trial }
+function foundBy (server: BackendServer, { chosenBy, trial, slot }: Selection): Extract<Search, { kind: 'found' }> {
+  return { kind: 'found', server, chosenBy, trial, slot }
 }
 
 function reasonOf (result: AttemptResult | undefined): string | undefined {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -97,6 +97,8 @@
   private reportTicks = 0
   /** Number of this node's requests for slots while it led. */
   private ownSlots = 0
+  /** Requests of this node in the leader's queue or at engines that it assigned. */
+  private readonly slots = new Set<QueuedSlot>()
   private cancelReports: CancelTimer = () => {}
   private cancelDemandReport: CancelTimer | undefined
   private cancelParts: CancelTimer | undefined
@@ -167,7 +169,7 @@
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
-        if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message.cancel, reply)
+        if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if (!('ask' in message)) {
           if (this.leaderTerm) this.leaderTerm.onReport(message)
           // A node that has no leader tells all others.
@@ -189,7 +191,10 @@
         const parts = this.quarantine.allFacts()
         this.link.send({ ...this.report(), ...(parts ? { parts } : {}) })
       },
-      onLost: () => this.dispatch.onLost()
+      onLost: () => {
+        this.dispatch.onLost()
+        this.forgetAssignments()
+      }
     })
     this.storeView = new StoreView({
       store,
@@ -402,6 +407,7 @@
 
   private onOwnLeadership (fence: number | undefined, { isOwnSuccessor }: { isOwnSuccessor: boolean }): void {
     this.leaderTerm?.stop()
+    if (this.leaderTerm) this.forgetAssignments()
     this.leaderTerm = undefined
     this.size.stopCounting()
     if (fence === undefined) return
@@ -428,7 +434,7 @@
       startDelayMs: Math.max(startDelayMs, settings.holderGapMs - sinceReturnMs),
       loadWindowMs: settings.loadWindowMs,
       ownReport: () => this.report(),
-      onLoad: running => this.recordRunning(running),
+      sharesServers: settings.sharesServers,
       onSlotAssigned: queuedMs => this.options.metrics?.onSlotAssigned(queuedMs),
       onSlotRefused: reason => this.options.metrics?.onSlotRefused(reason),
       onSlotReturned: () => this.options.metrics?.onSlotReturned(),
@@ -458,14 +464,32 @@
     const { leaderTerm } = this
     if (!leaderTerm) {
       this.sendParts()
-      return await this.dispatch.requestSlot(dispatch, place, timeoutMs)
+      const asked = await this.dispatch.requestSlot(dispatch, place, timeoutMs)
+      if (asked) this.slots.add(asked)
+      return asked
     }
     const id = `own/${this.ownSlots++}`
-    const slot = new QueuedSlot({ clock: this.options.clock, excluded: dispatch.excluded, onCancel: () => { leaderTerm.slots.cancel(id) } })
+    const slot = new QueuedSlot({ clock: this.options.clock, excluded: dispatch.excluded, onCancel: hasRun => hasRun ? leaderTerm.slots.end(id) : leaderTerm.slots.cancel(id) })
+    this.slots.add(slot)
     slot.wasQueued = leaderTerm.queueForSlot({ id, dispatch, place, onAnswer: answer => slot.deliver(answer) })
     return slot
   }
 
+  /** The leader that assigned engines is lost. For the next one, this node's requests there count as chosen by itself. */
+  private forgetAssignments (): void {
+    for (const slot of this.slots) if (slot.isHeld) this.slots.delete(slot)
+  }
+
+  /** Requests by engine that the leader assigned. */
+  private assignedRows (): NonNullable<NodeReport['assigned']> {
+    const counts = new Map<string, number>()
+    for (const slot of this.slots) {
+      if (slot.isOver) this.slots.delete(slot)
+      else if (slot.answer?.kind === 'engine') counts.set(slot.answer.id, (counts.get(slot.answer.id) ?? 0) + 1)
+    }
+    return [...counts]
+  }
+
   private onLeaderMessage (message: LeaderMessage): void {
     if (!('ask' in message)) return this.onLeaderReport(message)
     if (this.options.settings.sharesServers && this.dispatch.onSlotReply(message.ask, decodeSlotReply(message))) return
@@ -505,6 +529,7 @@
     const outcomes: NodeReport['outcomes'] = []
     const misknown: string[] = []
     const { leaving } = this.fleet
+    const assigned = this.assignedRows()
     for (const [id, server] of this.fleet.servers) {
       const { answered, failed } = server.collectOutcomes()
       if (server.collectStateMismatch()) misknown.push(id)
@@ -517,6 +542,7 @@
       waiting: this.demand.waitingModels().map(({ service, model, waiting, rank }) => [service, model, waiting, rank]),
       adapters: this.demand.waitingAdapters().map(({ service, model, adapter, count }) => [service, model, adapter, count]),
       running,
+      ...(assigned.length > 0 ? { assigned } : {}),
       used: this.demand.takeUsedAdapters(),
       missing: this.demand.takeMissingModels(),
       misknown,
--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -76,7 +76,8 @@
     expect(fixture.received).to.have.length(0)
     assign(1, 'a')
     expect((await response).status).to.equal(200)
-    expect(sent).to.have.length(1)
+    expect(sent.filter(message => 'ask' in message)).to.have.length(1)
+    expect(cancelled()).to.deep.equal([{ cancel: 1, hasRun: true }])
     expect(fixture.records[0]!.queuedMs).to.be.within(300, 1000)
   })
 
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -113,6 +113,20 @@
     expect(world.served).to.deep.equal(['b', 'c'])
   })
 
+  // Guards against engines that look full, or free, because an assignment is counted twice or not at all.
+  it('counts assignments until their attempts end', () => {
+    const world = new World()
+    for (const id of ['1/1', '1/2', '2/1', '2/2']) world.submit(id)
+    world.pass(4)
+    expect(world.queue.assignedTo('e-m')).to.equal(4)
+    world.queue.end('1/1')
+    world.queue.end('1/1')
+    world.queue.cancel('1/2')
+    expect(world.queue.assignedTo('e-m')).to.equal(2)
+    world.queue.drop(id => id.startsWith('2/'))
+    expect(world.queue.assignedTo('e-m')).to.equal(0)
+  })
+
   // Guards against a node whose connection closed and whose requests still take slots.
   it('drops the requests of a closed connection', () => {
     const world = new World()
