Shared queue: refuse by the entries ahead in the deadline order; keep a place until another is there

Cause: entries behind in the deadline order and of more urgent ranks counted as ahead, so requests that would have been served next were refused; a repeat without a reply lost the place.

--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -265,6 +265,12 @@
     return { waiting: rankQueue.customers.get(customer)?.count ?? 0, customers: rankQueue.customers.size }
   }
 
+  /** Number of the customer's on-time items of the model in the rank, and how many of them have a deadline before `deadlineMs`. */
+  customerModel (rank: Item['rank'], customer: string, model: string, deadlineMs: number): { waiting: number, ahead: number } {
+    const items = this.rankQueues.get(rank)!.customers.get(customer)?.byModel.get(model) ?? []
+    return { waiting: items.length, ahead: items.filter(item => item.deadlineMs < deadlineMs).length }
+  }
+
   /** Number of waiting items of a model and rank, without late ones, which do not delay others. */
   sizeOfModel (model: string, rank: Item['rank']): number {
     return this.modelCounts.get(model)?.get(rank) ?? 0
--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -309,10 +309,11 @@
   }
 
   /**
-   * Expected wait, from the entries ahead and the rate at which waiting requests of the model were assigned lately; `undefined` while
-   * the rate is not known or the guaranteed share serves the entry.
+   * Expected wait, from the entries of the same rank ahead and the rate at which waiting requests of the model were assigned lately;
+   * `undefined` while the rate is not known or the guaranteed share serves the entry. Entries of more urgent ranks do not count: they
+   * go behind this one when they become late.
    */
-  private expectedWaitMs ({ rank, rateKey, model, customer }: Entry): number | undefined {
+  private expectedWaitMs ({ rank, rateKey, model, customer, deadlineMs }: Entry): number | undefined {
     const nowMs = this.clock.nowMs()
     if (rank === begunRank) return undefined
     const { waitingSinceMs, assignedAtMs } = this.rateOf(rateKey)
@@ -320,15 +321,11 @@
     while (assignedAtMs.length > 0 && assignedAtMs[0]! < nowMs - rateWindowMs) assignedAtMs.shift()
     const count = assignedAtMs.filter(atMs => atMs >= fromMs).length
     if (nowMs - fromMs < minimumRateMs || count < minimumRateCount || this.queue.credit(rank) >= 1) return undefined
-    let ahead = 0
-    for (const other of slotRanks) {
-      if (other > rank) break
-      const waiting = this.queue.sizeOfModel(model, other)
-      const share = this.queue.customerShare(other, customer)
-      // Fair queueing serves the other customers about as often as this one before its turn.
-      ahead += other === rank ? Math.min(waiting - 1, share.waiting * share.customers) : waiting
-    }
-    return ahead * (nowMs - fromMs) / count
+    const own = this.queue.customerModel(rank, customer, model, deadlineMs)
+    const { customers } = this.queue.customerShare(rank, customer)
+    // Fair queueing serves the other accounts about as often as this one before its turn.
+    const others = Math.min(this.queue.sizeOfModel(model, rank) - own.waiting, (own.ahead + 1) * (customers - 1))
+    return (own.ahead + others) * (nowMs - fromMs) / count
   }
 
   private countWaiting ({ rateKey }: Entry, change: number): void {
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -182,7 +182,6 @@
     if (known && !known.answer) {
       const mayAskAgain = clock.nowMs() - known.askedAtMs >= minimumAskIntervalMs
       if (!dispatchRequest || !mayAskAgain || known.excluded.every(id => dispatchRequest.excluded.includes(id))) return known
-      known.cancel()
     }
     if (!dispatchRequest || !requestSlot) return undefined
     const { route: { objectiveMs } } = request
@@ -191,6 +190,9 @@
     for (;;) {
       const slot = await requestSlot(dispatchRequest, this.placeOf(request, wait), timeoutMs)
       if (slot) progress.slots.push(slot)
+      // Without a reply, the request keeps the place that it has.
+      if (!slot && known && known.answer?.kind !== 'lost') return known
+      known?.cancel()
       if ((slot && slot.answer?.kind !== 'lost') || clock.nowMs() >= untilMs) return slot
       await sleep(clock, waitPollMs)
     }
