--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -30,6 +30,8 @@
 /** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
 const nodesIntervalMs = 30_000
 
+/** One refusal is logged per interval, since an overload refuses hundreds a second. */
+const refusalLogIntervalMs = 1000
 /** Time for which an evaluation of the reported load is used, since it reads the reports of all nodes. */
 const loadRefreshMs = 50
 
@@ -70,6 +72,9 @@
   private quarantineWrittenAtMs = -Infinity
   private nodesSentAtMs = -Infinity
   private loadRefreshedAtMs = -Infinity
+  private refusalLoggedAtMs = -Infinity
+  /** Refusals since the last log line. */
+  private refusals = 0
   private unassignedByEngine = new Map<string, number>()
   private isStopped = false
 
@@ -178,8 +183,13 @@
   }
 
   private onSlotRefused (reason: RefusalReason, { dispatch, place }: SlotRequest): void {
-    this.options.log('info', 'waiting request refused', { reason, model: dispatch.model, rank: dispatch.rank, leftMs: Math.round(place.leftMs), queued: this.slots.size })
-    this.options.onSlotRefused?.(reason)
+    const { clock, log, onSlotRefused } = this.options
+    onSlotRefused?.(reason)
+    this.refusals++
+    if (clock.nowMs() - this.refusalLoggedAtMs < refusalLogIntervalMs) return
+    this.refusalLoggedAtMs = clock.nowMs()
+    log('info', 'waiting request refused', { reason, model: dispatch.model, rank: dispatch.rank, leftMs: Math.round(place.leftMs), queued: this.slots.size, sinceLastLine: this.refusals })
+    this.refusals = 0
   }
 
   private candidatesOf (request: DispatchRequest): DispatchCandidate[] {
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -203,7 +203,9 @@
     const { objectiveMs, gapObjectiveMs } = route
     const untilMs = waitUntilMs({ isStream: route.kind === 'stream', objectiveMs, gapObjectiveMs, lastProgressAtMs, lastAttemptAtMs: deadlineAtMs - minimumAttemptMs })
     const inTimeMs = lateAtMs({ lastProgressAtMs, objectiveMs }) - nowMs
-    return { account: account?.name, costTokens: metadata.promptTokens + metadata.outputTokens, leftMs: untilMs - nowMs, inTimeMs, hasBegun }
+    // Without a token count, an account whose requests cost nothing would go ahead of all others.
+    const costTokens = metadata.promptTokens + metadata.outputTokens || account?.quota?.plainTokens || 1
+    return { account: account?.name, costTokens, leftMs: untilMs - nowMs, inTimeMs, hasBegun }
   }
 
   /** A trial without a leader that grants it. */
