--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -6,13 +6,16 @@
 import type { DispatchCandidate, DispatchDecision, DispatchRequest } from '../policy/dispatcher.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartQuarantine } from '../policy/partQuarantine.js'
+import { SlotQueue } from '../policy/slotQueue.js'
+import type { QueuePlace, RefusalReason, SlotAnswer, SlotRequest } from '../policy/slotQueue.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
 import { RunTime } from '../policy/runTime.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
-import { packChanges } from './peerMessages.js'
-import type { Confirmation, LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
+import { decodeDispatchRequest, encodeSlotAnswer, packChanges } from './peerMessages.js'
+import type { ChangeRange, Confirmation, DispatchRequestMessage, LeaderReport, NodeReport, SlotCancel } from './peerMessages.js'
+import type { Send } from './peerLink.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
 import { softwareOf } from './backendServer.js'
@@ -28,6 +31,11 @@
 /** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
 const nodesIntervalMs = 30_000
 
+/** One refusal is logged per interval, since an overload refuses hundreds a second. */
+const refusalLogIntervalMs = 1000
+/** Time for which an evaluation of the reported load is used, since it reads the reports of all nodes. */
+const loadRefreshMs = 50
+
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
   storeView: StoreView
@@ -41,12 +49,22 @@
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
   nodeAddresses: () => string[]
+  /** Whether all nodes ask for slots and announce when they are free. */
+  sharesServers: boolean
+  onSlotAssigned?: ((queuedMs: number) => void) | undefined
+  onSlotRefused?: ((reason: RefusalReason) => void) | undefined
+  onSlotReturned?: (() => void) | undefined
 }
 
 export class LeaderTerm {
   private readonly options: LeaderTermOptions
   private readonly placement: PlacementLeader
+  /** Requests of all nodes that wait for an engine. */
+  readonly slots: SlotQueue
   private readonly dispatcher: Dispatcher
+  /** Number of each node's connection. */
+  private readonly connections = new WeakMap<Send, number>()
+  private nextConnection = 1
   /** By `SERVICE/MODEL`. */
   private readonly prefillDemand: PrefillDemand
   /** Arrivals of requests, by `SERVICE/MODEL`. */
@@ -58,6 +76,11 @@
   private sizeWrittenAtMs = -Infinity
   private quarantineWrittenAtMs = -Infinity
   private nodesSentAtMs = -Infinity
+  private loadRefreshedAtMs = -Infinity
+  private refusalLoggedAtMs = -Infinity
+  /** Refusals since the last log line. */
+  private refusals = 0
+  private unassignedByEngine = new Map<string, number>()
   private isStopped = false
 
   constructor (options: LeaderTermOptions) {
@@ -68,6 +91,17 @@
     this.arrivals = new PrefillDemand(clock)
     // The term may begin in the middle of a batch of changes, whose earlier ones the feed lacks; they precede the leader's key.
     this.changeFeed = new ChangeFeed(clock, Math.max(storeView.revision ?? 0, options.fence))
+    this.slots = new SlotQueue({
+      clock,
+      decide: request => this.decideOnParts(request, this.candidatesOf(request)),
+      onReturned: (request, { id, trial }) => {
+        this.dispatcher.returnAssignment(request, id)
+        if (trial !== undefined) options.quarantine.endTrial(trial)
+        options.onSlotReturned?.()
+      },
+      onAssigned: options.onSlotAssigned,
+      onRefused: (reason, request) => this.onSlotRefused(reason, request)
+    })
     this.placement = new PlacementLeader({
       ...options,
       ownReport: () => {
@@ -83,6 +117,7 @@
   stop (): void {
     this.isStopped = true
     this.cancelUpdate?.()
+    this.slots.stop()
     this.placement.stop()
   }
 
@@ -105,6 +140,16 @@
     this.placement.onReport(report)
   }
 
+  /** Requests in progress that this leader did not assign: those of nodes that chose by themselves, and of its predecessor. */
+  private unassigned (id: string): number {
+    const nowMs = this.options.clock.nowMs()
+    if (nowMs - this.loadRefreshedAtMs >= loadRefreshMs) {
+      this.loadRefreshedAtMs = nowMs
+      this.unassignedByEngine = this.placement.unassignedByEngine()
+    }
+    return this.unassignedByEngine.get(id) ?? 0
+  }
+
   /** Sends news about prompt parts to all nodes. */
   broadcastParts (): void {
     const parts = this.options.quarantine.takeFacts()
@@ -115,17 +160,71 @@
 
   /** The dispatch decision for a request of any node, which excludes the servers that want none from it; `undefined` if this node knows no engine that can serve it. */
   dispatch (request: DispatchRequest): DispatchDecision | undefined {
+    const candidates = this.candidatesOf(request)
+    this.countDemand(request, candidates)
+    return this.decideOnParts(request, candidates)
+  }
+
+  /** Like `dispatch`, but lets the request wait for an engine. Returns whether it waits; otherwise it has been answered. */
+  queueForSlot (request: SlotRequest): boolean {
+    this.countDemand(request.dispatch, this.candidatesOf(request.dispatch))
+    return this.slots.submit(request)
+  }
+
+  /** A node asks for a slot. `reply` identifies its connection. */
+  onSlotRequest (message: DispatchRequestMessage, place: QueuePlace, reply: Send): void {
+    const { ask } = message
+    const onAnswer = (answer: SlotAnswer) => reply({ ask, ...encodeSlotAnswer(answer) })
+    if (this.queueForSlot({ id: this.slotId(reply, ask), dispatch: decodeDispatchRequest(message), place, onAnswer })) reply({ ask, queued: true })
+  }
+
+  onSlotCancel ({ cancel, hasRun }: SlotCancel, reply: Send): void {
+    const id = this.slotId(reply, cancel)
+    if (hasRun) this.slots.end(id)
+    else this.slots.cancel(id)
+  }
+
+  /** The connection of a node has closed. */
+  onNodeLeft (reply: Send): void {
+    const prefix = this.slotId(reply, '')
+    this.slots.drop(id => id.startsWith(prefix))
+  }
+
+  private slotId (reply: Send, ask: number | string): string {
+    let connection = this.connections.get(reply)
+    if (connection === undefined) this.connections.set(reply, connection = this.nextConnection++)
+    return `${connection}/${ask}`
+  }
+
+  private onSlotRefused (reason: RefusalReason, { dispatch, place }: SlotRequest): void {
+    const { clock, log, onSlotRefused } = this.options
+    onSlotRefused?.(reason)
+    this.refusals++
+    if (clock.nowMs() - this.refusalLoggedAtMs < refusalLogIntervalMs) return
+    this.refusalLoggedAtMs = clock.nowMs()
+    log('info', 'waiting request refused', { reason, model: dispatch.model, rank: dispatch.rank, leftMs: Math.round(place.leftMs), queued: this.slots.size, sinceLastLine: this.refusals })
+    this.refusals = 0
+  }
+
+  private candidatesOf (request: DispatchRequest): DispatchCandidate[] {
     const servers = this.options.fleet.ofService(request.service).filter(server => server.isPresent && server.serves(request.model, request.adapter))
-    const candidates = servers.map(server => ({
+    return servers.map(server => ({
       id: server.entry.id,
       region: server.region,
       availabilityZone: server.entry.availabilityZone,
       slots: server.entry.slots,
-      running: server.running + server.runningElsewhere
+      ...(this.options.sharesServers
+        ? { running: this.slots.assignedTo(server.entry.id) + this.unassigned(server.entry.id), isExact: true }
+        : { running: server.running + server.runningElsewhere })
     }))
-    if (request.isFirst) this.arrivals.add(`${request.service}/${request.model}`, 1)
-    if (request.isFirst) this.prefillDemand.add(`${request.service}/${request.model}`, this.dispatcher.minimumPrefillMs(request, candidates))
-    return this.decideOnParts(request, candidates)
+  }
+
+  /** The demand for the model, to which each request counts once. */
+  private countDemand (request: DispatchRequest, candidates: readonly DispatchCandidate[]): void {
+    if (!request.isFirst) return
+    const key = `${request.service}/${request.model}`
+    this.arrivals.add(key, 1)
+    this.prefillDemand.add(key, this.dispatcher.minimumPrefillMs(request, candidates))
   }
 
   /** Requests with prompt parts under suspicion are sent one at a time; those with quarantined ones wait until their node refuses them. */
@@ -134,7 +233,7 @@
     const check = quarantine.check(evidenceParts(request))
     if (check.kind === 'clear') return this.dispatcher.choose(request, candidates)
     const trial = check.kind === 'suspect' ? quarantine.beginTrial(check) : undefined
-    if (!trial) return { kind: 'wait', forMs: trialPollMs }
+    if (!trial) return { kind: 'wait', forMs: trialPollMs, isForTrial: true }
     const inTrial = quarantine.enginesInTrial
     const free = candidates.filter(({ id }) => !request.excluded.includes(id) && !inTrial.includes(id))
     const decision = this.dispatcher.choose(request, trial.isIsolated ? leastRunning(free) : free)
@@ -143,7 +242,7 @@
       return { ...decision, trial: trial.id }
     }
     quarantine.endTrial(trial.id)
-    return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs } : undefined)
+    return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs, isForTrial: true } : undefined)
   }
 
   /** A store change that other nodes need. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -13,6 +13,7 @@
 import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
 import { AccountCheck } from './accountCheck.js'
+import type { QueuePlace } from '../policy/slotQueue.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
@@ -26,8 +27,9 @@
 import { ModelDemand } from './modelDemand.js'
 import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
-import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, unpackChanges } from './peerMessages.js'
+import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, decodePlace, decodeSlotReply, unpackChanges } from './peerMessages.js'
 import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
+import { QueuedSlot } from './queuedSlot.js'
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
@@ -55,6 +57,8 @@
 const minConfirmationIntervalMs = 100
 /** Demand for a model or adapter is reported after this time, together with other new demand. */
 const demandReportDelayMs = 2
+/** Where servers are shared by many nodes, choosing alone overloads them, so a single late reply does not stop dispatch requests. */
+const sharedTimeoutsBeforePause = 3
 /** A leader that crashed may have sent a command up to one renewal interval before its lease began to expire. */
 const successionDelayMs = 1000
 
@@ -98,6 +102,10 @@
   /** Number of nodes in the store. */
   private storedSize = 0
   private reportTicks = 0
+  /** Number of this node's requests for slots while it led. */
+  private ownSlots = 0
+  /** Requests of this node in the leader's queue or at engines that it assigned. */
+  private readonly slots = new Set<QueuedSlot>()
   private cancelReports: CancelTimer = () => {}
   private cancelDemandReport: CancelTimer | undefined
   private cancelParts: CancelTimer | undefined
@@ -119,7 +127,7 @@
     })
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
-    this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
+    this.dispatch = new DispatchClient({ clock, timeoutsBeforePause: settings.sharesServers ? sharedTimeoutsBeforePause : 1, send: message => this.link.send(message) })
     this.loopDelay = new LoopDelay(clock)
     this.storedQuarantine = new StoredQuarantine(codecs.keys.own)
     this.quarantine = new PartQuarantine({
@@ -153,6 +161,7 @@
       nodeCount: () => this.size.value,
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
+      ...(settings.sharesServers ? { requestSlot: (ask: DispatchRequest, place: QueuePlace, timeoutMs: number) => this.requestSlot(ask, place, timeoutMs) } : {}),
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.engineClient = new EngineClient(clock, codecs)
@@ -175,6 +184,7 @@
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
+        if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if (!('ask' in message)) {
           const confirmation = message.stamp && this.leaderTerm?.confirm(message.stamp)
           if (confirmation) reply(confirmation)
@@ -183,9 +193,11 @@
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
+        if (message.place) return this.leaderTerm?.onSlotRequest(message, decodePlace(message.place), reply)
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
       },
-      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) }
+      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
+      onLeft: send => this.leaderTerm?.onNodeLeft(send)
     })
     this.link = new LeaderLink({
       clock,
@@ -196,7 +208,10 @@
         const parts = this.quarantine.allFacts()
         this.link.send({ ...this.stampedReport(), ...(parts ? { parts } : {}) })
       },
-      onLost: () => this.dispatch.onLost()
+      onLost: () => {
+        this.dispatch.onLost()
+        this.forgetAssignments()
+      }
     })
     this.storeView = new StoreView({
       store,
@@ -239,6 +254,7 @@
     metrics.gauge('teaselrill_parts_suspected', 'Prompt parts whose requests are sent one at a time because engines ended under them', () => this.quarantine.suspectCount)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
+    metrics.gauge('teaselrill_slots_queued', 'Requests of all nodes that wait for an engine in the queue of this node as placement leader', () => this.leaderTerm?.slots.size ?? 0)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
     metrics.gauge('teaselrill_placement_leader', '1 if this node sends the commands to engines', () => this.leaderTerm ? 1 : 0)
   }
@@ -411,6 +427,7 @@
 
   private onOwnLeadership (fence: number | undefined, { isOwnSuccessor }: { isOwnSuccessor: boolean }): void {
     this.leaderTerm?.stop()
+    if (this.leaderTerm) this.forgetAssignments()
     this.leaderTerm = undefined
     this.size.stopCounting()
     if (fence === undefined) return
@@ -438,6 +455,9 @@
       loadWindowMs: settings.loadWindowMs,
       sharesServers: settings.sharesServers,
       ownReport: () => this.report(),
+      onSlotAssigned: queuedMs => this.options.metrics?.onSlotAssigned(queuedMs),
+      onSlotRefused: reason => this.options.metrics?.onSlotRefused(reason),
+      onSlotReturned: () => this.options.metrics?.onSlotReturned(),
       broadcast: report => this.peers.broadcast(report),
       onCommand: (action, outcome) => this.options.metrics?.onCommand(action, outcome),
       onSuperseded: () => this.leadership.resign(),
@@ -459,10 +479,42 @@
     return await this.dispatch.requestDispatch(ask)
   }
 
+  /** Asks for an engine in the order of all nodes' requests; `undefined` without a reply in time. */
+  private async requestSlot (dispatch: DispatchRequest, place: QueuePlace, timeoutMs: number): Promise<QueuedSlot | undefined> {
+    const { leaderTerm } = this
+    if (!leaderTerm) {
+      this.sendParts()
+      const asked = await this.dispatch.requestSlot(dispatch, place, timeoutMs)
+      if (asked) this.slots.add(asked)
+      return asked
+    }
+    const id = `own/${this.ownSlots++}`
+    const slot = new QueuedSlot({ clock: this.options.clock, excluded: dispatch.excluded, onCancel: hasRun => hasRun ? leaderTerm.slots.end(id) : leaderTerm.slots.cancel(id) })
+    this.slots.add(slot)
+    slot.wasQueued = leaderTerm.queueForSlot({ id, dispatch, place, onAnswer: answer => slot.deliver(answer) })
+    return slot
+  }
+
+  /** The leader that assigned engines is lost. For the next one, this node's requests there count as chosen by itself. */
+  private forgetAssignments (): void {
+    for (const slot of this.slots) if (slot.isHeld) this.slots.delete(slot)
+  }
+
+  /** Requests by engine that the leader assigned. */
+  private assignedRows (): NonNullable<NodeReport['assigned']> {
+    const counts = new Map<string, number>()
+    for (const slot of this.slots) {
+      if (slot.isOver) this.slots.delete(slot)
+      else if (slot.answer?.kind === 'engine') counts.set(slot.answer.id, (counts.get(slot.answer.id) ?? 0) + 1)
+    }
+    return [...counts]
+  }
+
   private onLeaderMessage (message: LeaderMessage): void {
-    if ('ask' in message) this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
-    else if ('stamp' in message) this.storeView.onConfirmation(message)
-    else this.onLeaderReport(message)
+    if ('stamp' in message) return this.storeView.onConfirmation(message)
+    if (!('ask' in message)) return this.onLeaderReport(message)
+    if (this.options.settings.sharesServers && this.dispatch.onSlotReply(message.ask, decodeSlotReply(message))) return
+    this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
   }
 
   private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
@@ -498,6 +550,7 @@
     const outcomes: NodeReport['outcomes'] = []
     const misknown: string[] = []
     const { leaving } = this.fleet
+    const assigned = this.assignedRows()
     for (const [id, server] of this.fleet.servers) {
       const { answered, failed } = server.collectOutcomes()
       if (server.collectStateMismatch()) misknown.push(id)
@@ -510,6 +563,7 @@
       waiting: this.demand.waitingModels().map(({ service, model, waiting, rank }) => [service, model, waiting, rank]),
       adapters: this.demand.waitingAdapters().map(({ service, model, adapter, count }) => [service, model, adapter, count]),
       running,
+      ...(assigned.length > 0 ? { assigned } : {}),
       used: this.demand.takeUsedAdapters(),
       missing: this.demand.takeMissingModels(),
       misknown,
