--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -33,7 +33,7 @@
 /** Events that change what a node believes about the fleet. */
 const fleetEvents = new Set([
   'store lost', 'store regained', 'store history lost', 'configuration in force', 'placement leader is this node',
-  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'graceful shutdown', 'log lines left out'
+  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'account over its quota', 'account below its quota again', 'graceful shutdown', 'log lines left out'
 ])
 
 function parse (text: string): Line | undefined {
@@ -57,10 +57,11 @@
   const fromMs = Math.min(...own.map(line => line.atMs - (line.durationMs ?? 0))) - contextMs
   const untilMs = Math.max(...own.map(({ atMs }) => atMs))
   const backends = new Set(own.flatMap(({ sends }) => sends?.map(({ backend }) => backend) ?? []))
+  const accounts = new Set(own.map(line => line.account).filter(account => typeof account === 'string'))
   const models = new Set(own.map(line => line.model).filter(model => typeof model === 'string'))
   const nodes = new Set(own.map(({ node }) => node))
   const context = lines.filter(line => line.request === undefined && line.atMs >= fromMs && line.atMs <= untilMs &&
-    (concerns(line, backends, models) || (nodes.has(line.node) && fleetEvents.has(line.event))))
+    (accounts.has(String(line.account)) || concerns(line, backends, models) || (nodes.has(line.node) && fleetEvents.has(line.event))))
   return [...own.flatMap(line => requestSentences(line)), ...context.map(line => ({ atMs: line.atMs, text: contextSentence(line) }))]
     .sort((left, right) => left.atMs - right.atMs)
     .map(({ atMs, text }) => `${new Date(atMs).toISOString().slice(11, 23)}  ${text}`)
@@ -77,7 +78,7 @@
   const model = line.model === undefined ? '' : ` for ${String(line.model)}${line.adapter === undefined ? '' : `/${String(line.adapter)}`}`
   const sentences = [{
     atMs: startMs,
-    text: `${line.node} took request ${line.request} on route ${String(line.route)} (${String(line.kind)}, rank ${String(line.rank)})${model}, with ${String(line.deadlineMs)} ms to its deadline and configuration ${String(line.configVersion)}.`
+    text: `${line.node} took request ${line.request} on route ${String(line.route)} (${String(line.kind)}, rank ${String(line.rank)})${model}${line.account === undefined ? '' : ` for account ${String(line.account)}`}, with ${String(line.deadlineMs)} ms to its deadline and configuration ${String(line.configVersion)}.`
   }]
   for (const send of line.sends ?? []) {
     sentences.push({
--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -50,6 +50,7 @@
     adapter: adapter || undefined,
     promptTokens: promptTokens ?? 0,
     outputTokens: parseInteger(firstValue(headers['x-length-hint'])) ?? maxOutputTokens ?? 0,
+    statedTokens: promptTokens === undefined && maxOutputTokens === undefined ? undefined : (promptTokens ?? 0) + (maxOutputTokens ?? 0),
     sharedParts: sharedPartsOf(firstValue(headers['x-prompt-prefix'])),
     lastEventId: parseInteger(firstValue(headers[lastEventIdHeader]))
   }
--- /dev/null
+++ b/src/policy/slidingSum.ts
@@ -0,0 +1,32 @@
+/** Sum of amounts over a sliding window, in slots, so that memory is bounded however many amounts are added. */
+export class SlidingSum {
+  private slots: { index: number, amount: number }[] = []
+
+  constructor (private readonly windowMs: number, private readonly slotMs: number) {}
+
+  /** Adds an amount; one in the past is added at the time it belongs to. */
+  add (amount: number, atMs: number): void {
+    const index = Math.floor(atMs / this.slotMs)
+    let position = this.slots.length
+    while (position > 0 && this.slots[position - 1]!.index > index) position--
+    const slot = this.slots[position - 1]
+    if (slot?.index === index) slot.amount += amount
+    else this.slots.splice(position, 0, { index, amount })
+  }
+
+  /** Sum over at least the last `windowMs` and at most one slot more. */
+  sum (nowMs: number): number {
+    return this.rows(nowMs).reduce((sum, [, amount]) => sum + amount, 0)
+  }
+
+  /** Age of each slot's end in milliseconds (0 for the current one) and its amount, oldest first. */
+  rows (nowMs: number): [number, number][] {
+    const oldest = Math.floor((nowMs - this.windowMs) / this.slotMs)
+    while (this.slots.length > 0 && this.slots[0]!.index < oldest) this.slots.shift()
+    return this.slots.filter(({ amount }) => amount !== 0).map(({ index, amount }) => [Math.max(0, nowMs - (index + 1) * this.slotMs), amount])
+  }
+
+  clear (): void {
+    this.slots = []
+  }
+}
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -17,6 +17,8 @@
   promptTokens: number
   /** Expected output tokens. */
   outputTokens: number
+  /** Prompt and maximum output tokens as the client states them; `undefined` if it states neither. */
+  statedTokens: number | undefined
   /** Prompt parts that are shared with other requests, in order. */
   sharedParts: PromptPart[]
   lastEventId: number | undefined
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -6,12 +6,14 @@
 import type { DispatchCandidate, DispatchDecision, DispatchRequest } from '../policy/dispatcher.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartQuarantine } from '../policy/partQuarantine.js'
+import { QuotaLedger } from '../policy/quotaLedger.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
+import { OverQuotaLog } from './overQuotaLog.js'
 import { packChanges } from './peerMessages.js'
-import type { LeaderReport, NodeReport, ChangeRange } from './peerMessages.js'
+import type { LeaderReport, NodeReport, ChangeRange, QuotaAskMessage, QuotaReply } from './peerMessages.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
 import { softwareOf } from './backendServer.js'
@@ -26,6 +28,8 @@
 const quarantineWriteIntervalMs = 1000
 /** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
 const nodesIntervalMs = 30_000
+/** Loads of accounts are broadcast in steps, so that small changes cost no bytes. */
+const quotaLoadStep = 0.25
 
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
@@ -48,6 +52,9 @@
   private readonly dispatcher: Dispatcher
   /** By `SERVICE/MODEL`. */
   private readonly prefillDemand: PrefillDemand
+  readonly quotas: QuotaLedger
+  private readonly overQuota: OverQuotaLog
+  private quotaLoads = new Map<string, number>()
   private changeFeed: ChangeFeed
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
@@ -60,6 +67,12 @@
     const { clock, storeView, ownReport } = options
     this.dispatcher = new Dispatcher(clock)
     this.prefillDemand = new PrefillDemand(clock)
+    this.quotas = new QuotaLedger({
+      clock,
+      limitOf: account => options.deployment()?.accounts?.find(({ name }) => name === account)?.quota,
+      onRefused: account => this.overQuota.onRefused(account)
+    })
+    this.overQuota = new OverQuotaLog({ clock, log: options.log, decidedBy: 'leader' })
     this.changeFeed = new ChangeFeed(clock, storeView.revision ?? 0)
     this.placement = new PlacementLeader({
       ...options,
@@ -81,7 +94,7 @@
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
     const parts = this.options.quarantine.allFacts()
-    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), ...this.loadRows([...this.quotaLoads]), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   onReport (report: NodeReport): void {
@@ -91,6 +104,19 @@
     this.placement.onReport(report)
   }
 
+  /** Decides on a node's query for tokens. */
+  onQuotaAsk (node: string, { quotaAsk, rows, returned = [], spent = [] }: QuotaAskMessage): QuotaReply {
+    for (const [account, tokens] of returned) this.quotas.giveBack(node, account, tokens)
+    for (const [account, spentRows] of spent) this.quotas.addSpent(node, account, spentRows)
+    return {
+      quotaAsk,
+      rows: rows.map(([account, needed, wanted]) => {
+        const decision = this.quotas.grant(node, account, needed, wanted)
+        return [account, decision.kind === 'granted' ? decision.tokens : 0, decision.kind === 'refused' ? Math.ceil(decision.retryAfterMs) : null]
+      })
+    }
+  }
+
   /** Sends news about prompt parts to all nodes. */
   broadcastParts (): void {
     const parts = this.options.quarantine.takeFacts()
@@ -131,6 +157,11 @@
     return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs } : undefined)
   }
 
+  /** Loads of accounts as last broadcast. */
+  get accountLoads (): [string, number][] {
+    return [...this.quotaLoads]
+  }
+
   /** A store change that other nodes need. */
   onChange (change: StoreChange): void {
     this.changeFeed.record(change)
@@ -159,7 +190,8 @@
     this.writeSize(storedSize)
     this.watchQuarantine()
     const running = this.placement.runningRows()
-    this.broadcastUpdate(running)
+    this.broadcastUpdate(running, this.changedLoads())
+    this.overQuota.sweep()
     this.broadcastNodes()
     return running
   }
@@ -200,9 +232,21 @@
     for (const [backend, answered, failed] of outcomes) this.dispatcher.onOutcomes(backend, answered, failed)
   }
 
-  private broadcastUpdate (running: LeaderReport['running']): void {
+  /** Loads of accounts that have changed by a step since the last broadcast. */
+  private changedLoads (): [string, number][] {
+    const loads = new Map(this.quotas.loads().map(([account, load]) => [account, Math.round(load / quotaLoadStep) * quotaLoadStep]))
+    const changed = [...loads].filter(([account, load]) => load !== this.quotaLoads.get(account))
+    this.quotaLoads = loads
+    return changed
+  }
+
+  private loadRows (rows: [string, number][]): Pick<LeaderReport, 'quotaLoads'> {
+    return rows.length > 0 ? { quotaLoads: rows } : {}
+  }
+
+  private broadcastUpdate (running: LeaderReport['running'], loads: [string, number][] = []): void {
     if (this.isStopped) return
-    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), ...this.loadRows(loads), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
   }
 
   private leavingRows (): Pick<LeaderReport, 'leaving'> {
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -142,17 +142,21 @@
   }
 }
 
-type Send = (message: LeaderMessage) => void
+/** Sends to one node; the same function for each message of a connection. */
+export type Send = (message: LeaderMessage) => void
 
 /** The leader's connections to the nodes. */
 export class PeerServer {
   private readonly server: Server
   private readonly links = new Set<Link<NodeMessage>>()
 
-  constructor ({ clock, onMessage, onJoined }: { clock: Clock, onMessage: (message: NodeMessage, reply: Send) => void, onJoined: (send: Send) => void }) {
+  constructor ({ clock, onMessage, onJoined, onLeft = () => {} }: { clock: Clock, onMessage: (message: NodeMessage, reply: Send) => void, onJoined: (send: Send) => void, onLeft?: (send: Send) => void }) {
     this.server = createServer(socket => {
       const send: Send = message => link.send(message)
-      const link: Link<NodeMessage> = new Link(socket, nodeMessageSchema, clock, message => onMessage(message, send), () => { this.links.delete(link) })
+      const link: Link<NodeMessage> = new Link(socket, nodeMessageSchema, clock, message => onMessage(message, send), () => {
+        this.links.delete(link)
+        onLeft(send)
+      })
       this.links.add(link)
       onJoined(send)
     })
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -68,7 +68,30 @@
   }
 }
 
-export const nodeMessageSchema = z.union([dispatchRequestSchema, nodeReportSchema])
+/** Account, tokens. */
+const tokenRowsSchema = z.array(z.tuple([z.string(), z.number()]))
+
+/** Asks the leader for tokens of account quotas. */
+export const quotaAskSchema = z.object({
+  /** Number of the query, which the reply repeats; 0 without rows, which needs no reply. */
+  quotaAsk: z.number(),
+  /** Account, cost of a request, tokens wanted beyond it. */
+  rows: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  /** Tokens of requests that did not run, and prefetched ones that were not used. */
+  returned: tokenRowsSchema.optional(),
+  /** By account, ages in milliseconds and tokens spent in the last window that this leader did not grant. */
+  spent: z.array(z.tuple([z.string(), z.array(z.tuple([z.number(), z.number()]))])).optional()
+})
+export type QuotaAskMessage = z.infer<typeof quotaAskSchema>
+
+/** The leader's reply, with a row for each row of the query: account, granted tokens, time until a retry. Without both, the node decides. */
+export const quotaReplySchema = z.object({
+  quotaAsk: z.number(),
+  rows: z.array(z.tuple([z.string(), z.number(), z.number().nullable()]))
+})
+export type QuotaReply = z.infer<typeof quotaReplySchema>
+
+export const nodeMessageSchema = z.union([quotaAskSchema, dispatchRequestSchema, nodeReportSchema])
 export type NodeMessage = z.infer<typeof nodeMessageSchema>
 
 /** The leader's reply to a dispatch request. */
@@ -151,9 +174,11 @@
   /** What all nodes have found out about prompt parts; absent without news. */
   parts: partFactsSchema.optional(),
   /** IP addresses of all nodes, now and then: what a node finds out while there is no leader goes to them. */
-  nodes: z.array(z.string()).optional()
+  nodes: z.array(z.string()).optional(),
+  /** Demand of accounts as a share of their quota; only what changed. */
+  quotaLoads: tokenRowsSchema.optional()
 })
 export type LeaderReport = z.infer<typeof leaderReportSchema>
 
-export const leaderMessageSchema = z.union([dispatchReplySchema, leaderReportSchema])
+export const leaderMessageSchema = z.union([quotaReplySchema, dispatchReplySchema, leaderReportSchema])
 export type LeaderMessage = z.infer<typeof leaderMessageSchema>
--- /dev/null
+++ b/src/serving/quotaClient.ts
@@ -0,0 +1,248 @@
+/** Takes tokens from account quotas: from this node's pool, the placement leader, or the node's own share without a leader. */
+
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { ioTurn } from '../base/ioTurn.js'
+import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
+import type { QuotaDecision, QuotaLedger } from '../policy/quotaLedger.js'
+import { QuotaPool } from '../policy/quotaPool.js'
+import type { RequestMetadata } from './codecs.js'
+import type { Account, AccountQuota } from './deployment.js'
+import { OverQuotaLog } from './overQuotaLog.js'
+import type { QuotaAskMessage, QuotaReply } from './peerMessages.js'
+
+/** Longest wait for the leader; afterwards this node decides alone. */
+const replyTimeoutMs = 150
+/** Time without queries after the leader did not reply in time, so that not every request waits. */
+const unresponsivePauseMs = 400
+/** Queries of requests that arrive within this time go in one message. */
+const batchMs = 2
+/** Time after which a late reply is no longer expected. */
+const lateReplyMs = 5000
+
+/** Tokens that a request holds. Call `giveBack` if the request has not run and never will. */
+export interface TakenQuota {
+  kind: 'taken'
+  giveBack (): void
+}
+export type QuotaResult = TakenQuota | { kind: 'refused', reason: string, retryAfterMs: number }
+
+/** How the quota's tokens were taken, or that they were refused, for metrics. */
+export type QuotaEvent = 'granted' | 'alone' | 'refused'
+
+export interface QuotaClientOptions {
+  clock: Clock
+  random: Random
+  log: Log
+  /** Name of this node. */
+  node: string
+  nodeCount: () => number
+  /** Sends to the leader, or returns false if there is no connection. */
+  send: (message: QuotaAskMessage) => boolean
+  /** The ledger while this node leads. */
+  localLedger: () => QuotaLedger | undefined
+  onEvent?: (event: QuotaEvent, account: string, tokens: number) => void
+}
+
+interface Ask {
+  account: string
+  tokens: number
+  wanted: number
+  resolve (decision: QuotaDecision): void
+  /** Set if this node decided before the reply arrived. */
+  decidedAlone?: { isTaken: boolean, ticket?: Ticket }
+}
+
+interface Ticket { account: string, tokens: number, isAlone: boolean, isReturned: boolean }
+
+interface Batch { asks: Ask[], askedAtMs: number, cancelTimeout: CancelTimer }
+
+/** What a request costs in the quota's unit. */
+export function quotaCost ({ unit, plainTokens }: AccountQuota, { statedTokens }: Pick<RequestMetadata, 'statedTokens'>): number {
+  return unit === 'requests' ? 1 : statedTokens ?? plainTokens
+}
+
+export class QuotaClient {
+  private readonly options: QuotaClientOptions
+  private readonly clock: Clock
+  private readonly pool: QuotaPool
+  private readonly overQuota: OverQuotaLog
+  private readonly batches = new Map<number, Batch>()
+  private openBatch: number | undefined
+  private nextNumber = 1
+  private pausedUntilMs = -Infinity
+  private returned = new Map<string, number>()
+  /** Fence of the leader that knows what this node spent. */
+  private reportedFence: number | undefined
+
+  constructor (options: QuotaClientOptions) {
+    this.options = options
+    this.clock = options.clock
+    this.pool = new QuotaPool(options)
+    this.overQuota = new OverQuotaLog({ clock: options.clock, log: options.log, decidedBy: 'node' })
+  }
+
+  /** Takes what a request costs. Resolves within 150 ms, or as soon as the event loop runs again; never rejects. */
+  async take ({ name, quota }: Pick<Account, 'name' | 'quota'>, metadata: Pick<RequestMetadata, 'statedTokens'>): Promise<QuotaResult> {
+    const tokens = quota ? quotaCost(quota, metadata) : 0
+    const ticket: Ticket = { account: name, tokens, isAlone: false, isReturned: false }
+    if (!quota || tokens === 0) return { kind: 'taken', giveBack: () => {} }
+    const first = this.pool.take(name, tokens)
+    if (first.kind === 'taken') return this.taken(ticket)
+    if (first.kind === 'refused') return this.refused(ticket, quota, first.retryAfterMs)
+    const { decision, ask, askedAtMs } = await this.ask(name, tokens, first.wanted)
+    if (decision.kind === 'granted') {
+      this.pool.onGranted(name, tokens, decision.tokens, askedAtMs)
+      return this.taken(ticket)
+    }
+    if (decision.kind === 'refused') {
+      this.pool.onRefused(name, tokens, decision.retryAfterMs)
+      return this.refused(ticket, quota, decision.retryAfterMs)
+    }
+    const retryAfterMs = this.pool.takeAlone(name, quota, tokens)
+    ticket.isAlone = true
+    if (ask) ask.decidedAlone = { isTaken: retryAfterMs === undefined, ticket }
+    if (retryAfterMs === undefined) return this.taken(ticket)
+    this.overQuota.onRefused(name)
+    return this.refused(ticket, quota, retryAfterMs)
+  }
+
+  onReply ({ quotaAsk, rows }: QuotaReply): void {
+    const batch = this.batches.get(quotaAsk)
+    if (!batch) return
+    this.batches.delete(quotaAsk)
+    batch.cancelTimeout()
+    batch.asks.forEach((ask, index) => {
+      const [, granted, retryAfterMs] = rows[index] ?? [ask.account, 0, null]
+      if (ask.decidedAlone) this.onLateReply(ask, granted)
+      else if (granted > 0) ask.resolve({ kind: 'granted', tokens: granted })
+      else ask.resolve(retryAfterMs === null ? { kind: 'unknown' } : { kind: 'refused', retryAfterMs })
+    })
+  }
+
+  /** Tells the leader what it doesn't know of this node's spending. */
+  onConnected (fence: number | undefined): void {
+    this.pausedUntilMs = -Infinity
+    const spent = this.pool.takeSpent({ isNewLeader: fence !== this.reportedFence })
+    this.reportedFence = fence
+    if (spent.length > 0) this.options.send({ quotaAsk: 0, rows: [], spent })
+  }
+
+  /** The same for the ledger of this node when it begins to lead. */
+  onOwnTerm (ledger: QuotaLedger): void {
+    this.reportedFence = undefined
+    for (const [account, rows] of this.pool.takeSpent({ isNewLeader: true })) ledger.addSpent(this.options.node, account, rows)
+  }
+
+  /** Nothing sent over the lost connection is answered any more. */
+  onLost (): void {
+    for (const [number, { asks, cancelTimeout }] of this.batches) {
+      cancelTimeout()
+      for (const ask of asks) ask.resolve({ kind: 'unknown' })
+      this.batches.delete(number)
+    }
+    this.openBatch = undefined
+    // What the lost leader granted ends with it.
+    this.returned.clear()
+  }
+
+  /** Sets the load of accounts as the leader sees it. */
+  onLoads (rows: readonly (readonly [string, number])[]): void {
+    for (const [account, load] of rows) this.pool.setLoad(account, load)
+  }
+
+  setAccounts (accounts: readonly Account[]): void {
+    this.pool.keepOnly(new Set(accounts.filter(({ quota }) => quota).map(({ name }) => name)))
+  }
+
+  /** Returns unused tokens. Call this several times a second. */
+  sweep (): void {
+    this.overQuota.sweep()
+    for (const [account, tokens] of this.pool.takeExpired()) this.addReturned(account, tokens)
+    if (this.returned.size === 0) return
+    const ledger = this.options.localLedger()
+    if (ledger) for (const [account, tokens] of this.returned) ledger.giveBack(this.options.node, account, tokens)
+    else this.options.send({ quotaAsk: 0, rows: [], returned: [...this.returned] })
+    this.returned.clear()
+  }
+
+  private ask (account: string, tokens: number, wanted: number): Promise<{ decision: QuotaDecision, ask?: Ask, askedAtMs: number }> {
+    const askedAtMs = this.clock.nowMs()
+    const ledger = this.options.localLedger()
+    if (ledger) return Promise.resolve({ decision: ledger.grant(this.options.node, account, tokens, wanted), askedAtMs })
+    if (askedAtMs < this.pausedUntilMs) return Promise.resolve({ decision: { kind: 'unknown' }, askedAtMs })
+    return new Promise(resolve => {
+      const ask: Ask = { account, tokens, wanted, resolve: decision => resolve({ decision, ask, askedAtMs }) }
+      this.addToBatch(ask)
+    })
+  }
+
+  private addToBatch (ask: Ask): void {
+    const open = this.openBatch === undefined ? undefined : this.batches.get(this.openBatch)
+    if (open) {
+      open.asks.push(ask)
+      return
+    }
+    const number = this.nextNumber++
+    this.openBatch = number
+    const cancelTimeout = this.clock.setTimer(replyTimeoutMs, () => { void this.onTimeout(number) })
+    this.batches.set(number, { asks: [ask], askedAtMs: this.clock.nowMs(), cancelTimeout })
+    this.clock.setTimer(batchMs, () => this.sendBatch(number))
+  }
+
+  private sendBatch (number: number): void {
+    if (this.openBatch === number) this.openBatch = undefined
+    const batch = this.batches.get(number)
+    if (!batch) return
+    const rows = batch.asks.map(({ account, tokens, wanted }): [string, number, number] => [account, tokens, wanted])
+    const returned = this.returned.size > 0 ? { returned: [...this.returned] } : {}
+    if (!this.options.send({ quotaAsk: number, rows, ...returned })) return this.onReply({ quotaAsk: number, rows: [] })
+    this.returned.clear()
+  }
+
+  private async onTimeout (number: number): Promise<void> {
+    // The reply may have arrived while the event loop was blocked.
+    await ioTurn()
+    const batch = this.batches.get(number)
+    if (!batch) return
+    this.pausedUntilMs = this.clock.nowMs() + unresponsivePauseMs
+    batch.cancelTimeout = this.clock.setTimer(lateReplyMs, () => this.batches.delete(number))
+    for (const ask of batch.asks) {
+      ask.decidedAlone = { isTaken: false }
+      ask.resolve({ kind: 'unknown' })
+    }
+  }
+
+  private onLateReply ({ account, tokens, decidedAlone }: Ask, granted: number): void {
+    if (granted === 0) return
+    const ticket = decidedAlone?.ticket
+    const isUsed = decidedAlone?.isTaken === true && ticket !== undefined && !ticket.isReturned
+    if (isUsed) {
+      ticket.isAlone = false
+      this.pool.onLateGrant(account, tokens)
+    }
+    const unused = isUsed ? granted - tokens : granted
+    if (unused > 0) this.addReturned(account, unused)
+  }
+
+  private taken (ticket: Ticket): TakenQuota {
+    this.options.onEvent?.(ticket.isAlone ? 'alone' : 'granted', ticket.account, ticket.tokens)
+    const giveBack = () => {
+      if (ticket.isReturned) return
+      ticket.isReturned = true
+      this.pool.giveBack(ticket.account, ticket.tokens, ticket)
+      if (!ticket.isAlone) this.addReturned(ticket.account, ticket.tokens)
+    }
+    return { kind: 'taken', giveBack }
+  }
+
+  private refused ({ account, tokens, isAlone }: Ticket, { unit, perSecond }: AccountQuota, retryAfterMs: number): QuotaResult {
+    this.options.onEvent?.('refused', account, tokens)
+    const decidedBy = isAlone ? 'this node, without the placement leader' : 'the placement leader'
+    return { kind: 'refused', reason: `account ${account} is over its quota of ${perSecond} ${unit} per second: ${tokens} refused by ${decidedBy}`, retryAfterMs }
+  }
+
+  private addReturned (account: string, tokens: number): void {
+    this.returned.set(account, (this.returned.get(account) ?? 0) + tokens)
+  }
+}
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -27,6 +27,7 @@
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
+import type { QuotaResult } from './quotaClient.js'
 import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
 import { identified, maxServers, ServerSelection, waitPollMs } from './serverSelection.js'
@@ -80,6 +81,8 @@
   loopDelayMs?: () => number
   /** Requests a dispatch decision that considers the requests of all nodes. Resolves with `undefined` if none arrives in time. */
   requestDispatch?: (dispatchRequest: DispatchRequest) => Promise<DispatchDecision | undefined>
+  /** Takes what the request costs from its account's quota; `undefined` if it has none. */
+  takeQuota?: (request: ProxiedRequest) => Promise<QuotaResult> | undefined
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -217,7 +220,6 @@
 
   private async serve (request: ProxiedRequest, writer: ResponseWriter): Promise<void> {
     const { clock, codecs } = this.options
-    this.budgetOf(request.service.name).onRequest()
     const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [] }
     const forwarder: RequestForwarder = new RequestForwarder({
       request,
@@ -228,13 +230,24 @@
       onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
     })
     this.forwarders.add(forwarder)
+    let quota: QuotaResult | undefined
     try {
+      quota = await this.options.takeQuota?.(request)
+      if (quota?.kind === 'refused') return this.refuseOverQuota(request, writer, forwarder, progress, quota)
+      this.budgetOf(request.service.name).onRequest()
       await this.attemptUntilDone(request, writer, forwarder, progress)
     } finally {
       this.forwarders.delete(forwarder)
+      if (quota?.kind === 'taken' && !forwarder.mayHaveRun) quota.giveBack()
     }
   }
 
+  /** The time is stated as it is: earlier, there are no tokens. */
+  private refuseOverQuota (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress, { reason, retryAfterMs }: { reason: string, retryAfterMs: number }): void {
+    writer.sendError(429, reason, retryAfterMs)
+    this.finish(request, forwarder, progress, { outcome: 'over-quota', status: 429, reason })
+  }
+
   private async attemptUntilDone (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress): Promise<void> {
     let result: AttemptResult | undefined
     let hasReservedRetry = false
@@ -500,6 +513,7 @@
       request: request.metadata.requestId,
       ...record,
       rank: request.rank,
+      account: request.account?.name,
       deadlineMs: Math.round(request.deadlineAtMs - request.arrivedAtMs),
       model: request.metadata.model,
       adapter: request.metadata.adapter,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -6,6 +6,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
+import type { QuotaEvent } from './quotaClient.js'
 import type { RequestRecord } from './requestRecord.js'
 
 // From the shortest objectives to the longest deadlines.
@@ -20,6 +21,7 @@
   private readonly unframed = this.counter('teaselrill_unframed_answers_total', 'Attempts whose answer had neither a length nor chunks, by the outcome of the request and the framing of its response', ['kind', 'outcome', 'framing'])
   private readonly storeCalls = this.counter('teaselrill_store_calls_total', 'Calls to the platform store by name and status', ['call', 'status'])
   private readonly commands = this.counter('teaselrill_engine_orders_total', 'Commands to engines by action and outcome', ['action', 'outcome'])
+  private readonly quota = this.counter('teaselrill_quota_units_total', 'Tokens or requests of account quotas by account and event: granted by the leader, spent alone without a leader, refused', ['account', 'event'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
   private readonly firstByte = this.histogram('teaselrill_first_byte_seconds', 'Time from arrival to the first byte of the response')
   private readonly duration = this.histogram('teaselrill_request_duration_seconds', 'Time from arrival to the end of the response')
@@ -57,6 +59,11 @@
     this.commands.inc({ action, outcome })
   }
 
+  /** `units` are tokens, or requests for quotas in requests. The configuration bounds the number of accounts. */
+  onQuota (event: QuotaEvent, account: string, units: number): void {
+    this.quota.inc({ account, event }, units)
+  }
+
   onConnectionOpened (): void {
     this.connections.inc()
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -25,8 +25,10 @@
 import { ModelDemand } from './modelDemand.js'
 import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
+import type { Send } from './peerLink.js'
 import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, unpackChanges } from './peerMessages.js'
-import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
+import type { LeaderMessage, LeaderReport, NodeReport, QuotaAskMessage } from './peerMessages.js'
+import { QuotaClient } from './quotaClient.js'
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
@@ -83,6 +85,12 @@
   private readonly link: LeaderLink
   private readonly size: FleetSize
   private readonly dispatch: DispatchClient
+  private readonly quotas: QuotaClient
+  /** Name of the node at the other end of each connection to this leader. */
+  private readonly peerNames = new Map<Send, string>()
+  private leaderFence: number | undefined
+  /** What nodes reported that saw this node lead before it did itself. */
+  private earlySpent: { node: string, atMs: number, rows: NonNullable<QuotaAskMessage['spent']> }[] = []
   private readonly loopDelay: LoopDelay
   private readonly quarantine: PartQuarantine
   private readonly storedQuarantine: StoredQuarantine
@@ -113,6 +121,16 @@
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
+    this.quotas = new QuotaClient({
+      clock,
+      random,
+      log,
+      node: settings.node,
+      nodeCount: () => this.size.value,
+      send: message => this.link.send(message),
+      localLedger: () => this.leaderTerm?.quotas,
+      onEvent: (event, account, tokens) => options.metrics?.onQuota(event, account, tokens)
+    })
     this.loopDelay = new LoopDelay(clock)
     this.storedQuarantine = new StoredQuarantine(codecs.keys.own)
     this.quarantine = new PartQuarantine({
@@ -138,6 +156,7 @@
       nodeCount: () => this.size.value,
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
+      takeQuota: ({ account, metadata }) => account?.quota && this.quotas.take(account, metadata),
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.engineClient = new EngineClient(clock, codecs)
@@ -160,7 +179,14 @@
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
+        if ('quotaAsk' in message) {
+          if (!this.leaderTerm && message.spent) this.earlySpent.push({ node: this.peerNames.get(reply) ?? '', atMs: clock.nowMs(), rows: message.spent })
+          const answer = this.leaderTerm?.onQuotaAsk(this.peerNames.get(reply) ?? '', message)
+          if (answer && answer.rows.length > 0) reply(answer)
+          return
+        }
         if (!('ask' in message)) {
+          this.nameLink(message, reply)
           if (this.leaderTerm) this.leaderTerm.onReport(message)
           // A node that has no leader tells all others.
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
@@ -168,7 +194,8 @@
         }
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
       },
-      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) }
+      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
+      onLeft: send => this.onPeerLeft(send)
     })
     this.link = new LeaderLink({
       clock,
@@ -178,8 +205,12 @@
         // The new leader may know none of it.
         const parts = this.quarantine.allFacts()
         this.link.send({ ...this.report(), ...(parts ? { parts } : {}) })
+        this.quotas.onConnected(this.leaderFence)
       },
-      onLost: () => this.dispatch.onLost()
+      onLost: () => {
+        this.dispatch.onLost()
+        this.quotas.onLost()
+      }
     })
     this.storeView = new StoreView({
       store,
@@ -423,10 +454,30 @@
       // Engines that check fencing tokens reject a superseded leader, so a store outage requires no pause.
       mustPauseCommands: () => !settings.enginesCheckFences && this.leadership.isLeaseDoubtful
     })
+    this.quotas.onOwnTerm(this.leaderTerm.quotas)
+    for (const { node, atMs, rows } of this.earlySpent) {
+      const agoMs = clock.nowMs() - atMs
+      for (const [account, spent] of rows) this.leaderTerm.quotas.addSpent(node, account, spent.map(([ageMs, tokens]) => [ageMs + agoMs, tokens]))
+    }
+    this.earlySpent = []
+  }
+
+  private nameLink ({ node }: NodeReport, link: Send): void {
+    if (this.peerNames.get(link) === node) return
+    this.peerNames.set(link, node)
+    this.leaderTerm?.quotas.onNodeJoined(node)
+  }
+
+  private onPeerLeft (link: Send): void {
+    const name = this.peerNames.get(link)
+    this.peerNames.delete(link)
+    // A node that connects again may do so before its old connection is seen to close.
+    if (name !== undefined && ![...this.peerNames.values()].includes(name)) this.leaderTerm?.quotas.onNodeLost(name)
   }
 
   private onLeader (leader: Leader | undefined): void {
     const { settings } = this.options
+    this.leaderFence = leader?.fence
     this.link.setLeader(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
   }
 
@@ -439,11 +490,13 @@
   }
 
   private onLeaderMessage (message: LeaderMessage): void {
-    if ('ask' in message) this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
+    if ('quotaAsk' in message) this.quotas.onReply(message)
+    else if ('ask' in message) this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
     else this.onLeaderReport(message)
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, quotaLoads = [] }: LeaderReport): void {
+    this.quotas.onLoads(quotaLoads)
     if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
     if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
@@ -498,9 +551,12 @@
 
   private exchangeReports (): void {
     this.reportTicks++
+    this.quotas.sweep()
     if (this.size.value > manyNodes && this.reportTicks % 2 !== 0) return
-    if (this.leaderTerm) this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount, this.storedSize))
-    else this.link.send(this.report())
+    if (this.leaderTerm) {
+      this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount, this.storedSize))
+      this.quotas.onLoads(this.leaderTerm.accountLoads)
+    } else this.link.send(this.report())
   }
 
   private reportDemandSoon (): void {
@@ -558,6 +614,7 @@
     if (deployment.version !== this.deployment?.version) log('info', 'configuration in force', { version: deployment.version, routes: deployment.routes.length })
     this.deployment = deployment
     this.requestProxy.setDeployment(deployment)
+    this.quotas.setAccounts(deployment.accounts ?? [])
     this.clients.keepAliveTimeout = deployment.limits.idleTimeoutMs
     this.clients.headersTimeout = deployment.limits.headerTimeoutMs
   }
