--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -95,9 +95,10 @@
     bucket.demand.add(needed, nowMs)
     // A request that exceeds the burst needs a full one.
     const requiredLevel = Math.min(needed, limit.burst)
+    // The sum covers up to one slot more than the window, and a request arrives here later than at its node, hence two slots.
     // An account whose whole demand of the window is below its rate is served, however uneven the demand is. The bucket's debt
     // keeps the sum of a window within the rule.
-    const isBelowRate = bucket.demand.sum(nowMs) <= limit.perSecond * quotaWindowMs / 1000
+    const isBelowRate = bucket.demand.sum(nowMs) <= limit.perSecond * (quotaWindowMs + 2 * slotMs) / 1000
     if (bucket.level < requiredLevel && !isBelowRate) {
       this.onRefused(account)
       return { kind: 'refused', retryAfterMs: (requiredLevel - bucket.level) / limit.perSecond * 1000 }
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -20,7 +20,7 @@
 /** How far the own rate may rise above the recent one while the load is not high: from the usual load of 0.55 to 0.8 of the rate. */
 const aloneRise = 1.5
 /** Capacity of what a node may spend alone, as time at its rate. More would let a flood without a leader exceed the rule. */
-const aloneBurstMs = 1000
+const aloneBurstMs = 3000
 /** `Retry-After` when a request is refused by chance, since the node knows no time at which there are tokens. */
 const thinnedRetryMs = 1000
 /** Longest `Retry-After` without a leader: the next leader is elected and has its ledger by then. */
@@ -110,7 +110,7 @@
     const share = isHigh && nowMs - state.sinceMs > quotaWindowMs ? longAloneShare : aloneShare
     // All nodes refuse the same share of the requests, so what runs is right also where each node sees few.
     if (isHigh && random.next() >= share / pool.load) return thinnedRetryMs
-    const capacity = Math.max(state.perSecond * aloneBurstMs / 1000, tokens)
+    const capacity = aloneCapacity(state.perSecond, tokens)
     state.level = Math.min(capacity, state.level + state.perSecond * Math.max(0, nowMs - state.refilledAtMs) / 1000)
     state.refilledAtMs = nowMs
     if (state.level < tokens) return Math.min(maxAloneRetryMs, (tokens - state.level) / state.perSecond * 1000)
@@ -147,19 +147,26 @@
   }
 
   /** What this node spent in the last window and the leader does not know: everything if it is a new leader, otherwise what was spent alone. */
-  takeSpent ({ isNewLeader }: { isNewLeader: boolean }): [string, SpentRows][] {
+  spent ({ isNewLeader }: { isNewLeader: boolean }): [string, SpentRows][] {
     const nowMs = this.options.clock.nowMs()
     const result: [string, SpentRows][] = []
     for (const [account, pool] of this.pools) {
       const alone = pool.alone.rows(nowMs)
       const rows = isNewLeader ? [...pool.granted.rows(nowMs), ...alone] : alone
-      for (const [ageMs, tokens] of alone) pool.granted.add(tokens, nowMs - ageMs - 1)
-      pool.alone.clear()
       if (rows.length > 0) result.push([account, rows.map(([ageMs, tokens]) => [Math.round(ageMs), Math.round(tokens)])])
     }
     return result
   }
 
+  /** The leader has been sent everything that was spent. */
+  onSpentReported (): void {
+    const nowMs = this.options.clock.nowMs()
+    for (const { alone, granted } of this.pools.values()) {
+      for (const [ageMs, tokens] of alone.rows(nowMs)) granted.add(tokens, nowMs - ageMs - 1)
+      alone.clear()
+    }
+  }
+
   /** Drops accounts that no longer exist or have no quota. */
   keepOnly (accounts: ReadonlySet<string>): void {
     for (const account of this.pools.keys()) if (!accounts.has(account)) this.pools.delete(account)
@@ -169,9 +176,7 @@
     if (pool.aloneState) return pool.aloneState
     const ownPerSecond = pool.granted.sum(nowMs) / quotaWindowMs * 1000
     const rate = Math.max(ownPerSecond * (pool.load > highLoad ? 1 : aloneRise), aloneShare * perSecond / Math.max(1, this.options.nodeCount()))
-    // One request at least, since most nodes see most accounts rarely.
-    const level = Math.max(rate * aloneBurstMs / 1000, tokens)
-    pool.aloneState = { sinceMs: nowMs, level, perSecond: rate, refilledAtMs: nowMs }
+    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens), perSecond: rate, refilledAtMs: nowMs }
     return pool.aloneState
   }
 
@@ -192,3 +197,8 @@
     return pool
   }
 }
+
+/** One request more than the time at the rate, since most nodes see most accounts rarely. */
+function aloneCapacity (perSecond: number, tokens: number): number {
+  return perSecond * aloneBurstMs / 1000 + tokens
+}
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -11,8 +11,8 @@
 import { OverQuotaLog } from './overQuotaLog.js'
 import type { QuotaAskMessage, QuotaReply } from './peerMessages.js'
 
-/** Longest wait for the leader; afterwards this node decides alone. */
-const replyTimeoutMs = 150
+/** Longest wait for the leader; afterwards this node decides alone. With the reading of what has arrived, it stays within 150 ms. */
+const replyTimeoutMs = 140
 /** Time without queries after the leader did not reply in time, so that not every request waits. */
 const unresponsivePauseMs = 400
 /** Queries of requests that arrive within this time go in one message. */
@@ -41,6 +41,8 @@
   send: (message: QuotaAskMessage) => boolean
   /** The ledger while this node leads. */
   localLedger: () => QuotaLedger | undefined
+  /** Reads what has reached the sockets before silence counts. */
+  readArrived?: () => Promise<void>
   onEvent?: (event: QuotaEvent, account: string, tokens: number) => void
 }
 
@@ -123,15 +125,17 @@
   /** Tells the leader what it doesn't know of this node's spending. */
   onConnected (fence: number | undefined): void {
     this.pausedUntilMs = -Infinity
-    const spent = this.pool.takeSpent({ isNewLeader: fence !== this.reportedFence })
+    const spent = this.pool.spent({ isNewLeader: fence !== this.reportedFence })
+    if (spent.length > 0 && !this.options.send({ quotaAsk: 0, rows: [], spent })) return
     this.reportedFence = fence
-    if (spent.length > 0) this.options.send({ quotaAsk: 0, rows: [], spent })
+    this.pool.onSpentReported()
   }
 
   /** The same for the ledger of this node when it begins to lead. */
   onOwnTerm (ledger: QuotaLedger): void {
     this.reportedFence = undefined
-    for (const [account, rows] of this.pool.takeSpent({ isNewLeader: true })) ledger.addSpent(this.options.node, account, rows)
+    for (const [account, rows] of this.pool.spent({ isNewLeader: true })) ledger.addSpent(this.options.node, account, rows)
+    this.pool.onSpentReported()
   }
 
   /** Nothing sent over the lost connection is answered any more. */
@@ -196,13 +200,17 @@
     if (!batch) return
     const rows = batch.asks.map(({ account, tokens, wanted }): [string, number, number] => [account, tokens, wanted])
     const returned = this.returned.size > 0 ? { returned: [...this.returned] } : {}
-    if (!this.options.send({ quotaAsk: number, rows, ...returned })) return this.onReply({ quotaAsk: number, rows: [] })
+    // What was spent alone while the leader did not reply. The connection may not have been lost.
+    const spentRows = this.pool.spent({ isNewLeader: false })
+    const spent = spentRows.length > 0 ? { spent: spentRows } : {}
+    if (!this.options.send({ quotaAsk: number, rows, ...returned, ...spent })) return this.onReply({ quotaAsk: number, rows: [] })
     this.returned.clear()
+    this.pool.onSpentReported()
   }
 
   private async onTimeout (number: number): Promise<void> {
     // The reply may have arrived while the event loop was blocked.
-    await ioTurn()
+    await (this.options.readArrived ?? ioTurn)()
     const batch = this.batches.get(number)
     if (!batch) return
     this.pausedUntilMs = this.clock.nowMs() + unresponsivePauseMs
