--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -8,14 +8,16 @@
 import type { PartQuarantine } from '../policy/partQuarantine.js'
 import { SlotQueue } from '../policy/slotQueue.js'
 import type { QueuePlace, RefusalReason, SlotAnswer, SlotRequest } from '../policy/slotQueue.js'
+import { QuotaLedger } from '../policy/quotaLedger.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
 import { RunTime } from '../policy/runTime.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
 import { decodeDispatchRequest, encodeSlotAnswer, packChanges } from './peerMessages.js'
-import type { ChangeRange, Confirmation, DispatchRequestMessage, LeaderReport, NodeReport, SlotCancel } from './peerMessages.js'
+import type { ChangeRange, Confirmation, DispatchRequestMessage, LeaderReport, NodeReport, QuotaAskMessage, QuotaReply, SlotCancel } from './peerMessages.js'
 import type { Send } from './peerLink.js'
+import { OverQuotaLog } from './overQuotaLog.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
 import { softwareOf } from './backendServer.js'
@@ -30,6 +32,8 @@
 const quarantineWriteIntervalMs = 1000
 /** Interval at which all nodes learn the addresses of all others; a node also does when it connects. */
 const nodesIntervalMs = 30_000
+/** Loads of accounts are broadcast in steps, so that small changes cost no bytes. */
+const quotaLoadStep = 0.25
 
 /** One refusal is logged per interval, since an overload refuses hundreds a second. */
 const refusalLogIntervalMs = 1000
@@ -71,6 +75,9 @@
   private readonly arrivals: PrefillDemand
   /** By service. */
   private readonly runTimes = new Map<string, RunTime>()
+  readonly quotas: QuotaLedger
+  private readonly overQuota: OverQuotaLog
+  private quotaLoads = new Map<string, number>()
   private changeFeed: ChangeFeed
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
@@ -102,6 +109,12 @@
       onAssigned: options.onSlotAssigned,
       onRefused: (reason, request) => this.onSlotRefused(reason, request)
     })
+    this.quotas = new QuotaLedger({
+      clock,
+      limitOf: account => options.deployment()?.accounts?.find(({ name }) => name === account)?.quota,
+      onRefused: account => this.overQuota.onRefused(account)
+    })
+    this.overQuota = new OverQuotaLog({ clock, log: options.log, decidedBy: 'leader' })
     this.placement = new PlacementLeader({
       ...options,
       ownReport: () => {
@@ -124,7 +137,7 @@
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
     const parts = this.options.quarantine.allFacts()
-    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), ...this.loadRows([...this.quotaLoads]), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   /** Confirms a node's view of the store as far as this node's own is confirmed; `undefined` if it is not. */
@@ -150,6 +163,19 @@
     return this.unassignedByEngine.get(id) ?? 0
   }
 
+  /** Decides on a node's query for tokens. */
+  onQuotaAsk (node: string, { quotaAsk, rows, returned = [], spent = [] }: QuotaAskMessage): QuotaReply {
+    for (const [account, tokens] of returned) this.quotas.giveBack(node, account, tokens)
+    for (const [account, spentRows] of spent) this.quotas.addSpent(node, account, spentRows)
+    return {
+      quotaAsk,
+      rows: rows.map(([account, needed, wanted]) => {
+        const decision = this.quotas.grant(node, account, needed, wanted)
+        return [account, decision.kind === 'granted' ? decision.tokens : 0, decision.kind === 'refused' ? Math.ceil(decision.retryAfterMs) : null]
+      })
+    }
+  }
+
   /** Sends news about prompt parts to all nodes. */
   broadcastParts (): void {
     const parts = this.options.quarantine.takeFacts()
@@ -245,6 +271,11 @@
     return decision ?? (inTrial.length > 0 ? { kind: 'wait', forMs: trialPollMs, isForTrial: true } : undefined)
   }
 
+  /** Loads of accounts as last broadcast. */
+  get accountLoads (): [string, number][] {
+    return [...this.quotaLoads]
+  }
+
   /** A store change that other nodes need. */
   onChange (change: StoreChange): void {
     this.changeFeed.record(change)
@@ -274,7 +305,8 @@
     this.watchQuarantine()
     const running = this.placement.runningRows()
     this.recordRunning(running)
-    this.broadcastUpdate(running)
+    this.broadcastUpdate(running, this.changedLoads())
+    this.overQuota.sweep()
     this.broadcastNodes()
     return running
   }
@@ -339,9 +371,21 @@
     return this.arrivals.estimate(`${service}/${model}`, horizonMs).expectedEngines * this.runTimeOf(service).meanMs
   }
 
-  private broadcastUpdate (running: LeaderReport['running']): void {
+  /** Loads of accounts that have changed by a step since the last broadcast. */
+  private changedLoads (): [string, number][] {
+    const loads = new Map(this.quotas.loads().map(([account, load]) => [account, Math.round(load / quotaLoadStep) * quotaLoadStep]))
+    const changed = [...loads].filter(([account, load]) => load !== this.quotaLoads.get(account))
+    this.quotaLoads = loads
+    return changed
+  }
+
+  private loadRows (rows: [string, number][]): Pick<LeaderReport, 'quotaLoads'> {
+    return rows.length > 0 ? { quotaLoads: rows } : {}
+  }
+
+  private broadcastUpdate (running: LeaderReport['running'], loads: [string, number][] = []): void {
     if (this.isStopped) return
-    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), ...this.loadRows(loads), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
   }
 
   private leavingRows (): Pick<LeaderReport, 'leaving'> {
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -142,6 +142,7 @@
   }
 }
 
+/** Sends to one node; the same function for each message of a connection. */
 export type Send = (message: LeaderMessage) => void
 
 /** The leader's connections to the nodes. */
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -29,6 +29,7 @@
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
+import type { QuotaResult } from './quotaClient.js'
 import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
 import type { QueuedSlot } from './queuedSlot.js'
@@ -86,6 +87,8 @@
   requestDispatch?: (dispatchRequest: DispatchRequest) => Promise<DispatchDecision | undefined>
   /** Where the placement leader queues waiting requests: asks for an engine or a place in the queue. Resolves with `undefined` without a reply in time. */
   requestSlot?: (dispatchRequest: DispatchRequest, place: QueuePlace, timeoutMs: number) => Promise<QueuedSlot | undefined>
+  /** Takes what the request costs from its account's quota; `undefined` if it has none. */
+  takeQuota?: (request: ProxiedRequest) => Promise<QuotaResult> | undefined
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -234,7 +237,6 @@
 
   private async serve (request: ProxiedRequest, writer: ResponseWriter): Promise<void> {
     const { clock, codecs } = this.options
-    this.budgetOf(request.service.name).onRequest()
     const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [], slots: [] }
     const forwarder: RequestForwarder = new RequestForwarder({
       request,
@@ -245,15 +247,26 @@
       onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
     })
     this.forwarders.add(forwarder)
+    let quota: QuotaResult | undefined
     try {
+      quota = await this.options.takeQuota?.(request)
+      if (quota?.kind === 'refused') return this.refuseOverQuota(request, writer, forwarder, progress, quota)
+      this.budgetOf(request.service.name).onRequest()
       await this.attemptUntilDone(request, writer, forwarder, progress)
     } finally {
       this.forwarders.delete(forwarder)
       // After an error in this program, a slot may still be held.
       for (const slot of progress.slots) slot.cancel()
+      if (quota?.kind === 'taken' && !forwarder.mayHaveRun) quota.giveBack()
     }
   }
 
+  /** The time is stated as it is: earlier, there are no tokens. */
+  private refuseOverQuota (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress, { reason, retryAfterMs }: { reason: string, retryAfterMs: number }): void {
+    writer.sendError(429, reason, retryAfterMs)
+    this.finish(request, forwarder, progress, { outcome: 'over-quota', status: 429, reason })
+  }
+
   private async attemptUntilDone (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress): Promise<void> {
     let result: AttemptResult | undefined
     let hasReservedRetry = false
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -28,8 +28,10 @@
 import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
 import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, decodePlace, decodeSlotReply, unpackChanges } from './peerMessages.js'
-import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
+import type { LeaderMessage, LeaderReport, NodeReport, QuotaAskMessage } from './peerMessages.js'
 import { QueuedSlot } from './queuedSlot.js'
+import type { Send } from './peerLink.js'
+import { QuotaClient } from './quotaClient.js'
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
@@ -94,6 +96,12 @@
   private readonly link: LeaderLink
   private readonly size: FleetSize
   private readonly dispatch: DispatchClient
+  private readonly quotas: QuotaClient
+  /** Name of the node at the other end of each connection to this leader. */
+  private readonly peerNames = new Map<Send, string>()
+  private leaderFence: number | undefined
+  /** What nodes reported that saw this node lead before it did itself. */
+  private earlySpent: { node: string, atMs: number, rows: NonNullable<QuotaAskMessage['spent']> }[] = []
   private readonly loopDelay: LoopDelay
   private readonly quarantine: PartQuarantine
   private readonly storedQuarantine: StoredQuarantine
@@ -128,6 +136,16 @@
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, timeoutsBeforePause: settings.sharesServers ? sharedTimeoutsBeforePause : 1, send: message => this.link.send(message) })
+    this.quotas = new QuotaClient({
+      clock,
+      random,
+      log,
+      node: settings.node,
+      nodeCount: () => this.size.value,
+      send: message => this.link.send(message),
+      localLedger: () => this.leaderTerm?.quotas,
+      onEvent: (event, account, tokens) => options.metrics?.onQuota(event, account, tokens)
+    })
     this.loopDelay = new LoopDelay(clock)
     this.storedQuarantine = new StoredQuarantine(codecs.keys.own)
     this.quarantine = new PartQuarantine({
@@ -162,6 +180,7 @@
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
       ...(settings.sharesServers ? { requestSlot: (ask: DispatchRequest, place: QueuePlace, timeoutMs: number) => this.requestSlot(ask, place, timeoutMs) } : {}),
+      takeQuota: ({ account, metadata }) => account?.quota && this.quotas.take(account, metadata),
       onFinished: record => options.metrics?.onFinished(record)
     })
     this.engineClient = new EngineClient(clock, codecs)
@@ -185,7 +204,14 @@
       clock,
       onMessage: (message, reply) => {
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
+        if ('quotaAsk' in message) {
+          if (!this.leaderTerm && message.spent) this.earlySpent.push({ node: this.peerNames.get(reply) ?? '', atMs: clock.nowMs(), rows: message.spent })
+          const answer = this.leaderTerm?.onQuotaAsk(this.peerNames.get(reply) ?? '', message)
+          if (answer && answer.rows.length > 0) reply(answer)
+          return
+        }
         if (!('ask' in message)) {
+          this.nameLink(message, reply)
           const confirmation = message.stamp && this.leaderTerm?.confirm(message.stamp)
           if (confirmation) reply(confirmation)
           if (this.leaderTerm) this.leaderTerm.onReport(message)
@@ -197,7 +223,7 @@
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
       },
       onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
-      onLeft: send => this.leaderTerm?.onNodeLeft(send)
+      onLeft: send => this.onPeerLeft(send)
     })
     this.link = new LeaderLink({
       clock,
@@ -207,10 +233,12 @@
         // The new leader may know none of it.
         const parts = this.quarantine.allFacts()
         this.link.send({ ...this.stampedReport(), ...(parts ? { parts } : {}) })
+        this.quotas.onConnected(this.leaderFence)
       },
       onLost: () => {
         this.dispatch.onLost()
         this.forgetAssignments()
+        this.quotas.onLost()
       }
     })
     this.storeView = new StoreView({
@@ -464,10 +492,31 @@
       // Engines that check fencing tokens reject a superseded leader, so a store outage requires no pause.
       mustPauseCommands: () => !settings.enginesCheckFences && this.leadership.isLeaseDoubtful
     })
+    this.quotas.onOwnTerm(this.leaderTerm.quotas)
+    for (const { node, atMs, rows } of this.earlySpent) {
+      const agoMs = clock.nowMs() - atMs
+      for (const [account, spent] of rows) this.leaderTerm.quotas.addSpent(node, account, spent.map(([ageMs, tokens]) => [ageMs + agoMs, tokens]))
+    }
+    this.earlySpent = []
+  }
+
+  private nameLink ({ node }: NodeReport, link: Send): void {
+    if (this.peerNames.get(link) === node) return
+    this.peerNames.set(link, node)
+    this.leaderTerm?.quotas.onNodeJoined(node)
+  }
+
+  private onPeerLeft (link: Send): void {
+    this.leaderTerm?.onNodeLeft(link)
+    const name = this.peerNames.get(link)
+    this.peerNames.delete(link)
+    // A node that connects again may do so before its old connection is seen to close.
+    if (name !== undefined && ![...this.peerNames.values()].includes(name)) this.leaderTerm?.quotas.onNodeLost(name)
   }
 
   private onLeader (leader: Leader | undefined): void {
     const { settings } = this.options
+    this.leaderFence = leader?.fence
     this.link.setLeader(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
   }
 
@@ -512,12 +561,14 @@
 
   private onLeaderMessage (message: LeaderMessage): void {
     if ('stamp' in message) return this.storeView.onConfirmation(message)
+    if ('quotaAsk' in message) return this.quotas.onReply(message)
     if (!('ask' in message)) return this.onLeaderReport(message)
     if (this.options.settings.sharesServers && this.dispatch.onSlotReply(message.ask, decodeSlotReply(message))) return
     this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, quotaLoads = [] }: LeaderReport): void {
+    this.quotas.onLoads(quotaLoads)
     if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
     if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
@@ -587,9 +638,12 @@
   private exchangeReports (): void {
     this.reportTicks++
     this.accounts.logStaleness()
+    this.quotas.sweep()
     if (this.size.value > manyNodes && this.reportTicks % 2 !== 0) return
-    if (this.leaderTerm) this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount, this.storedSize))
-    else this.link.send(this.stampedReport())
+    if (this.leaderTerm) {
+      this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount, this.storedSize))
+      this.quotas.onLoads(this.leaderTerm.accountLoads)
+    } else this.link.send(this.stampedReport())
   }
 
   private reportDemandSoon (): void {
@@ -647,6 +701,7 @@
     if (deployment.version !== this.deployment?.version) log('info', 'configuration in force', { version: deployment.version, routes: deployment.routes.length })
     this.deployment = deployment
     this.requestProxy.setDeployment(deployment)
+    this.quotas.setAccounts(deployment.accounts ?? [])
     this.clients.keepAliveTimeout = deployment.limits.idleTimeoutMs
     this.clients.headersTimeout = deployment.limits.headerTimeoutMs
   }
