--- a/tests/quotaWiring.spec.ts
+++ b/tests/quotaWiring.spec.ts
@@ -68,7 +68,7 @@
       { time, event: 'request ended', node: 'n', request: 'r', route: 'x', kind: 'unsafe', rank: 0, account: 'a', outcome: 'over-quota', status: 429, durationMs: 0, sends: [], reason: 'account a is over its quota of 5 tokens per second' }
     ]
     const sentences = explainFromLogs(lines.map(line => JSON.stringify(line)), 'r').join('\n')
-    expect(sentences).to.match(/for account a/).and.to.match(/n2: account over its quota/)
+    expect(sentences).to.match(/of account a/).and.to.match(/n2: account over its quota/)
     expect(sentences).to.match(/over-quota with status 429 .*over its quota of 5 tokens per second/)
   })
 })
