Learn the capacity of backend servers and account for the tokens of engines

Cause: the dispatcher and the nodes assumed one prefill speed, the slots as the limit and endless token memory for every engine, although models and servers differ several-fold and engines preempt requests that exceed their memory. Change: where servers are shared, nodes sample delays and pauses, the placement leader estimates delay factors and limits from them and sends changed rows to all nodes, and it assigns at most 0.9 of an engine's token memory. Elsewhere the constants stay in force.

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -11,6 +11,8 @@
   running: z.number(),
   runningElsewhere: z.number(),
   alternatives: z.number(),
+  delayFactor: z.number().optional(),
+  limit: z.number().optional(),
   result: z.string(),
   events: z.number().optional(),
   writingMs: z.number().optional(),
@@ -82,7 +84,7 @@
   for (const send of line.sends ?? []) {
     sentences.push({
       atMs: startMs + send.afterMs,
-      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}${send.isUnframed ? '; the answer had neither a length nor chunks' : ''}.`
+      text: `${line.node} sent it to ${send.backend}, which had ${send.running} requests of this node and, as last reported, ${send.runningElsewhere} of others${send.limit === undefined ? '' : ` (learned limit ${send.limit}, delay factor ${send.delayFactor})`}; ${send.alternatives} other servers could have taken it. Result: ${send.result}${send.writingMs === undefined ? '' : `, ${send.events} events in ${send.writingMs} ms`}${send.isUnframed ? '; the answer had neither a length nor chunks' : ''}.`
     })
   }
   if (typeof line.waitedMs === 'number' && line.waitedMs > 0) sentences.push({ atMs: line.atMs, text: `It waited ${line.waitedMs} ms in all for a server that could take it.` })
--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -1,9 +1,12 @@
 /** Chooses engines for the requests of all nodes. Estimates each engine's prefill backlog from the prompts assigned to it. */
 
 import type { Clock } from '../base/clock.js'
+import type { ServerCapacityRow } from './capacityTable.js'
 import { batchShare } from './engineChoice.js'
+import { fitsTokens } from './tokenLedger.js'
+import type { TokenLedger } from './tokenLedger.js'
 
-/** Assumed prefill throughput of an engine. */
+/** Assumed prefill throughput of an engine with a delay factor of 1. */
 const prefillTokensPerMs = 20
 /**
  * Time between prefill batches in which an engine generates the tokens of one stream event. Engines interleave chunked prefill with
@@ -50,6 +53,8 @@
   model: string
   adapter: string | undefined
   promptTokens: number
+  /** Expected output tokens; 0 if unknown. */
+  outputTokens?: number | undefined
   /** Prompt parts that other requests share, in order. */
   sharedParts: readonly PromptPart[]
   /** Identity of the request, if engines have ended under any. */
@@ -61,6 +66,8 @@
   excluded: readonly string[]
   /** Longest gap between events that meets the objective. */
   gapObjectiveMs: number | undefined
+  /** Node that sends the request; set by the leader. */
+  node?: string
   /** Whether this is the first dispatch request for the inference request. */
   isFirst: boolean
   /** Whether the request can no longer meet its objective; it yields to requests that can. */
@@ -80,6 +87,22 @@
   slots: number
   /** Requests in progress, as last reported. */
   running: number
+  /** Token memory; absent if tokens are not accounted for. */
+  cacheTokens?: number
+}
+
+/** What has been learned of engines and models. */
+export interface LearnedCapacity {
+  of (server: string, slots: number): ServerCapacityRow
+  /** Delay factor of a model, which multiplies that of the engine. */
+  paceOf (service: string, model: string): number
+}
+
+export interface DispatcherOptions {
+  /** Absent: every engine has a delay factor of 1 and takes as many requests as it has slots. */
+  capacity?: LearnedCapacity
+  /** Absent: tokens are not accounted for. */
+  tokens?: TokenLedger
 }
 
 interface EngineState {
@@ -100,14 +123,23 @@
  * An engine for the request, or the delay after which to send the dispatch request again. With `trial`, the request may be sent
  * although its prompt parts are under suspicion.
  */
-export type DispatchDecision = { kind: 'engine', id: string, trial?: string } | { kind: 'wait', forMs: number }
+export type DispatchDecision = { kind: 'engine', id: string, trial?: string } & AssignmentDetails | { kind: 'wait', forMs: number }
+
+export interface AssignmentDetails {
+  /** Expected time until the prompt is prefilled, if the delay factors were 1; absent if no factors are learned. */
+  priorMs?: number
+  /** Number of the assignment, if tokens are accounted for. */
+  assignment?: number
+}
 
 export class Dispatcher {
   private readonly clock: Clock
   private readonly engines = new Map<string, EngineState>()
+  private readonly options: DispatcherOptions
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, options: DispatcherOptions = {}) {
     this.clock = clock
+    this.options = options
   }
 
   /**
@@ -117,7 +149,7 @@
   choose (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
     const usable = candidates.filter(({ id }) => !request.excluded.includes(id))
     if (usable.length === 0) return undefined
-    let best: { state: EngineState, id: string, prefillMs: number } | undefined
+    let best: { state: EngineState, id: string, prefillMs: number, priorMs: number } | undefined
     let bestMs = Infinity
     let waitMs = Infinity
     const nowMs = this.clock.nowMs()
@@ -125,12 +157,13 @@
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + this.recentlyAssigned(state)
-      if (running >= candidate.slots * batchShare(request.rank)) {
+      const { factor, limit } = this.capacityOf(request, candidate)
+      if (running >= Math.min(candidate.slots * batchShare(request.rank), Math.floor(limit)) || !this.hasTokens(request, candidate)) {
         waitMs = Math.min(waitMs, fullEngineWaitMs)
         continue
       }
       if (nowMs >= state.prefillDoneAtMs + decodeGapMs) state.batchPrefillMs = 0
-      const prefillMs = this.prefillMs(request, state)
+      const prefillMs = this.prefillMs(request, state) * factor
       if (state.batchPrefillMs > limitMs * oversizeBatchShare && state.batchPrefillMs + prefillMs > limitMs) {
         waitMs = Math.min(waitMs, state.prefillDoneAtMs + decodeGapMs - nowMs)
         continue
@@ -139,16 +172,38 @@
       const costMs = backlogMs + prefillMs + running * runningCostMs + distanceCostMs(request, candidate) + this.failureShare(state) * failureCostMs
       if (costMs >= bestMs) continue
       bestMs = costMs
-      best = { state, id: candidate.id, prefillMs }
+      best = { state, id: candidate.id, prefillMs, priorMs: (backlogMs + prefillMs) / factor }
     }
     if (!best) return { kind: 'wait', forMs: Math.max(minimumWaitMs, waitMs) }
     this.assign(request, best.state, best.prefillMs)
-    return { kind: 'engine', id: best.id }
+    const { capacity, tokens } = this.options
+    const { node = '', promptTokens, outputTokens = 0 } = request
+    return {
+      kind: 'engine',
+      id: best.id,
+      ...(capacity ? { priorMs: best.priorMs } : {}),
+      ...(tokens ? { assignment: tokens.assign(node, best.id, promptTokens + outputTokens) } : {})
+    }
+  }
+
+  /** Delay factor of the request on the engine, and the limit of requests in progress there. */
+  private capacityOf ({ service, model }: DispatchRequest, { id, slots }: Pick<DispatchCandidate, 'id' | 'slots'>): ServerCapacityRow {
+    const { capacity } = this.options
+    if (!capacity) return { factor: 1, limit: Infinity }
+    const { factor, limit } = capacity.of(id, slots)
+    return { factor: factor * capacity.paceOf(service, model), limit }
+  }
+
+  private hasTokens ({ promptTokens, outputTokens = 0 }: DispatchRequest, { id, cacheTokens }: DispatchCandidate): boolean {
+    const { tokens } = this.options
+    return !tokens || cacheTokens === undefined || fitsTokens({ promptTokens, outputTokens }, tokens.of(id), cacheTokens)
   }
 
   /** Shortest prefill time on any candidate, considering cached prompt parts; without candidates, that of the entire prompt. */
   minimumPrefillMs (request: DispatchRequest, candidates: readonly DispatchCandidate[]): number {
-    return Math.min(request.promptTokens / prefillTokensPerMs, ...candidates.map(({ id }) => this.prefillMs(request, this.stateOf(id))))
+    const pace = this.options.capacity?.paceOf(request.service, request.model) ?? 1
+    const prefillMs = candidates.map(candidate => this.prefillMs(request, this.stateOf(candidate.id)) * this.capacityOf(request, candidate).factor)
+    return Math.min(request.promptTokens / prefillTokensPerMs * pace, ...prefillMs)
   }
 
   /** Records how many requests succeeded and failed on an engine, as reported by one node. */
@@ -181,7 +236,7 @@
     }
   }
 
-  /** Prefill time of the prompt on the engine, without the parts that are cached there. */
+  /** Prefill time of the prompt on the engine with a delay factor of 1, without the parts that are cached there. */
   private prefillMs (request: DispatchRequest, state: EngineState): number {
     let tokens = request.promptTokens
     for (const part of request.sharedParts) {
--- /dev/null
+++ b/src/policy/tokenLedger.ts
@@ -0,0 +1,94 @@
+/**
+ * The placement leader's account of the tokens that engines hold: those of the requests that nodes report as running, and those of
+ * assignments that no report covers yet. Assignments are numbered; a node's report names the last one that it had received, so it
+ * covers that one and all earlier ones of the node.
+ */
+
+import type { Clock } from '../base/clock.js'
+
+/** Older node reports no longer describe what is running. */
+const maxReportAgeMs = 2000
+/** An assignment that no report has covered by then got lost with its node's connection. */
+const maxAssignmentAgeMs = 5000
+/** Share of an engine's token memory that is used. The rest is for requests whose output is longer than expected. */
+export const usableCacheShare = 0.9
+
+interface Assignment {
+  number: number
+  node: string
+  engine: string
+  tokens: number
+  atMs: number
+}
+
+export interface TokenReport {
+  node: string
+  /** Number of the last assignment that the node had received from this leader; 0 if none. */
+  lastAssignment: number
+  /** Engine, tokens of the node's requests in progress there. */
+  rows: readonly (readonly [engine: string, tokens: number])[]
+}
+
+export class TokenLedger {
+  private assignments: Assignment[] = []
+  private readonly reports = new Map<string, { rows: TokenReport['rows'], atMs: number }>()
+  private readonly held = new Map<string, number>()
+  private lastNumber = 0
+
+  constructor (private readonly clock: Clock) {}
+
+  /** Records that `node` was told to send a request to `engine`. Returns the number of the assignment. */
+  assign (node: string, engine: string, tokens: number): number {
+    this.add(engine, tokens)
+    this.assignments.push({ number: ++this.lastNumber, node, engine, tokens, atMs: this.clock.nowMs() })
+    return this.lastNumber
+  }
+
+  onReport ({ node, lastAssignment, rows }: TokenReport): void {
+    this.removeReport(node)
+    this.reports.set(node, { rows, atMs: this.clock.nowMs() })
+    for (const [engine, tokens] of rows) this.add(engine, tokens)
+    this.removeAssignments(assignment => assignment.node === node && assignment.number <= lastAssignment)
+  }
+
+  /** Drops what is too old to count. */
+  expire (): void {
+    const nowMs = this.clock.nowMs()
+    for (const [node, { atMs }] of this.reports) if (nowMs - atMs > maxReportAgeMs) this.removeReport(node)
+    this.removeAssignments(({ atMs }) => nowMs - atMs > maxAssignmentAgeMs)
+  }
+
+  /** Tokens that the engine holds or is about to hold. */
+  of (engine: string): number {
+    return this.held.get(engine) ?? 0
+  }
+
+  private removeReport (node: string): void {
+    for (const [engine, tokens] of this.reports.get(node)?.rows ?? []) this.add(engine, -tokens)
+    this.reports.delete(node)
+  }
+
+  private removeAssignments (isDone: (assignment: Assignment) => boolean): void {
+    const left: Assignment[] = []
+    for (const assignment of this.assignments) {
+      if (isDone(assignment)) this.add(assignment.engine, -assignment.tokens)
+      else left.push(assignment)
+    }
+    this.assignments = left
+  }
+
+  private add (engine: string, tokens: number): void {
+    const total = (this.held.get(engine) ?? 0) + tokens
+    if (total > 0) this.held.set(engine, total)
+    else this.held.delete(engine)
+  }
+}
+
+/**
+ * Whether the request fits into the engine's token memory beside what it holds. An engine without any request takes every request whose
+ * prompt fits, since its output may stay shorter than expected.
+ */
+export function fitsTokens ({ promptTokens, outputTokens }: { promptTokens: number, outputTokens: number }, heldTokens: number, cacheTokens: number): boolean {
+  if (heldTokens === 0) return promptTokens <= cacheTokens
+  return heldTokens + promptTokens + outputTokens <= cacheTokens * usableCacheShare
+}
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -68,6 +68,8 @@
   readonly runningByModel = new Map<string, { count: number, rank: number }>()
   running = 0
   pendingTokens = 0
+  /** Prompt tokens and expected output tokens of this node's requests in progress. */
+  heldTokens = 0
   /** Bytes of responses that this node holds, shared by all servers. */
   readonly buffered: ByteBudget
   /** Requests of the other nodes in progress, from the leader's last update. */
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -25,6 +25,8 @@
   private pausedUntilMs = 0
   /** Dispatch requests without a reply in time. */
   timeouts = 0
+  /** Number of the last assignment received from the current leader; 0 if none. */
+  lastAssignment = 0
 
   constructor ({ clock, send }: DispatchClientOptions) {
     this.clock = clock
@@ -46,11 +48,17 @@
   }
 
   onReply (number: number, decision: DispatchDecision | undefined): void {
+    this.onDecision(decision)
     const resolve = this.pending.get(number)
     this.pending.delete(number)
     resolve?.(decision)
   }
 
+  /** Notes the number of the assignment: the next report to the leader covers it. */
+  onDecision (decision: DispatchDecision | undefined): void {
+    if (decision?.kind === 'engine') this.lastAssignment = Math.max(this.lastAssignment, decision.assignment ?? 0)
+  }
+
   private async onTimeout (number: number): Promise<void> {
     // The reply may have arrived while the event loop was blocked.
     await ioTurn()
@@ -62,6 +70,7 @@
 
   /** Completes all pending requests without a decision, since the connection to the leader was lost. */
   onLost (): void {
+    this.lastAssignment = 0
     for (const number of [...this.pending.keys()]) this.onReply(number, undefined)
   }
 }
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -7,6 +7,7 @@
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartQuarantine } from '../policy/partQuarantine.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
+import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
@@ -36,6 +37,8 @@
   quarantine: PartQuarantine
   /** The quarantine in the store. */
   stored: StoredQuarantine
+  /** Present where capacity is learned. */
+  capacityTerm?: CapacityTerm | undefined
   /** Report of this node itself. */
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
@@ -57,8 +60,8 @@
 
   constructor (options: LeaderTermOptions) {
     this.options = options
-    const { clock, storeView, ownReport } = options
-    this.dispatcher = new Dispatcher(clock)
+    const { clock, storeView, ownReport, capacityTerm } = options
+    this.dispatcher = new Dispatcher(clock, capacityTerm && { capacity: capacityTerm.capacity, tokens: capacityTerm.tokens })
     this.prefillDemand = new PrefillDemand(clock)
     this.changeFeed = new ChangeFeed(clock, storeView.revision ?? 0)
     this.placement = new PlacementLeader({
@@ -66,6 +69,7 @@
       ownReport: () => {
         const report = ownReport()
         this.recordOutcomes(report)
+        capacityTerm?.onReport(report)
         return report
       },
       expectedPrefillEngines: (service, model, horizonMs) => this.prefillDemand.estimate(`${service}/${model}`, horizonMs).expectedEngines
@@ -81,11 +85,12 @@
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
     const parts = this.options.quarantine.allFacts()
-    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return { ...this.placement.fullReport(), ...this.leavingRows(), ...this.options.capacityTerm?.fullRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   onReport (report: NodeReport): void {
     this.recordOutcomes(report)
+    this.options.capacityTerm?.onReport(report)
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
     if (report.parts) this.options.quarantine.merge(report.parts, { isNews: true })
     this.placement.onReport(report)
@@ -101,18 +106,25 @@
 
   /** The dispatch decision for a request of any node, which excludes the servers that want none from it; `undefined` if this node knows no engine that can serve it. */
   dispatch (request: DispatchRequest): DispatchDecision | undefined {
+    const cacheTokens = this.cacheTokensOf(request.service)
     const servers = this.options.fleet.ofService(request.service).filter(server => server.isPresent && server.serves(request.model, request.adapter))
     const candidates = servers.map(server => ({
       id: server.entry.id,
       region: server.region,
       availabilityZone: server.entry.availabilityZone,
       slots: server.entry.slots,
-      running: server.running + server.runningElsewhere
+      running: server.running + server.runningElsewhere,
+      ...(cacheTokens === undefined ? {} : { cacheTokens })
     }))
     if (request.isFirst) this.prefillDemand.add(`${request.service}/${request.model}`, this.dispatcher.minimumPrefillMs(request, candidates))
     return this.decideOnParts(request, candidates)
   }
 
+  private cacheTokensOf (service: string): number | undefined {
+    if (!this.options.capacityTerm) return undefined
+    return this.options.deployment()?.services.find(({ name }) => name === service)?.engine?.cacheTokens
+  }
+
   /** Requests with prompt parts under suspicion are sent one at a time; those with quarantined ones wait until their node refuses them. */
   private decideOnParts (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
     const { quarantine } = this.options
@@ -158,8 +170,9 @@
     size.count(linkCount + 1)
     this.writeSize(storedSize)
     this.watchQuarantine()
-    const running = this.placement.runningRows()
-    this.broadcastUpdate(running)
+    const { capacityTerm } = this.options
+    const running = [...this.placement.runningRows(), ...(capacityTerm?.capacity.inProgressRows() ?? [])]
+    this.broadcastUpdate(running, capacityTerm?.changedRows())
     this.broadcastNodes()
     return running
   }
@@ -200,9 +213,9 @@
     for (const [backend, answered, failed] of outcomes) this.dispatcher.onOutcomes(backend, answered, failed)
   }
 
-  private broadcastUpdate (running: LeaderReport['running']): void {
+  private broadcastUpdate (running: LeaderReport['running'], capacity?: Pick<LeaderReport, 'capacity'>): void {
     if (this.isStopped) return
-    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), ...capacity, news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
   }
 
   private leavingRows (): Pick<LeaderReport, 'leaving'> {
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -2,6 +2,8 @@
 
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { z } from 'zod'
+import { sampleRowSchema } from '../policy/capacitySamples.js'
+import { capacityRowsSchema } from '../policy/capacityTable.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { partFactsSchema } from '../policy/partQuarantine.js'
 import { decodeBody, encodeBody } from '../protocol/framing.js'
@@ -29,7 +31,13 @@
   /** Backend servers that are leaving according to their responses; absent if there are none. */
   leaving: z.array(incarnationSchema).optional(),
   /** What this node has found out about prompt parts; absent without news. */
-  parts: partFactsSchema.optional()
+  parts: partFactsSchema.optional(),
+  /** Samples of backend servers since the last report; absent without samples. */
+  samples: z.array(sampleRowSchema).optional(),
+  /** Number of the last assignment received from this leader, and tokens of the requests in progress by engine; only where tokens are accounted for. */
+  tokens: z.object({ lastAssignment: z.number(), rows: z.array(z.tuple([z.string(), z.number()])) }).optional(),
+  /** Learned rows that the leader lacks; only to a new leader. */
+  capacity: capacityRowsSchema.optional()
 })
 export type NodeReport = z.infer<typeof nodeReportSchema>
 
@@ -43,28 +51,31 @@
   parts: z.array(z.tuple([z.string(), z.number()])),
   /** Identity of the request, if engines have ended under any. */
   identity: z.string().optional(),
+  /** Expected output tokens, if any are. */
+  outputTokens: z.number().optional(),
   excluded: z.array(z.string()),
   isFirst: z.boolean(),
   isLate: z.boolean()
 })
 export type DispatchRequestMessage = z.infer<typeof dispatchRequestSchema>
 
-export function encodeDispatchRequest ({ service, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs, excluded, isFirst, isLate }: DispatchRequest): Omit<DispatchRequestMessage, 'ask'> {
+export function encodeDispatchRequest ({ service, model, adapter, promptTokens, outputTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs, excluded, isFirst, isLate }: DispatchRequest): Omit<DispatchRequestMessage, 'ask'> {
   return {
     row: [service, model, adapter ?? null, promptTokens, rank, region, availabilityZone, gapObjectiveMs ?? null],
     parts: sharedParts.map(({ id, tokens }) => [id, tokens]),
     ...(identity === undefined ? {} : { identity }),
+    ...(outputTokens ? { outputTokens } : {}),
     excluded: [...excluded],
     isFirst,
     isLate
   }
 }
 
-export function decodeDispatchRequest ({ row, parts, identity, excluded, isFirst, isLate }: DispatchRequestMessage): DispatchRequest {
+export function decodeDispatchRequest ({ row, parts, identity, outputTokens, excluded, isFirst, isLate }: DispatchRequestMessage): DispatchRequest {
   const [service, model, adapter, promptTokens, rank, region, availabilityZone, gapObjectiveMs] = row
   const sharedParts = parts.map(([id, tokens]) => ({ id, tokens }))
   return {
-    service, model, adapter: adapter ?? undefined, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, isFirst, isLate
+    service, model, adapter: adapter ?? undefined, promptTokens, outputTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: gapObjectiveMs ?? undefined, excluded, isFirst, isLate
   }
 }
 
@@ -78,6 +89,10 @@
   engine: z.string().optional(),
   /** ID of the trial as which the request may be sent: its prompt parts are under suspicion. */
   trial: z.string().optional(),
+  /** Expected prefill time with a delay factor of 1, in milliseconds; only where capacity is learned. */
+  priorMs: z.number().optional(),
+  /** Number of the assignment; only where tokens are accounted for. */
+  assignment: z.number().optional(),
   /** Delay before the next dispatch request: no engine has free capacity now. */
   waitMs: z.number().optional()
 })
@@ -85,12 +100,17 @@
 
 export function encodeDispatchDecision (choice: DispatchDecision | undefined): Omit<DispatchReply, 'ask'> {
   if (!choice) return {}
-  if (choice.kind === 'engine') return { engine: choice.id, ...(choice.trial === undefined ? {} : { trial: choice.trial }) }
+  if (choice.kind === 'engine') {
+    const { id, trial, priorMs, assignment } = choice
+    return { engine: id, ...(trial === undefined ? {} : { trial }), ...(priorMs === undefined ? {} : { priorMs: Math.round(priorMs) }), ...(assignment === undefined ? {} : { assignment }) }
+  }
   return { waitMs: Math.ceil(choice.forMs) }
 }
 
-export function decodeDispatchDecision ({ engine, trial, waitMs }: DispatchReply): DispatchDecision | undefined {
-  if (engine !== undefined) return { kind: 'engine', id: engine, ...(trial === undefined ? {} : { trial }) }
+export function decodeDispatchDecision ({ engine, trial, priorMs, assignment, waitMs }: DispatchReply): DispatchDecision | undefined {
+  if (engine !== undefined) {
+    return { kind: 'engine', id: engine, ...(trial === undefined ? {} : { trial }), ...(priorMs === undefined ? {} : { priorMs }), ...(assignment === undefined ? {} : { assignment }) }
+  }
   return waitMs === undefined ? undefined : { kind: 'wait', forMs: waitMs }
 }
 
@@ -150,6 +170,8 @@
   leaving: z.array(incarnationSchema).optional(),
   /** What all nodes have found out about prompt parts; absent without news. */
   parts: partFactsSchema.optional(),
+  /** Rows of learned capacity that changed, or all of them; absent without changes. */
+  capacity: capacityRowsSchema.extend({ isFull: z.boolean().optional() }).optional(),
   /** IP addresses of all nodes, now and then: what a node finds out while there is no leader goes to them. */
   nodes: z.array(z.string()).optional()
 })
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -5,6 +5,7 @@
 import { ioTurn } from '../base/ioTurn.js'
 import { stallTimeoutMs } from '../policy/streamPatience.js'
 import { hasGoneOn } from '../policy/partQuarantine.js'
+import { AttemptSample } from './attemptSample.js'
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import { isEventStream, maxUnframedBytes } from './clientExchange.js'
@@ -12,6 +13,7 @@
 import type { Codecs } from './codecs.js'
 import { EventSplitter, isComment } from './eventStream.js'
 import type { StreamEvent } from './eventStream.js'
+import type { LearnedCapacity } from './learnedCapacity.js'
 import type { ProxiedRequest } from './requestProxy.js'
 import type { Reservation } from './reservation.js'
 import type { ResponseHead } from './responseReader.js'
@@ -81,13 +83,16 @@
   lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined, isUnframed: boolean } = { sentAtMs: 0, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
   readonly onGoneOn: (sentAtMs: number) => void
+  /** Takes samples of the servers; absent where capacity is not learned. */
+  readonly learned: LearnedCapacity | undefined
   private current: Attempt | undefined
 
   constructor (
-    { request, writer, codecs, clock, reserveMove, onGoneOn }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'reserveMove' | 'onGoneOn'>
+    { request, writer, codecs, clock, reserveMove, onGoneOn, learned }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'reserveMove' | 'onGoneOn' | 'learned'>
   ) {
     this.reserveMove = reserveMove
     this.onGoneOn = onGoneOn
+    this.learned = learned
     this.request = request
     this.writer = writer
     this.codecs = codecs
@@ -101,14 +106,14 @@
     if (response.destroyed) this.hasClientLeft = true
   }
 
-  /** Sends the request to `server`, on the connection of `reservation` if there is one. */
-  attempt (server: BackendServer, reservation?: Reservation): Promise<AttemptResult> {
+  /** Sends the request to `server`, on the connection of `reservation` if there is one. `priorMs` is the prefill time that the leader expected with a delay factor of 1. */
+  attempt (server: BackendServer, reservation?: Reservation, priorMs?: number): Promise<AttemptResult> {
     if (this.hasClientLeft) {
       reservation?.release()
       return Promise.resolve({ kind: 'client-left' })
     }
     return new Promise(resolve => {
-      this.current = new Attempt(this, server, reservation, result => {
+      this.current = new Attempt(this, server, reservation, priorMs, result => {
         this.current = undefined
         if (result.kind !== 'unsent' && result.kind !== 'not-run') this.mayHaveRun = true
         resolve(result)
@@ -156,11 +161,13 @@
   private hasGoneOn = false
   private lastProgressMs: number
   private cancelTimers: CancelTimer[] = []
+  private sample: AttemptSample | undefined
 
   constructor (
     private readonly forwarder: RequestForwarder,
     private readonly server: BackendServer,
     private readonly reservation: Reservation | undefined,
+    private readonly priorMs: number | undefined,
     private readonly resolve: (result: AttemptResult) => void
   ) {
     this.startedAtMs = this.lastProgressMs = forwarder.clock.nowMs()
@@ -178,6 +185,9 @@
       reservationId: this.reservation?.holdId
     })
     this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire(request.metadata.requestId)
+    const { learned, hasResponseStarted: isContinuation } = this.forwarder
+    if (learned) this.sample = new AttemptSample({ clock, learned, server: this.server, request, priorMs: this.priorMs, isContinuation })
+    this.server.heldTokens += this.tokens + request.metadata.outputTokens
     this.server.onStarted(request.metadata.model, request.metadata.adapter, this.tokens, request.rank)
     this.cancelTimers.push(clock.setTimer(leftMs, () => { void this.onDeadline() }))
     this.watchProgress()
@@ -275,6 +285,7 @@
         this.recordProgress()
         this.recordFirstByte()
         forwarder.onEventForwarded()
+        this.sample?.onEvent()
         this.events++
         this.firstEventAtMs ??= forwarder.clock.nowMs()
         if (hasGoneOn({ events: this.events, writingMs: this.writingMs })) this.recordGoneOn()
@@ -313,6 +324,7 @@
     if (writer.writeEvents(bytes) || this.isPaused) return
     const { connection } = this
     this.isPaused = true
+    this.sample?.onPaused()
     connection?.pause()
     writer.response.once('drain', () => {
       this.isPaused = false
@@ -457,9 +469,13 @@
     for (const cancel of this.cancelTimers.splice(0)) cancel()
     this.releaseHeld(result)
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
+    this.server.heldTokens -= this.tokens + this.forwarder.request.metadata.outputTokens
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
     const isSuccess = this.head !== undefined && this.head.status >= 200 && this.head.status < 300
-    if (result.kind === 'done' && isSuccess) this.recordGoneOn()
+    if (result.kind === 'done' && isSuccess) {
+      this.recordGoneOn()
+      this.sample?.onSuccess()
+    }
     const mayHaveEnded = result.kind === 'moved' || (result.kind === 'unknown' && result.isEndUnproved === true)
     // An attempt that brought nothing leaves open whether the client has the whole stream.
     this.forwarder.mayBeAtEnd = this.splitter.remainder.length === 0 && (mayHaveEnded || (this.events === 0 && this.forwarder.mayBeAtEnd))
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -7,6 +7,7 @@
 import { messageOf } from '../base/errors.js'
 import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
+import type { Random } from '../base/random.js'
 import type { DispatchRequest, DispatchDecision, PromptPart } from '../policy/dispatcher.js'
 import { requestIdentity } from '../policy/partEvidence.js'
 import { hasGoneOn } from '../policy/partQuarantine.js'
@@ -23,6 +24,7 @@
 import { EngineClient } from './engineClient.js'
 import { isRepeatable, RequestForwarder } from './requestForwarder.js'
 import type { AttemptResult, FailoverSearch } from './requestForwarder.js'
+import type { LearnedCapacity } from './learnedCapacity.js'
 import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
 import { RouteTable, serviceOf } from './routeTable.js'
@@ -80,6 +82,9 @@
   loopDelayMs?: () => number
   /** Requests a dispatch decision that considers the requests of all nodes. Resolves with `undefined` if none arrives in time. */
   requestDispatch?: (dispatchRequest: DispatchRequest) => Promise<DispatchDecision | undefined>
+  /** Absent where capacity is not learned. */
+  learned?: LearnedCapacity | undefined
+  random?: Random
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -105,7 +110,7 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined }
+  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined, priorMs?: number | undefined }
   /** With `verdict`, the request has prompt parts in quarantine. */
   | { kind: 'refused', reason: string, retryAfterMs: number, verdict?: Verdict }
   | { kind: 'left' }
@@ -224,6 +229,7 @@
       writer,
       codecs,
       clock,
+      learned: this.options.learned,
       reserveMove: () => this.reserveFailover(request, progress),
       onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
     })
@@ -286,7 +292,7 @@
     return Reservation.reserveAt(server, options, { clock: this.clock, calls: this.calls })
   }
 
-  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial, priorMs }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.metadata
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
@@ -295,13 +301,14 @@
       running: server.running,
       runningElsewhere: server.runningElsewhere,
       alternatives: this.selection.availableServers(request).length - 1,
+      ...this.options.learned?.traceOf(server, model),
       result: 'in progress'
     }
     progress.attempts.push(trace)
     progress.tried.add(server.entry.id)
     progress.retryableFromMs.delete(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
-    const result = await forwarder.attempt(server, reservation)
+    const result = await forwarder.attempt(server, reservation, priorMs)
     if (result.kind !== 'unsent') progress.sends++
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
     // The server may well be sound and complete the rest.
@@ -530,8 +537,8 @@
   return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
 }
 
-function foundBy (server: BackendServer, { chosenBy, trial }: Selection): Extract<Search, { kind: 'found' }> {
-  return { kind: 'found', server, chosenBy, trial }
+function foundBy (server: BackendServer, { chosenBy, trial, priorMs }: Selection): Extract<Search, { kind: 'found' }> {
+  return { kind: 'found', server, chosenBy, trial, priorMs }
 }
 
 function reasonOf (result: AttemptResult | undefined): string | undefined {
--- a/src/serving/requestRecord.ts
+++ b/src/serving/requestRecord.ts
@@ -16,6 +16,9 @@
   runningElsewhere: number
   /** Number of other servers that could have accepted the request. */
   alternatives: number
+  /** Learned delay factor of the server for the model or service, and limit of requests in progress; absent where capacity is not learned. */
+  delayFactor?: number
+  limit?: number
   result: string
   /** Events of this attempt that were sent to the client. */
   events?: number
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -2,6 +2,7 @@
 
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, PromptPart } from '../policy/dispatcher.js'
+import { fitsTokens } from '../policy/tokenLedger.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartCheck, SuspectCheck } from '../policy/partQuarantine.js'
 import type { BackendServer } from './backendServer.js'
@@ -39,11 +40,13 @@
   waitMs: number
   /** ID of the trial as which the request may be sent. */
   trial?: string | undefined
+  /** Prefill time that the leader expected with a delay factor of 1. */
+  priorMs?: number | undefined
   /** What keeps a request with these prompt parts from being sent now. */
   heldBy?: Exclude<PartCheck, { kind: 'clear' }>
 }
 
-export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch'>
+export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch' | 'learned' | 'random'>
 
 export class ServerSelection {
   private readonly options: ServerSelectionOptions
@@ -73,7 +76,7 @@
     // The leader measures the demand for a model by these requests, also while no engine holds it.
     const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
     const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
-    const trial = decision?.kind === 'engine' ? decision.trial : undefined
+    const { trial, priorMs } = decision?.kind === 'engine' ? decision : {}
     // Meanwhile a verdict may have been made.
     const check = quarantine.check(this.evidenceParts(request))
     const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
@@ -85,7 +88,7 @@
     // Meanwhile the server may have been removed, or its last free connection may be in use.
     const chosen = decision && this.candidates(request, progress).find(({ entry }) => entry.id === decision.id)
     if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
-    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial }
+    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial, priorMs }
     const server = this.chooseLocally(request, progress)
     if (!server && trial !== undefined) quarantine.endTrial(trial)
     return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
@@ -104,7 +107,7 @@
     request: ProxiedRequest, progress: Progress, { isFirst, isLate }: { isFirst: boolean, isLate: boolean }
   ): DispatchRequest | undefined {
     const { metadata, route, rank, service } = request
-    const { model, adapter, promptTokens, sharedParts } = metadata
+    const { model, adapter, promptTokens, outputTokens, sharedParts } = metadata
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
@@ -112,12 +115,12 @@
     const tried = [...progress.tried].filter(id => !candidates.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
     const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
-    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
+    return { service: service.name, model, adapter, promptTokens, outputTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, isFirst, isLate }
   }
 
   chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
-    const { settings } = this.options
-    const candidates = this.candidates(request, progress)
+    const { settings, learned, random } = this.options
+    const candidates = this.candidates(request, progress).filter(server => this.isWithinLimits(request, server))
     if (candidates.length === 0) return undefined
     const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
     const scored = candidates.map(server => ({
@@ -129,13 +132,15 @@
       pendingTokens: server.pendingTokens,
       failureShare: server.failureShare,
       excessDelayMs: server.smoothedDelayMs - baselineMs,
+      ...(learned ? { learned: learned.table.of(server.entry.id, server.entry.slots) } : {}),
       server
     }))
     return chooseBackend(scored, {
       region: settings.region,
       availabilityZone: settings.availabilityZone,
       affinityKey: request.metadata.sharedParts.at(-1)?.id,
-      isEngine: request.service.engine !== undefined
+      isEngine: request.service.engine !== undefined,
+      ...(learned && random ? { learned: { pace: learned.table.paceOf(request.service.name, request.metadata.model ?? ''), promptTokens: request.metadata.promptTokens, random } } : {})
     })?.server
   }
 
@@ -146,6 +151,14 @@
       this.hasConnection(request, server) && hasCapacity(request, server))
   }
 
+  /** Whether an engine takes the request well, as far as this node knows. The leader's own choices rest on newer values. */
+  private isWithinLimits ({ service: { engine }, metadata }: ProxiedRequest, server: BackendServer): boolean {
+    const { learned } = this.options
+    if (!engine || !learned) return true
+    const { limit } = learned.table.of(server.entry.id, server.entry.slots)
+    return server.running + server.runningElsewhere < Math.floor(limit) && fitsTokens(metadata, server.heldTokens, engine.cacheTokens)
+  }
+
   /** Whether there is an idle connection, or one may be opened within this node's share of the server's connections. */
   private hasConnection (request: ProxiedRequest, server: BackendServer): boolean {
     const share = Math.max(minimumConnections, Math.floor(request.service.maxConnections * connectionShare / Math.max(1, this.options.nodeCount())))
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -20,6 +20,7 @@
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
 import { LeaderTerm } from './leaderTerm.js'
+import { LearnedCapacity } from './learnedCapacity.js'
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
@@ -82,6 +83,8 @@
   private readonly peers: PeerServer
   private readonly link: LeaderLink
   private readonly size: FleetSize
+  /** Present where servers are shared. */
+  private readonly learned: LearnedCapacity | undefined
   private readonly dispatch: DispatchClient
   private readonly loopDelay: LoopDelay
   private readonly quarantine: PartQuarantine
@@ -110,6 +113,7 @@
       onConnectionOpened: () => options.metrics?.onConnectionOpened(),
       questionOf: ({ address, service }) => livenessQuestion(codecs, address, this.deployment?.services.find(({ name }) => name === service))
     })
+    this.learned = settings.sharesServers ? new LearnedCapacity(clock, this.fleet) : undefined
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, send: message => this.link.send(message) })
@@ -136,6 +140,8 @@
         retryBudget: settings.retryBudget
       },
       nodeCount: () => this.size.value,
+      learned: this.learned,
+      random,
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
       onFinished: record => options.metrics?.onFinished(record)
@@ -157,16 +163,18 @@
       onOwnLeadership: (fence, context) => this.onOwnLeadership(fence, context),
       onLeader: leader => this.onLeader(leader)
     })
+    const nodeOfLink = new WeakMap<object, string>()
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
         if (!('ask' in message)) {
+          nodeOfLink.set(reply, message.node)
           if (this.leaderTerm) this.leaderTerm.onReport(message)
           // A node that has no leader tells all others.
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
-        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
+        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch({ ...decodeDispatchRequest(message), node: nodeOfLink.get(reply) ?? '' })) })
       },
       onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) }
     })
@@ -219,6 +227,7 @@
     metrics.gauge('teaselrill_parts_suspected', 'Prompt parts whose requests are sent one at a time because engines ended under them', () => this.quarantine.suspectCount)
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
+    this.learned?.addGauges(metrics)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
     metrics.gauge('teaselrill_placement_leader', '1 if this node sends the commands to engines', () => this.leaderTerm ? 1 : 0)
   }
@@ -403,6 +412,7 @@
       clock,
       log,
       store,
+      capacityTerm: this.learned?.startTerm(log),
       storeView: this.storeView,
       size: this.size,
       sizeKey: this.sizeKey,
@@ -432,7 +442,11 @@
 
   /** The leader's dispatch decision for a request; `undefined` if there is none in time. */
   private async dispatchForAll (ask: DispatchRequest): Promise<DispatchDecision | undefined> {
-    if (this.leaderTerm) return this.leaderTerm.dispatch(ask)
+    if (this.leaderTerm) {
+      const decision = this.leaderTerm.dispatch({ ...ask, node: this.options.settings.node })
+      this.dispatch.onDecision(decision)
+      return decision
+    }
     // The leader's decision must rest on what this node has just seen.
     this.sendParts()
     return await this.dispatch.requestDispatch(ask)
@@ -443,7 +457,8 @@
     else this.onLeaderReport(message)
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, capacity }: LeaderReport): void {
+    this.learned?.onLeaderReport({ capacity })
     if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
     if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
@@ -492,6 +507,7 @@
       missing: this.demand.takeMissingModels(),
       misknown,
       outcomes,
+      ...this.learned?.reportFields(this.dispatch.lastAssignment),
       ...(leaving.length > 0 ? { leaving } : {})
     }
   }
