Spread plain requests by learned service times and test learned capacity

Change: waiting for slots is taken out of the learned delay by Little's law, servers are chosen at random by a power of their delay, the leader's rows spread the load beyond 0.9 of a server's capacity, and a node's own measurement covers waiting. Failure shares of all nodes are in the rows.

--- a/src/policy/capacityTable.ts
+++ b/src/policy/capacityTable.ts
@@ -8,8 +8,8 @@
 /** Estimates without samples decay to the prior with this half-life, so that a server that has become better gets requests again. */
 export const capacityHalfLifeMs = 10_000
 
-/** Server, delay factor, limit of requests in progress. */
-export const capacityRowSchema = z.tuple([z.string(), z.number().positive(), z.number().positive()])
+/** Server, delay factor, limit of requests in progress, recent share of failed requests. */
+export const capacityRowSchema = z.tuple([z.string(), z.number().positive(), z.number().positive(), z.number().min(0).max(1)])
 /** Model, or service for plain services, with its delay factor. */
 export const paceRowSchema = z.tuple([z.string(), z.number().positive()])
 export const capacityRowsSchema = z.object({
@@ -23,6 +23,8 @@
   factor: number
   /** Requests in progress that the server takes well. */
   limit: number
+  /** Share of failed requests, from 0 to 1. */
+  failureShare: number
 }
 
 /** Key of a model's pace; that of a plain service has an empty model. */
@@ -45,7 +47,7 @@
   }
 
   apply ({ servers, paces }: CapacityRows): void {
-    for (const [server, factor, limit] of servers) this.servers.set(server, { factor, limit })
+    for (const [server, factor, limit, failureShare] of servers) this.servers.set(server, { factor, limit, failureShare })
     for (const [key, factor] of paces) this.paces.set(key, factor)
   }
 
@@ -59,7 +61,7 @@
 
   /** All rows as they were received. */
   get rows (): CapacityRows {
-    return { servers: [...this.servers].map(([server, { factor, limit }]) => [server, factor, limit]), paces: [...this.paces] }
+    return { servers: [...this.servers].map(([server, { factor, limit, failureShare }]) => [server, factor, limit, failureShare]), paces: [...this.paces] }
   }
 
   /** Drops the rows of removed servers. */
@@ -70,9 +72,9 @@
   /** What is known of the server; the prior if there is no row. */
   of (server: string, slots: number): ServerCapacityRow {
     const row = this.servers.get(server)
-    if (!row) return { factor: 1, limit: slots }
+    if (!row) return { factor: 1, limit: slots, failureShare: 0 }
     const weight = this.weight
-    return { factor: row.factor ** weight, limit: slots - (slots - Math.min(slots, row.limit)) * weight }
+    return { factor: row.factor ** weight, limit: slots - (slots - Math.min(slots, row.limit)) * weight, failureShare: row.failureShare * weight }
   }
 
   /** Delay factor of a model on all its engines, or of a plain service on all its servers. It does not decay: it is no property of a server. */
--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -187,7 +187,7 @@
   }
 
   /** Delay factor of the request on the engine, and the limit of requests in progress there. */
-  private capacityOf ({ service, model }: DispatchRequest, { id, slots }: Pick<DispatchCandidate, 'id' | 'slots'>): ServerCapacityRow {
+  private capacityOf ({ service, model }: DispatchRequest, { id, slots }: DispatchCandidate): Pick<ServerCapacityRow, 'factor' | 'limit'> {
     const { capacity } = this.options
     if (!capacity) return { factor: 1, limit: Infinity }
     const { factor, limit } = capacity.of(id, slots)
--- a/src/policy/engineChoice.ts
+++ b/src/policy/engineChoice.ts
@@ -2,7 +2,7 @@
 
 import { rendezvousOwner } from '../base/hash.js'
 import type { Random } from '../base/random.js'
-import { plainDelayMs, plainLoadFactor } from './capacitySamples.js'
+import { plainDelayMs } from './capacitySamples.js'
 import type { ServerCapacityRow } from './capacityTable.js'
 
 /** Assumed prefill throughput of an engine, from which the delay by pending prompts is estimated. */
@@ -18,17 +18,17 @@
 /** Prefill time saved by cached shared prompt parts. */
 const affinityGainMs = 15
 /** Delay caused by a failed attempt: the time until the failure, and the retry. */
-const failureCostMs = 1500
+export const failureCostMs = 1500
 
-/** With learned capacity, servers whose expected delay is at most this multiple of the shortest one share the requests. */
-const similarDelayRatio = 1.5
-const maxSimilarServers = 4
-/** Exponent with which a longer expected delay makes a server less likely. */
-const delayExponent = 2
+/**
+ * With learned capacity, servers are chosen at random with a weight of the expected delay to this power. All nodes know the same delays,
+ * which are a second old: with a sharp rule (the best, or all within a ratio) they overload one server after the other.
+ */
+export const delayExponent = -4
+/** Share by which the expected delay at a plain server grows until this node's own requests fill its slots. */
+const ownLoadCost = 0.3
 /** Shorter expected delays do not differ in practice. */
 const minDelayMs = 10
-/** A server with no similar one gets all requests only below this share of its limit: the other nodes choose it too, and it is known late that it is full. */
-const soleServerShare = 0.5
 
 /** Share of an engine's batch that the most urgent requests may fill. Each less urgent rank leaves more of it free. */
 const fullBatchShare = 1
@@ -53,6 +53,8 @@
   failureShare: number
   /** Recent delay in excess of the other backend servers'. */
   excessDelayMs: number
+  /** This node's recent mean delay at the server; 0 without requests. */
+  ownDelayMs?: number
   /** What has been learned of the server; only where capacity is learned. */
   learned?: ServerCapacityRow
 }
@@ -82,25 +84,27 @@
   const load = context.isEngine
     ? candidate.pendingTokens / prefillTokensPerMs + candidate.running * runningCostMs
     : candidate.running / candidate.slots * queuedCostMs
-  const failureMs = candidate.failureShare * failureCostMs
+  const failureMs = Math.max(candidate.failureShare, candidate.learned?.failureShare ?? 0) * failureCostMs
   if (!learned) return distance + load + failureMs + candidate.excessDelayMs
-  const { factor, limit } = candidate.learned ?? { factor: 1, limit: candidate.slots }
+  const factor = candidate.learned?.factor ?? 1
+  const ownLoad = (candidate.running + 1) / candidate.slots
   const learnedMs = context.isEngine
     ? (candidate.pendingTokens + learned.promptTokens) / prefillTokensPerMs * factor * learned.pace + candidate.running * runningCostMs
-    : plainDelayMs * factor * learned.pace * plainLoadFactor(candidate.running + 1, limit)
-  return distance + learnedMs + failureMs
+    : plainDelayMs * factor * learned.pace * (1 + ownLoadCost * Math.min(1, ownLoad)) * Math.max(1, ownLoad)
+  // The leader's rows are a second old and leave out waiting for slots; the nodes' own measurements of it differ, so that they do not react alike.
+  const waitingMs = context.isEngine ? 0 : Math.max(0, (candidate.ownDelayMs ?? 0) - learnedMs)
+  return distance + learnedMs + failureMs + waitingMs
 }
 
 /**
- * The candidate with the least expected delay. With learned capacity, one of those with similar delays at random, since all nodes know
- * the same delays and would otherwise choose the same server.
+ * The candidate with the least expected delay. With learned capacity, a random one, those with shorter delays more often.
  */
 export function chooseBackend<C extends Candidate> (candidates: readonly C[], context: ChoiceContext): C | undefined {
   const owner = context.affinityKey === undefined
     ? undefined
     : rendezvousOwner(context.affinityKey, candidates.map(({ id }) => id))
   const delayOf = (candidate: C) => expectedDelayMs(candidate, context) - (candidate.id === owner ? affinityGainMs : 0)
-  if (context.learned) return chooseSimilar(candidates.map(candidate => ({ candidate, delayMs: Math.max(minDelayMs, delayOf(candidate)) })), context.learned.random)
+  if (context.learned) return chooseWeighted(candidates, candidate => Math.max(minDelayMs, delayOf(candidate)) ** delayExponent, context.learned.random)
   let best: C | undefined
   let bestDelayMs = Infinity
   for (const candidate of candidates) {
@@ -113,18 +117,8 @@
   return best
 }
 
-/** One of the candidates with the shortest delays at random, those with shorter ones more often. */
-function chooseSimilar<C extends Candidate> (scored: { candidate: C, delayMs: number }[], random: Random): C | undefined {
-  if (scored.length === 0) return undefined
-  scored.sort((left, right) => left.delayMs - right.delayMs)
-  const best = scored[0]!
-  let similar = scored.slice(0, maxSimilarServers).filter(({ delayMs }) => delayMs <= best.delayMs * similarDelayRatio)
-  const { running, slots, learned } = best.candidate
-  if (similar.length === 1 && running > (learned?.limit ?? slots) * soleServerShare) similar = scored.slice(0, 2)
-  let left = random.next() * similar.reduce((sum, { delayMs }) => sum + weightOf(delayMs), 0)
-  return (similar.find(({ delayMs }) => (left -= weightOf(delayMs)) < 0) ?? best).candidate
-}
-
-function weightOf (delayMs: number): number {
-  return delayMs ** -delayExponent
+function chooseWeighted<C> (candidates: readonly C[], weightOf: (candidate: C) => number, random: Random): C | undefined {
+  const weights = candidates.map(weightOf)
+  let left = random.next() * weights.reduce((sum, weight) => sum + weight, 0)
+  return candidates.find((_candidate, index) => (left -= weights[index]!) < 0) ?? candidates[0]
 }
--- a/src/policy/serverCapacity.ts
+++ b/src/policy/serverCapacity.ts
@@ -4,24 +4,38 @@
  */
 
 import type { Clock } from '../base/clock.js'
+import { plainDelayMs } from './capacitySamples.js'
 import type { SampleRow } from './capacitySamples.js'
 import { capacityHalfLifeMs, paceKey } from './capacityTable.js'
 import type { CapacityRows, ServerCapacityRow } from './capacityTable.js'
+import { delayExponent, failureCostMs } from './engineChoice.js'
 
 /** The factors stay within a quarter of the prior and four times the prior. */
 const maxLogFactor = Math.log(4)
 /** Delay factors of plain services have wider bounds: the prior says nothing about what their requests do. */
 const maxLogPlainPace = Math.log(200)
-/** Weight of one sample. Outliers count for at most `maxLogStep`, so that one of them moves an estimate by 10% at most. */
-const sampleWeight = 0.1
-const maxLogStep = 1
+/** Weight of one sample, whose deviation counts for at most `maxLogDeviation`, so that an outlier moves an estimate by about 10% at most. */
+const sampleWeight = 0.06
+const maxLogDeviation = 2
+/**
+ * Samples are collected for this long before the estimates change: many nodes report twice a second. Samples change an estimate by at most
+ * `maxWeight` of the deviation, since the requests that the estimate moves show only in later samples; larger weights made the nodes'
+ * choices swing between servers.
+ */
+const windowMs = 500
+const maxWeight = 0.5
 /** Part of a deviation that is attributed to the server; the rest is to its model, whose samples come from all its engines. */
-const serverShare = 0.7
+const serverShare = 0.85
 /** The pace of a model is a property of its weights and is kept for long, since rare models have few samples. */
 const paceHalfLifeMs = 600_000
+/** Weight of a window in the rate of completed requests. */
+const rateWeight = 0.4
+/** Share of a plain server's capacity that the choices may use on average; the rest is for random arrivals. */
+const maxPlainUtilization = 0.9
+const maxSpread = 10
 const minLimit = 2
-/** Samples are collected for this long before the limit changes: the nodes report twice a second. */
-const limitWindowMs = 1000
+/** Estimates decay from this time after the last samples on; a decay between samples would raise every limit until requests overrun. */
+const sampledForMs = 2000
 /** The limit is lowered if more than this share of the requests overran what their routes allow. */
 const maxOverrunShare = 0.1
 const minOverruns = 2
@@ -33,10 +47,11 @@
 /** Rows are sent at most this often, and only if a value differs by more than `minChange` from what was sent. */
 const rowsIntervalMs = 1000
 const minChange = 0.1
+/** The share of failed requests is computed over about this time, with assumed successes so that one failure does not exclude a server. */
+const outcomeHalfLifeMs = 2000
+const assumedSuccesses = 3
 /** Ratio of change from which a log line is written. */
 const loggedChange = 1.5
-/** Time constant of the mean number of requests in progress at plain servers. */
-const inProgressTimeConstantMs = 1000
 
 interface Estimate {
   logFactor: number
@@ -47,6 +62,8 @@
   slots: number
   limit: number
   windowStartedAtMs: number
+  /** Samples of the window, by the key of their model or service. */
+  window: Map<string, { samples: number, sumLog: number, isPlain: boolean }>
   completed: number
   overruns: number
   inProgressAtOverruns: number
@@ -54,8 +71,13 @@
   /** The lowest limit that led to overruns, and the time when it did. */
   failedLimit: number
   failedAtMs: number
-  inProgress: number
-  inProgressAtMs: number
+  /** Service of a plain server; absent for engines. */
+  plainService: string | undefined
+  /** Completed requests per second at a plain server. */
+  ratePerSecond: number
+  answered: number
+  failed: number
+  outcomesAtMs: number
 }
 
 export interface CapacityChange extends ServerCapacityRow {
@@ -90,16 +112,27 @@
     }
   }
 
+  /** Records how many requests succeeded and failed on a server, as reported by one node. */
+  onOutcomes (server: string, answered: number, failed: number): void {
+    const known = this.options.serverOf(server)
+    if (!known) return
+    const state = this.stateOf(server, known.slots)
+    const weight = this.outcomeWeight(state)
+    state.answered = state.answered * weight + answered
+    state.failed = state.failed * weight + failed
+    state.outcomesAtMs = this.options.clock.nowMs()
+  }
+
   /** Takes over rows that an earlier leader sent, for what this one knows nothing about. */
   adopt ({ servers, paces }: CapacityRows): void {
     const nowMs = this.options.clock.nowMs()
-    for (const [server, factor, limit] of servers) {
+    for (const [server, factor, limit, failureShare] of servers) {
       const known = this.options.serverOf(server)
       if (!known || this.servers.has(server)) continue
       const state = this.stateOf(server, known.slots)
       state.logFactor = clamp(Math.log(factor), maxLogFactor)
       state.limit = Math.max(Math.min(minLimit, known.slots), Math.min(known.slots, limit))
-      this.sentServers.set(server, { factor, limit })
+      this.sentServers.set(server, { factor, limit, failureShare })
     }
     for (const [key, factor] of paces) {
       if (this.paces.has(key)) continue
@@ -110,7 +143,7 @@
 
   of (server: string, slots: number): ServerCapacityRow {
     const state = this.servers.get(server)
-    return state ? { factor: Math.exp(this.current(state, capacityHalfLifeMs)), limit: this.limitOf(state) } : { factor: 1, limit: slots }
+    return state ? { factor: Math.exp(this.current(state, capacityHalfLifeMs)), limit: this.limitOf(state), failureShare: this.failureShareOf(state) } : { factor: 1, limit: slots, failureShare: 0 }
   }
 
   paceOf (service: string, model: string): number {
@@ -118,43 +151,73 @@
     return pace ? Math.exp(this.current(pace, paceHalfLifeMs)) : 1
   }
 
-  /** Mean requests in progress at each plain server, from the durations of those that ended. */
-  inProgressRows (): [server: string, inProgress: number][] {
-    const rows: [string, number][] = []
-    for (const [server, state] of this.servers) {
-      if (state.inProgress === 0) continue
-      const inProgress = this.decayedInProgress(state)
-      if (inProgress < 0.05) state.inProgress = 0
-      rows.push([server, Math.round(inProgress * 10) / 10])
-    }
-    return rows
-  }
-
   /** All rows that differ from the prior, for a node that has just connected. */
   get rows (): CapacityRows {
     return {
-      servers: [...this.servers].map(([server, state]) => rowOf(server, this.of(server, state.slots))),
+      servers: this.serverRows(),
       paces: [...this.paces.keys()].map(key => [key, rounded(Math.exp(this.current(this.paces.get(key)!, paceHalfLifeMs)))])
     }
   }
 
+  private serverRows (): CapacityRows['servers'] {
+    const servicesOfPlain = new Set([...this.servers.values()].map(({ plainService }) => plainService).filter(service => service !== undefined))
+    const spread = new Map([...servicesOfPlain].flatMap(service => [...this.spreadFactors(service)]))
+    return [...this.servers].map(([server, state]) => {
+      const row = this.of(server, state.slots)
+      return [server, rounded(row.factor * (spread.get(server) ?? 1)), rounded(row.limit), Math.round(row.failureShare * 100) / 100]
+    })
+  }
+
+  /**
+   * Factors by which plain servers must seem slower so that the nodes' choices, whose weights are powers of the delays, overload none:
+   * with the weights alone, a slow server would be left idle while the others get more than they can serve.
+   */
+  private spreadFactors (service: string): Map<string, number> {
+    const pace = this.paceOf(service, '') * plainDelayMs
+    let free = [...this.servers].filter(([, state]) => state.plainService === service).map(([server, state]) => {
+      const { factor, limit, failureShare } = this.of(server, state.slots)
+      const weight = (factor * pace + failureShare * failureCostMs) ** delayExponent
+      return { server, weight, capacity: limit / (factor * pace) * 1000 * maxPlainUtilization * (1 - failureShare), rate: state.ratePerSecond }
+    })
+    let demand = free.reduce((sum, { rate }) => sum + rate, 0)
+    const capacity = free.reduce((sum, { capacity }) => sum + capacity, 0)
+    // Beyond what all servers can do, all are loaded alike.
+    const scale = Math.max(1, demand / Math.max(1, capacity))
+    const shares: { server: string, perWeight: number }[] = []
+    for (;;) {
+      const weights = free.reduce((sum, { weight }) => sum + weight, 0)
+      const full = free.filter(({ weight, capacity }) => demand * weight / weights >= capacity * scale)
+      if (full.length === 0 || full.length === free.length) {
+        for (const { server } of free) shares.push({ server, perWeight: demand / weights })
+        break
+      }
+      for (const { server, weight, capacity } of full) {
+        shares.push({ server, perWeight: capacity * scale / weight })
+        demand -= capacity * scale
+      }
+      free = free.filter(candidate => !full.includes(candidate))
+    }
+    const most = Math.max(...shares.map(({ perWeight }) => perWeight))
+    return new Map(shares.map(({ server, perWeight }) => [server, Math.min(maxSpread, (perWeight / most) ** (1 / delayExponent))]))
+  }
+
   /** Rows that changed noticeably since they were last returned; `undefined` if there are none or the last ones are too recent. */
   takeChangedRows (): CapacityRows | undefined {
     const nowMs = this.options.clock.nowMs()
     if (nowMs - this.sentAtMs < rowsIntervalMs) return undefined
     const { servers, paces } = this.rows
     const changed: CapacityRows = {
-      servers: servers.filter(([server, factor, limit]) => {
-        const sent = this.sentServers.get(server) ?? { factor: 1, limit: this.servers.get(server)!.slots }
-        return differs(factor, sent.factor) || differs(limit, sent.limit)
+      servers: servers.filter(([server, factor, limit, failureShare]) => {
+        const sent = this.sentServers.get(server) ?? { factor: 1, limit: this.servers.get(server)!.slots, failureShare: 0 }
+        return differs(factor, sent.factor) || differs(limit, sent.limit) || Math.abs(failureShare - sent.failureShare) > minChange
       }),
       paces: paces.filter(([key, factor]) => differs(factor, this.sentPaces.get(key) ?? 1))
     }
     if (changed.servers.length + changed.paces.length === 0) return undefined
     this.sentAtMs = nowMs
-    for (const [server, factor, limit] of changed.servers) {
-      this.sentServers.set(server, { factor, limit })
-      this.reportChange({ server, factor, limit })
+    for (const [server, factor, limit, failureShare] of changed.servers) {
+      this.sentServers.set(server, { factor, limit, failureShare })
+      this.reportChange({ server, factor, limit, failureShare })
     }
     for (const [key, factor] of changed.paces) this.sentPaces.set(key, factor)
     return changed
@@ -168,32 +231,44 @@
     }
   }
 
-  private addRow ([server, model, completed, samples, sumLog, overruns, inProgressAtOverruns, maxInProgress, sumMs]: SampleRow, { service, slots }: { service: string, slots: number }): void {
+  private addRow ([server, model, completed, samples, sumLog, overruns, inProgressAtOverruns, maxInProgress]: SampleRow, { service, slots }: { service: string, slots: number }): void {
     const state = this.stateOf(server, slots)
-    const pace = this.estimateOf(paceKey(service, model))
     const nowMs = this.options.clock.nowMs()
-    const limit = this.limitOf(state)
-    state.logFactor = this.current(state, capacityHalfLifeMs)
-    pace.logFactor = this.current(pace, paceHalfLifeMs)
-    state.limit = limit
-    state.sampledAtMs = nowMs
+    const key = paceKey(service, model)
     if (samples > 0) {
-      pace.sampledAtMs = nowMs
-      const step = clamp(sumLog / samples - state.logFactor - pace.logFactor, maxLogStep) * (1 - (1 - sampleWeight) ** samples)
-      state.logFactor = clamp(state.logFactor + step * serverShare, maxLogFactor)
-      pace.logFactor = clamp(pace.logFactor + step * (1 - serverShare), model === '' ? maxLogPlainPace : maxLogFactor)
-    }
-    if (sumMs > 0) {
-      state.inProgress = this.decayedInProgress(state) + sumMs / inProgressTimeConstantMs
-      state.inProgressAtMs = nowMs
+      const sums = state.window.get(key) ?? { samples: 0, sumLog: 0, isPlain: model === '' }
+      state.window.set(key, { ...sums, samples: sums.samples + samples, sumLog: sums.sumLog + sumLog })
     }
+    if (model === '') state.plainService = service
+    const limit = this.limitOf(state)
     state.completed += completed
     state.maxInProgress = Math.max(state.maxInProgress, maxInProgress)
     if (overruns > 0 && inProgressAtOverruns / overruns >= limit * minLoadShare) {
       state.overruns += overruns
       state.inProgressAtOverruns += inProgressAtOverruns
     }
-    if (nowMs - state.windowStartedAtMs >= limitWindowMs) this.adjustLimit(state)
+    if (nowMs - state.windowStartedAtMs >= windowMs) this.endWindow(state)
+  }
+
+  private endWindow (state: ServerState): void {
+    const nowMs = this.options.clock.nowMs()
+    state.limit = this.limitOf(state)
+    state.logFactor = this.current(state, capacityHalfLifeMs)
+    state.sampledAtMs = nowMs
+    for (const [key, { samples, sumLog, isPlain }] of state.window) {
+      const pace = this.estimateOf(key)
+      pace.logFactor = this.current(pace, paceHalfLifeMs)
+      pace.sampledAtMs = nowMs
+      const weight = Math.min(maxWeight, 1 - (1 - sampleWeight) ** samples)
+      const meanLog = sumLog / samples - (isPlain ? logQueueing(state, samples, sumLog, nowMs) : 0)
+      const step = clamp(meanLog - state.logFactor - pace.logFactor, maxLogDeviation) * weight
+      state.logFactor = clamp(state.logFactor + step * serverShare, maxLogFactor)
+      pace.logFactor = clamp(pace.logFactor + step * (1 - serverShare), isPlain ? maxLogPlainPace : maxLogFactor)
+    }
+    if (state.plainService !== undefined) state.ratePerSecond += (state.completed / (nowMs - state.windowStartedAtMs) * 1000 - state.ratePerSecond) * rateWeight
+    this.adjustLimit(state)
+    Object.assign(state, { windowStartedAtMs: nowMs, completed: 0, overruns: 0, inProgressAtOverruns: 0, maxInProgress: 0 })
+    state.window.clear()
   }
 
   private adjustLimit (state: ServerState): void {
@@ -208,19 +283,27 @@
       const isUntried = limit + 1 < state.failedLimit || nowMs - state.failedAtMs > retryLimitMs
       if (isUntried) state.limit = Math.min(slots, limit + 1)
     }
-    Object.assign(state, { windowStartedAtMs: nowMs, completed: 0, overruns: 0, inProgressAtOverruns: 0, maxInProgress: 0 })
   }
 
   private current ({ logFactor, sampledAtMs }: Estimate, halfLifeMs: number): number {
-    return logFactor * 0.5 ** ((this.options.clock.nowMs() - sampledAtMs) / halfLifeMs)
+    return logFactor * this.decay(sampledAtMs, halfLifeMs)
   }
 
   private limitOf ({ slots, limit, sampledAtMs }: ServerState): number {
-    return slots - (slots - limit) * 0.5 ** ((this.options.clock.nowMs() - sampledAtMs) / capacityHalfLifeMs)
+    return slots - (slots - limit) * this.decay(sampledAtMs, capacityHalfLifeMs)
   }
 
-  private decayedInProgress ({ inProgress, inProgressAtMs }: ServerState): number {
-    return inProgress * Math.exp((inProgressAtMs - this.options.clock.nowMs()) / inProgressTimeConstantMs)
+  private decay (sampledAtMs: number, halfLifeMs: number): number {
+    return 0.5 ** (Math.max(0, this.options.clock.nowMs() - sampledAtMs - sampledForMs) / halfLifeMs)
+  }
+
+  private outcomeWeight ({ outcomesAtMs }: ServerState): number {
+    return 0.5 ** ((this.options.clock.nowMs() - outcomesAtMs) / outcomeHalfLifeMs)
+  }
+
+  private failureShareOf (state: ServerState): number {
+    const weight = this.outcomeWeight(state)
+    return state.failed * weight / ((state.answered + state.failed) * weight + assumedSuccesses)
   }
 
   private reportChange (change: CapacityChange): void {
@@ -241,14 +324,18 @@
         slots,
         limit: slots,
         windowStartedAtMs: nowMs,
+        window: new Map(),
         completed: 0,
         overruns: 0,
         inProgressAtOverruns: 0,
         maxInProgress: 0,
         failedLimit: Infinity,
         failedAtMs: -Infinity,
-        inProgress: 0,
-        inProgressAtMs: nowMs
+        plainService: undefined,
+        ratePerSecond: 0,
+        answered: 0,
+        failed: 0,
+        outcomesAtMs: nowMs
       }
       this.servers.set(server, state)
     }
@@ -262,6 +349,16 @@
   }
 }
 
+/**
+ * Part of a plain server's delay that is due to requests waiting for its slots, as a logarithm. By Little's law the sum of the delays
+ * shows how many requests were in progress on average. Without the correction, nodes would leave a full server for the others together, a
+ * second later, and so on.
+ */
+function logQueueing ({ slots, windowStartedAtMs }: ServerState, samples: number, sumLog: number, nowMs: number): number {
+  const inProgress = samples * Math.exp(sumLog / samples) * plainDelayMs / Math.max(1, nowMs - windowStartedAtMs)
+  return Math.log(Math.max(1, inProgress / slots))
+}
+
 function clamp (value: number, most: number): number {
   return Math.max(-most, Math.min(most, value))
 }
@@ -271,9 +368,5 @@
 }
 
 function rounded (value: number): number {
-  return Math.round(value * 100) / 100
-}
-
-function rowOf (server: string, { factor, limit }: ServerCapacityRow): [string, number, number] {
-  return [server, rounded(factor), rounded(limit)]
+  return Number(value.toPrecision(3))
 }
--- a/src/serving/attemptSample.ts
+++ b/src/serving/attemptSample.ts
@@ -54,10 +54,7 @@
     const { learned, server, request, priorMs, isContinuation, clock } = this.options
     const { route, service, metadata } = request
     if (this.wasPaused) return
-    if (!service.engine) {
-      const { limit } = learned.table.of(server.entry.id, server.entry.slots)
-      return learned.samples.onPlain({ server: server.entry.id, delayMs: clock.nowMs() - this.sentAtMs, objectiveMs: route.objectiveMs, inProgress: this.inProgress, limit })
-    }
+    if (!service.engine) return learned.samples.onPlain({ server: server.entry.id, delayMs: clock.nowMs() - this.sentAtMs })
     if (this.firstEventMs === undefined || metadata.model === undefined) return
     learned.samples.onStream({
       server: server.entry.id,
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -171,7 +171,7 @@
     this.writeSize(storedSize)
     this.watchQuarantine()
     const { capacityTerm } = this.options
-    const running = [...this.placement.runningRows(), ...(capacityTerm?.capacity.inProgressRows() ?? [])]
+    const running = this.placement.runningRows()
     this.broadcastUpdate(running, capacityTerm?.changedRows())
     this.broadcastNodes()
     return running
--- a/src/serving/learnedCapacity.ts
+++ b/src/serving/learnedCapacity.ts
@@ -89,8 +89,9 @@
     this.capacity.adopt(table.rows)
   }
 
-  onReport ({ node, samples, capacity, tokens }: NodeReport): void {
+  onReport ({ node, outcomes, samples, capacity, tokens }: NodeReport): void {
     if (capacity) this.capacity.adopt(capacity)
+    for (const [server, answered, failed] of outcomes) this.capacity.onOutcomes(server, answered, failed)
     if (samples) this.capacity.onSamples(samples)
     if (tokens) this.tokens.onReport({ node, ...tokens })
   }
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -132,6 +132,7 @@
       pendingTokens: server.pendingTokens,
       failureShare: server.failureShare,
       excessDelayMs: server.smoothedDelayMs - baselineMs,
+      ownDelayMs: server.smoothedDelayMs,
       ...(learned ? { learned: learned.table.of(server.entry.id, server.entry.slots) } : {}),
       server
     }))
