Count overruns for 1.5 s before a limit changes; release returned assignments

Cause: an engine of 12 slots completes about three requests in 500 ms, too few to tell an overrun from an accident. The leader's queue returns assignments, whose tokens should be free at once. Change: limits have a window of their own; TokenLedger.release.

--- a/src/policy/serverCapacity.ts
+++ b/src/policy/serverCapacity.ts
@@ -34,6 +34,8 @@
 const maxPlainUtilization = 0.9
 const maxSpread = 10
 const minLimit = 2
+/** Time over which overruns are counted before a limit changes: an engine completes a few requests per second. */
+const limitWindowMs = 1500
 /** Estimates decay from this time after the last samples on; a decay between samples would raise every limit until requests overrun. */
 const sampledForMs = 2000
 /** The limit is lowered if more than this share of the requests overran what their routes allow. */
@@ -64,6 +66,8 @@
   windowStartedAtMs: number
   /** Samples of the window, by the key of their model or service. */
   window: Map<string, { samples: number, sumLog: number, isPlain: boolean }>
+  limitCheckedAtMs: number
+  completedInWindow: number
   completed: number
   overruns: number
   inProgressAtOverruns: number
@@ -242,6 +246,7 @@
     if (model === '') state.plainService = service
     const limit = this.limitOf(state)
     state.completed += completed
+    state.completedInWindow += completed
     state.maxInProgress = Math.max(state.maxInProgress, maxInProgress)
     if (overruns > 0 && inProgressAtOverruns / overruns >= limit * minLoadShare) {
       state.overruns += overruns
@@ -265,10 +270,12 @@
       state.logFactor = clamp(state.logFactor + step * serverShare, maxLogFactor)
       pace.logFactor = clamp(pace.logFactor + step * (1 - serverShare), isPlain ? maxLogPlainPace : maxLogFactor)
     }
-    if (state.plainService !== undefined) state.ratePerSecond += (state.completed / (nowMs - state.windowStartedAtMs) * 1000 - state.ratePerSecond) * rateWeight
-    this.adjustLimit(state)
-    Object.assign(state, { windowStartedAtMs: nowMs, completed: 0, overruns: 0, inProgressAtOverruns: 0, maxInProgress: 0 })
+    if (state.plainService !== undefined) state.ratePerSecond += (state.completedInWindow / (nowMs - state.windowStartedAtMs) * 1000 - state.ratePerSecond) * rateWeight
+    Object.assign(state, { windowStartedAtMs: nowMs, completedInWindow: 0 })
     state.window.clear()
+    if (nowMs - state.limitCheckedAtMs < limitWindowMs) return
+    this.adjustLimit(state)
+    Object.assign(state, { limitCheckedAtMs: nowMs, completed: 0, overruns: 0, inProgressAtOverruns: 0, maxInProgress: 0 })
   }
 
   private adjustLimit (state: ServerState): void {
@@ -325,6 +332,8 @@
         limit: slots,
         windowStartedAtMs: nowMs,
         window: new Map(),
+        limitCheckedAtMs: nowMs,
+        completedInWindow: 0,
         completed: 0,
         overruns: 0,
         inProgressAtOverruns: 0,
--- a/src/policy/tokenLedger.ts
+++ b/src/policy/tokenLedger.ts
@@ -44,6 +44,11 @@
     return this.lastNumber
   }
 
+  /** The node returned the assignment before its report covered it. */
+  release (number: number): void {
+    this.removeAssignments(assignment => assignment.number === number)
+  }
+
   onReport ({ node, lastAssignment, rows }: TokenReport): void {
     this.removeReport(node)
     this.reports.set(node, { rows, atMs: this.clock.nowMs() })
