--- a/tests/serverCapacity.spec.ts
+++ b/tests/serverCapacity.spec.ts
@@ -196,6 +196,8 @@
     expect(ledger.of('e')).to.equal(5100)
     ledger.onReport({ node: 'n', lastAssignment: first, rows: [] })
     expect(ledger.of('e')).to.equal(2100)
+    ledger.release(first + 1)
+    expect(ledger.of('e')).to.equal(100)
     await clock.advance(6000)
     ledger.expire()
     expect(ledger.of('e')).to.equal(0)
