Merge learned server capacity with the shared queue

Assignments from the queue carry the expected prefill time and the number of the assignment, for the nodes and for the leader's own requests. The leader sets the node of each request before it chooses an engine. When an assignment ends, is returned or is dropped with its connection, its tokens are released. The learned limit applies to the queue's exact load.

slotQueue, queuedRequests, sharedQueue, serverCapacity, capacitySampling, dispatcher, dispatchClient, accountNodes, placementLeader, replicaPlanning, explainLogs and peerLink specs pass.

--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -52,7 +52,7 @@
 export type RefusalReason = 'hopeless' | 'expired'
 
 export type SlotAnswer =
-  | { kind: 'engine', id: string, trial?: string }
+  | Extract<DispatchDecision, { kind: 'engine' }>
   | { kind: 'refused', retryAfterMs: number }
   /** This queue does not exist any more. */
   | { kind: 'lost' }
@@ -92,6 +92,8 @@
   decide: (request: DispatchRequest) => DispatchDecision | undefined
   /** Takes back an assignment that was not used. */
   onReturned: (request: DispatchRequest, decision: Extract<DispatchDecision, { kind: 'engine' }>) => void
+  /** Called once for each assignment that is over or no longer counts, whether or not it was used. */
+  onReleased?: ((decision: Extract<DispatchDecision, { kind: 'engine' }>) => void) | undefined
   onAssigned?: ((queuedMs: number) => void) | undefined
   onRefused?: ((reason: RefusalReason, request: SlotRequest) => void) | undefined
 }
@@ -182,6 +184,7 @@
     const count = this.assignedTo(decision.id) - 1
     if (count > 0) this.assignedCounts.set(decision.id, count)
     else this.assignedCounts.delete(decision.id)
+    this.options.onReleased?.(decision)
   }
 
   /** Removes the requests of a node whose connection has closed. The node's next reports show which of them are running. */
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -38,6 +38,8 @@
   private pausedUntilMs = 0
   /** Dispatch requests without a reply in time. */
   timeouts = 0
+  /** Number of the last assignment received from the current leader; 0 if none. */
+  lastAssignment = 0
 
   constructor ({ clock, timeoutsBeforePause = 1, send }: DispatchClientOptions) {
     this.clock = clock
@@ -86,6 +88,7 @@
   }
 
   onReply (number: number, decision: DispatchDecision | undefined): void {
+    this.onDecision(decision)
     const resolve = this.pending.get(number)
     this.pending.delete(number)
     if (decision) this.timeoutsInARow = 0
@@ -95,8 +98,9 @@
   /** Returns whether the reply belongs to a request for a slot. An engine for a request that does not exist any more is returned. */
   onSlotReply (number: number, reply: SlotAnswer | { kind: 'queued' }): boolean {
     const open = this.slots.get(number)
+    if (!open && this.pending.has(number)) return false
+    this.onDecision(reply)
     if (!open) {
-      if (this.pending.has(number)) return false
       if (reply.kind === 'engine') this.send({ cancel: number })
       return true
     }
@@ -110,6 +114,11 @@
     return true
   }
 
+  /** Notes the number of the assignment: the next report to the leader covers it. */
+  onDecision (decision: DispatchDecision | SlotAnswer | { kind: 'queued' } | undefined): void {
+    if (decision?.kind === 'engine') this.lastAssignment = Math.max(this.lastAssignment, decision.assignment ?? 0)
+  }
+
   private async onTimeout (number: number): Promise<void> {
     // The reply may have arrived while the event loop was blocked.
     await ioTurn()
@@ -136,6 +145,7 @@
 
   /** Completes all pending requests without a decision, since the connection to the leader was lost. */
   onLost (): void {
+    this.lastAssignment = 0
     for (const number of [...this.pending.keys()]) this.onReply(number, undefined)
     for (const [number, { slot, onFirstReply }] of [...this.slots]) {
       this.slots.delete(number)
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -10,11 +10,12 @@
 import type { QueuePlace, RefusalReason, SlotAnswer, SlotRequest } from '../policy/slotQueue.js'
 import { PrefillDemand } from '../policy/prefillDemand.js'
 import { RunTime } from '../policy/runTime.js'
+import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
-import { decodeDispatchRequest, encodeSlotAnswer, packChanges } from './peerMessages.js'
-import type { ChangeRange, Confirmation, DispatchRequestMessage, LeaderReport, NodeReport, SlotCancel } from './peerMessages.js'
+import { encodeSlotAnswer, packChanges } from './peerMessages.js'
+import type { ChangeRange, Confirmation, LeaderReport, NodeReport, SlotCancel } from './peerMessages.js'
 import type { Send } from './peerLink.js'
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
@@ -45,6 +46,8 @@
   quarantine: PartQuarantine
   /** The quarantine in the store. */
   stored: StoredQuarantine
+  /** Present where capacity is learned. */
+  capacityTerm?: CapacityTerm | undefined
   /** Report of this node itself. */
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
@@ -85,8 +88,8 @@
 
   constructor (options: LeaderTermOptions) {
     this.options = options
-    const { clock, storeView, ownReport } = options
-    this.dispatcher = new Dispatcher(clock)
+    const { clock, storeView, ownReport, capacityTerm } = options
+    this.dispatcher = new Dispatcher(clock, capacityTerm && { capacity: capacityTerm.capacity, tokens: capacityTerm.tokens })
     this.prefillDemand = new PrefillDemand(clock)
     this.arrivals = new PrefillDemand(clock)
     // The term may begin in the middle of a batch of changes, whose earlier ones the feed lacks; they precede the leader's key.
@@ -99,6 +102,7 @@
         if (trial !== undefined) options.quarantine.endTrial(trial)
         options.onSlotReturned?.()
       },
+      onReleased: ({ assignment }) => { if (assignment !== undefined) capacityTerm?.tokens.release(assignment) },
       onAssigned: options.onSlotAssigned,
       onRefused: (reason, request) => this.onSlotRefused(reason, request)
     })
@@ -107,6 +111,7 @@
       ownReport: () => {
         const report = ownReport()
         this.recordOutcomes(report)
+        capacityTerm?.onReport(report)
         return report
       },
       expectedPrefillEngines: (service, model, horizonMs) => this.prefillDemand.estimate(`${service}/${model}`, horizonMs).expectedEngines,
@@ -124,7 +129,7 @@
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
     const parts = this.options.quarantine.allFacts()
-    return { ...this.placement.fullReport(), ...this.leavingRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return { ...this.placement.fullReport(), ...this.leavingRows(), ...this.options.capacityTerm?.fullRows(), ...(parts ? { parts } : {}), nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
   /** Confirms a node's view of the store as far as this node's own is confirmed; `undefined` if it is not. */
@@ -135,6 +140,7 @@
 
   onReport (report: NodeReport): void {
     this.recordOutcomes(report)
+    this.options.capacityTerm?.onReport(report)
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
     if (report.parts) this.options.quarantine.merge(report.parts, { isNews: true })
     this.placement.onReport(report)
@@ -172,10 +178,9 @@
   }
 
   /** A node asks for a slot. `reply` identifies its connection. */
-  onSlotRequest (message: DispatchRequestMessage, place: QueuePlace, reply: Send): void {
-    const { ask } = message
+  onSlotRequest (ask: number, dispatch: DispatchRequest, place: QueuePlace, reply: Send): void {
     const onAnswer = (answer: SlotAnswer) => reply({ ask, ...encodeSlotAnswer(answer) })
-    if (this.queueForSlot({ id: this.slotId(reply, ask), dispatch: decodeDispatchRequest(message), place, onAnswer })) reply({ ask, queued: true })
+    if (this.queueForSlot({ id: this.slotId(reply, ask), dispatch, place, onAnswer })) reply({ ask, queued: true })
   }
 
   onSlotCancel ({ cancel, hasRun }: SlotCancel, reply: Send): void {
@@ -207,6 +212,7 @@
   }
 
   private candidatesOf (request: DispatchRequest): DispatchCandidate[] {
+    const cacheTokens = this.cacheTokensOf(request.service)
     const servers = this.options.fleet.ofService(request.service).filter(server => server.isPresent && server.serves(request.model, request.adapter))
     return servers.map(server => ({
       id: server.entry.id,
@@ -215,7 +221,8 @@
       slots: server.entry.slots,
       ...(this.options.sharesServers
         ? { running: this.slots.assignedTo(server.entry.id) + this.unassigned(server.entry.id), isExact: true }
-        : { running: server.running + server.runningElsewhere })
+        : { running: server.running + server.runningElsewhere }),
+      ...(cacheTokens === undefined ? {} : { cacheTokens })
     }))
   }
 
@@ -227,6 +234,11 @@
     this.prefillDemand.add(key, this.dispatcher.minimumPrefillMs(request, candidates))
   }
 
+  private cacheTokensOf (service: string): number | undefined {
+    if (!this.options.capacityTerm) return undefined
+    return this.options.deployment()?.services.find(({ name }) => name === service)?.engine?.cacheTokens
+  }
+
   /** Requests with prompt parts under suspicion are sent one at a time; those with quarantined ones wait until their node refuses them. */
   private decideOnParts (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
     const { quarantine } = this.options
@@ -272,9 +284,10 @@
     size.count(linkCount + 1)
     this.writeSize(storedSize)
     this.watchQuarantine()
+    const { capacityTerm } = this.options
     const running = this.placement.runningRows()
     this.recordRunning(running)
-    this.broadcastUpdate(running)
+    this.broadcastUpdate(running, capacityTerm?.changedRows())
     this.broadcastNodes()
     return running
   }
@@ -339,9 +352,9 @@
     return this.arrivals.estimate(`${service}/${model}`, horizonMs).expectedEngines * this.runTimeOf(service).meanMs
   }
 
-  private broadcastUpdate (running: LeaderReport['running']): void {
+  private broadcastUpdate (running: LeaderReport['running'], capacity?: Pick<LeaderReport, 'capacity'>): void {
     if (this.isStopped) return
-    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), ...capacity, news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
   }
 
   private leavingRows (): Pick<LeaderReport, 'leaving'> {
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -4,6 +4,7 @@
 import { batchShare, chooseBackend } from '../policy/engineChoice.js'
 import type { DispatchRequest, PromptPart } from '../policy/dispatcher.js'
 import type { QueuePlace } from '../policy/slotQueue.js'
+import { fitsTokens } from '../policy/tokenLedger.js'
 import { lateAtMs, waitUntilMs } from '../policy/waitForEngine.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartCheck, SuspectCheck } from '../policy/partQuarantine.js'
@@ -69,11 +70,13 @@
   slot?: QueuedSlot
   /** The leader refuses the request: time after which the client may return. */
   refusedMs?: number
+  /** Prefill time that the leader expected with a delay factor of 1. */
+  priorMs?: number | undefined
   /** What keeps a request with these prompt parts from being sent now. */
   heldBy?: Exclude<PartCheck, { kind: 'clear' }>
 }
 
-export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch' | 'requestSlot'>
+export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch' | 'requestSlot' | 'learned' | 'random'>
 
 export class ServerSelection {
   private readonly options: ServerSelectionOptions
@@ -112,7 +115,7 @@
     // The leader measures the demand for a model by these requests, also while no engine holds it.
     const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
     const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
-    const trial = decision?.kind === 'engine' ? decision.trial : undefined
+    const { trial, priorMs } = decision?.kind === 'engine' ? decision : {}
     // Meanwhile a verdict may have been made.
     const check = quarantine.check(this.evidenceParts(request))
     const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
@@ -124,7 +127,7 @@
     // Meanwhile the server may have been removed, or its last free connection may be in use.
     const chosen = decision && this.candidates(request, progress).find(({ entry }) => entry.id === decision.id)
     if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
-    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial }
+    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial, priorMs }
     const server = this.chooseLocally(request, progress)
     if (!server && trial !== undefined) quarantine.endTrial(trial)
     return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
@@ -167,7 +170,7 @@
       giveBack()
       return { server: undefined, chosenBy: 'queue', waitMs: trialPollMs, ...heldBy }
     }
-    return { server, chosenBy: slot.wasQueued ? 'queue' : 'leader', waitMs: waitPollMs, trial, slot }
+    return { server, chosenBy: slot.wasQueued ? 'queue' : 'leader', waitMs: waitPollMs, trial, priorMs: answer.priorMs, slot }
   }
 
   /** The request's place in the leader's queue, or an assignment; `undefined` if there is no leader or no reply in time. */
@@ -221,7 +224,7 @@
     request: ProxiedRequest, progress: Progress, { isFirst, isLate, isQueued = false }: { isFirst: boolean, isLate: boolean, isQueued?: boolean }
   ): DispatchRequest | undefined {
     const { metadata, route, rank, service } = request
-    const { model, adapter, promptTokens, sharedParts } = metadata
+    const { model, adapter, promptTokens, outputTokens, sharedParts } = metadata
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
@@ -231,12 +234,12 @@
     const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
     // After its last attempt on another server, the request may only return to one that rejected it.
     const only = isQueued && progress.sends >= maxServers(request, progress) ? [...candidates] : undefined
-    return { service: service.name, model, adapter, promptTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, only, isFirst, isLate }
+    return { service: service.name, model, adapter, promptTokens, outputTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, only, isFirst, isLate }
   }
 
   chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
-    const { settings } = this.options
-    const candidates = this.candidates(request, progress)
+    const { settings, learned, random } = this.options
+    const candidates = this.candidates(request, progress).filter(server => this.isWithinLimits(request, server))
     if (candidates.length === 0) return undefined
     const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
     const scored = candidates.map(server => ({
@@ -248,13 +251,16 @@
       pendingTokens: server.pendingTokens,
       failureShare: server.failureShare,
       excessDelayMs: server.smoothedDelayMs - baselineMs,
+      ownDelayMs: server.smoothedDelayMs,
+      ...(learned ? { learned: learned.table.of(server.entry.id, server.entry.slots) } : {}),
       server
     }))
     return chooseBackend(scored, {
       region: settings.region,
       availabilityZone: settings.availabilityZone,
       affinityKey: request.metadata.sharedParts.at(-1)?.id,
-      isEngine: request.service.engine !== undefined
+      isEngine: request.service.engine !== undefined,
+      ...(learned && random ? { learned: { pace: learned.table.paceOf(request.service.name, request.metadata.model ?? ''), promptTokens: request.metadata.promptTokens, random } } : {})
     })?.server
   }
 
@@ -269,6 +275,14 @@
     return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server))
   }
 
+  /** Whether an engine takes the request well, as far as this node knows. The leader's own choices rest on newer values. */
+  private isWithinLimits ({ service: { engine }, metadata }: ProxiedRequest, server: BackendServer): boolean {
+    const { learned } = this.options
+    if (!engine || !learned) return true
+    const { limit } = learned.table.of(server.entry.id, server.entry.slots)
+    return server.running + server.runningElsewhere < Math.floor(limit) && fitsTokens(metadata, server.heldTokens, engine.cacheTokens)
+  }
+
   /** Whether there is an idle connection, or one may be opened within this node's share of the server's connections. */
   private hasConnection (request: ProxiedRequest, server: BackendServer): boolean {
     const share = Math.max(minimumConnections, Math.floor(request.service.maxConnections * connectionShare / Math.max(1, this.options.nodeCount())))
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -22,6 +22,7 @@
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
 import { LeaderTerm } from './leaderTerm.js'
+import { LearnedCapacity } from './learnedCapacity.js'
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
@@ -93,6 +94,8 @@
   private readonly peers: PeerServer
   private readonly link: LeaderLink
   private readonly size: FleetSize
+  /** Present where servers are shared. */
+  private readonly learned: LearnedCapacity | undefined
   private readonly dispatch: DispatchClient
   private readonly loopDelay: LoopDelay
   private readonly quarantine: PartQuarantine
@@ -125,6 +128,7 @@
       onConnectionOpened: () => options.metrics?.onConnectionOpened(),
       questionOf: ({ address, service }) => livenessQuestion(codecs, address, this.deployment?.services.find(({ name }) => name === service))
     })
+    this.learned = settings.sharesServers ? new LearnedCapacity(clock, this.fleet) : undefined
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, timeoutsBeforePause: settings.sharesServers ? sharedTimeoutsBeforePause : 1, send: message => this.link.send(message) })
@@ -159,6 +163,8 @@
         retryBudget: settings.retryBudget
       },
       nodeCount: () => this.size.value,
+      learned: this.learned,
+      random,
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
       ...(settings.sharesServers ? { requestSlot: (ask: DispatchRequest, place: QueuePlace, timeoutMs: number) => this.requestSlot(ask, place, timeoutMs) } : {}),
@@ -181,11 +187,13 @@
       onOwnLeadership: (fence, context) => this.onOwnLeadership(fence, context),
       onLeader: leader => this.onLeader(leader)
     })
+    const nodeOfLink = new WeakMap<object, string>()
     this.peers = new PeerServer({
       clock,
       onMessage: (message, reply) => {
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if (!('ask' in message)) {
+          nodeOfLink.set(reply, message.node)
           const confirmation = message.stamp && this.leaderTerm?.confirm(message.stamp)
           if (confirmation) reply(confirmation)
           if (this.leaderTerm) this.leaderTerm.onReport(message)
@@ -193,8 +201,9 @@
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
-        if (message.place) return this.leaderTerm?.onSlotRequest(message, decodePlace(message.place), reply)
-        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
+        const ask = { ...decodeDispatchRequest(message), node: nodeOfLink.get(reply) ?? '' }
+        if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place), reply)
+        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(ask)) })
       },
       onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
       onLeft: send => this.leaderTerm?.onNodeLeft(send)
@@ -255,6 +264,7 @@
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
     metrics.gauge('teaselrill_slots_queued', 'Requests of all nodes that wait for an engine in the queue of this node as placement leader', () => this.leaderTerm?.slots.size ?? 0)
+    this.learned?.addGauges(metrics)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
     metrics.gauge('teaselrill_placement_leader', '1 if this node sends the commands to engines', () => this.leaderTerm ? 1 : 0)
   }
@@ -440,6 +450,7 @@
       clock,
       log,
       store,
+      capacityTerm: this.learned?.startTerm(log),
       storeView: this.storeView,
       size: this.size,
       sizeKey: this.sizeKey,
@@ -473,7 +484,11 @@
 
   /** The leader's dispatch decision for a request; `undefined` if there is none in time. */
   private async dispatchForAll (ask: DispatchRequest): Promise<DispatchDecision | undefined> {
-    if (this.leaderTerm) return this.leaderTerm.dispatch(ask)
+    if (this.leaderTerm) {
+      const decision = this.leaderTerm.dispatch({ ...ask, node: this.options.settings.node })
+      this.dispatch.onDecision(decision)
+      return decision
+    }
     // The leader's decision must rest on what this node has just seen.
     this.sendParts()
     return await this.dispatch.requestDispatch(ask)
@@ -491,7 +506,15 @@
     const id = `own/${this.ownSlots++}`
     const slot = new QueuedSlot({ clock: this.options.clock, excluded: dispatch.excluded, onCancel: hasRun => hasRun ? leaderTerm.slots.end(id) : leaderTerm.slots.cancel(id) })
     this.slots.add(slot)
-    slot.wasQueued = leaderTerm.queueForSlot({ id, dispatch, place, onAnswer: answer => slot.deliver(answer) })
+    slot.wasQueued = leaderTerm.queueForSlot({
+      id,
+      dispatch: { ...dispatch, node: this.options.settings.node },
+      place,
+      onAnswer: answer => {
+        this.dispatch.onDecision(answer)
+        slot.deliver(answer)
+      }
+    })
     return slot
   }
 
@@ -517,7 +540,8 @@
     this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, capacity }: LeaderReport): void {
+    this.learned?.onLeaderReport({ capacity })
     if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
     if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
@@ -568,6 +592,7 @@
       missing: this.demand.takeMissingModels(),
       misknown,
       outcomes,
+      ...this.learned?.reportFields(this.dispatch.lastAssignment),
       ...(leaving.length > 0 ? { leaving } : {})
     }
   }
