Dispatcher: drop old assignment times where loads are exact

The list of recent assignments of an engine was only shortened when it was read, which exact loads skip, so it grew with every assignment of a leader's term. It is now shortened at each assignment. dispatcher spec passes.

--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -244,6 +244,8 @@
     state.prefillDoneAtMs = Math.max(state.prefillDoneAtMs, nowMs) + prefillMs
     state.batchPrefillMs += prefillMs
     this.assignedPrefillMs.set(request, prefillMs)
+    // Where loads are exact, nothing else drops the old ones.
+    this.recentlyAssigned(state)
     state.assignedAtMs.push(nowMs)
     for (const part of request.sharedParts) {
       const key = prefixKey(request, part)
