--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -420,7 +420,9 @@
   private countModel (item: Item, change: number): void {
     let counts = this.modelCounts.get(item.model)
     if (!counts) this.modelCounts.set(item.model, counts = new Map())
-    counts.set(item.rank, (counts.get(item.rank) ?? 0) + change)
+    const count = (counts.get(item.rank) ?? 0) + change
+    if (count !== 0) counts.set(item.rank, count)
+    else if (counts.delete(item.rank) && counts.size === 0) this.modelCounts.delete(item.model)
   }
 }
 
