Token ledger: release an assignment without a search

With the shared queue every assignment is released at its end, which read all open assignments each time. They are now kept by number. serverCapacity spec passes.

--- a/src/policy/tokenLedger.ts
+++ b/src/policy/tokenLedger.ts
@@ -14,7 +14,6 @@
 export const usableCacheShare = 0.9
 
 interface Assignment {
-  number: number
   node: string
   engine: string
   tokens: number
@@ -30,7 +29,8 @@
 }
 
 export class TokenLedger {
-  private assignments: Assignment[] = []
+  /** By number, in ascending order. */
+  private readonly assignments = new Map<number, Assignment>()
   private readonly reports = new Map<string, { rows: TokenReport['rows'], atMs: number }>()
   private readonly held = new Map<string, number>()
   private lastNumber = 0
@@ -40,20 +40,23 @@
   /** Records that `node` was told to send a request to `engine`. Returns the number of the assignment. */
   assign (node: string, engine: string, tokens: number): number {
     this.add(engine, tokens)
-    this.assignments.push({ number: ++this.lastNumber, node, engine, tokens, atMs: this.clock.nowMs() })
+    this.assignments.set(++this.lastNumber, { node, engine, tokens, atMs: this.clock.nowMs() })
     return this.lastNumber
   }
 
-  /** The node returned the assignment before its report covered it. */
+  /** The assignment has ended or was returned. Without effect if a report of its node has covered it. */
   release (number: number): void {
-    this.removeAssignments(assignment => assignment.number === number)
+    const assignment = this.assignments.get(number)
+    if (!assignment) return
+    this.assignments.delete(number)
+    this.add(assignment.engine, -assignment.tokens)
   }
 
   onReport ({ node, lastAssignment, rows }: TokenReport): void {
     this.removeReport(node)
     this.reports.set(node, { rows, atMs: this.clock.nowMs() })
     for (const [engine, tokens] of rows) this.add(engine, tokens)
-    this.removeAssignments(assignment => assignment.node === node && assignment.number <= lastAssignment)
+    this.removeAssignments((assignment, number) => assignment.node === node && number <= lastAssignment)
   }
 
   /** Drops what is too old to count. */
@@ -73,13 +76,8 @@
     this.reports.delete(node)
   }
 
-  private removeAssignments (isDone: (assignment: Assignment) => boolean): void {
-    const left: Assignment[] = []
-    for (const assignment of this.assignments) {
-      if (isDone(assignment)) this.add(assignment.engine, -assignment.tokens)
-      else left.push(assignment)
-    }
-    this.assignments = left
+  private removeAssignments (isDone: (assignment: Assignment, number: number) => boolean): void {
+    for (const [number, assignment] of this.assignments) if (isDone(assignment, number)) this.release(number)
   }
 
   private add (engine: string, tokens: number): void {
