Server capacity: send valid rows before a rate is known

With a total rate of 0 the spread factors of plain servers became NaN, and a node that connected in the first window rejected the leader's report. The new test failed before the change and passes with it; serverCapacity spec passes.

--- a/src/policy/serverCapacity.ts
+++ b/src/policy/serverCapacity.ts
@@ -184,6 +184,8 @@
       return { server, weight, capacity: limit / (factor * pace) * 1000 * maxPlainUtilization * (1 - failureShare), rate: state.ratePerSecond }
     })
     let demand = free.reduce((sum, { rate }) => sum + rate, 0)
+    // Before the end of the first window no rate is known.
+    if (demand === 0) return new Map()
     const capacity = free.reduce((sum, { capacity }) => sum + capacity, 0)
     // Beyond what all servers can do, all are loaded alike.
     const scale = Math.max(1, demand / Math.max(1, capacity))
--- a/tests/serverCapacity.spec.ts
+++ b/tests/serverCapacity.spec.ts
@@ -165,6 +165,13 @@
 })
 
 describe('exchange of learned capacity', () => {
+  it('sends valid rows of plain servers before any rate is known', () => {
+    // Failure: a node that connects then gets rows that are not numbers, and closes the connection.
+    const capacity = createCapacity(new VirtualClock(0))
+    capacity.onSamples([['p', '', 1, 1, 0, 0, 0, 0]])
+    expect(capacity.rows.servers).to.deep.equal([['p', 1, slots, 0]])
+  })
+
   it('restores rows from the nodes when the leader has none, and sends only changes', async () => {
     // Failure: a leader that has just started replaces what all nodes know by the prior; or all rows are sent all the time.
     const clock = new VirtualClock(0)
