Queue: let smaller requests pass one that lacks token memory

The queue blocked a model as soon as one of its requests was refused. With token accounting a large request held up all smaller ones of its model. Requests now compete by token class, and a refusal for tokens alone blocks its class and larger ones. A request that has lacked only tokens for 300 ms reserves an engine, so that smaller ones cannot take its tokens for ever.

--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -125,11 +125,12 @@
 
 /**
  * An engine for the request, or the delay after which to send the dispatch request again. With `trial`, the request may be sent
- * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission.
+ * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission. `lacksTokensAt`: the engine with the least
+ * tokens among those where the request lacks only token memory, and where it would fit if they were empty.
  */
 export type DispatchDecision =
   | { kind: 'engine', id: string, trial?: string } & AssignmentDetails
-  | { kind: 'wait', forMs: number, isForTrial?: true }
+  | { kind: 'wait', forMs: number, isForTrial?: true, lacksTokensAt?: string }
 
 export interface AssignmentDetails {
   /** Expected time until the prompt is prefilled, if the delay factors were 1; absent if no factors are learned. */
@@ -160,16 +161,27 @@
     let best: { state: EngineState, id: string, prefillMs: number, priorMs: number } | undefined
     let bestMs = Infinity
     let waitMs = Infinity
+    let lacksTokensAt: string | undefined
+    let leastTokens = Infinity
     const nowMs = this.clock.nowMs()
     const limitMs = batchLimitMs(request)
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + (candidate.isExact ? 0 : this.recentlyAssigned(state))
       const { factor, limit } = this.capacityOf(request, candidate)
-      if (running >= Math.min(candidate.slots * batchShare(request.rank), Math.floor(limit)) || !this.hasTokens(request, candidate)) {
+      if (running >= Math.min(candidate.slots * batchShare(request.rank), Math.floor(limit))) {
         waitMs = Math.min(waitMs, fullEngineWaitMs)
         continue
       }
+      const heldTokens = this.options.tokens?.of(candidate.id) ?? 0
+      if (!this.fits(request, candidate, heldTokens)) {
+        waitMs = Math.min(waitMs, fullEngineWaitMs)
+        if (heldTokens < leastTokens && this.fits(request, candidate, 0)) {
+          leastTokens = heldTokens
+          lacksTokensAt = candidate.id
+        }
+        continue
+      }
       if (nowMs >= state.prefillDoneAtMs + decodeGapMs) state.batchPrefillMs = 0
       const prefillMs = this.prefillMs(request, state) * factor
       if (state.batchPrefillMs > limitMs * oversizeBatchShare && state.batchPrefillMs + prefillMs > limitMs) {
@@ -182,7 +194,7 @@
       bestMs = costMs
       best = { state, id: candidate.id, prefillMs, priorMs: (backlogMs + prefillMs) / factor }
     }
-    if (!best) return { kind: 'wait', forMs: Math.max(minimumWaitMs, waitMs) }
+    if (!best) return { kind: 'wait', forMs: Math.max(minimumWaitMs, waitMs), ...(lacksTokensAt === undefined ? {} : { lacksTokensAt }) }
     this.assign(request, best.state, best.prefillMs)
     const { capacity, tokens } = this.options
     const { node = '', promptTokens, outputTokens = 0 } = request
@@ -202,9 +214,8 @@
     return { factor: factor * capacity.paceOf(service, model), limit }
   }
 
-  private hasTokens ({ promptTokens, outputTokens = 0 }: DispatchRequest, { id, cacheTokens }: DispatchCandidate): boolean {
-    const { tokens } = this.options
-    return !tokens || cacheTokens === undefined || fitsTokens({ promptTokens, outputTokens }, tokens.of(id), cacheTokens)
+  private fits ({ promptTokens, outputTokens = 0 }: DispatchRequest, { cacheTokens }: DispatchCandidate, heldTokens: number): boolean {
+    return !this.options.tokens || cacheTokens === undefined || fitsTokens({ promptTokens, outputTokens }, heldTokens, cacheTokens)
   }
 
   /** Takes back an assignment that was not used, so that its slot is free at once. */
--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -7,12 +7,20 @@
 
 /** Interval of the search for free slots while requests wait. */
 const passIntervalMs = 20
-/** Shortest time between two passes that reports cause; all nodes report several times a second. */
+/** Shortest time between two passes that ended or returned assignments cause; under load hundreds end each second. */
 const minimumPassGapMs = 10
 /** Duration after which a pass stops. The next one goes on with the models that it did not reach. */
 const maxPassMs = 5
 /** Requests under suspicion that one pass tries. */
 const maxHeldPerPass = 8
+/** Requests of up to this many tokens are in the first token class; each further class is for twice as many. */
+const firstClassTokens = 1024
+const lastTokenClass = 6
+const tokenClasses = Array.from({ length: lastTokenClass + 1 }, (_, index) => index)
+/** Time for which a request may lack only token memory until an engine is reserved for it; smaller ones would take its tokens for ever. */
+const maxTokenWaitMs = 300
+/** Duration of a reservation. Afterwards an engine is chosen anew, since the reserved one may be gone or hold long requests. */
+const maxReservationMs = 2000
 /** Time within which a node may return an assignment unused. */
 const returnableMs = 2000
 /** An assignment whose end was never announced is forgotten after this time, longer than any request. */
@@ -70,6 +78,11 @@
   request: SlotRequest
   /** `SERVICE/MODEL`, over which the rate is measured. */
   rateKey: string
+  /** What decides which engines may take it, apart from its tokens. `model` is this with the token class. */
+  engineKey: string
+  tokenClass: number
+  /** Since when it has lacked only token memory. */
+  lacksTokensSinceMs?: number
   decision?: Extract<DispatchDecision, { kind: 'engine' }>
 }
 
@@ -88,8 +101,8 @@
 
 export interface SlotQueueOptions {
   clock: Clock
-  /** Assigns the request to an engine, or says why it must wait. */
-  decide: (request: DispatchRequest) => DispatchDecision | undefined
+  /** Assigns the request to an engine other than the reserved one, or says why it must wait. */
+  decide: (request: DispatchRequest, reservedEngine: string | undefined) => DispatchDecision | undefined
   /** Takes back an assignment that was not used. */
   onReturned: (request: DispatchRequest, decision: Extract<DispatchDecision, { kind: 'engine' }>) => void
   /** Called once for each assignment that is over or no longer counts, whether or not it was used. */
@@ -110,8 +123,10 @@
   private readonly assignments = new Map<string, Assignment>()
   /** Number of them by engine. */
   private readonly assignedCounts = new Map<string, number>()
-  /** Models, by rank, without a place in the current pass, and in the one before if that was cut short. */
-  private readonly blocked = new Set<string>()
+  /** The smallest token class, by rank and model, without a place in the current pass, and in the one before if that was cut short. */
+  private readonly blocked = new Map<string, number>()
+  /** The engine that is kept free of other requests until this one fits. */
+  private reservation: { entry: Entry, engine: string, endsAtMs: number } | undefined
   private wasCut = false
   private lastPassAtMs = -Infinity
   private cancelTimer: CancelTimer | undefined
@@ -139,7 +154,7 @@
     this.entries.set(request.id, entry)
     this.countWaiting(entry, 1)
     // Only this model: a search for all of them at each arrival would cost more than the wait until the next pass.
-    this.assign(new Set(), this.clock.nowMs() + maxPassMs, new Set([entry.model]))
+    this.assign(new Map(), this.clock.nowMs() + maxPassMs, new Set(modelsOf(entry)))
     if (!this.entries.has(request.id)) return false
     const expectedMs = this.expectedWaitMs(entry)
     if (expectedMs !== undefined && expectedMs > request.place.leftMs * clearRefusalFactor) {
@@ -213,6 +228,7 @@
     const nowMs = this.clock.nowMs()
     this.lastPassAtMs = nowMs
     for (const entry of this.queue.removeExpired(nowMs)) this.refuse(entry, 'expired', expiredRetryAfterMs)
+    this.tryReserved()
     if (!this.wasCut) this.blocked.clear()
     this.wasCut = !this.assign(this.blocked, nowMs + maxPassMs)
     this.tryHeld(nowMs)
@@ -232,14 +248,14 @@
   }
 
   /** Returns whether it was completed before `untilMs`. */
-  private assign (blocked: Set<string>, untilMs: number, models?: ReadonlySet<string>): boolean {
+  private assign (blocked: Map<string, number>, untilMs: number, models?: ReadonlySet<string>): boolean {
     let isComplete = true
     for (;;) {
       const suspects: Entry[] = []
       const check = (entry: Entry): DispatchCheck => {
-        const key = `${entry.rank} ${entry.late} ${entry.model}`
-        // The dispatcher's answer depends on the model and the rank, so another entry would be refused too.
-        if (blocked.has(key)) return 'model-blocked'
+        const key = `${entry.rank} ${entry.late} ${entry.engineKey}`
+        // The dispatcher's answer depends on the model, the rank and the tokens, so another entry of as many tokens would be refused too.
+        if (entry.tokenClass >= (blocked.get(key) ?? Infinity)) return 'model-blocked'
         if (this.clock.nowMs() >= untilMs) {
           isComplete = false
           return 'model-blocked'
@@ -253,7 +269,8 @@
           suspects.push(entry)
           return false
         }
-        blocked.add(key)
+        // Without a slot, smaller requests have no place either.
+        blocked.set(key, decision?.lacksTokensAt === undefined ? 0 : entry.tokenClass)
         return 'model-blocked'
       }
       const entry = this.queue.next(check, models)
@@ -284,7 +301,28 @@
   private decide (entry: Entry): DispatchDecision | undefined {
     const { dispatch } = entry.request
     dispatch.isLate = entry.rank !== begunRank && this.clock.nowMs() > (entry.targetAtMs ?? Infinity)
-    return this.options.decide(dispatch)
+    const { reservation } = this
+    // Answers that have begun go first.
+    const reservedEngine = reservation && reservation.entry !== entry && entry.rank !== begunRank ? reservation.engine : undefined
+    const decision = this.options.decide(dispatch, reservedEngine)
+    if (decision?.kind === 'wait') this.onWait(entry, decision)
+    return decision
+  }
+
+  private onWait (entry: Entry, { lacksTokensAt }: Extract<DispatchDecision, { kind: 'wait' }>): void {
+    if (lacksTokensAt === undefined) return
+    const nowMs = this.clock.nowMs()
+    entry.lacksTokensSinceMs ??= nowMs
+    if (!this.reservation && nowMs - entry.lacksTokensSinceMs >= maxTokenWaitMs) this.reservation = { entry, engine: lacksTokensAt, endsAtMs: nowMs + maxReservationMs }
+  }
+
+  /** Tries the request for which an engine is reserved. */
+  private tryReserved (): void {
+    if (!this.reservation) return
+    const { entry, endsAtMs } = this.reservation
+    if (this.clock.nowMs() > endsAtMs) this.reservation = undefined
+    const decision = this.decide(entry)
+    if (decision?.kind === 'engine') this.onAssigned(entry, decision)
   }
 
   private onAssigned (entry: Entry, decision: Extract<DispatchDecision, { kind: 'engine' }>): void {
@@ -308,6 +346,7 @@
     if (!this.entries.delete(entry.requestId)) return
     this.queue.remove(entry.requestId)
     this.held.delete(entry.requestId)
+    if (this.reservation?.entry === entry) this.reservation = undefined
     this.countWaiting(entry, -1)
   }
 
@@ -316,7 +355,8 @@
    * `undefined` while the rate is not known or the guaranteed share serves the entry. Entries of more urgent ranks do not count: they
    * go behind this one when they become late.
    */
-  private expectedWaitMs ({ rank, rateKey, model, customer, deadlineMs }: Entry): number | undefined {
+  private expectedWaitMs (entry: Entry): number | undefined {
+    const { rank, rateKey, customer, deadlineMs } = entry
     const nowMs = this.clock.nowMs()
     if (rank === begunRank) return undefined
     const { waitingSinceMs, assignedAtMs } = this.rateOf(rateKey)
@@ -324,11 +364,14 @@
     while (assignedAtMs.length > 0 && assignedAtMs[0]! < nowMs - rateWindowMs) assignedAtMs.shift()
     const count = assignedAtMs.filter(atMs => atMs >= fromMs).length
     if (nowMs - fromMs < minimumRateMs || count < minimumRateCount || this.queue.credit(rank) >= 1) return undefined
-    const own = this.queue.customerModel(rank, customer, model, deadlineMs)
+    const models = modelsOf(entry)
+    const own = models.map(model => this.queue.customerModel(rank, customer, model, deadlineMs))
+    const ahead = sum(own.map(({ ahead }) => ahead))
+    const ofOthers = sum(models.map(model => this.queue.sizeOfModel(model, rank))) - sum(own.map(({ waiting }) => waiting))
     const { customers } = this.queue.customerShare(rank, customer)
     // Fair queueing serves the other accounts about as often as this one before its turn.
-    const others = Math.min(this.queue.sizeOfModel(model, rank) - own.waiting, (own.ahead + 1) * (customers - 1))
-    return (own.ahead + others) * (nowMs - fromMs) / count
+    const others = Math.min(ofOthers, (ahead + 1) * (customers - 1))
+    return (ahead + others) * (nowMs - fromMs) / count
   }
 
   private countWaiting ({ rateKey }: Entry, change: number): void {
@@ -345,22 +388,43 @@
 
   private entryOf (request: SlotRequest): Entry {
     const { id, dispatch, place } = request
-    const { service, model, adapter, rank, excluded, only } = dispatch
+    const { service, model, adapter, rank, excluded, only, promptTokens, outputTokens = 0 } = dispatch
     const nowMs = this.clock.nowMs()
     const rateKey = `${service}/${model}`
+    // Requests that may go to other engines do not block each other.
+    const engineKey = [rateKey, adapter ?? '', [...excluded].sort().join(), only?.join() ?? ''].join(' ')
+    const tokenClass = tokenClassOf(promptTokens + outputTokens)
     return {
       requestId: id,
       rank: place.hasBegun ? begunRank : Math.min(rank, leastUrgentRank),
       customer: place.account ?? '',
       customerWeight: 1,
-      // Requests that may go to other engines do not block each other.
-      model: [rateKey, adapter ?? '', [...excluded].sort().join(), only?.join() ?? ''].join(' '),
+      model: modelKey(engineKey, tokenClass),
       deadlineMs: nowMs + place.leftMs,
       enqueuedAtMs: nowMs,
       costTokens: place.costTokens,
       ...(place.hasBegun ? {} : { targetAtMs: nowMs + place.inTimeMs }),
       rateKey,
+      engineKey,
+      tokenClass,
       request
     }
   }
 }
+
+function tokenClassOf (tokens: number): number {
+  return Math.min(lastTokenClass, Math.ceil(Math.log2(Math.max(1, tokens / firstClassTokens))))
+}
+
+function modelKey (engineKey: string, tokenClass: number): string {
+  return `${engineKey} ${tokenClass}`
+}
+
+/** Keys of all token classes that compete with the entry for the same engines. */
+function modelsOf ({ engineKey }: Entry): string[] {
+  return tokenClasses.map(tokenClass => modelKey(engineKey, tokenClass))
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -96,7 +96,7 @@
     this.changeFeed = new ChangeFeed(clock, Math.max(storeView.revision ?? 0, options.fence))
     this.slots = new SlotQueue({
       clock,
-      decide: request => this.decideOnParts(request, this.candidatesOf(request)),
+      decide: (request, reservedEngine) => this.decideOnParts(request, this.candidatesOf(request).filter(({ id }) => id !== reservedEngine)),
       onReturned: (request, { id, trial }) => {
         this.dispatcher.returnAssignment(request, id)
         if (trial !== undefined) options.quarantine.endTrial(trial)
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -1,11 +1,13 @@
 import { expect } from 'chai'
 import { VirtualClock } from '../src/base/clock.js'
 import type { Clock } from '../src/base/clock.js'
+import { Dispatcher } from '../src/policy/dispatcher.js'
 import type { DispatchDecision, DispatchRequest } from '../src/policy/dispatcher.js'
 import { SlotQueue } from '../src/policy/slotQueue.js'
 import type { QueuePlace, SlotAnswer } from '../src/policy/slotQueue.js'
+import { TokenLedger } from '../src/policy/tokenLedger.js'
 
-type Changes = Partial<Pick<DispatchRequest, 'model' | 'rank' | 'excluded'> & QueuePlace>
+type Changes = Partial<Pick<DispatchRequest, 'model' | 'rank' | 'excluded' | 'outputTokens'> & QueuePlace>
 
 /** A queue in front of one engine per model, whose free slots the test sets. */
 class World {
@@ -13,7 +15,7 @@
   readonly served: string[] = []
   readonly answers = new Map<string, SlotAnswer>()
   decisions = 0
-  decide = (request: DispatchRequest): DispatchDecision | undefined => {
+  decide = (request: DispatchRequest, _reservedEngine?: string): DispatchDecision | undefined => {
     this.decisions++
     const free = this.free[request.model] ?? 0
     if (free === 0) return { kind: 'wait', forMs: 40 }
@@ -24,11 +26,11 @@
   readonly queue: SlotQueue
 
   constructor (readonly clock: Clock = new VirtualClock(1000)) {
-    this.queue = new SlotQueue({ clock, decide: request => this.decide(request), onReturned: ({ model }) => { this.free[model] = (this.free[model] ?? 0) + 1 } })
+    this.queue = new SlotQueue({ clock, decide: (request, reservedEngine) => this.decide(request, reservedEngine), onReturned: ({ model }) => { this.free[model] = (this.free[model] ?? 0) + 1 } })
   }
 
-  submit (id: string, { model = 'm', rank = 0, excluded = [], account = 'a', costTokens = 100, leftMs = 60_000, inTimeMs = 50_000, hasBegun = false }: Changes = {}): boolean {
-    const dispatch: DispatchRequest = { service: 's', model, adapter: undefined, promptTokens: 10, sharedParts: [], rank, region: 'r', availabilityZone: 'z', excluded, gapObjectiveMs: 300, isFirst: true, isLate: false }
+  submit (id: string, { model = 'm', rank = 0, excluded = [], account = 'a', costTokens = 100, leftMs = 60_000, inTimeMs = 50_000, hasBegun = false, outputTokens = 0 }: Changes = {}): boolean {
+    const dispatch: DispatchRequest = { service: 's', model, adapter: undefined, promptTokens: 10, outputTokens, sharedParts: [], rank, region: 'r', availabilityZone: 'z', excluded, gapObjectiveMs: 300, isFirst: true, isLate: false }
     return this.queue.submit({
       id,
       dispatch,
@@ -150,6 +152,37 @@
     expect(world.decisions).to.be.at.most(4)
   })
 
+  // Guards against a request that does not fit into the engines' token memory and holds up smaller ones, or never gets a place beside them.
+  it('lets smaller requests pass a large one, and reserves an engine for it after a while', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    const tokens = new TokenLedger(clock)
+    const dispatcher = new Dispatcher(clock, { tokens })
+    world.decide = (request, reservedEngine) => dispatcher.choose(request, ['a', 'b'].filter(id => id !== reservedEngine).map(id => (
+      { id, region: 'r', availabilityZone: 'z', slots: 40, running: 0, isExact: true, cacheTokens: 10_000 }
+    )))
+    const held: { endsAtMs: number, assignment: number }[] = []
+    let servedAtMs = 0
+    const smallWaits: number[] = []
+    for (let round = 0; round < 100; round++) {
+      const number = `small${round}`
+      world.submit(number, { outputTokens: 1000, leftMs: 2000 })
+      if (round === 40) world.submit('large', { outputTokens: 8000, leftMs: 1500 })
+      await clock.advance(20)
+      for (const [id, answer] of world.answers) {
+        if (answer.kind !== 'engine') continue
+        world.answers.delete(id)
+        if (id === 'large') servedAtMs = clock.nowMs()
+        else smallWaits.push(round - Number(id.slice(5)))
+        held.push({ endsAtMs: clock.nowMs() + 300, assignment: answer.assignment! })
+      }
+      for (const ended of held.filter(({ endsAtMs }) => endsAtMs <= clock.nowMs())) tokens.release(ended.assignment)
+    }
+    expect(servedAtMs).to.be.within(1800 + 300, 1800 + 1000)
+    expect(smallWaits.filter(rounds => rounds > 0).length).to.be.below(50)
+    expect(smallWaits.slice(40, 54)).to.deep.equal(Array.from({ length: 14 }, () => 0))
+  })
+
   // Guards against a leader that does not answer because it searches a long queue, and against models that it never reaches.
   it('bounds a pass and goes on where it stopped', () => {
     let nowMs = 1000
