--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -6,11 +6,14 @@
 import type { QueuePlace } from '../src/policy/slotQueue.js'
 import type { Route } from '../src/serving/deployment.js'
 import { DispatchClient } from '../src/serving/dispatchClient.js'
+import { LeaderTerm } from '../src/serving/leaderTerm.js'
+import type { LeaderTermOptions } from '../src/serving/leaderTerm.js'
 import { LeaderLink, PeerServer } from '../src/serving/peerLink.js'
-import { decodeSlotReply } from '../src/serving/peerMessages.js'
+import type { Send } from '../src/serving/peerLink.js'
+import { decodeDispatchRequest, decodePlace, decodeSlotReply, dispatchReplySchema } from '../src/serving/peerMessages.js'
 import type { LeaderMessage, NodeMessage } from '../src/serving/peerMessages.js'
 import { freePort } from './fixtures/freePort.js'
-import { RequestProxyFixture, requestIdOf, responseTo, route } from './fixtures/requestProxyFixture.js'
+import { chunk, events, RequestProxyFixture, requestIdOf, responseTo, route, streamHead } from './fixtures/requestProxyFixture.js'
 import type { Script } from './fixtures/requestProxyFixture.js'
 
 const request: DispatchRequest = { service: 's', model: 'm', adapter: undefined, promptTokens: 10, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], gapObjectiveMs: 300, isFirst: true, isLate: false }
@@ -168,3 +171,54 @@
     expect(fixture.received.length).to.be.at.most(8)
   })
 })
+
+describe('assignments from the queue with learned capacity', () => {
+  // Guards against leaders that learn nothing from queued requests, and against tokens that stay counted after an assignment was returned or has ended.
+  it('carry the expected prefill time and release their tokens', async () => {
+    const clock = new SystemClock()
+    const client: DispatchClient = new DispatchClient({
+      clock,
+      send: message => {
+        if ('cancel' in message) term.onSlotCancel(message, reply)
+        if ('ask' in message) setImmediate(() => term.onSlotRequest(message.ask, { ...decodeDispatchRequest(message), node: 'n' }, decodePlace(message.place!), reply))
+        return true
+      }
+    })
+    const reply: Send = message => { if ('ask' in message) client.onSlotReply(message.ask, decodeSlotReply(dispatchReplySchema.parse(message))) }
+    const fixture = new RequestProxyFixture({ isLearning: true, requestSlot: (dispatch, where, timeoutMs) => client.requestSlot(dispatch, where, timeoutMs) })
+    await fixture.start([route({ kind: 'stream' })], { engine })
+    await fixture.addServer('a', (socket, head) => { socket.write(`${streamHead(head, 'Transfer-Encoding: chunked\r\n')}${chunk(events(1, 1))}0\r\n\r\n`) }, withModel)
+    const capacityTerm = fixture.learned!.startTerm(silentLog)
+    const { tokens } = capacityTerm
+    const term: LeaderTerm = new LeaderTerm({
+      clock,
+      log: silentLog,
+      capacityTerm,
+      fleet: fixture.fleet,
+      quarantine: fixture.quarantine,
+      storeView: { revision: 1 },
+      deployment: () => ({ services: [{ name: 's', engine }] }),
+      fence: 1,
+      startDelayMs: 60_000,
+      sharesServers: true,
+      ownReport: () => ({ node: 'leader', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] }),
+      broadcast: () => {},
+      mustPauseCommands: () => true
+    } as unknown as LeaderTermOptions)
+    const others = tokens.assign('other', 'a', 800)
+    const slot = await client.requestSlot({ ...request, promptTokens: 900, outputTokens: 50 }, place, 500)
+    expect(slot).to.include({ wasQueued: true, answer: undefined })
+    tokens.release(others)
+    await slot!.wait(500)
+    expect(slot!.answer).to.deep.equal({ kind: 'engine', id: 'a', priorMs: 45, assignment: others + 1 })
+    expect([client.lastAssignment, tokens.of('a')]).to.deep.equal([others + 1, 950])
+    slot!.cancel()
+    expect(tokens.of('a')).to.equal(0)
+    expect(await fixture.send('id1', { headers: { 'x-model': 'm', 'x-token-count': '900,50' } })).to.include({ status: 200, isComplete: true })
+    await wait(20)
+    const [, , completed, ratios] = fixture.learned!.reportFields(0).samples![0]!
+    expect({ completed, ratios, held: tokens.of('a') }).to.deep.equal({ completed: 1, ratios: 1, held: 0 })
+    term.stop()
+    await fixture.stop()
+  })
+})
