Server capacity: follow a changed number of slots

A server that was restarted with other slots kept the limit learned with the old number. serverCapacity spec passes; the change has no test of its own.

--- a/src/policy/serverCapacity.ts
+++ b/src/policy/serverCapacity.ts
@@ -350,6 +350,8 @@
       }
       this.servers.set(server, state)
     }
+    // The limit of another number of slots says nothing about this one.
+    if (state.slots !== slots) Object.assign(state, { slots, limit: slots, failedLimit: Infinity })
     return state
   }
 
