--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -1,9 +1,12 @@
 /** Chooses engines for the requests of all nodes. Estimates each engine's prefill backlog from the prompts assigned to it. */
 
 import type { Clock } from '../base/clock.js'
+import type { ServerCapacityRow } from './capacityTable.js'
 import { batchShare } from './engineChoice.js'
+import { fitsTokens } from './tokenLedger.js'
+import type { TokenLedger } from './tokenLedger.js'
 
-/** Assumed prefill throughput of an engine. */
+/** Assumed prefill throughput of an engine with a delay factor of 1. */
 const prefillTokensPerMs = 20
 /**
  * Time between prefill batches in which an engine generates the tokens of one stream event. Engines interleave chunked prefill with
@@ -50,6 +53,8 @@
   model: string
   adapter: string | undefined
   promptTokens: number
+  /** Expected output tokens; 0 if unknown. */
+  outputTokens?: number | undefined
   /** Prompt parts that other requests share, in order. */
   sharedParts: readonly PromptPart[]
   /** Identity of the request, if engines have ended under any. */
@@ -63,6 +68,8 @@
   only?: readonly string[] | undefined
   /** Longest gap between events that meets the objective. */
   gapObjectiveMs: number | undefined
+  /** Node that sends the request; set by the leader. */
+  node?: string
   /** Whether this is the first dispatch request for the inference request. */
   isFirst: boolean
   /** Whether the request can no longer meet its objective; it yields to requests that can. */
@@ -84,6 +91,22 @@
   running: number
   /** Whether `running` includes all assignments, so that those of the last moments are not added. */
   isExact?: boolean
+  /** Token memory; absent if tokens are not accounted for. */
+  cacheTokens?: number
+}
+
+/** What has been learned of engines and models. */
+export interface LearnedCapacity {
+  of (server: string, slots: number): ServerCapacityRow
+  /** Delay factor of a model, which multiplies that of the engine. */
+  paceOf (service: string, model: string): number
+}
+
+export interface DispatcherOptions {
+  /** Absent: every engine has a delay factor of 1 and takes as many requests as it has slots. */
+  capacity?: LearnedCapacity
+  /** Absent: tokens are not accounted for. */
+  tokens?: TokenLedger
 }
 
 interface EngineState {
@@ -102,18 +125,30 @@
 
 /**
  * An engine for the request, or the delay after which to send the dispatch request again. With `trial`, the request may be sent
- * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission.
+ * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission. `lacksTokensAt`: the engine with the least
+ * tokens among those where the request lacks only token memory, and where it would fit if they were empty.
  */
-export type DispatchDecision = { kind: 'engine', id: string, trial?: string } | { kind: 'wait', forMs: number, isForTrial?: true }
+export type DispatchDecision =
+  | { kind: 'engine', id: string, trial?: string } & AssignmentDetails
+  | { kind: 'wait', forMs: number, isForTrial?: true, lacksTokensAt?: string }
+
+export interface AssignmentDetails {
+  /** Expected time until the prompt is prefilled, if the delay factors were 1; absent if no factors are learned. */
+  priorMs?: number
+  /** Number of the assignment, if tokens are accounted for. */
+  assignment?: number
+}
 
 export class Dispatcher {
   private readonly clock: Clock
   private readonly engines = new Map<string, EngineState>()
   /** Prefill time of each assignment, for its return. */
   private readonly assignedPrefillMs = new WeakMap<DispatchRequest, number>()
+  private readonly options: DispatcherOptions
 
-  constructor (clock: Clock) {
+  constructor (clock: Clock, options: DispatcherOptions = {}) {
     this.clock = clock
+    this.options = options
   }
 
   /**
@@ -123,20 +158,32 @@
   choose (request: DispatchRequest, candidates: readonly DispatchCandidate[]): DispatchDecision | undefined {
     const usable = candidates.filter(({ id }) => !request.excluded.includes(id) && (request.only?.includes(id) ?? true))
     if (usable.length === 0) return undefined
-    let best: { state: EngineState, id: string, prefillMs: number } | undefined
+    let best: { state: EngineState, id: string, prefillMs: number, priorMs: number } | undefined
     let bestMs = Infinity
     let waitMs = Infinity
+    let lacksTokensAt: string | undefined
+    let leastTokens = Infinity
     const nowMs = this.clock.nowMs()
     const limitMs = batchLimitMs(request)
     for (const candidate of usable) {
       const state = this.stateOf(candidate.id)
       const running = candidate.running + (candidate.isExact ? 0 : this.recentlyAssigned(state))
-      if (running >= candidate.slots * batchShare(request.rank)) {
+      const { factor, limit } = this.capacityOf(request, candidate)
+      if (running >= Math.min(candidate.slots * batchShare(request.rank), Math.floor(limit))) {
+        waitMs = Math.min(waitMs, fullEngineWaitMs)
+        continue
+      }
+      const heldTokens = this.options.tokens?.of(candidate.id) ?? 0
+      if (!this.fits(request, candidate, heldTokens)) {
         waitMs = Math.min(waitMs, fullEngineWaitMs)
+        if (heldTokens < leastTokens && this.fits(request, candidate, 0)) {
+          leastTokens = heldTokens
+          lacksTokensAt = candidate.id
+        }
         continue
       }
       if (nowMs >= state.prefillDoneAtMs + decodeGapMs) state.batchPrefillMs = 0
-      const prefillMs = this.prefillMs(request, state)
+      const prefillMs = this.prefillMs(request, state) * factor
       if (state.batchPrefillMs > limitMs * oversizeBatchShare && state.batchPrefillMs + prefillMs > limitMs) {
         waitMs = Math.min(waitMs, state.prefillDoneAtMs + decodeGapMs - nowMs)
         continue
@@ -145,11 +192,30 @@
       const costMs = backlogMs + prefillMs + running * runningCostMs + distanceCostMs(request, candidate) + this.failureShare(state) * failureCostMs
       if (costMs >= bestMs) continue
       bestMs = costMs
-      best = { state, id: candidate.id, prefillMs }
+      best = { state, id: candidate.id, prefillMs, priorMs: (backlogMs + prefillMs) / factor }
     }
-    if (!best) return { kind: 'wait', forMs: Math.max(minimumWaitMs, waitMs) }
+    if (!best) return { kind: 'wait', forMs: Math.max(minimumWaitMs, waitMs), ...(lacksTokensAt === undefined ? {} : { lacksTokensAt }) }
     this.assign(request, best.state, best.prefillMs)
-    return { kind: 'engine', id: best.id }
+    const { capacity, tokens } = this.options
+    const { node = '', promptTokens, outputTokens = 0 } = request
+    return {
+      kind: 'engine',
+      id: best.id,
+      ...(capacity ? { priorMs: best.priorMs } : {}),
+      ...(tokens ? { assignment: tokens.assign(node, best.id, promptTokens + outputTokens) } : {})
+    }
+  }
+
+  /** Delay factor of the request on the engine, and the limit of requests in progress there. */
+  private capacityOf ({ service, model }: DispatchRequest, { id, slots }: DispatchCandidate): Pick<ServerCapacityRow, 'factor' | 'limit'> {
+    const { capacity } = this.options
+    if (!capacity) return { factor: 1, limit: Infinity }
+    const { factor, limit } = capacity.of(id, slots)
+    return { factor: factor * capacity.paceOf(service, model), limit }
+  }
+
+  private fits ({ promptTokens, outputTokens = 0 }: DispatchRequest, { cacheTokens }: DispatchCandidate, heldTokens: number): boolean {
+    return !this.options.tokens || cacheTokens === undefined || fitsTokens({ promptTokens, outputTokens }, heldTokens, cacheTokens)
   }
 
   /** Takes back an assignment that was not used, so that its slot is free at once. */
@@ -166,7 +232,9 @@
 
   /** Shortest prefill time on any candidate, considering cached prompt parts; without candidates, that of the entire prompt. */
   minimumPrefillMs (request: DispatchRequest, candidates: readonly DispatchCandidate[]): number {
-    return Math.min(request.promptTokens / prefillTokensPerMs, ...candidates.map(({ id }) => this.prefillMs(request, this.stateOf(id))))
+    const pace = this.options.capacity?.paceOf(request.service, request.model) ?? 1
+    const prefillMs = candidates.map(candidate => this.prefillMs(request, this.stateOf(candidate.id)) * this.capacityOf(request, candidate).factor)
+    return Math.min(request.promptTokens / prefillTokensPerMs * pace, ...prefillMs)
   }
 
   /** Records how many requests succeeded and failed on an engine, as reported by one node. */
@@ -187,6 +255,8 @@
     state.prefillDoneAtMs = Math.max(state.prefillDoneAtMs, nowMs) + prefillMs
     state.batchPrefillMs += prefillMs
     this.assignedPrefillMs.set(request, prefillMs)
+    // Where loads are exact, nothing else drops the old ones.
+    this.recentlyAssigned(state)
     state.assignedAtMs.push(nowMs)
     for (const part of request.sharedParts) {
       const key = prefixKey(request, part)
@@ -200,7 +270,7 @@
     }
   }
 
-  /** Prefill time of the prompt on the engine, without the parts that are cached there. */
+  /** Prefill time of the prompt on the engine with a delay factor of 1, without the parts that are cached there. */
   private prefillMs (request: DispatchRequest, state: EngineState): number {
     let tokens = request.promptTokens
     for (const part of request.sharedParts) {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -22,6 +22,7 @@
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
 import { LeaderTerm } from './leaderTerm.js'
+import { LearnedCapacity } from './learnedCapacity.js'
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
 import { ModelDemand } from './modelDemand.js'
@@ -95,6 +96,8 @@
   private readonly peers: PeerServer
   private readonly link: LeaderLink
   private readonly size: FleetSize
+  /** Present where servers are shared. */
+  private readonly learned: LearnedCapacity | undefined
   private readonly dispatch: DispatchClient
   private readonly quotas: QuotaClient
   /** Name of the node at the other end of each connection to this leader. */
@@ -133,6 +136,7 @@
       onConnectionOpened: () => options.metrics?.onConnectionOpened(),
       questionOf: ({ address, service }) => livenessQuestion(codecs, address, this.deployment?.services.find(({ name }) => name === service))
     })
+    this.learned = settings.sharesServers ? new LearnedCapacity(clock, this.fleet) : undefined
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, timeoutsBeforePause: settings.sharesServers ? sharedTimeoutsBeforePause : 1, send: message => this.link.send(message) })
@@ -177,6 +181,8 @@
         retryBudget: settings.retryBudget
       },
       nodeCount: () => this.size.value,
+      learned: this.learned,
+      random,
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
       ...(settings.sharesServers ? { requestSlot: (ask: DispatchRequest, place: QueuePlace, timeoutMs: number) => this.requestSlot(ask, place, timeoutMs) } : {}),
@@ -219,8 +225,9 @@
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
-        if (message.place) return this.leaderTerm?.onSlotRequest(message, decodePlace(message.place), reply)
-        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(decodeDispatchRequest(message))) })
+        const ask = { ...decodeDispatchRequest(message), node: this.peerNames.get(reply) ?? '' }
+        if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place), reply)
+        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(ask)) })
       },
       onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
       onLeft: send => this.onPeerLeft(send)
@@ -283,6 +290,7 @@
     metrics.gauge('teaselrill_nodes', 'Nodes that share the budgets', () => this.size.value)
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
     metrics.gauge('teaselrill_slots_queued', 'Requests of all nodes that wait for an engine in the queue of this node as placement leader', () => this.leaderTerm?.slots.size ?? 0)
+    this.learned?.addGauges(metrics)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
     metrics.gauge('teaselrill_placement_leader', '1 if this node sends the commands to engines', () => this.leaderTerm ? 1 : 0)
   }
@@ -468,6 +476,7 @@
       clock,
       log,
       store,
+      capacityTerm: this.learned?.startTerm(log),
       storeView: this.storeView,
       size: this.size,
       sizeKey: this.sizeKey,
@@ -522,7 +531,11 @@
 
   /** The leader's dispatch decision for a request; `undefined` if there is none in time. */
   private async dispatchForAll (ask: DispatchRequest): Promise<DispatchDecision | undefined> {
-    if (this.leaderTerm) return this.leaderTerm.dispatch(ask)
+    if (this.leaderTerm) {
+      const decision = this.leaderTerm.dispatch({ ...ask, node: this.options.settings.node })
+      this.dispatch.onDecision(decision)
+      return decision
+    }
     // The leader's decision must rest on what this node has just seen.
     this.sendParts()
     return await this.dispatch.requestDispatch(ask)
@@ -540,7 +553,15 @@
     const id = `own/${this.ownSlots++}`
     const slot = new QueuedSlot({ clock: this.options.clock, excluded: dispatch.excluded, onCancel: hasRun => hasRun ? leaderTerm.slots.end(id) : leaderTerm.slots.cancel(id) })
     this.slots.add(slot)
-    slot.wasQueued = leaderTerm.queueForSlot({ id, dispatch, place, onAnswer: answer => slot.deliver(answer) })
+    slot.wasQueued = leaderTerm.queueForSlot({
+      id,
+      dispatch: { ...dispatch, node: this.options.settings.node },
+      place,
+      onAnswer: answer => {
+        this.dispatch.onDecision(answer)
+        slot.deliver(answer)
+      }
+    })
     return slot
   }
 
@@ -567,8 +588,9 @@
     this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, quotaLoads = [] }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, quotaLoads = [], capacity }: LeaderReport): void {
     this.quotas.onLoads(quotaLoads)
+    this.learned?.onLeaderReport({ capacity })
     if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
     if (parts) this.quarantine.merge(parts, { isNews: false })
     if (news) {
@@ -619,6 +641,7 @@
       missing: this.demand.takeMissingModels(),
       misknown,
       outcomes,
+      ...this.learned?.reportFields(this.dispatch.lastAssignment),
       ...(leaving.length > 0 ? { leaving } : {})
     }
   }
