Serving: one budget for what a node holds for clients

Cause: bodies were kept as one object per chunk and limited one by one, heads and connections were limited by descriptors alone, and a stream to a slow client paused the connection of its engine, which cuts off what is unread.

Change: one byte budget over all connections, 16% of memory_mb (20% with requests and responses up to 64 KiB), counts heads, bodies until their request ends, complete responses, and streams that are not read yet. Bodies are collected on arrival in one buffer; a declared length is taken at once, or refused before the body. A body that brings no 4 KiB within 10 s (1 s while another finds no room) gets 408. A refusal is followed by a bounded time and volume of reading before the connection closes. Connections are limited by 20% of the memory at 64 KiB for each head; the oldest connection without a request makes room for a new one. Streams beyond the budget are broken off. The limits are settings, with a counter and a log line.

--- a/src/base/byteBuffer.ts
+++ b/src/base/byteBuffer.ts
@@ -3,9 +3,14 @@
 const firstCapacityBytes = 1024
 
 export class ByteBuffer {
-  private storage = Buffer.alloc(0)
+  private storage: Buffer
   private usedBytes = 0
 
+  /** Nothing is copied before there are more than `capacityBytes`. */
+  constructor (capacityBytes = 0) {
+    this.storage = Buffer.allocUnsafeSlow(capacityBytes)
+  }
+
   get length (): number {
     return this.usedBytes
   }
@@ -15,10 +20,16 @@
     return this.storage.subarray(0, this.usedBytes)
   }
 
+  /** Bytes that it takes with `addedBytes` more. */
+  capacityFor (addedBytes: number): number {
+    const neededBytes = this.usedBytes + addedBytes
+    return neededBytes <= this.storage.length ? this.storage.length : Math.max(neededBytes, 2 * this.storage.length, firstCapacityBytes)
+  }
+
   push (piece: Uint8Array): void {
     const neededBytes = this.usedBytes + piece.length
     if (neededBytes > this.storage.length) {
-      const grown = Buffer.allocUnsafe(Math.max(neededBytes, 2 * this.storage.length, firstCapacityBytes))
+      const grown = Buffer.allocUnsafeSlow(this.capacityFor(piece.length))
       this.storage.copy(grown, 0, 0, this.usedBytes)
       this.storage = grown
     }
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -36,6 +36,18 @@
     // A speed factor of the CPU, not a number of CPUs.
     cores: positive.default(1)
   }).default({ max_fds: 4100, memory_mb: 350, cpu_share: 1, cores: 1 }),
+  // Limits on what the node holds for clients. Each replaces a default that is derived from the limits of the machine.
+  clients: z.object({
+    held_mb: positive.optional(),
+    held_with_small_mb: positive.optional(),
+    connections: positive.int().optional(),
+    pipelined: positive.int().optional(),
+    body_stall_ms: positive.optional(),
+    body_stall_without_room_ms: positive.optional(),
+    response_stall_ms: positive.optional(),
+    linger_ms: positive.optional(),
+    linger_mb: positive.optional()
+  }).default({}),
   bounds: z.object({
     grace_s: positive.default(8),
     budget_ratio: z.number().default(0.2),
@@ -66,7 +78,7 @@
   if (!result.success) {
     throw new FindingsError(result.error.issues.map(issue => finding(file, 0, issue.path.join('.'), issue.message, 'see docs/platform.md')))
   }
-  const { bounds, listen, limits, platform, ...own } = result.data
+  const { bounds, clients, listen, limits, platform, ...own } = result.data
   return {
     node: own.node,
     ip: own.ip,
@@ -88,6 +100,25 @@
     loadWindowMs: bounds.ceiling_window_s * 1000,
     sharesServers: own.contracts.includes('pool'),
     keyRemovalMs: bounds.revoke_strict ? bounds.revoke_ms : undefined,
-    memoryMb: limits.memory_mb
+    memoryMb: limits.memory_mb,
+    clientLimits: withoutAbsent({
+      heldBytes: bytesOf(clients.held_mb),
+      heldBytesWithSmall: bytesOf(clients.held_with_small_mb),
+      connections: clients.connections,
+      pipelinedRequests: clients.pipelined,
+      bodyStallMs: clients.body_stall_ms,
+      bodyStallWithoutRoomMs: clients.body_stall_without_room_ms,
+      responseStallMs: clients.response_stall_ms,
+      lingerMs: clients.linger_ms,
+      lingerBytes: bytesOf(clients.linger_mb)
+    })
   }
 }
+
+function bytesOf (megabytes: number | undefined): number | undefined {
+  return megabytes === undefined ? undefined : megabytes * 1024 * 1024
+}
+
+function withoutAbsent<T extends object> (values: T): { [Key in keyof T]?: Exclude<T[Key], undefined> } {
+  return Object.fromEntries(Object.entries(values).filter(([, value]) => value !== undefined)) as { [Key in keyof T]?: Exclude<T[Key], undefined> }
+}
--- /dev/null
+++ b/src/policy/clientMemory.ts
@@ -0,0 +1,65 @@
+/** Limits on what a node holds for clients, derived from its machine's memory and descriptors. */
+
+const bytesPerMb = 1024 * 1024
+/** Share of the memory for heads, bodies and responses. The process itself takes about 100 MB, of 250 at the least. */
+const heldShare = 0.16
+/** Share that is left to requests and responses of up to 64 KiB when larger ones have used up theirs. */
+const smallShare = 0.04
+/** Share for heads under way, of which Node.js keeps up to 64 KiB for each connection. */
+const headsShare = 0.2
+const maxHeadBytes = 64 * 1024
+/** Descriptors not available to clients: backend servers, peers, the store and files. */
+const reservedDescriptors = 1200
+const fewestConnections = 50
+
+export interface ClientMemoryLimits {
+  /** Bytes held for all clients from which a request or response of more than 64 KiB may not grow. */
+  heldBytes: number
+  /** The same for smaller ones. */
+  heldBytesWithSmall: number
+  connections: number
+  /** Requests on one connection whose responses are not complete. */
+  pipelinedRequests: number
+  /** A body under way that brings no 4 KiB in this time is given up. */
+  bodyStallMs: number
+  /** The same, while another client finds no room. */
+  bodyStallWithoutRoomMs: number
+  /** A client that reads nothing of a complete response for this time is given up. */
+  responseStallMs: number
+  /** Limits of reading on after a refusal, so that it reaches a client that is still sending. */
+  lingerMs: number
+  lingerBytes: number
+}
+
+/** The limits for a machine. What `settings` names replaces the default. */
+export function clientMemoryLimits ({ memoryMb, maxFileDescriptors }: { memoryMb: number, maxFileDescriptors: number }, settings: Partial<ClientMemoryLimits> = {}): ClientMemoryLimits {
+  const memoryBytes = memoryMb * bytesPerMb
+  const heldBytes = settings.heldBytes ?? memoryBytes * heldShare
+  const forHeads = Math.floor(memoryBytes * headsShare / maxHeadBytes)
+  return {
+    heldBytes,
+    heldBytesWithSmall: heldBytes + memoryBytes * smallShare,
+    connections: Math.max(fewestConnections, Math.min(forHeads, maxFileDescriptors - reservedDescriptors)),
+    pipelinedRequests: 32,
+    bodyStallMs: 10_000,
+    bodyStallWithoutRoomMs: 1000,
+    responseStallMs: 30_000,
+    lingerMs: 1000,
+    lingerBytes: bytesPerMb,
+    ...settings
+  }
+}
+
+/** Bytes that a body must bring to count as progress, so that single bytes do not keep its share of the memory. */
+export const progressBytes = 4096
+
+/** A body under way. */
+export interface Upload {
+  /** Time of the last progress. */
+  progressAtMs: number
+}
+
+/** The uploads that have made no progress for `stallMs`, the longest first. */
+export function stalledUploads<T extends Upload> (uploads: Iterable<T>, nowMs: number, stallMs: number): T[] {
+  return [...uploads].filter(({ progressAtMs }) => nowMs - progressAtMs >= stallMs).sort((left, right) => left.progressAtMs - right.progressAtMs)
+}
--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -45,7 +45,7 @@
 
 interface ActiveExchange {
   handler: ResponseHandler
-  bytes: Buffer
+  bytes: readonly Buffer[]
   isRequest: boolean
   isWritten: boolean
   /** Order in which it was written, among what the evidence orders. */
@@ -155,13 +155,13 @@
   }
 
   /** Sends a request, or a call if it has no ID. Must not be called while another is in progress. */
-  send (method: string, bytes: Buffer, handler: ResponseHandler, { requestId, isRepeatable = true }: SendOptions = {}): void {
+  send (method: string, bytes: Buffer | readonly Buffer[], handler: ResponseHandler, { requestId, isRepeatable = true }: SendOptions = {}): void {
     if (requestId !== undefined) {
       this.requestIds.push(requestId)
       if (this.requestIds.length > maxRequestIds) this.requestIds.shift()
     }
     const isRequest = requestId !== undefined
-    const active = this.begin(method, { handler, bytes, isRequest, endsAtHead: false })
+    const active = this.begin(method, { handler, bytes: Buffer.isBuffer(bytes) ? [bytes] : bytes, isRequest, endsAtHead: false })
     if (this.isClosed) return this.failActive('the connection was closed', true)
     const prepared = this.options.evidence.prepare(this, { isRequest, isRepeatable })
     this.isPreparing = prepared !== undefined
@@ -186,7 +186,7 @@
         if (this.active === active) this.fail('no answer to a question in time')
       })
       const handler: ResponseHandler = { accepts, onHead: () => { isAnswered = true }, onData: () => {}, onEnd: finish, onFailure: finish }
-      const active = this.begin(method, { handler, bytes, isRequest: false, endsAtHead: true })
+      const active = this.begin(method, { handler, bytes: [bytes], isRequest: false, endsAtHead: true })
       if (this.isClosed) this.failActive('the connection was closed', true)
       else this.writeWhenReady()
     })
@@ -199,14 +199,6 @@
     return this.active
   }
 
-  pause (): void {
-    this.socket.pause()
-  }
-
-  resume (): void {
-    this.socket.resume()
-  }
-
   /** Closes the connection. An exchange in progress ends without a call of its handler. */
   destroy (): void {
     this.active = undefined
@@ -233,7 +225,9 @@
     if (!active || active.isWritten || this.isPreparing || !this.isConnected) return
     active.isWritten = true
     active.sentAt = this.options.evidence.nextOrder()
-    this.socket.write(active.bytes)
+    this.socket.cork()
+    for (const part of active.bytes) this.socket.write(part)
+    this.socket.uncork()
   }
 
   private onData (data: Buffer): void {
@@ -266,8 +260,6 @@
     if (!this.keepsAlive || !isFlushed || leftover.length > 0) this.fail('the connection cannot be reused')
     active.handler.onEnd()
     if (this.isClosed) return
-    // Reading may still be paused for a slow client, which will not drain after it has left; unsolicited bytes must be detected too.
-    this.socket.resume()
     this.idleSinceMs = this.options.clock.nowMs()
     this.options.onIdle(this)
   }
--- a/src/serving/byteBudget.ts
+++ b/src/serving/byteBudget.ts
@@ -1,14 +1,16 @@
-/** Limits the bytes of responses that a node holds, over all backend servers and clients. */
+/** Limits the bytes that a node holds for clients: heads and bodies of requests, and responses, over all connections. */
 
 /** Holders up to this size are served before larger ones. */
 const smallBytes = 64 * 1024
-/** Limit on all bytes from which larger holders may not grow. */
-const maxBytes = 16 * 1024 * 1024
-/** The same for small holders. */
-const maxBytesWithSmall = 32 * 1024 * 1024
+/** Limits without those of a machine. */
+const defaultLimits = { heldBytes: 16 * 1024 * 1024, heldBytesWithSmall: 32 * 1024 * 1024 }
 
 export class ByteBudget {
   private heldBytes = 0
+  /** Called when a holder finds no room. Returns whether it released anything. */
+  releaseStalled: () => boolean = () => false
+
+  constructor (private readonly limits: { heldBytes: number, heldBytesWithSmall: number } = defaultLimits) {}
 
   /** Bytes that are held now. */
   get bytes (): number {
@@ -17,9 +19,11 @@
 
   /** Changes what one holder holds. Returns false and changes nothing if that would exceed a limit. */
   resize (fromBytes: number, toBytes: number): boolean {
-    const sumBytes = this.heldBytes + toBytes - fromBytes
-    if (toBytes > fromBytes && sumBytes > (toBytes > smallBytes ? maxBytes : maxBytesWithSmall)) return false
-    this.heldBytes = sumBytes
+    const addedBytes = toBytes - fromBytes
+    const limitBytes = toBytes > smallBytes ? this.limits.heldBytes : this.limits.heldBytesWithSmall
+    const isOver = () => addedBytes > 0 && this.heldBytes + addedBytes > limitBytes
+    while (isOver()) if (!this.releaseStalled()) return false
+    this.heldBytes += addedBytes
     return true
   }
 }
--- /dev/null
+++ b/src/serving/clientBody.ts
@@ -0,0 +1,87 @@
+/** Reads the bodies of requests into memory that is counted over all clients. */
+
+import type { IncomingMessage } from 'node:http'
+import { ByteBuffer } from '../base/byteBuffer.js'
+import { progressBytes } from '../policy/clientMemory.js'
+import type { ClientMemory } from './clientMemory.js'
+
+/** Memory of one request besides its head and body: its objects. Measured at 4 to 6 KB. */
+const requestBytes = 6 * 1024
+
+/** `too-large`: over the limit for one body. `no-room`: over the limit for all. `stalled`: no progress. `left`: the client closed the connection. */
+export type BodyFailure = 'too-large' | 'no-room' | 'stalled' | 'left'
+
+/** A request's head and body, counted from its arrival until `release`. */
+export class ClientBody {
+  /** The complete body, or why there is none. The rest of a body that failed is not read. */
+  readonly result: Promise<Buffer | BodyFailure>
+  private readonly storage: ByteBuffer
+  private readonly headBytes: number
+  private heldBytes = 0
+  private receivedBytes = 0
+  private resolve: (result: Buffer | BodyFailure) => void = () => {}
+  private isSettled = false
+  private stopWatching = () => {}
+  private readonly upload = { progressAtMs: 0, giveUp: () => this.settle('stalled') }
+  private bytesAtProgress = 0
+
+  constructor (private readonly request: IncomingMessage, private readonly maxBytes: number, private readonly memory: ClientMemory) {
+    this.result = new Promise(resolve => { this.resolve = resolve })
+    this.headBytes = requestBytes + request.rawHeaders.reduce((sum, { length }) => sum + length, request.url!.length)
+    const declaredBytes = Number(request.headers['content-length'] ?? 0)
+    // Taken at once, so that bodies that have begun can be completed.
+    this.storage = new ByteBuffer(Math.min(declaredBytes, maxBytes))
+    if (declaredBytes > maxBytes) this.settle('too-large')
+    else if (!this.hold(this.headBytes + declaredBytes)) this.settle('no-room')
+    else this.read()
+  }
+
+  /** Gives the memory back. */
+  release (): void {
+    this.settle('left')
+    this.hold(0)
+    this.storage.clear()
+  }
+
+  private read (): void {
+    const { request, memory } = this
+    this.upload.progressAtMs = memory.clock.nowMs()
+    this.stopWatching = memory.watch(this.upload)
+    request.on('data', this.onData)
+    request.once('end', () => this.settle(this.storage.bytes))
+    request.once('close', () => this.settle('left'))
+    request.on('error', () => this.settle('left'))
+  }
+
+  private readonly onData = (data: Buffer): void => {
+    this.receivedBytes += data.length
+    if (this.receivedBytes > this.maxBytes) return this.settle('too-large')
+    const capacityBytes = Math.min(this.maxBytes, this.storage.capacityFor(data.length))
+    if (this.headBytes + capacityBytes > this.heldBytes && !this.hold(this.headBytes + capacityBytes)) return this.settle('no-room')
+    this.storage.push(data)
+    if (this.receivedBytes - this.bytesAtProgress < progressBytes) return
+    this.bytesAtProgress = this.receivedBytes
+    this.upload.progressAtMs = this.memory.clock.nowMs()
+  }
+
+  private hold (bytes: number): boolean {
+    const isHeld = this.memory.budget.resize(this.heldBytes, bytes)
+    if (isHeld) this.heldBytes = bytes
+    return isHeld
+  }
+
+  private settle (result: Buffer | BodyFailure): void {
+    if (this.isSettled) return
+    this.isSettled = true
+    this.stopWatching()
+    this.request.off('data', this.onData)
+    if (typeof result === 'string') {
+      // Until the refusal has been sent, nothing more is read.
+      this.request.pause()
+      this.hold(0)
+      this.storage.clear()
+      if (result !== 'left') this.memory.onLimit(({ 'too-large': 'body-size', 'no-room': 'memory', stalled: 'body-stall' } as const)[result])
+    }
+    this.resolve(result)
+  }
+}
--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -1,23 +1,28 @@
-/** A client's side of a request: its body, and the responses to it. */
+/** The responses to a client's request. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ResponseHead } from './responseReader.js'
 
-/** Reads the complete request body. Returns `too-large` beyond `maxBytes`, and `left` if the client closed the connection. */
-export async function readBody (request: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-large' | 'left'> {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      bytes += chunk.length
-      if (bytes > maxBytes) return 'too-large'
-      chunks.push(chunk)
-    }
-  } catch {
-    // The client closed the connection, so no response can be sent.
-    return 'left'
+/** Limits of reading on after a refusal. */
+export interface LingerLimits { lingerMs: number, lingerBytes: number }
+
+const defaultLinger: LingerLimits = { lingerMs: 1000, lingerBytes: 1024 * 1024 }
+
+/**
+ * Closes the connection only some time after the response: a connection that is closed with unread bytes is reset, which takes the
+ * response from a client that is still sending. What arrives until then is discarded.
+ */
+function lingerAfterResponse (request: IncomingMessage, { lingerMs, lingerBytes }: LingerLimits): void {
+  const { socket } = request
+  const bytesBefore = socket.bytesRead
+  // Node.js calls it after the last response of a connection.
+  socket.destroySoon = () => {
+    const timer = setTimeout(() => socket.destroy(), lingerMs)
+    socket.once('close', () => clearTimeout(timer))
+    request.on('data', () => { if (socket.bytesRead - bytesBefore > lingerBytes) request.pause() })
+    request.resume()
+    socket.end()
   }
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)
 }
 
 /** A complete response of a backend server. */
@@ -52,7 +57,7 @@
   private hasComments = false
   private isInComment = false
 
-  constructor (readonly request: IncomingMessage, readonly response: ServerResponse) {}
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly linger = defaultLinger) {}
 
   sendError (status: number, reason: string, retryAfterMs?: number): void {
     if (this.response.destroyed) return
@@ -60,7 +65,10 @@
     const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))]
     if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(2))
     // The rest of an unread body would be parsed as the next request.
-    if (!this.request.complete) headers.push('Connection', 'close')
+    if (!this.request.complete) {
+      headers.push('Connection', 'close')
+      lingerAfterResponse(this.request, this.linger)
+    }
     this.response.writeHead(status, headers)
     this.response.end(body)
   }
--- a/src/serving/clientRequests.ts
+++ b/src/serving/clientRequests.ts
@@ -59,6 +59,16 @@
     return [...this.connectionOf(socket).open].at(-1)
   }
 
+  /** Number of requests on the connection whose responses are not complete. */
+  countOn (socket: Socket): number {
+    return this.connectionOf(socket).open.size
+  }
+
+  /** Whether no request has arrived on the connection. */
+  isUnused (socket: Socket): boolean {
+    return !this.connections.has(socket)
+  }
+
   /** Whether the connection has served requests, all responses are complete, and no byte has been received since. */
   isIdle (socket: Socket): boolean {
     const connection = this.connections.get(socket)
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -19,6 +19,7 @@
   clock: Clock
   log: Log
   regionOfZone: Record<string, string>
+  buffered?: ByteBudget
   onConnectionOpened?: () => void
   /** A call that shows whether the process of a server is alive, if its service has one. */
   questionOf?: (entry: BackendEntry) => LivenessQuestion | undefined
@@ -29,8 +30,8 @@
 
 export class FleetView {
   readonly servers = new Map<string, BackendServer>()
-  /** Bytes of responses that this node holds. */
-  readonly buffered = new ByteBudget()
+  /** Bytes that this node holds for clients. */
+  readonly buffered: ByteBudget
   /** Backend servers that ended without an announcement while they ran requests of this node. */
   exits = 0
   private readonly framings = new Map<string, FramingRecord>()
@@ -44,6 +45,7 @@
 
   constructor (options: FleetViewOptions) {
     this.options = options
+    this.buffered = options.buffered ?? new ByteBudget()
   }
 
   /** Calls `listener` after each change. Returns a function that removes it. */
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -7,6 +7,7 @@
 import { hasGoneOn } from '../policy/partQuarantine.js'
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
+import type { ClientLimit, ClientMemory } from './clientMemory.js'
 import { isEventStream, maxUnframedBytes } from './clientExchange.js'
 import type { BackendResponse, ResponseWriter } from './clientExchange.js'
 import type { Codecs } from './codecs.js'
@@ -42,7 +43,8 @@
 export type AttemptResult =
   /** The complete response was sent to the client. */
   | { kind: 'done' }
-  | { kind: 'client-left' }
+  /** With `reason`, this node gave its client up. */
+  | { kind: 'client-left', reason?: string }
   /** A complete response that was not sent to the client: status 500 or above, or no stream although the stream had started. */
   | { kind: 'answer', response: BackendResponse }
   /** No byte of the request was sent. */
@@ -81,11 +83,15 @@
   lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined, isUnframed: boolean } = { sentAtMs: 0, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
   readonly onGoneOn: (sentAtMs: number) => void
+  readonly memory: ClientMemory
   private current: Attempt | undefined
+  /** Bytes of a stream that wait in this process for the client to read. */
+  private unreadBytes = 0
 
   constructor (
-    { request, writer, codecs, clock, reserveMove, onGoneOn }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'reserveMove' | 'onGoneOn'>
+    { request, writer, codecs, clock, memory, reserveMove, onGoneOn }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'memory' | 'reserveMove' | 'onGoneOn'>
   ) {
+    this.memory = memory
     this.reserveMove = reserveMove
     this.onGoneOn = onGoneOn
     this.request = request
@@ -93,7 +99,9 @@
     this.codecs = codecs
     this.clock = clock
     const { response } = writer
+    response.on('drain', () => this.countUnread())
     response.once('close', () => {
+      this.countUnread(0)
       if (response.writableFinished) return
       this.hasClientLeft = true
       this.current?.onClientLeft()
@@ -117,6 +125,27 @@
     })
   }
 
+  /** Counts what the client has not read of the stream. Returns false, and gives the client up, if it is too much. */
+  countUnread (bytes = this.writer.response.writableLength): boolean {
+    const isHeld = this.memory.budget.resize(this.unreadBytes, bytes)
+    if (isHeld) this.unreadBytes = bytes
+    else this.giveUpClient('response-memory')
+    return isHeld
+  }
+
+  /** Gives the client up if it reads nothing of the complete response for some time. */
+  onResponseEnded (): void {
+    const { writer: { response }, memory: { limits } } = this
+    if (!response.writableFinished) response.setTimeout(limits.responseStallMs, () => this.giveUpClient('response-stall'))
+  }
+
+  private giveUpClient (limit: ClientLimit): void {
+    if (this.writer.response.destroyed) return
+    this.memory.onLimit(limit)
+    this.hasClientLeft = true
+    this.writer.abort()
+  }
+
   onEventForwarded (): void {
     const nowMs = this.clock.nowMs()
     if (this.lastEventAtMs !== undefined) this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.lastEventAtMs)
@@ -148,7 +177,6 @@
   private staleBytes = 0
   private heldBytes = 0
   private isFinished = false
-  private isPaused = false
   private hasFirstByte = false
   private events = 0
   private hasEventsWithoutId = false
@@ -310,16 +338,9 @@
       forwarder.contentType = this.head!.headers.get('content-type')
       writer.beginStream(this.head!, forwarder.codecs.returnHeaders(this.head!))
     }
-    if (writer.writeEvents(bytes) || this.isPaused) return
-    const { connection } = this
-    this.isPaused = true
-    connection?.pause()
-    writer.response.once('drain', () => {
-      this.isPaused = false
-      this.recordProgress()
-      // The connection may already serve another request.
-      if (!this.isFinished) connection?.resume()
-    })
+    writer.writeEvents(bytes)
+    // The server's connection is read on for a slow client: a server cuts off a response that remains unread for some seconds.
+    if (!forwarder.countUnread()) this.abandon({ kind: 'client-left', reason: 'the client reads too slowly, and this node holds too much for its clients' })
   }
 
   private onEnd (): void {
@@ -338,6 +359,7 @@
       forwarder.firstByteMs ??= forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
       if (status >= 500 || forwarder.hasResponseStarted) return this.finish({ kind: 'answer', response: backendResponse })
       forwarder.writer.sendResponse(backendResponse, forwarder.codecs.returnHeaders(backendResponse.head))
+      forwarder.onResponseEnded()
       return this.finish({ kind: 'done' })
     }
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
@@ -345,6 +367,7 @@
     if (!forwarder.hasResponseStarted) this.write(Buffer.alloc(0))
     if (!forwarder.writer.mayEndAfter(this.head!)) return this.finish({ kind: 'unknown', reason: 'nothing states the end of the stream', isEndUnproved: this.events > 0 })
     forwarder.writer.endStream()
+    forwarder.onResponseEnded()
     this.finish({ kind: 'done' })
   }
 
@@ -408,9 +431,9 @@
     checkAfter(limitMs)
   }
 
-  /** Time since the last progress of the server; 0 while reading is paused because the client is slow. */
+  /** Time since the last progress of the server. */
   private stalledMs (): number {
-    return this.isPaused ? 0 : this.forwarder.clock.nowMs() - this.lastProgressMs
+    return this.forwarder.clock.nowMs() - this.lastProgressMs
   }
 
   /** Fails over to another server if possible. Returns the time until the next check, in milliseconds. */
@@ -473,11 +496,15 @@
   return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
 }
 
-function encodeRequest ({ method, path, body }: ProxiedRequest, headers: readonly string[]): Buffer {
+/** The head and the body, which is not copied. */
+function encodeRequest ({ method, path, body }: ProxiedRequest, headers: readonly string[]): Buffer[] {
   let head = `${method} ${path} HTTP/1.1\r\n`
   for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
   if (body.length > 0 || !bodilessMethods.has(method)) head += `Content-Length: ${body.length}\r\n`
-  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), body])
+  const encodedHead = Buffer.from(`${head}\r\n`, 'latin1')
+  return body.length <= copiedBodyBytes ? [Buffer.concat([encodedHead, body])] : [encodedHead, body]
 }
 
+/** Up to this size, one write costs less than two. */
+const copiedBodyBytes = 16 * 1024
 const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -16,8 +16,11 @@
 import type { WaitConditions } from '../policy/waitForEngine.js'
 import { softwareOf } from './backendServer.js'
 import type { BackendServer } from './backendServer.js'
-import { readBody, ResponseWriter } from './clientExchange.js'
+import { ClientBody } from './clientBody.js'
+import { ResponseWriter } from './clientExchange.js'
+import { ClientMemory } from './clientMemory.js'
 import { ClientRequests } from './clientRequests.js'
+import type { OpenRequest } from './clientRequests.js'
 import type { Codecs, RequestMetadata } from './codecs.js'
 import type { Account, Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
@@ -44,6 +47,8 @@
 const plainRequestsPerLogLine = 100
 /** Event-loop delay from which requests count as read late: their clients may have left before. */
 const lateReadMs = 100
+/** Limit on bodies that arrive before the configuration, whose requests are refused. */
+const unconfiguredBodyBytes = 64 * 1024
 const maxLoggedParts = 16
 const maxLoggedPartChars = 40
 /** The same for requests that can no longer meet their objective, so that the others are dispatched first. */
@@ -73,6 +78,8 @@
   quarantine: PartQuarantine
   /** Whether this node may try prompt parts while no leader grants trials. */
   mayTryAlone: (check: SuspectCheck) => boolean
+  /** What the node holds for clients. */
+  memory?: ClientMemory
   settings: RequestProxySettings
   /** Number of nodes that share the retry budgets and the connections of backend servers. */
   nodeCount: () => number
@@ -118,6 +125,7 @@
   private readonly clock: Clock
   private readonly calls: EngineClient
   private readonly selection: ServerSelection
+  private readonly memory: ClientMemory
   private deployment: Deployment | undefined
   private routes = new RouteTable([])
   private services = new Map<string, Service>()
@@ -136,6 +144,7 @@
     this.calls = new EngineClient(options.clock, options.codecs)
     this.clients = new ClientRequests(options.clock, options.log)
     this.selection = new ServerSelection(options)
+    this.memory = options.memory ?? new ClientMemory({ clock: options.clock, log: options.log, budget: options.fleet.buffered })
   }
 
   setDeployment (deployment: Deployment): void {
@@ -157,7 +166,7 @@
     } catch (error) {
       const { requestId } = this.options.codecs.readRequest(request.headers)
       this.options.log('error', 'request handling failed', { request: requestId, error: messageOf(error), stack: (error as Error).stack })
-      const writer = new ResponseWriter(request, response)
+      const writer = new ResponseWriter(request, response, this.memory.limits)
       if (response.headersSent) writer.abort()
       else writer.sendError(502, 'the request could not be handled')
     }
@@ -166,9 +175,31 @@
   private async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.clock.nowMs()
     const { socket } = request
+    // The parser goes on with what it has read from a connection that has been closed.
+    if (socket.destroyed) return
     const metadata = this.options.codecs.readRequest(request.headers)
     const earlier = this.clients.latestOn(socket)
     const open = this.clients.register(request, response, metadata.requestId)
+    if (this.clients.countOn(socket) > this.memory.limits.pipelinedRequests) {
+      this.memory.onLimit('pipelined')
+      socket.destroy()
+      return
+    }
+    // Read at once: what waits in the request's own queue takes an object for each chunk.
+    const incoming = new ClientBody(request, this.deployment?.limits.maxBodyBytes ?? unconfiguredBodyBytes, this.memory)
+    try {
+      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming })
+    } finally {
+      incoming.release()
+    }
+  }
+
+  /** Answers a request when the responses to earlier ones on its connection are complete. */
+  private async answerInTurn (
+    request: IncomingMessage, response: ServerResponse,
+    { metadata, arrivedAtMs, earlier, open, incoming }: { metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, open: OpenRequest, incoming: ClientBody }
+  ): Promise<void> {
+    const { socket } = request
     if (earlier) {
       // The earlier response must not close the connection any more, unless its head has been sent.
       if (!earlier.response.headersSent) earlier.response.shouldKeepAlive = earlier.isKeepAlive
@@ -176,20 +207,19 @@
     }
     if (this.clients.discardIfClosed(socket, open)) return
     if (this.isClosing) this.clients.announceClose(open)
-    const writer = new ResponseWriter(request, response)
+    const writer = new ResponseWriter(request, response, this.memory.limits)
     const { deployment } = this
     if (this.isRefusing) return writer.sendError(503, 'this node is shutting down', 0)
     if (!deployment) return writer.sendError(503, 'this node has not received its configuration yet', startingRetryAfterMs)
     const path = request.url ?? '/'
     const route = this.routes.find(request.headers.host ?? '', path)
-    if (!route) {
-      request.resume()
-      return writer.sendError(404, 'no route matches the host and path')
-    }
-    const body = await readBody(request, deployment.limits.maxBodyBytes)
+    if (!route) return writer.sendError(404, 'no route matches the host and path')
+    const body = await incoming.result
     // A long body may be complete only when what is sent on could not be finished any more.
     if (this.isRefusing && body !== 'left') return writer.sendError(503, 'this node is shutting down', 0)
     if (body === 'too-large') return writer.sendError(413, 'the request body is too large')
+    if (body === 'no-room') return writer.sendError(503, 'this node holds too much for other clients', Math.min(busyRetryAfterMs, (metadata.deadlineMs ?? route.timeoutMs) * maxRetryAfterShare))
+    if (body === 'stalled') return writer.sendError(408, 'the request body did not arrive in time')
     if (body === 'left') return
     if ((this.options.loopDelayMs?.() ?? Infinity) > lateReadMs) {
       // The request may have been sent long ago. Whether its client has closed the connection since is read after it.
@@ -224,6 +254,7 @@
       writer,
       codecs,
       clock,
+      memory: this.memory,
       reserveMove: () => this.reserveFailover(request, progress),
       onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
     })
@@ -247,7 +278,7 @@
       if (search.kind === 'refused') return this.respondWithFailure(request, writer, forwarder, progress, { result, search })
       result = await this.attempt(request, forwarder, progress, search)
       if (result.kind === 'done' || result.kind === 'client-left') {
-        return this.finish(request, forwarder, progress, { outcome: result.kind, status: writer.response.statusCode })
+        return this.finish(request, forwarder, progress, { outcome: result.kind, status: writer.response.statusCode, reason: reasonOf(result) })
       }
       if (result.kind !== 'unsent') hasReservedRetry = false
       if (result.kind !== 'moved' && !this.mayRetry(request, forwarder, result, progress)) {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -20,6 +20,7 @@
   private readonly unframed = this.counter('teaselrill_unframed_answers_total', 'Attempts whose answer had neither a length nor chunks, by the outcome of the request and the framing of its response', ['kind', 'outcome', 'framing'])
   private readonly storeCalls = this.counter('teaselrill_store_calls_total', 'Calls to the platform store by name and status', ['call', 'status'])
   private readonly commands = this.counter('teaselrill_engine_orders_total', 'Commands to engines by action and outcome', ['action', 'outcome'])
+  private readonly clientLimits = this.counter('teaselrill_client_limits_total', 'Times that a limit on what the node holds for clients has acted', ['limit'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
   private readonly firstByte = this.histogram('teaselrill_first_byte_seconds', 'Time from arrival to the first byte of the response')
   private readonly duration = this.histogram('teaselrill_request_duration_seconds', 'Time from arrival to the end of the response')
@@ -57,6 +58,10 @@
     this.commands.inc({ action, outcome })
   }
 
+  onClientLimit (limit: string): void {
+    this.clientLimits.inc({ limit })
+  }
+
   onConnectionOpened (): void {
     this.connections.inc()
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -10,11 +10,13 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
+import { clientMemoryLimits } from '../policy/clientMemory.js'
 import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
+import { ClientMemory } from './clientMemory.js'
 import { DispatchClient } from './dispatchClient.js'
 import { EngineClient, livenessQuestion } from './engineClient.js'
 import { FleetSize } from './fleetSize.js'
@@ -44,8 +46,8 @@
 const finalReadLimits = { maxRounds: 64, maxMs: 200 }
 /** Larger than the platform's limits on request heads, which are checked by size. */
 const maxHeaderBytes = 64 * 1024
-/** Descriptors not available to clients: backend servers, peers, the store and files. */
-const reservedDescriptors = 1200
+/** Connections that are accepted while those that make room for them are being closed. */
+const spareConnections = 50
 const requestCheckMs = 500
 const reportMs = 250
 /** Number of nodes beyond which reports are sent half as often, since the leader reads all of them. */
@@ -67,6 +69,7 @@
 
 export class ServingNode {
   private readonly options: ServingNodeOptions
+  private readonly memory: ClientMemory
   private readonly fleet: FleetView
   private readonly requestProxy: RequestProxy
   private readonly storeView: StoreView
@@ -103,9 +106,11 @@
   constructor (options: ServingNodeOptions) {
     this.options = options
     const { settings, codecs, store, clock, random, log } = options
+    this.memory = new ClientMemory({ clock, log, limits: clientMemoryLimits(settings, settings.clientLimits), onLimit: limit => options.metrics?.onClientLimit(limit) })
     this.fleet = new FleetView({
       clock,
       log,
+      buffered: this.memory.budget,
       regionOfZone: settings.regionOfZone,
       onConnectionOpened: () => options.metrics?.onConnectionOpened(),
       questionOf: ({ address, service }) => livenessQuestion(codecs, address, this.deployment?.services.find(({ name }) => name === service))
@@ -129,6 +134,7 @@
       fleet: this.fleet,
       demand: this.demand,
       quarantine: this.quarantine,
+      memory: this.memory,
       mayTryAlone: check => mayTryAlone(check, settings.ip, [settings.ip, ...this.otherNodes]),
       settings: {
         region: settings.region,
@@ -210,6 +216,8 @@
     metrics.gauge('teaselrill_store_age_seconds', 'Age of the view of the store, directly or through the leader', () => this.storeView.ageMs / 1000)
     metrics.gauge('teaselrill_store_era', 'Era of the store to which the view belongs, directly or through the leader; -1 without a view', () => this.storeView.currentEra ?? -1)
     metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.clients.active)
+    metrics.gauge('teaselrill_client_held_bytes', 'Bytes that the node holds for clients: requests, and responses that are not read', () => this.memory.budget.bytes)
+    metrics.gauge('teaselrill_client_connections', 'Open connections of clients', () => this.sockets.size)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that accept requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
     metrics.gauge('teaselrill_backends_leaving', 'Backend servers that announced in a response that they are leaving', () => this.fleet.leaving.length)
@@ -313,25 +321,44 @@
   }
 
   private createClientsServer (): Server {
-    const { log, settings } = this.options
+    const { connections } = this.memory.limits
     const server = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
       void this.requestProxy.handle(request, response)
     })
-    server.maxConnections = Math.max(100, settings.maxFileDescriptors - reservedDescriptors)
+    server.maxConnections = connections + spareConnections
     server.requestTimeout = 0
     server.on('connection', (socket: Socket) => {
       this.connectionsAccepted++
       this.sockets.add(socket)
+      if (this.sockets.size > connections) this.makeRoomFor(socket)
       socket.once('close', () => {
         this.sockets.delete(socket)
         this.closedBytes += socket.bytesRead
       })
     })
     server.on('timeout', (socket: Socket) => { void this.closeUnlessRead(socket) })
-    server.on('dropRequest', () => log('warn', 'connection refused: too many clients'))
+    server.on('drop', () => this.memory.onLimit('connections'))
+    // A client that waits for a go-ahead is spared a body that is refused.
+    server.on('checkContinue', (request, response) => {
+      const isRefused = Number(request.headers['content-length'] ?? 0) > (this.deployment?.limits.maxBodyBytes ?? 0)
+      if (!isRefused) response.writeContinue()
+      void this.requestProxy.handle(request, response)
+    })
     return server
   }
 
+  /** Closes another connection for `socket`: the oldest one without a request, or else an idle one. Without either, `socket` is closed. */
+  private makeRoomFor (socket: Socket): void {
+    const { clients } = this.requestProxy
+    this.memory.onLimit('connections')
+    const open = [...this.sockets].filter(other => other !== socket && !other.destroyed)
+    const unused = open.find(other => clients.isUnused(other))
+    const idle = unused ?? open.find(other => clients.isIdle(other))
+    if (unused) unused.destroy()
+    else if (idle) void this.closeUnlessRead(idle)
+    else socket.destroy()
+  }
+
   private onItems (items: readonly StoreItem[], { isReturn }: { isReturn: boolean }): void {
     const { keys } = this.options.codecs
     const backends = items.filter(({ key }) => key.startsWith(keys.backends)).map(item => this.readBackend(item.key, item.value))
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -1,5 +1,7 @@
 /** Settings of one serving node. */
 
+import type { ClientMemoryLimits } from '../policy/clientMemory.js'
+
 export interface ServingSettings {
   node: string
   ip: string
@@ -32,4 +34,6 @@
   keyRemovalMs?: number | undefined
   /** Memory of the machine, in megabytes. */
   memoryMb: number
+  /** Limits on what the node holds for clients that replace the defaults. */
+  clientLimits?: Partial<ClientMemoryLimits>
 }
