Serving: no failover while a client still has events to read

Since streams are read off their engine's connection for slow clients, an engine that fell silent behind a slow client counted as stalled (requestProxy.spec, 'does not treat an engine as unresponsive when its client reads slowly': 3 arrivals instead of 1). Its stall counts only from the time at which the client has read what is held, as before.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -99,7 +99,10 @@
     this.codecs = codecs
     this.clock = clock
     const { response } = writer
-    response.on('drain', () => this.countUnread())
+    response.on('drain', () => {
+      this.countUnread()
+      this.current?.onClientReady()
+    })
     response.once('close', () => {
       this.countUnread(0)
       if (response.writableFinished) return
@@ -222,6 +225,11 @@
     this.abandon({ kind: 'client-left' })
   }
 
+  /** The client has read what was held for it. */
+  onClientReady (): void {
+    this.recordProgress()
+  }
+
   onAbandoned (reason: string): void {
     this.abandon({ kind: 'unknown', reason })
   }
@@ -431,9 +439,9 @@
     checkAfter(limitMs)
   }
 
-  /** Time since the last progress of the server. */
+  /** Time since the last progress of the server; 0 while the client still has events to read, so a failover is not urgent. */
   private stalledMs (): number {
-    return this.forwarder.clock.nowMs() - this.lastProgressMs
+    return this.forwarder.writer.response.writableNeedDrain ? 0 : this.forwarder.clock.nowMs() - this.lastProgressMs
   }
 
   /** Fails over to another server if possible. Returns the time until the next check, in milliseconds. */
