One place for what a valid final status is: 200 to 599

Cause: the response reader took 600 to 999 as final and 101 as interim, and calls to external systems reported 600 to 999 as a definite failure. Answers with them were passed on to clients, and counted as a sign of life of a server.

Change: src/base/httpStatus.ts decides. An invalid status makes a response invalid: 502 for a request, no outcome for a command, an unknown outcome for calls. Streams of external engines skip interim responses.

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -6,6 +6,7 @@
 import { ByteBuffer } from '../base/byteBuffer.js'
 import { withTimeout } from '../base/clock.js'
 import type { Clock } from '../base/clock.js'
+import { isFinalStatus } from '../base/httpStatus.js'
 import { CallError, FailedError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
 import { limitedConnect } from './limitedConnect.js'
 
@@ -28,7 +29,7 @@
 const maxInterimResponses = 100
 
 /**
- * The whole body. Throws when it is too long, and closes the connection, or when it has neither a length nor chunks: the connection of
+ * The whole body. Throws when it is too long, and closes the connection, when the status is invalid, or when it has neither a length nor chunks: the connection of
  * a process that is killed closes in order, as at the end of such a body.
  */
 export async function readWhole (
@@ -39,6 +40,7 @@
     if (whole.length + part.length > maxAnswerBytes) throw new Error(`the answer is longer than ${maxAnswerBytes} bytes`)
     whole.push(part)
   }
+  if (!isFinalStatus(statusCode)) throw new Error(`the status ${statusCode} is invalid`)
   const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
   if (!isFramed && method !== 'HEAD' && !statusesWithoutBody.has(statusCode)) throw new Error('the answer has neither a length nor chunks, so its end cannot be told from the end of its sender')
   return whole.bytes
--- a/src/external/httpEngineStream.ts
+++ b/src/external/httpEngineStream.ts
@@ -1,6 +1,7 @@
 /** The events of one request on an engine, read from newline-delimited JSON. */
 
 import type { Dispatcher } from 'undici'
+import { isFinalStatus, isInterimStatus } from '../base/httpStatus.js'
 import { FailedError, UnknownOutcomeError } from '../base/errors.js'
 import { inferenceEventSchema } from './engine.js'
 import type { InferenceEvent } from './engine.js'
@@ -96,10 +97,12 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+    if (isInterimStatus(status)) return
     this.status = status
     this.headers = headers
     // The events of a success name their attempt themselves.
     if (status === 200) return
+    if (!isFinalStatus(status)) return this.fail(new UnknownOutcomeError(this.options.engine, `the status ${status} is invalid`))
     const { engine, attemptId, isNameExpected, onRefusal } = this.options
     onRefusal(headers[requestIdHeader] !== undefined)
     try {
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -1,5 +1,7 @@
 /** Incremental HTTP/1.1 response parser. Unlike a client library, it reports how a response ended. */
 
+import { isFinalStatus, isInterimStatus } from '../base/httpStatus.js'
+
 /** Larger response heads and trailers are rejected. */
 const maxHeadBytes = 64 * 1024
 const maxChunkLineBytes = 1024
@@ -118,7 +120,8 @@
     const head = parseHead(data.toString('latin1', 0, end))
     if (typeof head === 'string') return this.invalid(head)
     const rest = data.subarray(end + 4)
-    if (head.status >= 100 && head.status < 200) return this.addExtra(end + 4) ? rest : undefined
+    if (isInterimStatus(head.status)) return this.addExtra(end + 4) ? rest : undefined
+    if (!isFinalStatus(head.status)) return this.invalid(`the status ${head.status} is invalid`)
     const framing = framingOf(head, this.withoutBody)
     if (typeof framing === 'string') return this.invalid(framing)
     if (framing.state === 'done') head.isBodiless = true
@@ -205,7 +208,7 @@
 /** Returns the parsed head, or the reason why it is invalid. */
 function parseHead (text: string): ResponseHead | string {
   const lines = text.split('\r\n')
-  const match = /^HTTP\/1\.([01]) ([1-9]\d{2})(?: (.*))?$/.exec(lines[0]!)
+  const match = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/.exec(lines[0]!)
   if (!match || !headerText.test(match[3] ?? '')) return 'the status line is invalid'
   const rawHeaders: string[] = []
   const headers = new Map<string, string>()
