--- /dev/null
+++ b/tests/clientMemory.spec.ts
@@ -0,0 +1,67 @@
+import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { silentLog } from '../src/base/log.js'
+import { readSettingsFile } from '../src/platform/settingsFile.js'
+import { clientMemoryLimits } from '../src/policy/clientMemory.js'
+import { ClientMemory } from '../src/serving/clientMemory.js'
+import { chunk, requestIdOf, responseTo, RequestProxyFixture, route, streamHead } from './fixtures/requestProxyFixture.js'
+import { settingsText } from './soak/nodeProcess.js'
+
+describe('client memory', () => {
+  it('limits follow the machine and give way to settings', () => {
+    // Guards against defaults that a single request inside the stated limits reaches on the smallest machine.
+    const limits = clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 })
+    expect(limits.heldBytes).to.be.above(2 * 4_194_304)
+    expect(limits.connections * 64 * 1024 + limits.heldBytesWithSmall).to.be.below(110 * 1024 * 1024)
+    expect(clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 1300 }).connections).to.equal(100)
+    const { clientLimits } = readSettingsFile(`${settingsText('n', '127.0.0.1', '127.0.0.1:1')}[clients]\nheld_mb = 3\npipelined = 5\n`, 'f')
+    expect(clientLimits).to.deep.equal({ heldBytes: 3 * 1024 * 1024, pipelinedRequests: 5 })
+  })
+
+  it('stalled bodies make room, and only after a time without progress', async () => {
+    // Guards against a body that keeps its share as long as its client wants, and against one that is given up while it comes.
+    const clock = new VirtualClock(0)
+    const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
+    const upload = { progressAtMs: 0, giveUp: () => { stop(); memory.budget.resize(900_000, 0) } }
+    const stop = memory.watch(upload)
+    expect(memory.budget.resize(0, 900_000)).to.equal(true)
+    await clock.advance(900)
+    expect(memory.budget.resize(0, 500_000), 'with progress').to.equal(false)
+    expect(memory.budget.resize(0, 50_000), 'small').to.equal(true)
+    await clock.advance(200)
+    expect(memory.budget.resize(0, 500_000), 'stalled').to.equal(true)
+    expect(memory.budget.bytes).to.equal(550_000)
+  })
+
+  it('a stream whose client reads nothing is broken off beyond the budget', async () => {
+    // Guards against memory for a client that reads nothing, and against a repeat of its request.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([route({ kind: 'stream', resumable: true, timeoutMs: 10_000 })])
+    await fixture.addServer('a', (socket, head) => {
+      socket.write(streamHead(head, 'Transfer-Encoding: chunked\r\n'))
+      let id = 0
+      const timer = setInterval(() => { for (let count = 0; count < 20; count++) socket.write(chunk(`id: ${++id}\ndata: ${'x'.repeat(50_000)}\n\n`)) }, 2)
+      socket.once('close', () => clearInterval(timer))
+    })
+    const { socket } = fixture.connect()
+    socket.pause()
+    socket.write('POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\nContent-Length: 1\r\n\r\nx')
+    while (fixture.records.length === 0) await new Promise(resolve => setTimeout(resolve, 10))
+    expect(fixture.records[0]).to.include({ outcome: 'client-left', attempts: 1 })
+    while (fixture.fleet.buffered.bytes > 0) await new Promise(resolve => setTimeout(resolve, 10))
+    fixture.stop()
+  })
+
+  it('a connection with too many requests in progress is closed', async () => {
+    // Guards against requests that wait for an earlier response, without a limit.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => setTimeout(() => socket.write(responseTo(requestIdOf(head), 'ok')), 300))
+    const { socket, text } = fixture.connect()
+    socket.write('POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\nContent-Length: 1\r\n\r\nx'.repeat(40))
+    await new Promise(resolve => socket.once('end', resolve))
+    expect(text()).to.equal('')
+    expect(fixture.received.length).to.be.below(2)
+    fixture.stop()
+  })
+})
