--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -33,7 +33,7 @@
 /** Events that change what a node believes about the fleet. */
 const fleetEvents = new Set([
   'store lost', 'store regained', 'store history lost', 'configuration in force', 'placement leader is this node',
-  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'graceful shutdown', 'log lines left out'
+  'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'graceful shutdown', 'log lines left out', 'client limit reached'
 ])
 
 function parse (text: string): Line | undefined {
--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -5,7 +5,7 @@
 import { progressBytes } from '../policy/clientMemory.js'
 import type { ClientMemory } from './clientMemory.js'
 
-/** Memory of one request besides its head and body: its objects. Measured at 4 to 6 KB. */
+/** Estimate of the memory that the objects of one request take besides its head and body. */
 const requestBytes = 6 * 1024
 
 /** `too-large`: over the limit for one body. `no-room`: over the limit for all. `stalled`: no progress. `left`: the client closed the connection. */
@@ -15,7 +15,7 @@
 export class ClientBody {
   /** The complete body, or why there is none. The rest of a body that failed is not read. */
   readonly result: Promise<Buffer | BodyFailure>
-  private readonly storage: ByteBuffer
+  private storage = new ByteBuffer()
   private readonly headBytes: number
   private heldBytes = 0
   private receivedBytes = 0
@@ -25,15 +25,17 @@
   private readonly upload = { progressAtMs: 0, giveUp: () => this.settle('stalled') }
   private bytesAtProgress = 0
 
-  constructor (private readonly request: IncomingMessage, private readonly maxBytes: number, private readonly memory: ClientMemory) {
+  constructor (private readonly request: IncomingMessage, private readonly maxBytes: number, private readonly memory: ClientMemory, private readonly requestId?: string) {
     this.result = new Promise(resolve => { this.resolve = resolve })
     this.headBytes = requestBytes + request.rawHeaders.reduce((sum, { length }) => sum + length, request.url!.length)
     const declaredBytes = Number(request.headers['content-length'] ?? 0)
-    // Taken at once, so that bodies that have begun can be completed.
-    this.storage = new ByteBuffer(Math.min(declaredBytes, maxBytes))
     if (declaredBytes > maxBytes) this.settle('too-large')
+    // Taken at once, so that bodies that have begun can be completed.
     else if (!this.hold(this.headBytes + declaredBytes)) this.settle('no-room')
-    else this.read()
+    else {
+      this.storage = new ByteBuffer(declaredBytes)
+      this.read()
+    }
   }
 
   /** Gives the memory back. */
@@ -80,7 +82,7 @@
       this.request.pause()
       this.hold(0)
       this.storage.clear()
-      if (result !== 'left') this.memory.onLimit(({ 'too-large': 'body-size', 'no-room': 'memory', stalled: 'body-stall' } as const)[result])
+      if (result !== 'left') this.memory.onLimit(({ 'too-large': 'body-size', 'no-room': 'memory', stalled: 'body-stall' } as const)[result], this.requestId)
     }
     this.resolve(result)
   }
--- a/src/serving/clientMemory.ts
+++ b/src/serving/clientMemory.ts
@@ -53,8 +53,8 @@
     return () => { this.uploads.delete(upload) }
   }
 
-  /** Counts and logs that a limit has acted. */
-  onLimit (limit: ClientLimit): void {
+  /** Counts and logs that a limit has acted. The first line of a series names the request. */
+  onLimit (limit: ClientLimit, request?: string): void {
     this.options.onLimit?.(limit)
     const count = this.unlogged.get(limit)
     if (count !== undefined) {
@@ -62,7 +62,7 @@
       return
     }
     this.unlogged.set(limit, 0)
-    this.log(limit, 1)
+    this.log(limit, 1, request)
     const logLater = () => {
       this.clock.setTimer(logIntervalMs, () => {
         const more = this.unlogged.get(limit)!
@@ -78,8 +78,8 @@
     logLater()
   }
 
-  private log (limit: ClientLimit, count: number): void {
-    this.options.log('warn', 'client limit reached', { reason: limit, count, heldBytes: Math.round(this.budget.bytes), uploads: this.uploads.size })
+  private log (limit: ClientLimit, count: number, request?: string): void {
+    this.options.log('warn', 'client limit reached', { reason: limit, ...(request === undefined ? {} : { request }), count, heldBytes: Math.round(this.budget.bytes), uploads: this.uploads.size })
   }
 
   private checkLater (): void {
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -144,7 +144,7 @@
 
   private giveUpClient (limit: ClientLimit): void {
     if (this.writer.response.destroyed) return
-    this.memory.onLimit(limit)
+    this.memory.onLimit(limit, this.request.metadata.requestId)
     this.hasClientLeft = true
     this.writer.abort()
   }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -181,12 +181,12 @@
     const earlier = this.clients.latestOn(socket)
     const open = this.clients.register(request, response, metadata.requestId)
     if (this.clients.countOn(socket) > this.memory.limits.pipelinedRequests) {
-      this.memory.onLimit('pipelined')
+      this.memory.onLimit('pipelined', metadata.requestId)
       socket.destroy()
       return
     }
     // Read at once: what waits in the request's own queue takes an object for each chunk.
-    const incoming = new ClientBody(request, this.deployment?.limits.maxBodyBytes ?? unconfiguredBodyBytes, this.memory)
+    const incoming = new ClientBody(request, this.deployment?.limits.maxBodyBytes ?? unconfiguredBodyBytes, this.memory, metadata.requestId)
     try {
       await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming })
     } finally {
