--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -8,6 +8,7 @@
 import { AttemptSample } from './attemptSample.js'
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
+import type { ClientLimit, ClientMemory } from './clientMemory.js'
 import { isEventStream, maxUnframedBytes } from './clientExchange.js'
 import type { BackendResponse, ResponseWriter } from './clientExchange.js'
 import type { Codecs } from './codecs.js'
@@ -44,7 +45,8 @@
 export type AttemptResult =
   /** The complete response was sent to the client. */
   | { kind: 'done' }
-  | { kind: 'client-left' }
+  /** With `reason`, this node gave its client up. */
+  | { kind: 'client-left', reason?: string }
   /** A complete response that was not sent to the client: status 500 or above, or no stream although the stream had started. */
   | { kind: 'answer', response: BackendResponse }
   /** No byte of the request was sent. */
@@ -85,11 +87,15 @@
   readonly onGoneOn: (sentAtMs: number) => void
   /** Takes samples of the servers; absent where capacity is not learned. */
   readonly learned: LearnedCapacity | undefined
+  readonly memory: ClientMemory
   private current: Attempt | undefined
+  /** Bytes of a stream that wait in this process for the client to read. */
+  private unreadBytes = 0
 
   constructor (
-    { request, writer, codecs, clock, reserveMove, onGoneOn, learned }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'reserveMove' | 'onGoneOn' | 'learned'>
+    { request, writer, codecs, clock, memory, reserveMove, onGoneOn, learned }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'memory' | 'reserveMove' | 'onGoneOn' | 'learned'>
   ) {
+    this.memory = memory
     this.reserveMove = reserveMove
     this.onGoneOn = onGoneOn
     this.learned = learned
@@ -98,7 +104,12 @@
     this.codecs = codecs
     this.clock = clock
     const { response } = writer
+    response.on('drain', () => {
+      this.countUnread()
+      this.current?.onClientReady()
+    })
     response.once('close', () => {
+      this.countUnread(0)
       if (response.writableFinished) return
       this.hasClientLeft = true
       this.current?.onClientLeft()
@@ -122,6 +133,27 @@
     })
   }
 
+  /** Counts what the client has not read of the stream. Returns false, and gives the client up, if it is too much. */
+  countUnread (bytes = this.writer.response.writableLength): boolean {
+    const isHeld = this.memory.budget.resize(this.unreadBytes, bytes)
+    if (isHeld) this.unreadBytes = bytes
+    else this.giveUpClient('response-memory')
+    return isHeld
+  }
+
+  /** Gives the client up if it reads nothing of the complete response for some time. */
+  onResponseEnded (): void {
+    const { writer: { response }, memory: { limits } } = this
+    if (!response.writableFinished) response.setTimeout(limits.responseStallMs, () => this.giveUpClient('response-stall'))
+  }
+
+  private giveUpClient (limit: ClientLimit): void {
+    if (this.writer.response.destroyed) return
+    this.memory.onLimit(limit, this.request.metadata.requestId)
+    this.hasClientLeft = true
+    this.writer.abort()
+  }
+
   onEventForwarded (): void {
     const nowMs = this.clock.nowMs()
     if (this.lastEventAtMs !== undefined) this.longestGapMs = Math.max(this.longestGapMs, nowMs - this.lastEventAtMs)
@@ -153,7 +185,6 @@
   private staleBytes = 0
   private heldBytes = 0
   private isFinished = false
-  private isPaused = false
   private hasFirstByte = false
   private events = 0
   private hasEventsWithoutId = false
@@ -205,6 +236,11 @@
     this.abandon({ kind: 'client-left' })
   }
 
+  /** The client has read what was held for it. */
+  onClientReady (): void {
+    this.recordProgress()
+  }
+
   onAbandoned (reason: string): void {
     this.abandon({ kind: 'unknown', reason })
   }
@@ -322,17 +358,9 @@
       forwarder.contentType = this.head!.headers.get('content-type')
       writer.beginStream(this.head!, forwarder.codecs.returnHeaders(this.head!))
     }
-    if (writer.writeEvents(bytes) || this.isPaused) return
-    const { connection } = this
-    this.isPaused = true
-    this.sample?.onPaused()
-    connection?.pause()
-    writer.response.once('drain', () => {
-      this.isPaused = false
-      this.recordProgress()
-      // The connection may already serve another request.
-      if (!this.isFinished) connection?.resume()
-    })
+    if (!writer.writeEvents(bytes)) this.sample?.onPaused()
+    // The server's connection is read on for a slow client: a server cuts off a response that remains unread for some seconds.
+    if (!forwarder.countUnread()) this.abandon({ kind: 'client-left', reason: 'the client reads too slowly, and this node holds too much for its clients' })
   }
 
   private onEnd (): void {
@@ -351,6 +379,7 @@
       forwarder.firstByteMs ??= forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
       if (status >= 500 || forwarder.hasResponseStarted) return this.finish({ kind: 'answer', response: backendResponse })
       forwarder.writer.sendResponse(backendResponse, forwarder.codecs.returnHeaders(backendResponse.head))
+      forwarder.onResponseEnded()
       return this.finish({ kind: 'done' })
     }
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
@@ -358,6 +387,7 @@
     if (!forwarder.hasResponseStarted) this.write(Buffer.alloc(0))
     if (!forwarder.writer.mayEndAfter(this.head!)) return this.finish({ kind: 'unknown', reason: 'nothing states the end of the stream', isEndUnproved: this.events > 0 })
     forwarder.writer.endStream()
+    forwarder.onResponseEnded()
     this.finish({ kind: 'done' })
   }
 
@@ -421,9 +451,9 @@
     checkAfter(limitMs)
   }
 
-  /** Time since the last progress of the server; 0 while reading is paused because the client is slow. */
+  /** Time since the last progress of the server; 0 while the client still has events to read, so a failover is not urgent. */
   private stalledMs (): number {
-    return this.isPaused ? 0 : this.forwarder.clock.nowMs() - this.lastProgressMs
+    return this.forwarder.writer.response.writableNeedDrain ? 0 : this.forwarder.clock.nowMs() - this.lastProgressMs
   }
 
   /** Fails over to another server if possible. Returns the time until the next check, in milliseconds. */
@@ -490,11 +520,15 @@
   return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable)
 }
 
-function encodeRequest ({ method, path, body }: ProxiedRequest, headers: readonly string[]): Buffer {
+/** The head and the body, which is not copied. */
+function encodeRequest ({ method, path, body }: ProxiedRequest, headers: readonly string[]): Buffer[] {
   let head = `${method} ${path} HTTP/1.1\r\n`
   for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
   if (body.length > 0 || !bodilessMethods.has(method)) head += `Content-Length: ${body.length}\r\n`
-  return Buffer.concat([Buffer.from(`${head}\r\n`, 'latin1'), body])
+  const encodedHead = Buffer.from(`${head}\r\n`, 'latin1')
+  return body.length <= copiedBodyBytes ? [Buffer.concat([encodedHead, body])] : [encodedHead, body]
 }
 
+/** Up to this size, one write costs less than two. */
+const copiedBodyBytes = 16 * 1024
 const bodilessMethods = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS'])
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -22,6 +22,7 @@
   private readonly storeCalls = this.counter('teaselrill_store_calls_total', 'Calls to the platform store by name and status', ['call', 'status'])
   private readonly commands = this.counter('teaselrill_engine_orders_total', 'Commands to engines by action and outcome', ['action', 'outcome'])
   private readonly quota = this.counter('teaselrill_quota_units_total', 'Tokens or requests of account quotas by account and event: granted by the leader, spent alone without a leader, refused', ['account', 'event'])
+  private readonly clientLimits = this.counter('teaselrill_client_limits_total', 'Times that a limit on what the node holds for clients has acted', ['limit'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
   private readonly keyRefusals = this.counter('teaselrill_key_refusals_total', 'Requests refused for their key: unknown-key with 401, stale with 503 since the configuration may be too old', ['reason'])
   private readonly firstByte = this.histogram('teaselrill_first_byte_seconds', 'Time from arrival to the first byte of the response')
@@ -80,6 +81,10 @@
     this.quota.inc({ account, event }, units)
   }
 
+  onClientLimit (limit: string): void {
+    this.clientLimits.inc({ limit })
+  }
+
   onConnectionOpened (): void {
     this.connections.inc()
   }
