Quota ledger: take tokens back before the first grant

A ledger dropped what nodes gave back until its first grant of the account, although what they had spent was already in the history from which the bucket starts. The tokens stayed spent for a window. They are now taken out of the history.

--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -119,9 +119,10 @@
   /** Takes back tokens of requests that did not run, and prefetched ones that were not used. */
   giveBack (node: string, account: string, tokens: number): void {
     const limit = this.limitOf(account)
-    const bucket = limit && this.buckets.get(account)
-    if (!bucket) return
     const nowMs = this.clock.nowMs()
+    const bucket = limit && this.buckets.get(account)
+    // Before the first grant, the tokens are in what the node reported.
+    if (!bucket) return this.history.get(account)?.add(-tokens, nowMs)
     this.refill(bucket, limit, nowMs)
     bucket.level = Math.min(capacityOf(limit), bucket.level + tokens)
     nodeSum(bucket, node).add(-tokens, nowMs)
