Quota client: account for a changed leader and the own term

Three faults of the node's bookkeeping: - Tokens given back while the connection was down, or just before it was lost, never returned to the same leader. They are kept until it is reached again. - Tokens of a former leader were returned to the next one, although they were no longer part of what it was told as spent. They are dropped then. - A leader did not count what its own node spent alone while the ledger settled.

--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -125,7 +125,10 @@
   /** Tells the leader what it doesn't know of this node's spending. */
   onConnected (fence: number | undefined): void {
     this.pausedUntilMs = -Infinity
-    const spent = this.pool.spent({ isNewLeader: fence !== this.reportedFence })
+    const isNewLeader = fence !== this.reportedFence
+    // A new leader is told only what is still spent.
+    if (isNewLeader) this.returned.clear()
+    const spent = this.pool.spent({ isNewLeader })
     if (spent.length > 0 && !this.options.send({ quotaAsk: 0, rows: [], spent })) return
     this.reportedFence = fence
     this.pool.onSpentReported()
@@ -134,8 +137,8 @@
   /** The same for the ledger of this node when it begins to lead. */
   onOwnTerm (ledger: QuotaLedger): void {
     this.reportedFence = undefined
-    for (const [account, rows] of this.pool.spent({ isNewLeader: true })) ledger.addSpent(this.options.node, account, rows)
-    this.pool.onSpentReported()
+    this.returned.clear()
+    this.reportTo(ledger, { isNewLeader: true })
   }
 
   /** Nothing sent over the lost connection is answered any more. */
@@ -146,8 +149,6 @@
       this.batches.delete(number)
     }
     this.openBatch = undefined
-    // What the lost leader granted ends with it.
-    this.returned.clear()
   }
 
   /** Sets the load of accounts as the leader sees it. */
@@ -163,13 +164,22 @@
   sweep (): void {
     this.overQuota.sweep()
     for (const [account, tokens] of this.pool.takeExpired()) this.addReturned(account, tokens)
-    if (this.returned.size === 0) return
     const ledger = this.options.localLedger()
-    if (ledger) for (const [account, tokens] of this.returned) ledger.giveBack(this.options.node, account, tokens)
-    else this.options.send({ quotaAsk: 0, rows: [], returned: [...this.returned] })
+    // Without a connection, the tokens are kept: the same leader may be reached again.
+    if (!ledger && (this.returned.size === 0 || !this.options.send({ quotaAsk: 0, rows: [], returned: [...this.returned] }))) return
+    if (ledger) {
+      // What was spent alone while the ledger settled.
+      this.reportTo(ledger, { isNewLeader: false })
+      for (const [account, tokens] of this.returned) ledger.giveBack(this.options.node, account, tokens)
+    }
     this.returned.clear()
   }
 
+  private reportTo (ledger: QuotaLedger, { isNewLeader }: { isNewLeader: boolean }): void {
+    for (const [account, rows] of this.pool.spent({ isNewLeader })) ledger.addSpent(this.options.node, account, rows)
+    this.pool.onSpentReported()
+  }
+
   private ask (account: string, tokens: number, wanted: number): Promise<{ decision: QuotaDecision, ask?: Ask, askedAtMs: number }> {
     const askedAtMs = this.clock.nowMs()
     const ledger = this.options.localLedger()
