Quota client: ask only over a connection that is open

Queries were written while the connection to a new leader was being opened and so preceded the report that names the node. The leader counted them for a node without a name, and what was spent alone was reported twice: with the query, and again once connected. While connecting, the node now decides alone.

--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -83,6 +83,11 @@
     return this.link !== undefined
   }
 
+  /** Like `send`, but not ahead of the report that names this node to the leader, which is the first message of a connection. */
+  sendIfConnected (message: NodeMessage): boolean {
+    return this.isConnected && this.send(message)
+  }
+
   /** Whether messages can be sent. */
   get isConnected (): boolean {
     return this.link !== undefined && !this.link.socket.connecting
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -151,7 +151,7 @@
       log,
       node: settings.node,
       nodeCount: () => this.size.value,
-      send: message => this.link.send(message),
+      send: message => this.link.sendIfConnected(message),
       localLedger: () => this.leaderTerm?.quotas,
       onEvent: (event, account, tokens) => options.metrics?.onQuota(event, account, tokens)
     })
--- a/tests/peerLink.spec.ts
+++ b/tests/peerLink.spec.ts
@@ -41,6 +41,28 @@
   })
 })
 
+describe('message that needs a named connection', () => {
+  it('is not sent before the connection is open', async () => {
+    // Guards against spent tokens that a new leader is told twice and for no node: with a query, and again after the connection.
+    const clock = new SystemClock()
+    const port = await freePort()
+    const received: NodeMessage[] = []
+    const server = new PeerServer({ clock, onMessage: message => received.push(message), onJoined: () => {} })
+    await server.listen('127.0.0.1', port)
+    const report: NodeReport = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] }
+    const query = { quotaAsk: 1, rows: [] }
+    const link = new LeaderLink({ clock, log: silentLog, onMessage: () => {}, onConnected: () => { link.send(report) }, onLost: () => {} })
+    link.setLeader({ host: '127.0.0.1', port })
+    expect(link.sendIfConnected(query)).to.equal(false)
+    for (let tries = 0; received.length < 1 && tries < 100; tries++) await new Promise(resolve => setTimeout(resolve, 10))
+    expect(link.sendIfConnected(query)).to.equal(true)
+    for (let tries = 0; received.length < 2 && tries < 100; tries++) await new Promise(resolve => setTimeout(resolve, 10))
+    expect(received).to.deep.equal([report, query])
+    link.stop()
+    server.stop()
+  })
+})
+
 describe('message without a leader', () => {
   it('reaches the nodes that are there', async () => {
     // Guards against nodes that cannot tell each other under which prompt parts engines end while no node leads.
