Quotas: bound what is reported before a term, count it once

A node that does not lead kept every report of spent tokens, without a limit in time. Reports over connections that a former term had left open were also counted although those nodes report the same to the next leader. EarlySpending keeps reports for the quota window and skips those connections.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -24,6 +24,7 @@
 import { FleetSize } from './fleetSize.js'
 import { FleetView } from './fleetView.js'
 import { LeaderTerm } from './leaderTerm.js'
+import { EarlySpending } from './earlySpending.js'
 import { LearnedCapacity } from './learnedCapacity.js'
 import { Leadership } from './leadership.js'
 import type { Leader } from './leadership.js'
@@ -31,7 +32,7 @@
 import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
 import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, decodePlace, decodeSlotReply, unpackChanges } from './peerMessages.js'
-import type { LeaderMessage, LeaderReport, NodeReport, QuotaAskMessage } from './peerMessages.js'
+import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
 import { QueuedSlot } from './queuedSlot.js'
 import type { Send } from './peerLink.js'
 import { QuotaClient } from './quotaClient.js'
@@ -106,8 +107,7 @@
   /** Name of the node at the other end of each connection to this leader. */
   private readonly peerNames = new Map<Send, string>()
   private leaderFence: number | undefined
-  /** What nodes reported that saw this node lead before it did itself. */
-  private earlySpent: { node: string, atMs: number, rows: NonNullable<QuotaAskMessage['spent']> }[] = []
+  private readonly earlySpending: EarlySpending
   private readonly loopDelay: LoopDelay
   private readonly quarantine: PartQuarantine
   private readonly storedQuarantine: StoredQuarantine
@@ -145,6 +145,7 @@
     this.demand = new ModelDemand(clock)
     this.size = new FleetSize(clock)
     this.dispatch = new DispatchClient({ clock, timeoutsBeforePause: settings.sharesServers ? sharedTimeoutsBeforePause : 1, send: message => this.link.send(message) })
+    this.earlySpending = new EarlySpending(clock)
     this.quotas = new QuotaClient({
       clock,
       random,
@@ -217,7 +218,7 @@
       onMessage: (message, reply) => {
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if ('quotaAsk' in message) {
-          if (!this.leaderTerm && message.spent) this.earlySpent.push({ node: this.peerNames.get(reply) ?? '', atMs: clock.nowMs(), rows: message.spent })
+          if (!this.leaderTerm && message.spent) this.earlySpending.add(reply, this.peerNames.get(reply) ?? '', message.spent)
           const answer = this.leaderTerm?.onQuotaAsk(this.peerNames.get(reply) ?? '', message)
           if (answer && answer.rows.length > 0) reply(answer)
           return
@@ -490,7 +491,10 @@
 
   private onOwnLeadership (fence: number | undefined, { isOwnSuccessor }: { isOwnSuccessor: boolean }): void {
     this.leaderTerm?.stop()
-    if (this.leaderTerm) this.forgetAssignments()
+    if (this.leaderTerm) {
+      this.forgetAssignments()
+      this.earlySpending.onTermEnded(this.peerNames.keys())
+    }
     this.leaderTerm = undefined
     this.size.stopCounting()
     if (fence === undefined) return
@@ -529,11 +533,7 @@
       mustPauseCommands: () => !settings.enginesCheckFences && this.leadership.isLeaseDoubtful
     })
     this.quotas.onOwnTerm(this.leaderTerm.quotas)
-    for (const { node, atMs, rows } of this.earlySpent) {
-      const agoMs = clock.nowMs() - atMs
-      for (const [account, spent] of rows) this.leaderTerm.quotas.addSpent(node, account, spent.map(([ageMs, tokens]) => [ageMs + agoMs, tokens]))
-    }
-    this.earlySpent = []
+    this.earlySpending.moveTo(this.leaderTerm.quotas)
   }
 
   private nameLink ({ node }: NodeReport, link: Send): void {
--- a/tests/quotaClient.spec.ts
+++ b/tests/quotaClient.spec.ts
@@ -3,6 +3,7 @@
 import { silentLog } from '../src/base/log.js'
 import { SeededRandom } from '../src/base/random.js'
 import { QuotaLedger } from '../src/policy/quotaLedger.js'
+import { EarlySpending } from '../src/serving/earlySpending.js'
 import type { AccountQuota } from '../src/serving/deployment.js'
 import { QuotaClient } from '../src/serving/quotaClient.js'
 import type { QuotaAskMessage } from '../src/serving/peerMessages.js'
@@ -98,3 +99,24 @@
     expect(ledger.loads()).to.deep.equal([['a', 100 / 8000]])
   })
 })
+
+describe('spending reported before a term', () => {
+  // Guards against memory that grows while nodes report to one that never leads, and against reports that a node repeats after the next election.
+  it('counts recent reports over connections that saw no earlier term', async () => {
+    const clock = new VirtualClock(1_000_000)
+    const early = new EarlySpending(clock)
+    const [former, current] = [{}, {}]
+    early.add(current, 'n', [['a', [[0, 4000]]]])
+    early.onTermEnded([former])
+    await clock.advance(8000)
+    early.add(former, 'm', [['a', [[0, 2000]]]])
+    early.add(current, 'n', [['a', [[0, 1000]]]])
+    const added: unknown[] = []
+    const ledger = new QuotaLedger({ clock, limitOf: () => quota })
+    ledger.addSpent = (...report) => added.push(report)
+    await clock.advance(100)
+    early.moveTo(ledger)
+    early.moveTo(ledger)
+    expect(added).to.deep.equal([['n', 'a', [[100, 1000]]]])
+  })
+})
