Quota ledger: take nodes that stop reporting for lost

The leader noticed a lost node only when its connection closed. A cut network closes none: the leader's side stays open for minutes, while the node notices after 1,600 ms and goes on spending alone, and the leader grants the same share to the others. Nodes without a report for 1,600 ms now count as lost until they report again. Time during which the leader itself was frozen counts as 500 ms at most.

--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -21,6 +21,10 @@
 const settleMs = 500
 /** Time for which a lost node is taken to spend as before; afterwards it limits itself. */
 const lostNodeMs = 10_000
+/** Time without a report after which a node is taken for lost: a cut network closes no connection. As long as a node waits for its leader. */
+const maxSilenceMs = 1600
+/** The most that one check adds to the silence, since reports may be unread after this process was frozen. */
+const maxSilenceStepMs = 500
 
 /** Limit of an account, as a token bucket. */
 export interface QuotaLimit {
@@ -75,11 +79,15 @@
   private readonly settledAtMs: number
   /** What nodes have reported before the ledger settled, by account. */
   private readonly history = new Map<string, SlidingSum>()
+  /** Time since the last report of each connected node. */
+  private readonly silenceMs = new Map<string, number>()
+  private silenceCheckedAtMs: number
 
   constructor ({ clock, limitOf, onRefused = () => {} }: QuotaLedgerOptions) {
     this.clock = clock
     this.limitOf = limitOf
     this.onRefused = onRefused
+    this.silenceCheckedAtMs = clock.nowMs()
     this.settledAtMs = clock.nowMs() + settleMs
   }
 
@@ -151,6 +159,23 @@
     }
   }
 
+  /** A report of the node has arrived. */
+  onReport (node: string): void {
+    if (!this.silenceMs.has(node)) this.onNodeJoined(node)
+    this.silenceMs.set(node, 0)
+  }
+
+  /** Takes nodes that have stopped reporting for lost. Call this several times a second. */
+  checkSilence (): void {
+    const nowMs = this.clock.nowMs()
+    const stepMs = Math.min(maxSilenceStepMs, Math.max(0, nowMs - this.silenceCheckedAtMs))
+    this.silenceCheckedAtMs = nowMs
+    for (const [node, silenceMs] of this.silenceMs) {
+      if (silenceMs + stepMs > maxSilenceMs) this.onNodeLost(node)
+      else this.silenceMs.set(node, silenceMs + stepMs)
+    }
+  }
+
   /** The node is connected again, so what it spends is known. */
   onNodeJoined (node: string): void {
     const nowMs = this.clock.nowMs()
@@ -165,6 +190,7 @@
 
   /** The connection to a node is lost. It may go on spending on its own what it spent until now. */
   onNodeLost (node: string): void {
+    this.silenceMs.delete(node)
     const nowMs = this.clock.nowMs()
     for (const [account, bucket] of this.buckets) {
       const limit = this.limitOf(account)
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -153,6 +153,7 @@
   }
 
   onReport (report: NodeReport): void {
+    if (report.node !== this.options.node) this.quotas.onReport(report.node)
     this.recordOutcomes(report)
     this.options.capacityTerm?.onReport(report)
     for (const incarnation of report.leaving ?? []) this.options.fleet.onLeaving(incarnation)
@@ -321,6 +322,7 @@
     this.recordRunning(running)
     this.broadcastUpdate(running, { ...capacityTerm?.changedRows(), ...this.loadRows(this.changedLoads()) })
     this.overQuota.sweep()
+    this.quotas.checkSilence()
     this.broadcastNodes()
     return running
   }
--- a/tests/quotaClient.spec.ts
+++ b/tests/quotaClient.spec.ts
@@ -100,6 +100,43 @@
   })
 })
 
+describe('quota ledger with a node that is cut off', () => {
+  // Guards against a leader that grants a node's share to others while the node, whose connection does not close, spends it alone.
+  it('takes a node that stops reporting for lost until it reports again', async () => {
+    const clock = new VirtualClock(1_000_000)
+    const ledger = new QuotaLedger({ clock, limitOf: () => quota })
+    const events: string[] = []
+    const { onNodeLost } = ledger
+    ledger.onNodeLost = node => {
+      events.push(`${node} lost`)
+      onNodeLost.call(ledger, node)
+    }
+    ledger.onNodeJoined = node => events.push(`${node} joined`)
+    for (let ms = 0; ms < 6000; ms += 200) {
+      ledger.onReport('m')
+      if (ms < 1000 || ms === 5000) ledger.onReport('n')
+      ledger.checkSilence()
+      await clock.advance(200)
+    }
+    expect(events).to.deep.equal(['m joined', 'n joined', 'n lost', 'n joined'])
+  })
+
+  // Guards against nodes that are taken for lost because the leader itself was frozen.
+  it('counts no silence while the leader is frozen', async () => {
+    const clock = new VirtualClock(1_000_000)
+    const ledger = new QuotaLedger({ clock, limitOf: () => quota })
+    let lost = 0
+    ledger.onNodeLost = () => { lost++ }
+    ledger.onReport('n')
+    await clock.advance(5000)
+    ledger.checkSilence()
+    ledger.onReport('n')
+    await clock.advance(1000)
+    ledger.checkSilence()
+    expect(lost).to.equal(0)
+  })
+})
+
 describe('spending reported before a term', () => {
   // Guards against memory that grows while nodes report to one that never leads, and against reports that a node repeats after the next election.
   it('counts recent reports over connections that saw no earlier term', async () => {
