--- a/src/policy/slidingSum.ts
+++ b/src/policy/slidingSum.ts
@@ -16,17 +16,24 @@
 
   /** Sum over at least the last `windowMs` and at most one slot more. */
   sum (nowMs: number): number {
-    return this.rows(nowMs).reduce((sum, [, amount]) => sum + amount, 0)
+    this.dropOld(nowMs)
+    let sum = 0
+    for (const { amount } of this.slots) sum += amount
+    return sum
   }
 
   /** Age of each slot's end in milliseconds (0 for the current one) and its amount, oldest first. */
   rows (nowMs: number): [number, number][] {
-    const oldest = Math.floor((nowMs - this.windowMs) / this.slotMs)
-    while (this.slots.length > 0 && this.slots[0]!.index < oldest) this.slots.shift()
+    this.dropOld(nowMs)
     return this.slots.filter(({ amount }) => amount !== 0).map(({ index, amount }) => [Math.max(0, nowMs - (index + 1) * this.slotMs), amount])
   }
 
   clear (): void {
     this.slots = []
   }
+
+  private dropOld (nowMs: number): void {
+    const oldest = Math.floor((nowMs - this.windowMs) / this.slotMs)
+    while (this.slots.length > 0 && this.slots[0]!.index < oldest) this.slots.shift()
+  }
 }
