Client body: not given up to make room for itself

Cause: a body that had paused for body_stall_without_room_ms and then found no room for its next bytes was the stalled one that the budget gave up. Its bytes were released inside the change of its size, so they were subtracted again at the end of the request: the count of held bytes fell below zero, and the node admitted that much more afterwards. The client got 408 for a body that was arriving. Change: a body is not watched while it grows. It is refused with 503 if no other body makes room.

--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -59,13 +59,21 @@
     this.receivedBytes += data.length
     if (this.receivedBytes > this.maxBytes) return this.settle('too-large')
     const capacityBytes = Math.min(this.maxBytes, this.storage.capacityFor(data.length))
-    if (this.headBytes + capacityBytes > this.heldBytes && !this.hold(this.headBytes + capacityBytes)) return this.settle('no-room')
+    if (this.headBytes + capacityBytes > this.heldBytes && !this.grow(this.headBytes + capacityBytes)) return this.settle('no-room')
     this.storage.push(data)
     if (this.receivedBytes - this.bytesAtProgress < progressBytes) return
     this.bytesAtProgress = this.receivedBytes
     this.upload.progressAtMs = this.memory.clock.nowMs()
   }
 
+  /** Holds more for a body under way. It is not watched meanwhile, since it must not be given up to make room for itself. */
+  private grow (bytes: number): boolean {
+    this.stopWatching()
+    const isHeld = this.hold(bytes)
+    this.stopWatching = this.memory.watch(this.upload)
+    return isHeld
+  }
+
   private hold (bytes: number): boolean {
     const isHeld = this.memory.budget.resize(this.heldBytes, bytes)
     if (isHeld) this.heldBytes = bytes
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -1,8 +1,11 @@
+import { PassThrough } from 'node:stream'
+import type { IncomingMessage } from 'node:http'
 import { expect } from 'chai'
 import { VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import { readSettingsFile } from '../src/platform/settingsFile.js'
 import { clientMemoryLimits } from '../src/policy/clientMemory.js'
+import { ClientBody } from '../src/serving/clientBody.js'
 import { ClientMemory } from '../src/serving/clientMemory.js'
 import { chunk, requestIdOf, responseTo, RequestProxyFixture, route, streamHead } from './fixtures/requestProxyFixture.js'
 import { settingsText } from './soak/nodeProcess.js'
@@ -33,6 +36,22 @@
     expect(memory.budget.bytes).to.equal(550_000)
   })
 
+  it('a body that finds no room for its next bytes releases what it holds once', async () => {
+    // Guards against a body that is given up to make room for itself: its bytes were released twice, and the count fell below zero.
+    const clock = new VirtualClock(0)
+    const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
+    const request = Object.assign(new PassThrough(), { rawHeaders: [], url: '/', headers: {} })
+    const body = new ClientBody(request as unknown as IncomingMessage, 4_000_000, memory)
+    request.write(Buffer.alloc(400_000))
+    await new Promise(resolve => setImmediate(resolve))
+    memory.budget.resize(0, 500_000)
+    await clock.advance(2000)
+    request.write(Buffer.alloc(100_000))
+    expect(await body.result).to.equal('no-room')
+    body.release()
+    expect(memory.budget.bytes).to.equal(500_000)
+  })
+
   it('a stream whose client reads nothing is broken off beyond the budget', async () => {
     // Guards against memory for a client that reads nothing, and against a repeat of its request.
     const fixture = new RequestProxyFixture()
