Client body: may come slowly until the deadline of its request

Cause: any body that brought no 4 KiB in body_stall_ms was given up, so a small body in slow pieces got 408 after 10 s although its deadline was later and memory was free. Change: while there is room, a body is given up when it brings no byte in body_stall_ms, or no 4 KiB in it after the deadline of its request. While another client finds no room, the rule stays as it was.

--- a/src/policy/clientMemory.ts
+++ b/src/policy/clientMemory.ts
@@ -20,9 +20,9 @@
   connections: number
   /** Requests on one connection whose responses are not complete. */
   pipelinedRequests: number
-  /** A body under way that brings no 4 KiB in this time is given up. */
+  /** A body under way that brings nothing in this time is given up, and after its request's deadline one that brings no 4 KiB. */
   bodyStallMs: number
-  /** The same, while another client finds no room. */
+  /** A body under way that brings no 4 KiB in this time is given up while another client finds no room. */
   bodyStallWithoutRoomMs: number
   /** A client that reads nothing of a complete response for this time is given up. */
   responseStallMs: number
@@ -57,9 +57,18 @@
 export interface Upload {
   /** Time of the last progress. */
   progressAtMs: number
+  /** Time of the last byte. */
+  receivedAtMs: number
+  /** Until then, a body may come slowly. */
+  deadlineAtMs: number
 }
 
 /** The uploads that have made no progress for `stallMs`, the longest first. */
 export function stalledUploads<T extends Upload> (uploads: Iterable<T>, nowMs: number, stallMs: number): T[] {
   return [...uploads].filter(({ progressAtMs }) => nowMs - progressAtMs >= stallMs).sort((left, right) => left.progressAtMs - right.progressAtMs)
 }
+
+/** The uploads to give up whether or not there is room: those without a byte for `stallMs`, and slow ones past their deadline. */
+export function abandonedUploads<T extends Upload> (uploads: Iterable<T>, nowMs: number, stallMs: number): T[] {
+  return stalledUploads(uploads, nowMs, stallMs).filter(({ receivedAtMs, deadlineAtMs }) => nowMs - receivedAtMs >= stallMs || nowMs >= deadlineAtMs)
+}
--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http'
 import { ByteBuffer } from '../base/byteBuffer.js'
 import { progressBytes } from '../policy/clientMemory.js'
-import type { ClientMemory } from './clientMemory.js'
+import type { ActiveUpload, ClientMemory } from './clientMemory.js'
 
 /** Estimate of the memory that the objects of one request take besides its head and body. */
 const requestBytes = 6 * 1024
@@ -16,16 +16,26 @@
   /** The complete body, or why there is none. The rest of a body that failed is not read. */
   readonly result: Promise<Buffer | BodyFailure>
   private storage = new ByteBuffer()
+  private readonly maxBytes: number
+  private readonly requestId: string | undefined
   private readonly headBytes: number
   private heldBytes = 0
   private receivedBytes = 0
   private resolve: (result: Buffer | BodyFailure) => void = () => {}
   private isSettled = false
   private stopWatching = () => {}
-  private readonly upload = { progressAtMs: 0, giveUp: () => this.settle('stalled') }
+  private readonly upload: ActiveUpload
   private bytesAtProgress = 0
 
-  constructor (private readonly request: IncomingMessage, private readonly maxBytes: number, private readonly memory: ClientMemory, private readonly requestId?: string) {
+  /** Until `deadlineAtMs`, the body may come slowly while there is room. */
+  constructor (
+    private readonly request: IncomingMessage, private readonly memory: ClientMemory,
+    { maxBytes, deadlineAtMs, requestId }: { maxBytes: number, deadlineAtMs: number, requestId?: string | undefined }
+  ) {
+    const nowMs = memory.clock.nowMs()
+    this.maxBytes = maxBytes
+    this.requestId = requestId
+    this.upload = { progressAtMs: nowMs, receivedAtMs: nowMs, deadlineAtMs, giveUp: () => this.settle('stalled') }
     this.result = new Promise(resolve => { this.resolve = resolve })
     this.headBytes = requestBytes + request.rawHeaders.reduce((sum, { length }) => sum + length, request.url!.length)
     const declaredBytes = Number(request.headers['content-length'] ?? 0)
@@ -47,7 +57,6 @@
 
   private read (): void {
     const { request, memory } = this
-    this.upload.progressAtMs = memory.clock.nowMs()
     this.stopWatching = memory.watch(this.upload)
     request.on('data', this.onData)
     request.once('end', () => this.settle(this.storage.bytes))
@@ -56,14 +65,16 @@
   }
 
   private readonly onData = (data: Buffer): void => {
+    const nowMs = this.memory.clock.nowMs()
     this.receivedBytes += data.length
+    this.upload.receivedAtMs = nowMs
     if (this.receivedBytes > this.maxBytes) return this.settle('too-large')
     const capacityBytes = Math.min(this.maxBytes, this.storage.capacityFor(data.length))
     if (this.headBytes + capacityBytes > this.heldBytes && !this.grow(this.headBytes + capacityBytes)) return this.settle('no-room')
     this.storage.push(data)
     if (this.receivedBytes - this.bytesAtProgress < progressBytes) return
     this.bytesAtProgress = this.receivedBytes
-    this.upload.progressAtMs = this.memory.clock.nowMs()
+    this.upload.progressAtMs = nowMs
   }
 
   /** Holds more for a body under way. It is not watched meanwhile, since it must not be given up to make room for itself. */
--- a/src/serving/clientMemory.ts
+++ b/src/serving/clientMemory.ts
@@ -2,7 +2,7 @@
 
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
-import { clientMemoryLimits, stalledUploads } from '../policy/clientMemory.js'
+import { abandonedUploads, clientMemoryLimits, stalledUploads } from '../policy/clientMemory.js'
 import type { ClientMemoryLimits, Upload } from '../policy/clientMemory.js'
 import { ByteBudget } from './byteBudget.js'
 
@@ -85,7 +85,7 @@
   private checkLater (): void {
     this.cancelCheck ??= this.clock.setTimer(stallCheckMs, () => {
       this.cancelCheck = undefined
-      for (const { giveUp } of stalledUploads(this.uploads, this.clock.nowMs(), this.limits.bodyStallMs)) giveUp()
+      for (const { giveUp } of abandonedUploads(this.uploads, this.clock.nowMs(), this.limits.bodyStallMs)) giveUp()
       if (this.uploads.size > 0) this.checkLater()
     })
   }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -201,7 +201,12 @@
       return
     }
     // Read at once: what waits in the request's own queue takes an object for each chunk.
-    const incoming = new ClientBody(request, this.deployment?.limits.maxBodyBytes ?? unconfiguredBodyBytes, this.memory, metadata.requestId)
+    const route = this.routes.find(request.headers.host ?? '', request.url ?? '/')
+    const incoming = new ClientBody(request, this.memory, {
+      maxBytes: this.deployment?.limits.maxBodyBytes ?? unconfiguredBodyBytes,
+      deadlineAtMs: arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route?.timeoutMs ?? 0),
+      requestId: metadata.requestId
+    })
     try {
       await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming })
     } finally {
