Client memory: give bodies up only if they make enough room

Cause: a holder that found no room had every stalled body given up, the longest first, until it fitted. A large request that could not fit at all thereby cost all slow clients their small bodies. Change: the stalled bodies that together make enough room are given up, the largest first; none if all of them are not enough.

--- a/src/policy/clientMemory.ts
+++ b/src/policy/clientMemory.ts
@@ -61,11 +61,26 @@
   receivedAtMs: number
   /** Until then, a body may come slowly. */
   deadlineAtMs: number
+  /** What giving it up releases. */
+  heldBytes: number
+}
+
+function stalledUploads<T extends Upload> (uploads: Iterable<T>, nowMs: number, stallMs: number): T[] {
+  return [...uploads].filter(({ progressAtMs }) => nowMs - progressAtMs >= stallMs)
 }
 
-/** The uploads that have made no progress for `stallMs`, the longest first. */
-export function stalledUploads<T extends Upload> (uploads: Iterable<T>, nowMs: number, stallMs: number): T[] {
-  return [...uploads].filter(({ progressAtMs }) => nowMs - progressAtMs >= stallMs).sort((left, right) => left.progressAtMs - right.progressAtMs)
+/**
+ * The uploads without progress for `stallMs` that make room for `neededBytes`. The largest go first, so that few clients lose theirs;
+ * none does if all of them are not enough.
+ */
+export function uploadsForRoom<T extends Upload> (uploads: Iterable<T>, neededBytes: number, nowMs: number, stallMs: number): T[] {
+  const stalled = stalledUploads(uploads, nowMs, stallMs).sort((left, right) => right.heldBytes - left.heldBytes)
+  let releasedBytes = 0
+  for (const [index, { heldBytes }] of stalled.entries()) {
+    releasedBytes += heldBytes
+    if (releasedBytes >= neededBytes) return stalled.slice(0, index + 1)
+  }
+  return []
 }
 
 /** The uploads to give up whether or not there is room: those without a byte for `stallMs`, and slow ones past their deadline. */
--- a/src/serving/byteBudget.ts
+++ b/src/serving/byteBudget.ts
@@ -7,8 +7,8 @@
 
 export class ByteBudget {
   private heldBytes = 0
-  /** Called when a holder finds no room. Returns whether it released anything. */
-  releaseStalled: () => boolean = () => false
+  /** Called when a holder finds no room for `neededBytes`. Releases as much of what others hold, or nothing. */
+  releaseStalled: (neededBytes: number) => void = () => {}
 
   constructor (private readonly limits: { heldBytes: number, heldBytesWithSmall: number } = defaultLimits) {}
 
@@ -21,8 +21,9 @@
   resize (fromBytes: number, toBytes: number): boolean {
     const addedBytes = toBytes - fromBytes
     const limitBytes = toBytes > smallBytes ? this.limits.heldBytes : this.limits.heldBytesWithSmall
-    const isOver = () => addedBytes > 0 && this.heldBytes + addedBytes > limitBytes
-    while (isOver()) if (!this.releaseStalled()) return false
+    const missingBytes = () => addedBytes > 0 ? this.heldBytes + addedBytes - limitBytes : 0
+    if (missingBytes() > 0) this.releaseStalled(missingBytes())
+    if (missingBytes() > 0) return false
     this.heldBytes += addedBytes
     return true
   }
--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -19,7 +19,6 @@
   private readonly maxBytes: number
   private readonly requestId: string | undefined
   private readonly headBytes: number
-  private heldBytes = 0
   private receivedBytes = 0
   private resolve: (result: Buffer | BodyFailure) => void = () => {}
   private isSettled = false
@@ -35,7 +34,7 @@
     const nowMs = memory.clock.nowMs()
     this.maxBytes = maxBytes
     this.requestId = requestId
-    this.upload = { progressAtMs: nowMs, receivedAtMs: nowMs, deadlineAtMs, giveUp: () => this.settle('stalled') }
+    this.upload = { progressAtMs: nowMs, receivedAtMs: nowMs, deadlineAtMs, heldBytes: 0, giveUp: () => this.settle('stalled') }
     this.result = new Promise(resolve => { this.resolve = resolve })
     this.headBytes = requestBytes + request.rawHeaders.reduce((sum, { length }) => sum + length, request.url!.length)
     const declaredBytes = Number(request.headers['content-length'] ?? 0)
@@ -70,7 +69,7 @@
     this.upload.receivedAtMs = nowMs
     if (this.receivedBytes > this.maxBytes) return this.settle('too-large')
     const capacityBytes = Math.min(this.maxBytes, this.storage.capacityFor(data.length))
-    if (this.headBytes + capacityBytes > this.heldBytes && !this.grow(this.headBytes + capacityBytes)) return this.settle('no-room')
+    if (this.headBytes + capacityBytes > this.upload.heldBytes && !this.grow(this.headBytes + capacityBytes)) return this.settle('no-room')
     this.storage.push(data)
     if (this.receivedBytes - this.bytesAtProgress < progressBytes) return
     this.bytesAtProgress = this.receivedBytes
@@ -86,8 +85,8 @@
   }
 
   private hold (bytes: number): boolean {
-    const isHeld = this.memory.budget.resize(this.heldBytes, bytes)
-    if (isHeld) this.heldBytes = bytes
+    const isHeld = this.memory.budget.resize(this.upload.heldBytes, bytes)
+    if (isHeld) this.upload.heldBytes = bytes
     return isHeld
   }
 
--- a/src/serving/clientMemory.ts
+++ b/src/serving/clientMemory.ts
@@ -2,7 +2,7 @@
 
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
-import { abandonedUploads, clientMemoryLimits, stalledUploads } from '../policy/clientMemory.js'
+import { abandonedUploads, clientMemoryLimits, uploadsForRoom } from '../policy/clientMemory.js'
 import type { ClientMemoryLimits, Upload } from '../policy/clientMemory.js'
 import { ByteBudget } from './byteBudget.js'
 
@@ -39,10 +39,8 @@
     this.clock = clock
     this.limits = limits
     this.budget = budget
-    budget.releaseStalled = () => {
-      const [longest] = stalledUploads(this.uploads, clock.nowMs(), limits.bodyStallWithoutRoomMs)
-      longest?.giveUp()
-      return longest !== undefined
+    budget.releaseStalled = neededBytes => {
+      for (const { giveUp } of uploadsForRoom(this.uploads, neededBytes, clock.nowMs(), limits.bodyStallWithoutRoomMs)) giveUp()
     }
   }
 
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -25,7 +25,7 @@
     // Guards against a body that keeps its share as long as its client wants, and against one that is given up while it comes.
     const clock = new VirtualClock(0)
     const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
-    const upload = { progressAtMs: 0, receivedAtMs: 0, deadlineAtMs: 0, giveUp: () => { stop(); memory.budget.resize(900_000, 0) } }
+    const upload = { progressAtMs: 0, receivedAtMs: 0, deadlineAtMs: 0, heldBytes: 900_000, giveUp: () => { stop(); memory.budget.resize(900_000, 0) } }
     const stop = memory.watch(upload)
     expect(memory.budget.resize(0, 900_000)).to.equal(true)
     await clock.advance(900)
@@ -36,6 +36,23 @@
     expect(memory.budget.bytes).to.equal(550_000)
   })
 
+  it('only bodies that make enough room are given up, the largest first', async () => {
+    // Guards against slow clients that lose their small bodies for a large request that finds no room even then.
+    const clock = new VirtualClock(0)
+    const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
+    const givenUp: number[] = []
+    for (const heldBytes of [1000, 300_000, 2000]) {
+      const stop = memory.watch({ progressAtMs: 0, receivedAtMs: 0, deadlineAtMs: 0, heldBytes, giveUp: () => { stop(); givenUp.push(heldBytes); memory.budget.resize(heldBytes, 0) } })
+      memory.budget.resize(0, heldBytes)
+    }
+    memory.budget.resize(0, 600_000)
+    await clock.advance(2000)
+    expect(memory.budget.resize(0, 500_000)).to.equal(false)
+    expect(givenUp).to.deep.equal([])
+    expect(memory.budget.resize(0, 300_000)).to.equal(true)
+    expect(givenUp).to.deep.equal([300_000])
+  })
+
   it('a body that finds no room for its next bytes releases what it holds once', async () => {
     // Guards against a body that is given up to make room for itself: its bytes were released twice, and the count fell below zero.
     const clock = new VirtualClock(0)
