Forwarder: a response without room is no failure of its server

Cause: a response that found no room in the budget for clients was rejected like an invalid one. It counted as a failure of its server, which nodes avoid from a share of 0.35 on; the reason said that the response was too large, and neither the metric nor the log line of the limit showed it. Change: the attempt is abandoned without a failure of the server, with its own reason and the limit response-memory. Result: the new test failed before (1 failure counted); clientMemory.spec 8 passing.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -276,7 +276,7 @@
     }
     this.staleBytes += data.length
     this.onEvents(this.splitter.push(data))
-    if (!this.hold(this.splitter.pendingBytes)) this.reject('the node holds too many bytes of responses')
+    if (!this.hold(this.splitter.pendingBytes)) this.onNoRoom()
     if (this.staleBytes > maxStaleBytes) this.reject('too many bytes were received without a new event')
   }
 
@@ -284,7 +284,8 @@
   private bufferBody (data: Buffer): void {
     const bytes = this.body.length + data.length
     if (this.head!.endsWithConnection && bytes > maxUnframedBytes) return this.reject(`the response has neither a length nor chunks and more than ${maxUnframedBytes} bytes`)
-    if (bytes > maxResponseBytes || !this.hold(bytes)) return this.reject(`the response is too large: ${bytes} bytes received`)
+    if (bytes > maxResponseBytes) return this.reject(`the response is too large: ${bytes} bytes received`)
+    if (!this.hold(bytes)) return this.onNoRoom()
     this.body.push(data)
   }
 
@@ -296,6 +297,13 @@
     return isHeld
   }
 
+  /** Abandons the attempt without a fault of its server. */
+  private onNoRoom (): void {
+    const { memory, request } = this.forwarder
+    memory.onLimit('response-memory', request.metadata.requestId)
+    this.abandon(this.failure('this node holds too much for its clients'))
+  }
+
   /** Releases the bytes; those of a response for the client only when it has read them or left. */
   private releaseHeld (result: AttemptResult): void {
     const { heldBytes, server: { buffered }, forwarder: { writer: { response } } } = this
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -108,6 +108,18 @@
     fixture.stop()
   })
 
+  it('a response without room does not count as a failure of its server', async () => {
+    // Guards against nodes that avoid sound servers because their own memory is used up.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), 'x'.repeat(100_000))) })
+    fixture.fleet.buffered.resize(0, 16 * 1024 * 1024)
+    expect(await fixture.send('id1')).to.include({ status: 502 })
+    expect(fixture.records[0]!.outcome).to.equal('unknown')
+    expect(fixture.fleet.servers.get('a')!.collectOutcomes()).to.include({ failed: 0 })
+    fixture.stop()
+  })
+
   it('a connection with too many requests in progress is closed', async () => {
     // Guards against requests that wait for an earlier response, without a limit.
     const fixture = new RequestProxyFixture()
