Shared queue: charge requests that are served out of order

Cause: a request with a reserved engine, or one that waited for a trial, left the queue without a charge to its account and rank. An account of large requests, for which engines are reserved, got more than its share. Change: RequestQueue.serveOutOfOrder charges as next does, without a step of the virtual time.

--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -220,6 +220,13 @@
     return item
   }
 
+  /** Removes a waiting item that is served out of order. It costs its customer and its rank as much as in order. */
+  serveOutOfOrder (item: Item): void {
+    const rankQueue = (this.lateIds.has(item.requestId) ? this.lateQueues : this.rankQueues).get(item.rank)!
+    item.usesGuaranteedShare = false
+    this.charge(item, rankQueue.customers.get(item.customer)!)
+  }
+
   /**
    * Removes and returns the first item in service order that `canDispatch` accepts. `models` limits the search to the models whose
    * engines have changed, since most calls follow the completion of one request on one engine.
@@ -325,11 +332,7 @@
       const check = canDispatch(item)
       if (check === true) {
         rankQueue.virtualTime = Math.max(rankQueue.virtualTime, customer.startTag)
-        customer.startTag += item.costTokens / customer.weight
-        const onTimeQueue = this.rankQueues.get(item.rank)!
-        this.guaranteedBudget = Math.min(maxGuaranteedBudget, this.guaranteedBudget + guaranteedDispatchShare - (item.usesGuaranteedShare && item.rank !== this.ranks[0] ? 1 : 0))
-        onTimeQueue.credit = Math.max(0, onTimeQueue.credit - 1)
-        this.detach(item)
+        this.charge(item, customer)
         return item
       }
       head.rejections++
@@ -347,6 +350,15 @@
     return undefined
   }
 
+  /** Removes an item that is served, at the expense of its customer and its rank. */
+  private charge (item: Item, customer: CustomerQueue<Item>): void {
+    customer.startTag += item.costTokens / customer.weight
+    const onTimeQueue = this.rankQueues.get(item.rank)!
+    this.guaranteedBudget = Math.min(maxGuaranteedBudget, this.guaranteedBudget + guaranteedDispatchShare - (item.usesGuaranteedShare && item.rank !== this.ranks[0] ? 1 : 0))
+    onTimeQueue.credit = Math.max(0, onTimeQueue.credit - 1)
+    this.detach(item)
+  }
+
   /** The next item of each model. */
   private headsOf (rankQueue: RankQueue<Item>, models: ReadonlySet<string> | undefined): Head<Item>[] {
     const heads: Head<Item>[] = []
--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -292,9 +292,12 @@
         continue
       }
       const decision = this.decide(entry)
-      if (decision?.kind === 'engine') this.onAssigned(entry, decision)
-      else if (decision?.isForTrial) this.held.set(entry.requestId, entry)
-      else this.queue.add(entry)
+      if (decision?.kind === 'wait' && decision.isForTrial) {
+        this.held.set(entry.requestId, entry)
+        continue
+      }
+      this.queue.add(entry)
+      if (decision?.kind === 'engine') this.onAssignedOutOfOrder(entry, decision)
     }
   }
 
@@ -322,7 +325,14 @@
     const { entry, endsAtMs } = this.reservation
     if (this.clock.nowMs() > endsAtMs) this.reservation = undefined
     const decision = this.decide(entry)
-    if (decision?.kind === 'engine') this.onAssigned(entry, decision)
+    if (decision?.kind === 'engine') this.onAssignedOutOfOrder(entry, decision)
+  }
+
+  private onAssignedOutOfOrder (entry: Entry, decision: Extract<DispatchDecision, { kind: 'engine' }>): void {
+    // Requests that wait for a trial are not in the queue.
+    if (this.held.delete(entry.requestId)) this.queue.add(entry)
+    this.queue.serveOutOfOrder(entry)
+    this.onAssigned(entry, decision)
   }
 
   private onAssigned (entry: Entry, decision: Extract<DispatchDecision, { kind: 'engine' }>): void {
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -183,6 +183,23 @@
     expect(smallWaits.slice(40, 54)).to.deep.equal(Array.from({ length: 14 }, () => 0))
   })
 
+  // Guards against accounts that get more than their share, since large requests with an engine reserved for them cost nothing.
+  it('charges an account for a request that is served out of order', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    const { decide } = world
+    let hasTokens = false
+    world.decide = request => request.outputTokens === 0 || hasTokens ? decide(request) : { kind: 'wait', forMs: 40, lacksTokensAt: 'e-m' }
+    world.submit('large', { outputTokens: 8000, costTokens: 8000 })
+    await clock.advance(400)
+    hasTokens = true
+    world.pass(1)
+    world.submit('same account')
+    world.submit('other account', { account: 'b' })
+    world.pass(2)
+    expect(world.served).to.deep.equal(['large', 'other account', 'same account'])
+  })
+
   // Guards against a leader that does not answer because it searches a long queue, and against models that it never reaches.
   it('bounds a pass and goes on where it stopped', () => {
     let nowMs = 1000
