Proxy: an early refusal keeps the connection of a complete request

Cause: requests without a route, with a refused key or before the first configuration were refused while the parser was still at their head. They counted as incomplete even if their body, or none, had arrived with it. The connection was closed and pipelined requests behind it were lost. Change: these refusals wait for one turn of the event loop, in which the parser reads on in what has arrived. Result: the new test failed before (404, then the connection ended); clientMemory.spec 9, accountAccess.spec 5, queuedRequests.spec 10 and invalidStatus.spec 50 passing.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -230,12 +230,12 @@
     const writer = new ResponseWriter(request, response, this.memory.limits)
     const { deployment } = this
     if (this.isRefusing) return writer.sendError(503, 'this node is shutting down', 0)
-    if (!deployment) return writer.sendError(503, 'this node has not received its configuration yet', startingRetryAfterMs)
+    if (!deployment) return refuseEarly(writer, 503, 'this node has not received its configuration yet', startingRetryAfterMs)
     const path = request.url ?? '/'
     const route = this.routes.find(request.headers.host ?? '', path)
-    if (!route) return writer.sendError(404, 'no route matches the host and path')
+    if (!route) return refuseEarly(writer, 404, 'no route matches the host and path')
     const early = this.options.accounts.check(metadata, route)
-    if ('status' in early) return writer.sendError(early.status, early.reason, early.retryAfterMs)
+    if ('status' in early) return refuseEarly(writer, early.status, early.reason, early.retryAfterMs)
     const body = await incoming.result
     // A long body may be complete only when what is sent on could not be finished any more.
     if (this.isRefusing && body !== 'left') return writer.sendError(503, 'this node is shutting down', 0)
@@ -601,6 +601,15 @@
   }
 }
 
+/**
+ * Refuses a request whose body has not been awaited. The parser first reads on in what has arrived, since only the connection of a
+ * complete request is kept.
+ */
+async function refuseEarly (writer: ResponseWriter, status: number, reason: string, retryAfterMs?: number): Promise<void> {
+  await ioTurn()
+  writer.sendError(status, reason, retryAfterMs)
+}
+
 /** Calls `compute` at the first call and returns its result at each. */
 function once<T> (compute: () => T): () => T {
   let result: { value: T } | undefined
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -120,6 +120,22 @@
     fixture.stop()
   })
 
+  it('a refusal keeps the connection of a request that has arrived whole', async () => {
+    // Guards against pipelined requests that are lost, and connections that are opened anew, after a request that matches no route.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), 'ok')) })
+    const { socket, text } = fixture.connect()
+    const request = (host: string) => `POST / HTTP/1.1\r\nHost: ${host}\r\nX-Attempt-Id: id1\r\nContent-Length: 1\r\n\r\nx`
+    socket.write(request('unknown') + request('h'))
+    await new Promise(resolve => {
+      socket.once('end', resolve)
+      socket.on('data', () => { if (text().includes('200 OK')) resolve(undefined) })
+    })
+    expect(text()).to.match(/^HTTP\/1.1 404 .*HTTP\/1.1 200 OK/s)
+    fixture.stop()
+  })
+
   it('a connection with too many requests in progress is closed', async () => {
     // Guards against requests that wait for an earlier response, without a limit.
     const fixture = new RequestProxyFixture()
