--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -1,8 +1,11 @@
+import { PassThrough } from 'node:stream'
+import type { IncomingMessage } from 'node:http'
 import { expect } from 'chai'
 import { VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import { readSettingsFile } from '../src/platform/settingsFile.js'
 import { clientMemoryLimits } from '../src/policy/clientMemory.js'
+import { ClientBody } from '../src/serving/clientBody.js'
 import { ClientMemory } from '../src/serving/clientMemory.js'
 import { chunk, requestIdOf, responseTo, RequestProxyFixture, route, streamHead } from './fixtures/requestProxyFixture.js'
 import { settingsText } from './soak/nodeProcess.js'
@@ -22,7 +25,7 @@
     // Guards against a body that keeps its share as long as its client wants, and against one that is given up while it comes.
     const clock = new VirtualClock(0)
     const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
-    const upload = { progressAtMs: 0, giveUp: () => { stop(); memory.budget.resize(900_000, 0) } }
+    const upload = { progressAtMs: 0, receivedAtMs: 0, deadlineAtMs: 0, heldBytes: 900_000, giveUp: () => { stop(); memory.budget.resize(900_000, 0) } }
     const stop = memory.watch(upload)
     expect(memory.budget.resize(0, 900_000)).to.equal(true)
     await clock.advance(900)
@@ -33,6 +36,59 @@
     expect(memory.budget.bytes).to.equal(550_000)
   })
 
+  it('only bodies that make enough room are given up, the largest first', async () => {
+    // Guards against slow clients that lose their small bodies for a large request that finds no room even then.
+    const clock = new VirtualClock(0)
+    const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
+    const givenUp: number[] = []
+    for (const heldBytes of [1000, 300_000, 2000]) {
+      const stop = memory.watch({ progressAtMs: 0, receivedAtMs: 0, deadlineAtMs: 0, heldBytes, giveUp: () => { stop(); givenUp.push(heldBytes); memory.budget.resize(heldBytes, 0) } })
+      memory.budget.resize(0, heldBytes)
+    }
+    memory.budget.resize(0, 600_000)
+    await clock.advance(2000)
+    expect(memory.budget.resize(0, 500_000)).to.equal(false)
+    expect(givenUp).to.deep.equal([])
+    expect(memory.budget.resize(0, 300_000)).to.equal(true)
+    expect(givenUp).to.deep.equal([300_000])
+  })
+
+  it('a body that finds no room for its next bytes releases what it holds once', async () => {
+    // Guards against a body that is given up to make room for itself: its bytes were released twice, and the count fell below zero.
+    const clock = new VirtualClock(0)
+    const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, { heldBytes: 1_000_000 }) })
+    const request = Object.assign(new PassThrough(), { rawHeaders: [], url: '/', headers: {} })
+    const body = new ClientBody(request as unknown as IncomingMessage, memory, { maxBytes: 4_000_000, deadlineAtMs: 60_000 })
+    request.write(Buffer.alloc(400_000))
+    await new Promise(resolve => setImmediate(resolve))
+    memory.budget.resize(0, 500_000)
+    await clock.advance(2000)
+    request.write(Buffer.alloc(100_000))
+    expect(await body.result).to.equal('no-room')
+    body.release()
+    expect(memory.budget.bytes).to.equal(500_000)
+  })
+
+  it('a body may come slowly until the deadline of its request', async () => {
+    // Guards against 408 for a small body that is still arriving in time, and against one in single bytes that stays for ever.
+    const clock = new VirtualClock(0)
+    const memory = new ClientMemory({ clock, log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }) })
+    const bodyWith = (deadlineAtMs: number) => {
+      const request = Object.assign(new PassThrough(), { rawHeaders: [], url: '/', headers: {} })
+      return { request, body: new ClientBody(request as unknown as IncomingMessage, memory, { maxBytes: 4_000_000, deadlineAtMs }) }
+    }
+    const [inTime, late, silent] = [bodyWith(60_000), bodyWith(15_000), bodyWith(60_000)]
+    for (let second = 0; second < 20; second++) {
+      for (const { request } of [inTime, late]) request.write('x')
+      await new Promise(resolve => setImmediate(resolve))
+      await clock.advance(1000)
+    }
+    expect(await late.body.result, 'past its deadline').to.equal('stalled')
+    expect(await silent.body.result, 'without a byte').to.equal('stalled')
+    inTime.request.end('x')
+    expect(String(await inTime.body.result)).to.equal('x'.repeat(21))
+  })
+
   it('a stream whose client reads nothing is broken off beyond the budget', async () => {
     // Guards against memory for a client that reads nothing, and against a repeat of its request.
     const fixture = new RequestProxyFixture()
@@ -52,6 +108,34 @@
     fixture.stop()
   })
 
+  it('a response without room does not count as a failure of its server', async () => {
+    // Guards against nodes that avoid sound servers because their own memory is used up.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), 'x'.repeat(100_000))) })
+    fixture.fleet.buffered.resize(0, 16 * 1024 * 1024)
+    expect(await fixture.send('id1')).to.include({ status: 502 })
+    expect(fixture.records[0]!.outcome).to.equal('unknown')
+    expect(fixture.fleet.servers.get('a')!.collectOutcomes()).to.include({ failed: 0 })
+    fixture.stop()
+  })
+
+  it('a refusal keeps the connection of a request that has arrived whole', async () => {
+    // Guards against pipelined requests that are lost, and connections that are opened anew, after a request that matches no route.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([route()])
+    await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), 'ok')) })
+    const { socket, text } = fixture.connect()
+    const request = (host: string) => `POST / HTTP/1.1\r\nHost: ${host}\r\nX-Attempt-Id: id1\r\nContent-Length: 1\r\n\r\nx`
+    socket.write(request('unknown') + request('h'))
+    await new Promise(resolve => {
+      socket.once('end', resolve)
+      socket.on('data', () => { if (text().includes('200 OK')) resolve(undefined) })
+    })
+    expect(text()).to.match(/^HTTP\/1.1 404 .*HTTP\/1.1 200 OK/s)
+    fixture.stop()
+  })
+
   it('a connection with too many requests in progress is closed', async () => {
     // Guards against requests that wait for an earlier response, without a limit.
     const fixture = new RequestProxyFixture()
