Soak: client accounts, their keys and a quota

Cause: the soak played deployments without accounts, so that nothing checked keys and quotas while nodes are paused, restarted or cut from the store.

Nodes get revoke_strict and the contract pool.

The other tests of soak.spec were not run.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -11,8 +11,8 @@
 const sabotageMs = 45_000
 
 /** Switches one mechanism off, which the checks must notice by reporting `rule`. The faults hit only what the mechanism guards. */
-const sabotage = (name: string, rule: string, service: string, only: string[]) =>
-  run({ mustHeal: false, durationMs: sabotageMs, sabotage: name, until: rule, service, only })
+const sabotage = (name: string, rule: string, service: string, only: string[], changes: Partial<SoakOptions> = {}) =>
+  run({ mustHeal: false, durationMs: sabotageMs, sabotage: name, until: rule, service, only, ...changes })
 const rulesOf = ({ violations }: SoakResult) => [...new Set(violations.map(text => text.split(' ')[0]))]
 
 describe('soak', () => {
@@ -148,3 +148,19 @@
     expect(counts['deadly arrivals']).to.be.above(0)
   })
 })
+
+describe('soak of client accounts', () => {
+  it('keeps removed keys out and quotas in force', async () => {
+    // A node that is paused or cut from the store accepts keys that its old configuration holds (KEY), or spends tokens on its own (QUOTA).
+    const { violations, counts } = await run({ seed: 1, durationMs: 15_000, hasAccounts: true, only: ['keyRemoval', 'kill', 'pause', 'stop', 'storeCut'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['unsafe 200']).to.be.above(20)
+    expect(counts['stream 401']).to.be.above(0)
+    expect(counts['stream 429']).to.be.above(0)
+  })
+
+  it('reports requests with keys that were removed', async () => {
+    const { violations } = await sabotage('keys', 'KEY', 'orders', ['keyRemoval'], { hasAccounts: true })
+    expect(violations.join('\n')).to.match(/^KEY .* after its key was removed$/m)
+  })
+})
--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -231,6 +231,7 @@
     const isHeld = this.endHold(String(request.headers['x-hold'] ?? ''))
     if (!isHeld && this.isFull) return this.refuse(request, response, 503)
     ledger.onRun(id, this.options, `${request.method} ${request.url} ${body}`)
+    ledger.checkAccount(id, request.headers)
     this.active++
     if (model) this.running.set(model, (this.running.get(model) ?? 0) + 1)
     try {
--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -2,6 +2,8 @@
 
 import { Agent, request as httpRequest } from 'node:http'
 import { isFramed, withoutComments } from '../fixtures/framing.js'
+import { costOf } from './accounts.js'
+import type { Access } from './accounts.js'
 import { streamEvents } from './backendStandIn.js'
 import type { Kind, Ledger, Outcome } from './ledger.js'
 import type { NodeProcess } from './nodeProcess.js'
@@ -9,6 +11,9 @@
 export const host = 'soak.example'
 export const timeoutMs: Record<Kind, number> = { safe: 2500, unsafe: 2500, stream: 5000 }
 const heldPollMs = 250
+const streamTokens = { prompt: 20, output: 20 }
+/** Whether the path belongs to the route that needs no key. */
+const isPublic = (path: string) => path.startsWith('/stock/')
 
 export interface Call {
   kind: Kind
@@ -16,6 +21,7 @@
   model?: string
   /** Shared prompt parts, in order; the last part of a prompt is always the request's own. */
   parts?: readonly string[]
+  access?: Access | undefined
 }
 
 export class Clients {
@@ -30,15 +36,18 @@
   }
 
   /** Resolves with the answer, or with `undefined` if none came. */
-  send (node: NodeProcess, { kind, path, model, parts = [] }: Call): Promise<Outcome | undefined> {
+  send (node: NodeProcess, { kind, path, model, parts = [], access }: Call): Promise<Outcome | undefined> {
     const id = `${node.name}.${++this.nextId}`
     const method = kind === 'safe' ? 'GET' : 'POST'
     const body = kind === 'safe' ? '' : `body of ${id}`
-    this.ledger.onSent(id, kind, node.name, `${method} ${path} ${body}`)
+    this.ledger.onSent(id, kind, node.name, `${method} ${path} ${body}`, { key: access?.key, tokens: costOf(access?.tokens ?? (model === undefined ? undefined : streamTokens)), isPublic: isPublic(path) })
     this.pending++
     return new Promise<Outcome | undefined>(resolve => {
       const headers: Record<string, string> = { Host: host, 'X-Attempt-Id': id, 'X-Deadline-Ms': String(timeoutMs[kind]) }
-      if (model !== undefined) Object.assign(headers, { 'X-Model': model, 'X-Token-Count': '20,20', 'X-Prompt-Prefix': [...parts, `e${this.nextId.toString(16)}`].map(part => `${part}:10`).join() })
+      if (model !== undefined) Object.assign(headers, { 'X-Model': model, 'X-Token-Count': `${streamTokens.prompt},${streamTokens.output}`, 'X-Prompt-Prefix': [...parts, `e${this.nextId.toString(16)}`].map(part => `${part}:10`).join() })
+      if (access) Object.assign(headers, { 'X-Api-Key': access.key })
+      if (access?.tokens) Object.assign(headers, { 'X-Token-Count': `${access.tokens.prompt},${access.tokens.output}` })
+      if (access?.isForged) Object.assign(headers, { 'X-Tenant': 'forged' })
       const request = httpRequest({ ...node.clientsAddress, method, path, headers, agent: this.agentOf(node.name) })
       let isOver = false
       let hasAnswer = false
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -1,5 +1,6 @@
 /** Faults that the soak injects from outside the processes, in series and overlapping. */
 
+import { removalMs } from './accounts.js'
 import type { BackendStandIn } from './backendStandIn.js'
 import type { ProxyMode } from './faultProxy.js'
 import type { NodeProcess } from './nodeProcess.js'
@@ -127,6 +128,39 @@
   world.isForgettingLeader = false
 }
 
+/** Time that nodes miss a removal beyond the time within which the key may still be used. */
+const missedMs = 500
+/** Share of the further removals meanwhile that are made; with all of them no key would be in force for long. */
+const furtherShare = 0.3
+
+/** Faults of deployments with accounts. */
+export const accountFaults: Record<string, Fault> = {
+  /** Replaces keys while nodes are paused, restarted or cut from the store, and for long enough that old keys would run. */
+  keyRemoval: async (world, durationMs) => {
+    if (world.isMissingRemoval) {
+      if (world.random() < furtherShare) world.replaceKey()
+      return
+    }
+    world.isMissingRemoval = true
+    const way = world.pick(['pause', 'kill', 'cut', 'cutOneWay', 'cutAll'])
+    const victims = way === 'cutAll' ? world.nodes : [world.pick(world.nodes)]
+    for (const { condition, storeProxy } of victims) {
+      condition.begin('key removal')
+      if (way !== 'pause') storeProxy.mode = way === 'cutOneWay' ? 'drop-answers' : 'silent'
+    }
+    if (way === 'pause') victims[0]!.signal('SIGSTOP')
+    if (way === 'kill') victims[0]!.signal('SIGKILL')
+    world.replaceKey()
+    await sleep(removalMs + missedMs + durationMs)
+    if (way === 'pause') victims[0]!.signal('SIGCONT')
+    for (const { condition, storeProxy } of victims) {
+      condition.end('key removal')
+      storeProxy.mode = 'pass'
+    }
+    world.isMissingRemoval = false
+  }
+}
+
 export const faults: Record<string, Fault> = {
   kill: world => disturbNode(world, 'kill', async node => node.signal('SIGKILL')),
   killSeries: (world, durationMs) => disturbNode(world, 'kill series', async node => {
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -1,5 +1,7 @@
 /** What clients sent and backend servers ran, and the promises that this shows kept or broken. */
 
+import { additionMs, mostTokensInWindow, quota, removalMs } from './accounts.js'
+import type { Accounts } from './accounts.js'
 import { longAnswerBytes } from './backendStandIn.js'
 
 export type Kind = 'safe' | 'unsafe' | 'stream'
@@ -79,8 +81,12 @@
   sentAtMs: number
   runs: string[]
   status: number | undefined
+  account: SentAccount
 }
 
+/** What a request sent of its account, and what it costs. */
+interface SentAccount { key: string | undefined, tokens: number, isPublic: boolean }
+
 export interface Outcome {
   status: number
   /** Whether the connection ended as an answer that is complete does. */
@@ -106,6 +112,11 @@
   /** Pauses that backend servers requested, by `NODE/BACKEND`, with the requests that arrived within them. */
   private readonly pauses = new Map<string, { fromMs: number, untilMs: number, arrivals: number }>()
   private unanswered = 0
+  /** Absent if the deployment has none. */
+  accounts: Accounts | undefined
+  /** Tokens of the account with the quota that ran within the last window. */
+  private ran: { atMs: number, tokens: number }[] = []
+  private wasOverQuota = false
   /** Requests whose answer a server ended in order before it was done, without a length or chunks. */
   private readonly stopped = new Set<string>()
   /** Streams whose last run has neither a length nor chunks, so that no server states its end. */
@@ -134,8 +145,8 @@
     this.counts[name] = (this.counts[name] ?? 0) + 1
   }
 
-  onSent (id: string, kind: Kind, node: string, content: string): void {
-    this.sent.set(id, { kind, node, content, sentAtMs: performance.now(), runs: [], status: undefined })
+  onSent (id: string, kind: Kind, node: string, content: string, account: SentAccount): void {
+    this.sent.set(id, { account, kind, node, content, sentAtMs: performance.now(), runs: [], status: undefined })
   }
 
   onUnframedRun (id: string): void {
@@ -240,6 +251,38 @@
     if (request.kind === 'unsafe' && promises.has(request.status ?? 0)) this.violation('REFUSED', `${id} runs at ${backend} after ${request.status}`)
   }
 
+  /** Checks what a run shows of the account. Call it after `onRun`. */
+  checkAccount (id: string, headers: Record<string, string | string[] | undefined>): void {
+    const request = this.sent.get(id)
+    if (!this.accounts || !request) return
+    const { account: { key, tokens, isPublic }, node, sentAtMs, runs } = request
+    const stated = headers['x-tenant']
+    if (headers['x-api-key'] !== undefined) this.violation('KEY', `${node} passes on the key of ${id}`)
+    if (stated === undefined && isPublic) return
+    const { account, removedAtMs } = this.accounts.get(key!)
+    if (stated !== account) this.violation('KEY', `${node} sends ${id} for account ${String(stated)} instead of ${account}`)
+    if (sentAtMs > removedAtMs + removalMs) this.violation('KEY', `${node} runs ${id}, which was sent ${Math.round(sentAtMs - removedAtMs)} ms after its key was removed`)
+    if (runs.length === 1 && account === quota.account) this.checkQuota(tokens)
+  }
+
+  private checkQuota (tokens: number): void {
+    const nowMs = performance.now()
+    this.ran = [...this.ran.filter(({ atMs }) => atMs > nowMs - quota.windowMs), { atMs: nowMs, tokens }]
+    const sum = this.ran.reduce((total, run) => total + run.tokens, 0)
+    this.counts['most tokens in a window'] = Math.max(sum, this.counts['most tokens in a window'] ?? 0)
+    const isOver = sum > mostTokensInWindow
+    if (isOver && !this.wasOverQuota) this.violation('QUOTA', `${sum} tokens of ${quota.account} ran within ${quota.windowMs} ms: ${mostTokensInWindow} may`)
+    this.wasOverQuota = isOver
+  }
+
+  /** A key that was refused must not be in force, as far as the node has to know. */
+  private checkDenied (id: string, { account: { key }, node, sentAtMs }: Sent): void {
+    if (!this.accounts) return
+    const { addedAtMs, removedAtMs } = this.accounts.get(key!)
+    const isCalm = this.store.wasCalmSince(sentAtMs) && this.nodes.get(node)!.wasCalmSince(sentAtMs)
+    if (removedAtMs === Infinity && sentAtMs > addedAtMs + additionMs && isCalm) this.violation('KEY', `${node} denies the key of ${id}, which has been in force for ${Math.round(sentAtMs - addedAtMs)} ms`)
+  }
+
   onElected (node: string): void {
     this.leader = node
     this.fenceAtElection.set(node, this.highestFence)
@@ -273,6 +316,7 @@
     const { status, isComplete, isFramed, headers, body } = outcome
     const request = this.sent.get(id)!
     request.status = status
+    if (status === 401) this.checkDenied(id, request)
     // An earlier run had begun the response with chunks, and no server states the end of the last one.
     const isEndUnstated = isFramed && this.unstated.has(id)
     if (status === 200 && !isComplete && !this.stopped.has(id) && !isEndUnstated) this.onBrokenOff(id, request, outcome, timeoutMs)
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -1,4 +1,4 @@
-/** `npm run soak -- [--seed N] [--seeds N] [--seconds N] [--nodes N] [--only FAULT,...] [--streams] [--sabotage NAME]` */
+/** `npm run soak -- [--seed N] [--seeds N] [--seconds N] [--nodes N] [--only FAULT,...] [--streams] [--accounts] [--sabotage NAME]` */
 
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -12,6 +12,7 @@
     seconds: { type: 'string', default: '25' },
     nodes: { type: 'string', default: '4' },
     streams: { type: 'boolean' },
+    accounts: { type: 'boolean' },
     only: { type: 'string' },
     sabotage: { type: 'string' }
   }
@@ -22,7 +23,7 @@
   const seed = firstSeed + index
   const directory = join(tmpdir(), `teaselrill-soak-${process.pid}-${seed}`)
   const { violations, counts, played, servedAtEnd } = await runSoak({
-    seed, directory, durationMs: Number(values.seconds) * 1000, nodeCount: Number(values.nodes), only: values.only?.split(','), sabotage: values.sabotage, onlyStreams: values.streams
+    seed, directory, durationMs: Number(values.seconds) * 1000, nodeCount: Number(values.nodes), only: values.only?.split(','), sabotage: values.sabotage, onlyStreams: values.streams, hasAccounts: values.accounts
   })
   console.log(`seed ${seed}: ${violations.length} violations, ${(servedAtEnd * 100).toFixed(1)}% served at the end, ${JSON.stringify(counts)}`)
   if (violations.length === 0) continue
--- a/tests/soak/nodeProcess.ts
+++ b/tests/soak/nodeProcess.ts
@@ -4,6 +4,7 @@
 import type { ChildProcess } from 'node:child_process'
 import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
+import { removalMs } from './accounts.js'
 import { FaultProxy } from './faultProxy.js'
 import { Condition, graceMs } from './ledger.js'
 import type { Ledger } from './ledger.js'
@@ -33,6 +34,8 @@
   ledger: Ledger
   /** Module that switches a mechanism off, to show that the checks can fail. */
   sabotage: string | undefined
+  /** Whether the deployment has accounts, whose removed keys must not be accepted, and a shared queue. */
+  hasAccounts?: boolean | undefined
 }
 
 export class NodeProcess {
@@ -67,7 +70,7 @@
     const { directory } = this.options
     mkdirSync(directory, { recursive: true })
     this.settingsPath = join(directory, `${this.name}.toml`)
-    writeFileSync(this.settingsPath, settingsText(this.name, this.ip, await this.storeProxy.listen()))
+    writeFileSync(this.settingsPath, settingsText(this.name, this.ip, await this.storeProxy.listen(), this.options))
     this.launch()
   }
 
@@ -122,12 +125,13 @@
 }
 
 /** The settings file of a node. */
-export function settingsText (node: string, ip: string, store: string): string {
+export function settingsText (node: string, ip: string, store: string, { hasAccounts = false }: { hasAccounts?: boolean | undefined } = {}): string {
   return `node = "${node}"
 ip = "${ip}"
 zone = "z1"
 region = "r1"
 port_range = [${peersPort},${peersPort + 5}]
+${hasAccounts ? 'contracts = ["pool"]' : ''}
 [zones]
 z1 = "r1"
 [listen]
@@ -138,6 +142,7 @@
 [bounds]
 grace_s = ${graceMs / 1000}
 fence_required = true
+${hasAccounts ? `revoke_strict = true\nrevoke_ms = ${removalMs}` : ''}
 [platform]
 address = "${store}"
 ttl_min_ms = 1000
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -1,7 +1,7 @@
 /** One seeded run: real nodes, overlapping faults, then a calm end in which everything must be served again. */
 
 import { createRandom } from '../fixtures/seeds.js'
-import { faults } from './faults.js'
+import { accountFaults, faults } from './faults.js'
 import { sleep } from './storeStandIn.js'
 import { World } from './world.js'
 
@@ -13,6 +13,8 @@
 /** Served share at the end; the rest covers requests that cross a model move. */
 const healedShare = 0.95
 const longestFaultMs = 4000
+/** Share of the faults that replace keys, where there are accounts. */
+const keyRemovalShare = 0.3
 
 export interface SoakOptions {
   seed: number
@@ -30,6 +32,8 @@
   sabotage?: string | undefined
   /** Clients ask for streams alone, of models that every engine holds. */
   onlyStreams?: boolean | undefined
+  /** The deployment has client accounts, and keys are replaced. */
+  hasAccounts?: boolean | undefined
 }
 
 export interface SoakResult {
@@ -41,9 +45,9 @@
   servedAtEnd: number
 }
 
-export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, until, service, only, sabotage, onlyStreams }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, until, service, only, sabotage, onlyStreams, hasAccounts }: SoakOptions): Promise<SoakResult> {
   const random = createRandom(seed)
-  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, service, sabotage, onlyStreams })
+  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, service, sabotage, onlyStreams, hasAccounts })
   const played: string[] = []
   const names = only ?? Object.keys(faults)
   await world.start()
@@ -55,14 +59,15 @@
     const traffic = world.traffic(untilMs + 500, isFound)
     const running: Promise<void>[] = []
     while (performance.now() < untilMs && !isFound()) {
-      const name = names[Math.floor(random() * names.length)]!
+      const name = hasAccounts && random() < keyRemovalShare ? 'keyRemoval' : names[Math.floor(random() * names.length)]!
       played.push(`${((performance.now() - startedAtMs) / 1000).toFixed(1)} ${name}`)
-      running.push(faults[name]!(world, 300 + random() * longestFaultMs))
+      running.push((faults[name] ?? accountFaults[name]!)(world, 300 + random() * longestFaultMs))
       await sleep(200 + random() * 1800)
     }
     await Promise.all([traffic, ...running])
     world.ledger.checkNeighbours()
     if (!mustHeal) return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd: NaN }
+    if (world.accounts) world.accounts.isFlooding = false
     await sleep(healMs)
     const servedAtEnd = await world.traffic(performance.now() + calmMs)
     if (servedAtEnd < healedShare) world.ledger.violation('RECOVER', `${(servedAtEnd * 100).toFixed(1)}% are served ${healMs} ms after the last fault`)
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -1,5 +1,7 @@
 /** The platform that the soak plays around the real programs: store, backend servers, operator, clients. */
 
+import { Accounts } from './accounts.js'
+import type { Access } from './accounts.js'
 import { BackendStandIn, engineMb, adapterSlots, modelMb } from './backendStandIn.js'
 import { Clients, host, timeoutMs } from './clients.js'
 import type { Call } from './clients.js'
@@ -44,6 +46,8 @@
   sabotage?: string | undefined
   /** Clients ask for streams alone, of models that every engine holds. */
   onlyStreams?: boolean | undefined
+  /** The deployment has client accounts. */
+  hasAccounts?: boolean | undefined
 }
 
 interface Change { version: number, atMs: number }
@@ -66,12 +70,16 @@
   private isOver = false
   /** One such fault at a time: a leader has to be elected and give orders between its steps. */
   isForgettingLeader = false
+  /** One such fault at a time: the end of one would end another. */
+  isMissingRemoval = false
+  readonly accounts: Accounts | undefined
   private readonly service: string | undefined
   private readonly models: readonly string[]
   private readonly onlyStreams: boolean
 
-  constructor ({ random, nodeCount, directory, service, sabotage, onlyStreams = false }: WorldOptions) {
+  constructor ({ random, nodeCount, directory, service, sabotage, onlyStreams = false, hasAccounts = false }: WorldOptions) {
     this.random = random
+    this.accounts = this.ledger.accounts = hasAccounts ? new Accounts(random) : undefined
     this.onlyStreams = onlyStreams
     this.clients = new Clients(this.ledger, onlyStreams ? maxPending : connectionsEach)
     this.models = onlyStreams ? models.slice(0, sharedModels) : models
@@ -79,7 +87,7 @@
     this.store = new StoreStandIn(random)
     this.store.onWritten = (key, value) => { if (key === leaderKey) this.ledger.onElected(value.split(' ')[0]!) }
     const { store, ledger } = this
-    this.nodes = Array.from({ length: nodeCount }, (_, index) => new NodeProcess({ index, directory, store, ledger, sabotage }))
+    this.nodes = Array.from({ length: nodeCount }, (_, index) => new NodeProcess({ index, directory, store, ledger, sabotage, hasAccounts }))
   }
 
   async start (): Promise<void> {
@@ -153,6 +161,13 @@
     this.putConfig()
   }
 
+  /** Accepts a configuration with one key removed and one added. */
+  replaceKey (): void {
+    if (this.store.mode !== 'up') return
+    this.accounts?.replaceKey()
+    this.changeConfig()
+  }
+
   /** The store comes back from a copy. The operator writes its newest configuration again, and servers do with their next heartbeat. */
   restoreStore (copy: StoreCopy): void {
     this.store.restore(copy)
@@ -161,7 +176,7 @@
   }
 
   private putConfig (): void {
-    this.store.put('op/config', configOf(this.changes.slice(-versionsKept).map(({ version }) => version), this.version, this.models))
+    this.store.put('op/config', configOf(this.changes.slice(-versionsKept).map(({ version }) => version), this.version, this.models, this.accounts?.tenants()))
   }
 
   /** Sends requests of all kinds until `untilMs` or until `isOver`. Returns the share that was served. */
@@ -182,12 +197,14 @@
     const deadly = this.deadlyParts.size > 0 && this.random() < deadlyShare ? this.pick([...this.deadlyParts]) : undefined
     const neighbourOf = [...this.deadlyParts].at(-1)
     const sentAtMs = performance.now()
+    const access = this.accounts?.pickAccess()
     const call: Call = kind < 0.4
       ? { kind: 'unsafe', path: '/order/1' }
       : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', parts: this.partsOfPrompt(deadly), model: this.pick(this.models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
-    const outcome = await this.clients.send(node, call)
+    const outcome = await this.clients.send(node, { ...call, access })
     if (outcome?.status === 404) this.ledger.violation('DENIED', `${node.name} answers 404 to ${call.path}`)
-    const isServed = outcome?.status === 200 && outcome.isComplete
+    // Callers with a removed key are owed nothing.
+    const isServed = (outcome?.status === 200 && outcome.isComplete) || this.isRemoved(access)
     if (call.kind !== 'stream') return isServed
     if (deadly === undefined && neighbourOf !== undefined) this.ledger.onNeighbour(neighbourOf, { sentAtMs, isServed })
     // Callers of deadly prompts are owed nothing but an end.
@@ -199,10 +216,15 @@
     // A node that takes up nothing still serves the first route, long after it was dropped.
     const change = this.random() < 0.5 ? this.changes[0]! : this.pick(this.changes.slice(-versionsKept - 1))
     const { incarnation } = node
+    const access = this.accounts?.pickAccess()
     const sentAtMs = performance.now()
-    const outcome = await this.clients.send(node, { kind: 'safe', path: `/v${change.version}/1` })
+    const outcome = await this.clients.send(node, { kind: 'safe', path: `/v${change.version}/1`, access })
     if (outcome && incarnation === node.incarnation) this.judge(node, change, outcome.status, sentAtMs)
-    return outcome !== undefined && (outcome.status === 200 || outcome.status === 404)
+    return outcome !== undefined && (outcome.status === 200 || outcome.status === 404 || this.isRemoved(access))
+  }
+
+  private isRemoved (access: Access | undefined): boolean {
+    return access !== undefined && this.accounts!.get(access.key).removedAtMs !== Infinity
   }
 
   private judge (node: NodeProcess, change: Change, status: number, sentAtMs: number): void {
@@ -233,14 +255,15 @@
   }
 }
 
-function configOf (versions: readonly number[], version: number, models: readonly string[]): object {
+function configOf (versions: readonly number[], version: number, models: readonly string[], tenants?: object[]): object {
   const route = (name: string, kind: string, service: string, changes = {}) => ({
     name, host, path_prefix: `/${name}/`, kind, service, timeout_ms: kind === 'streaming' ? timeoutMs.stream : timeoutMs.safe, goal_ms: objectiveMs, priority: 1, max_attempts: 2, ...changes
   })
   return {
     version,
+    ...(tenants ? { tenants } : {}),
     routes: [
-      route('order', 'unsafe', 'orders'), route('stock', 'safe', 'orders'), route('chat', 'streaming', 'models', { resumable: true, gap_target_ms: gapObjectiveMs, sticky: true }),
+      route('order', 'unsafe', 'orders'), route('stock', 'safe', 'orders', tenants ? { public: true } : {}), route('chat', 'streaming', 'models', { resumable: true, gap_target_ms: gapObjectiveMs, sticky: true }),
       ...versions.map(one => route(`v${one}`, 'safe', 'orders'))
     ],
     services: [
