Dispatcher: prefer engines below their learned limits instead of closing the others

The limit of requests in progress fell to 5 of 12 slots on the few engines with a busy model, and requests were refused while their slots were free. An engine at its limit now costs as much as a pause that callers notice, and stays open. The new test fails with the hard limit.

--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -38,6 +38,11 @@
 const crossZoneCostMs = 3
 /** Delay caused by a failed attempt: the time until the failure, and the retry. */
 const failureCostMs = 1500
+/**
+ * Cost of an engine that is at its learned limit: about one pause that callers notice. As a hard limit it left slots of the only engines
+ * with a busy model free, and requests were refused that would have been served with a pause.
+ */
+const overLimitCostMs = 300
 const outcomeHalfLifeMs = 2000
 /** Successes added to each server's record, so that a single failure does not exclude it. */
 const assumedSuccesses = 3
@@ -169,7 +174,7 @@
       const state = this.stateOf(candidate.id)
       const running = candidate.running + (candidate.isExact ? 0 : this.recentlyAssigned(state))
       const { factor, limit } = this.capacityOf(request, candidate)
-      if (running >= Math.min(candidate.slots * batchShare(request.rank), Math.floor(limit))) {
+      if (running >= candidate.slots * batchShare(request.rank)) {
         waitMs = Math.min(waitMs, fullEngineWaitMs)
         continue
       }
@@ -189,7 +194,8 @@
         continue
       }
       const backlogMs = Math.max(0, state.prefillDoneAtMs - nowMs)
-      const costMs = backlogMs + prefillMs + running * runningCostMs + distanceCostMs(request, candidate) + this.failureShare(state) * failureCostMs
+      const costMs = backlogMs + prefillMs + running * runningCostMs + distanceCostMs(request, candidate) +
+        this.failureShare(state) * failureCostMs + (running >= Math.floor(limit) ? overLimitCostMs : 0)
       if (costMs >= bestMs) continue
       bestMs = costMs
       best = { state, id: candidate.id, prefillMs, priorMs: (backlogMs + prefillMs) / factor }
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -239,7 +239,7 @@
 
   chooseLocally (request: ProxiedRequest, progress: Progress): BackendServer | undefined {
     const { settings, learned, random } = this.options
-    const candidates = this.candidates(request, progress).filter(server => this.isWithinLimits(request, server))
+    const candidates = this.candidates(request, progress).filter(server => this.hasTokenMemory(request, server))
     if (candidates.length === 0) return undefined
     const baselineMs = Math.min(...candidates.map(server => server.smoothedDelayMs))
     const scored = candidates.map(server => ({
@@ -275,12 +275,11 @@
     return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server))
   }
 
-  /** Whether an engine takes the request well, as far as this node knows. The leader's own choices rest on newer values. */
-  private isWithinLimits ({ service: { engine }, metadata }: ProxiedRequest, server: BackendServer): boolean {
+  /** Whether an engine has token memory for the request, as far as this node knows. The leader's own choices rest on newer values. */
+  private hasTokenMemory ({ service: { engine }, metadata }: ProxiedRequest, server: BackendServer): boolean {
     const { learned } = this.options
     if (!engine || !learned) return true
-    const { limit } = learned.table.of(server.entry.id, server.entry.slots)
-    return server.running + server.runningElsewhere < Math.floor(limit) && fitsTokens(metadata, server.heldTokens, engine.cacheTokens)
+    return fitsTokens(metadata, server.heldTokens, engine.cacheTokens)
   }
 
   /** Whether there is an idle connection, or one may be opened within this node's share of the server's connections. */
--- a/tests/serverCapacity.spec.ts
+++ b/tests/serverCapacity.spec.ts
@@ -130,6 +130,23 @@
     expect(learned).to.be.above(fixed)
   })
 
+  it('fills engines beyond their limits when all that have the model are at theirs', () => {
+    // Failure: in a burst for a model on two engines, requests are refused while slots there are free.
+    const capacity = { of: (server: string) => ({ factor: 1, limit: server === 'low' ? 5 : 9, failureShare: 0 }), paceOf: () => 1 }
+    const running = { low: 5, high: 5 }
+    const choose = () => {
+      const dispatcher = new Dispatcher(new VirtualClock(1000), { capacity })
+      const request = { service: 's', model: 'm', adapter: undefined, promptTokens: 100, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], isFirst: true, isLate: false, gapObjectiveMs: 300 }
+      const decision = dispatcher.choose(request, (['low', 'high'] as const).map(id => ({ id, region: 'r', availabilityZone: 'z', slots, running: running[id], isExact: true })))
+      return decision?.kind === 'engine' ? decision.id : decision?.kind
+    }
+    expect(choose()).to.equal('high')
+    running.high = 9
+    expect(choose()).to.equal('low')
+    Object.assign(running, { low: slots, high: slots })
+    expect(choose()).to.equal('wait')
+  })
+
   it('finds the limit from which pauses are too long, and raises it when it is gone', async () => {
     // Failure: an engine that stalls from half of its slots on is filled, or a limit stays after its cause has ended.
     const clock = new VirtualClock(0)
