Start of a node: load only the modules that it needs

A restarted node of a third of a core loaded undici with fetch, WebSocket, caches and mocks for its store client, and the modules of all commands, before it served. The store client now imports the parts of undici that it uses, and each command loads its own modules.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,21 +9,28 @@
 import { messageOf } from '../base/errors.js'
 import { FindingsError } from '../base/findings.js'
 import { CommandError, exitBadInput, exitFailure, exitOk, UsageError } from './commandErrors.js'
-import { configCheck, configDiff, configGet, configHistory, configPropose } from './configCommands.js'
-import { runNode } from './nodeCommand.js'
-import { OperatorsClient } from './operatorsClient.js'
 import { nodeAccess, optionalInteger, optionalText, print, printError, printJson, readInput, requiredText, valueOptions } from './options.js'
 import type { CommandOptions } from './options.js'
-import { renderData, renderTable } from './renderData.js'
+import type { OperatorsClient } from './operatorsClient.js'
 
 const clock = new SystemClock()
 
+// A node on the users' platform must serve soon after a restart on a third of a core. Loading the modules of the other commands,
+// among them undici, takes a third of the processor time of its start, so each command loads its own.
+const configCommands = () => import('./configCommands.js')
+const rendering = () => import('./renderData.js')
+
+async function operatorsClient (options: CommandOptions): Promise<OperatorsClient> {
+  const { OperatorsClient } = await import('./operatorsClient.js')
+  return new OperatorsClient(nodeAccess(options), clock)
+}
+
 /** Prints a report of a node. */
 async function printReport (path: Parameters<OperatorsClient['report']>[0], options: CommandOptions): Promise<number> {
-  const report = await new OperatorsClient(nodeAccess(options), clock).report(path)
+  const report = await (await operatorsClient(options)).report(path)
   if (report === undefined) throw new CommandError(path.startsWith('/v1/explain/') ? 'no node has a trace of the request' : `the node does not answer ${path}`)
   if (options.json) printJson(report)
-  else print(renderData(report))
+  else print((await rendering()).renderData(report))
   return exitOk
 }
 
@@ -42,7 +49,7 @@
 
 async function reportBurn (options: CommandOptions): Promise<number> {
   const file = optionalText(options, 'html')
-  const client = new OperatorsClient(nodeAccess(options), clock)
+  const client = await operatorsClient(options)
   const { burnAnswerSchema, burnReport, renderBurnHtml, renderBurnText } = await import('./burnReport.js')
   const answer = burnAnswerSchema.safeParse(await client.report('/v1/burn'))
   if (!answer.success) throw new CommandError(`the answer to /v1/burn is not understood: ${messageOf(answer.error)}`)
@@ -66,6 +73,7 @@
   if (options.json) printJson(verdicts)
   else if (verdicts.length === 0) print('no prompt part is in quarantine')
   else {
+    const { renderTable } = await rendering()
     print(renderTable(['parts', 'engines ended', 'first end, s ago', 'left, s', 'renewals', 'software'], verdicts.map(({ parts, ends, firstEndAgeMs, leftMs, renewals, software }) => ({
       parts, 'engines ended': ends, 'first end, s ago': Math.round(firstEndAgeMs / 1000), 'left, s': Math.round(leftMs / 1000), renewals, software
     }))))
@@ -100,7 +108,7 @@
   const program = sade('teaselrill').version(packageVersion()).describe('Serves many models on few accelerators. Exit codes: 0 success, 1 failure, 2 bad usage or input.')
   program.command('node', 'Run a node until SIGTERM or SIGINT')
     .option('--settings', 'Settings file of the node')
-    .action((options: CommandOptions) => runNode(options))
+    .action(async (options: CommandOptions) => (await import('./nodeCommand.js')).runNode(options))
   program.command('serve', 'Run a node on the users\' platform, with the settings file that the platform names, until SIGTERM')
     .option('--log-lines', 'Log lines of one event in a second; by default 40')
     .option('--metrics-port', 'Port of the metrics; by default 9464')
@@ -116,21 +124,21 @@
     .option('--author', 'Name of the operator; by default the user name')
     .action((part: string, options: CommandOptions) => liftQuarantine(part, options))
   withJson(program.command('config check <file>', 'Check a configuration, of a fleet or of the users\' platform, and print all findings'))
-    .action((file: string, options: CommandOptions) => configCheck(file, options))
+    .action(async (file: string, options: CommandOptions) => (await configCommands()).configCheck(file, options))
   withAccess(withJson(program.command('config get', 'Print the fleet configuration in force')))
-    .action((options: CommandOptions) => configGet(clock, options))
+    .action(async (options: CommandOptions) => (await configCommands()).configGet(clock, options))
   withAccess(withJson(program.command('config diff <file>', 'Compare a file with the configuration in force, by section and key, or by path on the users\' platform')))
     .option('--in-force', 'File that is compared with, instead of the configuration in force')
-    .action((file: string, options: CommandOptions) => configDiff(clock, file, options))
+    .action(async (file: string, options: CommandOptions) => (await configCommands()).configDiff(clock, file, options))
   withAccess(withJson(program.command('config propose <file>', 'Propose a file as the next version and wait until it is in force on each node')))
     .option('--reason', 'Why the configuration changes (required)')
     .option('--author', 'Name of the operator; by default the user name')
     .option('--base', 'Version that the file is based on; by default the one in force')
     .option('--timeout-ms', 'Time limit in milliseconds; by default 30000')
     .option('--proposal-id', 'ID of an earlier proposal whose outcome is unknown')
-    .action((file: string, options: CommandOptions) => configPropose(clock, file, options))
+    .action(async (file: string, options: CommandOptions) => (await configCommands()).configPropose(clock, file, options))
   withAccess(withJson(program.command('config history', 'List the kept versions')))
-    .action((options: CommandOptions) => configHistory(clock, options))
+    .action(async (options: CommandOptions) => (await configCommands()).configHistory(clock, options))
   withAccess(withJson(program.command('status', 'Print the state of the fleet')))
     .action((options: CommandOptions) => printReport('/v1/status', options))
   withAccess(withJson(program.command('explain <requestId>', 'Print what happened to a request')))
--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -1,6 +1,5 @@
 /** One HTTP call to an external system, with the error classes of `base/errors`. */
 
-import { Agent, request } from 'undici'
 import type { Dispatcher } from 'undici'
 import { z } from 'zod'
 import { ByteBuffer } from '../base/byteBuffer.js'
@@ -9,6 +8,7 @@
 import { isFinalStatus } from '../base/httpStatus.js'
 import { CallError, FailedError, messageOf, NotRunError, UnknownOutcomeError } from '../base/errors.js'
 import { limitedConnect } from './limitedConnect.js'
+import { Agent } from './undici.js'
 
 /** Longer answers are given up. */
 const maxAnswerBytes = 16 * 1024 * 1024
@@ -129,9 +129,10 @@
     let interimResponses = 0
     try {
       return await withTimeout(this.clock, timeoutMs, async timeoutSignal => {
-        const answer = await request(`http://${this.address}${path}`, {
+        const answer = await dispatcher.request({
+          origin: `http://${this.address}`,
+          path,
           method,
-          dispatcher,
           signal: AbortSignal.any([timeoutSignal, excess.signal, ...(signal ? [signal] : [])]),
           onInfo: () => { if (++interimResponses > maxInterimResponses) excess.abort(new Error('too many interim responses came')) },
           headers: { ...(body === undefined ? {} : { 'content-type': 'application/json' }), ...(requestId === undefined ? {} : { [requestIdHeader]: requestId }) },
--- a/src/external/limitedConnect.ts
+++ b/src/external/limitedConnect.ts
@@ -1,13 +1,14 @@
 /** Connections on which a single answer cannot be longer than a limit, whatever its bytes are. */
 
 import type { Socket } from 'node:net'
-import { buildConnector } from 'undici'
+import type { buildConnector as Connect } from 'undici'
+import { buildConnector } from './undici.js'
 
 /**
  * Connects for undici, at most `timeoutMs` long. Destroys a connection that brings more than `maxBytes` after the last
  * write to it. This counts framing too, which undici drops without a limit: chunk sizes, their extensions.
  */
-export function limitedConnect ({ timeoutMs, maxBytes }: { timeoutMs: number, maxBytes: number }): buildConnector.connector {
+export function limitedConnect ({ timeoutMs, maxBytes }: { timeoutMs: number, maxBytes: number }): Connect.connector {
   const connect = buildConnector({ timeout: timeoutMs })
   return (options, callback) => connect(options, (...result) => {
     if (result[1]) limitAnswers(result[1], maxBytes)
