Leader link: keep a connection that the leader has not accepted yet

When a leader was elected, all nodes connected to it at once. A connection that is open may now stay silent for 5 s until its first data; while it is being opened, and after the first data, the limit stays 1,600 ms. The new test fails before the change.

--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -13,6 +13,11 @@
 
 /** Reports arrive several times a second, so a connection without data for this long is dead. */
 const peerTimeoutMs = 1600
+/**
+ * The same before the first data. Node.js accepts one connection in each turn of its event loop, and all nodes connect to a new leader
+ * at once. Nodes that gave up after `peerTimeoutMs` went to the end of that queue again, and some were without a leader for 8 s.
+ */
+const firstDataTimeoutMs = 5000
 const reconnectMs = 250
 /** Time for a single message to a node. */
 const sendOnceTimeoutMs = 1000
@@ -23,6 +28,7 @@
 class Link<T> {
   readonly socket: Socket
   lastReceivedMs: number
+  hasReceived = false
 
   constructor (socket: Socket, schema: z.ZodType<T>, clock: Clock, onMessage: (message: T) => void, onClosed: (reason: string) => void) {
     this.socket = socket
@@ -31,6 +37,7 @@
     socket.setNoDelay(true)
     socket.on('data', data => {
       this.lastReceivedMs = clock.nowMs()
+      this.hasReceived = true
       const { messages, error } = decoder.push(data)
       for (const message of messages) onMessage(message)
       if (error) socket.destroy(error)
@@ -110,7 +117,9 @@
   }
 
   private get isUnresponsive (): boolean {
-    return this.link !== undefined && this.clock.nowMs() - this.link.lastReceivedMs > peerTimeoutMs
+    if (!this.link) return false
+    const { socket, hasReceived, lastReceivedMs } = this.link
+    return this.clock.nowMs() - lastReceivedMs > (hasReceived || socket.connecting ? peerTimeoutMs : firstDataTimeoutMs)
   }
 
   private connect (): void {
--- a/tests/peerLink.spec.ts
+++ b/tests/peerLink.spec.ts
@@ -1,6 +1,8 @@
+import { createServer } from 'node:net'
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
+import { encodeFrame } from '../src/protocol/framing.js'
 import { LeaderLink, PeerServer, sendOnce } from '../src/serving/peerLink.js'
 import type { LeaderReport, NodeMessage, NodeReport } from '../src/serving/peerMessages.js'
 import { freePort } from './fixtures/freePort.js'
@@ -41,6 +43,24 @@
   })
 })
 
+describe('connection to a busy leader', () => {
+  it('is kept until the leader accepts it', async () => {
+    // Guards against nodes that connect again and again, and each time wait behind all others, while a new leader accepts one connection at a time.
+    const port = await freePort()
+    const server = createServer(socket => { setTimeout(() => socket.write(encodeFrame(report)), 2200) })
+    await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
+    const events: string[] = []
+    let link: LeaderLink | undefined
+    await new Promise<void>(resolve => {
+      link = new LeaderLink({ clock: new SystemClock(), log: (_level, event) => events.push(event), onMessage: () => resolve(), onConnected: () => {}, onLost: () => {} })
+      link.setLeader({ host: '127.0.0.1', port })
+    })
+    link?.stop()
+    server.close()
+    expect(events).to.deep.equal([])
+  })
+})
+
 describe('message that needs a named connection', () => {
   it('is not sent before the connection is open', async () => {
     // Guards against spent tokens that a new leader is told twice and for no node: with a query, and again after the connection.
