Store view: tolerate a leader's feed that is up to 1,600 ms late

A leader with little processor time sends its feed up to a second late. From 1,000 ms on every node watched the store itself, which also loaded the store and the leader's links. A watch that follows takes at most 1,400 ms, so changes still come within the 4,000 ms of config_ms.

--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -29,8 +29,11 @@
 const maxRetryMs = 1000
 /** Shorter than `maxRetryMs`, since a node without a configuration cannot serve. */
 const maxFirstRetryMs = 800
-/** Age of the leader's feed from which a node watches the store itself. */
-const maxFeedAgeMs = 1000
+/**
+ * Age of the leader's feed from which a node watches the store itself. A busy leader is up to a second late, and with 1,000 ms all
+ * nodes then called the store twice a second. A watch that follows still brings changes within the 4,000 ms that nodes are allowed.
+ */
+const maxFeedAgeMs = 1600
 const minFeedSleepMs = 20
 
 export interface StoreViewListener {
