Store view: watch as soon as a confirmation is overdue

With the longer wait for the leader's feed, a node whose confirmations failed to arrive slept past the 2,000 ms after which it watches the store itself, and its confirmed age reached 3,306 ms in storeView.spec ('makes the node watch for itself when the feed comes without confirmations', below 3,000 required). The sleep now ends when the confirmation becomes overdue.

--- a/src/serving/storeView.ts
+++ b/src/serving/storeView.ts
@@ -123,7 +123,7 @@
   async run (): Promise<void> {
     while (!this.isStopped) {
       if (this.revision !== undefined && this.isFedByLeader && !this.isConfirmationOverdue) {
-        await sleep(this.options.clock, Math.max(minFeedSleepMs, this.feedCurrentAtMs + maxFeedAgeMs - this.options.clock.nowMs()))
+        await sleep(this.options.clock, Math.max(minFeedSleepMs, this.feedLeftMs()))
         continue
       }
       try {
@@ -198,6 +198,12 @@
     if (result.changes.length > 0) await sleep(clock, isLeading ? leaderBatchDelayMs : batchDelayMs)
   }
 
+  /** Time for which the feed needs no watch of this node, if nothing more comes. */
+  private feedLeftMs (): number {
+    const leftMs = this.feedCurrentAtMs + maxFeedAgeMs - this.options.clock.nowMs()
+    return this.options.needsConfirmation?.() ? Math.min(leftMs, maxUnconfirmedMs - this.confirmedAgeMs) : leftMs
+  }
+
   private watchWaitMs (isLeading: boolean): number {
     if (this.options.needsConfirmation?.()) return isLeading ? leaderConfirmingWaitMs : confirmingWaitMs
     return isLeading ? leaderWatchWaitMs : watchWaitMs
