Requests: a split whose weights are all 0 is a route without a service

The decoder drops targets of weight 0, and serviceOf then read the service of an undefined target. The exception was caught per request and answered with 502, which leaves open whether the request has run. serviceOf now returns undefined, and the request gets the 503 of a route whose service is not configured. Both cases write a log line with the reason, which teaselrill explain shows.

--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -83,6 +83,9 @@
     const age = line.configAgeMs === undefined ? 'was never confirmed as current' : `was last known to be current ${String(line.configAgeMs)} ms before`
     return [{ atMs: line.atMs, text: `${line.node} refused request ${line.request}${account} on route ${String(line.route)} with status ${String(line.status)}: ${String(line.reason)}. Its configuration ${String(line.configVersion)} ${age}.` }]
   }
+  if (line.event === 'request refused: its route has no service') {
+    return [{ atMs: line.atMs, text: `${line.node} refused request ${line.request} on route ${String(line.route)} with status ${String(line.status)}: ${String(line.reason)} in configuration ${String(line.configVersion)}.` }]
+  }
   const startMs = line.atMs - (line.durationMs ?? 0)
   const model = line.model === undefined ? '' : ` for ${String(line.model)}${line.adapter === undefined ? '' : `/${String(line.adapter)}`}`
   const sentences = [{
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -248,8 +248,13 @@
       await ioTurn()
       if (this.clients.discardIfClosed(socket, open)) return
     }
-    const service = this.services.get(serviceOf(route, metadata.requestId ?? ''))
-    if (!service) return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
+    const serviceName = serviceOf(route, metadata.requestId ?? '')
+    const service = serviceName === undefined ? undefined : this.services.get(serviceName)
+    if (!service) {
+      const reason = serviceName === undefined ? 'no target of the split has a weight' : `unknown service ${JSON.stringify(serviceName)}`
+      this.options.log('info', 'request refused: its route has no service', { request: metadata.requestId, route: route.name, status: 503, reason, configVersion: deployment.version })
+      return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
+    }
     // The body may have taken long, and the key may have been removed meanwhile.
     const access = this.options.accounts.check(metadata, route)
     if ('status' in access) return writer.sendError(access.status, access.reason, access.retryAfterMs)
--- a/src/serving/routeTable.ts
+++ b/src/serving/routeTable.ts
@@ -23,8 +23,11 @@
   }
 }
 
-/** Returns the service for a request, by target weight if the route is split. The same request ID always gets the same service. */
-export function serviceOf (route: Route, requestId: string): string {
+/**
+ * Returns the service for a request, by target weight if the route is split. The same request ID always gets the same service. A split
+ * without a target of positive weight has none.
+ */
+export function serviceOf (route: Route, requestId: string): string | undefined {
   if (route.targets.length === 1) return route.targets[0]!.service
   const total = route.targets.reduce((sum, target) => sum + target.weight, 0)
   let point = hash32(requestId) / 2 ** 32 * total
@@ -32,5 +35,5 @@
     point -= target.weight
     if (point < 0) return target.service
   }
-  return route.targets.at(-1)!.service
+  return route.targets.at(-1)?.service
 }
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -111,6 +111,20 @@
     expect(await fixture.send('id1')).to.include({ status: 502, isComplete: true })
   })
 
+  it('answers a request whose route has no target like one without a service', async () => {
+    // Guards against an exception for each request of a split whose weights are all 0: its 502 leaves open whether the request has run.
+    await fixture.start([route({ targets: [] })])
+    await fixture.addServer('a', ok)
+    const unknown = new RequestProxyFixture()
+    await unknown.start([route({ targets: [{ service: 'none', weight: 1 }] })])
+    const { status, body, headers } = await unknown.send('id1')
+    const response = await fixture.send('id1')
+    expect(response).to.include({ status: 503, body })
+    expect([status, headers['retry-after']]).to.deep.equal([503, response.headers['retry-after']])
+    expect([fixture, unknown].flatMap(({ proxyLines }) => proxyLines.map(({ fields }) => fields.reason))).to.deep.equal(['no target of the split has a weight', 'unknown service "none"'])
+    unknown.stop()
+  })
+
   it('retries an unsafe request that did not run', async () => {
     await fixture.start([route()])
     await fixture.addServer('a', (socket, head, count) => (fixture.received.length === 1 ? shed : ok)(socket, head, count))
