Accounts: hash the key of a request once

A request is checked on arrival and again when its body is complete, and both checks hashed the key. AccountCheck.checkOf returns a function for both checks, which hashes at the first call; AccountAccess.decide takes the hash. Decisions, log lines and metrics are the same.

--- a/src/policy/accountAccess.ts
+++ b/src/policy/accountAccess.ts
@@ -1,7 +1,5 @@
 /** Decides whether a request may run for the account that holds its key. */
 
-import { hashKey } from './accountKeys.js'
-
 /** Share of the time limit for removed keys after which a configuration is too old. The rest covers differences between clocks. */
 const removalLimitShare = 0.9
 /** An unknown key is refused for good only if the configuration was current within this time: the key may be new. */
@@ -15,8 +13,8 @@
 }
 
 export interface AccessRequest {
-  /** Absent if the client sent none. */
-  key: string | undefined
+  /** SHA-256 of the request's key, in hex; absent if the client sent none. */
+  keyHash: string | undefined
   route: { isPublic: boolean }
   /** Time since which the configuration is not known to have been current, in milliseconds. */
   confirmedAgeMs: number
@@ -42,8 +40,8 @@
     }
   }
 
-  decide ({ key, route, confirmedAgeMs }: AccessRequest): AccessDecision<A> {
-    const account = key ? this.byKeyHash.get(hashKey(key)) : undefined
+  decide ({ keyHash, route, confirmedAgeMs }: AccessRequest): AccessDecision<A> {
+    const account = keyHash === undefined ? undefined : this.byKeyHash.get(keyHash)
     const isTooOld = confirmedAgeMs > this.maxAgeMs
     // A key that may have been removed must not count for its account, but the route needs none.
     if (route.isPublic) return { kind: 'allowed', account: isTooOld ? undefined : account }
--- a/src/serving/accountCheck.ts
+++ b/src/serving/accountCheck.ts
@@ -3,6 +3,7 @@
 import type { Log } from '../base/log.js'
 import { AccountAccess } from '../policy/accountAccess.js'
 import type { AccessDecision } from '../policy/accountAccess.js'
+import { hashKey } from '../policy/accountKeys.js'
 import type { RequestMetadata } from './codecs.js'
 import type { Account, Deployment, Route } from './deployment.js'
 
@@ -26,6 +27,8 @@
   retryAfterMs?: number
 }
 
+type AccessResult = { account: Account | undefined } | AccessRefusal
+
 export class AccountCheck {
   private readonly options: AccountCheckOptions
   private access: AccountAccess<Account> | undefined
@@ -51,11 +54,20 @@
     this.access = accounts && new AccountAccess(accounts, { keyRemovalMs: this.options.keyRemovalMs })
   }
 
-  /** Decides on a request at this moment. The refusal of one that may not run is logged and counted. */
-  check (metadata: RequestMetadata, route: Route): { account: Account | undefined } | AccessRefusal {
-    if (!this.access) return { account: undefined }
+  /** Returns a function that decides on the request at the moment of each call. The key is hashed at the first call only. */
+  checkOf (metadata: RequestMetadata, route: Route): () => AccessResult {
+    let keyHash: string | undefined
+    return () => {
+      if (!this.access) return { account: undefined }
+      if (metadata.key) keyHash ??= hashKey(metadata.key)
+      return this.decide(this.access, { metadata, keyHash, route })
+    }
+  }
+
+  /** Logs and counts the refusal of a request that may not run. */
+  private decide (access: AccountAccess<Account>, { metadata, keyHash, route }: { metadata: RequestMetadata, keyHash: string | undefined, route: Route }): AccessResult {
     const confirmedAgeMs = this.options.confirmedAgeMs()
-    const decision = this.access.decide({ key: metadata.key, route, confirmedAgeMs })
+    const decision = access.decide({ keyHash, route, confirmedAgeMs })
     if (decision.kind === 'allowed') return { account: decision.account }
     const refusal = refusalOf(decision, metadata.key !== undefined)
     this.options.onRefused?.(decision.kind)
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -234,7 +234,8 @@
     const path = request.url ?? '/'
     const route = this.routes.find(request.headers.host ?? '', path)
     if (!route) return refuseEarly(writer, 404, 'no route matches the host and path')
-    const early = this.options.accounts.check(metadata, route)
+    const checkAccess = this.options.accounts.checkOf(metadata, route)
+    const early = checkAccess()
     if ('status' in early) return refuseEarly(writer, early.status, early.reason, early.retryAfterMs)
     const body = await incoming.result
     // A long body may be complete only when what is sent on could not be finished any more.
@@ -256,7 +257,7 @@
       return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
     }
     // The body may have taken long, and the key may have been removed meanwhile.
-    const access = this.options.accounts.check(metadata, route)
+    const access = checkAccess()
     if ('status' in access) return writer.sendError(access.status, access.reason, access.retryAfterMs)
     const { account } = access
     const rawHeaders = this.options.accounts.isActive ? this.options.codecs.withoutAccount(request.rawHeaders) : request.rawHeaders
