Rename PrefillDemand to RateForecast

The class forecasts the rate of any amount: the leader uses it for prefill time, whose rate is a number of engines, and for arrivals of requests, where expectedEngines named a rate of requests. The fields are perMs and expectedPerMs now. Values and behaviour are unchanged.

--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -9,7 +9,7 @@
 import { SlotQueue } from '../policy/slotQueue.js'
 import type { QueuePlace, RefusalReason, SlotAnswer, SlotRequest } from '../policy/slotQueue.js'
 import { QuotaLedger } from '../policy/quotaLedger.js'
-import { PrefillDemand } from '../policy/prefillDemand.js'
+import { RateForecast } from '../policy/rateForecast.js'
 import { RunTime } from '../policy/runTime.js'
 import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
@@ -72,10 +72,10 @@
   /** Number of each node's connection. */
   private readonly connections = new WeakMap<Send, number>()
   private nextConnection = 1
-  /** By `SERVICE/MODEL`. */
-  private readonly prefillDemand: PrefillDemand
+  /** Prefill time of arriving requests, by `SERVICE/MODEL`. Its rate is a number of fully occupied engines. */
+  private readonly prefillMs: RateForecast
   /** Arrivals of requests, by `SERVICE/MODEL`. */
-  private readonly arrivals: PrefillDemand
+  private readonly arrivals: RateForecast
   /** By service. */
   private readonly runTimes = new Map<string, RunTime>()
   readonly quotas: QuotaLedger
@@ -97,8 +97,8 @@
     this.options = options
     const { clock, storeView, ownReport, capacityTerm } = options
     this.dispatcher = new Dispatcher(clock, capacityTerm && { capacity: capacityTerm.capacity, tokens: capacityTerm.tokens })
-    this.prefillDemand = new PrefillDemand(clock)
-    this.arrivals = new PrefillDemand(clock)
+    this.prefillMs = new RateForecast(clock)
+    this.arrivals = new RateForecast(clock)
     // The term may begin in the middle of a batch of changes, whose earlier ones the feed lacks; they precede the leader's key.
     this.changeFeed = new ChangeFeed(clock, Math.max(storeView.revision ?? 0, options.fence))
     this.slots = new SlotQueue({
@@ -127,7 +127,7 @@
         capacityTerm?.onReport(report)
         return report
       },
-      expectedPrefillEngines: (service, model, horizonMs) => this.prefillDemand.estimate(`${service}/${model}`, horizonMs).expectedEngines,
+      expectedPrefillEngines: (service, model, horizonMs) => this.prefillMs.estimate(`${service}/${model}`, horizonMs).expectedPerMs,
       ...(options.sharesServers ? { expectedRunning: (service, model, horizonMs) => this.expectedRunning(service, model, horizonMs) } : {})
     })
   }
@@ -259,7 +259,7 @@
     if (!request.isFirst) return
     const key = `${request.service}/${request.model}`
     this.arrivals.add(key, 1)
-    this.prefillDemand.add(key, this.dispatcher.minimumPrefillMs(request, candidates))
+    this.prefillMs.add(key, this.dispatcher.minimumPrefillMs(request, candidates))
   }
 
   private cacheTokensOf (service: string): number | undefined {
@@ -384,7 +384,7 @@
   }
 
   private expectedRunning (service: string, model: string, horizonMs: number): number {
-    return this.arrivals.estimate(`${service}/${model}`, horizonMs).expectedEngines * this.runTimeOf(service).meanMs
+    return this.arrivals.estimate(`${service}/${model}`, horizonMs).expectedPerMs * this.runTimeOf(service).meanMs
   }
 
   /** Loads of accounts that have changed by a step since the last broadcast. */
--- a/tests/replicaPlanning.spec.ts
+++ b/tests/replicaPlanning.spec.ts
@@ -3,7 +3,7 @@
 import { replicasNeeded, planReplicas } from '../src/policy/replicaPlanning.js'
 import type { ReplicaEngine, Replica, ReplicaDemand } from '../src/policy/replicaPlanning.js'
 import { LoadRate } from '../src/policy/loadRate.js'
-import { PrefillDemand } from '../src/policy/prefillDemand.js'
+import { RateForecast } from '../src/policy/rateForecast.js'
 import { RunTime } from '../src/policy/runTime.js'
 
 const weightsMb = 70
@@ -89,7 +89,7 @@
   it('extrapolates rising demand to the end of a load', async () => {
     // Failure: demand for a model doubles within 8 s, but a load takes 9 s and completes too late.
     const clock = new VirtualClock(1000)
-    const demand = new PrefillDemand(clock)
+    const demand = new RateForecast(clock)
     const simulate = async (seconds: number, enginesAt: (second: number) => number) => {
       for (let step = 0; step < seconds * 20; step++) {
         demand.add('m', enginesAt(step / 20) * 50)
@@ -97,14 +97,14 @@
       }
     }
     await simulate(20, () => 1)
-    expect(demand.estimate('m', 9000).expectedEngines).to.be.closeTo(1, 0.1)
+    expect(demand.estimate('m', 9000).expectedPerMs).to.be.closeTo(1, 0.1)
     await simulate(4, second => 1 + second / 8)
-    const { engines, expectedEngines } = demand.estimate('m', 9000)
-    expect(engines).to.be.within(1, 1.5)
+    const { perMs, expectedPerMs } = demand.estimate('m', 9000)
+    expect(perMs).to.be.within(1, 1.5)
     // At least half of the growth within the next six seconds, and at most all of it, plus a tolerance.
-    expect(expectedEngines - engines).to.be.within(0.5 * 6 / 8, 6 / 8 + 0.2)
+    expect(expectedPerMs - perMs).to.be.within(0.5 * 6 / 8, 6 / 8 + 0.2)
     await simulate(10, () => 0.01)
-    expect(demand.estimate('m', 9000).expectedEngines).to.be.below(0.1)
+    expect(demand.estimate('m', 9000).expectedPerMs).to.be.below(0.1)
   })
 
   it('avoids loading models on engines with many adapters', () => {
