Responses without room at this node: no failure of the server, no retry

When the memory that a node may hold for its clients was used up, an incomplete response head or chunk line closed the connection like a fault of the server: it counted in the server's failure share and in the outcomes for the leader, and as a lost connection it led to a check whether the engine had ended. The request, if repeatable, was sent again at the expense of the retry budget. Such a failure is now marked as the node's own (isNoRoom), counts as the limit response-memory, and ends the request without a retry; the same holds for bodies without room, which were retried too.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -22,8 +22,12 @@
   reason: string
   /** The response may be complete: it ended with its connection, and nothing shows that its server outlived it. */
   isEndUnproved?: boolean
+  /** This node had no room for the response, without a fault of the server. */
+  isNoRoom?: boolean
 }
 
+type FailureDetails = Pick<ExchangeFailure, 'isEndUnproved' | 'isNoRoom'>
+
 export interface SendOptions {
   /** Absent for calls. */
   requestId?: string | undefined
@@ -236,7 +240,7 @@
     // Unsolicited bytes must not be parsed as the next response.
     if (!this.active) return this.fail('bytes arrived without a request')
     this.reader.push(data)
-    if (!this.isClosed && !this.hold(this.reader.pendingBytes)) this.fail('the node holds too many bytes of responses')
+    if (!this.isClosed && !this.hold(this.reader.pendingBytes)) this.fail('this node holds too much for its clients', { isNoRoom: true })
   }
 
   private hold (bytes: number): boolean {
@@ -280,7 +284,7 @@
     this.fail('a response without a length ended, and nothing shows that its server outlived it', { isEndUnproved: true })
   }
 
-  private fail (reason: string, details: Pick<ExchangeFailure, 'isEndUnproved'> = {}): void {
+  private fail (reason: string, details: FailureDetails = {}): void {
     if (this.isClosed) return
     this.isClosed = true
     this.hold(0)
@@ -290,7 +294,7 @@
     this.failActive(reason, !this.hasConnected, details)
   }
 
-  private failActive (reason: string, isUnreachable: boolean, details: Pick<ExchangeFailure, 'isEndUnproved'> = {}): void {
+  private failActive (reason: string, isUnreachable: boolean, details: FailureDetails = {}): void {
     const active = this.active
     if (!active) return
     this.active = undefined
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -53,8 +53,8 @@
   | { kind: 'unsent', reason: string }
   /** The server stated that it did not run the request. */
   | { kind: 'not-run', reason: string, isMisdirected: boolean }
-  /** The request was sent and no complete response was received. */
-  | { kind: 'unknown', reason: string, isConnectionLost?: boolean, isEndUnproved?: boolean }
+  /** The request was sent and no complete response was received. With `isNoRoom`, this node had no room for it. */
+  | { kind: 'unknown', reason: string, isConnectionLost?: boolean, isEndUnproved?: boolean, isNoRoom?: boolean }
   | { kind: 'timeout', reason: string }
   /** The server was abandoned for a failover target. */
   | { kind: 'moved', reason: string, target: FailoverTarget }
@@ -298,10 +298,11 @@
   }
 
   /** Abandons the attempt without a fault of its server. */
-  private onNoRoom (): void {
+  private onNoRoom (reason = 'this node holds too much for its clients'): void {
     const { memory, request } = this.forwarder
     memory.onLimit('response-memory', request.metadata.requestId)
-    this.abandon(this.failure('this node holds too much for its clients'))
+    const result = this.failure(reason)
+    this.abandon(result.kind === 'unknown' ? { ...result, isNoRoom: true } : result)
   }
 
   /** Releases the bytes; those of a response for the client only when it has read them or left. */
@@ -409,7 +410,8 @@
     return !this.head!.endsWithConnection || this.events > 0 || this.hasEventsWithoutId || mayBeEmpty
   }
 
-  private onConnectionFailure ({ wasSent, isUnreachable, reason, isEndUnproved = false }: ExchangeFailure): void {
+  private onConnectionFailure ({ wasSent, isUnreachable, reason, isEndUnproved = false, isNoRoom = false }: ExchangeFailure): void {
+    if (isNoRoom) return this.onNoRoom(reason)
     if (isUnreachable) this.server.onUnreachable()
     else this.server.onFailed()
     if (!wasSent) return this.finish({ kind: 'unsent', reason })
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -423,6 +423,8 @@
     if (progress.ends >= maxEndsPerRequest || this.isEnding) return false
     const mayHaveRun = result.kind !== 'not-run'
     if (mayHaveRun && !isRepeatable(request)) return false
+    // Another server's response would find no room either.
+    if (result.kind === 'unknown' && result.isNoRoom) return false
     if (result.kind === 'answer' && result.response.head.status < 500) return false
     // The limit is on the number of servers: trying a server again does not count.
     const hasServer = progress.sends < maxServers(request, progress) || (forwarder.hasResponseStarted && progress.retryableFromMs.size > 0)
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -1,5 +1,6 @@
 import { PassThrough } from 'node:stream'
 import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import { expect } from 'chai'
 import { VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
@@ -120,6 +121,26 @@
     fixture.stop()
   })
 
+  it('a response head without room does not count as a failure of its server, and causes no retry', async () => {
+    // Guards against nodes that avoid sound servers, and use up their retries, because their own memory is used up.
+    const parts = ['HTTP/1.1 200 OK\r\nX-Long: xxx', `${streamHead('', 'Transfer-Encoding: chunked\r\n')}${chunk('id: 1\ndata: xxx')}`]
+    for (const part of parts) {
+      const fixture = new RequestProxyFixture()
+      await fixture.start([route({ kind: 'stream', resumable: true })])
+      const fill = () => { for (const bytes of [65_536, 1024, 1]) while (fixture.fleet.buffered.resize(0, bytes)); }
+      const script = (socket: Socket, head: string) => {
+        fill()
+        socket.write(part.replace('X-Attempt-Id: ', `X-Attempt-Id: ${requestIdOf(head)}`))
+      }
+      await fixture.addServer('a', script)
+      await fixture.addServer('b', script)
+      expect(await fixture.send('id1')).to.include({ status: 502 })
+      expect(fixture.records[0]).to.include({ outcome: 'unknown', attempts: 1 })
+      expect(['a', 'b'].map(id => fixture.fleet.servers.get(id)!.collectOutcomes().failed)).to.deep.equal([0, 0])
+      fixture.stop()
+    }
+  })
+
   it('a refusal keeps the connection of a request that has arrived whole', async () => {
     // Guards against pipelined requests that are lost, and connections that are opened anew, after a request that matches no route.
     const fixture = new RequestProxyFixture()
