Request heads: the configured max_header_bytes instead of 64 KiB

Heads were limited by the parser at a fixed 64 KiB, whatever max_header_bytes said. A complete head is now measured and refused with 431 if it is over the value of the configuration in force then; the body is not awaited. The refusal counts as the client limit head-size. Node.js drops header fields beyond the 1,000th, so a head with that many is refused rather than passed on without the rest. For values over 64 KiB the parser's limit follows for new connections.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -32,6 +32,7 @@
 import type { LearnedCapacity } from './learnedCapacity.js'
 import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
+import { isHeadTooLarge } from './requestHead.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
 import type { QuotaResult } from './quotaClient.js'
@@ -200,6 +201,8 @@
       socket.destroy()
       return
     }
+    // By the configuration of the arrival, also if another one comes before the request's turn.
+    const hasLargeHead = isHeadTooLarge(request, this.deployment?.limits.maxHeaderBytes ?? Infinity)
     // Read at once: what waits in the request's own queue takes an object for each chunk.
     const route = this.routes.find(request.headers.host ?? '', request.url ?? '/')
     const incoming = new ClientBody(request, this.memory, {
@@ -208,7 +211,7 @@
       requestId: metadata.requestId
     })
     try {
-      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming })
+      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming, hasLargeHead })
     } finally {
       incoming.release()
     }
@@ -217,7 +220,9 @@
   /** Answers a request when the responses to earlier ones on its connection are complete. */
   private async answerInTurn (
     request: IncomingMessage, response: ServerResponse,
-    { metadata, arrivedAtMs, earlier, open, incoming }: { metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, open: OpenRequest, incoming: ClientBody }
+    { metadata, arrivedAtMs, earlier, open, incoming, hasLargeHead }: {
+      metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, open: OpenRequest, incoming: ClientBody, hasLargeHead: boolean
+    }
   ): Promise<void> {
     const { socket } = request
     if (earlier) {
@@ -231,6 +236,10 @@
     const { deployment } = this
     if (this.isRefusing) return writer.sendError(503, 'this node is shutting down', 0)
     if (!deployment) return refuseEarly(writer, 503, 'this node has not received its configuration yet', startingRetryAfterMs)
+    if (hasLargeHead) {
+      this.memory.onLimit('head-size', metadata.requestId)
+      return refuseEarly(writer, 431, 'the request head is too large')
+    }
     const path = request.url ?? '/'
     const route = this.routes.find(request.headers.host ?? '', path)
     if (!route) return refuseEarly(writer, 404, 'no route matches the host and path')
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -37,6 +37,7 @@
 import type { Send } from './peerLink.js'
 import { QuotaClient } from './quotaClient.js'
 import { RequestProxy } from './requestProxy.js'
+import { isHeadTooLarge } from './requestHead.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
 import { quarantineKey, StoredQuarantine } from './storedQuarantine.js'
@@ -51,8 +52,8 @@
 const finalAnswersMs = 100
 /** Limits of reading data that has arrived before connections are closed. */
 const finalReadLimits = { maxRounds: 64, maxMs: 200 }
-/** Larger than the platform's limits on request heads, which are checked by size. */
-const maxHeaderBytes = 64 * 1024
+/** Heads up to this size are parsed in any case. The configured limit is checked when a head is complete, since it may change meanwhile. */
+const parsedHeadBytes = 64 * 1024
 /** Connections that are accepted while those that make room for them are being closed. */
 const spareConnections = 50
 const requestCheckMs = 500
@@ -395,7 +396,7 @@
 
   private createClientsServer (): Server {
     const { connections } = this.memory.limits
-    const server = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
+    const server = createServer({ maxHeaderSize: parsedHeadBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
       void this.requestProxy.handle(request, response)
     })
     server.maxConnections = connections + spareConnections
@@ -413,7 +414,8 @@
     server.on('drop', () => this.memory.onLimit('connections'))
     // A client that waits for a go-ahead is spared a body that is refused.
     server.on('checkContinue', (request, response) => {
-      const isRefused = Number(request.headers['content-length'] ?? 0) > (this.deployment?.limits.maxBodyBytes ?? 0)
+      const { maxBodyBytes = 0, maxHeaderBytes = Infinity } = this.deployment?.limits ?? {}
+      const isRefused = Number(request.headers['content-length'] ?? 0) > maxBodyBytes || isHeadTooLarge(request, maxHeaderBytes)
       if (!isRefused) response.writeContinue()
       void this.requestProxy.handle(request, response)
     })
@@ -754,6 +756,8 @@
     this.quotas.setAccounts(deployment.accounts ?? [])
     this.clients.keepAliveTimeout = deployment.limits.idleTimeoutMs
     this.clients.headersTimeout = deployment.limits.headerTimeoutMs
+    // Read for each new connection; not in the types of Node.js.
+    Object.assign(this.clients, { maxHeaderSize: Math.max(parsedHeadBytes, deployment.limits.maxHeaderBytes) })
   }
 }
 
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -647,6 +647,22 @@
     expect(fixture.received).to.have.length(0)
   })
 
+  it('rejects a request head over the limit', async () => {
+    // Guards against a limit that is not the configured one, and against a count that is off by some bytes.
+    await fixture.start([route()])
+    await fixture.addServer('a', ok)
+    fixture.proxy.setDeployment({ version: 2, routes: [route()], services: [{ name: 's', maxConnections: 50, engine: undefined }], limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 5000 } })
+    const headOf = (bytes: number) => {
+      const start = 'POST /a?b HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: id1\r\nContent-Length: 1\r\nX-Long: '
+      return `${start}${'x'.repeat(bytes - start.length - 4)}\r\n\r\n`
+    }
+    const { socket, text } = fixture.connect()
+    socket.write(`${headOf(1001)}x${headOf(1000)}x${headOf(100).replace('\r\n\r\n', `${'\r\na: '.repeat(1000)}\r\n\r\n`)}x`)
+    await until(() => text().split('HTTP/1.1 ').length === 4, 'three responses')
+    expect(text().match(/HTTP\/1.1 \d+/g)).to.deep.equal(['HTTP/1.1 431', 'HTTP/1.1 200', 'HTTP/1.1 431'])
+    expect(fixture.received).to.have.length(1)
+  })
+
   it('serves a request sent while a response from before the shutdown ends', async () => {
     // Guards against forwarding a request whose connection cannot carry a response any more.
     await fixture.start([route({ kind: 'stream' })])
--- a/tests/servingNode.spec.ts
+++ b/tests/servingNode.spec.ts
@@ -13,12 +13,12 @@
 import { freePort } from './fixtures/freePort.js'
 import { responseTo, requestIdOf } from './fixtures/requestProxyFixture.js'
 
-function config (version: number, prefix = '/a/'): string {
+function config (version: number, prefix = '/a/', maxHeaderBytes = 16_384): string {
   return JSON.stringify({
     version,
     routes: [{ name: 'r', host: 'h', path_prefix: prefix, kind: 'unsafe', timeout_ms: 5000, goal_ms: 300, priority: 0, service: 's', max_attempts: 1 }],
     services: [{ name: 's', max_conns: 50 }],
-    limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
+    limits: { max_header_bytes: maxHeaderBytes, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
   })
 }
 
@@ -103,6 +103,17 @@
     expect((await get(ports.clients, '/a/')).status).to.equal(404)
   })
 
+  it('limits request heads by the configuration in force', async () => {
+    // Guards against a fixed limit of the parser, below or above the configured one. The path has no route.
+    const statusFor = async (bytes: number) => (await get(ports.clients, '/none', { 'x-long': 'x'.repeat(bytes) })).status
+    publish()
+    await until(isReady)
+    expect([await statusFor(16_000), await statusFor(17_000)]).to.deep.equal([404, 431])
+    state.write('op/config', config(5, '/a/', 100_000))
+    await until(async () => await statusFor(17_000) === 404)
+    expect([await statusFor(99_000), await statusFor(101_000)]).to.deep.equal([404, 431])
+  })
+
   it('keeps serving while the store is unavailable', async () => {
     publish()
     await until(async () => (await get(ports.clients, '/a/')).status === 200)
