Planned stop: read what has arrived before the last connections are closed

After the last answers have had 100 ms to leave, the process closed all connections without reading them. A request that arrived in these 100 ms, as while the process was paused then, lay unread in the socket, and the close reset the connection. The timer runs before the sockets are read when the process goes on. The stop now reads what has arrived once more, which is answered with 503, and closes in the same turn of the event loop.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -346,6 +346,8 @@
     }
     this.requestProxy.abandonRequests()
     await sleep(clock, finalAnswersMs)
+    // Requests that have arrived meanwhile, as while the process was paused, are refused before their connections are closed.
+    lastRead = await this.readWhatArrived()
     log('info', 'requests in progress at the end', { count: this.requestProxy.clients.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
     this.requestProxy.clients.logUnfinished()
     this.storeView.stop()
--- a/tests/stopPaused.spec.ts
+++ b/tests/stopPaused.spec.ts
@@ -13,7 +13,8 @@
 const pauseAfterMs = 2220
 const pauseMs = 1300
 const idleConnections = 6
-const pausesAtEnd = 2
+/** Times after the last response: before the process notices that it is complete, and while it lets its last answers leave. */
+const pausesAtEndMs = [0, 75, 75]
 const lateMs = 550
 /** Event-loop delay up to which a process ends within its margin. */
 const calmMs = 150
@@ -135,8 +136,8 @@
     for (const result of await Promise.all(results)) expect(result, log()).to.be.oneOf(['200', '503'])
   })
 
-  /** Pauses the process right after its last response. Resolves with `undefined` if it had ended already. */
-  async function pauseAtEnd (): Promise<string[] | undefined> {
+  /** Pauses the process `afterMs` after its last response. Resolves with `undefined` if it had ended already. */
+  async function pauseAtEnd (afterMs: number): Promise<string[] | undefined> {
     const last = open()
     await last.send('first')
     const stoppedAtMs = terminate()
@@ -144,6 +145,7 @@
     backend.proxy.delayMs = 400
     const fresh = Array.from({ length: idleConnections }, open)
     const status = await last.send('last')
+    if (afterMs > 0) await sleep(afterMs)
     node.signal('SIGSTOP')
     expect(status).to.equal('200')
     expect(performance.now() - stoppedAtMs, 'the response came too early for the test').to.be.above(pauseAfterMs + 150)
@@ -157,10 +159,10 @@
   }
 
   it('answers what arrived before it ends', async () => {
-    // Guards against the same at the end, when the last request has its response and the process has not noticed that yet.
-    for (let shown = 0, tries = 0; shown < pausesAtEnd; tries++) {
-      expect(tries, 'the process was not paused before its end').to.be.below(2 * pausesAtEnd + 1)
-      const results = await pauseAtEnd()
+    // Guards against the same at the end, when the last request has its response.
+    for (let shown = 0, tries = 0; shown < pausesAtEndMs.length; tries++) {
+      expect(tries, 'the process was not paused before its end').to.be.below(2 * pausesAtEndMs.length + 1)
+      const results = await pauseAtEnd(pausesAtEndMs[shown]!)
       if (results) shown++
       for (const result of results ?? []) expect(result, log()).to.be.oneOf(['200', '503'])
       node.signal('SIGCONT')
