--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -32,6 +32,7 @@
 import type { LearnedCapacity } from './learnedCapacity.js'
 import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
+import { isHeadTooLarge } from './requestHead.js'
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
 import type { QuotaResult } from './quotaClient.js'
@@ -200,6 +201,8 @@
       socket.destroy()
       return
     }
+    // By the configuration of the arrival, also if another one comes before the request's turn.
+    const hasLargeHead = isHeadTooLarge(request, this.deployment?.limits.maxHeaderBytes ?? Infinity)
     // Read at once: what waits in the request's own queue takes an object for each chunk.
     const route = this.routes.find(request.headers.host ?? '', request.url ?? '/')
     const incoming = new ClientBody(request, this.memory, {
@@ -208,7 +211,7 @@
       requestId: metadata.requestId
     })
     try {
-      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming })
+      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming, hasLargeHead })
     } finally {
       incoming.release()
     }
@@ -217,7 +220,9 @@
   /** Answers a request when the responses to earlier ones on its connection are complete. */
   private async answerInTurn (
     request: IncomingMessage, response: ServerResponse,
-    { metadata, arrivedAtMs, earlier, open, incoming }: { metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, open: OpenRequest, incoming: ClientBody }
+    { metadata, arrivedAtMs, earlier, open, incoming, hasLargeHead }: {
+      metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, open: OpenRequest, incoming: ClientBody, hasLargeHead: boolean
+    }
   ): Promise<void> {
     const { socket } = request
     if (earlier) {
@@ -231,10 +236,15 @@
     const { deployment } = this
     if (this.isRefusing) return writer.sendError(503, 'this node is shutting down', 0)
     if (!deployment) return refuseEarly(writer, 503, 'this node has not received its configuration yet', startingRetryAfterMs)
+    if (hasLargeHead) {
+      this.memory.onLimit('head-size', metadata.requestId)
+      return refuseEarly(writer, 431, 'the request head is too large')
+    }
     const path = request.url ?? '/'
     const route = this.routes.find(request.headers.host ?? '', path)
     if (!route) return refuseEarly(writer, 404, 'no route matches the host and path')
-    const early = this.options.accounts.check(metadata, route)
+    const checkAccess = this.options.accounts.checkOf(metadata, route)
+    const early = checkAccess()
     if ('status' in early) return refuseEarly(writer, early.status, early.reason, early.retryAfterMs)
     const body = await incoming.result
     // A long body may be complete only when what is sent on could not be finished any more.
@@ -248,10 +258,15 @@
       await ioTurn()
       if (this.clients.discardIfClosed(socket, open)) return
     }
-    const service = this.services.get(serviceOf(route, metadata.requestId ?? ''))
-    if (!service) return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
+    const serviceName = serviceOf(route, metadata.requestId ?? '')
+    const service = serviceName === undefined ? undefined : this.services.get(serviceName)
+    if (!service) {
+      const reason = serviceName === undefined ? 'no target of the split has a weight' : `unknown service ${JSON.stringify(serviceName)}`
+      this.options.log('info', 'request refused: its route has no service', { request: metadata.requestId, route: route.name, status: 503, reason, configVersion: deployment.version })
+      return writer.sendError(503, 'the service of the route is not configured', startingRetryAfterMs)
+    }
     // The body may have taken long, and the key may have been removed meanwhile.
-    const access = this.options.accounts.check(metadata, route)
+    const access = checkAccess()
     if ('status' in access) return writer.sendError(access.status, access.reason, access.retryAfterMs)
     const { account } = access
     const rawHeaders = this.options.accounts.isActive ? this.options.codecs.withoutAccount(request.rawHeaders) : request.rawHeaders
@@ -417,6 +432,8 @@
     if (progress.ends >= maxEndsPerRequest || this.isEnding) return false
     const mayHaveRun = result.kind !== 'not-run'
     if (mayHaveRun && !isRepeatable(request)) return false
+    // Another server's response would find no room either.
+    if (result.kind === 'unknown' && result.isNoRoom) return false
     if (result.kind === 'answer' && result.response.head.status < 500) return false
     // The limit is on the number of servers: trying a server again does not count.
     const hasServer = progress.sends < maxServers(request, progress) || (forwarder.hasResponseStarted && progress.retryableFromMs.size > 0)
