Shared queue: refuse waiting requests once they cannot be served in time

Cause: the leader checked only at arrival whether a request can be served in time, when the rate of a burst is not known yet, and never whether an engine can have its model. Such requests waited until their patience ended. Change: each waiting request is checked about every 100 ms, 64 a pass within the pass's 5 ms. It is refused if its expected wait exceeds 1.5 times the time left, less the time that its own run takes at least (0.7 of the 10% quantile of the time per expected output token of the model), or if for 500 ms no engine has had its model and a load would end too late. The expected wait also follows from the rate of the account itself if that gives less, counts late entries by their own place, and is unknown after a second without assignments. Nodes send the time until the answer must be complete (an optional field, so older leaders ignore it). A node still reports a model as missing after such a refusal, as it does after its own. Result: 400 requests of one or three accounts at 25 slots a second, patience 4 s: over 200 are refused within 1.5 s, and every free slot is used although the rate rises by 40% later.

--- a/src/policy/queue.ts
+++ b/src/policy/queue.ts
@@ -272,17 +272,33 @@
     return { waiting: rankQueue.customers.get(customer)?.count ?? 0, customers: rankQueue.customers.size }
   }
 
-  /** Number of the customer's on-time items of the model in the rank, and how many of them have a deadline before `deadlineMs`. */
-  customerModel (rank: Item['rank'], customer: string, model: string, deadlineMs: number): { waiting: number, ahead: number } {
-    const items = this.rankQueues.get(rank)!.customers.get(customer)?.byModel.get(model) ?? []
-    return { waiting: items.length, ahead: items.filter(item => item.deadlineMs < deadlineMs).length }
-  }
-
   /** Number of waiting items of a model and rank, without late ones, which do not delay others. */
   sizeOfModel (model: string, rank: Item['rank']): number {
     return this.modelCounts.get(model)?.get(rank) ?? 0
   }
 
+  /**
+   * Items of `models` in the rank that are expected to be served before the item: the earlier ones of its customer, and about as many of
+   * each other customer. Late items do not delay those on time. Later items never count, although some may be served before a late one.
+   */
+  itemsAhead (item: Item, models: readonly string[]): { own: number, others: number } {
+    const queues = [this.rankQueues.get(item.rank)!, ...(this.lateIds.has(item.requestId) ? [this.lateQueues.get(item.rank)!] : [])]
+    let own = 0
+    let others = 0
+    const otherCustomers = new Set<string>()
+    for (const rankQueue of queues) {
+      for (const model of models) {
+        for (const customer of rankQueue.models.get(model) ?? []) {
+          const items = customer.byModel.get(model)!
+          if (customer.name === item.customer) own += items.filter(({ deadlineMs }) => deadlineMs < item.deadlineMs).length
+          else others += items.length
+        }
+      }
+      for (const name of rankQueue.customers.keys()) if (name !== item.customer) otherCustomers.add(name)
+    }
+    return { own, others: Math.min(others, (own + 1) * otherCustomers.size) }
+  }
+
   waitingByModel (): Map<string, { count: number, earliestDeadlineMs: number }> {
     const result = new Map<string, { count: number, earliestDeadlineMs: number }>()
     for (const rankQueue of [...this.rankQueues.values(), ...this.lateQueues.values()]) {
--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -1,7 +1,9 @@
 /** Queue of the requests of all nodes that wait for an engine. The placement leader keeps it, and assigns engines as slots become free. */
 
 import type { CancelTimer, Clock } from '../base/clock.js'
+import { AssignmentRates } from './assignmentRates.js'
 import type { DispatchDecision, DispatchRequest } from './dispatcher.js'
+import { LeastRunTime } from './leastRunTime.js'
 import { RequestQueue } from './queue.js'
 import type { DispatchCheck, QueueItem } from './queue.js'
 
@@ -32,13 +34,23 @@
 const slotRanks = Array.from({ length: leastUrgentRank + 2 }, (_, index) => index + begunRank)
 /** Share of the demand of each rank that is served even if more urgent ranks need all slots; accounts may not fall below a quarter of the mean. */
 const guaranteedShare = 0.3
-/** Window over which the assignments of a model are counted. */
-const rateWindowMs = 4000
 /** Time for which requests for a model must have waited, and assignments that must have been made meanwhile, until its rate is known. */
 const minimumRateMs = 1000
 const minimumRateCount = 8
-/** A request is refused at once only if its expected wait exceeds the time left by this factor, since the rate varies. */
+/** Time without assignments of a model after which its rate says nothing: engines may be about to return. */
+const maxRateGapMs = 1000
+/** A request is refused only if its expected wait exceeds the time left by this factor, since the rate varies. */
 const clearRefusalFactor = 1.5
+/** Interval at which a waiting request is checked for whether it can still be served in time. */
+const judgeIntervalMs = 100
+/** Waiting requests that one pass checks. */
+const maxJudgedPerPass = 64
+/** Time for which no engine may have had a model until requests are refused for it: entries return, and a new leader learns what engines hold. */
+const minimumGoneMs = 500
+/** Time for which the last check of a model counts: with thousands of waiting requests, some are checked only every second. */
+const presenceLifetimeMs = 2000
+/** Loads may end this much earlier than expected. */
+const loadMarginMs = 250
 const minimumRetryAfterMs = 250
 const maxRetryAfterMs = 5000
 /** `retryAfterMs` for a request whose patience has ended. */
@@ -55,9 +67,12 @@
   inTimeMs: number
   /** Whether the client has received part of the answer. */
   hasBegun: boolean
+  /** Time until the answer must be complete; absent if only `leftMs` counts. */
+  answerLeftMs?: number | undefined
 }
 
-export type RefusalReason = 'hopeless' | 'expired'
+/** `no-engine`: no engine has the model, and none can have it in time. */
+export type RefusalReason = 'hopeless' | 'expired' | 'no-engine'
 
 export type SlotAnswer =
   | Extract<DispatchDecision, { kind: 'engine' }>
@@ -78,19 +93,25 @@
   request: SlotRequest
   /** `SERVICE/MODEL`, over which the rate is measured. */
   rateKey: string
+  /** The same for its rank and account. */
+  accountKey: string
   /** What decides which engines may take it, apart from its tokens. `model` is this with the token class. */
   engineKey: string
   tokenClass: number
   /** Since when it has lacked only token memory. */
   lacksTokensSinceMs?: number
+  /** Time until which its answer must be complete. */
+  answerByMs: number
   decision?: Extract<DispatchDecision, { kind: 'engine' }>
 }
 
-interface ModelRate {
-  waiting: number
-  /** Since when requests have been waiting without interruption. */
-  waitingSinceMs: number
-  assignedAtMs: number[]
+/** Whether engines have a model. */
+interface ModelPresence {
+  checkedAtMs: number
+  /** Shortest time until an engine has the model, at the last check. */
+  soonestMs: number
+  /** Since when no engine has had it. */
+  goneSinceMs: number | undefined
 }
 
 interface Assignment {
@@ -103,6 +124,8 @@
   clock: Clock
   /** Assigns the request to an engine other than the reserved one, or says why it must wait. */
   decide: (request: DispatchRequest, reservedEngine: string | undefined) => DispatchDecision | undefined
+  /** Shortest time until an engine can have the model: 0 if one has it or if that is not known. Absent: engines always have it. */
+  soonestMs?: ((request: DispatchRequest) => number) | undefined
   /** Takes back an assignment that was not used. */
   onReturned: (request: DispatchRequest, decision: Extract<DispatchDecision, { kind: 'engine' }>) => void
   /** Called once for each assignment that is over or no longer counts, whether or not it was used. */
@@ -118,7 +141,8 @@
   private readonly entries = new Map<string, Entry>()
   /** Entries whose prompt parts are under suspicion; they are tried in turn. */
   private readonly held = new Map<string, Entry>()
-  private readonly rates = new Map<string, ModelRate>()
+  private readonly rates: AssignmentRates
+  private readonly presences = new Map<string, ModelPresence>()
   /** Assignments whose requests have not ended, oldest first. */
   private readonly assignments = new Map<string, Assignment>()
   /** Number of them by engine. */
@@ -128,12 +152,18 @@
   /** The engine that is kept free of other requests until this one fits. */
   private reservation: { entry: Entry, engine: string, endsAtMs: number } | undefined
   private wasCut = false
+  private readonly leastRunTime: LeastRunTime
+  /** Entries that the current round of checks has yet to reach. */
+  private toJudge: Entry[] = []
+  private judgedAtMs = -Infinity
   private lastPassAtMs = -Infinity
   private cancelTimer: CancelTimer | undefined
 
   constructor (options: SlotQueueOptions) {
     this.options = options
     this.clock = options.clock
+    this.rates = new AssignmentRates(options.clock)
+    this.leastRunTime = new LeastRunTime(options.clock)
     this.queue = new RequestQueue<Entry>({
       clock: options.clock,
       ranks: slotRanks,
@@ -156,12 +186,7 @@
     // Only this model: a search for all of them at each arrival would cost more than the wait until the next pass.
     this.assign(new Map(), this.clock.nowMs() + maxPassMs, new Set(modelsOf(entry)))
     if (!this.entries.has(request.id)) return false
-    const expectedMs = this.expectedWaitMs(entry)
-    if (expectedMs !== undefined && expectedMs > request.place.leftMs * clearRefusalFactor) {
-      const retryAfterMs = Math.min(maxRetryAfterMs, Math.max(minimumRetryAfterMs, expectedMs - request.place.leftMs))
-      this.refuse(entry, 'hopeless', retryAfterMs)
-      return false
-    }
+    if (this.refuseIfHopeless(entry)) return false
     this.startTimer()
     return true
   }
@@ -185,6 +210,8 @@
   end (id: string): void {
     const assignment = this.assignments.get(id)
     if (!assignment) return
+    const { dispatch, atMs } = assignment
+    this.leastRunTime.record(rateKeyOf(dispatch), dispatch.outputTokens ?? 0, this.clock.nowMs() - atMs)
     this.release(id, assignment)
     this.onCapacity()
   }
@@ -232,11 +259,27 @@
     if (!this.wasCut) this.blocked.clear()
     this.wasCut = !this.assign(this.blocked, nowMs + maxPassMs)
     this.tryHeld(nowMs)
+    this.judge(nowMs)
     for (const [id, assignment] of this.assignments) {
       if (nowMs - assignment.atMs <= maxAssignmentMs) break
       this.release(id, assignment)
     }
-    for (const [key, { waiting, assignedAtMs }] of this.rates) if (waiting === 0 && (assignedAtMs.at(-1) ?? 0) < nowMs - rateWindowMs) this.rates.delete(key)
+    this.rates.expire()
+    this.leastRunTime.expire()
+    for (const [key, { checkedAtMs }] of this.presences) if (nowMs - checkedAtMs > presenceLifetimeMs) this.presences.delete(key)
+  }
+
+  /** Refuses waiting requests that cannot be served in time any more. Each is checked at intervals, a part of them in each pass. */
+  private judge (nowMs: number): void {
+    if (this.toJudge.length === 0 && nowMs - this.judgedAtMs >= judgeIntervalMs) {
+      this.judgedAtMs = nowMs
+      this.toJudge = [...this.entries.values()]
+    }
+    for (let count = 0; count < maxJudgedPerPass && (count === 0 || this.clock.nowMs() < nowMs + maxPassMs); count++) {
+      const entry = this.toJudge.pop()
+      if (!entry) return
+      if (this.entries.get(entry.requestId) === entry) this.refuseIfHopeless(entry)
+    }
   }
 
   private startTimer (): void {
@@ -340,16 +383,17 @@
     const atMs = this.clock.nowMs()
     this.assignments.set(id, { dispatch, decision, atMs })
     this.assignedCounts.set(decision.id, this.assignedTo(decision.id) + 1)
-    this.rateOf(entry.rateKey).assignedAtMs.push(atMs)
+    for (const key of [entry.rateKey, entry.accountKey]) this.rates.recordAssigned(key)
     this.detach(entry)
     this.options.onAssigned?.(atMs - entry.enqueuedAtMs)
     onAnswer(decision)
   }
 
-  private refuse (entry: Entry, reason: RefusalReason, retryAfterMs: number): void {
+  private refuse (entry: Entry, reason: RefusalReason, retryAfterMs: number): true {
     this.detach(entry)
     this.options.onRefused?.(reason, entry.request)
     entry.request.onAnswer({ kind: 'refused', retryAfterMs })
+    return true
   }
 
   private detach (entry: Entry): void {
@@ -360,47 +404,53 @@
     this.countWaiting(entry, -1)
   }
 
-  /**
-   * Expected wait, from the entries of the same rank ahead and the rate at which waiting requests of the model were assigned lately;
-   * `undefined` while the rate is not known or the guaranteed share serves the entry. Entries of more urgent ranks do not count: they
-   * go behind this one when they become late.
-   */
-  private expectedWaitMs (entry: Entry): number | undefined {
-    const { rank, rateKey, customer, deadlineMs } = entry
+  /** Refuses the request if no engine can have its model in time, or if its turn will clearly come too late. */
+  private refuseIfHopeless (entry: Entry): boolean {
     const nowMs = this.clock.nowMs()
-    if (rank === begunRank) return undefined
-    const { waitingSinceMs, assignedAtMs } = this.rateOf(rateKey)
-    const fromMs = Math.max(waitingSinceMs, nowMs - rateWindowMs)
-    while (assignedAtMs.length > 0 && assignedAtMs[0]! < nowMs - rateWindowMs) assignedAtMs.shift()
-    const count = assignedAtMs.filter(atMs => atMs >= fromMs).length
-    if (nowMs - fromMs < minimumRateMs || count < minimumRateCount || this.queue.credit(rank) >= 1) return undefined
-    const models = modelsOf(entry)
-    const own = models.map(model => this.queue.customerModel(rank, customer, model, deadlineMs))
-    const ahead = sum(own.map(({ ahead }) => ahead))
-    const ofOthers = sum(models.map(model => this.queue.sizeOfModel(model, rank))) - sum(own.map(({ waiting }) => waiting))
-    const { customers } = this.queue.customerShare(rank, customer)
-    // Fair queueing serves the other accounts about as often as this one before its turn.
-    const others = Math.min(ofOthers, (ahead + 1) * (customers - 1))
-    return (ahead + others) * (nowMs - fromMs) / count
+    const { rank, deadlineMs, answerByMs, rateKey, request: { dispatch } } = entry
+    const soonestMs = this.soonestMs(entry, nowMs)
+    if (soonestMs - loadMarginMs > deadlineMs - nowMs) return this.refuse(entry, 'no-engine', boundedRetryMs(soonestMs))
+    // An answer that has begun may not need all its expected tokens any more, and goes ahead of all others.
+    if (rank === begunRank || this.held.has(entry.requestId)) return false
+    const leftMs = Math.min(deadlineMs, answerByMs - this.leastRunTime.of(rateKey, dispatch.outputTokens ?? 0)) - nowMs
+    const expectedMs = this.expectedWaitMs(entry)
+    if ((expectedMs ?? 0) <= leftMs * clearRefusalFactor) return false
+    return this.refuse(entry, 'hopeless', expectedMs === undefined ? expiredRetryAfterMs : boundedRetryMs(expectedMs - Math.max(0, leftMs)))
   }
 
-  private countWaiting ({ rateKey }: Entry, change: number): void {
-    const rate = this.rateOf(rateKey)
-    if (rate.waiting === 0) rate.waitingSinceMs = this.clock.nowMs()
-    rate.waiting += change
+  /** Shortest time until an engine can have the model; 0 unless none has had it for a while. */
+  private soonestMs ({ rateKey, request: { dispatch } }: Entry, nowMs: number): number {
+    const known = this.presences.get(rateKey)
+    if (known && nowMs - known.checkedAtMs < judgeIntervalMs) return isGone(known, nowMs) ? known.soonestMs : 0
+    const soonestMs = this.options.soonestMs?.(dispatch) ?? 0
+    const presence = { checkedAtMs: nowMs, soonestMs, goneSinceMs: soonestMs > 0 ? known?.goneSinceMs ?? nowMs : undefined }
+    this.presences.set(rateKey, presence)
+    return isGone(presence, nowMs) ? soonestMs : 0
   }
 
-  private rateOf (key: string): ModelRate {
-    let rate = this.rates.get(key)
-    if (!rate) this.rates.set(key, rate = { waiting: 0, waitingSinceMs: this.clock.nowMs(), assignedAtMs: [] })
-    return rate
+  /**
+   * Expected wait, from the entries of the same rank ahead and the rate at which waiting requests of the model were assigned lately, or
+   * from those of its account alone if that gives less, since accounts with small requests go ahead more often; `undefined` while the
+   * rate is not known or the guaranteed share serves the entry. Entries of more urgent ranks do not count: they go behind this one when
+   * they become late.
+   */
+  private expectedWaitMs (entry: Entry): number | undefined {
+    const ofModel = this.rates.of(entry.rateKey)
+    if (ofModel.spanMs < minimumRateMs || ofModel.count < minimumRateCount || ofModel.sinceLastMs > maxRateGapMs || this.queue.credit(entry.rank) >= 1) return undefined
+    const { own, others } = this.queue.itemsAhead(entry, modelsOf(entry))
+    const ofAccount = this.rates.of(entry.accountKey)
+    return Math.min((own + others) * ofModel.spanMs / ofModel.count, ofAccount.count > 0 ? own * ofAccount.spanMs / ofAccount.count : Infinity)
+  }
+
+  private countWaiting ({ rateKey, accountKey }: Entry, change: number): void {
+    for (const key of [rateKey, accountKey]) this.rates.countWaiting(key, change)
   }
 
   private entryOf (request: SlotRequest): Entry {
     const { id, dispatch, place } = request
-    const { service, model, adapter, rank, excluded, only, promptTokens, outputTokens = 0 } = dispatch
+    const { adapter, rank, excluded, only, promptTokens, outputTokens = 0 } = dispatch
     const nowMs = this.clock.nowMs()
-    const rateKey = `${service}/${model}`
+    const rateKey = rateKeyOf(dispatch)
     // Requests that may go to other engines do not block each other.
     const engineKey = [rateKey, adapter ?? '', [...excluded].sort().join(), only?.join() ?? ''].join(' ')
     const tokenClass = tokenClassOf(promptTokens + outputTokens)
@@ -411,10 +461,12 @@
       customerWeight: 1,
       model: modelKey(engineKey, tokenClass),
       deadlineMs: nowMs + place.leftMs,
+      answerByMs: nowMs + (place.answerLeftMs ?? Infinity),
       enqueuedAtMs: nowMs,
       costTokens: place.costTokens,
       ...(place.hasBegun ? {} : { targetAtMs: nowMs + place.inTimeMs }),
       rateKey,
+      accountKey: [rateKey, place.hasBegun ? begunRank : rank, place.account ?? ''].join(' '),
       engineKey,
       tokenClass,
       request
@@ -422,6 +474,18 @@
   }
 }
 
+function rateKeyOf ({ service, model }: DispatchRequest): string {
+  return `${service}/${model}`
+}
+
+function isGone ({ goneSinceMs }: ModelPresence, nowMs: number): boolean {
+  return goneSinceMs !== undefined && nowMs - goneSinceMs >= minimumGoneMs
+}
+
+function boundedRetryMs (retryAfterMs: number): number {
+  return Math.min(maxRetryAfterMs, Math.max(minimumRetryAfterMs, retryAfterMs))
+}
+
 function tokenClassOf (tokens: number): number {
   return Math.min(lastTokenClass, Math.ceil(Math.log2(Math.max(1, tokens / firstClassTokens))))
 }
@@ -434,7 +498,3 @@
 function modelsOf ({ engineKey }: Entry): string[] {
   return tokenClasses.map(tokenClass => modelKey(engineKey, tokenClass))
 }
-
-function sum (values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0)
-}
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -68,7 +68,7 @@
   requestSlot (request: DispatchRequest, place: QueuePlace, timeoutMs: number): Promise<QueuedSlot | undefined> {
     if (this.clock.nowMs() < this.pausedUntilMs) return Promise.resolve(undefined)
     const number = this.nextNumber++
-    if (!this.send({ ask: number, ...encodeDispatchRequest(request), place: encodePlace(place) })) return Promise.resolve(undefined)
+    if (!this.send({ ask: number, ...encodeDispatchRequest(request), ...encodePlace(place) })) return Promise.resolve(undefined)
     const slot = new QueuedSlot({
       clock: this.clock,
       excluded: request.excluded,
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -104,6 +104,7 @@
     this.slots = new SlotQueue({
       clock,
       decide: (request, reservedEngine) => this.decideOnParts(request, this.candidatesOf(request).filter(({ id }) => id !== reservedEngine)),
+      soonestMs: ({ service, model }) => this.placement.soonestReadyMs(service, model),
       onReturned: (request, { id, trial }) => {
         this.dispatcher.returnAssignment(request, id)
         if (trial !== undefined) options.quarantine.endTrial(trial)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -66,6 +66,8 @@
   only: z.array(z.string()).optional(),
   /** Account, cost in tokens, time left, time left to meet the objective, whether the answer has begun. Present if the request waits in the leader's queue. */
   place: z.tuple([z.string().nullable(), z.number(), z.number(), z.number(), z.boolean()]).optional(),
+  /** Time until the answer must be complete; with `place`. */
+  answerLeftMs: z.number().optional(),
   isFirst: z.boolean(),
   isLate: z.boolean()
 })
@@ -92,12 +94,12 @@
   }
 }
 
-export function encodePlace ({ account, costTokens, leftMs, inTimeMs, hasBegun }: QueuePlace): NonNullable<DispatchRequestMessage['place']> {
-  return [account ?? null, costTokens, Math.round(leftMs), Math.round(inTimeMs), hasBegun]
+export function encodePlace ({ account, costTokens, leftMs, inTimeMs, hasBegun, answerLeftMs }: QueuePlace): Pick<DispatchRequestMessage, 'place' | 'answerLeftMs'> {
+  return { place: [account ?? null, costTokens, Math.round(leftMs), Math.round(inTimeMs), hasBegun], ...(answerLeftMs === undefined ? {} : { answerLeftMs: Math.round(answerLeftMs) }) }
 }
 
-export function decodePlace ([account, costTokens, leftMs, inTimeMs, hasBegun]: NonNullable<DispatchRequestMessage['place']>): QueuePlace {
-  return { account: account ?? undefined, costTokens, leftMs, inTimeMs, hasBegun }
+export function decodePlace ([account, costTokens, leftMs, inTimeMs, hasBegun]: NonNullable<DispatchRequestMessage['place']>, answerLeftMs?: number): QueuePlace {
+  return { account: account ?? undefined, costTokens, leftMs, inTimeMs, hasBegun, answerLeftMs }
 }
 
 /** The node no longer needs the engine of a dispatch request: it leaves the queue, or its assignment is taken back. With `hasRun`, the slot was used and is free again. */
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -528,6 +528,23 @@
     return result
   }
 
+  /** Shortest time until an engine can have the model: 0 if one has it or if that is not known, else the rest of a load, or a load that starts now. */
+  soonestReadyMs (service: string, model: string): number {
+    const { clock, deployment, fleet } = this.options
+    const nowMs = clock.nowMs()
+    const engine = deployment()?.services.find(({ name }) => name === service)?.engine
+    if (!engine?.models.some(({ name }) => name === model)) return 0
+    let soonestMs = Infinity
+    for (const server of fleet.ofService(service)) {
+      if (server.isGoing || nowMs >= server.removalAtMs) continue
+      const state = server.replicas.get(model)
+      // An engine that is only unreachable for a while, or whose unload may yet be given up, has it.
+      if (state && !(state.isLoading && state.readyAtMs !== Infinity)) return 0
+      soonestMs = Math.min(soonestMs, state ? Math.max(0, state.readyAtMs - nowMs) : loadSource(server, engine, model).loadMs)
+    }
+    return soonestMs
+  }
+
   private replicaRow (server: BackendServer): LeaderReport['hosting'][number] {
     const nowMs = this.options.clock.nowMs()
     const left = (readyAtMs: number) => Math.max(0, Math.round(readyAtMs - nowMs))
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -499,7 +499,10 @@
       for (;;) {
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
         const decision = decideWait(conditions, this.clock.nowMs(), expectedMs)
-        if (selection.refusedMs !== undefined) return { kind: 'refused', reason: `the wait for an engine with ${model} would be too long`, retryAfterMs: selection.refusedMs }
+        if (selection.refusedMs !== undefined) {
+          if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
+          return { kind: 'refused', reason: `the wait for an engine with ${model} would be too long`, retryAfterMs: selection.refusedMs }
+        }
         if (decision.kind === 'refuse') {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           const name = adapter === undefined ? model : `${model}/${adapter}`
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -208,7 +208,7 @@
     const inTimeMs = lateAtMs({ lastProgressAtMs, objectiveMs }) - nowMs
     // Without a token count, an account whose requests cost nothing would go ahead of all others.
     const costTokens = metadata.promptTokens + metadata.outputTokens || account?.quota?.plainTokens || 1
-    return { account: account?.name, costTokens, leftMs: untilMs - nowMs, inTimeMs, hasBegun }
+    return { account: account?.name, costTokens, leftMs: untilMs - nowMs, inTimeMs, hasBegun, answerLeftMs: deadlineAtMs - nowMs }
   }
 
   /** A trial without a leader that grants it. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -233,7 +233,7 @@
           return this.sendParts()
         }
         const ask = { ...decodeDispatchRequest(message), node: this.peerNames.get(reply) ?? '' }
-        if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place), reply)
+        if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place, message.answerLeftMs), reply)
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(ask)) })
       },
       onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -122,6 +122,23 @@
 }
 
 describe('placement leader', () => {
+  // Guards against requests that are refused for want of an engine while one has their model, and that wait for one that cannot have it.
+  it('tells the shortest time until an engine has a model', async () => {
+    const { clock, lead, stop, ask } = world(1, { without: ['m0'] })
+    const { leader, fleet } = lead(1)
+    await clock.advance(500)
+    expect(['m0', 'm3', 'unknown'].map(model => leader.soonestReadyMs('s', model))).to.deep.equal([2400, 0, 0])
+    ask({ waiting: [['s', 'm0', 1, 0]] })
+    await clock.advance(1500)
+    expect(announcedOn(fleet, 'm0')).not.to.equal(undefined)
+    expect(leader.soonestReadyMs('s', 'm0')).to.be.within(1, 2400)
+    fleet.servers.get('e1')!.onUnreachable()
+    expect(leader.soonestReadyMs('s', 'm3')).to.equal(0)
+    fleet.servers.get('e1')!.markLeaving()
+    expect(leader.soonestReadyMs('s', 'm3')).to.equal(2400)
+    stop()
+  })
+
   it('loads a model for which requests wait, in place of one that nobody uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
     const { fleet } = lead(5)
--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -90,6 +90,8 @@
     expect((await response).status).to.equal(200)
     expect(sent.filter(message => 'ask' in message)).to.have.length(1)
     expect(cancelled()).to.deep.equal([{ cancel: 1, hasRun: true }])
+    // The leader refuses what cannot be complete by the deadline.
+    expect((sent[0] as Extract<NodeMessage, { ask: number }>).answerLeftMs).to.be.within(1500, 2000)
     expect(fixture.records[0]!.queuedMs).to.be.within(300, 1000)
   })
 
@@ -180,7 +182,7 @@
       clock,
       send: message => {
         if ('cancel' in message) term.onSlotCancel(message, reply)
-        if ('ask' in message) setImmediate(() => term.onSlotRequest(message.ask, { ...decodeDispatchRequest(message), node: 'n' }, decodePlace(message.place!), reply))
+        if ('ask' in message) setImmediate(() => term.onSlotRequest(message.ask, { ...decodeDispatchRequest(message), node: 'n' }, decodePlace(message.place!, message.answerLeftMs), reply))
         return true
       }
     })
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -15,6 +15,7 @@
   readonly served: string[] = []
   readonly answers = new Map<string, SlotAnswer>()
   decisions = 0
+  soonestMs = 0
   decide = (request: DispatchRequest, _reservedEngine?: string): DispatchDecision | undefined => {
     this.decisions++
     const free = this.free[request.model] ?? 0
@@ -26,15 +27,15 @@
   readonly queue: SlotQueue
 
   constructor (readonly clock: Clock = new VirtualClock(1000)) {
-    this.queue = new SlotQueue({ clock, decide: (request, reservedEngine) => this.decide(request, reservedEngine), onReturned: ({ model }) => { this.free[model] = (this.free[model] ?? 0) + 1 } })
+    this.queue = new SlotQueue({ clock, decide: (request, reservedEngine) => this.decide(request, reservedEngine), soonestMs: () => this.soonestMs, onReturned: ({ model }) => { this.free[model] = (this.free[model] ?? 0) + 1 } })
   }
 
-  submit (id: string, { model = 'm', rank = 0, excluded = [], account = 'a', costTokens = 100, leftMs = 60_000, inTimeMs = 50_000, hasBegun = false, outputTokens = 0 }: Changes = {}): boolean {
+  submit (id: string, { model = 'm', rank = 0, excluded = [], account = 'a', costTokens = 100, leftMs = 60_000, inTimeMs = 50_000, hasBegun = false, outputTokens = 0, answerLeftMs }: Changes = {}): boolean {
     const dispatch: DispatchRequest = { service: 's', model, adapter: undefined, promptTokens: 10, outputTokens, sharedParts: [], rank, region: 'r', availabilityZone: 'z', excluded, gapObjectiveMs: 300, isFirst: true, isLate: false }
     return this.queue.submit({
       id,
       dispatch,
-      place: { account, costTokens, leftMs, inTimeMs, hasBegun },
+      place: { account, costTokens, leftMs, inTimeMs, hasBegun, answerLeftMs },
       onAnswer: answer => {
         this.answers.set(id, answer)
         if (answer.kind === 'engine') this.served.push(id)
@@ -252,6 +253,67 @@
     expect(world.submit('other account', { account: 'b', leftMs: 9000 })).to.equal(true)
   })
 
+  // Guards against requests that wait until their patience ends for a turn that comes too late, and against slots that stay empty since requests that would have got them were refused.
+  for (const costs of [[100], [50, 100, 2000]]) {
+    it(`refuses waiting requests once they clearly cannot be served in time, with ${costs.length} accounts`, async () => {
+      const clock = new VirtualClock(1000)
+      const world = new World(clock)
+      const costOf = (index: number) => costs[index % costs.length]!
+      for (let index = 0; index < 400; index++) expect(world.submit(`r${index}`, { account: `a${costOf(index)}`, costTokens: costOf(index), leftMs: 4000 + index, inTimeMs: 2000 + index })).to.equal(true)
+      const refusedAtMs: number[] = []
+      let slots = 0
+      for (let round = 0; round < 200; round++) {
+        // The rate rises by 40% after a while.
+        world.free.m = round < 60 ? round % 2 : [0, 1, 1, 0, 1, 1, 1, 0, 1, 1][round % 10]!
+        slots += world.free.m
+        await clock.advance(20)
+        for (const [id, { kind }] of world.answers) {
+          if (kind === 'refused') refusedAtMs.push(clock.nowMs() - 1000)
+          world.answers.delete(id)
+        }
+      }
+      expect(world.served).to.have.length(slots)
+      expect(refusedAtMs.filter(atMs => atMs <= 1500).length).to.be.above(200)
+    })
+  }
+
+  // Guards against requests that wait for a model that no engine can have in time, and against refusals while engines are absent only for a moment.
+  it('refuses requests whose model cannot be loaded in time', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    world.submit('short', { leftMs: 2000 })
+    world.submit('long', { leftMs: 8000 })
+    world.soonestMs = 4000
+    await clock.advance(400)
+    world.soonestMs = 0
+    await clock.advance(400)
+    expect(world.answers.size).to.equal(0)
+    world.soonestMs = 4000
+    await clock.advance(800)
+    expect([...world.answers]).to.deep.equal([['short', { kind: 'refused', retryAfterMs: 4000 }]])
+  })
+
+  // Guards against slots for requests whose answers cannot be complete by their deadline, and against refusals on the word of attempts that ended early.
+  it('refuses requests that take longer than the time left', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    for (const durationMs of [100, 1000]) {
+      for (let round = 0; round < 10; round++) {
+        const ids = [0, 1, 2, 3].map(index => `${durationMs} ${round} ${index}`)
+        world.free.m = ids.length
+        for (const id of ids) expect(world.submit(id, { outputTokens: 100 })).to.equal(false)
+        await clock.advance(durationMs)
+        for (const id of ids) world.queue.end(id)
+      }
+      const waiting = { long: { outputTokens: 400 }, short: { outputTokens: 100 }, begun: { outputTokens: 400, hasBegun: true } }
+      for (const [name, changes] of Object.entries(waiting)) world.submit(`${name} ${durationMs}`, { ...changes, answerLeftMs: 3000 })
+      await clock.advance(500)
+      for (const name of Object.keys(waiting)) world.queue.cancel(`${name} ${durationMs}`)
+    }
+    const refused = [...world.answers].filter(([, { kind }]) => kind === 'refused').map(([id]) => id)
+    expect(refused).to.deep.equal(['long 1000'])
+  })
+
   // Guards against requests that wait for a leader that no longer leads.
   it('answers waiting requests when the leader stops', () => {
     const world = new World()
