Shared queue: failover moves wait in it

Cause: a request whose engine had fallen silent looked for another one with a direct dispatch request. That passed by all waiting requests and by the engine reserved for a large one, and the leader counted the move at its new engine only with the next reports. Retries after a rejection, a broken connection or the end of an engine already waited in the queue. Change: where the leader keeps a queue, the move asks for a slot there, ahead of requests whose answers have not begun if its own has. It waits while its engine stays silent, and leaves the queue when the engine goes on. The assignment is returned if the engine cannot be reserved, and ends with the attempt otherwise. Other deployments still use dispatch requests.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -15,6 +15,7 @@
 import { EventSplitter, isComment } from './eventStream.js'
 import type { StreamEvent } from './eventStream.js'
 import type { LearnedCapacity } from './learnedCapacity.js'
+import type { QueuedSlot } from './queuedSlot.js'
 import type { ProxiedRequest } from './requestProxy.js'
 import type { Reservation } from './reservation.js'
 import type { ResponseHead } from './responseReader.js'
@@ -33,6 +34,10 @@
   reservation: Reservation
   /** Whether the placement leader or this node chose the server. */
   chosenBy: 'leader' | 'queue' | 'node'
+  /** Prefill time that the leader expected with a delay factor of 1. */
+  priorMs: number | undefined
+  /** Assignment from the placement leader's queue. */
+  slot: QueuedSlot | undefined
   /** Whether the request can still be sent to the server. */
   isUsable (): boolean
   /** Releases the slot and returns the retry to the budget. */
@@ -79,8 +84,8 @@
   lastEventId: number | undefined
   /** Whether the last attempt that brought anything ended in order, or fell silent, after a whole event: its client may have the whole stream. */
   mayBeAtEnd = false
-  /** Reserves a failover target, if there is one. */
-  readonly reserveMove: () => Promise<FailoverSearch>
+  /** Reserves a failover target, if there is one or if one becomes free while `isNeeded` holds. */
+  readonly reserveMove: (isNeeded: () => boolean) => Promise<FailoverSearch>
   /** The last attempt: when it was sent, its events that were sent to the client, the time from the first of them to its end, and whether its response had neither a length nor chunks. */
   lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined, isUnframed: boolean } = { sentAtMs: 0, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
@@ -468,12 +473,13 @@
   private async tryFailover (limitMs: number): Promise<number> {
     // Data that arrived while the event loop was blocked must be read first.
     await ioTurn()
-    if (this.isFinished || this.stalledMs() < limitMs) return 0
-    const search = await this.forwarder.reserveMove()
+    const isNeeded = () => !this.isFinished && this.stalledMs() >= limitMs
+    if (!isNeeded()) return 0
+    const search = await this.forwarder.reserveMove(isNeeded)
     if (search.kind === 'none') return search.retryAfterMs
     const { target } = search
     const stalledMs = this.stalledMs()
-    if (this.isFinished || stalledMs < limitMs || !target.isUsable()) {
+    if (!isNeeded() || !target.isUsable()) {
       target.release()
       return 0
     }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -28,7 +28,7 @@
 import type { Account, Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
 import { isRepeatable, RequestForwarder } from './requestForwarder.js'
-import type { AttemptResult, FailoverSearch } from './requestForwarder.js'
+import type { AttemptResult, FailoverSearch, FailoverTarget } from './requestForwarder.js'
 import type { LearnedCapacity } from './learnedCapacity.js'
 import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
@@ -282,7 +282,7 @@
       clock,
       learned: this.options.learned,
       memory: this.memory,
-      reserveMove: () => this.reserveFailover(request, progress),
+      reserveMove: isNeeded => this.reserveFailover(request, forwarder, progress, isNeeded),
       onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
     })
     this.forwarders.add(forwarder)
@@ -311,7 +311,7 @@
     let hasReservedRetry = false
     for (;;) {
       const search: Search = result?.kind === 'moved'
-        ? { kind: 'found', server: result.target.reservation.server, reservation: result.target.reservation, chosenBy: result.target.chosenBy }
+        ? foundAt(result.target)
         : await this.findServer(request, forwarder, progress, { isRetry: result !== undefined })
       if (search.kind !== 'found' && hasReservedRetry) this.budgetOf(request.service.name).returnRetry()
       if (search.kind === 'left') return this.finish(request, forwarder, progress, { outcome: 'client-left', status: 0 })
@@ -329,26 +329,29 @@
     }
   }
 
-  /** Reserves a slot on another server, and a retry from the budget, for a request whose server is unresponsive. */
-  private async reserveFailover (request: ProxiedRequest, progress: Progress): Promise<FailoverSearch> {
+  /** Reserves a slot on another server, and a retry from the budget, for a request whose server is unresponsive, while `isNeeded` holds. */
+  private async reserveFailover (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, isNeeded: () => boolean): Promise<FailoverSearch> {
     const budget = this.budgetOf(request.service.name)
     const isInTime = () => this.clock.nowMs() <= request.deadlineAtMs - minimumAttemptMs
     const isUnsuspected = () => this.options.quarantine.check(this.selection.evidenceParts(request)).kind === 'clear'
-    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.selection.chooseLocally(request, progress) !== undefined
+    const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.selection.mayMove(request, progress)
     if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
-    const { server, chosenBy, waitMs, trial } = await this.selection.select(request, progress, { isFirst: false, isLate: false })
+    const { server, chosenBy, waitMs, trial, priorMs, slot } = await this.selection.selectMove(request, progress, waitOf(request, forwarder), isNeeded)
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     // Several dispatch replies that arrive together may name the same free slot, so capacity is checked again.
-    const reservation = server && this.selection.availableServers(request).includes(server) && await this.reserve(request, server)
+    const isFree = server && (slot !== undefined || this.selection.availableServers(request).includes(server))
+    const reservation = isFree && await this.reserve(request, server)
     if (!reservation) {
+      slot?.cancel()
       budget.returnRetry()
       return { kind: 'none', retryAfterMs: Math.max(failoverRetryMs, waitMs) }
     }
     const release = () => {
       reservation.release()
+      slot?.cancel()
       budget.returnRetry()
     }
-    return { kind: 'reserved', target: { reservation, chosenBy, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
+    return { kind: 'reserved', target: { reservation, chosenBy, priorMs, slot, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
   }
 
   private reserve ({ metadata, rank, service }: ProxiedRequest, server: BackendServer): Promise<Reservation | undefined> {
@@ -474,7 +477,7 @@
     request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { isRetry, startedAtMs }: { isRetry: boolean, startedAtMs: number }
   ): Promise<Search> {
     if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
-    const wait: QueueWait = { lastProgressAtMs: forwarder.lastEventAtMs ?? request.arrivedAtMs, hasBegun: forwarder.hasResponseStarted }
+    const wait = waitOf(request, forwarder)
     let selection = await this.selection.select(request, progress, { isFirst: !isRetry, isLate: false, wait })
     if (forwarder.hasClientLeft) return this.leaveWith(selection)
     if (selection.server) return foundBy(selection.server, selection)
@@ -624,6 +627,14 @@
   return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
 }
 
+function waitOf (request: ProxiedRequest, { lastEventAtMs, hasResponseStarted }: RequestForwarder): QueueWait {
+  return { lastProgressAtMs: lastEventAtMs ?? request.arrivedAtMs, hasBegun: hasResponseStarted }
+}
+
+function foundAt ({ reservation, chosenBy, priorMs, slot }: FailoverTarget): Search {
+  return { kind: 'found', server: reservation.server, reservation, chosenBy, priorMs, slot }
+}
+
 function foundBy (server: BackendServer, { chosenBy, trial, priorMs, slot }: Selection): Extract<Search, { kind: 'found' }> {
   return { kind: 'found', server, chosenBy, trial, priorMs, slot }
 }
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -138,6 +138,31 @@
     return this.options.requestSlot !== undefined && service.engine !== undefined && metadata.model !== undefined
   }
 
+  /** Whether there may be another server for a request in progress. */
+  mayMove (request: ProxiedRequest, progress: Progress): boolean {
+    return this.waitsInQueue(request) ? this.queueCandidates(request, progress).length > 0 : this.chooseLocally(request, progress) !== undefined
+  }
+
+  /**
+   * Selects another server for a request in progress. Where the leader keeps a queue, the request waits there until `isNeeded` no longer
+   * holds, and an assignment comes with its slot.
+   */
+  async selectMove (request: ProxiedRequest, progress: Progress, wait: QueueWait, isNeeded: () => boolean): Promise<Selection> {
+    const options = { isFirst: false, isLate: false }
+    if (!this.waitsInQueue(request)) return await this.select(request, progress, options)
+    let selection = await this.select(request, progress, { ...options, wait })
+    while (!selection.server && selection.slot && isNeeded()) {
+      await selection.slot.wait(slotCheckMs)
+      if (isNeeded()) selection = await this.select(request, progress, { ...options, wait: { ...wait, slot: selection.slot } })
+    }
+    const { server, trial } = selection
+    // A request in progress elsewhere cannot be a trial, which is a request's only attempt.
+    if (server && trial === undefined && isNeeded()) return selection
+    selection.slot?.cancel()
+    if (trial !== undefined) this.options.quarantine.endTrial(trial)
+    return { server: undefined, chosenBy: 'queue', waitMs: Math.max(selection.waitMs, selection.refusedMs ?? 0) }
+  }
+
   private async selectFromQueue (
     request: ProxiedRequest, progress: Progress, { isFirst, isLate, wait }: { isFirst: boolean, isLate: boolean, wait: QueueWait }
   ): Promise<Selection> {
--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -172,6 +172,54 @@
     expect(new Set(fixture.received.map(({ server }) => server)).size).to.equal(2)
     expect(fixture.received.length).to.be.at.most(8)
   })
+
+  /** Answers the first request with two events and goes on when the test says so. */
+  let goOn: () => void
+  const stall: Script = (socket, head) => {
+    socket.write(`${streamHead(head, 'Transfer-Encoding: chunked\r\n')}${chunk(events(1, 2))}`)
+    goOn = () => { socket.write(`${chunk(events(3, 4))}0\r\n\r\n`) }
+  }
+  const breakOff: Script = socket => {
+    stall(socket, 'x-attempt-id: id1', 1)
+    setTimeout(() => socket.destroy(), 50)
+  }
+  const finish: Script = (socket, head) => { socket.write(`${streamHead(head, 'Transfer-Encoding: chunked\r\n')}${chunk(events(3, 4))}0\r\n\r\n`) }
+  const resumable = { kind: 'stream', maxAttempts: 2, resumable: true } as const
+
+  // Guards against streams that move past all waiting requests to an engine that is full or reserved, or behind requests that have not begun.
+  for (const [what, first] of [['falls silent', stall], ['breaks off', breakOff]] as const) {
+    it(`moves a begun stream whose engine ${what} through the queue`, async () => {
+      const places: unknown[] = []
+      onAsk = (ask, { place, excluded }) => {
+        places.push([place![4], excluded])
+        if (ask === 1) assign(ask, 'a')
+        else queue(ask)
+      }
+      await start({ a: first, b: finish }, resumable)
+      const response = fixture.send('id1', forModel)
+      await wait(1100)
+      expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a'])
+      assign(2, 'b')
+      expect(await response).to.include({ events: events(1, 4), isComplete: true })
+      await wait(20)
+      expect(places).to.deep.equal([[false, []], [true, ['a']]])
+      expect(cancelled()).to.deep.equal([{ cancel: 1, hasRun: true }, { cancel: 2, hasRun: true }])
+      expect(fixture.dispatchRequests).to.have.length(0)
+    })
+  }
+
+  // Guards against slots that stay empty, and entries that stay in the queue, for a stream whose engine has gone on.
+  it('leaves the queue when the engine of a stream goes on', async () => {
+    onAsk = ask => ask === 1 ? assign(ask, 'a') : queue(ask)
+    await start({ a: stall, b: finish }, resumable)
+    const response = fixture.send('id1', forModel)
+    await wait(1100)
+    goOn()
+    expect(await response).to.include({ events: events(1, 4), isComplete: true })
+    await wait(100)
+    expect(cancelled()).to.have.deep.members([{ cancel: 1, hasRun: true }, { cancel: 2 }])
+    expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a'])
+  })
 })
 
 describe('assignments from the queue with learned capacity', () => {
