Shared queue: compute candidates and checks once, look up accounts by name

Cause: select and selectFromQueue repeated the check of prompt parts; the candidates of a request were computed for the condition to ask the leader and again for the dispatch request; the leader searched the list of accounts for each account of each query for tokens. No change of behaviour.

--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -14,6 +14,7 @@
 import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
+import type { Account } from './deployment.js'
 import type { FleetSize } from './fleetSize.js'
 import { encodeSlotAnswer, packChanges } from './peerMessages.js'
 import type { ChangeRange, Confirmation, LeaderReport, NodeReport, QuotaAskMessage, QuotaReply, SlotCancel } from './peerMessages.js'
@@ -81,6 +82,7 @@
   private readonly runTimes = new Map<string, RunTime>()
   readonly quotas: QuotaLedger
   private readonly overQuota: OverQuotaLog
+  private accounts: { listed: Account[] | undefined, byName: ReadonlyMap<string, Account> } = { listed: undefined, byName: new Map() }
   private quotaLoads = new Map<string, number>()
   private changeFeed: ChangeFeed
   private cancelUpdate: CancelTimer | undefined
@@ -119,7 +121,7 @@
     })
     this.quotas = new QuotaLedger({
       clock,
-      limitOf: account => options.deployment()?.accounts?.find(({ name }) => name === account)?.quota,
+      limitOf: account => this.accountsByName().get(account)?.quota,
       onRefused: account => this.overQuota.onRefused(account)
     })
     this.overQuota = new OverQuotaLog({ clock, log: options.log, decidedBy: 'leader' })
@@ -223,6 +225,14 @@
     return this.slots.submit(request)
   }
 
+  /** The accounts of the configuration in force. */
+  private accountsByName (): ReadonlyMap<string, Account> {
+    const accounts = this.options.deployment()?.accounts
+    // Reversed, so that the first account of a name counts.
+    if (this.accounts.listed !== accounts) this.accounts = { listed: accounts, byName: new Map([...accounts ?? []].reverse().map(account => [account.name, account])) }
+    return this.accounts.byName
+  }
+
   /** A node asks for a slot. `reply` identifies its connection. */
   onSlotRequest (ask: number, dispatch: DispatchRequest, place: QueuePlace, reply: Send): void {
     const onAnswer = (answer: SlotAnswer) => reply({ ask, ...encodeSlotAnswer(answer) })
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -108,20 +108,19 @@
   async select (
     request: ProxiedRequest, progress: Progress, { isFirst, isLate, wait }: { isFirst: boolean, isLate: boolean, wait?: QueueWait }
   ): Promise<Selection> {
-    const { quarantine } = this.options
+    const early = this.checkParts(request)
+    if (early.refusal) return early.refusal
     if (wait && this.waitsInQueue(request)) return this.selectFromQueue(request, progress, { isFirst, isLate, wait })
-    const early = quarantine.check(this.evidenceParts(request))
-    if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
     // The leader measures the demand for a model by these requests, also while no engine holds it.
-    const dispatchRequest = isFirst || this.candidates(request, progress).length > 0 ? this.dispatchRequestOf(request, progress, { isFirst, isLate }) : undefined
+    const candidates = needsEngine(request) ? this.candidates(request, progress) : []
+    const dispatchRequest = isFirst || candidates.length > 0 ? this.dispatchRequestOf(request, progress, candidates, { isFirst, isLate }) : undefined
     const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
     const { trial, priorMs } = decision?.kind === 'engine' ? decision : {}
     // Meanwhile a verdict may have been made.
-    const check = quarantine.check(this.evidenceParts(request))
-    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
-    if (check.kind === 'refused') {
-      if (trial !== undefined) quarantine.endTrial(trial)
-      return { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy }
+    const { check, heldBy, refusal } = this.checkParts(request)
+    if (refusal) {
+      this.endTrial(trial)
+      return refusal
     }
     if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: decision.forMs, ...heldBy }
     // Meanwhile the server may have been removed, or its last free connection may be in use.
@@ -129,13 +128,24 @@
     if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
     if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial, priorMs }
     const server = this.chooseLocally(request, progress)
-    if (!server && trial !== undefined) quarantine.endTrial(trial)
+    if (!server) this.endTrial(trial)
     return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
   }
 
+  /** What keeps the request from being sent now, and the selection for one with quarantined parts. */
+  private checkParts (request: ProxiedRequest): { check: PartCheck, heldBy: Pick<Selection, 'heldBy'>, refusal?: Selection } {
+    const check = this.options.quarantine.check(this.evidenceParts(request))
+    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
+    return { check, heldBy, ...(check.kind === 'refused' ? { refusal: { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy } } : {}) }
+  }
+
+  private endTrial (trial: string | undefined): void {
+    if (trial !== undefined) this.options.quarantine.endTrial(trial)
+  }
+
   /** Whether the leader keeps a queue in which the request waits for an engine. */
-  waitsInQueue ({ service, metadata }: ProxiedRequest): boolean {
-    return this.options.requestSlot !== undefined && service.engine !== undefined && metadata.model !== undefined
+  waitsInQueue (request: ProxiedRequest): boolean {
+    return this.options.requestSlot !== undefined && needsEngine(request)
   }
 
   /** Whether there may be another server for a request in progress. */
@@ -159,29 +169,25 @@
     // A request in progress elsewhere cannot be a trial, which is a request's only attempt.
     if (server && trial === undefined && isNeeded()) return selection
     selection.slot?.cancel()
-    if (trial !== undefined) this.options.quarantine.endTrial(trial)
+    this.endTrial(trial)
     return { server: undefined, chosenBy: 'queue', waitMs: Math.max(selection.waitMs, selection.refusedMs ?? 0) }
   }
 
   private async selectFromQueue (
     request: ProxiedRequest, progress: Progress, { isFirst, isLate, wait }: { isFirst: boolean, isLate: boolean, wait: QueueWait }
   ): Promise<Selection> {
-    const { quarantine } = this.options
-    const early = quarantine.check(this.evidenceParts(request))
-    if (early.kind === 'refused') return { server: undefined, chosenBy: 'node', waitMs: 0, heldBy: early }
     const slot = await this.slotFor(request, progress, { isFirst, isLate, wait })
     const { answer } = slot ?? {}
     const trial = answer?.kind === 'engine' ? answer.trial : undefined
     const giveBack = () => {
       slot?.cancel()
-      if (trial !== undefined) quarantine.endTrial(trial)
+      this.endTrial(trial)
     }
     // Meanwhile a verdict may have been made.
-    const check = quarantine.check(this.evidenceParts(request))
-    const heldBy = check.kind === 'clear' ? {} : { heldBy: check }
-    if (check.kind === 'refused') {
+    const { check, heldBy, refusal } = this.checkParts(request)
+    if (refusal) {
       giveBack()
-      return { server: undefined, chosenBy: 'node', waitMs: 0, ...heldBy }
+      return refusal
     }
     if (!slot || answer?.kind === 'lost') {
       if (check.kind === 'suspect') return this.selectForOwnTrial(request, progress, check)
@@ -205,8 +211,8 @@
     const { clock, requestSlot } = this.options
     const { slot: known } = wait
     if (known?.answer && known.answer.kind !== 'lost') return known
-    const hasCandidates = this.queueCandidates(request, progress).length > 0
-    const dispatchRequest = isFirst || hasCandidates ? this.dispatchRequestOf(request, progress, { isFirst, isLate, isQueued: true }) : undefined
+    const candidates = this.queueCandidates(request, progress)
+    const dispatchRequest = isFirst || candidates.length > 0 ? this.dispatchRequestOf(request, progress, candidates, { isFirst, isLate, isQueued: true }) : undefined
     if (known && !known.answer) {
       const mayAskAgain = clock.nowMs() - known.askedAtMs >= minimumAskIntervalMs
       if (!dispatchRequest || !mayAskAgain || known.excluded.every(id => dispatchRequest.excluded.includes(id))) return known
@@ -246,19 +252,19 @@
   }
 
   private dispatchRequestOf (
-    request: ProxiedRequest, progress: Progress, { isFirst, isLate, isQueued = false }: { isFirst: boolean, isLate: boolean, isQueued?: boolean }
+    request: ProxiedRequest, progress: Progress, candidates: readonly BackendServer[], { isFirst, isLate, isQueued = false }: { isFirst: boolean, isLate: boolean, isQueued?: boolean }
   ): DispatchRequest | undefined {
     const { metadata, route, rank, service } = request
     const { model, adapter, promptTokens, outputTokens, sharedParts } = metadata
     if (model === undefined || !service.engine) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
-    const candidates = new Set((isQueued ? this.queueCandidates(request, progress) : this.candidates(request, progress)).map(({ entry }) => entry.id))
-    const tried = [...progress.tried].filter(id => !candidates.has(id))
+    const candidateIds = new Set(candidates.map(({ entry }) => entry.id))
+    const tried = [...progress.tried].filter(id => !candidateIds.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
     const identity = this.options.quarantine.hasEvidence ? request.identity() : undefined
     // After its last attempt on another server, the request may only return to one that rejected it.
-    const only = isQueued && progress.sends >= maxServers(request, progress) ? [...candidates] : undefined
+    const only = isQueued && progress.sends >= maxServers(request, progress) ? [...candidateIds] : undefined
     return { service: service.name, model, adapter, promptTokens, outputTokens, sharedParts, identity, rank, region, availabilityZone, gapObjectiveMs: route.gapObjectiveMs, excluded, only, isFirst, isLate }
   }
 
@@ -326,6 +332,11 @@
   }
 }
 
+/** Whether only engines that hold a model can serve the request. */
+function needsEngine ({ service, metadata }: ProxiedRequest): boolean {
+  return service.engine !== undefined && metadata.model !== undefined
+}
+
 /** Maximum number of servers that may be tried. A server that turned out not to hold the model does not count. */
 export function maxServers ({ route }: ProxiedRequest, { wasMisdirected }: Progress): number {
   return route.maxAttempts + (wasMisdirected ? 1 : 0)
--- a/tests/quotaWiring.spec.ts
+++ b/tests/quotaWiring.spec.ts
@@ -1,6 +1,11 @@
 import { expect } from 'chai'
+import { VirtualClock } from '../src/base/clock.js'
+import { silentLog } from '../src/base/log.js'
 import { explainFromLogs } from '../src/cli/explainLogs.js'
 import { codecs } from '../src/platform/httpCodecs.js'
+import type { Account } from '../src/serving/deployment.js'
+import { LeaderTerm } from '../src/serving/leaderTerm.js'
+import type { LeaderTermOptions } from '../src/serving/leaderTerm.js'
 import { leaderMessageSchema, nodeMessageSchema } from '../src/serving/peerMessages.js'
 import { quotaCost } from '../src/serving/quotaClient.js'
 import { RequestProxyFixture, requestIdOf, responseTo, route } from './fixtures/requestProxyFixture.js'
@@ -60,6 +65,29 @@
     expect(leaderMessageSchema.parse({ fence: 1, hosting: [], running: [], quotaLoads: [['a', 0.5]] })).to.have.property('quotaLoads')
   })
 
+  // Guards against a leader that grants tokens by a configuration that is no longer in force.
+  it('follows the accounts of the configuration', async () => {
+    const clock = new VirtualClock(1000)
+    const account = (name: string, perSecond: number) => ({ name, keyHashes: [], quota: { unit: 'tokens' as const, perSecond, burst: perSecond, plainTokens: 70 } })
+    let accounts: Account[] = [account('a', 1000), { ...account('a', 0), quota: undefined }, account('b', 1000)]
+    const term = new LeaderTerm({
+      clock,
+      log: silentLog,
+      fleet: fixture.fleet,
+      storeView: { revision: 1 },
+      deployment: () => ({ services: [], accounts }),
+      mustPauseCommands: () => true,
+      ownReport: () => ({ node: 'leader', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] })
+    } as unknown as LeaderTermOptions)
+    const granted = () => term.onQuotaAsk('n', { quotaAsk: 1, rows: [['a', 100, 0], ['b', 100, 0], ['c', 100, 0]] }).rows.map(([, tokens]) => tokens)
+    // A new leader first hears what the nodes have spent.
+    await clock.advance(3000)
+    expect(granted()).to.deep.equal([100, 100, 0])
+    accounts = [account('b', 1000), account('c', 1000)]
+    expect(granted()).to.deep.equal([0, 100, 100])
+    term.stop()
+  })
+
   // Guards against a 429 whose reason cannot be found.
   it('is named in the explanation of a refused request', () => {
     const time = '2026-01-01T00:00:00Z'
