--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -1,17 +1,20 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { expect } from 'chai'
-import { SystemClock } from '../src/base/clock.js'
+import { SystemClock, VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import type { DispatchRequest } from '../src/policy/dispatcher.js'
 import type { QueuePlace } from '../src/policy/slotQueue.js'
-import type { Route } from '../src/serving/deployment.js'
+import { PartQuarantine } from '../src/policy/partQuarantine.js'
+import type { BackendEntry, Route } from '../src/serving/deployment.js'
 import { DispatchClient } from '../src/serving/dispatchClient.js'
+import { FleetView } from '../src/serving/fleetView.js'
+import { LearnedCapacity } from '../src/serving/learnedCapacity.js'
 import { LeaderTerm } from '../src/serving/leaderTerm.js'
 import type { LeaderTermOptions } from '../src/serving/leaderTerm.js'
 import { LeaderLink, PeerServer } from '../src/serving/peerLink.js'
 import type { Send } from '../src/serving/peerLink.js'
 import { decodeDispatchRequest, decodePlace, decodeSlotReply, dispatchReplySchema } from '../src/serving/peerMessages.js'
-import type { LeaderMessage, NodeMessage } from '../src/serving/peerMessages.js'
+import type { LeaderMessage, NodeMessage, NodeReport } from '../src/serving/peerMessages.js'
 import { freePort } from './fixtures/freePort.js'
 import { chunk, events, RequestProxyFixture, requestIdOf, responseTo, route, streamHead } from './fixtures/requestProxyFixture.js'
 import type { Script } from './fixtures/requestProxyFixture.js'
@@ -90,6 +93,8 @@
     expect((await response).status).to.equal(200)
     expect(sent.filter(message => 'ask' in message)).to.have.length(1)
     expect(cancelled()).to.deep.equal([{ cancel: 1, hasRun: true }])
+    // The leader refuses what cannot be complete by the deadline.
+    expect((sent[0] as Extract<NodeMessage, { ask: number }>).answerLeftMs).to.be.within(1500, 2000)
     expect(fixture.records[0]!.queuedMs).to.be.within(300, 1000)
   })
 
@@ -170,6 +175,54 @@
     expect(new Set(fixture.received.map(({ server }) => server)).size).to.equal(2)
     expect(fixture.received.length).to.be.at.most(8)
   })
+
+  /** Answers the first request with two events and goes on when the test says so. */
+  let goOn: () => void
+  const stall: Script = (socket, head) => {
+    socket.write(`${streamHead(head, 'Transfer-Encoding: chunked\r\n')}${chunk(events(1, 2))}`)
+    goOn = () => { socket.write(`${chunk(events(3, 4))}0\r\n\r\n`) }
+  }
+  const breakOff: Script = socket => {
+    stall(socket, 'x-attempt-id: id1', 1)
+    setTimeout(() => socket.destroy(), 50)
+  }
+  const finish: Script = (socket, head) => { socket.write(`${streamHead(head, 'Transfer-Encoding: chunked\r\n')}${chunk(events(3, 4))}0\r\n\r\n`) }
+  const resumable = { kind: 'stream', maxAttempts: 2, resumable: true } as const
+
+  // Guards against streams that move past all waiting requests to an engine that is full or reserved, or behind requests that have not begun.
+  for (const [what, first] of [['falls silent', stall], ['breaks off', breakOff]] as const) {
+    it(`moves a begun stream whose engine ${what} through the queue`, async () => {
+      const places: unknown[] = []
+      onAsk = (ask, { place, excluded }) => {
+        places.push([place![4], excluded])
+        if (ask === 1) assign(ask, 'a')
+        else queue(ask)
+      }
+      await start({ a: first, b: finish }, resumable)
+      const response = fixture.send('id1', forModel)
+      await wait(1100)
+      expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a'])
+      assign(2, 'b')
+      expect(await response).to.include({ events: events(1, 4), isComplete: true })
+      await wait(20)
+      expect(places).to.deep.equal([[false, []], [true, ['a']]])
+      expect(cancelled()).to.deep.equal([{ cancel: 1, hasRun: true }, { cancel: 2, hasRun: true }])
+      expect(fixture.dispatchRequests).to.have.length(0)
+    })
+  }
+
+  // Guards against slots that stay empty, and entries that stay in the queue, for a stream whose engine has gone on.
+  it('leaves the queue when the engine of a stream goes on', async () => {
+    onAsk = ask => ask === 1 ? assign(ask, 'a') : queue(ask)
+    await start({ a: stall, b: finish }, resumable)
+    const response = fixture.send('id1', forModel)
+    await wait(1100)
+    goOn()
+    expect(await response).to.include({ events: events(1, 4), isComplete: true })
+    await wait(100)
+    expect(cancelled()).to.have.deep.members([{ cancel: 1, hasRun: true }, { cancel: 2 }])
+    expect(fixture.received.map(({ server }) => server)).to.deep.equal(['a'])
+  })
 })
 
 describe('assignments from the queue with learned capacity', () => {
@@ -180,7 +233,7 @@
       clock,
       send: message => {
         if ('cancel' in message) term.onSlotCancel(message, reply)
-        if ('ask' in message) setImmediate(() => term.onSlotRequest(message.ask, { ...decodeDispatchRequest(message), node: 'n' }, decodePlace(message.place!), reply))
+        if ('ask' in message) setImmediate(() => term.onSlotRequest(message.ask, { ...decodeDispatchRequest(message), node: 'n' }, decodePlace(message.place!, message.answerLeftMs), reply))
         return true
       }
     })
@@ -222,3 +275,48 @@
     await fixture.stop()
   })
 })
+
+describe('queue of the placement leader', () => {
+  const report = { node: 'n', waiting: [], adapters: [], running: [], used: [], missing: [], misknown: [], outcomes: [] } as NodeReport
+  const entry: BackendEntry = { id: 'a', service: 's', address: '127.0.0.1:1', availabilityZone: 'z', slots: 2, isDraining: false, models: [{ name: 'm', adapters: [] }], modelsInMemory: [], modelsOnDisk: [] }
+  // Each frees a slot: a report of requests that the leader did not assign, one of tokens, and an engine's entry.
+  const changes: Record<string, { before: NodeReport, models: BackendEntry['models'], free: (term: LeaderTerm, fleet: FleetView) => void }> = {
+    'a report shows free slots': { before: { ...report, running: [['a', 'm', 3, 0]], assigned: [['a', 1]] }, models: entry.models, free: term => term.onReport({ ...report, running: [['a', 'm', 1, 0]] }) },
+    'a report shows free token memory': { before: { ...report, tokens: { lastAssignment: 0, rows: [['a', 800]] } }, models: entry.models, free: term => term.onReport({ ...report, tokens: { lastAssignment: 0, rows: [['a', 500]] } }) },
+    'a replica becomes ready': { before: report, models: [], free: (_term, fleet) => { fleet.put(entry) } }
+  }
+  for (const [what, { before, models, free }] of Object.entries(changes)) {
+    // Guards against slots that stay empty until the next regular pass.
+    it(`assigns an engine as soon as ${what}`, async () => {
+      const clock = new VirtualClock(1000)
+      const fleet = new FleetView({ clock, log: silentLog, regionOfZone: {} })
+      fleet.put({ ...entry, models })
+      const term = new LeaderTerm({
+        clock,
+        log: silentLog,
+        capacityTerm: new LearnedCapacity(clock, fleet).startTerm(silentLog),
+        fleet,
+        quarantine: new PartQuarantine({ clock, name: 'n' }),
+        storeView: { revision: 1 },
+        deployment: () => ({ services: [{ name: 's', engine: { ...engine, slots: 2 } }] }),
+        fence: 1,
+        startDelayMs: 60_000,
+        sharesServers: true,
+        ownReport: () => ({ ...report, node: 'leader' }),
+        broadcast: () => {},
+        mustPauseCommands: () => true,
+        engineClient: { queryState: async () => undefined }
+      } as unknown as LeaderTermOptions)
+      term.onReport(before)
+      const answers: unknown[] = []
+      const isWaiting = term.queueForSlot({ id: '1/1', dispatch: { ...request, promptTokens: 200, outputTokens: 100 }, place: { ...place, leftMs: 20_000 }, onAnswer: ({ kind }) => { answers.push(kind) } })
+      expect(isWaiting).to.equal(true)
+      // Regular passes start 20, 40 and 60 ms after the arrival.
+      await clock.advance(52)
+      expect(answers).to.deep.equal([])
+      free(term, fleet)
+      expect(answers).to.deep.equal(['engine'])
+      term.stop()
+    })
+  }
+})
