Quota ledger: sum the demand of a window in slots of 50 ms

The ledger kept an account's demand in slots of 250 ms, so its window was up to 250 ms too long, and allowed 8.5 s of the rate to make up for it. Where one request costs more than half a second of the rate, an account below its quota was refused when such a request lay in the oldest slot. The sum now covers 7.9 s and the current slot of 50 ms, and the limit is 8.1 s of the rate: without any leeway, a request at the onset of a flood was refused because later requests had arrived before it.

--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -5,7 +5,11 @@
 
 /** Window of the platform's rule. */
 export const quotaWindowMs = 8000
-const slotMs = 250
+const slotMs = 50
+/** Length of the sums of demand. With a slot more and the way of a message, requests up to a window apart are counted together. */
+const demandMs = 7900
+/** Time at its rate by which the demand of an account may exceed the rate: at the onset of a flood, later requests arrive before earlier ones that come from afar. */
+const demandLeewayMs = 100
 /**
  * What the bucket holds beyond the burst, as a share of what the rule allows in a window. The rule tolerates 0.1 in all; the rest is
  * for prefetched tokens and for nodes that spend without a leader.
@@ -103,10 +107,9 @@
     bucket.demand.add(needed, nowMs)
     // A request that exceeds the burst needs a full one.
     const requiredLevel = Math.min(needed, limit.burst)
-    // The sum covers up to one slot more than the window, and a request arrives here later than at its node, hence two slots.
     // An account whose whole demand of the window is below its rate is served, however uneven the demand is. The bucket's debt
     // keeps the sum of a window within the rule.
-    const demandLimit = limit.perSecond * (quotaWindowMs + 2 * slotMs) / 1000
+    const demandLimit = limit.perSecond * (quotaWindowMs + demandLeewayMs) / 1000
     const isBelowRate = bucket.demand.sum(nowMs) <= demandLimit
     if (bucket.level < requiredLevel && !isBelowRate) {
       this.onRefused(account)
@@ -142,7 +145,7 @@
     const limit = this.limitOf(account)
     if (!limit) return
     if (nowMs < this.settledAtMs || !this.buckets.has(account)) {
-      const history = this.history.get(account) ?? new SlidingSum(quotaWindowMs, slotMs)
+      const history = this.history.get(account) ?? new SlidingSum(demandMs, slotMs)
       this.history.set(account, history)
       for (const [ageMs, tokens] of rows) history.add(tokens, nowMs - ageMs)
       return
@@ -217,7 +220,7 @@
   private bucketOf (account: string, limit: QuotaLimit, nowMs: number): Bucket {
     let bucket = this.buckets.get(account)
     if (!bucket) {
-      const demand = this.history.get(account) ?? new SlidingSum(quotaWindowMs, slotMs)
+      const demand = this.history.get(account) ?? new SlidingSum(demandMs, slotMs)
       bucket = {
         level: levelAfter(demand.rows(nowMs), limit),
         refilledAtMs: nowMs,
