Quotas: deputies decide while there is no placement leader

The leader now names up to three nodes as deputies where accounts have quotas. A node without an answering leader connects to the first deputy that answers and sends it the same queries as a leader. The deputy asks each node once for what it spent in the last 8 s and runs a ledger with the share of the rate of the nodes that reach it, if they are half of the fleet. Nodes that reach neither decide alone as before.

A connection to a process that only accepts it (paused, or no longer leader) does not count as one to a leader for quotas.

Real nodes: tests/accountNodes.spec.ts.

--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -80,7 +80,7 @@
   private readonly limitOf: QuotaLedgerOptions['limitOf']
   private readonly onRefused: (account: string) => void
   private readonly buckets = new Map<string, Bucket>()
-  private readonly settledAtMs: number
+  private settledAtMs: number
   /** What nodes have reported before the ledger settled, by account. */
   private readonly history = new Map<string, SlidingSum>()
   /** Time since the last report of each connected node. */
@@ -127,6 +127,11 @@
     return { kind: 'granted', tokens: needed + surplus }
   }
 
+  /** All nodes have reported what they spent, so there is nothing to wait for. */
+  settle (): void {
+    this.settledAtMs = Math.min(this.settledAtMs, this.clock.nowMs())
+  }
+
   /** Takes back tokens of requests that did not run, and prefetched ones that were not used. */
   giveBack (node: string, account: string, tokens: number): void {
     const limit = this.limitOf(account)
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -39,6 +39,8 @@
   granted: SlidingSum
   /** What requests took without a leader. */
   alone: SlidingSum
+  /** What the deputy does not know of the above since it was last told. */
+  untold: SlidingSum
   /** Demand at all nodes as a share of the rate, as the leader said last. */
   load: number
   aloneState: { sinceMs: number, level: number, perSecond: number, refilledAtMs: number } | undefined
@@ -71,6 +73,7 @@
         left -= used
       }
       pool.granted.add(tokens, nowMs)
+      pool.untold.add(tokens, nowMs)
       return { kind: 'taken' }
     }
     const { refusal } = pool
@@ -89,6 +92,19 @@
     if (granted > needed) pool.held.push({ tokens: granted - needed, untilMs: askedAtMs + prefetchLifetimeMs })
   }
 
+  /** The deputy granted a request. A leader does not know it. */
+  onDeputyGranted (account: string, tokens: number): void {
+    const pool = this.poolOf(account)
+    pool.aloneState = undefined
+    pool.refusal = undefined
+    pool.alone.add(tokens, this.options.clock.nowMs())
+  }
+
+  /** The deputy granted tokens after the node had decided alone, and counts them in addition to what the node tells it. */
+  onLateDeputyGrant (account: string, tokens: number): void {
+    this.poolOf(account).untold.add(-tokens, this.options.clock.nowMs())
+  }
+
   onRefused (account: string, needed: number, retryAfterMs: number): void {
     const pool = this.poolOf(account)
     pool.aloneState = undefined
@@ -120,18 +136,18 @@
     if (state.level < tokens) return Math.min(maxAloneRetryMs, (tokens - state.level) / state.perSecond * 1000)
     state.level -= tokens
     pool.alone.add(tokens, nowMs)
+    pool.untold.add(tokens, nowMs)
     return undefined
   }
 
   /** Takes back the tokens of a request that did not run. */
-  giveBack (account: string, tokens: number, { isAlone }: { isAlone: boolean }): void {
+  giveBack (account: string, tokens: number, decidedBy: 'leader' | 'deputy' | 'node'): void {
     const pool = this.poolOf(account)
     const nowMs = this.options.clock.nowMs()
-    if (!isAlone) pool.granted.add(-tokens, nowMs)
-    else {
-      pool.alone.add(-tokens, nowMs)
-      if (pool.aloneState) pool.aloneState.level += tokens
-    }
+    const sum = decidedBy === 'leader' ? pool.granted : pool.alone
+    sum.add(-tokens, nowMs)
+    pool.untold.add(-tokens, nowMs)
+    if (decidedBy === 'node' && pool.aloneState) pool.aloneState.level += tokens
   }
 
   setLoad (account: string, load: number): void {
@@ -157,11 +173,21 @@
     for (const [account, pool] of this.pools) {
       const alone = pool.alone.rows(nowMs)
       const rows = isNewLeader ? [...pool.granted.rows(nowMs), ...alone] : alone
-      if (rows.length > 0) result.push([account, rows.map(([ageMs, tokens]) => [Math.round(ageMs), Math.round(tokens)])])
+      if (rows.length > 0) result.push([account, rounded(rows)])
     }
     return result
   }
 
+  /** What this node spent in the last window that the deputy does not know. */
+  untold (): [string, SpentRows][] {
+    const nowMs = this.options.clock.nowMs()
+    return [...this.pools].map(([account, { untold }]): [string, SpentRows] => [account, rounded(untold.rows(nowMs))]).filter(([, rows]) => rows.length > 0)
+  }
+
+  onDeputyTold (): void {
+    for (const { untold } of this.pools.values()) untold.clear()
+  }
+
   /** The leader has been sent everything that was spent. */
   onSpentReported (): void {
     const nowMs = this.options.clock.nowMs()
@@ -192,6 +218,7 @@
         demand: new SlidingSum(quotaWindowMs, slotMs),
         granted: new SlidingSum(quotaWindowMs, slotMs),
         alone: new SlidingSum(quotaWindowMs, slotMs),
+        untold: new SlidingSum(quotaWindowMs, slotMs),
         load: 0,
         aloneState: undefined,
         refusal: undefined
@@ -202,6 +229,10 @@
   }
 }
 
+function rounded (rows: SpentRows): SpentRows {
+  return rows.map(([ageMs, tokens]) => [Math.round(ageMs), Math.round(tokens)])
+}
+
 function aloneCapacity (perSecond: number, tokens: number, isHigh: boolean): number {
   return perSecond * aloneBurstMs / 1000 + tokens * (isHigh ? 1 : aloneRequests)
 }
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -22,6 +22,7 @@
 import { PlacementLeader } from './placementLeader.js'
 import type { PlacementLeaderOptions } from './placementLeader.js'
 import { softwareOf } from './backendServer.js'
+import { answerQuotaAsk } from './quotaDeputy.js'
 import type { StoreView } from './storeView.js'
 import type { StoredQuarantine } from './storedQuarantine.js'
 
@@ -56,6 +57,8 @@
   ownReport: () => NodeReport
   /** IP addresses of all nodes. */
   nodeAddresses: () => string[]
+  /** IP addresses of the nodes that are to decide on quotas without a leader; those of `current` are kept if possible. */
+  deputyAddresses: (current: readonly string[]) => readonly string[]
   /** Whether all nodes ask for slots and announce when they are free. */
   sharesServers: boolean
   onSlotAssigned?: ((queuedMs: number) => void) | undefined
@@ -81,6 +84,8 @@
   readonly quotas: QuotaLedger
   private readonly overQuota: OverQuotaLog
   private quotaLoads = new Map<string, number>()
+  /** IP addresses of the nodes that decide on quotas without a leader, as last broadcast. */
+  deputies: readonly string[] = []
   private changeFeed: ChangeFeed
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
@@ -142,7 +147,7 @@
   /** The complete state, for a node that has just connected. */
   fullReport (): LeaderReport {
     const parts = this.options.quarantine.allFacts()
-    const rows = { ...this.leavingRows(), ...this.options.capacityTerm?.fullRows(), ...this.loadRows([...this.quotaLoads]), ...(parts ? { parts } : {}) }
+    const rows = { ...this.leavingRows(), ...this.options.capacityTerm?.fullRows(), ...this.loadRows([...this.quotaLoads]), ...(this.deputies.length === 0 ? {} : { deputies: [...this.deputies] }), ...(parts ? { parts } : {}) }
     return { ...this.placement.fullReport(), ...rows, nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
   }
 
@@ -172,16 +177,8 @@
   }
 
   /** Decides on a node's query for tokens. */
-  onQuotaAsk (node: string, { quotaAsk, rows, returned = [], spent = [] }: QuotaAskMessage): QuotaReply {
-    for (const [account, tokens] of returned) this.quotas.giveBack(node, account, tokens)
-    for (const [account, spentRows] of spent) this.quotas.addSpent(node, account, spentRows)
-    return {
-      quotaAsk,
-      rows: rows.map(([account, needed, wanted]) => {
-        const decision = this.quotas.grant(node, account, needed, wanted)
-        return [account, decision.kind === 'granted' ? decision.tokens : 0, decision.kind === 'refused' ? Math.ceil(decision.retryAfterMs) : null]
-      })
-    }
+  onQuotaAsk (node: string, message: QuotaAskMessage): QuotaReply {
+    return answerQuotaAsk(this.quotas, node, message)
   }
 
   /** Sends news about prompt parts to all nodes. */
@@ -320,7 +317,7 @@
     const { capacityTerm } = this.options
     const running = this.placement.runningRows()
     this.recordRunning(running)
-    this.broadcastUpdate(running, { ...capacityTerm?.changedRows(), ...this.loadRows(this.changedLoads()) })
+    this.broadcastUpdate(running, { ...capacityTerm?.changedRows(), ...this.loadRows(this.changedLoads()), ...this.changedDeputies() })
     this.overQuota.sweep()
     this.quotas.checkSilence()
     this.broadcastNodes()
@@ -395,11 +392,21 @@
     return changed
   }
 
+  /** The deputies, if there are quotas and they are others than in the last broadcast. */
+  private changedDeputies (): Pick<LeaderReport, 'deputies'> {
+    const { deployment, deputyAddresses } = this.options
+    const hasQuotas = deployment()?.accounts?.some(({ quota }) => quota) ?? false
+    const deputies = hasQuotas ? deputyAddresses(this.deputies) : []
+    if (deputies.join() === this.deputies.join()) return {}
+    this.deputies = deputies
+    return { deputies: [...deputies] }
+  }
+
   private loadRows (rows: [string, number][]): Pick<LeaderReport, 'quotaLoads'> {
     return rows.length > 0 ? { quotaLoads: rows } : {}
   }
 
-  private broadcastUpdate (running: LeaderReport['running'], rows?: Pick<LeaderReport, 'capacity' | 'quotaLoads'>): void {
+  private broadcastUpdate (running: LeaderReport['running'], rows?: Pick<LeaderReport, 'capacity' | 'quotaLoads' | 'deputies'>): void {
     if (this.isStopped) return
     this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), ...rows, news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
   }
--- a/src/serving/overQuotaLog.ts
+++ b/src/serving/overQuotaLog.ts
@@ -7,8 +7,8 @@
 export class OverQuotaLog {
   private readonly over = new Map<string, { sinceMs: number, lastMs: number, refused: number }>()
 
-  /** `decidedBy` names who refuses: the leader for all nodes, or this node while no leader decides. */
-  constructor (private readonly options: { clock: Clock, log: Log, decidedBy: 'leader' | 'node' }) {}
+  /** `decidedBy` names who refuses: the leader for all nodes, the deputy for those without a leader, or this node for itself. */
+  constructor (private readonly options: { clock: Clock, log: Log, decidedBy: 'leader' | 'deputy' | 'node' }) {}
 
   onRefused (account: string): void {
     const { clock, log, decidedBy } = this.options
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -13,7 +13,7 @@
 
 /** Reports arrive several times a second, so a connection without data for this long is dead. */
 const peerTimeoutMs = 1600
-const reconnectMs = 250
+const defaultReconnectMs = 250
 /** Time for a single message to a node. */
 const sendOnceTimeoutMs = 1000
 /** The connection to a peer that does not read is closed before it fills this process's memory. */
@@ -23,6 +23,7 @@
 class Link<T> {
   readonly socket: Socket
   lastReceivedMs: number
+  hasReceived = false
 
   constructor (socket: Socket, schema: z.ZodType<T>, clock: Clock, onMessage: (message: T) => void, onClosed: (reason: string) => void) {
     this.socket = socket
@@ -31,6 +32,7 @@
     socket.setNoDelay(true)
     socket.on('data', data => {
       this.lastReceivedMs = clock.nowMs()
+      this.hasReceived = true
       const { messages, error } = decoder.push(data)
       for (const message of messages) onMessage(message)
       if (error) socket.destroy(error)
@@ -50,7 +52,18 @@
   }
 }
 
-/** A node's connection to the leader. */
+export interface LeaderLinkOptions {
+  clock: Clock
+  log: Log
+  /** What the other node is, for the log. */
+  peer?: string
+  reconnectMs?: number
+  onMessage: (message: LeaderMessage) => void
+  onConnected: () => void
+  onLost: () => void
+}
+
+/** A node's connection to the leader, or to another node that answers in its place. */
 export class LeaderLink {
   private readonly clock: Clock
   private readonly log: Log
@@ -59,11 +72,13 @@
   private readonly onLost: () => void
   private link: Link<LeaderMessage> | undefined
   private address: { host: string, port: number } | undefined
+  private readonly peer: string
   private cancelCheck: CancelTimer
 
-  constructor ({ clock, log, onMessage, onConnected, onLost }: { clock: Clock, log: Log, onMessage: (message: LeaderMessage) => void, onConnected: () => void, onLost: () => void }) {
+  constructor ({ clock, log, peer = 'placement leader', reconnectMs = defaultReconnectMs, onMessage, onConnected, onLost }: LeaderLinkOptions) {
     this.clock = clock
     this.log = log
+    this.peer = peer
     this.onMessage = onMessage
     this.onConnected = onConnected
     this.onLost = onLost
@@ -93,6 +108,11 @@
     return this.link !== undefined && !this.link.socket.connecting
   }
 
+  /** Whether the other node has sent anything over this connection: a paused process, or a leader that has stopped, only accepts it. */
+  get hasAnswered (): boolean {
+    return this.isConnected && this.link?.hasReceived === true
+  }
+
   stop (): void {
     this.cancelCheck()
     this.address = undefined
@@ -103,7 +123,7 @@
     // Data that arrived while this process was paused has to be read first.
     if (this.isUnresponsive) await ioTurn()
     if (this.isUnresponsive) {
-      this.log('warn', 'placement leader silent', { address: this.address?.host })
+      this.log('warn', `${this.peer} silent`, { address: this.address?.host })
       this.disconnect()
     }
     this.connect()
@@ -118,7 +138,7 @@
     const socket = connect(this.address)
     const link = new Link(socket, leaderMessageSchema, this.clock, this.onMessage, reason => {
       if (this.link !== link) return
-      this.log('warn', 'connection to the placement leader lost', { reason })
+      this.log('warn', `connection to the ${this.peer} lost`, { reason })
       this.disconnect()
     })
     this.link = link
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -18,6 +18,8 @@
 /** State that a node sends to the leader several times a second. Rows instead of objects save bytes between regions. */
 export const nodeReportSchema = z.object({
   node: z.string(),
+  /** IP address on which the node is reached by others; in the first report of a connection. */
+  ip: z.string().optional(),
   /** Service, model, waiting requests, most urgent rank. */
   waiting: z.array(z.tuple([z.string(), z.string(), z.number(), z.number()])),
   /** Service, model, adapter, waiting requests. */
@@ -107,8 +109,10 @@
 /** Account, tokens. */
 const tokenRowsSchema = z.array(z.tuple([z.string(), z.number()]))
 
-/** Asks the leader for tokens of account quotas. */
+/** Asks the leader, or the deputy while there is no leader, for tokens of account quotas. */
 export const quotaAskSchema = z.object({
+  /** Name of the node, in the first message of a connection to a deputy. With it, `spent` is all that the node spent in the last window. */
+  node: z.string().optional(),
   /** Number of the query, which the reply repeats; 0 without rows, which needs no reply. */
   quotaAsk: z.number(),
   /** Account, cost of a request, tokens wanted beyond it. */
@@ -120,7 +124,10 @@
 })
 export type QuotaAskMessage = z.infer<typeof quotaAskSchema>
 
-/** The leader's reply, with a row for each row of the query: account, granted tokens, time until a retry. Without both, the node decides. */
+/**
+ * The reply, with a row for each row of the query: account, granted tokens, time until a retry. Without both, the node decides.
+ * With number 0, a deputy asks for all that the node spent in the last window.
+ */
 export const quotaReplySchema = z.object({
   quotaAsk: z.number(),
   rows: z.array(z.tuple([z.string(), z.number(), z.number().nullable()]))
@@ -240,6 +247,8 @@
   capacity: capacityRowsSchema.extend({ isFull: z.boolean().optional() }).optional(),
   /** IP addresses of all nodes, now and then: what a node finds out while there is no leader goes to them. */
   nodes: z.array(z.string()).optional(),
+  /** IP addresses of the nodes that decide on quotas while there is no leader, the first that is reached; only with account quotas and after a change. */
+  deputies: z.array(z.string()).optional(),
   /** Demand of accounts as a share of their quota; only what changed. */
   quotaLoads: tokenRowsSchema.optional()
 })
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -1,4 +1,4 @@
-/** Takes tokens from account quotas: from this node's pool, the placement leader, or the node's own share without a leader. */
+/** Takes tokens from account quotas: from this node's pool, the placement leader, its deputy, or the node's own share without both. */
 
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
@@ -28,7 +28,7 @@
 export type QuotaResult = TakenQuota | { kind: 'refused', reason: string, retryAfterMs: number }
 
 /** How the quota's tokens were taken, or that they were refused, for metrics. */
-export type QuotaEvent = 'granted' | 'alone' | 'refused'
+export type QuotaEvent = 'granted' | 'deputy' | 'alone' | 'refused'
 
 export interface QuotaClientOptions {
   clock: Clock
@@ -41,6 +41,10 @@
   send: (message: QuotaAskMessage) => boolean
   /** The ledger while this node leads. */
   localLedger: () => QuotaLedger | undefined
+  /** The same for the deputy. */
+  sendToDeputy?: (message: QuotaAskMessage) => boolean
+  /** The ledger while this node is the deputy and decides. */
+  deputyLedger?: () => QuotaLedger | undefined
   /** Reads what has reached the sockets before silence counts. */
   readArrived?: () => Promise<void>
   onEvent?: (event: QuotaEvent, account: string, tokens: number) => void
@@ -51,13 +55,22 @@
   tokens: number
   wanted: number
   resolve (decision: QuotaDecision): void
+  /** Sent to the deputy. */
+  isDeputy: boolean
   /** Set if this node decided before the reply arrived. */
   decidedAlone?: { isTaken: boolean, ticket?: Ticket }
 }
 
-interface Ticket { account: string, tokens: number, isAlone: boolean, isReturned: boolean }
+type Decider = 'leader' | 'deputy' | 'node'
 
-interface Batch { asks: Ask[], askedAtMs: number, cancelTimeout: CancelTimer }
+interface Ticket { account: string, tokens: number, decidedBy: Decider, isReturned: boolean }
+
+interface Batch { asks: Ask[], askedAtMs: number, cancelTimeout: CancelTimer, isDeputy: boolean }
+
+interface Asked { decision: QuotaDecision, ask?: Ask, askedAtMs: number, isDeputy: boolean }
+
+const eventOf: Record<Decider, QuotaEvent> = { leader: 'granted', deputy: 'deputy', node: 'alone' }
+const deciderNames: Record<Decider, string> = { leader: 'the placement leader', deputy: 'the quota deputy', node: 'this node, without the placement leader' }
 
 /** What a request costs in the quota's unit. */
 export function quotaCost ({ unit, plainTokens }: AccountQuota, { statedTokens }: Pick<RequestMetadata, 'statedTokens'>): number {
@@ -87,14 +100,16 @@
   /** Takes what a request costs. Resolves within 150 ms, or as soon as the event loop runs again; never rejects. */
   async take ({ name, quota }: Pick<Account, 'name' | 'quota'>, metadata: Pick<RequestMetadata, 'statedTokens'>): Promise<QuotaResult> {
     const tokens = quota ? quotaCost(quota, metadata) : 0
-    const ticket: Ticket = { account: name, tokens, isAlone: false, isReturned: false }
+    const ticket: Ticket = { account: name, tokens, decidedBy: 'leader', isReturned: false }
     if (!quota || tokens === 0) return { kind: 'taken', giveBack: () => {} }
     const first = this.pool.take(name, tokens)
     if (first.kind === 'taken') return this.taken(ticket)
     if (first.kind === 'refused') return this.refused(ticket, quota, first.retryAfterMs)
-    const { decision, ask, askedAtMs } = await this.ask(name, tokens, first.wanted)
+    const { decision, ask, askedAtMs, isDeputy } = await this.ask(name, tokens, first.wanted)
+    if (isDeputy) ticket.decidedBy = 'deputy'
     if (decision.kind === 'granted') {
-      this.pool.onGranted(name, tokens, decision.tokens, askedAtMs)
+      if (isDeputy) this.pool.onDeputyGranted(name, tokens)
+      else this.pool.onGranted(name, tokens, decision.tokens, askedAtMs)
       return this.taken(ticket)
     }
     if (decision.kind === 'refused') {
@@ -102,7 +117,7 @@
       return this.refused(ticket, quota, decision.retryAfterMs)
     }
     const retryAfterMs = this.pool.takeAlone(name, quota, tokens)
-    ticket.isAlone = true
+    ticket.decidedBy = 'node'
     if (ask) ask.decidedAlone = { isTaken: retryAfterMs === undefined, ticket }
     if (retryAfterMs === undefined) return this.taken(ticket)
     this.overQuota.onRefused(name)
@@ -143,12 +158,39 @@
 
   /** Nothing sent over the lost connection is answered any more. */
   onLost (): void {
-    for (const [number, { asks, cancelTimeout }] of this.batches) {
-      cancelTimeout()
-      for (const ask of asks) ask.resolve({ kind: 'unknown' })
+    this.dropBatches({ isDeputy: false })
+    this.openBatch = undefined
+  }
+
+  /** Names this node to the deputy, which then asks for what it does not know. */
+  onDeputyConnected (): void {
+    this.pausedUntilMs = -Infinity
+    this.options.sendToDeputy?.({ node: this.options.node, quotaAsk: 0, rows: [] })
+  }
+
+  onDeputyReply (reply: QuotaReply): void {
+    if (reply.quotaAsk !== 0) return this.onReply(reply)
+    const { node, sendToDeputy } = this.options
+    if (sendToDeputy?.({ node, quotaAsk: 0, rows: [], spent: this.pool.spent({ isNewLeader: true }) })) this.pool.onDeputyTold()
+  }
+
+  onDeputyLost (): void {
+    this.dropBatches({ isDeputy: true })
+  }
+
+  /** The same as `onOwnTerm` for the ledger of this node when it begins to be the deputy. */
+  onOwnDeputyTerm (ledger: QuotaLedger): void {
+    for (const [account, rows] of this.pool.spent({ isNewLeader: true })) ledger.addSpent(this.options.node, account, rows)
+    this.pool.onDeputyTold()
+  }
+
+  private dropBatches ({ isDeputy }: { isDeputy: boolean }): void {
+    for (const [number, batch] of this.batches) {
+      if (batch.isDeputy !== isDeputy) continue
+      batch.cancelTimeout()
+      for (const ask of batch.asks) ask.resolve({ kind: 'unknown' })
       this.batches.delete(number)
     }
-    this.openBatch = undefined
   }
 
   /** Sets the load of accounts as the leader sees it. */
@@ -180,13 +222,20 @@
     this.pool.onSpentReported()
   }
 
-  private ask (account: string, tokens: number, wanted: number): Promise<{ decision: QuotaDecision, ask?: Ask, askedAtMs: number }> {
+  private ask (account: string, tokens: number, wanted: number): Promise<Asked> {
     const askedAtMs = this.clock.nowMs()
-    const ledger = this.options.localLedger()
-    if (ledger) return Promise.resolve({ decision: ledger.grant(this.options.node, account, tokens, wanted), askedAtMs })
-    if (askedAtMs < this.pausedUntilMs) return Promise.resolve({ decision: { kind: 'unknown' }, askedAtMs })
+    const { node, localLedger, deputyLedger } = this.options
+    const ledger = localLedger()
+    if (ledger) return Promise.resolve({ decision: ledger.grant(node, account, tokens, wanted), askedAtMs, isDeputy: false })
+    const ownDeputy = deputyLedger?.()
+    if (ownDeputy) {
+      for (const [untoldAccount, rows] of this.pool.untold()) ownDeputy.addSpent(node, untoldAccount, rows)
+      this.pool.onDeputyTold()
+      return Promise.resolve({ decision: ownDeputy.grant(node, account, tokens, 0), askedAtMs, isDeputy: true })
+    }
+    if (askedAtMs < this.pausedUntilMs) return Promise.resolve({ decision: { kind: 'unknown' }, askedAtMs, isDeputy: false })
     return new Promise(resolve => {
-      const ask: Ask = { account, tokens, wanted, resolve: decision => resolve({ decision, ask, askedAtMs }) }
+      const ask: Ask = { account, tokens, wanted, isDeputy: false, resolve: decision => resolve({ decision, ask, askedAtMs, isDeputy: ask.isDeputy }) }
       this.addToBatch(ask)
     })
   }
@@ -200,7 +249,7 @@
     const number = this.nextNumber++
     this.openBatch = number
     const cancelTimeout = this.clock.setTimer(replyTimeoutMs, () => { void this.onTimeout(number) })
-    this.batches.set(number, { asks: [ask], askedAtMs: this.clock.nowMs(), cancelTimeout })
+    this.batches.set(number, { asks: [ask], askedAtMs: this.clock.nowMs(), cancelTimeout, isDeputy: false })
     this.clock.setTimer(batchMs, () => this.sendBatch(number))
   }
 
@@ -213,11 +262,22 @@
     // What was spent alone while the leader did not reply. The connection may not have been lost.
     const spentRows = this.pool.spent({ isNewLeader: false })
     const spent = spentRows.length > 0 ? { spent: spentRows } : {}
-    if (!this.options.send({ quotaAsk: number, rows, ...returned, ...spent })) return this.onReply({ quotaAsk: number, rows: [] })
+    if (!this.options.send({ quotaAsk: number, rows, ...returned, ...spent })) return this.sendBatchToDeputy(number, batch)
     this.returned.clear()
     this.pool.onSpentReported()
   }
 
+  private sendBatchToDeputy (number: number, batch: Batch): void {
+    // A deputy decides for seconds at most, so prefetched tokens are not worth their return.
+    const rows = batch.asks.map(({ account, tokens }): [string, number, number] => [account, tokens, 0])
+    const untold = this.pool.untold()
+    const spent = untold.length > 0 ? { spent: untold } : {}
+    if (!this.options.sendToDeputy?.({ quotaAsk: number, rows, ...spent })) return this.onReply({ quotaAsk: number, rows: [] })
+    batch.isDeputy = true
+    for (const ask of batch.asks) ask.isDeputy = true
+    this.pool.onDeputyTold()
+  }
+
   private async onTimeout (number: number): Promise<void> {
     // The reply may have arrived while the event loop was blocked.
     await (this.options.readArrived ?? ioTurn)()
@@ -231,12 +291,13 @@
     }
   }
 
-  private onLateReply ({ account, tokens, decidedAlone }: Ask, granted: number): void {
+  private onLateReply ({ account, tokens, decidedAlone, isDeputy }: Ask, granted: number): void {
     if (granted === 0) return
+    if (isDeputy) return this.pool.onLateDeputyGrant(account, granted)
     const ticket = decidedAlone?.ticket
     const isUsed = decidedAlone?.isTaken === true && ticket !== undefined && !ticket.isReturned
     if (isUsed) {
-      ticket.isAlone = false
+      ticket.decidedBy = 'leader'
       this.pool.onLateGrant(account, tokens)
     }
     const unused = isUsed ? granted - tokens : granted
@@ -244,20 +305,19 @@
   }
 
   private taken (ticket: Ticket): TakenQuota {
-    this.options.onEvent?.(ticket.isAlone ? 'alone' : 'granted', ticket.account, ticket.tokens)
+    this.options.onEvent?.(eventOf[ticket.decidedBy], ticket.account, ticket.tokens)
     const giveBack = () => {
       if (ticket.isReturned) return
       ticket.isReturned = true
-      this.pool.giveBack(ticket.account, ticket.tokens, ticket)
-      if (!ticket.isAlone) this.addReturned(ticket.account, ticket.tokens)
+      this.pool.giveBack(ticket.account, ticket.tokens, ticket.decidedBy)
+      if (ticket.decidedBy === 'leader') this.addReturned(ticket.account, ticket.tokens)
     }
     return { kind: 'taken', giveBack }
   }
 
-  private refused ({ account, tokens, isAlone }: Ticket, { unit, perSecond }: AccountQuota, retryAfterMs: number): QuotaResult {
+  private refused ({ account, tokens, decidedBy }: Ticket, { unit, perSecond }: AccountQuota, retryAfterMs: number): QuotaResult {
     this.options.onEvent?.('refused', account, tokens)
-    const decidedBy = isAlone ? 'this node, without the placement leader' : 'the placement leader'
-    return { kind: 'refused', reason: `account ${account} is over its quota of ${perSecond} ${unit} per second: ${tokens} refused by ${decidedBy}`, retryAfterMs }
+    return { kind: 'refused', reason: `account ${account} is over its quota of ${perSecond} ${unit} per second: ${tokens} refused by ${deciderNames[decidedBy]}`, retryAfterMs }
   }
 
   private addReturned (account: string, tokens: number): void {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -21,7 +21,7 @@
   private readonly unframed = this.counter('teaselrill_unframed_answers_total', 'Attempts whose answer had neither a length nor chunks, by the outcome of the request and the framing of its response', ['kind', 'outcome', 'framing'])
   private readonly storeCalls = this.counter('teaselrill_store_calls_total', 'Calls to the platform store by name and status', ['call', 'status'])
   private readonly commands = this.counter('teaselrill_engine_orders_total', 'Commands to engines by action and outcome', ['action', 'outcome'])
-  private readonly quota = this.counter('teaselrill_quota_units_total', 'Tokens or requests of account quotas by account and event: granted by the leader, spent alone without a leader, refused', ['account', 'event'])
+  private readonly quota = this.counter('teaselrill_quota_units_total', 'Tokens or requests of account quotas by account and event: granted by the leader or by the deputy, spent alone without both, refused', ['account', 'event'])
   private readonly clientLimits = this.counter('teaselrill_client_limits_total', 'Times that a limit on what the node holds for clients has acted', ['limit'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
   private readonly keyRefusals = this.counter('teaselrill_key_refusals_total', 'Requests refused for their key: unknown-key with 401, stale with 503 since the configuration may be too old', ['reason'])
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -36,6 +36,8 @@
 import { QueuedSlot } from './queuedSlot.js'
 import type { Send } from './peerLink.js'
 import { QuotaClient } from './quotaClient.js'
+import { chooseDeputies, DeputySearch, QuotaDeputy } from './quotaDeputy.js'
+import { OverQuotaLog } from './overQuotaLog.js'
 import { RequestProxy } from './requestProxy.js'
 import type { ServingMetrics } from './servingMetrics.js'
 import type { ServingSettings } from './settings.js'
@@ -65,6 +67,10 @@
 const demandReportDelayMs = 2
 /** Where servers are shared by many nodes, choosing alone overloads them, so a single late reply does not stop dispatch requests. */
 const sharedTimeoutsBeforePause = 3
+/** Time without a leader after which the deputy is asked, since a new leader may be known at once. */
+const deputyDelayMs = 20
+/** Interval of attempts to connect to the deputy. */
+const deputyReconnectMs = 1000
 /** A leader that crashed may have sent a command up to one renewal interval before its lease began to expire. */
 const successionDelayMs = 1000
 
@@ -104,8 +110,19 @@
   private readonly learned: LearnedCapacity | undefined
   private readonly dispatch: DispatchClient
   private readonly quotas: QuotaClient
+  /** Decides on quotas for nodes without a leader while this node has none either. */
+  private readonly quotaDeputy: QuotaDeputy
+  private readonly overQuota: OverQuotaLog
+  /** Connection to the deputy while there is no leader. */
+  private readonly deputyLink: LeaderLink
+  private readonly deputySearch: DeputySearch
+  /** IP addresses of the deputies, from the last leader. */
+  private deputies: readonly string[] = []
+  /** The deputy that this node has chosen, which may be itself. */
+  private deputyHost: string | undefined
   /** Name of the node at the other end of each connection to this leader. */
   private readonly peerNames = new Map<Send, string>()
+  private readonly peerAddresses = new Map<Send, { ip: string | undefined, reportedAtMs: number }>()
   private leaderFence: number | undefined
   private readonly earlySpending: EarlySpending
   private readonly loopDelay: LoopDelay
@@ -152,10 +169,38 @@
       log,
       node: settings.node,
       nodeCount: () => this.size.value,
-      send: message => this.link.sendIfConnected(message),
+      // Without rows, no answer is waited for.
+      send: message => (message.rows.length === 0 || this.link.hasAnswered) && this.link.sendIfConnected(message),
       localLedger: () => this.leaderTerm?.quotas,
+      sendToDeputy: message => this.deputyLink.sendIfConnected(message),
+      deputyLedger: () => this.quotaDeputy.ledger,
       onEvent: (event, account, tokens) => options.metrics?.onQuota(event, account, tokens)
     })
+    this.deputySearch = new DeputySearch(clock)
+    this.overQuota = new OverQuotaLog({ clock, log, decidedBy: 'deputy' })
+    this.quotaDeputy = new QuotaDeputy({
+      clock,
+      limitOf: account => this.deployment?.accounts?.find(({ name }) => name === account)?.quota,
+      nodeCount: () => this.size.value,
+      hasLeader: () => this.hasLeader,
+      onRefused: account => this.overQuota.onRefused(account),
+      onBegun: ledger => {
+        log('info', 'quotas decided by this node without a leader', { nodes: this.size.value })
+        this.quotas.onOwnDeputyTerm(ledger)
+      }
+    })
+    this.deputyLink = new LeaderLink({
+      clock,
+      log,
+      peer: 'quota deputy',
+      reconnectMs: deputyReconnectMs,
+      onMessage: message => {
+        if ('quotaAsk' in message) this.quotas.onDeputyReply(message)
+        else if ('hosting' in message) this.quotas.onLoads(message.quotaLoads ?? [])
+      },
+      onConnected: () => this.quotas.onDeputyConnected(),
+      onLost: () => this.quotas.onDeputyLost()
+    })
     this.loopDelay = new LoopDelay(clock)
     this.storedQuarantine = new StoredQuarantine(codecs.keys.own)
     this.quarantine = new PartQuarantine({
@@ -218,6 +263,7 @@
       onMessage: (message, reply) => {
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if ('quotaAsk' in message) {
+          if (this.quotaDeputy.onQuotaAsk(message, reply)) return
           if (!this.leaderTerm && message.spent) this.earlySpending.add(reply, this.peerNames.get(reply) ?? '', message.spent)
           const answer = this.leaderTerm?.onQuotaAsk(this.peerNames.get(reply) ?? '', message)
           if (answer && answer.rows.length > 0) reply(answer)
@@ -242,17 +288,21 @@
     this.link = new LeaderLink({
       clock,
       log,
-      onMessage: message => this.onLeaderMessage(message),
+      onMessage: message => {
+        this.onLeaderMessage(message)
+        this.followDeputy()
+      },
       onConnected: () => {
         // The new leader may know none of it.
         const parts = this.quarantine.allFacts()
-        this.link.send({ ...this.stampedReport(), ...(parts ? { parts } : {}) })
+        this.link.send({ ...this.stampedReport(), ip: settings.ip, ...(parts ? { parts } : {}) })
         this.quotas.onConnected(this.leaderFence)
       },
       onLost: () => {
         this.dispatch.onLost()
         this.forgetAssignments()
         this.quotas.onLost()
+        clock.setTimer(deputyDelayMs, () => this.followDeputy())
       }
     })
     this.storeView = new StoreView({
@@ -351,6 +401,8 @@
     this.cancelReports()
     this.cancelParts?.()
     this.link.stop()
+    this.deputies = []
+    this.deputyLink.stop()
     this.peers.stop()
     this.readiness.close()
     this.loopDelay.stop()
@@ -523,6 +575,7 @@
       loadWindowMs: settings.loadWindowMs,
       sharesServers: settings.sharesServers,
       ownReport: () => this.report(),
+      deputyAddresses: current => chooseDeputies(this.peerAddresses.values(), current, clock.nowMs()),
       onSlotAssigned: queuedMs => this.options.metrics?.onSlotAssigned(queuedMs),
       onSlotRefused: reason => this.options.metrics?.onSlotRefused(reason),
       onSlotReturned: () => this.options.metrics?.onSlotReturned(),
@@ -532,20 +585,24 @@
       // Engines that check fencing tokens reject a superseded leader, so a store outage requires no pause.
       mustPauseCommands: () => !settings.enginesCheckFences && this.leadership.isLeaseDoubtful
     })
+    this.followDeputy()
     this.quotas.onOwnTerm(this.leaderTerm.quotas)
     this.earlySpending.moveTo(this.leaderTerm.quotas)
   }
 
-  private nameLink ({ node }: NodeReport, link: Send): void {
+  private nameLink ({ node, ip }: NodeReport, link: Send): void {
+    this.peerAddresses.set(link, { ip: ip ?? this.peerAddresses.get(link)?.ip, reportedAtMs: this.options.clock.nowMs() })
     if (this.peerNames.get(link) === node) return
     this.peerNames.set(link, node)
     this.leaderTerm?.quotas.onNodeJoined(node)
   }
 
   private onPeerLeft (link: Send): void {
+    this.quotaDeputy.onLeft(link)
     this.leaderTerm?.onNodeLeft(link)
     const name = this.peerNames.get(link)
     this.peerNames.delete(link)
+    this.peerAddresses.delete(link)
     // A node that connects again may do so before its old connection is seen to close.
     if (name !== undefined && ![...this.peerNames.values()].includes(name)) this.leaderTerm?.quotas.onNodeLost(name)
   }
@@ -556,6 +613,23 @@
     this.link.setLeader(leader && leader.node !== settings.node ? { host: leader.ip, port: settings.peersPort } : undefined)
   }
 
+  /** Whether this node leads, or the leader answers it. */
+  private get hasLeader (): boolean {
+    return this.leaderTerm !== undefined || this.link.hasAnswered
+  }
+
+  /** Connects to a deputy while there is no leader. */
+  private followDeputy (): void {
+    this.quotaDeputy.update()
+    const { ip, peersPort } = this.options.settings
+    const isAnswered = this.deputyHost === ip ? this.quotaDeputy.linkCount > 0 : this.deputyLink.hasAnswered
+    if (this.hasLeader) this.deputySearch.reset()
+    const host = this.hasLeader ? undefined : this.deputySearch.choose(this.deputies, { isAnswered })
+    if (host === this.deputyHost) return
+    this.deputyHost = host
+    this.deputyLink.setLeader(host === undefined || host === ip ? undefined : { host, port: peersPort })
+  }
+
   /** The leader's dispatch decision for a request; `undefined` if there is none in time. */
   private async dispatchForAll (ask: DispatchRequest): Promise<DispatchDecision | undefined> {
     if (this.leaderTerm) {
@@ -615,7 +689,8 @@
     this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
   }
 
-  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, quotaLoads = [], capacity }: LeaderReport): void {
+  private onLeaderReport ({ news, hosting, running, leaving = [], parts, nodes, quotaLoads = [], capacity, deputies }: LeaderReport): void {
+    if (deputies) this.deputies = deputies
     this.quotas.onLoads(quotaLoads)
     this.learned?.onLeaderReport({ capacity })
     if (nodes) this.otherNodes = nodes.filter(ip => ip !== this.options.settings.ip)
@@ -689,9 +764,13 @@
     this.reportTicks++
     this.accounts.logStaleness()
     this.quotas.sweep()
+    this.overQuota.sweep()
+    this.followDeputy()
+    this.quotaDeputy.sendLoads()
     if (this.size.value > manyNodes && this.reportTicks % 2 !== 0) return
     if (this.leaderTerm) {
-      this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount, this.storedSize))
+      this.recordRunning(this.leaderTerm.broadcastStatus(this.peers.linkCount - this.quotaDeputy.linkCount, this.storedSize))
+      this.deputies = this.leaderTerm.deputies
       this.quotas.onLoads(this.leaderTerm.accountLoads)
     } else this.link.send(this.stampedReport())
   }
--- a/tests/accountNodes.spec.ts
+++ b/tests/accountNodes.spec.ts
@@ -9,18 +9,19 @@
 import { codecs } from '../src/platform/httpCodecs.js'
 import type { LeaderReport } from '../src/serving/peerMessages.js'
 import { LeaderLink } from '../src/serving/peerLink.js'
+import { ServingMetrics } from '../src/serving/servingMetrics.js'
 import { ServingNode } from '../src/serving/servingNode.js'
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 import { freePort } from './fixtures/freePort.js'
 import { responseTo, requestIdOf } from './fixtures/requestProxyFixture.js'
 
 const clock = new SystemClock()
-const config = (version: number, keys: string[]) => JSON.stringify({
+const config = (version: number, keys: string[], quota = {}) => JSON.stringify({
   version,
   routes: [{ name: 'r', host: 'h', path_prefix: '/', kind: 'unsafe', timeout_ms: 5000, goal_ms: 300, priority: 0, service: 's', max_attempts: 1 }],
   services: [{ name: 's', max_conns: 50 }],
   limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 },
-  tenants: [{ name: 'acme', keys }]
+  tenants: [{ name: 'acme', keys, ...quota }]
 })
 
 async function until (condition: () => Promise<boolean> | boolean, what: string): Promise<void> {
@@ -65,7 +66,7 @@
   })
 
   /** A node whose readiness and statuses can be asked for. */
-  async function startNode (ip: string, store = new MemoryStore(state), { keyRemovalMs = 5000, random = new SeededRandom(1) } = {}) {
+  async function startNode (ip: string, store = new MemoryStore(state), { keyRemovalMs = 5000, random = new SeededRandom(1), metrics = new ServingMetrics('n') } = {}) {
     const ports = { clients: await freePort(), ready: await freePort() }
     const node = new ServingNode({
       settings: {
@@ -75,7 +76,8 @@
       store,
       clock,
       random,
-      log: silentLog
+      log: silentLog,
+      metrics
     })
     nodes.push(node)
     await node.start()
@@ -135,4 +137,37 @@
     link.stop()
     expect(reports[0]!.news!.fromRevision).to.be.at.least(fence)
   })
+
+  // Guards against nodes that do not find the deputy, and that ask it although there is a leader.
+  it('asks the deputy about quotas only while no leader can be reached', async () => {
+    state.write('op/config', config(2, ['k1'], { rate_per_s: 100, burst: 100 }))
+    const events: string[][] = []
+    const start = async (ip: string) => {
+      const seen: string[] = []
+      const metrics = new ServingMetrics('n')
+      metrics.onQuota = event => { seen.push(event) }
+      events.push(seen)
+      return await startNode(ip, new MemoryStore(state), { metrics })
+    }
+    const leader = await start('127.0.0.1')
+    await until(() => state.items.has('teaselrill/leader'), 'a leader')
+    const others = [await start('127.0.0.2'), await start('127.0.0.3')]
+    await until(async () => await leader.isReady() && await others[0]!.isReady() && await others[1]!.isReady(), 'readiness')
+    const sendUntil = (event: string) => until(async () => {
+      for (const other of others) await other.status('k1')
+      return events[1]!.includes(event) && events[2]!.includes(event)
+    }, event)
+    await sendUntil('granted')
+    await new Promise(resolve => setTimeout(resolve, 1000))
+    expect(events.flat()).not.to.include('deputy')
+    const { peers } = nodes[0] as unknown as { peers: { stop (): void, listen (host: string, port: number): Promise<void> } }
+    peers.stop()
+    await sendUntil('deputy')
+    for (const seen of events) seen.length = 0
+    await peers.listen('127.0.0.1', peersPort)
+    await sendUntil('granted')
+    for (const seen of events) seen.length = 0
+    await sendUntil('granted')
+    expect(events.flat()).not.to.include('deputy')
+  })
 })
--- a/tests/quota.spec.ts
+++ b/tests/quota.spec.ts
@@ -113,6 +113,22 @@
     for (let node = 1; node <= 4; node++) fleet.connect(node)
     await usually(10_000)
   },
+  // Guards against a deputy that refuses below the quota or grants beyond it when the leader stays away for longer than a window.
+  'no leader for longer than a window': async ({ fleet, usually, flood }) => {
+    fleet.loseLeader()
+    await usually(7000)
+    await flood(15_000)
+    fleet.lead(1)
+    await flood(15_000)
+  },
+  // Guards against nodes that know nothing of each other while the first deputy is lost, too.
+  'flood begins without a leader and its first deputy': async ({ fleet, flood }) => {
+    fleet.cutOff(fleet.deputy!)
+    fleet.loseLeader()
+    await flood(3500)
+    fleet.lead(0)
+    await flood(15_000)
+  },
   // Guards against a start allowance that each restart renews.
   'nodes restart in a flood': async ({ fleet, flood }) => {
     for (let node = 1; node <= 8; node++) {
