Quotas: a larger allowance for nodes that are cut off, debited by the leader

A node without a connection to the leader or a deputy for 4 s, by when a new leader would have been elected, now spends at 1.2 of its equal share instead of 0.65, and its three requests in advance are as large as its largest.

--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from '../base/clock.js'
 import type { Random } from '../base/random.js'
-import { quotaWindowMs } from './quotaLedger.js'
+import { highLoad, quotaWindowMs } from './quotaLedger.js'
 import type { QuotaLimit, SpentRows } from './quotaLedger.js'
 import { SlidingSum } from './slidingSum.js'
 
@@ -11,8 +11,6 @@
 const prefetchMs = 500
 /** Lifetime of prefetched tokens, from the time of the query. */
 const prefetchLifetimeMs = 1000
-/** Load of an account from which a node alone assumes that the quota is used up. */
-const highLoad = 0.9
 /** Share of the rate that all nodes together spend without a leader while the load is high: a flood goes on, and the next leader needs room. */
 const aloneShare = 0.8
 /** The same for nodes that have been alone for a whole window: the leader of the others no longer counts them. */
@@ -21,6 +19,10 @@
 const aloneRise = 1.2
 /** The least that a node spends alone, as a share of the rate divided by the number of nodes: more than the usual load of 0.55. */
 const equalShare = 0.65
+/** Time after which a node that is still alone is cut off, as few nodes are at a time: otherwise there would be a new leader. */
+const cutOffAfterMs = 4000
+/** The same share for such a node. The leader debits it, and its demand is uneven. */
+const cutOffShare = 1.2
 /** Capacity of what a node may spend alone, as time at its rate. More would let a flood without a leader exceed the rule. */
 const aloneBurstMs = 2500
 /** Requests beyond that. Demand at a single node is uneven: with one, 40 of 631 requests below the quota were refused after a leader's end, with three 4 of 608. */
@@ -32,6 +34,16 @@
 /** After a refusal, requests that cost as much are refused at the node for this time at most, so that a flood doesn't flood the leader. */
 const maxRefusalCacheMs = 100
 
+interface AloneState {
+  sinceMs: number
+  level: number
+  perSecond: number
+  refilledAtMs: number
+  /** Cost of the requests that `level` had in advance. */
+  advanceCost: number
+  isCutOff: boolean
+}
+
 interface Pool {
   held: { tokens: number, untilMs: number }[]
   demand: SlidingSum
@@ -43,7 +55,7 @@
   untold: SlidingSum
   /** Demand at all nodes as a share of the rate, as the leader said last. */
   load: number
-  aloneState: { sinceMs: number, level: number, perSecond: number, refilledAtMs: number } | undefined
+  aloneState: AloneState | undefined
   refusal: { tokens: number, untilMs: number } | undefined
 }
 
@@ -55,9 +67,15 @@
 
 export class QuotaPool {
   private readonly pools = new Map<string, Pool>()
+  /** Since when there is a connection to neither the leader nor the deputy. */
+  private unconnectedSinceMs = Infinity
 
   constructor (private readonly options: QuotaPoolOptions) {}
 
+  setConnected (isConnected: boolean): void {
+    this.unconnectedSinceMs = isConnected ? Infinity : Math.min(this.unconnectedSinceMs, this.options.clock.nowMs())
+  }
+
   /** Takes prefetched tokens, or says what to ask the leader for, or how long a refusal still holds. */
   take (account: string, tokens: number): { kind: 'taken' } | { kind: 'refused', retryAfterMs: number } | { kind: 'ask', wanted: number } {
     const nowMs = this.options.clock.nowMs()
@@ -130,7 +148,12 @@
     const share = isHigh && nowMs - state.sinceMs > quotaWindowMs ? longAloneShare : aloneShare
     // All nodes refuse the same share of the requests, so what runs is right also where each node sees few.
     if (isHigh && random.next() >= share / pool.load) return thinnedRetryMs
-    const capacity = aloneCapacity(state.perSecond, tokens, isHigh)
+    if (!isHigh && !state.isCutOff && nowMs - this.unconnectedSinceMs > cutOffAfterMs) this.onCutOff(state, limit)
+    if (state.isCutOff && tokens > state.advanceCost) {
+      state.level += aloneRequests * (tokens - state.advanceCost)
+      state.advanceCost = tokens
+    }
+    const capacity = aloneCapacity(state.perSecond, state.isCutOff ? state.advanceCost : tokens, isHigh)
     state.level = Math.min(capacity, state.level + state.perSecond * Math.max(0, nowMs - state.refilledAtMs) / 1000)
     state.refilledAtMs = nowMs
     if (state.level < tokens) return Math.min(maxAloneRetryMs, (tokens - state.level) / state.perSecond * 1000)
@@ -202,14 +225,22 @@
     for (const account of this.pools.keys()) if (!accounts.has(account)) this.pools.delete(account)
   }
 
-  private aloneStateOf (pool: Pool, { perSecond }: QuotaLimit, tokens: number, nowMs: number): NonNullable<Pool['aloneState']> {
+  private aloneStateOf (pool: Pool, { perSecond }: QuotaLimit, tokens: number, nowMs: number): AloneState {
     if (pool.aloneState) return pool.aloneState
     const ownPerSecond = pool.granted.sum(nowMs) / quotaWindowMs * 1000
     const rate = Math.max(ownPerSecond * (pool.load > highLoad ? 1 : aloneRise), equalShare * perSecond / Math.max(1, this.options.nodeCount()))
-    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens, pool.load > highLoad), perSecond: rate, refilledAtMs: nowMs }
+    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens, pool.load > highLoad), perSecond: rate, refilledAtMs: nowMs, advanceCost: tokens, isCutOff: false }
     return pool.aloneState
   }
 
+  /** Gives the node what it would have if it had known from the beginning. */
+  private onCutOff (state: AloneState, { perSecond }: QuotaLimit): void {
+    const rise = Math.max(0, cutOffShare * perSecond / Math.max(1, this.options.nodeCount()) - state.perSecond)
+    state.isCutOff = true
+    state.perSecond += rise
+    state.level += rise * (state.refilledAtMs - state.sinceMs) / 1000
+  }
+
   private poolOf (account: string): Pool {
     let pool = this.pools.get(account)
     if (!pool) {
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -121,6 +121,7 @@
     this.quotas = new QuotaLedger({
       clock,
       limitOf: account => options.deployment()?.accounts?.find(({ name }) => name === account)?.quota,
+      nodeCount: () => options.size.value,
       onRefused: account => this.overQuota.onRefused(account)
     })
     this.overQuota = new OverQuotaLog({ clock, log: options.log, decidedBy: 'leader' })
--- a/tests/quota.spec.ts
+++ b/tests/quota.spec.ts
@@ -113,6 +113,14 @@
     for (let node = 1; node <= 4; node++) fleet.connect(node)
     await usually(10_000)
   },
+  // Guards against a leader that grants all of the quota while nodes that it has lost spend a part of it.
+  'flood begins while nodes are cut off': async ({ fleet, flood, usually }) => {
+    for (let node = 1; node <= 4; node++) fleet.cutOff(node)
+    await usually(2000)
+    await flood(10_000)
+    for (let node = 1; node <= 4; node++) fleet.connect(node)
+    await flood(10_000)
+  },
   // Guards against a deputy that refuses below the quota or grants beyond it when the leader stays away for longer than a window.
   'no leader for longer than a window': async ({ fleet, usually, flood }) => {
     fleet.loseLeader()
