Replica planning: the requests that a model loses without its only replica

A model that gets a request each second has often none in progress, and the planner then took its replica for nearly free. Where servers are shared, unloading the only replica now also costs the requests that arrive during such a load, at the rate of the last 8 s. The new test fails without this.

--- a/src/policy/replicaPlanning.ts
+++ b/src/policy/replicaPlanning.ts
@@ -73,6 +73,8 @@
   prefillUtilization: number
   /** Requests expected in progress then if none had to wait; 0 if not estimated. */
   expectedRunning?: number
+  /** Requests that arrive while the model is loaded from the weight store, at its recent rate; 0 if not estimated. */
+  arrivalsWhileLoading?: number
 }
 
 export interface ReplicaMove {
@@ -212,10 +214,12 @@
     const replicas = this.replicaCount(replica.model)
     const surplus = replicas - Math.max(1, needed)
     if (surplus > 0) return inProgress + (this.prefersManySurplus ? surplusReplicaCost / surplus : 0)
-    if (demand.running + demand.waiting === 0) return demand.idleMs === Infinity ? unusedModelCost : weight / (1 + demand.idleMs / idleRetentionMs) ** 2 / 2
+    // A model of which one request comes each second has often none in progress. Without its only replica, all are lost until it is back.
+    const lost = weight * (demand.arrivalsWhileLoading ?? 0) / replicas
+    if (demand.running + demand.waiting === 0) return lost + (demand.idleMs === Infinity ? unusedModelCost : weight / (1 + demand.idleMs / idleRetentionMs) ** 2 / 2)
     if (replica.ageMs < minimumResidenceMs) return Infinity
     // The share of its requests that the remaining replicas cannot serve.
-    return inProgress + weight * (demand.running + demand.waiting + 1) / replicas
+    return inProgress + lost + weight * (demand.running + demand.waiting + 1) / replicas
   }
 
   private targetReplicas (demand: ReplicaDemand): number {
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -11,6 +11,7 @@
 import { QuotaLedger } from '../policy/quotaLedger.js'
 import { RateForecast } from '../policy/rateForecast.js'
 import { RunTime } from '../policy/runTime.js'
+import { SlidingSum } from '../policy/slidingSum.js'
 import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
@@ -44,6 +45,10 @@
 /** Shortest time between two searches for replicas that have become ready: engines write entries hundreds of times a second, and a search of 600 engines takes 0.3 ms. */
 const readyCheckIntervalMs = 10
 
+/** Window over which the arrivals for a model are counted: about the time that a load from the weight store takes. */
+const arrivalWindowMs = 8000
+const arrivalSlotMs = 500
+
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
   storeView: StoreView
@@ -81,6 +86,8 @@
   private readonly prefillMs: RateForecast
   /** Arrivals of requests, by `SERVICE/MODEL`. */
   private readonly arrivals: RateForecast
+  /** The same over a longer window, for models of which requests come now and then. */
+  private readonly recentArrivals = new Map<string, SlidingSum>()
   /** By service. */
   private readonly runTimes = new Map<string, RunTime>()
   readonly quotas: QuotaLedger
@@ -141,7 +148,12 @@
       },
       onLoadReduced: () => this.slots.onCapacity(),
       expectedPrefillEngines: (service, model, horizonMs) => this.prefillMs.estimate(`${service}/${model}`, horizonMs).expectedPerMs,
-      ...(options.sharesServers ? { expectedRunning: (service, model, horizonMs) => this.expectedRunning(service, model, horizonMs) } : {})
+      ...(options.sharesServers
+        ? {
+            expectedRunning: (service, model, horizonMs) => this.expectedRunning(service, model, horizonMs),
+            expectedArrivals: (service, model, withinMs) => this.expectedArrivals(service, model, withinMs)
+          }
+        : {})
     })
     this.unwatchFleet = options.fleet.onChange(() => this.onFleetChange())
   }
@@ -285,6 +297,7 @@
     if (!request.isFirst) return
     const key = `${request.service}/${request.model}`
     this.arrivals.add(key, 1)
+    this.recentArrivalsOf(key).add(1, this.options.clock.nowMs())
     this.prefillMs.add(key, this.dispatcher.minimumPrefillMs(request, candidates))
   }
 
@@ -409,6 +422,17 @@
     return runTime
   }
 
+  private expectedArrivals (service: string, model: string, withinMs: number): number {
+    const recent = this.recentArrivals.get(`${service}/${model}`)?.sum(this.options.clock.nowMs()) ?? 0
+    return recent / arrivalWindowMs * withinMs
+  }
+
+  private recentArrivalsOf (key: string): SlidingSum {
+    let recent = this.recentArrivals.get(key)
+    if (!recent) this.recentArrivals.set(key, recent = new SlidingSum(arrivalWindowMs, arrivalSlotMs))
+    return recent
+  }
+
   private expectedRunning (service: string, model: string, horizonMs: number): number {
     return this.arrivals.estimate(`${service}/${model}`, horizonMs).expectedPerMs * this.runTimeOf(service).meanMs
   }
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -60,6 +60,8 @@
   expectedPrefillEngines: (service: string, model: string, horizonMs: number) => number
   /** Requests for the model expected in progress within `horizonMs` if none had to wait. */
   expectedRunning?: (service: string, model: string, horizonMs: number) => number
+  /** Requests for a model within a time at its recent rate; absent where arrivals are not counted. */
+  expectedArrivals?: (service: string, model: string, withinMs: number) => number
   /** Called when an engine rejects a command because it has seen a higher fencing token. */
   onSuperseded: () => void
   /** Whether no commands may be sent because the lease may have ended. */
@@ -309,7 +311,8 @@
         rank: demand?.rank ?? Infinity,
         idleMs: demand ? nowMs - demand.atMs : Infinity,
         prefillUtilization: this.options.expectedPrefillEngines(service.name, name, loadMs),
-        expectedRunning: this.options.expectedRunning?.(service.name, name, loadMs) ?? 0
+        expectedRunning: this.options.expectedRunning?.(service.name, name, loadMs) ?? 0,
+        arrivalsWhileLoading: this.options.expectedArrivals?.(service.name, name, loadMs) ?? 0
       }
     })
   }
--- a/tests/replicaPlanning.spec.ts
+++ b/tests/replicaPlanning.spec.ts
@@ -48,6 +48,18 @@
     expect(moves.map(({ unload }) => unload).flat()).not.to.include('rising')
   })
 
+  it('keeps the only replica of a model whose requests come now and then', () => {
+    // Failure: a third replica of a growing model took the place of the only one of a model without a request at this moment, and its requests were refused for nine seconds.
+    const engines = [
+      engine('e1', [createReplica('growing', { running: 5 }), createReplica('x'), createReplica('y')], { slots: 12 }),
+      engine('e2', [createReplica('rare')], { slots: 12, weightsMb: 70 }),
+      engine('e3', [createReplica('spare')], { slots: 12, weightsMb: 70, running: 3 })
+    ]
+    const growing = createDemand('growing', { running: 9, expectedRunning: 18, rank: 1, idleMs: 0 })
+    const moves = plan(engines, [growing, createDemand('rare', { rank: 1, idleMs: 1500, arrivalsWhileLoading: 12 }), createDemand('spare', { rank: 1, idleMs: 1500 })])
+    expect(moves.flatMap(({ unload }) => unload)).to.deep.equal(['spare'])
+  })
+
   it('derives replicas from arriving and not from accumulated requests', () => {
     // Failure: requests accumulate on the only replica of a model and claim more engines than its demand needs.
     expect(replicasNeeded(createDemand('overloaded', { running: 50, waiting: 25, prefillUtilization: 0.6, idleMs: 0 }), 64)).to.equal(2)
