Shared queue: ask soon again after a refused failover move

Cause: a request in progress whose engine had fallen silent, and for which the leader had no engine, took the time of the refusal, 1.2 to 5 s, as the time until its next search. Before, it searched every 120 ms.

Change: it searches again after 120 ms; the time of a refusal is for clients.

--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -170,7 +170,8 @@
     if (server && trial === undefined && isNeeded()) return selection
     selection.slot?.cancel()
     this.endTrial(trial)
-    return { server: undefined, chosenBy: 'queue', waitMs: Math.max(selection.waitMs, selection.refusedMs ?? 0) }
+    // The time of a refusal is for clients: while the request is in progress, an engine may become free at any time.
+    return { server: undefined, chosenBy: 'queue', waitMs: selection.waitMs }
   }
 
   private async selectFromQueue (
--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -211,6 +211,18 @@
     })
   }
 
+  // Guards against streams that stay at a silent engine for seconds because the leader once had none for them.
+  it('asks for another engine again soon after a refusal', async () => {
+    onAsk = ask => {
+      if (ask === 2) client.onSlotReply(ask, { kind: 'refused', retryAfterMs: 5000 })
+      else assign(ask, ask === 1 ? 'a' : 'b')
+    }
+    await start({ a: stall, b: finish }, resumable)
+    const startMs = Date.now()
+    expect(await fixture.send('id1', forModel)).to.include({ events: events(1, 4), isComplete: true })
+    expect(Date.now() - startMs).to.be.below(1800)
+  })
+
   // Guards against slots that stay empty, and entries that stay in the queue, for a stream whose engine has gone on.
   it('leaves the queue when the engine of a stream goes on', async () => {
     onAsk = ask => ask === 1 ? assign(ask, 'a') : queue(ask)
