Shared queue: no refusal of begun answers for want of an engine

Cause: an answer that had begun was refused when no engine could have its model in time, so its stream broke off although it costs nothing to let it wait until its patience ends. A request that arrived more than 250 ms too late was refused with the reason no-engine while engines had its model.

Change: begun answers are only refused when their patience ends, and no-engine needs a model that no engine has.

Result: covered by a new test.

--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -435,10 +435,11 @@
   private refuseIfHopeless (entry: Entry): boolean {
     const nowMs = this.clock.nowMs()
     const { rank, deadlineMs, answerByMs, rateKey, request: { dispatch } } = entry
+    // An answer that has begun breaks off if it is refused, may not need all its expected tokens any more, and goes ahead of all others.
+    if (rank === begunRank) return false
     const soonestMs = this.soonestMs(entry, nowMs)
-    if (soonestMs - loadMarginMs > deadlineMs - nowMs) return this.refuse(entry, 'no-engine', boundedRetryMs(soonestMs))
-    // An answer that has begun may not need all its expected tokens any more, and goes ahead of all others.
-    if (rank === begunRank || this.held.has(entry.requestId)) return false
+    if (soonestMs > 0 && soonestMs - loadMarginMs > deadlineMs - nowMs) return this.refuse(entry, 'no-engine', boundedRetryMs(soonestMs))
+    if (this.held.has(entry.requestId)) return false
     const leftMs = Math.min(deadlineMs, answerByMs - this.leastRunTime.of(rateKey, dispatch.outputTokens ?? 0)) - nowMs
     const expectedMs = this.expectedWaitMs(entry)
     if ((expectedMs ?? 0) <= leftMs * clearRefusalFactor) return false
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -293,6 +293,24 @@
     expect([...world.answers]).to.deep.equal([['short', { kind: 'refused', retryAfterMs: 4000 }]])
   })
 
+  // Guards against begun answers that break off while an engine may still come back, and against a wrong reason for a request that comes too late.
+  it('refuses neither begun answers nor late requests for want of an engine', async () => {
+    const clock = new VirtualClock(1000)
+    const reasons: [string, string][] = []
+    let soonestMs = 4000
+    const queue = new SlotQueue({ clock, decide: () => ({ kind: 'wait', forMs: 40 }), soonestMs: () => soonestMs, onReturned: () => {}, onRefused: (reason, { id }) => { reasons.push([id, reason]) } })
+    const dispatch: DispatchRequest = { service: 's', model: 'm', adapter: undefined, promptTokens: 10, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], gapObjectiveMs: 300, isFirst: true, isLate: false }
+    const submit = (id: string, hasBegun: boolean, leftMs: number) => queue.submit({ id, dispatch: { ...dispatch }, place: { account: 'a', costTokens: 1, leftMs, inTimeMs: 100, hasBegun }, onAnswer: () => {} })
+    submit('begun', true, 3000)
+    submit('other', false, 3000)
+    await clock.advance(1000)
+    soonestMs = 0
+    await clock.advance(200)
+    submit('late', false, -400)
+    await clock.advance(3000)
+    expect(reasons).to.deep.equal([['other', 'no-engine'], ['late', 'hopeless'], ['begun', 'expired']])
+  })
+
   // Guards against slots for requests whose answers cannot be complete by their deadline, and against refusals on the word of attempts that ended early.
   it('refuses requests that take longer than the time left', async () => {
     const clock = new VirtualClock(1000)
