Shared queue: no refusal while an engine's state is not known

Cause: a new leader on a node that has just started does not know the loads that its predecessor commanded, nor does a leader whose load command got no response. It counted a whole load from now on for them, and after 500 ms refused requests that the load in progress would have served.

Change: while the state of a reachable engine is not known, the time until an engine has the model counts as unknown.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -559,6 +559,8 @@
     for (const server of fleet.ofService(service)) {
       if (server.isGoing || nowMs >= server.removalAtMs) continue
       const state = server.replicas.get(model)
+      // It may be loading the model by a command of the last leader, or by one without a response.
+      if (!state && server.isPresent && this.engines.get(server.entry.id)?.isSynced !== true) return 0
       // An engine that is only unreachable for a while, or whose unload may yet be given up, has it.
       if (state && !(state.isLoading && state.readyAtMs !== Infinity)) return 0
       soonestMs = Math.min(soonestMs, state ? Math.max(0, state.readyAtMs - nowMs) : loadSource(server, engine, model).loadMs)
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -139,6 +139,22 @@
     stop()
   })
 
+  // Guards against a new leader that refuses requests for a model that an engine is loading by a command of the last leader.
+  it('does not know when an engine that still runs a command has a model', async () => {
+    const { clock, lead, newFleet, stop, ask } = world(1, { without: ['m0'] })
+    const { leader, fleet } = lead(1)
+    ask({ waiting: [['s', 'm0', 1, 0]] })
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(100)
+    await clock.advance(500)
+    leader.stop()
+    const next = lead(2, { fleet: newFleet() }).leader
+    for (let ms = 0; ms < 1000; ms += 100) {
+      expect(next.soonestReadyMs('s', 'm0')).to.equal(0)
+      await clock.advance(100)
+    }
+    stop()
+  })
+
   it('loads a model for which requests wait, in place of one that nobody uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
     const { fleet } = lead(5)
