Shared queue: judge a request only by runs of comparable length

Cause: the least run time of a request is its expected tokens times a low quantile of the time per token, over runs of any length. Where most requests of a model are short, their fixed cost is most of their time: 400 ms for 8 tokens count as 35 ms a token, hence 14 s for 400 tokens, and a long request with 8 s left was refused.

Result: covered by a new test; the tests of refusals by run time are unchanged.

--- a/src/policy/leastRunTime.ts
+++ b/src/policy/leastRunTime.ts
@@ -9,17 +9,26 @@
 const maxSampleAgeMs = 10_000
 /** Quantile of the time per expected output token. Attempts that were rejected or broken off, and short outputs, lie below it. */
 const lowQuantile = 0.1
+/** Samples with less than this part of the request's expected tokens do not count: the fixed cost of a request is most of the time of a short one. */
+const minimumTokenShare = 0.25
 /** Part of that which counts: engines become faster when they run fewer requests. */
 const certainShare = 0.7
 
-/** Time for which an evaluation of the samples is used. */
+/** Time for which a list of the samples by speed is used. */
 const refreshMs = 100
 
+interface Sample {
+  atMs: number
+  outputTokens: number
+  msPerToken: number
+}
+
 interface ModelSamples {
   /** Time per expected output token of requests that have ended, oldest first. */
-  samples: { atMs: number, msPerToken: number }[]
-  leastMsPerToken: number
-  evaluatedAtMs: number
+  samples: Sample[]
+  /** The recent ones, fastest first. */
+  bySpeed: Sample[]
+  sortedAtMs: number
 }
 
 export class LeastRunTime {
@@ -30,8 +39,8 @@
   /** A request has ended `durationMs` after its assignment. */
   record (model: string, outputTokens: number, durationMs: number): void {
     if (outputTokens <= 0) return
-    const known = this.models.get(model) ?? { samples: [], leastMsPerToken: 0, evaluatedAtMs: -Infinity }
-    known.samples.push({ atMs: this.clock.nowMs(), msPerToken: durationMs / outputTokens })
+    const known = this.models.get(model) ?? { samples: [], bySpeed: [], sortedAtMs: -Infinity }
+    known.samples.push({ atMs: this.clock.nowMs(), outputTokens, msPerToken: durationMs / outputTokens })
     if (known.samples.length > maxSamples) known.samples.shift()
     this.models.set(model, known)
   }
@@ -41,12 +50,12 @@
     const known = this.models.get(model)
     if (!known) return 0
     const nowMs = this.clock.nowMs()
-    if (nowMs - known.evaluatedAtMs >= refreshMs) {
-      known.evaluatedAtMs = nowMs
-      const rates = known.samples.filter(({ atMs }) => nowMs - atMs <= maxSampleAgeMs).map(({ msPerToken }) => msPerToken).sort((left, right) => left - right)
-      known.leastMsPerToken = rates.length < minimumSamples ? 0 : rates[Math.floor(rates.length * lowQuantile)]! * certainShare
+    if (nowMs - known.sortedAtMs >= refreshMs) {
+      known.sortedAtMs = nowMs
+      known.bySpeed = known.samples.filter(({ atMs }) => nowMs - atMs <= maxSampleAgeMs).sort((left, right) => left.msPerToken - right.msPerToken)
     }
-    return known.leastMsPerToken * outputTokens
+    const comparable = known.bySpeed.filter(sample => sample.outputTokens >= outputTokens * minimumTokenShare)
+    return comparable.length < minimumSamples ? 0 : comparable[Math.floor(comparable.length * lowQuantile)]!.msPerToken * certainShare * outputTokens
   }
 
   /** Drops the models without recent samples. */
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -332,6 +332,22 @@
     expect(refused).to.deep.equal(['long 1000'])
   })
 
+  // Guards against long requests that are refused because short ones, whose time is mostly a fixed cost, take longer per token.
+  it('does not judge long requests by short ones', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    const ids = Array.from({ length: 40 }, (_, index) => `short${index}`)
+    world.free.m = ids.length
+    for (const id of ids) world.submit(id, { outputTokens: 8 })
+    await clock.advance(400)
+    for (const id of ids) world.queue.end(id)
+    world.submit('long', { outputTokens: 400, answerLeftMs: 8000 })
+    world.submit('short', { outputTokens: 8, answerLeftMs: 200 })
+    await clock.advance(500)
+    expect([...world.answers].filter(([, { kind }]) => kind === 'refused').map(([id]) => id)).to.deep.equal(['short'])
+    world.queue.stop()
+  })
+
   // Guards against a leader with little processor time that only searches its queue, while reports and answers wait.
   it('rests after long passes', async () => {
     const clock = new VirtualClock(1000)
