Shared queue: waiting failover moves do not hold the retry budget

Cause: a request in progress took a retry from the budget before it waited in the queue for another engine, and held it for the whole wait. With as many silent streams as the budget allows, rejected and broken-off requests of the node went back to their clients without a retry.

Change: a move asks only while the budget has a retry, and takes it when it has got an engine.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -335,15 +335,17 @@
     const isInTime = () => this.clock.nowMs() <= request.deadlineAtMs - minimumAttemptMs
     const isUnsuspected = () => this.options.quarantine.check(this.selection.evidenceParts(request)).kind === 'clear'
     const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.selection.mayMove(request, progress)
-    if (!isAllowed || !budget.tryRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
+    if (!isAllowed || !budget.hasRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
     const { server, chosenBy, waitMs, trial, priorMs, slot } = await this.selection.selectMove(request, progress, waitOf(request, forwarder), isNeeded)
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     // Several dispatch replies that arrive together may name the same free slot, so capacity is checked again.
     const isFree = server && (slot !== undefined || this.selection.availableServers(request).includes(server))
-    const reservation = isFree && await this.reserve(request, server)
+    // Taken only now: while requests wait for another engine, retries that can be made at once need the budget.
+    const hasRetry = isFree && budget.tryRetry()
+    const reservation = isFree && hasRetry && await this.reserve(request, server)
     if (!reservation) {
       slot?.cancel()
-      budget.returnRetry()
+      if (hasRetry) budget.returnRetry()
       return { kind: 'none', retryAfterMs: Math.max(failoverRetryMs, waitMs) }
     }
     const release = () => {
--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -223,6 +223,27 @@
     expect(Date.now() - startMs).to.be.below(1800)
   })
 
+  // Guards against rejected requests that go back to their clients because the whole retry budget is held by streams that wait for another engine.
+  it('leaves the retry budget to others while streams wait for another engine', async () => {
+    onAsk = (ask, { place }) => {
+      if (place![4]) queue(ask)
+      else assign(ask, ask <= 10 ? 'a' : 'b')
+    }
+    await start({
+      a: stall,
+      b: (socket, head, count) => {
+        if (count === 1) reject(socket, head, count)
+        else socket.write(`${streamHead(head, 'Transfer-Encoding: chunked\r\n')}${chunk(events(1, 4))}0\r\n\r\n`)
+      }
+    }, resumable)
+    const streams = Array.from({ length: 10 }, (_, index) => fixture.send(`id${index + 1}`, forModel))
+    await wait(1100)
+    // Ten streams and their moves, of which the budget of 8 retries allows at least as many.
+    expect(sent.filter(message => 'ask' in message).length).to.be.at.least(18)
+    expect(await fixture.send('id11', forModel)).to.include({ status: 200, events: events(1, 4) })
+    await Promise.all(streams)
+  })
+
   // Guards against slots that stay empty, and entries that stay in the queue, for a stream whose engine has gone on.
   it('leaves the queue when the engine of a stream goes on', async () => {
     onAsk = ask => ask === 1 ? assign(ask, 'a') : queue(ask)
