Shared queue: check waiting requests even when the search takes the whole pass

Cause: the checks for requests that cannot be served in time use what the search leaves of the 5 ms of a pass, at least one check. With many models and engines the search leaves nothing, and with the rest after long passes about 18 requests a second were checked.

Change: the checks get 1 ms in any case.

--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -49,6 +49,8 @@
 const judgeIntervalMs = 100
 /** Waiting requests that one pass checks. */
 const maxJudgedPerPass = 64
+/** Time for these checks even if the search has used up the time of the pass: they make the queue shorter. */
+const minimumJudgeMs = 1
 /** Time for which no engine may have had a model until requests are refused for it: entries return, and a new leader learns what engines hold. */
 const minimumGoneMs = 500
 /** Time for which the last check of a model counts: with thousands of waiting requests, some are checked only every second. */
@@ -296,7 +298,8 @@
       this.judgedAtMs = nowMs
       this.toJudge = [...this.entries.values()]
     }
-    for (let count = 0; count < maxJudgedPerPass && (count === 0 || this.clock.nowMs() < nowMs + maxPassMs); count++) {
+    const untilMs = Math.max(nowMs + maxPassMs, this.clock.nowMs() + minimumJudgeMs)
+    for (let count = 0; count < maxJudgedPerPass && this.clock.nowMs() < untilMs; count++) {
       const entry = this.toJudge.pop()
       if (!entry) return
       if (this.entries.get(entry.requestId) === entry) this.refuseIfHopeless(entry)
--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -367,6 +367,21 @@
     world.queue.stop()
   })
 
+  // Guards against requests that wait in vain until their patience ends because the search takes up the time of each pass.
+  it('checks waiting requests in time when passes are long', async () => {
+    const clock = new VirtualClock(1000)
+    let spentMs = 0
+    const world = new World({ nowMs: () => clock.nowMs() + spentMs, setTimer: (delayMs, callback) => clock.setTimer(delayMs, callback) })
+    world.soonestMs = 20_000
+    for (let index = 0; index < 300; index++) world.submit(`r${index}`, { model: `m${index % 50}`, leftMs: 10_000 })
+    world.decide = () => {
+      spentMs += 0.5
+      return { kind: 'wait', forMs: 40 }
+    }
+    await clock.advance(2000)
+    expect([...world.answers.values()].filter(({ kind }) => kind === 'refused')).to.have.length(300)
+  })
+
   // Guards against freed slots that stay empty until the next regular pass, and against a leader that does nothing but search its queue.
   it('passes soon after slots are freed, however many are', async () => {
     const clock = new VirtualClock(1000)
