--- a/tests/slotQueue.spec.ts
+++ b/tests/slotQueue.spec.ts
@@ -293,6 +293,24 @@
     expect([...world.answers]).to.deep.equal([['short', { kind: 'refused', retryAfterMs: 4000 }]])
   })
 
+  // Guards against begun answers that break off while an engine may still come back, and against a wrong reason for a request that comes too late.
+  it('refuses neither begun answers nor late requests for want of an engine', async () => {
+    const clock = new VirtualClock(1000)
+    const reasons: [string, string][] = []
+    let soonestMs = 4000
+    const queue = new SlotQueue({ clock, decide: () => ({ kind: 'wait', forMs: 40 }), soonestMs: () => soonestMs, onReturned: () => {}, onRefused: (reason, { id }) => { reasons.push([id, reason]) } })
+    const dispatch: DispatchRequest = { service: 's', model: 'm', adapter: undefined, promptTokens: 10, sharedParts: [], rank: 0, region: 'r', availabilityZone: 'z', excluded: [], gapObjectiveMs: 300, isFirst: true, isLate: false }
+    const submit = (id: string, hasBegun: boolean, leftMs: number) => queue.submit({ id, dispatch: { ...dispatch }, place: { account: 'a', costTokens: 1, leftMs, inTimeMs: 100, hasBegun }, onAnswer: () => {} })
+    submit('begun', true, 3000)
+    submit('other', false, 3000)
+    await clock.advance(1000)
+    soonestMs = 0
+    await clock.advance(200)
+    submit('late', false, -400)
+    await clock.advance(3000)
+    expect(reasons).to.deep.equal([['other', 'no-engine'], ['late', 'hopeless'], ['begun', 'expired']])
+  })
+
   // Guards against slots for requests whose answers cannot be complete by their deadline, and against refusals on the word of attempts that ended early.
   it('refuses requests that take longer than the time left', async () => {
     const clock = new VirtualClock(1000)
@@ -314,6 +332,56 @@
     expect(refused).to.deep.equal(['long 1000'])
   })
 
+  // Guards against long requests that are refused because short ones, whose time is mostly a fixed cost, take longer per token.
+  it('does not judge long requests by short ones', async () => {
+    const clock = new VirtualClock(1000)
+    const world = new World(clock)
+    const ids = Array.from({ length: 40 }, (_, index) => `short${index}`)
+    world.free.m = ids.length
+    for (const id of ids) world.submit(id, { outputTokens: 8 })
+    await clock.advance(400)
+    for (const id of ids) world.queue.end(id)
+    world.submit('long', { outputTokens: 400, answerLeftMs: 8000 })
+    world.submit('short', { outputTokens: 8, answerLeftMs: 200 })
+    await clock.advance(500)
+    expect([...world.answers].filter(([, { kind }]) => kind === 'refused').map(([id]) => id)).to.deep.equal(['short'])
+    world.queue.stop()
+  })
+
+  // Guards against a leader with little processor time that only searches its queue, while reports and answers wait.
+  it('rests after long passes', async () => {
+    const clock = new VirtualClock(1000)
+    let spentMs = 0
+    const world = new World({ nowMs: () => clock.nowMs() + spentMs, setTimer: (delayMs, callback) => clock.setTimer(delayMs, callback) })
+    for (let index = 0; index < 50; index++) world.submit(`r${index}`, { model: `m${index}` })
+    world.decide = () => {
+      spentMs += 0.5
+      return { kind: 'wait', forMs: 40 }
+    }
+    const startMs = clock.nowMs()
+    for (let ms = 0; ms < 1000; ms++) {
+      await clock.advance(1)
+      world.queue.onCapacity()
+    }
+    expect(spentMs / (clock.nowMs() + spentMs - startMs)).to.be.within(0.04, 0.1)
+    world.queue.stop()
+  })
+
+  // Guards against requests that wait in vain until their patience ends because the search takes up the time of each pass.
+  it('checks waiting requests in time when passes are long', async () => {
+    const clock = new VirtualClock(1000)
+    let spentMs = 0
+    const world = new World({ nowMs: () => clock.nowMs() + spentMs, setTimer: (delayMs, callback) => clock.setTimer(delayMs, callback) })
+    world.soonestMs = 20_000
+    for (let index = 0; index < 300; index++) world.submit(`r${index}`, { model: `m${index % 50}`, leftMs: 10_000 })
+    world.decide = () => {
+      spentMs += 0.5
+      return { kind: 'wait', forMs: 40 }
+    }
+    await clock.advance(2000)
+    expect([...world.answers.values()].filter(({ kind }) => kind === 'refused')).to.have.length(300)
+  })
+
   // Guards against freed slots that stay empty until the next regular pass, and against a leader that does nothing but search its queue.
   it('passes soon after slots are freed, however many are', async () => {
     const clock = new VirtualClock(1000)
