Quotas: not cut off while the store shows that there is no leader

A node without a connection to the leader or a deputy for 4 s took itself for cut off and spent at 1.2 of its equal share, which the leader debits. If the leader and all three deputies were lost, all nodes did so and nobody debited them. It also kept that rate when it was connected again to a deputy that did not decide.

A node no longer takes itself for cut off while the store has answered it within 4 s and has no leader's key, or when the load is high or it has a connection. Its rate and capacity then are the usual ones again.

--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -19,7 +19,7 @@
 const aloneRise = 1.2
 /** The least that a node spends alone, as a share of the rate divided by the number of nodes: more than the usual load of 0.55. */
 const equalShare = 0.65
-/** Time after which a node that is still alone is cut off, as few nodes are at a time: otherwise there would be a new leader. */
+/** Time after which a node that is still alone is cut off, as few nodes are at a time, unless there is no leader: one would have been elected. */
 const cutOffAfterMs = 4000
 /** The same share for such a node. The leader debits it, and its demand is uneven. */
 const cutOffShare = 1.2
@@ -37,11 +37,15 @@
 interface AloneState {
   sinceMs: number
   level: number
+  /** The rate while this node does not take itself for cut off. */
+  usualPerSecond: number
   perSecond: number
   refilledAtMs: number
   /** Cost of the requests that `level` had in advance. */
   advanceCost: number
   isCutOff: boolean
+  /** Time up to which `level` has what a node has that is cut off. */
+  risenUntilMs: number
 }
 
 interface Pool {
@@ -63,6 +67,8 @@
   clock: Clock
   random: Random
   nodeCount: () => number
+  /** Whether there may be a leader, which debits this node while it does not reach it. */
+  mayHaveLeader?: () => boolean
 }
 
 export class QuotaPool {
@@ -148,7 +154,7 @@
     const share = isHigh && nowMs - state.sinceMs > quotaWindowMs ? longAloneShare : aloneShare
     // All nodes refuse the same share of the requests, so what runs is right also where each node sees few.
     if (isHigh && random.next() >= share / pool.load) return thinnedRetryMs
-    if (!isHigh && !state.isCutOff && nowMs - this.unconnectedSinceMs > cutOffAfterMs) this.onCutOff(state, limit)
+    this.setCutOff(state, limit, !isHigh && this.isCutOff)
     if (state.isCutOff && tokens > state.advanceCost) {
       state.level += aloneRequests * (tokens - state.advanceCost)
       state.advanceCost = tokens
@@ -229,16 +235,23 @@
     if (pool.aloneState) return pool.aloneState
     const ownPerSecond = pool.granted.sum(nowMs) / quotaWindowMs * 1000
     const rate = Math.max(ownPerSecond * (pool.load > highLoad ? 1 : aloneRise), equalShare * perSecond / Math.max(1, this.options.nodeCount()))
-    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens, pool.load > highLoad), perSecond: rate, refilledAtMs: nowMs, advanceCost: tokens, isCutOff: false }
+    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens, pool.load > highLoad), usualPerSecond: rate, perSecond: rate, refilledAtMs: nowMs, advanceCost: tokens, isCutOff: false, risenUntilMs: nowMs }
     return pool.aloneState
   }
 
-  /** Gives the node what it would have if it had known from the beginning. */
-  private onCutOff (state: AloneState, { perSecond }: QuotaLimit): void {
-    const rise = Math.max(0, cutOffShare * perSecond / Math.max(1, this.options.nodeCount()) - state.perSecond)
-    state.isCutOff = true
-    state.perSecond += rise
-    state.level += rise * (state.refilledAtMs - state.sinceMs) / 1000
+  private get isCutOff (): boolean {
+    const { clock, mayHaveLeader } = this.options
+    return clock.nowMs() - this.unconnectedSinceMs > cutOffAfterMs && (mayHaveLeader?.() ?? true)
+  }
+
+  /** Gives a node that is cut off what it would have if it had known from the beginning. */
+  private setCutOff (state: AloneState, { perSecond }: QuotaLimit, isCutOff: boolean): void {
+    if (state.isCutOff === isCutOff) return
+    state.isCutOff = isCutOff
+    const rise = isCutOff ? Math.max(0, cutOffShare * perSecond / Math.max(1, this.options.nodeCount()) - state.usualPerSecond) : 0
+    state.perSecond = state.usualPerSecond + rise
+    state.level += rise * Math.max(0, state.refilledAtMs - state.risenUntilMs) / 1000
+    state.risenUntilMs = state.refilledAtMs
   }
 
   private poolOf (account: string): Pool {
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -45,6 +45,8 @@
   sendToDeputy?: (message: QuotaAskMessage) => boolean
   /** The ledger while this node is the deputy and decides. */
   deputyLedger?: () => QuotaLedger | undefined
+  /** Whether there may be a leader: the store shows one, or this node does not reach the store. */
+  mayHaveLeader?: () => boolean
   /** Reads what has reached the sockets before silence counts. */
   readArrived?: () => Promise<void>
   onEvent?: (event: QuotaEvent, account: string, tokens: number) => void
--- a/tests/quota.spec.ts
+++ b/tests/quota.spec.ts
@@ -179,6 +179,18 @@
     })
   }
 
+  // Guards against nodes that all take themselves for cut off although no leader debits them: the leader and all its deputies are lost.
+  it('keeps to usual allowances in a flood without a leader and deputies', async () => {
+    for (const seed of seeds) {
+      const { fleet, flood } = await settled(cases[1]!, seed)
+      for (let deputy = 0; deputy < 3; deputy++) fleet.cutOff(fleet.deputy!)
+      fleet.loseLeader()
+      const fromMs = fleet.clock.nowMs() + 4000
+      await flood(14_000)
+      expect(fleet.largestWindowShare({ fromMs }), `seed ${seed}`).to.be.at.most(1)
+    }
+  })
+
   // Guards against a Retry-After after which there are still no tokens.
   it('grants a refused request at the stated time', async () => {
     const clock = new VirtualClock(1_000_000)
