Quota ledger: lost nodes are debited the rate at most

Each lost node was debited up to twice its equal share for 30 s. When most nodes were lost, the debits exceeded the refill, and the level fell for as long; a flood was then refused as a whole for more than 10 s after the nodes had returned. Nodes that had returned also still counted as lost in the estimate of what each lost one spends.

All debits together are now at most the refill, and only nodes that are still lost count.

What runs in a window is unchanged. The new test fails without the change: 0 of the wanted 200,000 are granted.

--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -271,18 +271,29 @@
     const elapsedMs = Math.max(0, nowMs - bucket.refilledAtMs)
     bucket.refilledAtMs = nowMs
     bucket.level = Math.min(capacityOf(limit), bucket.level + limit.perSecond * elapsedMs / 1000)
+    this.debitLostNodes(bucket, limit, nowMs, elapsedMs)
+    if (bucket.perSecond === limit.perSecond) return
+    // A debt from a much higher rate would take too long to pay back.
+    bucket.level = Math.max(bucket.level, -limit.perSecond * quotaWindowMs / 1000)
+    bucket.perSecond = limit.perSecond
+  }
+
+  private debitLostNodes (bucket: Bucket, limit: QuotaLimit, nowMs: number, elapsedMs: number): void {
+    if (bucket.lostNodes.size === 0) return
+    const lostCount = [...bucket.lostNodes.values()].filter(({ maxPerMs }) => maxPerMs > 0).length
     // What the lost nodes are asked for is taken to be what the others are.
-    const perNodeMs = bucket.lostNodes.size === 0 ? 0 : bucket.demand.sum(nowMs) / demandMs / Math.max(1, this.nodeCount() - bucket.lostNodes.size)
+    const perNodeMs = bucket.demand.sum(nowMs) / demandMs / Math.max(1, this.nodeCount() - lostCount)
+    const debits = [...bucket.lostNodes.values()].map(({ minPerMs, maxPerMs, untilMs }) => Math.min(maxPerMs, Math.max(minPerMs, perNodeMs)) * Math.max(0, Math.min(elapsedMs, untilMs - (nowMs - elapsedMs))))
+    const total = debits.reduce((sum, debit) => sum + debit, 0)
+    // Many lost nodes may not be asked for as much as the few others.
+    const part = Math.min(1, limit.perSecond * elapsedMs / 1000 / Math.max(total, Number.MIN_VALUE))
+    let index = 0
     for (const [node, lost] of bucket.lostNodes) {
-      const debit = Math.min(lost.maxPerMs, Math.max(lost.minPerMs, perNodeMs)) * Math.max(0, Math.min(elapsedMs, lost.untilMs - (nowMs - elapsedMs)))
+      const debit = debits[index++]! * part
       lost.debited += debit
       bucket.level -= debit
       if (nowMs >= lost.untilMs) bucket.lostNodes.delete(node)
     }
-    if (bucket.perSecond === limit.perSecond) return
-    // A debt from a much higher rate would take too long to pay back.
-    bucket.level = Math.max(bucket.level, -limit.perSecond * quotaWindowMs / 1000)
-    bucket.perSecond = limit.perSecond
   }
 }
 
--- a/tests/quota.spec.ts
+++ b/tests/quota.spec.ts
@@ -206,6 +206,28 @@
     }
   })
 
+  // Guards against debits for lost nodes that exceed the rate, after which a flood is refused as a whole for seconds.
+  it('grants again soon after most nodes were lost', async () => {
+    const clock = new VirtualClock(1_000_000)
+    const ledger = new QuotaLedger({ clock, limitOf: () => large, nodeCount: () => 10 })
+    const nodes = ['1', '2', '3', '4', '5', '6', '7', '8']
+    await clock.advance(1000)
+    const flood = async () => {
+      let granted = 0
+      for (let round = 0; round < 100; round++) {
+        if (ledger.grant('9', 'a', 50_000, 0).kind === 'granted') granted += 50_000
+        await clock.advance(100)
+      }
+      return granted
+    }
+    for (const node of nodes) ledger.grant(node, 'a', 100, 0)
+    for (const node of nodes) ledger.onNodeLost(node)
+    await flood()
+    for (const node of nodes) ledger.onNodeJoined(node)
+    // The onset of the flood takes the bucket into debt by up to 8 s of the rate.
+    expect(await flood()).to.be.at.least(2 * large.perSecond)
+  })
+
   // Shows that the checks fail: an equal share for each node refuses below the quota, and a bucket of the whole rate at each node exceeds it.
   it('finds what naive pools do wrong', async () => {
     const bucketPerNode = ({ perSecond, burst }: AccountQuota, share: number): Decide => {
