Request proxy: discard requests whose clients left before their connection was accepted

Node.js accepts one connection in each turn of its event loop, so on a busy node a connection may wait for seconds although no single turn takes long. Whether a client has left was looked up before sending only after turns of more than 100 ms. It now also is for the first request of each connection, whose close is read one turn after it.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -194,6 +194,7 @@
     // The parser goes on with what it has read from a connection that has been closed.
     if (socket.destroyed) return
     const metadata = this.options.codecs.readRequest(request.headers)
+    const isFirst = this.clients.isUnused(socket)
     const earlier = this.clients.latestOn(socket)
     const open = this.clients.register(request, response, metadata.requestId)
     if (this.clients.countOn(socket) > this.memory.limits.pipelinedRequests) {
@@ -211,7 +212,7 @@
       requestId: metadata.requestId
     })
     try {
-      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, open, incoming, hasLargeHead })
+      await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, isFirst, open, incoming, hasLargeHead })
     } finally {
       incoming.release()
     }
@@ -220,8 +221,8 @@
   /** Answers a request when the responses to earlier ones on its connection are complete. */
   private async answerInTurn (
     request: IncomingMessage, response: ServerResponse,
-    { metadata, arrivedAtMs, earlier, open, incoming, hasLargeHead }: {
-      metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, open: OpenRequest, incoming: ClientBody, hasLargeHead: boolean
+    { metadata, arrivedAtMs, earlier, isFirst, open, incoming, hasLargeHead }: {
+      metadata: RequestMetadata, arrivedAtMs: number, earlier: OpenRequest | undefined, isFirst: boolean, open: OpenRequest, incoming: ClientBody, hasLargeHead: boolean
     }
   ): Promise<void> {
     const { socket } = request
@@ -253,8 +254,9 @@
     if (body === 'no-room') return writer.sendError(503, 'this node holds too much for other clients', Math.min(busyRetryAfterMs, (metadata.deadlineMs ?? route.timeoutMs) * maxRetryAfterShare))
     if (body === 'stalled') return writer.sendError(408, 'the request body did not arrive in time')
     if (body === 'left') return
-    if ((this.options.loopDelayMs?.() ?? Infinity) > lateReadMs) {
-      // The request may have been sent long ago. Whether its client has closed the connection since is read after it.
+    if (isFirst || (this.options.loopDelayMs?.() ?? Infinity) > lateReadMs) {
+      // The request may have been sent long ago: Node.js accepts one connection in each turn of its event loop, however many wait.
+      // Whether the client has closed the connection since is read after the request.
       await ioTurn()
       if (this.clients.discardIfClosed(socket, open)) return
     }
--- a/tests/requestProxy.spec.ts
+++ b/tests/requestProxy.spec.ts
@@ -55,6 +55,22 @@
 
 const events = (last: number) => Array.from({ length: last }, (_, index) => event(index + 1)).join('')
 
+describe('request proxy of a busy node', () => {
+  it('discards requests whose clients left before their connections were accepted', async () => {
+    // Failure: connections are accepted one in each turn of the event loop. The last clients in the queue had closed theirs, and engines got their requests.
+    fixture = new RequestProxyFixture({ loopDelayMs: () => 0 })
+    await fixture.start([route()])
+    await fixture.addServer('a', ok)
+    for (let index = 0; index < 20; index++) {
+      fixture.connect().socket.end(`POST / HTTP/1.1\r\nHost: h\r\n${signedHeaders(`id${index}`)}Content-Length: 1\r\n\r\nx`)
+    }
+    await new Promise(resolve => setTimeout(resolve, 500))
+    fixture.stop()
+    // The first ones are read before their clients leave.
+    expect(fixture.received.length).to.be.below(8)
+  })
+})
+
 describe('request proxy', () => {
   beforeEach(() => { fixture = new RequestProxyFixture() })
   afterEach(() => fixture.stop())
