Quotas: no debits for nodes that are lost

The leader debited each node that it lost with the others' demand, for 30 s, since a node that is cut off could spend 1.2 of its equal share. Where many nodes are gone for good, that share of the rate is lost. Deputies stay.

--- a/src/policy/quotaLedger.ts
+++ b/src/policy/quotaLedger.ts
@@ -5,8 +5,6 @@
 
 /** Window of the platform's rule. */
 export const quotaWindowMs = 8000
-/** Load of an account from which its quota is taken to be used up. */
-export const highLoad = 0.9
 const slotMs = 50
 /** Length of the sums of demand. With a slot more and the way of a message, requests up to a window apart are counted together. */
 const demandMs = 7900
@@ -25,12 +23,8 @@
 const prefetchHeldMs = 1500
 /** Time in which the nodes connect to a new leader and report what they spent. Until then the ledger grants nothing and nodes spend on their own. */
 const settleMs = 500
-/** Time for which a node that was lost in a flood is taken to spend as before; afterwards it limits itself. */
-const floodLostMs = 10_000
-/** Time for which any other lost node is taken to spend as much as the connected ones; afterwards it no longer counts as one of the fleet. */
-const lostNodeMs = 30_000
-/** The most that such a node spends in a window, as a multiple of its equal share. */
-const lostNodeShare = 2
+/** Time for which a lost node is taken to spend as before; afterwards it limits itself. */
+const lostNodeMs = 10_000
 /** Time without a report after which a node is taken for lost: a cut network closes no connection. As long as a node waits for its leader. */
 const maxSilenceMs = 1600
 /** The most that one check adds to the silence, since reports may be unread after this process was frozen. */
@@ -52,14 +46,6 @@
 /** Ages in milliseconds and tokens. */
 export type SpentRows = [number, number][]
 
-interface LostNode {
-  /** The least and the most that it spends. */
-  minPerMs: number
-  maxPerMs: number
-  untilMs: number
-  debited: number
-}
-
 interface Bucket {
   /** Below zero after a grant for a request that exceeds the bucket, or for an account below its quota. */
   level: number
@@ -70,15 +56,13 @@
   demand: SlidingSum
   prefetched: SlidingSum
   byNode: Map<string, SlidingSum>
-  lostNodes: Map<string, LostNode>
+  lostNodes: Map<string, { perMs: number, untilMs: number, debited: number }>
 }
 
 export interface QuotaLedgerOptions {
   clock: Clock
   /** The quota in force; `undefined` if the account has none or doesn't exist. */
   limitOf: (account: string) => QuotaLimit | undefined
-  /** Number of nodes, lost ones included. */
-  nodeCount?: () => number
   onRefused?: (account: string) => void
 }
 
@@ -94,7 +78,6 @@
 export class QuotaLedger {
   private readonly clock: Clock
   private readonly limitOf: QuotaLedgerOptions['limitOf']
-  private readonly nodeCount: () => number
   private readonly onRefused: (account: string) => void
   private readonly buckets = new Map<string, Bucket>()
   private settledAtMs: number
@@ -104,10 +87,9 @@
   private readonly silenceMs = new Map<string, number>()
   private silenceCheckedAtMs: number
 
-  constructor ({ clock, limitOf, nodeCount = () => Infinity, onRefused = () => {} }: QuotaLedgerOptions) {
+  constructor ({ clock, limitOf, onRefused = () => {} }: QuotaLedgerOptions) {
     this.clock = clock
     this.limitOf = limitOf
-    this.nodeCount = nodeCount
     this.onRefused = onRefused
     this.silenceCheckedAtMs = clock.nowMs()
     this.settledAtMs = clock.nowMs() + settleMs
@@ -210,7 +192,7 @@
       if (limit) this.refill(bucket, limit, nowMs)
       const lost = bucket.lostNodes.get(node)
       // What was debited is set off against what the node then says it spent.
-      if (lost) lost.minPerMs = lost.maxPerMs = 0
+      if (lost) lost.perMs = 0
     }
   }
 
@@ -223,9 +205,7 @@
       if (!limit) continue
       this.refill(bucket, limit, nowMs)
       const perMs = (bucket.byNode.get(node)?.sum(nowMs) ?? 0) / quotaWindowMs
-      const isFlood = this.loadOf(bucket, limit, nowMs) > highLoad
-      const maxPerMs = isFlood ? perMs : Math.max(perMs, lostNodeShare * limit.perSecond / 1000 / this.nodeCount())
-      if (maxPerMs > 0) bucket.lostNodes.set(node, { minPerMs: perMs, maxPerMs, untilMs: nowMs + (isFlood ? floodLostMs : lostNodeMs), debited: 0 })
+      if (perMs > 0) bucket.lostNodes.set(node, { perMs, untilMs: nowMs + lostNodeMs, debited: 0 })
       bucket.byNode.delete(node)
     }
   }
@@ -236,16 +216,12 @@
     const rows: [string, number][] = []
     for (const [account, bucket] of this.buckets) {
       const limit = this.limitOf(account)
-      if (limit) rows.push([account, this.loadOf(bucket, limit, nowMs)])
+      if (limit) rows.push([account, bucket.demand.sum(nowMs) / (limit.perSecond * quotaWindowMs / 1000)])
       else this.buckets.delete(account)
     }
     return rows
   }
 
-  private loadOf ({ demand }: Bucket, { perSecond }: QuotaLimit, nowMs: number): number {
-    return demand.sum(nowMs) / (perSecond * quotaWindowMs / 1000)
-  }
-
   private bucketOf (account: string, limit: QuotaLimit, nowMs: number): Bucket {
     let bucket = this.buckets.get(account)
     if (!bucket) {
@@ -271,29 +247,16 @@
     const elapsedMs = Math.max(0, nowMs - bucket.refilledAtMs)
     bucket.refilledAtMs = nowMs
     bucket.level = Math.min(capacityOf(limit), bucket.level + limit.perSecond * elapsedMs / 1000)
-    this.debitLostNodes(bucket, limit, nowMs, elapsedMs)
-    if (bucket.perSecond === limit.perSecond) return
-    // A debt from a much higher rate would take too long to pay back.
-    bucket.level = Math.max(bucket.level, -limit.perSecond * quotaWindowMs / 1000)
-    bucket.perSecond = limit.perSecond
-  }
-
-  private debitLostNodes (bucket: Bucket, limit: QuotaLimit, nowMs: number, elapsedMs: number): void {
-    if (bucket.lostNodes.size === 0) return
-    const lostCount = [...bucket.lostNodes.values()].filter(({ maxPerMs }) => maxPerMs > 0).length
-    // What the lost nodes are asked for is taken to be what the others are.
-    const perNodeMs = bucket.demand.sum(nowMs) / demandMs / Math.max(1, this.nodeCount() - lostCount)
-    const debits = [...bucket.lostNodes.values()].map(({ minPerMs, maxPerMs, untilMs }) => Math.min(maxPerMs, Math.max(minPerMs, perNodeMs)) * Math.max(0, Math.min(elapsedMs, untilMs - (nowMs - elapsedMs))))
-    const total = debits.reduce((sum, debit) => sum + debit, 0)
-    // Many lost nodes may not be asked for as much as the few others.
-    const part = Math.min(1, limit.perSecond * elapsedMs / 1000 / Math.max(total, Number.MIN_VALUE))
-    let index = 0
     for (const [node, lost] of bucket.lostNodes) {
-      const debit = debits[index++]! * part
+      const debit = lost.perMs * Math.max(0, Math.min(elapsedMs, lost.untilMs - (nowMs - elapsedMs)))
       lost.debited += debit
       bucket.level -= debit
       if (nowMs >= lost.untilMs) bucket.lostNodes.delete(node)
     }
+    if (bucket.perSecond === limit.perSecond) return
+    // A debt from a much higher rate would take too long to pay back.
+    bucket.level = Math.max(bucket.level, -limit.perSecond * quotaWindowMs / 1000)
+    bucket.perSecond = limit.perSecond
   }
 }
 
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from '../base/clock.js'
 import type { Random } from '../base/random.js'
-import { highLoad, quotaWindowMs } from './quotaLedger.js'
+import { quotaWindowMs } from './quotaLedger.js'
 import type { QuotaLimit, SpentRows } from './quotaLedger.js'
 import { SlidingSum } from './slidingSum.js'
 
@@ -11,6 +11,8 @@
 const prefetchMs = 500
 /** Lifetime of prefetched tokens, from the time of the query. */
 const prefetchLifetimeMs = 1000
+/** Load of an account from which a node alone assumes that the quota is used up. */
+const highLoad = 0.9
 /** Share of the rate that all nodes together spend without a leader while the load is high: a flood goes on, and the next leader needs room. */
 const aloneShare = 0.8
 /** The same for nodes that have been alone for a whole window: the leader of the others no longer counts them. */
@@ -19,10 +21,6 @@
 const aloneRise = 1.2
 /** The least that a node spends alone, as a share of the rate divided by the number of nodes: more than the usual load of 0.55. */
 const equalShare = 0.65
-/** Time after which a node that is still alone is cut off, as few nodes are at a time, unless there is no leader: one would have been elected. */
-const cutOffAfterMs = 4000
-/** The same share for such a node. The leader debits it, and its demand is uneven. */
-const cutOffShare = 1.2
 /** Capacity of what a node may spend alone, as time at its rate. More would let a flood without a leader exceed the rule. */
 const aloneBurstMs = 2500
 /** Requests beyond that. Demand at a single node is uneven: with one, 40 of 631 requests below the quota were refused after a leader's end, with three 4 of 608. */
@@ -34,20 +32,6 @@
 /** After a refusal, requests that cost as much are refused at the node for this time at most, so that a flood doesn't flood the leader. */
 const maxRefusalCacheMs = 100
 
-interface AloneState {
-  sinceMs: number
-  level: number
-  /** The rate while this node does not take itself for cut off. */
-  usualPerSecond: number
-  perSecond: number
-  refilledAtMs: number
-  /** Cost of the requests that `level` had in advance. */
-  advanceCost: number
-  isCutOff: boolean
-  /** Time up to which `level` has what a node has that is cut off. */
-  risenUntilMs: number
-}
-
 interface Pool {
   held: { tokens: number, untilMs: number }[]
   demand: SlidingSum
@@ -59,7 +43,7 @@
   untold: SlidingSum
   /** Demand at all nodes as a share of the rate, as the leader said last. */
   load: number
-  aloneState: AloneState | undefined
+  aloneState: { sinceMs: number, level: number, perSecond: number, refilledAtMs: number } | undefined
   refusal: { tokens: number, untilMs: number } | undefined
 }
 
@@ -67,21 +51,13 @@
   clock: Clock
   random: Random
   nodeCount: () => number
-  /** Whether there may be a leader, which debits this node while it does not reach it. */
-  mayHaveLeader?: () => boolean
 }
 
 export class QuotaPool {
   private readonly pools = new Map<string, Pool>()
-  /** Since when there is a connection to neither the leader nor the deputy. */
-  private unconnectedSinceMs = Infinity
 
   constructor (private readonly options: QuotaPoolOptions) {}
 
-  setConnected (isConnected: boolean): void {
-    this.unconnectedSinceMs = isConnected ? Infinity : Math.min(this.unconnectedSinceMs, this.options.clock.nowMs())
-  }
-
   /** Takes prefetched tokens, or says what to ask the leader for, or how long a refusal still holds. */
   take (account: string, tokens: number): { kind: 'taken' } | { kind: 'refused', retryAfterMs: number } | { kind: 'ask', wanted: number } {
     const nowMs = this.options.clock.nowMs()
@@ -154,12 +130,7 @@
     const share = isHigh && nowMs - state.sinceMs > quotaWindowMs ? longAloneShare : aloneShare
     // All nodes refuse the same share of the requests, so what runs is right also where each node sees few.
     if (isHigh && random.next() >= share / pool.load) return thinnedRetryMs
-    this.setCutOff(state, limit, !isHigh && this.isCutOff)
-    if (state.isCutOff && tokens > state.advanceCost) {
-      state.level += aloneRequests * (tokens - state.advanceCost)
-      state.advanceCost = tokens
-    }
-    const capacity = aloneCapacity(state.perSecond, state.isCutOff ? state.advanceCost : tokens, isHigh)
+    const capacity = aloneCapacity(state.perSecond, tokens, isHigh)
     state.level = Math.min(capacity, state.level + state.perSecond * Math.max(0, nowMs - state.refilledAtMs) / 1000)
     state.refilledAtMs = nowMs
     if (state.level < tokens) return Math.min(maxAloneRetryMs, (tokens - state.level) / state.perSecond * 1000)
@@ -231,29 +202,14 @@
     for (const account of this.pools.keys()) if (!accounts.has(account)) this.pools.delete(account)
   }
 
-  private aloneStateOf (pool: Pool, { perSecond }: QuotaLimit, tokens: number, nowMs: number): AloneState {
+  private aloneStateOf (pool: Pool, { perSecond }: QuotaLimit, tokens: number, nowMs: number): NonNullable<Pool['aloneState']> {
     if (pool.aloneState) return pool.aloneState
     const ownPerSecond = pool.granted.sum(nowMs) / quotaWindowMs * 1000
     const rate = Math.max(ownPerSecond * (pool.load > highLoad ? 1 : aloneRise), equalShare * perSecond / Math.max(1, this.options.nodeCount()))
-    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens, pool.load > highLoad), usualPerSecond: rate, perSecond: rate, refilledAtMs: nowMs, advanceCost: tokens, isCutOff: false, risenUntilMs: nowMs }
+    pool.aloneState = { sinceMs: nowMs, level: aloneCapacity(rate, tokens, pool.load > highLoad), perSecond: rate, refilledAtMs: nowMs }
     return pool.aloneState
   }
 
-  private get isCutOff (): boolean {
-    const { clock, mayHaveLeader } = this.options
-    return clock.nowMs() - this.unconnectedSinceMs > cutOffAfterMs && (mayHaveLeader?.() ?? true)
-  }
-
-  /** Gives a node that is cut off what it would have if it had known from the beginning. */
-  private setCutOff (state: AloneState, { perSecond }: QuotaLimit, isCutOff: boolean): void {
-    if (state.isCutOff === isCutOff) return
-    state.isCutOff = isCutOff
-    const rise = isCutOff ? Math.max(0, cutOffShare * perSecond / Math.max(1, this.options.nodeCount()) - state.usualPerSecond) : 0
-    state.perSecond = state.usualPerSecond + rise
-    state.level += rise * Math.max(0, state.refilledAtMs - state.risenUntilMs) / 1000
-    state.risenUntilMs = state.refilledAtMs
-  }
-
   private poolOf (account: string): Pool {
     let pool = this.pools.get(account)
     if (!pool) {
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -134,7 +134,6 @@
     this.quotas = new QuotaLedger({
       clock,
       limitOf: account => this.accountsByName().get(account)?.quota,
-      nodeCount: () => options.size.value,
       onRefused: account => this.overQuota.onRefused(account)
     })
     this.overQuota = new OverQuotaLog({ clock, log: options.log, decidedBy: 'leader' })
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -45,8 +45,6 @@
   sendToDeputy?: (message: QuotaAskMessage) => boolean
   /** The ledger while this node is the deputy and decides. */
   deputyLedger?: () => QuotaLedger | undefined
-  /** Whether there may be a leader: the store shows one, or this node does not reach the store. */
-  mayHaveLeader?: () => boolean
   /** Reads what has reached the sockets before silence counts. */
   readArrived?: () => Promise<void>
   onEvent?: (event: QuotaEvent, account: string, tokens: number) => void
@@ -91,7 +89,6 @@
   private returned = new Map<string, number>()
   /** Fence of the leader that knows what this node spent. */
   private reportedFence: number | undefined
-  private readonly connections = { leader: false, deputy: false }
 
   constructor (options: QuotaClientOptions) {
     this.options = options
@@ -143,7 +140,6 @@
   /** Tells the leader what it doesn't know of this node's spending. */
   onConnected (fence: number | undefined): void {
     this.pausedUntilMs = -Infinity
-    this.setConnected({ leader: true })
     const isNewLeader = fence !== this.reportedFence
     // A new leader is told only what is still spent.
     if (isNewLeader) this.returned.clear()
@@ -156,14 +152,12 @@
   /** The same for the ledger of this node when it begins to lead. */
   onOwnTerm (ledger: QuotaLedger): void {
     this.reportedFence = undefined
-    this.setConnected({ leader: true })
     this.returned.clear()
     this.reportTo(ledger, { isNewLeader: true })
   }
 
   /** Nothing sent over the lost connection is answered any more. */
   onLost (): void {
-    this.setConnected({ leader: false })
     this.dropBatches({ isDeputy: false })
     this.openBatch = undefined
   }
@@ -171,7 +165,6 @@
   /** Names this node to the deputy, which then asks for what it does not know. */
   onDeputyConnected (): void {
     this.pausedUntilMs = -Infinity
-    this.setConnected({ deputy: true })
     this.options.sendToDeputy?.({ node: this.options.node, quotaAsk: 0, rows: [] })
   }
 
@@ -182,7 +175,6 @@
   }
 
   onDeputyLost (): void {
-    this.setConnected({ deputy: false })
     this.dropBatches({ isDeputy: true })
   }
 
@@ -192,11 +184,6 @@
     this.pool.onDeputyTold()
   }
 
-  private setConnected (change: Partial<QuotaClient['connections']>): void {
-    Object.assign(this.connections, change)
-    this.pool.setConnected(this.connections.leader || this.connections.deputy)
-  }
-
   private dropBatches ({ isDeputy }: { isDeputy: boolean }): void {
     for (const [number, batch] of this.batches) {
       if (batch.isDeputy !== isDeputy) continue
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -70,8 +70,6 @@
 const sharedTimeoutsBeforePause = 3
 /** Time without a leader after which the deputy is asked, since a new leader may be known at once. */
 const deputyDelayMs = 20
-/** Age of the store's view up to which it shows that there is no leader. A watch without changes takes 2,000 ms. */
-const maxLeaderlessAgeMs = 4000
 /** Interval of attempts to connect to the deputy. */
 const deputyReconnectMs = 1000
 /** A leader that crashed may have sent a command up to one renewal interval before its lease began to expire. */
@@ -177,7 +175,6 @@
       localLedger: () => this.leaderTerm?.quotas,
       sendToDeputy: message => this.deputyLink.sendIfConnected(message),
       deputyLedger: () => this.quotaDeputy.ledger,
-      mayHaveLeader: () => this.leadership.leader !== undefined || this.storeView.ageMs > maxLeaderlessAgeMs,
       onEvent: (event, account, tokens) => options.metrics?.onQuota(event, account, tokens)
     })
     this.deputySearch = new DeputySearch(clock)
