Leader term: forget the arrivals of models that nobody asks for

A node asks the leader for an engine before it looks whether the model exists, and the leader kept a sum of arrivals for each name for its whole term: clients that make names up grew it without a bound. The sums are now one class that forgets a key once its window is empty, as RateForecast does.

--- a/src/policy/slidingSum.ts
+++ b/src/policy/slidingSum.ts
@@ -39,3 +39,30 @@
     while (this.slots.length > 0 && this.slots[0]!.index < oldest) this.slots.shift()
   }
 }
+
+/** Sums over a sliding window by key. A key whose window has become empty is forgotten, since clients may make keys up. */
+export class SlidingSums {
+  private readonly sums = new Map<string, SlidingSum>()
+
+  constructor (private readonly windowMs: number, private readonly slotMs: number) {}
+
+  add (key: string, amount: number, nowMs: number): void {
+    let sum = this.sums.get(key)
+    if (!sum) {
+      for (const [known, other] of this.sums) if (other.sum(nowMs) === 0) this.sums.delete(known)
+      sum = new SlidingSum(this.windowMs, this.slotMs)
+      this.sums.set(key, sum)
+    }
+    sum.add(amount, nowMs)
+  }
+
+  /** Sum over at least the last `windowMs` and at most one slot more; 0 for unknown keys. */
+  sum (key: string, nowMs: number): number {
+    return this.sums.get(key)?.sum(nowMs) ?? 0
+  }
+
+  /** Number of known keys. */
+  get size (): number {
+    return this.sums.size
+  }
+}
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -11,7 +11,7 @@
 import { QuotaLedger } from '../policy/quotaLedger.js'
 import { RateForecast } from '../policy/rateForecast.js'
 import { RunTime } from '../policy/runTime.js'
-import { SlidingSum } from '../policy/slidingSum.js'
+import { SlidingSums } from '../policy/slidingSum.js'
 import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
@@ -87,7 +87,7 @@
   /** Arrivals of requests, by `SERVICE/MODEL`. */
   private readonly arrivals: RateForecast
   /** The same over a longer window, for models of which requests come now and then. */
-  private readonly recentArrivals = new Map<string, SlidingSum>()
+  private readonly recentArrivals = new SlidingSums(arrivalWindowMs, arrivalSlotMs)
   /** By service. */
   private readonly runTimes = new Map<string, RunTime>()
   readonly quotas: QuotaLedger
@@ -296,7 +296,7 @@
     if (!request.isFirst) return
     const key = `${request.service}/${request.model}`
     this.arrivals.add(key, 1)
-    this.recentArrivalsOf(key).add(1, this.options.clock.nowMs())
+    this.recentArrivals.add(key, 1, this.options.clock.nowMs())
     this.prefillMs.add(key, this.dispatcher.minimumPrefillMs(request, candidates))
   }
 
@@ -422,14 +422,7 @@
   }
 
   private expectedArrivals (service: string, model: string, withinMs: number): number {
-    const recent = this.recentArrivals.get(`${service}/${model}`)?.sum(this.options.clock.nowMs()) ?? 0
-    return recent / arrivalWindowMs * withinMs
-  }
-
-  private recentArrivalsOf (key: string): SlidingSum {
-    let recent = this.recentArrivals.get(key)
-    if (!recent) this.recentArrivals.set(key, recent = new SlidingSum(arrivalWindowMs, arrivalSlotMs))
-    return recent
+    return this.recentArrivals.sum(`${service}/${model}`, this.options.clock.nowMs()) / arrivalWindowMs * withinMs
   }
 
   private expectedRunning (service: string, model: string, horizonMs: number): number {
--- a/tests/replicaPlanning.spec.ts
+++ b/tests/replicaPlanning.spec.ts
@@ -5,6 +5,7 @@
 import { LoadRate } from '../src/policy/loadRate.js'
 import { RateForecast } from '../src/policy/rateForecast.js'
 import { RunTime } from '../src/policy/runTime.js'
+import { SlidingSums } from '../src/policy/slidingSum.js'
 
 const weightsMb = 70
 const slots = 64
@@ -190,3 +191,14 @@
     expect(loads.length).to.be.at.least(30)
   })
 })
+
+describe('arrivals by model', () => {
+  it('forget models of which no more requests come', () => {
+    // Failure: clients ask for models that do not exist, and the leader keeps an entry for each of them for its whole term.
+    const arrivals = new SlidingSums(8000, 500)
+    for (let index = 0; index < 1000; index++) arrivals.add(`s/made-up-${index}`, 1, index * 100)
+    expect(arrivals.size).to.be.below(100)
+    expect(arrivals.sum('s/made-up-999', 99_900)).to.equal(1)
+    expect(arrivals.sum('s/made-up-0', 99_900)).to.equal(0)
+  })
+})
