Leader: less work for each report and request

The candidates of a request that asks again were computed for the demand, which counts only first requests; they no longer are.

--- a/src/policy/tokenLedger.ts
+++ b/src/policy/tokenLedger.ts
@@ -54,13 +54,20 @@
 
   /** Returns whether an engine holds less than before the report. */
   onReport ({ node, lastAssignment, rows }: TokenReport): boolean {
-    const covered = [...this.assignments].filter(([number, assignment]) => assignment.node === node && number <= lastAssignment)
-    const engines = [...(this.reports.get(node)?.rows ?? []).map(([engine]) => engine), ...covered.map(([, { engine }]) => engine)]
-    const before = new Map(engines.map(engine => [engine, this.of(engine)]))
+    const before = new Map<string, number>()
+    const noteHeld = (engine: string) => { if (!before.has(engine)) before.set(engine, this.of(engine)) }
+    for (const [engine] of this.reports.get(node)?.rows ?? []) noteHeld(engine)
+    // Hundreds of reports a second search all assignments, so these are not copied.
+    const covered: number[] = []
+    for (const [number, assignment] of this.assignments) {
+      if (assignment.node !== node || number > lastAssignment) continue
+      covered.push(number)
+      noteHeld(assignment.engine)
+    }
     this.removeReport(node)
     this.reports.set(node, { rows, atMs: this.clock.nowMs() })
     for (const [engine, tokens] of rows) this.add(engine, tokens)
-    for (const [number] of covered) this.release(number)
+    for (const number of covered) this.release(number)
     return [...before].some(([engine, tokens]) => this.of(engine) < tokens)
   }
 
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -224,13 +224,14 @@
   /** The dispatch decision for a request of any node, which excludes the servers that want none from it; `undefined` if this node knows no engine that can serve it. */
   dispatch (request: DispatchRequest): DispatchDecision | undefined {
     const candidates = this.candidatesOf(request)
-    this.countDemand(request, candidates)
+    if (request.isFirst) this.countDemand(request, candidates)
     return this.decideOnParts(request, candidates)
   }
 
   /** Like `dispatch`, but lets the request wait for an engine. Returns whether it waits; otherwise it has been answered. */
   queueForSlot (request: SlotRequest): boolean {
-    this.countDemand(request.dispatch, this.candidatesOf(request.dispatch))
+    const { dispatch } = request
+    if (dispatch.isFirst) this.countDemand(dispatch, this.candidatesOf(dispatch))
     return this.slots.submit(request)
   }
 
@@ -291,9 +292,8 @@
     }))
   }
 
-  /** The demand for the model, to which each request counts once. */
+  /** The demand for the model, to which each request counts once, with its first dispatch request. */
   private countDemand (request: DispatchRequest, candidates: readonly DispatchCandidate[]): void {
-    if (!request.isFirst) return
     const key = `${request.service}/${request.model}`
     this.arrivals.add(key, 1)
     this.recentArrivals.add(key, 1, this.options.clock.nowMs())
