Serving: one index of accounts, one record of each peer, one sum of head texts

The leader looked accounts up in an index and the quota deputy searched the list for each query; both now use AccountIndex. The name and the address of a peer stood in two maps with the same keys. The sizes of a head's texts were summed by two loops, for the memory budget and for the limit on heads.

--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -4,6 +4,7 @@
 import { ByteBuffer } from '../base/byteBuffer.js'
 import { progressBytes } from '../policy/clientMemory.js'
 import type { ActiveUpload, ClientMemory } from './clientMemory.js'
+import { headTextBytes } from './requestHead.js'
 
 /** Estimate of the memory that the objects of one request take besides its head and body. */
 const requestBytes = 6 * 1024
@@ -36,7 +37,7 @@
     this.requestId = requestId
     this.upload = { progressAtMs: nowMs, receivedAtMs: nowMs, deadlineAtMs, heldBytes: 0, giveUp: () => this.settle('stalled') }
     this.result = new Promise(resolve => { this.resolve = resolve })
-    this.headBytes = requestBytes + request.rawHeaders.reduce((sum, { length }) => sum + length, request.url!.length)
+    this.headBytes = requestBytes + headTextBytes(request)
     const declaredBytes = Number(request.headers['content-length'] ?? 0)
     if (declaredBytes > maxBytes) this.settle('too-large')
     // Taken at once, so that bodies that have begun can be completed.
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -12,10 +12,10 @@
 import { RateForecast } from '../policy/rateForecast.js'
 import { RunTime } from '../policy/runTime.js'
 import { SlidingSums } from '../policy/slidingSum.js'
+import { AccountIndex } from './accountIndex.js'
 import type { CapacityTerm } from './learnedCapacity.js'
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
-import type { Account } from './deployment.js'
 import type { FleetSize } from './fleetSize.js'
 import { encodeSlotAnswer, packChanges } from './peerMessages.js'
 import type { ChangeRange, Confirmation, LeaderReport, NodeReport, QuotaAskMessage, QuotaReply, SlotCancel } from './peerMessages.js'
@@ -92,7 +92,6 @@
   private readonly runTimes = new Map<string, RunTime>()
   readonly quotas: QuotaLedger
   private readonly overQuota: OverQuotaLog
-  private accounts: { listed: Account[] | undefined, byName: ReadonlyMap<string, Account> } = { listed: undefined, byName: new Map() }
   private quotaLoads = new Map<string, number>()
   /** IP addresses of the nodes that decide on quotas without a leader, as last broadcast. */
   deputies: readonly string[] = []
@@ -131,9 +130,10 @@
       onAssigned: options.onSlotAssigned,
       onRefused: (reason, request) => this.onSlotRefused(reason, request)
     })
+    const accounts = new AccountIndex(options.deployment)
     this.quotas = new QuotaLedger({
       clock,
-      limitOf: account => this.accountsByName().get(account)?.quota,
+      limitOf: account => accounts.get(account)?.quota,
       onRefused: account => this.overQuota.onRefused(account)
     })
     this.overQuota = new OverQuotaLog({ clock, log: options.log, decidedBy: 'leader' })
@@ -236,13 +236,6 @@
   }
 
   /** The accounts of the configuration in force. */
-  private accountsByName (): ReadonlyMap<string, Account> {
-    const accounts = this.options.deployment()?.accounts
-    // Reversed, so that the first account of a name counts.
-    if (this.accounts.listed !== accounts) this.accounts = { listed: accounts, byName: new Map([...accounts ?? []].reverse().map(account => [account.name, account])) }
-    return this.accounts.byName
-  }
-
   /** A node asks for a slot. `reply` identifies its connection. */
   onSlotRequest (ask: number, dispatch: DispatchRequest, place: QueuePlace, reply: Send): void {
     const onAnswer = (answer: SlotAnswer) => reply({ ask, ...encodeSlotAnswer(answer) })
--- a/src/serving/requestHead.ts
+++ b/src/serving/requestHead.ts
@@ -9,10 +9,14 @@
 /** Of a colon, a space and a line end. */
 const fieldBytes = 4
 
+/** Size of the request target, and of the names and values of the fields. */
+export function headTextBytes ({ url = '', rawHeaders }: Pick<IncomingMessage, 'url' | 'rawHeaders'>): number {
+  return rawHeaders.reduce((sum, { length }) => sum + length, url.length)
+}
+
 /** Size as it is usually sent, with one space after each colon. The parser keeps neither spaces nor line ends. */
-export function headBytes ({ method = '', url = '', rawHeaders }: Pick<IncomingMessage, 'method' | 'url' | 'rawHeaders'>): number {
-  const texts = rawHeaders.reduce((sum, { length }) => sum + length, method.length + 1 + url.length)
-  return fixedBytes + texts + rawHeaders.length / 2 * fieldBytes
+function headBytes (request: Pick<IncomingMessage, 'method' | 'url' | 'rawHeaders'>): number {
+  return fixedBytes + (request.method ?? '').length + 1 + headTextBytes(request) + request.rawHeaders.length / 2 * fieldBytes
 }
 
 export function isHeadTooLarge (request: Pick<IncomingMessage, 'method' | 'url' | 'rawHeaders'>, maxBytes: number): boolean {
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -14,6 +14,7 @@
 import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
 import { AccountCheck } from './accountCheck.js'
+import { AccountIndex } from './accountIndex.js'
 import type { QueuePlace } from '../policy/slotQueue.js'
 import type { Codecs } from './codecs.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
@@ -121,9 +122,8 @@
   private deputies: readonly string[] = []
   /** The deputy that this node has chosen, which may be itself. */
   private deputyHost: string | undefined
-  /** Name of the node at the other end of each connection to this leader. */
-  private readonly peerNames = new Map<Send, string>()
-  private readonly peerAddresses = new Map<Send, { ip: string | undefined, reportedAtMs: number }>()
+  /** The node at the other end of each connection to this leader, by its reports. */
+  private readonly peerNodes = new Map<Send, { name: string, ip: string | undefined, reportedAtMs: number }>()
   private leaderFence: number | undefined
   private readonly earlySpending: EarlySpending
   private readonly loopDelay: LoopDelay
@@ -179,9 +179,10 @@
     })
     this.deputySearch = new DeputySearch(clock)
     this.overQuota = new OverQuotaLog({ clock, log, decidedBy: 'deputy' })
+    const accountIndex = new AccountIndex(() => this.deployment)
     this.quotaDeputy = new QuotaDeputy({
       clock,
-      limitOf: account => this.deployment?.accounts?.find(({ name }) => name === account)?.quota,
+      limitOf: account => accountIndex.get(account)?.quota,
       nodeCount: () => this.size.value,
       hasLeader: () => this.hasLeader,
       onRefused: account => this.overQuota.onRefused(account),
@@ -265,8 +266,8 @@
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if ('quotaAsk' in message) {
           if (this.quotaDeputy.onQuotaAsk(message, reply)) return
-          if (!this.leaderTerm && message.spent) this.earlySpending.add(reply, this.peerNames.get(reply) ?? '', message.spent)
-          const answer = this.leaderTerm?.onQuotaAsk(this.peerNames.get(reply) ?? '', message)
+          if (!this.leaderTerm && message.spent) this.earlySpending.add(reply, this.nameOf(reply), message.spent)
+          const answer = this.leaderTerm?.onQuotaAsk(this.nameOf(reply), message)
           if (answer && answer.rows.length > 0) reply(answer)
           return
         }
@@ -279,7 +280,7 @@
           else if (message.parts) this.quarantine.merge(message.parts, { isNews: false })
           return this.sendParts()
         }
-        const ask = { ...decodeDispatchRequest(message), node: this.peerNames.get(reply) ?? '' }
+        const ask = { ...decodeDispatchRequest(message), node: this.nameOf(reply) }
         if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place, message.answerLeftMs), reply)
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(ask)) })
       },
@@ -549,7 +550,7 @@
     this.leaderTerm?.stop()
     if (this.leaderTerm) {
       this.forgetAssignments()
-      this.earlySpending.onTermEnded(this.peerNames.keys())
+      this.earlySpending.onTermEnded(this.peerNodes.keys())
     }
     this.leaderTerm = undefined
     this.size.stopCounting()
@@ -579,7 +580,7 @@
       loadWindowMs: settings.loadWindowMs,
       sharesServers: settings.sharesServers,
       ownReport: () => this.report(),
-      deputyAddresses: current => chooseDeputies(this.peerAddresses.values(), current, clock.nowMs()),
+      deputyAddresses: current => chooseDeputies(this.peerNodes.values(), current, clock.nowMs()),
       onSlotAssigned: queuedMs => this.options.metrics?.onSlotAssigned(queuedMs),
       onSlotRefused: reason => this.options.metrics?.onSlotRefused(reason),
       onSlotReturned: () => this.options.metrics?.onSlotReturned(),
@@ -595,20 +596,22 @@
   }
 
   private nameLink ({ node, ip }: NodeReport, link: Send): void {
-    this.peerAddresses.set(link, { ip: ip ?? this.peerAddresses.get(link)?.ip, reportedAtMs: this.options.clock.nowMs() })
-    if (this.peerNames.get(link) === node) return
-    this.peerNames.set(link, node)
-    this.leaderTerm?.quotas.onNodeJoined(node)
+    const known = this.peerNodes.get(link)
+    this.peerNodes.set(link, { name: node, ip: ip ?? known?.ip, reportedAtMs: this.options.clock.nowMs() })
+    if (known?.name !== node) this.leaderTerm?.quotas.onNodeJoined(node)
+  }
+
+  private nameOf (link: Send): string {
+    return this.peerNodes.get(link)?.name ?? ''
   }
 
   private onPeerLeft (link: Send): void {
     this.quotaDeputy.onLeft(link)
     this.leaderTerm?.onNodeLeft(link)
-    const name = this.peerNames.get(link)
-    this.peerNames.delete(link)
-    this.peerAddresses.delete(link)
+    const left = this.peerNodes.get(link)
+    this.peerNodes.delete(link)
     // A node that connects again may do so before its old connection is seen to close.
-    if (name !== undefined && ![...this.peerNames.values()].includes(name)) this.leaderTerm?.quotas.onNodeLost(name)
+    if (left && ![...this.peerNodes.values()].some(({ name }) => name === left.name)) this.leaderTerm?.quotas.onNodeLost(left.name)
   }
 
   private onLeader (leader: Leader | undefined): void {
