Review: streams with a long event are broken off

Cause: the ID of an event is looked for in its first 256 bytes; behind a longer one the next event counts as a gap. Nothing is fixed.

--- a/review/standins-2/engine.mjs
+++ b/review/standins-2/engine.mjs
@@ -16,6 +16,8 @@
    */
   constructor ({ id, ip, service, zone, store, spec, models, eventMs = 50, checksFences = true, onEvent = () => {} }) {
     Object.assign(this, { id, ip, service, zone, store, spec, initialModels: models, eventMs, checksFences, onEvent })
+    /** By how much the ID of an event exceeds that of the one before. */
+    this.idStep = 1
     this.reset()
     this.sockets = new Set()
     this.isDown = true
@@ -132,13 +134,13 @@
     this.onEvent('runs', { request: id, engine: this.id, model: request.headers['x-model'], path: request.url, body })
     try {
       const events = Number((request.headers['x-token-count'] ?? '0,20').split(',')[1])
-      const last = Number(request.headers['last-event-id'] ?? 0)
+      const last = Number(request.headers['last-event-id'] ?? 0) / this.idStep
       await sleep(firstEventMs)
       if (this.run !== run || response.destroyed) return
       response.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': id, 'X-Server-Stamp': `${this.id}.${id}` })
       for (let event = last + 1; event <= events; event++) {
         if (this.run !== run || response.destroyed) return
-        response.write(`id: ${event}\ndata: ${id}.${event}\n\n`)
+        response.write(this.eventText(id, event))
         await sleep(this.eventMs)
       }
       response.end()
@@ -150,6 +152,10 @@
     }
   }
 
+  eventText (id, event) {
+    return `id: ${event * this.idStep}\ndata: ${id}.${event}\n\n`
+  }
+
   refuse (request, response, status) {
     this.reply(response, status, {}, { 'X-Not-Executed': '1', 'X-Attempt-Id': request.headers['x-attempt-id'] ?? '' })
   }
