--- a/review/standins-2/nodes.mjs
+++ b/review/standins-2/nodes.mjs
@@ -97,6 +97,20 @@
   constructor () {
     this.folder = mkdtempSync(join(tmpdir(), 'teaselrill-review-'))
     this.all = []
+    // A script that is ended leaves nothing behind.
+    process.once('exit', () => {
+      this.kill()
+      rmSync(this.folder, { recursive: true, force: true })
+    })
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.once(signal, () => process.exit(2))
+  }
+
+  kill () {
+    for (const { child, isEnded } of this.all) {
+      if (isEnded) continue
+      child.kill('SIGCONT')
+      child.kill('SIGKILL')
+    }
   }
 
   /** The node's process, which is not started again by itself. */
@@ -135,11 +149,7 @@
   }
 
   async stop () {
-    for (const { child, isEnded } of this.all) {
-      if (isEnded) continue
-      child.kill('SIGCONT')
-      child.kill('SIGKILL')
-    }
+    this.kill()
     while (this.all.some(({ isEnded }) => !isEnded)) await sleep(10)
     rmSync(this.folder, { recursive: true, force: true })
   }
