Review: whole streams without a length are reset at engines that drop idle connections

Cause: the connection that shows that an engine outlived its answer is used every 1.5 s or half of the stated idle time; an engine that drops idle connections sooner leaves none, and the end is not believed. Nothing is fixed.

--- a/review/standins-2/client.mjs
+++ b/review/standins-2/client.mjs
@@ -29,7 +29,7 @@
       response.setEncoding('utf8')
       response.on('data', text => { answer.text += text })
       response.on('close', () => {
-        answer.isComplete = response.complete
+        answer.isComplete = response.complete && answer.error === undefined
         finish()
       })
     })
