Review: times of the records in milliseconds

Cause: times of ten seconds read like addresses that are not loopback. Change: records state milliseconds since the start.

--- a/review/standins-2/record.mjs
+++ b/review/standins-2/record.mjs
@@ -1,4 +1,4 @@
-/** Writes what was sent, answered and run to `record.txt`, with the time since the start in seconds. */
+/** Writes what was sent, answered and run to `record.txt`, with the time since the start in milliseconds. */
 
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -15,7 +15,7 @@
   }
 
   add (what, details = {}) {
-    this.lines.push(`${this.atS.toFixed(3)} ${what} ${JSON.stringify(details)}`)
+    this.lines.push(`${Math.round(this.atS * 1000)} ${what} ${JSON.stringify(details)}`)
   }
 
   write () {
