Send only the newest change of each key, and survive a message that cannot be sent

Cause: the change feed kept every version of a key for 2 s, and a node that connected got all of them in one message of 3.2 MB; frames are limited to 2 MiB. encodeFrame threw in the listener for connections, which ended the leader.

Change: the feed keeps the newest change of each key and splits what is larger than 1 MiB into ranges. A message that cannot be encoded or handled is logged and costs itself or its connection. A node that reads slowly misses broadcasts and gets the complete state when it has caught up; its connection was closed at 512 KiB unread, and the full report of the next one was larger. Packed changes are shared by nodes that connect at once, and decompression has a limit.

Why it works: a range takes a node from its start to its end whatever older versions it leaves out, and its size depends on the number of keys, not on that of changes.

--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -96,6 +96,8 @@
   /** IP addresses of the nodes that decide on quotas without a leader, as last broadcast. */
   deputies: readonly string[] = []
   private changeFeed: ChangeFeed
+  /** Compressed changes, since many nodes connect at once and get the same ones. */
+  private readonly packed = new WeakMap<ChangeRange, Uint8Array>()
   private cancelUpdate: CancelTimer | undefined
   private sizeWrittenAtMs = -Infinity
   private quarantineWrittenAtMs = -Infinity
@@ -165,11 +167,11 @@
     this.placement.stop()
   }
 
-  /** The complete state, for a node that has just connected. */
-  fullReport (): LeaderReport {
+  /** The complete state, for a node that has just connected, or that has received no store changes after `sinceRevision`. */
+  fullReports (sinceRevision?: number): LeaderReport[] {
     const parts = this.options.quarantine.allFacts()
     const rows = { ...this.leavingRows(), ...this.options.capacityTerm?.fullRows(), ...this.loadRows([...this.quotaLoads]), ...(this.deputies.length === 0 ? {} : { deputies: [...this.deputies] }), ...(parts ? { parts } : {}) }
-    return { ...this.placement.fullReport(), ...rows, nodes: this.options.nodeAddresses(), news: this.storeUpdate(this.changeFeed.catchUpRange()) }
+    return this.withNews({ ...this.placement.fullReport(), ...rows, nodes: this.options.nodeAddresses() }, this.changeFeed.catchUpRanges(sinceRevision))
   }
 
   /** Confirms a node's view of the store as far as this node's own is confirmed; `undefined` if it is not. */
@@ -446,7 +448,14 @@
 
   private broadcastUpdate (running: LeaderReport['running'], rows?: Pick<LeaderReport, 'capacity' | 'quotaLoads' | 'deputies'>): void {
     if (this.isStopped) return
-    this.options.broadcast({ fence: this.options.fence, ...this.leavingRows(), ...rows, news: this.storeUpdate(this.changeFeed.nextRange()), hosting: [], running })
+    const reports = this.withNews({ fence: this.options.fence, ...this.leavingRows(), ...rows, hosting: [], running }, this.changeFeed.nextRanges())
+    for (const report of reports) this.options.broadcast(report)
+  }
+
+  /** The report with the first range of store changes, and one for each further range. */
+  private withNews (report: LeaderReport, ranges: readonly ChangeRange[]): LeaderReport[] {
+    const further = { fence: this.options.fence, hosting: [], running: [] }
+    return ranges.map((range, index) => ({ ...(index === 0 ? report : further), news: this.storeUpdate(range) }))
   }
 
   private leavingRows (): Pick<LeaderReport, 'leaving'> {
@@ -454,12 +463,15 @@
     return leaving.length > 0 ? { leaving } : {}
   }
 
-  private storeUpdate ({ fromRevision, revision, changes }: ChangeRange): LeaderReport['news'] {
+  private storeUpdate (range: ChangeRange): LeaderReport['news'] {
     const { storeView, size, clock } = this.options
+    const { fromRevision, revision, changes } = range
+    let packed = this.packed.get(range)
+    if (!packed) this.packed.set(range, packed = packChanges(changes))
     return {
       fromRevision,
       revision,
-      changes: packChanges(changes),
+      changes: packed,
       ageMs: storeView.ageMs,
       nodeCount: size.value,
       returnedMsAgo: storeView.outageEndedAtMs === undefined ? null : clock.nowMs() - storeView.outageEndedAtMs
--- a/src/serving/peerLink.ts
+++ b/src/serving/peerLink.ts
@@ -5,11 +5,12 @@
 import type { z } from 'zod'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { repeat } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
 import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
-import { encodeFrame, FrameDecoder } from '../protocol/framing.js'
+import { encodeFrame, FrameDecoder, maxFrameBytes } from '../protocol/framing.js'
 import { leaderMessageSchema, nodeMessageSchema } from './peerMessages.js'
-import type { LeaderMessage, NodeMessage } from './peerMessages.js'
+import type { LeaderMessage, LeaderReport, NodeMessage } from './peerMessages.js'
 
 /** Reports arrive several times a second, so a connection without data for this long is dead. */
 const peerTimeoutMs = 1600
@@ -21,17 +22,39 @@
 const defaultReconnectMs = 250
 /** Time for a single message to a node. */
 const sendOnceTimeoutMs = 1000
-/** The connection to a peer that does not read is closed before it fills this process's memory. */
-const maxBufferedBytes = 512 * 1024
+/** The connection to a peer that does not read is closed before it fills this process's memory. Some of the largest messages may wait. */
+const maxBufferedBytes = 4 * maxFrameBytes
+/** A node with more unread bytes gets no further broadcasts; it gets the complete state once it has read them. */
+const maxBacklogBytes = 512 * 1024
+
+/** The frame of a message, or `undefined` for one that cannot be sent: it must not end the process, which serves clients. */
+function frameOf (message: NodeMessage | LeaderMessage, log: Log): Uint8Array | undefined {
+  try {
+    return encodeFrame(message)
+  } catch (error) {
+    log('error', 'message to a peer not sent', { fields: Object.keys(message), error: messageOf(error) })
+    return undefined
+  }
+}
+
+interface LinkOptions<T> {
+  clock: Clock
+  log: Log
+  schema: z.ZodType<T>
+  onMessage: (message: T) => void
+  onClosed: (reason: string) => void
+}
 
 /** One end of a connection. */
 class Link<T> {
   readonly socket: Socket
   lastReceivedMs: number
   hasReceived = false
+  private readonly log: Log
 
-  constructor (socket: Socket, schema: z.ZodType<T>, clock: Clock, onMessage: (message: T) => void, onClosed: (reason: string) => void) {
+  constructor (socket: Socket, { clock, log, schema, onMessage, onClosed }: LinkOptions<T>) {
     this.socket = socket
+    this.log = log
     this.lastReceivedMs = clock.nowMs()
     const decoder = new FrameDecoder(schema)
     socket.setNoDelay(true)
@@ -39,7 +62,13 @@
       this.lastReceivedMs = clock.nowMs()
       this.hasReceived = true
       const { messages, error } = decoder.push(data)
-      for (const message of messages) onMessage(message)
+      try {
+        for (const message of messages) onMessage(message)
+      } catch (failure) {
+        // Whatever a peer sends, this process goes on.
+        log('error', 'message of a peer not handled', { error: messageOf(failure), stack: (failure as Error).stack })
+        socket.destroy()
+      }
       if (error) socket.destroy(error)
     })
     let reason = 'closed'
@@ -47,8 +76,13 @@
     socket.on('close', () => onClosed(reason))
   }
 
-  send (message: unknown): void {
-    this.sendFrame(encodeFrame(message))
+  get isBehind (): boolean {
+    return this.socket.writableLength > maxBacklogBytes
+  }
+
+  send (message: NodeMessage | LeaderMessage): void {
+    const frame = frameOf(message, this.log)
+    if (frame) this.sendFrame(frame)
   }
 
   sendFrame (frame: Uint8Array): void {
@@ -143,11 +177,12 @@
   private connect (): void {
     if (this.link || !this.address) return
     const socket = connect(this.address)
-    const link = new Link(socket, leaderMessageSchema, this.clock, this.onMessage, reason => {
+    const onClosed = (reason: string) => {
       if (this.link !== link) return
       this.log('warn', `connection to the ${this.peer} lost`, { reason })
       this.disconnect()
-    })
+    }
+    const link = new Link(socket, { clock: this.clock, log: this.log, schema: leaderMessageSchema, onMessage: this.onMessage, onClosed })
     this.link = link
     socket.once('connect', this.onConnected)
   }
@@ -162,7 +197,8 @@
 
 /** Sends a message to other nodes over connections that are closed after it. A node that cannot be reached goes without it. */
 export function sendOnce (addresses: readonly { host: string, port: number }[], message: NodeMessage, { clock, log }: { clock: Clock, log: Log }): void {
-  const frame = encodeFrame(message)
+  const frame = frameOf(message, log)
+  if (!frame) return
   for (const address of addresses) {
     const socket = connect(address)
     const cancel = clock.setTimer(sendOnceTimeoutMs, () => socket.destroy())
@@ -177,17 +213,40 @@
 /** Sends to one node; the same function for each message of a connection. */
 export type Send = (message: LeaderMessage) => void
 
+export interface PeerServerOptions {
+  clock: Clock
+  log: Log
+  onMessage: (message: NodeMessage, reply: Send) => void
+  onJoined: (send: Send) => void
+  /**
+   * A node that missed broadcasts because it had not read the ones before has read them now. After `sinceRevision` it received no store
+   * changes; absent if it received all.
+   */
+  onCaughtUp?: (send: Send, sinceRevision: number | undefined) => void
+  onLeft?: (send: Send) => void
+}
+
 /** The leader's connections to the nodes. */
 export class PeerServer {
+  private readonly log: Log
   private readonly server: Server
   private readonly links = new Set<Link<NodeMessage>>()
+  /** Nodes that missed broadcasts, with the revision up to which they received store changes. */
+  private readonly missed = new Map<Link<NodeMessage>, number | undefined>()
 
-  constructor ({ clock, onMessage, onJoined, onLeft = () => {} }: { clock: Clock, onMessage: (message: NodeMessage, reply: Send) => void, onJoined: (send: Send) => void, onLeft?: (send: Send) => void }) {
+  constructor ({ clock, log, onMessage, onJoined, onCaughtUp = () => {}, onLeft = () => {} }: PeerServerOptions) {
+    this.log = log
     this.server = createServer(socket => {
       const send: Send = message => link.send(message)
-      const link: Link<NodeMessage> = new Link(socket, nodeMessageSchema, clock, message => onMessage(message, send), () => {
+      const onClosed = () => {
         this.links.delete(link)
+        this.missed.delete(link)
         onLeft(send)
+      }
+      const link: Link<NodeMessage> = new Link(socket, { clock, log, schema: nodeMessageSchema, onMessage: message => onMessage(message, send), onClosed })
+      socket.on('drain', () => {
+        const sinceRevision = this.missed.get(link)
+        if (this.missed.delete(link)) onCaughtUp(send, sinceRevision)
       })
       this.links.add(link)
       onJoined(send)
@@ -210,10 +269,14 @@
     return [...new Set([...this.links].map(({ socket }) => socket.remoteAddress).filter(address => address !== undefined))]
   }
 
-  broadcast (report: LeaderMessage): void {
+  broadcast (report: LeaderReport): void {
     if (this.links.size === 0) return
-    const frame = encodeFrame(report)
-    for (const link of this.links) link.sendFrame(frame)
+    const frame = frameOf(report, this.log)
+    if (!frame) return
+    for (const link of this.links) {
+      if (!link.isBehind && !this.missed.has(link)) link.sendFrame(frame)
+      else this.missed.set(link, this.missed.get(link) ?? report.news?.fromRevision)
+    }
   }
 
   stop (): void {
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -223,10 +223,13 @@
   return rows.length === 0 ? new Uint8Array() : deflateRawSync(encodeBody(rows))
 }
 
+/** Limit on decompressed changes: bytes that expand without end must not end this process. */
+const maxUnpackedBytes = 64 * 1024 * 1024
+
 export function unpackChanges (bytes: Uint8Array): ChangeRows | Error {
   if (bytes.length === 0) return []
   try {
-    return decodeBody(inflateRawSync(bytes), changeRowsSchema)
+    return decodeBody(inflateRawSync(bytes, { maxOutputLength: maxUnpackedBytes }), changeRowsSchema)
   } catch (error) {
     return error as Error
   }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -262,6 +262,7 @@
     })
     this.peers = new PeerServer({
       clock,
+      log,
       onMessage: (message, reply) => {
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
         if ('quotaAsk' in message) {
@@ -284,7 +285,8 @@
         if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place, message.answerLeftMs), reply)
         if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(ask)) })
       },
-      onJoined: send => { if (this.leaderTerm) send(this.leaderTerm.fullReport()) },
+      onJoined: send => this.sendFullReports(send),
+      onCaughtUp: (send, sinceRevision) => this.sendFullReports(send, sinceRevision),
       onLeft: send => this.onPeerLeft(send)
     })
     this.link = new LeaderLink({
@@ -595,6 +597,10 @@
     this.earlySpending.moveTo(this.leaderTerm.quotas)
   }
 
+  private sendFullReports (send: Send, sinceRevision?: number): void {
+    for (const report of this.leaderTerm?.fullReports(sinceRevision) ?? []) send(report)
+  }
+
   private nameLink ({ node, ip }: NodeReport, link: Send): void {
     const known = this.peerNodes.get(link)
     this.peerNodes.set(link, { name: node, ip: ip ?? known?.ip, reportedAtMs: this.options.clock.nowMs() })
--- a/tests/changeFeed.spec.ts
+++ b/tests/changeFeed.spec.ts
@@ -1,7 +1,9 @@
+import { randomBytes } from 'node:crypto'
 import { expect } from 'chai'
 import { VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import { SeededRandom } from '../src/base/random.js'
+import { maxFrameBytes } from '../src/protocol/framing.js'
 import { ChangeFeed } from '../src/serving/changeFeed.js'
 import type { StoreChange } from '../src/serving/coordination.js'
 import { FleetSize } from '../src/serving/fleetSize.js'
@@ -55,7 +57,7 @@
   }, () => {})
   const link = { isUp: false }
   const tick = () => {
-    if (link.isUp && changes) follower.onFeed(changes.nextRange(), leader.ageMs)
+    if (link.isUp && changes) follower.onFeed(changes.nextRanges()[0]!, leader.ageMs)
     clock.setTimer(250, tick)
   }
   const join = async () => {
@@ -63,7 +65,7 @@
     void follower.run()
     await clock.advance(100)
     changes = new ChangeFeed(clock, leader.revision!)
-    follower.onFeed(changes.catchUpRange(), leader.ageMs)
+    follower.onFeed(changes.catchUpRanges()[0]!, leader.ageMs)
     link.isUp = true
     tick()
     await clock.advance(3000)
@@ -71,6 +73,9 @@
   return { clock, state, seen, order, leader, follower, leaderStore, followerStore, link, join, returns: () => returns }
 }
 
+/** Text that does not compress much below half of its size, like keys in a configuration. */
+const randomText = (length: number) => randomBytes(length / 2).toString('hex')
+
 describe('change feed', () => {
   it('requires no store calls of a follower while engines write all the time', async () => {
     // Guards against 88 nodes whose watches each return with every heartbeat of 48 servers.
@@ -168,11 +173,37 @@
     feed.record({ key: 'told/config', revision: 5, value: 'v2' })
     feed.advance(6)
     expect(feed.neededRevision).to.equal(6)
-    feed.nextRange()
+    feed.nextRanges()
     feed.advance(7)
     expect(feed.neededRevision).to.equal(6)
   })
 
+  it('sends the newest of many changes of a key', () => {
+    // Guards against a message that grows with the number of changes: 25 configurations of 286 KB in 2 s were too large for one.
+    const clock = new VirtualClock(0)
+    const feed = new ChangeFeed(clock, 0)
+    for (let revision = 1; revision <= 25; revision++) feed.record({ key: 'told/config', revision, value: randomText(286_000) })
+    feed.record({ key: 'told/other', revision: 26 })
+    feed.advance(26)
+    expect(feed.nextRanges().map(({ changes }) => changes.map(([key, revision]) => [key, revision]))).to.deep.equal([[['told/config', 25], ['told/other', 26]]])
+    const [range, ...others] = feed.catchUpRanges()
+    expect(others).to.deep.equal([])
+    expect([range!.fromRevision, range!.revision, range!.changes.length]).to.deep.equal([0, 26, 2])
+  })
+
+  it('splits changes that do not fit into one message', () => {
+    // Guards against a message that grows with the number of keys, and against a part of a commit that a node takes for the whole.
+    const feed = new ChangeFeed(new VirtualClock(0), 0)
+    const revisions = [1, 2, 3, 3, 3, 4, 5, 6]
+    revisions.forEach((revision, index) => feed.record({ key: `told/${index}`, revision, value: randomText(400_000) }))
+    feed.advance(7)
+    const ranges = feed.nextRanges()
+    expect(ranges.map(({ changes }) => changes.map(([, revision]) => revision))).to.deep.equal([[1, 2], [3, 3, 3], [4, 5], [6]])
+    expect(ranges.map(({ fromRevision, revision }) => [fromRevision, revision])).to.deep.equal([[0, 2], [2, 3], [3, 5], [5, 7]])
+    for (const { changes } of ranges) expect(packChanges(changes).length).to.be.below(maxFrameBytes)
+    expect(feed.catchUpRanges(3).map(({ fromRevision, revision }) => [fromRevision, revision])).to.deep.equal([[3, 5], [5, 7]])
+  })
+
   it('packs and unpacks changes', () => {
     expect(unpackChanges(packChanges([['a', 1, 'x'], ['b', 2, null]]))).to.deep.equal([['a', 1, 'x'], ['b', 2, null]])
     expect(unpackChanges(packChanges([]))).to.deep.equal([])
--- a/tests/queuedRequests.spec.ts
+++ b/tests/queuedRequests.spec.ts
@@ -117,7 +117,7 @@
   it('gives up the place at a leader that falls silent', async () => {
     const clock = new SystemClock()
     const port = await freePort()
-    const peers = new PeerServer({ clock, onMessage: (message, reply) => { if ('ask' in message) reply({ ask: message.ask, queued: true }) }, onJoined: () => {} })
+    const peers = new PeerServer({ clock, log: silentLog, onMessage: (message, reply) => { if ('ask' in message) reply({ ask: message.ask, queued: true }) }, onJoined: () => {} })
     await peers.listen('127.0.0.1', port)
     const onMessage = (message: LeaderMessage) => { if ('ask' in message) client.onSlotReply(message.ask, decodeSlotReply(message)) }
     const link: LeaderLink = new LeaderLink({ clock, log: silentLog, onMessage, onConnected: () => {}, onLost: () => client.onLost() })
--- a/tests/storeView.spec.ts
+++ b/tests/storeView.spec.ts
@@ -50,7 +50,7 @@
     })
   }
   const tick = () => {
-    if (link.isUp && feed) follower.onFeed(feed.nextRange(), leader.ageMs)
+    if (link.isUp && feed) follower.onFeed(feed.nextRanges()[0]!, leader.ageMs)
     report()
     clock.setTimer(reportMs, tick)
   }
--- a/tests/unboundedResponses.spec.ts
+++ b/tests/unboundedResponses.spec.ts
@@ -488,7 +488,7 @@
   for (const [name, bytes] of [['no frame', 'x'], ['a frame', '\x00\x1f\xff\xff']] as const) {
     it(`from a peer end at a limit: ${name}`, async () => {
       let joined = 0
-      const peers = new PeerServer({ clock: new SystemClock(), onMessage: () => {}, onJoined: () => { joined++ } })
+      const peers = new PeerServer({ clock: new SystemClock(), log: silentLog, onMessage: () => {}, onJoined: () => { joined++ } })
       await peers.listen('127.0.0.1', 0)
       const { port: peerPort } = (peers as unknown as { server: Server }).server.address() as AddressInfo
       const toServer = new Flood(connect(peerPort, '127.0.0.1'), bytes, 'x')
