Bound the adapters that a node reports to the leader

Callers could end a node: adapters are named by clients, and each one that requests wait for stands in the next report. 200 waiting requests with names of 10 KB make it larger than a frame, and the error was thrown in a timer.

Change: names longer than 100 characters are not reported, and no more than 1,000. No engine has an adapter with such a name.

That the process ends is what the test "message that cannot be sent" of peerLink.spec shows for a node.

--- a/src/serving/modelDemand.ts
+++ b/src/serving/modelDemand.ts
@@ -2,6 +2,10 @@
 
 import type { Clock } from '../base/clock.js'
 
+/** Clients name adapters: without these limits, a report to the leader could become too large for one message. */
+const maxAdapterNameChars = 100
+const maxReportedAdapters = 1000
+
 export interface WaitingRequest {
   end (): void
 }
@@ -88,8 +92,9 @@
     return [...this.models.values()].filter(({ waiting }) => waiting > 0)
   }
 
+  /** The adapters for which requests wait, as far as one report can name them. */
   waitingAdapters (): AdapterDemand[] {
-    return [...this.adapters.values()]
+    return [...this.adapters.values()].filter(({ adapter }) => adapter.length <= maxAdapterNameChars).slice(0, maxReportedAdapters)
   }
 
   /** Resolves after `delayMs`, or when `wake` is called. */
