Give back what an engine does not run, and end the waits that the leader orders

Cause: the leader reserves the prefill time of a prompt and never learned that it did not run; it ordered the others to wait for it, and nodes slept for as long as the leader said, past patience, deadline and the end of the client's connection.

Change: a node gives back what its engine did not run: rejected, reset, moved, never sent, left before the first event, a reply that came too late. What is left of the prefill is taken back, and prompt parts that were not cached before are forgotten. An engine without requests for a second has no backlog. A node asks again after 250 ms at the latest, ends the wait when its client leaves, and refuses at once what would wait past its caller's patience if it is told so again. Prompts larger than the engines' memory are refused without asking the leader.

Why it works: no reservation outlives its request, and no wait its caller, whatever the leader believes.

--- a/src/policy/dispatcher.ts
+++ b/src/policy/dispatcher.ts
@@ -43,6 +43,8 @@
  * with a busy model free, and requests were refused that would have been served with a pause.
  */
 const overLimitCostMs = 300
+/** Time after the last assignment from which an engine without requests has no prompt left to prefill, whatever was assigned to it. */
+const idleAfterMs = 1000
 const outcomeHalfLifeMs = 2000
 /** Successes added to each server's record, so that a single failure does not exclude it. */
 const assumedSuccesses = 3
@@ -119,6 +121,9 @@
   prefillDoneAtMs: number
   /** Prefill time assigned in the current batch. */
   batchPrefillMs: number
+  /** Number of the current batch. */
+  batch: number
+  lastAssignedAtMs: number
   /** Assignments that reports may not show yet, oldest first. */
   assignedAtMs: number[]
   /** Time of last use of each prompt part, by model, adapter and part ID. */
@@ -130,11 +135,12 @@
 
 /**
  * An engine for the request, or the delay after which to send the dispatch request again. With `trial`, the request may be sent
- * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission. `lacksTokensAt`: the engine with the least
+ * although its prompt parts are under suspicion; `isForTrial`: it waits for that permission. `giveBack` tells the dispatcher of a request
+ * that the engine does not run. `lacksTokensAt`: the engine with the least
  * tokens among those where the request lacks only token memory, and where it would fit if they were empty.
  */
 export type DispatchDecision =
-  | { kind: 'engine', id: string, trial?: string } & AssignmentDetails
+  | { kind: 'engine', id: string, trial?: string, giveBack?: () => void } & AssignmentDetails
   | { kind: 'wait', forMs: number, isForTrial?: true, lacksTokensAt?: string }
 
 export interface AssignmentDetails {
@@ -144,11 +150,22 @@
   assignment?: number
 }
 
+/** What was reserved for a request. */
+interface AssignedPrefill {
+  prefillMs: number
+  atMs: number
+  /** Estimated end of the prefill. */
+  doneAtMs: number
+  batch: number
+  /** Prompt parts that the engine did not have before. */
+  newPrefixes: string[]
+}
+
 export class Dispatcher {
   private readonly clock: Clock
   private readonly engines = new Map<string, EngineState>()
-  /** Prefill time of each assignment, for its return. */
-  private readonly assignedPrefillMs = new WeakMap<DispatchRequest, number>()
+  /** For the return of assignments. */
+  private readonly assigned = new WeakMap<DispatchRequest, AssignedPrefill>()
   private readonly options: DispatcherOptions
 
   constructor (clock: Clock, options: DispatcherOptions = {}) {
@@ -187,7 +204,12 @@
         }
         continue
       }
-      if (nowMs >= state.prefillDoneAtMs + decodeGapMs) state.batchPrefillMs = 0
+      // Also what was assigned by a node that is gone, or was never sent.
+      if (running === 0 && nowMs >= state.lastAssignedAtMs + idleAfterMs) state.prefillDoneAtMs = Math.min(state.prefillDoneAtMs, nowMs - decodeGapMs)
+      if (nowMs >= state.prefillDoneAtMs + decodeGapMs) {
+        state.batchPrefillMs = 0
+        state.batch++
+      }
       const prefillMs = this.prefillMs(request, state) * factor
       if (state.batchPrefillMs > limitMs * oversizeBatchShare && state.batchPrefillMs + prefillMs > limitMs) {
         waitMs = Math.min(waitMs, state.prefillDoneAtMs + decodeGapMs - nowMs)
@@ -224,16 +246,23 @@
     return !this.options.tokens || cacheTokens === undefined || fitsTokens({ promptTokens, outputTokens }, heldTokens, cacheTokens)
   }
 
-  /** Takes back an assignment that was not used, so that its slot is free at once. */
+  /** Takes back what is left of an assignment whose request the engine does not run, so that no other request waits for its prefill. */
   returnAssignment (request: DispatchRequest, engine: string): void {
     const state = this.engines.get(engine)
-    const prefillMs = this.assignedPrefillMs.get(request)
-    if (!state || prefillMs === undefined) return
-    this.assignedPrefillMs.delete(request)
+    const assigned = this.assigned.get(request)
+    if (!state || !assigned) return
+    this.assigned.delete(request)
+    const nowMs = this.clock.nowMs()
     // The assignments are alike for `recentlyAssigned`; removing the latest keeps the others counted until reports show them.
-    state.assignedAtMs.pop()
-    state.prefillDoneAtMs -= prefillMs
-    state.batchPrefillMs = Math.max(0, state.batchPrefillMs - prefillMs)
+    if (nowMs - assigned.atMs <= reportLagMs) state.assignedAtMs.pop()
+    state.prefillDoneAtMs -= Math.min(assigned.prefillMs, Math.max(0, assigned.doneAtMs - nowMs))
+    for (const key of assigned.newPrefixes) if (state.prefixes.get(key) === assigned.atMs) state.prefixes.delete(key)
+    if (state.batch === assigned.batch) state.batchPrefillMs = Math.max(0, state.batchPrefillMs - assigned.prefillMs)
+  }
+
+  /** Whether the prompt of an assigned request is still to be prefilled, as far as it is estimated. */
+  isPrefilling (request: DispatchRequest): boolean {
+    return (this.assigned.get(request)?.doneAtMs ?? -Infinity) > this.clock.nowMs()
   }
 
   /** Shortest prefill time on any candidate, considering cached prompt parts; without candidates, that of the entire prompt. */
@@ -260,7 +289,8 @@
     const nowMs = this.clock.nowMs()
     state.prefillDoneAtMs = Math.max(state.prefillDoneAtMs, nowMs) + prefillMs
     state.batchPrefillMs += prefillMs
-    this.assignedPrefillMs.set(request, prefillMs)
+    state.lastAssignedAtMs = nowMs
+    this.assigned.set(request, { prefillMs, atMs: nowMs, doneAtMs: state.prefillDoneAtMs, batch: state.batch, newPrefixes: request.sharedParts.map(part => prefixKey(request, part)).filter(key => !state.prefixes.has(key)) })
     // Where loads are exact, nothing else drops the old ones.
     this.recentlyAssigned(state)
     state.assignedAtMs.push(nowMs)
@@ -311,7 +341,7 @@
     let state = this.engines.get(engine)
     if (!state) {
       const nowMs = this.clock.nowMs()
-      state = { prefillDoneAtMs: -Infinity, batchPrefillMs: 0, assignedAtMs: [], prefixes: new Map(), successes: 0, failures: 0, outcomesUpdatedAtMs: nowMs }
+      state = { prefillDoneAtMs: -Infinity, batchPrefillMs: 0, batch: 0, lastAssignedAtMs: -Infinity, assignedAtMs: [], prefixes: new Map(), successes: 0, failures: 0, outcomesUpdatedAtMs: nowMs }
       this.engines.set(engine, state)
     }
     return state
--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -27,8 +27,6 @@
 const maxTokenWaitMs = 300
 /** Duration of a reservation. Afterwards an engine is chosen anew, since the reserved one may be gone or hold long requests. */
 const maxReservationMs = 2000
-/** Time within which a node may return an assignment unused. */
-const returnableMs = 2000
 /** An assignment whose end was never announced is forgotten after this time, longer than any request. */
 const maxAssignmentMs = 600_000
 /** Ranks from this number on share one place in the order. The platform's ranks are small numbers. */
@@ -132,7 +130,7 @@
   decide: (request: DispatchRequest, reservedEngine: string | undefined) => DispatchDecision | undefined
   /** Shortest time until an engine can have the model: 0 if one has it or if that is not known. Absent: engines always have it. */
   soonestMs?: ((request: DispatchRequest) => number) | undefined
-  /** Takes back an assignment that was not used. */
+  /** Takes back an assignment whose request the engine did not run. */
   onReturned: (request: DispatchRequest, decision: Extract<DispatchDecision, { kind: 'engine' }>) => void
   /** Called once for each assignment that is over or no longer counts, whether or not it was used. */
   onReleased?: ((decision: Extract<DispatchDecision, { kind: 'engine' }>) => void) | undefined
@@ -210,7 +208,7 @@
     const assignment = this.assignments.get(id)
     if (!assignment) return false
     this.release(id, assignment)
-    if (this.clock.nowMs() - assignment.atMs <= returnableMs) this.options.onReturned(assignment.dispatch, assignment.decision)
+    this.options.onReturned(assignment.dispatch, assignment.decision)
     this.onCapacity()
     return true
   }
--- a/src/policy/waitForEngine.ts
+++ b/src/policy/waitForEngine.ts
@@ -14,6 +14,11 @@
 const placementDecisionMs = 1500
 /** Time within which a full engine completes a good part of its requests. */
 const fullRetryAfterMs = 1200
+/**
+ * Longest time until a request that was told to wait asks again: what it waits for may be over sooner. A wait that is told again after
+ * that is believed.
+ */
+export const maxStatedWaitMs = 250
 /** Added to the expected load time in `retryAfterMs`, so that the model is ready when the caller retries. */
 const readyMarginMs = 25
 
@@ -48,11 +53,14 @@
 
 /**
  * Decides at `nowMs` whether the request keeps waiting. `readyInMs` is the expected time until an engine has the required model and
- * adapter loaded: 0 if one has but is full, `undefined` if no load is planned.
+ * adapter loaded: 0 if one has but is full, `undefined` if no load is planned. `statedWaitMs` is the time until an engine has free
+ * capacity, as last told by the placement leader.
  */
-export function decideWait (conditions: WaitConditions, nowMs: number, readyInMs: number | undefined): WaitDecision {
+export function decideWait (conditions: WaitConditions, nowMs: number, readyInMs: number | undefined, statedWaitMs = 0): WaitDecision {
   const { startedAtMs, shortestLoadMs } = conditions
   const untilMs = waitUntilMs(conditions)
+  const isConfirmed = statedWaitMs > maxStatedWaitMs && nowMs >= startedAtMs + maxStatedWaitMs
+  if (isConfirmed && nowMs + statedWaitMs > untilMs) return { kind: 'refuse', reason: 'full', retryAfterMs: statedWaitMs }
   // A load planned later than this would complete after the callers have left.
   const planUntilMs = Math.min(untilMs, Math.max(startedAtMs + placementDecisionMs, untilMs - shortestLoadMs))
   if (nowMs > untilMs || (readyInMs === undefined ? nowMs > planUntilMs : nowMs + readyInMs > untilMs)) {
--- a/src/serving/dispatchClient.ts
+++ b/src/serving/dispatchClient.ts
@@ -56,7 +56,7 @@
       const cancel = this.clock.setTimer(replyTimeoutMs, () => { void this.onTimeout(number) })
       this.pending.set(number, decision => {
         cancel()
-        resolve(decision)
+        resolve(decision?.kind === 'engine' ? { ...decision, giveBack: () => this.giveBack(number) } : decision)
       })
     })
   }
@@ -92,7 +92,13 @@
     const resolve = this.pending.get(number)
     this.pending.delete(number)
     if (decision) this.timeoutsInARow = 0
-    resolve?.(decision)
+    if (resolve) resolve(decision)
+    else if (decision?.kind === 'engine') this.giveBack(number)
+  }
+
+  /** Tells the leader that the engine does not run the request for which it was chosen. */
+  private giveBack (number: number): void {
+    this.send({ cancel: number })
   }
 
   /** Returns whether the reply belongs to a request for a slot. An engine for a request that does not exist any more is returned. */
@@ -101,7 +107,7 @@
     if (!open && this.pending.has(number)) return false
     this.onDecision(reply)
     if (!open) {
-      if (reply.kind === 'engine') this.send({ cancel: number })
+      if (reply.kind === 'engine') this.giveBack(number)
       return true
     }
     this.timeoutsInARow = 0
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -17,7 +17,7 @@
 import { ChangeFeed } from './changeFeed.js'
 import type { CoordinationStore, StoreChange, StoreWrite } from './coordination.js'
 import type { FleetSize } from './fleetSize.js'
-import { encodeSlotAnswer, packChanges } from './peerMessages.js'
+import { encodeDispatchDecision, encodeSlotAnswer, packChanges } from './peerMessages.js'
 import type { ChangeRange, Confirmation, LeaderReport, NodeReport, QuotaAskMessage, QuotaReply, SlotCancel } from './peerMessages.js'
 import type { Send } from './peerLink.js'
 import { OverQuotaLog } from './overQuotaLog.js'
@@ -48,6 +48,8 @@
 /** Window over which the arrivals for a model are counted: about the time that a load from the weight store takes. */
 const arrivalWindowMs = 8000
 const arrivalSlotMs = 500
+/** Limit on the dispatched requests whose prefill can be given back. */
+const maxDispatched = 20_000
 
 export interface LeaderTermOptions extends Omit<PlacementLeaderOptions, 'expectedPrefillEngines' | 'ownReport'> {
   store: CoordinationStore
@@ -79,6 +81,8 @@
   /** Requests of all nodes that wait for an engine. */
   readonly slots: SlotQueue
   private readonly dispatcher: Dispatcher
+  /** Requests of other nodes for which engines were chosen, oldest first, while their prompts are prefilled. */
+  private readonly dispatched = new Map<string, { request: DispatchRequest, engine: string }>()
   /** Number of each node's connection. */
   private readonly connections = new WeakMap<Send, number>()
   private nextConnection = 1
@@ -237,7 +241,18 @@
     return this.slots.submit(request)
   }
 
-  /** The accounts of the configuration in force. */
+  /** A node asks for an engine. `reply` identifies its connection. */
+  onDispatchRequest (ask: number, request: DispatchRequest, reply: Send): void {
+    const decision = this.dispatch(request)
+    reply({ ask, ...encodeDispatchDecision(decision) })
+    if (decision?.kind !== 'engine') return
+    this.dispatched.set(this.slotId(reply, ask), { request, engine: decision.id })
+    for (const [id, earlier] of this.dispatched) {
+      if (this.dispatched.size <= maxDispatched && this.dispatcher.isPrefilling(earlier.request)) break
+      this.dispatched.delete(id)
+    }
+  }
+
   /** A node asks for a slot. `reply` identifies its connection. */
   onSlotRequest (ask: number, dispatch: DispatchRequest, place: QueuePlace, reply: Send): void {
     const onAnswer = (answer: SlotAnswer) => reply({ ask, ...encodeSlotAnswer(answer) })
@@ -246,8 +261,16 @@
 
   onSlotCancel ({ cancel, hasRun }: SlotCancel, reply: Send): void {
     const id = this.slotId(reply, cancel)
-    if (hasRun) this.slots.end(id)
+    const dispatched = this.dispatched.get(id)
+    if (dispatched) this.giveBack(dispatched.request, dispatched.engine)
+    else if (hasRun) this.slots.end(id)
     else this.slots.cancel(id)
+    this.dispatched.delete(id)
+  }
+
+  /** The engine does not run a request for which `dispatch` has chosen it. */
+  giveBack (request: DispatchRequest, engine: string): void {
+    this.dispatcher.returnAssignment(request, engine)
   }
 
   /** The connection of a node has closed. */
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -15,10 +15,10 @@
 import { EventSplitter, isComment } from './eventStream.js'
 import type { StreamEvent } from './eventStream.js'
 import type { LearnedCapacity } from './learnedCapacity.js'
-import type { QueuedSlot } from './queuedSlot.js'
 import type { ProxiedRequest } from './requestProxy.js'
 import type { Reservation } from './reservation.js'
 import type { ResponseHead } from './responseReader.js'
+import type { Assignment } from './serverSelection.js'
 
 /** Statuses that promise clients that their request did not run. */
 const promisingStatuses = new Set([408, 421, 429, 503])
@@ -36,8 +36,8 @@
   chosenBy: 'leader' | 'queue' | 'node'
   /** Prefill time that the leader expected with a delay factor of 1. */
   priorMs: number | undefined
-  /** Assignment from the placement leader's queue. */
-  slot: QueuedSlot | undefined
+  /** What the placement leader has reserved; absent if this node chose the server. */
+  assignment: Assignment | undefined
   /** Whether the request can still be sent to the server. */
   isUsable (): boolean
   /** Releases the slot and returns the retry to the budget. */
@@ -64,6 +64,19 @@
   /** The server was abandoned for a failover target. */
   | { kind: 'moved', reason: string, target: FailoverTarget }
 
+/** What is known of the answer to the last attempt. */
+interface AnswerSummary {
+  sentAtMs: number
+  /** Whether the server had begun to answer: it has read the prompt. */
+  hasBegun: boolean
+  /** Events that were sent to the client. */
+  events: number
+  /** Time from the first of them to the end of the attempt. */
+  writingMs: number | undefined
+  /** Whether the response had neither a length nor chunks. */
+  isUnframed: boolean
+}
+
 export class RequestForwarder {
   readonly request: ProxiedRequest
   readonly writer: ResponseWriter
@@ -86,8 +99,7 @@
   mayBeAtEnd = false
   /** Reserves a failover target, if there is one or if one becomes free while `isNeeded` holds. */
   readonly reserveMove: (isNeeded: () => boolean) => Promise<FailoverSearch>
-  /** The last attempt: when it was sent, its events that were sent to the client, the time from the first of them to its end, and whether its response had neither a length nor chunks. */
-  lastAnswer: { sentAtMs: number, events: number, writingMs: number | undefined, isUnframed: boolean } = { sentAtMs: 0, events: 0, writingMs: undefined, isUnframed: false }
+  lastAnswer: AnswerSummary = { sentAtMs: 0, hasBegun: false, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
   readonly onGoneOn: (sentAtMs: number) => void
   /** Takes samples of the servers; absent where capacity is not learned. */
@@ -165,6 +177,20 @@
     this.lastEventAtMs = nowMs
   }
 
+  /** Resolves after `delayMs`, or when the client has left. */
+  untilLeft (delayMs: number): Promise<void> {
+    const { clock, writer: { response } } = this
+    return new Promise(resolve => {
+      const done = () => {
+        cancel()
+        response.off('close', done)
+        resolve()
+      }
+      const cancel = clock.setTimer(delayMs, done)
+      response.once('close', done)
+    })
+  }
+
   /** Time since the last event, if there was one. */
   get sinceLastEventMs (): number | undefined {
     return this.lastEventAtMs === undefined ? undefined : this.clock.nowMs() - this.lastEventAtMs
@@ -515,6 +541,7 @@
     this.isFinished = true
     for (const cancel of this.cancelTimers.splice(0)) cancel()
     this.releaseHeld(result)
+    const hasBegun = this.hasFirstByte || result.kind === 'done' || result.kind === 'answer'
     if (!this.hasFirstByte) this.server.onFirstByte(this.tokens)
     this.server.heldTokens -= this.tokens + this.forwarder.request.metadata.outputTokens
     this.server.onEnded(this.forwarder.request.metadata.model, this.forwarder.request.metadata.adapter)
@@ -526,7 +553,7 @@
     const mayHaveEnded = result.kind === 'moved' || (result.kind === 'unknown' && result.isEndUnproved === true)
     // An attempt that brought nothing leaves open whether the client has the whole stream.
     this.forwarder.mayBeAtEnd = this.splitter.remainder.length === 0 && (mayHaveEnded || (this.events === 0 && this.forwarder.mayBeAtEnd))
-    this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, events: this.events, writingMs: this.writingMs, isUnframed: this.head?.endsWithConnection ?? false }
+    this.forwarder.lastAnswer = { sentAtMs: this.startedAtMs, hasBegun, events: this.events, writingMs: this.writingMs, isUnframed: this.head?.endsWithConnection ?? false }
     this.resolve(result)
   }
 }
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -8,11 +8,12 @@
 import { ioTurn } from '../base/ioTurn.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
-import type { DispatchRequest, DispatchDecision, PromptPart } from '../policy/dispatcher.js'
+import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { requestIdentity } from '../policy/partEvidence.js'
 import { hasGoneOn } from '../policy/partQuarantine.js'
 import type { PartQuarantine, SuspectCheck, Verdict } from '../policy/partQuarantine.js'
 import type { QueuePlace } from '../policy/slotQueue.js'
+import { fitsTokens } from '../policy/tokenLedger.js'
 import { RetryBudget } from '../policy/retry.js'
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
@@ -36,11 +37,12 @@
 import { RouteTable, serviceOf } from './routeTable.js'
 import type { ModelDemand } from './modelDemand.js'
 import type { QuotaResult } from './quotaClient.js'
+import { loggedParts } from './requestRecord.js'
 import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
 import type { QueuedSlot } from './queuedSlot.js'
 import { identified, maxServers, minimumAttemptMs, ServerSelection, slotCheckMs, waitPollMs } from './serverSelection.js'
-import type { Progress, QueueWait, Selection } from './serverSelection.js'
+import type { Assignment, Progress, QueueWait, Selection } from './serverSelection.js'
 
 /** Delay before a request that servers rejected is retried: an immediate retry would reach the same full servers. */
 const busyRetryAfterMs = 250
@@ -56,8 +58,6 @@
 const lateReadMs = 100
 /** Limit on bodies that arrive before the configuration, whose requests are refused. */
 const unconfiguredBodyBytes = 64 * 1024
-const maxLoggedParts = 16
-const maxLoggedPartChars = 40
 /** The same for requests that can no longer meet their objective, so that the others are dispatched first. */
 const latePollMs = 100
 /** Interval at which a failover target is searched for again while a server is unresponsive. */
@@ -127,7 +127,7 @@
 }
 
 type Search =
-  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined, priorMs?: number | undefined, slot?: QueuedSlot | undefined }
+  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined, priorMs?: number | undefined, assignment?: Assignment | undefined }
   /** With `verdict`, the request has prompt parts in quarantine. */
   | { kind: 'refused', reason: string, retryAfterMs: number, verdict?: Verdict }
   | { kind: 'left' }
@@ -353,24 +353,24 @@
     const isUnsuspected = () => this.options.quarantine.check(this.selection.evidenceParts(request)).kind === 'clear'
     const isAllowed = progress.sends + 1 < request.route.maxAttempts && isInTime() && isUnsuspected() && this.selection.mayMove(request, progress)
     if (!isAllowed || !budget.hasRetry()) return { kind: 'none', retryAfterMs: failoverRetryMs }
-    const { server, chosenBy, waitMs, trial, priorMs, slot } = await this.selection.selectMove(request, progress, waitOf(request, forwarder), isNeeded)
+    const { server, chosenBy, waitMs, trial, priorMs, assignment } = await this.selection.selectMove(request, progress, waitOf(request, forwarder), isNeeded)
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     // Several dispatch replies that arrive together may name the same free slot, so capacity is checked again.
-    const isFree = server && (slot !== undefined || this.selection.availableServers(request).includes(server))
+    const isFree = server && ((assignment && this.selection.waitsInQueue(request)) || this.selection.availableServers(request).includes(server))
     // Taken only now: while requests wait for another engine, retries that can be made at once need the budget.
     const hasRetry = isFree && budget.tryRetry()
     const reservation = isFree && hasRetry && await this.reserve(request, server)
     if (!reservation) {
-      slot?.cancel()
+      assignment?.cancel()
       if (hasRetry) budget.returnRetry()
       return { kind: 'none', retryAfterMs: Math.max(failoverRetryMs, waitMs) }
     }
     const release = () => {
       reservation.release()
-      slot?.cancel()
+      assignment?.cancel()
       budget.returnRetry()
     }
-    return { kind: 'reserved', target: { reservation, chosenBy, priorMs, slot, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
+    return { kind: 'reserved', target: { reservation, chosenBy, priorMs, assignment, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
   }
 
   private reserve ({ metadata, rank, service }: ProxiedRequest, server: BackendServer): Promise<Reservation | undefined> {
@@ -379,7 +379,7 @@
     return Reservation.reserveAt(server, options, { clock: this.clock, calls: this.calls })
   }
 
-  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial, priorMs, slot }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
+  private async attempt (request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { server, reservation, chosenBy, trial, priorMs, assignment }: Extract<Search, { kind: 'found' }>): Promise<AttemptResult> {
     const { model, adapter } = request.metadata
     const trace: AttemptTrace = {
       afterMs: Math.round(this.clock.nowMs() - request.arrivedAtMs),
@@ -396,18 +396,18 @@
     progress.retryableFromMs.delete(server.entry.id)
     if (model !== undefined && adapter !== undefined) this.options.demand.onUsed(server.entry.id, `${model}/${adapter}`)
     const result = await forwarder.attempt(server, reservation, priorMs)
-    if (result.kind === 'unsent') slot?.cancel()
-    else slot?.end()
     if (result.kind !== 'unsent') progress.sends++
     progress.wasMisdirected = result.kind === 'not-run' && result.isMisdirected
     // The server may well be sound and complete the rest.
     const isEndUnproved = result.kind === 'unknown' && result.isEndUnproved
     if (result.kind === 'moved' || isEndUnproved) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs())
     else if (result.kind === 'not-run' && !result.isMisdirected) progress.retryableFromMs.set(server.entry.id, this.clock.nowMs() + (this.selection.waitsInQueue(request) ? queuedRetryAfterMs : busyRetryAfterMs))
-    const { events, writingMs, isUnframed } = forwarder.lastAnswer
+    const { events, writingMs, isUnframed, hasBegun } = forwarder.lastAnswer
     if (isUnframed) trace.isUnframed = true
     if (request.route.kind === 'stream') Object.assign(trace, { events, writingMs: writingMs === undefined ? undefined : Math.round(writingMs) })
     if (result.kind === 'unknown' && result.isConnectionLost) await this.onConnectionLost(request, forwarder, server, progress)
+    if (result.kind !== 'unsent' && hasBegun) assignment?.end()
+    else assignment?.cancel()
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     trace.result = 'reason' in result ? `${result.kind}: ${result.reason}` : result.kind
     return result
@@ -498,21 +498,22 @@
     request: ProxiedRequest, forwarder: RequestForwarder, progress: Progress, { isRetry, startedAtMs }: { isRetry: boolean, startedAtMs: number }
   ): Promise<Search> {
     if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
+    // Asked before, the leader would reserve the time of a prefill that does not take place.
+    const { service: { engine }, metadata, route } = request
+    if (engine && !fitsTokens(metadata, 0, engine.cacheTokens)) return { kind: 'refused', reason: 'the prompt is larger than the memory of an engine', retryAfterMs: route.timeoutMs }
     const wait = waitOf(request, forwarder)
     let selection = await this.selection.select(request, progress, { isFirst: !isRetry, isLate: false, wait })
     if (forwarder.hasClientLeft) return this.leaveWith(selection)
     if (selection.server) return foundBy(selection.server, selection)
     if (selection.heldBy?.kind === 'refused') return this.refusalOf(selection.heldBy.verdict)
-    const { model, adapter } = request.metadata
-    if (model === undefined || !request.service.engine) return { kind: 'refused', reason: 'no backend server accepts requests', retryAfterMs: busyRetryAfterMs }
-    const modelEntry = request.service.engine.models.find(({ name }) => name === model)
-    if (!modelEntry) {
-      return { kind: 'refused', reason: `the service has no model ${model}`, retryAfterMs: startingRetryAfterMs }
-    }
+    const { model, adapter } = metadata
+    if (model === undefined || !engine) return { kind: 'refused', reason: 'no backend server accepts requests', retryAfterMs: busyRetryAfterMs }
+    const modelEntry = engine.models.find(({ name }) => name === model)
+    if (!modelEntry) return { kind: 'refused', reason: `the service has no model ${model}`, retryAfterMs: startingRetryAfterMs }
     const conditions: WaitConditions = {
-      isStream: request.route.kind === 'stream',
-      objectiveMs: request.route.objectiveMs,
-      gapObjectiveMs: request.route.gapObjectiveMs,
+      isStream: route.kind === 'stream',
+      objectiveMs: route.objectiveMs,
+      gapObjectiveMs: route.gapObjectiveMs,
       lastProgressAtMs: wait.lastProgressAtMs,
       lastAttemptAtMs: request.deadlineAtMs - minimumAttemptMs,
       startedAtMs,
@@ -522,7 +523,7 @@
     try {
       for (;;) {
         const expectedMs = this.options.demand.expectedReadyMs(request.service.name, model, adapter)
-        const decision = decideWait(conditions, this.clock.nowMs(), expectedMs)
+        const decision = decideWait(conditions, this.clock.nowMs(), expectedMs, selection.statedWaitMs)
         if (selection.refusedMs !== undefined) {
           if (expectedMs === undefined) this.options.demand.onMissing(request.service.name, model)
           return { kind: 'refused', reason: `the wait for an engine with ${model} would be too long`, retryAfterMs: selection.refusedMs }
@@ -541,7 +542,7 @@
         // A request whose response has started has priority over requests that can still be rejected.
         const isLate = decision.isLate && !forwarder.hasResponseStarted
         const pauseMs = Math.max(selection.waitMs, isLate ? latePollMs : 0)
-        await (selection.slot ? selection.slot.wait(slotCheckMs) : pauseMs > waitPollMs ? sleep(this.clock, pauseMs) : this.options.demand.waitForChange(waitPollMs))
+        await (selection.slot ? selection.slot.wait(slotCheckMs) : pauseMs > waitPollMs ? forwarder.untilLeft(pauseMs) : this.options.demand.waitForChange(waitPollMs))
         if (forwarder.hasClientLeft) return { kind: 'left' }
         selection = await this.selection.select(request, progress, { isFirst: false, isLate, wait: { ...wait, slot: selection.slot } })
         if (forwarder.hasClientLeft) return this.leaveWith(selection)
@@ -554,8 +555,9 @@
   }
 
   /** The client has left while a server was selected. */
-  private leaveWith ({ trial, slot }: Selection): Search {
+  private leaveWith ({ trial, slot, assignment }: Selection): Search {
     slot?.cancel()
+    assignment?.cancel()
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     return { kind: 'left' }
   }
@@ -643,21 +645,16 @@
   return () => (result ??= { value: compute() }).value
 }
 
-/** IDs of the shared prompt parts, shortened for the log. */
-function loggedParts (parts: readonly Pick<PromptPart, 'id'>[]): string[] {
-  return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
-}
-
 function waitOf (request: ProxiedRequest, { lastEventAtMs, hasResponseStarted }: RequestForwarder): QueueWait {
   return { lastProgressAtMs: lastEventAtMs ?? request.arrivedAtMs, hasBegun: hasResponseStarted }
 }
 
-function foundAt ({ reservation, chosenBy, priorMs, slot }: FailoverTarget): Search {
-  return { kind: 'found', server: reservation.server, reservation, chosenBy, priorMs, slot }
+function foundAt ({ reservation, chosenBy, priorMs, assignment }: FailoverTarget): Search {
+  return { kind: 'found', server: reservation.server, reservation, chosenBy, priorMs, assignment }
 }
 
-function foundBy (server: BackendServer, { chosenBy, trial, priorMs, slot }: Selection): Extract<Search, { kind: 'found' }> {
-  return { kind: 'found', server, chosenBy, trial, priorMs, slot }
+function foundBy (server: BackendServer, { chosenBy, trial, priorMs, assignment }: Selection): Extract<Search, { kind: 'found' }> {
+  return { kind: 'found', server, chosenBy, trial, priorMs, assignment }
 }
 
 function reasonOf (result: AttemptResult | undefined): string | undefined {
--- a/src/serving/requestRecord.ts
+++ b/src/serving/requestRecord.ts
@@ -1,5 +1,6 @@
 /** What is logged and counted of each request. */
 
+import type { PromptPart } from '../policy/dispatcher.js'
 import type { ClientFraming } from './clientExchange.js'
 import type { Route } from './deployment.js'
 
@@ -48,3 +49,11 @@
   /** How the response to the client ended, or would have; `undefined` if it came from this node. */
   framing: ClientFraming | undefined
 }
+
+const maxLoggedParts = 16
+const maxLoggedPartChars = 40
+
+/** IDs of the shared prompt parts, shortened for the log. */
+export function loggedParts (parts: readonly Pick<PromptPart, 'id'>[]): string[] {
+  return parts.slice(0, maxLoggedParts).map(({ id }) => id.slice(0, maxLoggedPartChars))
+}
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -5,7 +5,7 @@
 import type { DispatchRequest, PromptPart } from '../policy/dispatcher.js'
 import type { QueuePlace } from '../policy/slotQueue.js'
 import { fitsTokens } from '../policy/tokenLedger.js'
-import { lateAtMs, waitUntilMs } from '../policy/waitForEngine.js'
+import { lateAtMs, maxStatedWaitMs, waitUntilMs } from '../policy/waitForEngine.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartCheck, SuspectCheck } from '../policy/partQuarantine.js'
 import type { BackendServer } from './backendServer.js'
@@ -58,6 +58,14 @@
   slot?: QueuedSlot | undefined
 }
 
+/** What the leader has reserved at a server. One of the functions must be called once. */
+export interface Assignment {
+  /** The server does not run the request. */
+  cancel (): void
+  /** The attempt has ended. */
+  end (): void
+}
+
 /** A server for the next attempt, or the time until the next search. */
 export interface Selection {
   server: BackendServer | undefined
@@ -66,8 +74,12 @@
   waitMs: number
   /** ID of the trial as which the request may be sent. */
   trial?: string | undefined
-  /** The place in the leader's queue, or the assignment. */
+  /** The place in the leader's queue. */
   slot?: QueuedSlot
+  /** What the leader has reserved for the attempt; absent if this node chose the server. */
+  assignment?: Assignment | undefined
+  /** Time until an engine has free capacity, as the leader states it. */
+  statedWaitMs?: number
   /** The leader refuses the request: time after which the client may return. */
   refusedMs?: number
   /** Prefill time that the leader expected with a delay factor of 1. */
@@ -115,18 +127,21 @@
     const candidates = needsEngine(request) ? this.candidates(request, progress) : []
     const dispatchRequest = isFirst || candidates.length > 0 ? this.dispatchRequestOf(request, progress, candidates, { isFirst, isLate }) : undefined
     const decision = dispatchRequest && await this.options.requestDispatch?.(dispatchRequest)
-    const { trial, priorMs } = decision?.kind === 'engine' ? decision : {}
+    const { trial, priorMs, giveBack } = decision?.kind === 'engine' ? decision : {}
     // Meanwhile a verdict may have been made.
     const { check, heldBy, refusal } = this.checkParts(request)
     if (refusal) {
+      giveBack?.()
       this.endTrial(trial)
       return refusal
     }
-    if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: decision.forMs, ...heldBy }
+    if (decision?.kind === 'wait') return { server: undefined, chosenBy: 'leader', waitMs: Math.min(decision.forMs, maxStatedWaitMs), statedWaitMs: decision.forMs, ...heldBy }
     // Meanwhile the server may have been removed, or its last free connection may be in use.
     const chosen = decision && this.candidates(request, progress).find(({ entry }) => entry.id === decision.id)
-    if (check.kind === 'suspect' && trial === undefined) return this.selectForOwnTrial(request, progress, check)
-    if (chosen) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial, priorMs }
+    const isOwnTrial = check.kind === 'suspect' && trial === undefined
+    if (chosen && !isOwnTrial) return { server: chosen, chosenBy: 'leader', waitMs: waitPollMs, trial, priorMs, assignment: giveBack && { cancel: giveBack, end: () => {} } }
+    giveBack?.()
+    if (isOwnTrial) return this.selectForOwnTrial(request, progress, check)
     const server = this.chooseLocally(request, progress)
     if (!server) this.endTrial(trial)
     return { server, chosenBy: 'node', waitMs: waitPollMs, ...(server ? { trial } : heldBy) }
@@ -169,6 +184,7 @@
     // A request in progress elsewhere cannot be a trial, which is a request's only attempt.
     if (server && trial === undefined && isNeeded()) return selection
     selection.slot?.cancel()
+    selection.assignment?.cancel()
     this.endTrial(trial)
     // The time of a refusal is for clients: while the request is in progress, an engine may become free at any time.
     return { server: undefined, chosenBy: 'queue', waitMs: selection.waitMs }
@@ -202,7 +218,7 @@
       giveBack()
       return { server: undefined, chosenBy: 'queue', waitMs: trialPollMs, ...heldBy }
     }
-    return { server, chosenBy: slot.wasQueued ? 'queue' : 'leader', waitMs: waitPollMs, trial, priorMs: answer.priorMs, slot }
+    return { server, chosenBy: slot.wasQueued ? 'queue' : 'leader', waitMs: waitPollMs, trial, priorMs: answer.priorMs, assignment: slot }
   }
 
   /** The request's place in the leader's queue, or an assignment; `undefined` if there is no leader or no reply in time. */
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -32,7 +32,7 @@
 import { ModelDemand } from './modelDemand.js'
 import { LoopDelay } from './loopDelay.js'
 import { LeaderLink, PeerServer, sendOnce } from './peerLink.js'
-import { encodeDispatchDecision, decodeDispatchRequest, decodeDispatchDecision, decodePlace, decodeSlotReply, unpackChanges } from './peerMessages.js'
+import { decodeDispatchRequest, decodeDispatchDecision, decodePlace, decodeSlotReply, unpackChanges } from './peerMessages.js'
 import type { LeaderMessage, LeaderReport, NodeReport } from './peerMessages.js'
 import { QueuedSlot } from './queuedSlot.js'
 import type { Send } from './peerLink.js'
@@ -283,7 +283,7 @@
         }
         const ask = { ...decodeDispatchRequest(message), node: this.nameOf(reply) }
         if (message.place) return this.leaderTerm?.onSlotRequest(message.ask, ask, decodePlace(message.place, message.answerLeftMs), reply)
-        if (this.leaderTerm) reply({ ask: message.ask, ...encodeDispatchDecision(this.leaderTerm.dispatch(ask)) })
+        this.leaderTerm?.onDispatchRequest(message.ask, ask, reply)
       },
       onJoined: send => this.sendFullReports(send),
       onCaughtUp: (send, sinceRevision) => this.sendFullReports(send, sinceRevision),
@@ -645,10 +645,12 @@
 
   /** The leader's dispatch decision for a request; `undefined` if there is none in time. */
   private async dispatchForAll (ask: DispatchRequest): Promise<DispatchDecision | undefined> {
-    if (this.leaderTerm) {
-      const decision = this.leaderTerm.dispatch({ ...ask, node: this.options.settings.node })
+    const { leaderTerm } = this
+    if (leaderTerm) {
+      const request = { ...ask, node: this.options.settings.node }
+      const decision = leaderTerm.dispatch(request)
       this.dispatch.onDecision(decision)
-      return decision
+      return decision?.kind === 'engine' ? { ...decision, giveBack: () => leaderTerm.giveBack(request, decision.id) } : decision
     }
     // The leader's decision must rest on what this node has just seen.
     this.sendParts()
--- a/tests/dispatchClient.spec.ts
+++ b/tests/dispatchClient.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 import { SystemClock } from '../src/base/clock.js'
-import type { DispatchRequest } from '../src/policy/dispatcher.js'
+import type { DispatchDecision, DispatchRequest } from '../src/policy/dispatcher.js'
 import { DispatchClient } from '../src/serving/dispatchClient.js'
 import { blockEventLoop } from './fixtures/blockEventLoop.js'
 
@@ -18,7 +18,9 @@
       blockEventLoop(120)
       setImmediate(() => client.onReply(1, { kind: 'engine', id: 'a' }))
     })
-    expect(await decision).to.deep.equal({ kind: 'engine', id: 'a' })
+    const { giveBack, ...chosen } = await decision as Extract<DispatchDecision, { kind: 'engine' }>
+    expect(chosen).to.deep.equal({ kind: 'engine', id: 'a' })
+    expect(giveBack).to.be.a('function')
     expect(client.timeouts).to.equal(0)
   })
 
--- a/tests/dispatcher.spec.ts
+++ b/tests/dispatcher.spec.ts
@@ -156,6 +156,30 @@
     expect(idOf(dispatcher.choose(createRequest(), [candidate('a')]))).to.equal('a')
   })
 
+  it('counts no backlog that is given back, or at an engine without requests', async () => {
+    // Guards against requests that wait for prompts which were rejected, were never sent, or were lost with the node that sent them.
+    const clock = new VirtualClock(1000)
+    const dispatcher = new Dispatcher(clock)
+    const large = createRequest({ promptTokens: 80_000, sharedParts: [{ id: 'p', tokens: 1000 }] })
+    const small = createRequest({ sharedParts: [{ id: 'p', tokens: 1000 }] })
+    const waitMs = () => {
+      const decision = dispatcher.choose(small, [candidate('a', { running: 1 })])
+      return decision?.kind === 'wait' ? Math.round(decision.forMs) : undefined
+    }
+    expect(dispatcher.choose(large, [candidate('a')])).to.deep.equal({ kind: 'engine', id: 'a' })
+    await clock.advance(1500)
+    expect(waitMs()).to.equal(2560)
+    dispatcher.returnAssignment(large, 'a')
+    expect(dispatcher.minimumPrefillMs(small, [candidate('a')])).to.equal(70)
+    expect(waitMs()).to.equal(undefined)
+
+    await clock.advance(1000)
+    dispatcher.choose({ ...large }, [candidate('a')])
+    await clock.advance(1500)
+    expect(waitMs()).to.equal(2510)
+    expect(dispatcher.choose(small, [candidate('a')])).to.deep.equal({ kind: 'engine', id: 'a' })
+  })
+
   it('prefers urgent ranks', async () => {
     const clock = new VirtualClock(1000)
     const dispatcher = new Dispatcher(clock)
--- a/tests/waitForEngine.spec.ts
+++ b/tests/waitForEngine.spec.ts
@@ -39,4 +39,12 @@
   it('refuses before a close deadline passes', () => {
     expect(decideWait(createConditions({ lastAttemptAtMs: 1300 }), 1350, 0)).to.include({ kind: 'refuse' })
   })
+
+  it('believes a stated wait that is told again, if it ends after the callers leave', () => {
+    // Failure: requests are held although it is known that no engine is free in time, or refused because of a backlog that has just gone.
+    expect(decideWait(createConditions(), 1001, 0, 40_000)).to.include({ kind: 'wait' })
+    expect(decideWait(createConditions(), 1260, 0, 40_000)).to.deep.equal({ kind: 'refuse', reason: 'full', retryAfterMs: 40_000 })
+    expect(decideWait(createConditions(), 1260, 0, 1000)).to.include({ kind: 'wait' })
+    expect(decideWait(createConditions(), 2700, 0, 120)).to.include({ kind: 'wait' })
+  })
 })
