List the store again when an answer with changes is too long

A node that has missed about 50 versions of 280 KB asked for them again and again: answers over 16 MiB are refused, and the next one is as long, until the store drops its history.

Change: such an answer counts as lost history. The items are listed in pages, and are as many as there are keys.

--- a/src/external/httpCall.ts
+++ b/src/external/httpCall.ts
@@ -28,6 +28,9 @@
 /** A call that brings more interim responses is given up. */
 const maxInterimResponses = 100
 
+/** The cause of the error when an answer is too long: asked for again, it will be as long. */
+export class AnswerTooLongError extends Error {}
+
 /**
  * The whole body. Throws when it is too long, and closes the connection, when the status is invalid, or when it has neither a length nor chunks: the connection of
  * a process that is killed closes in order, as at the end of such a body.
@@ -37,7 +40,7 @@
 ): Promise<Uint8Array> {
   const whole = new ByteBuffer()
   for await (const part of body) {
-    if (whole.length + part.length > maxAnswerBytes) throw new Error(`the answer is longer than ${maxAnswerBytes} bytes`)
+    if (whole.length + part.length > maxAnswerBytes) throw new AnswerTooLongError(`the answer is longer than ${maxAnswerBytes} bytes`)
     whole.push(part)
   }
   if (!isFinalStatus(statusCode)) throw new Error(`the status ${statusCode} is invalid`)
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod'
 import type { Clock } from '../base/clock.js'
 import { FailedError, NotRunError, UnknownOutcomeError } from '../base/errors.js'
-import { HttpCaller } from '../external/httpCall.js'
+import { AnswerTooLongError, HttpCaller } from '../external/httpCall.js'
 import type { HttpCallOptions } from '../external/httpCall.js'
 import type { CommitResult, CoordinationStore, StoreChange, StoreItem, StoreLease, WatchResult } from '../serving/coordination.js'
 import { eraOf, positionOf, revisionOf } from '../serving/storePosition.js'
@@ -80,7 +80,8 @@
   async watch (prefix: string, afterRevision: number, { waitMs }: { waitMs: number }): Promise<WatchResult> {
     if (eraOf(afterRevision) < this.era) return { kind: 'history-lost' }
     const query = new URLSearchParams({ path_prefix: prefix, after: String(revisionOf(afterRevision)), wait_ms: String(waitMs) })
-    const response = await this.call('watch', `/kv-watch?${query}`, { timeoutMs: waitMs + watchSlackMs, allowed: [410] })
+    const response = await this.callForChanges(`/kv-watch?${query}`, { timeoutMs: waitMs + watchSlackMs, allowed: [410] })
+    if (!response) return { kind: 'history-lost' }
     const { era } = response
     if (response.status === 410 || era !== eraOf(afterRevision)) return { kind: 'history-lost' }
     const { events, as_of: asOf } = this.parse(watchSchema, response)
@@ -90,6 +91,16 @@
     return { kind: 'changes', changes: events.map(event => changeOf(event, era)), revision }
   }
 
+  /** Resolves with `undefined` if there have been too many changes for one answer; the items, listed in pages, are fewer. */
+  private async callForChanges (path: string, options: Parameters<StoreClient['call']>[2]): Promise<StoreAnswer | undefined> {
+    try {
+      return await this.call('watch', path, options)
+    } catch (error) {
+      if (error instanceof Error && error.cause instanceof AnswerTooLongError) return undefined
+      throw error
+    }
+  }
+
   async commit ({ absent = [], writes = [], remove = [] }: Parameters<CoordinationStore['commit']>[0]): Promise<CommitResult> {
     const isOfEarlierEra = (era: number) => writes.some(({ lease }) => lease && lease.era < era)
     if (isOfEarlierEra(this.era)) return { kind: 'lease-ended' }
--- a/tests/storeClient.spec.ts
+++ b/tests/storeClient.spec.ts
@@ -48,6 +48,12 @@
     expect(await client.watch('', 3, { waitMs: 10 })).to.deep.equal({ kind: 'history-lost' })
   })
 
+  it('takes more changes than one answer holds for lost history', async () => {
+    // Guards against a node that asks for them again and again, and serves by an old configuration meanwhile.
+    handle = (_request, response) => json(response, 200, { events: Array.from({ length: 20 }, (_, index) => ({ key: 'op/config', value: base64('x'.repeat(700_000)), revision: index + 4 })), as_of: 30 })
+    expect(await client.watch('', 3, { waitMs: 10 })).to.deep.equal({ kind: 'history-lost' })
+  })
+
   it('distinguishes a commit, a conflict and an ended lease', async () => {
     let sent: unknown
     handle = (_request, response, body) => {
