Give back what a lost node had reserved, and ignore models that clients invent

Change: the prefill of a node whose connection closes is given back; that of a trial stays, as its result is not known. Nodes ask the leader only for models of the configuration.

Evidence: the two parts of leaderWaits.spec fail without the change.

--- a/src/policy/slotQueue.ts
+++ b/src/policy/slotQueue.ts
@@ -132,6 +132,8 @@
   soonestMs?: ((request: DispatchRequest) => number) | undefined
   /** Takes back an assignment whose request the engine did not run. */
   onReturned: (request: DispatchRequest, decision: Extract<DispatchDecision, { kind: 'engine' }>) => void
+  /** An assignment is gone with its node. */
+  onDropped?: ((request: DispatchRequest, engine: string) => void) | undefined
   /** Called once for each assignment that is over or no longer counts, whether or not it was used. */
   onReleased?: ((decision: Extract<DispatchDecision, { kind: 'engine' }>) => void) | undefined
   onAssigned?: ((queuedMs: number) => void) | undefined
@@ -238,7 +240,11 @@
 
   /** Removes the requests of a node whose connection has closed. The node's next reports show which of them are running. */
   drop (isDropped: (id: string) => boolean): void {
-    for (const [id, assignment] of [...this.assignments]) if (isDropped(id)) this.release(id, assignment)
+    for (const [id, assignment] of [...this.assignments]) {
+      if (!isDropped(id)) continue
+      this.release(id, assignment)
+      this.options.onDropped?.(assignment.dispatch, assignment.decision.id)
+    }
     for (const entry of [...this.entries.values()]) if (isDropped(entry.requestId)) this.detach(entry)
   }
 
--- a/src/serving/leaderTerm.ts
+++ b/src/serving/leaderTerm.ts
@@ -132,6 +132,7 @@
         if (trial !== undefined) options.quarantine.endTrial(trial)
         options.onSlotReturned?.()
       },
+      onDropped: (request, engine) => this.giveBack(request, engine),
       onReleased: ({ assignment }) => { if (assignment !== undefined) capacityTerm?.tokens.release(assignment) },
       onAssigned: options.onSlotAssigned,
       onRefused: (reason, request) => this.onSlotRefused(reason, request)
@@ -277,6 +278,11 @@
   onNodeLeft (reply: Send): void {
     const prefix = this.slotId(reply, '')
     this.slots.drop(id => id.startsWith(prefix))
+    for (const [id, { request, engine }] of this.dispatched) {
+      if (!id.startsWith(prefix)) continue
+      this.giveBack(request, engine)
+      this.dispatched.delete(id)
+    }
   }
 
   private slotId (reply: Send, ask: number | string): string {
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -273,7 +273,8 @@
   ): DispatchRequest | undefined {
     const { metadata, route, rank, service } = request
     const { model, adapter, promptTokens, outputTokens, sharedParts } = metadata
-    if (model === undefined || !service.engine) return undefined
+    // Clients name models: for others than those of the configuration, the leader would keep state that nobody needs.
+    if (model === undefined || !service.engine?.models.some(({ name }) => name === model)) return undefined
     const { region, availabilityZone } = this.options.settings
     const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
     const candidateIds = new Set(candidates.map(({ entry }) => entry.id))
--- a/tests/leaderWaits.spec.ts
+++ b/tests/leaderWaits.spec.ts
@@ -71,6 +71,18 @@
   })
 })
 
+describe('models that the configuration does not have', () => {
+  it('are not named to the leader', async () => {
+    // Guards against a leader whose state grows with each name that clients invent.
+    const fixture = new RequestProxyFixture()
+    await fixture.start([stream], { engine })
+    await fixture.addServer('a', () => {}, { models })
+    const { status } = await fixture.send('id1', { headers: { ...headers, 'x-model': 'invented' } })
+    expect({ status, asked: fixture.dispatchRequests }).to.deep.equal({ status: 503, asked: [] })
+    fixture.stop()
+  })
+})
+
 describe('prefill that an engine does not run', () => {
   let fixture: RequestProxyFixture
   let givenBack = 0
@@ -152,9 +164,19 @@
     term.onDispatchRequest(2, { ...request, promptTokens: 1000 }, reply)
     term.onSlotCancel({ cancel: 1 }, reply)
     term.onDispatchRequest(3, { ...request, promptTokens: 1000 }, reply)
+    // The same for a node whose connection has closed.
+    const gone = () => {}
+    fixture.fleet.servers.get('a')!.running = 1
+    await clock.advance(2000)
+    term.onDispatchRequest(1, { ...request }, gone)
+    term.onDispatchRequest(4, { ...request, promptTokens: 1000 }, reply)
+    term.onNodeLeft(gone)
+    term.onDispatchRequest(5, { ...request, promptTokens: 1000 }, reply)
     term.stop()
     expect(replies[0]).to.deep.equal({ ask: 1, engine: 'a' })
     expect(replies[1]!.waitMs).to.be.above(3000)
     expect(replies[2]).to.deep.equal({ ask: 3, engine: 'a' })
+    expect(replies[3]!.waitMs).to.be.above(3000)
+    expect(replies[4]).to.deep.equal({ ask: 5, engine: 'a' })
   })
 })
