Take no reservation ID that a header cannot hold

An engine's reservation ID is written into the header of the request that uses it, as it came: line breaks in it were further headers. IDs are now visible ASCII of up to 200 characters; another one counts as no reservation.

Evidence: platformAdapter.spec, "takes no ID of a reservation that a header cannot hold"; the schema accepted any text before.

--- a/src/platform/wireSchemas.ts
+++ b/src/platform/wireSchemas.ts
@@ -66,8 +66,8 @@
   adapterMb: model.adapter_mb ?? 0
 }))
 
-/** An engine's response to a reservation request, with the ID of the reservation. */
-export const reservationSchema = z.object({ hold: z.union([z.string(), z.number()]).transform(String) })
+/** An engine's response to a reservation request, with the ID of the reservation, which is written into a header. */
+export const reservationSchema = z.object({ hold: z.union([z.string().regex(/^[\x21-\x7e]{1,200}$/), z.number()]).transform(String) })
 
 const engineSchema = z.object({
   slots: z.number().positive(),
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -131,6 +131,13 @@
     expect(codecs.readRequest({ 'x-deadline-ms': 'soon' }).deadlineMs).to.equal(undefined)
   })
 
+  it('takes no ID of a reservation that a header cannot hold', () => {
+    // Guards against an engine whose text is sent on as further headers.
+    expect(codecs.readReservation('{"hold": "h-1"}')).to.equal('h-1')
+    expect(codecs.readReservation('{"hold": 7}')).to.equal('7')
+    for (const hold of ['a\r\nX-Tenant: other', 'a b', '', 'x'.repeat(201), '\ud800']) expect(codecs.readReservation(JSON.stringify({ hold }))).to.be.instanceOf(Error)
+  })
+
   // Guards against keys that reach backend servers, and against clients that name an account themselves.
   it('keeps the key of a request apart and states the account itself', () => {
     expect(codecs.readRequest({ 'x-api-key': 'k1' }).key).to.equal('k1')
