Bound the estimate of a client's output by what it accepts

Where tokens are accounted for, a request reserves its prompt and the output that X-Length-Hint estimates. A hint of 10^15 took an engine's whole memory for as long as the request ran, and others for its models were refused.

Change: the estimate counts up to the maximum that X-Token-Count states.

Evidence: platformAdapter.spec, "estimates no more output than the client accepts" (999,999,999,999,999 before).

--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -45,13 +45,15 @@
 function readRequest (headers: Record<string, string | string[] | undefined>): RequestMetadata {
   const [model, adapter] = (firstValue(headers['x-model']) ?? '').split('/')
   const [promptTokens, maxOutputTokens] = (firstValue(headers['x-token-count']) ?? '').split(',').map(part => parseInteger(part))
+  const hint = parseInteger(firstValue(headers['x-length-hint']))
   return {
     requestId: firstValue(headers[requestIdHeader]),
     deadlineMs: parseInteger(firstValue(headers[deadlineHeader])),
     model: model || undefined,
     adapter: adapter || undefined,
     promptTokens: promptTokens ?? 0,
-    outputTokens: parseInteger(firstValue(headers['x-length-hint'])) ?? maxOutputTokens ?? 0,
+    // The estimate of what the client accepts at most.
+    outputTokens: Math.min(hint ?? maxOutputTokens ?? 0, maxOutputTokens ?? hint ?? 0),
     statedTokens: promptTokens === undefined && maxOutputTokens === undefined ? undefined : (promptTokens ?? 0) + (maxOutputTokens ?? 0),
     sharedParts: sharedPartsOf(firstValue(headers['x-prompt-prefix'])),
     lastEventId: parseInteger(firstValue(headers[lastEventIdHeader])),
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -131,6 +131,12 @@
     expect(codecs.readRequest({ 'x-deadline-ms': 'soon' }).deadlineMs).to.equal(undefined)
   })
 
+  it('estimates no more output than the client accepts', () => {
+    // Guards against an engine whose memory counts as taken for as long as a client's estimate is wrong.
+    const tokensOf = (hint: string, count: string) => codecs.readRequest({ 'x-length-hint': hint, 'x-token-count': count }).outputTokens
+    expect([tokensOf('40', '100,80'), tokensOf('999999999999999', '100,80'), tokensOf('40', '100'), tokensOf('', '100,80'), tokensOf('', '')]).to.deep.equal([40, 80, 40, 80, 0])
+  })
+
   it('takes no ID of a reservation that a header cannot hold', () => {
     // Guards against an engine whose text is sent on as further headers.
     expect(codecs.readReservation('{"hold": "h-1"}')).to.equal('h-1')
