Read the ID of an event wherever it stands, and lines however they end

Cause: the ID was searched in the first 256 bytes of an event. A later one counted as none, and the next event as a gap.

Change: events are read line by line. What text/event-stream allows besides is read too: lines that end with CR, a byte order mark, several IDs, IDs of any size. Content types are compared without their parameters where a run continues a stream.

The bytes that are passed on are the same.

Why it works: an ID is found by its line, not by its place.

--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -34,6 +34,11 @@
   return value !== undefined && /^\d{1,15}$/.test(value.trim()) ? Number(value) : undefined
 }
 
+/** IDs may exceed the numbers that are exact, as times in nanoseconds do. */
+function parseEventId (value: string | undefined): bigint | undefined {
+  return value !== undefined && /^\d{1,64}$/.test(value.trim()) ? BigInt(value.trim()) : undefined
+}
+
 /** Returns the prompt parts that are shared with other requests: all but the last one, which is specific to the request or its session. */
 function sharedPartsOf (parts: string | undefined): PromptPart[] {
   return (parts ?? '').split(',').slice(0, -1).map(part => {
@@ -56,7 +61,7 @@
     outputTokens: Math.min(hint ?? maxOutputTokens ?? 0, maxOutputTokens ?? hint ?? 0),
     statedTokens: promptTokens === undefined && maxOutputTokens === undefined ? undefined : (promptTokens ?? 0) + (maxOutputTokens ?? 0),
     sharedParts: sharedPartsOf(firstValue(headers['x-prompt-prefix'])),
-    lastEventId: parseInteger(firstValue(headers[lastEventIdHeader])),
+    lastEventId: parseEventId(firstValue(headers[lastEventIdHeader])),
     key: firstValue(headers[keyHeader]) || undefined
   }
 }
--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -124,7 +124,12 @@
   }
 }
 
+/** The content type without its parameters, in lower case; `undefined` without one. */
+export function mediaTypeOf ({ headers }: ResponseHead): string | undefined {
+  return headers.get('content-type')?.split(';')[0]!.trim().toLowerCase()
+}
+
 /** Whether a response without a length or chunks can be sent while it comes, since its reader can tell where it was broken off. */
-export function isEventStream ({ headers }: ResponseHead): boolean {
-  return /^text\/event-stream\b/i.test(headers.get('content-type') ?? '')
+export function isEventStream (head: ResponseHead): boolean {
+  return mediaTypeOf(head) === 'text/event-stream'
 }
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -21,7 +21,7 @@
   statedTokens: number | undefined
   /** Prompt parts that are shared with other requests, in order. */
   sharedParts: PromptPart[]
-  lastEventId: number | undefined
+  lastEventId: bigint | undefined
   /** Key of the client's account, which must not be logged. */
   key: string | undefined
 }
@@ -33,7 +33,7 @@
   /** Engines only; 0 runs first. */
   rank: number | undefined
   /** ID of the event after which the stream resumes. */
-  lastEventId: number | undefined
+  lastEventId: bigint | undefined
   /** ID of the slot that the engine has reserved for the request. */
   reservationId?: string | undefined
   /** Name of the account for which the request runs. */
--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -4,40 +4,59 @@
 
 const lineFeed = 10
 const carriageReturn = 13
-/** Bytes of an event separator that may end the previous chunk, so the search starts again this far before its end. */
-const partialEndBytes = 3
+/** A stream may begin with one, which belongs to no line. */
+const byteOrderMark = Buffer.from('\ufeff')
+/** Longer numbers are no event IDs. */
+const idField = /^id:\s*(\d{1,64})\s*$/
+const comment = /^(?:(?:(?::|retry:)[^\r\n]*)?(?:\r\n|\n|\r))*$/
 
 export interface StreamEvent {
-  /** Value of the `id` field, if it is a number. */
-  id: number | undefined
+  /** Absent if the event has none, or none that is a number. */
+  id: bigint | undefined
+  /** Whether the event carries no data. */
+  isComment: boolean
   /** The event with its separator. */
   bytes: Buffer
 }
 
-/** Whether the event consists of comments and `retry` fields, which carry no data. */
-export function isComment (event: Buffer): boolean {
-  return /^(?:(?:(?::|retry:)[^\r\n]*)?\r?\n)*$/.test(event.toString('latin1'))
-}
-
+/** Splits at empty lines. Lines end with LF, CRLF or CR. */
 export class EventSplitter {
   private pending = new ByteBuffer()
+  /** Up to here, `pending` has been searched for ends of lines. */
+  private searched = 0
+  /** Start of the line that is not complete. */
+  private lineStart = 0
+  /** ID of the event that is not complete. */
+  private id: bigint | undefined
+  private isAtStart = true
+  /** Whether a line has ended with CR alone, so that a CR need not be the first half of CRLF. */
+  private endsLinesWithReturn = false
+  /** Whether an LF that comes next belongs to the last line end. */
+  private mayGetLineFeed = false
 
   /** Returns the events that `data` completes. */
   push (data: Buffer): StreamEvent[] {
-    const searchFrom = Math.max(0, this.pending.length - partialEndBytes)
     this.pending.push(data)
     const { bytes } = this.pending
+    if (this.isAtStart && !this.skipByteOrderMark(bytes)) return []
     const events: StreamEvent[] = []
     let start = 0
-    for (let end = endOfEvent(bytes, start, searchFrom); end !== -1; end = endOfEvent(bytes, start, start)) {
-      const event = bytes.subarray(start, end)
-      events.push({ id: idOf(event), bytes: event })
-      start = end
+    for (let end = this.nextLineEnd(bytes); end !== undefined; end = this.nextLineEnd(bytes)) {
+      const isEmpty = end.from === this.lineStart
+      if (!isEmpty) this.readLine(bytes, end.from)
+      this.searched = this.lineStart = end.to
+      if (!isEmpty) continue
+      const event = bytes.subarray(start, end.to)
+      events.push({ id: this.id, isComment: this.id === undefined && isComment(event), bytes: event })
+      this.id = undefined
+      start = end.to
     }
     if (start > 0) {
       // The events are views of the old buffer, so it must not be written to any more.
       this.pending = new ByteBuffer()
       this.pending.push(bytes.subarray(start))
+      this.searched -= start
+      this.lineStart -= start
     }
     return events
   }
@@ -48,20 +67,57 @@
 
   /** Bytes after the last complete event. */
   get remainder (): Buffer {
-    return this.pending.bytes
+    const { bytes } = this.pending
+    // An LF alone is the second half of the CRLF that ended the last event; any other would have completed an empty one.
+    return bytes.length === 1 && bytes[0] === lineFeed ? bytes.subarray(1) : bytes
   }
-}
 
-/** Returns the end of the event that starts at `start`, or -1 if it is incomplete. Its separator does not start before `from`. */
-function endOfEvent (bytes: Buffer, start: number, from: number): number {
-  for (let at = bytes.indexOf(lineFeed, from); at !== -1; at = bytes.indexOf(lineFeed, at + 1)) {
-    if (bytes[at + 1] === lineFeed) return at + 2
-    if (bytes[at + 1] === carriageReturn && bytes[at + 2] === lineFeed && at > start && bytes[at - 1] === carriageReturn) return at + 3
+  /** Returns false if more bytes are needed to tell whether there is one. */
+  private skipByteOrderMark (bytes: Buffer): boolean {
+    const prefix = bytes.subarray(0, byteOrderMark.length)
+    if (prefix.equals(byteOrderMark)) this.searched = this.lineStart = byteOrderMark.length
+    else if (byteOrderMark.subarray(0, prefix.length).equals(prefix)) return false
+    this.isAtStart = false
+    return true
+  }
+
+  /** The next end of a line that is known to be complete: from where it starts to the next line. */
+  private nextLineEnd (bytes: Buffer): { from: number, to: number } | undefined {
+    for (; this.searched < bytes.length; this.searched++) {
+      const from = this.searched
+      const byte = bytes[from]
+      if (this.mayGetLineFeed) {
+        this.mayGetLineFeed = false
+        if (byte === lineFeed) {
+          this.lineStart = from + 1
+          continue
+        }
+      }
+      if (byte === lineFeed) return { from, to: from + 1 }
+      if (byte !== carriageReturn) continue
+      if (from + 1 < bytes.length) {
+        if (bytes[from + 1] === lineFeed) return { from, to: from + 2 }
+        this.endsLinesWithReturn = true
+        return { from, to: from + 1 }
+      }
+      // The second half of a CRLF may follow.
+      if (!this.endsLinesWithReturn) return undefined
+      this.mayGetLineFeed = true
+      return { from, to: from + 1 }
+    }
+    return undefined
+  }
+
+  private readLine (bytes: Buffer, end: number): void {
+    const { lineStart } = this
+    // Most lines hold data, which is not decoded.
+    if (bytes[lineStart] !== 0x69 || bytes[lineStart + 1] !== 0x64 || bytes[lineStart + 2] !== 0x3a) return
+    const value = idField.exec(bytes.toString('latin1', lineStart, end))?.[1]
+    this.id = value === undefined ? undefined : BigInt(value)
   }
-  return -1
 }
 
-function idOf (event: Buffer): number | undefined {
-  const match = /(?:^|\n)id: ?(\d+)/.exec(event.toString('latin1', 0, Math.min(event.length, 256)))
-  return match ? Number(match[1]) : undefined
+/** Whether the event consists of comments and `retry` fields, which carry no data. */
+function isComment (event: Buffer): boolean {
+  return comment.test(event.toString('latin1'))
 }
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -9,10 +9,10 @@
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
 import type { BackendServer } from './backendServer.js'
 import type { ClientLimit, ClientMemory } from './clientMemory.js'
-import { isEventStream, maxUnframedBytes } from './clientExchange.js'
+import { isEventStream, maxUnframedBytes, mediaTypeOf } from './clientExchange.js'
 import type { BackendResponse, ResponseWriter } from './clientExchange.js'
 import type { Codecs } from './codecs.js'
-import { EventSplitter, isComment } from './eventStream.js'
+import { EventSplitter } from './eventStream.js'
 import type { StreamEvent } from './eventStream.js'
 import type { LearnedCapacity } from './learnedCapacity.js'
 import type { ProxiedRequest } from './requestProxy.js'
@@ -94,7 +94,7 @@
   longestGapMs = 0
   /** Time at which the last event was sent to the client. */
   lastEventAtMs: number | undefined
-  lastEventId: number | undefined
+  lastEventId: bigint | undefined
   /** Whether the last attempt that brought anything ended in order, or fell silent, after a whole event: its client may have the whole stream. */
   mayBeAtEnd = false
   /** Reserves a failover target, if there is one or if one becomes free while `isNeeded` holds. */
@@ -295,7 +295,7 @@
     this.isStreaming = isSuccess && request.route.kind === 'stream' && isSentAtOnce
     if (!this.isStreaming || !this.forwarder.hasResponseStarted) return
     this.isContinuation = true
-    const contentType = head.headers.get('content-type')
+    const contentType = mediaTypeOf(head)
     if (contentType !== this.forwarder.contentType) this.reject(`the content type ${contentType} does not continue the stream`)
   }
 
@@ -349,11 +349,11 @@
     const { forwarder } = this
     const forwarded: Buffer[] = []
     let gap: string | undefined
-    for (const { id, bytes } of events) {
+    for (const { id, isComment, bytes } of events) {
       if (id !== undefined) {
         const last = forwarder.lastEventId ?? forwarder.request.metadata.lastEventId
         if (last !== undefined && id <= last) continue
-        if (last !== undefined && id !== last + 1) {
+        if (last !== undefined && id !== last + 1n) {
           gap = `event ${id} follows event ${last}`
           break
         }
@@ -366,7 +366,7 @@
         this.events++
         this.firstEventAtMs ??= forwarder.clock.nowMs()
         if (hasGoneOn({ events: this.events, writingMs: this.writingMs })) this.recordGoneOn()
-      } else if (!isComment(bytes)) {
+      } else if (!isComment) {
         if (this.isContinuation) {
           gap = 'an event without an ID does not continue the stream'
           break
@@ -395,7 +395,7 @@
     if (!forwarder.hasResponseStarted) {
       forwarder.hasResponseStarted = true
       forwarder.firstByteMs = forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
-      forwarder.contentType = this.head!.headers.get('content-type')
+      forwarder.contentType = mediaTypeOf(this.head!)
       writer.beginStream(this.head!, forwarder.codecs.returnHeaders(this.head!))
     }
     if (!writer.writeEvents(bytes)) this.sample?.onPaused()
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -620,7 +620,7 @@
       configVersion: this.deployment?.version,
       sends: progress.attempts,
       readAfterMs: Math.round(request.readAtMs - request.arrivedAtMs),
-      lastEventId: forwarder.lastEventId,
+      lastEventId: forwarder.lastEventId?.toString(),
       silentMs: forwarder.sinceLastEventMs === undefined ? undefined : Math.round(forwarder.sinceLastEventMs),
       loopDelayMs: Math.round(this.options.loopDelayMs?.() ?? 0),
       isStopping: this.isClosing,
