Take event IDs that increase by any amount for a sound stream

Cause: each ID but the next integer counted as a gap.

Change: policy/streamPosition.ts decides what belongs to the client's stream. IDs up to the last one are what the client has, higher ones continue. Events without an ID belong where they stand; in a run that continues a stream they wait until an ID shows their place, and what only stands at the end of such a run ends the attempt as before. A stream with events and no ID is not continued: nothing shows where, so the first event with an ID of a second run was joined to events that it may repeat.

Given up: a run that leaves out events in its middle. Nothing on the wire tells it from one with larger events, and a connection skips no bytes.

--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -1,6 +1,7 @@
 /** Splits an event stream into complete events, so that another engine can resume after the last one. */
 
 import { ByteBuffer } from '../base/byteBuffer.js'
+import type { PositionedEvent } from '../policy/streamPosition.js'
 
 const lineFeed = 10
 const carriageReturn = 13
@@ -10,11 +11,7 @@
 const idField = /^id:\s*(\d{1,64})\s*$/
 const comment = /^(?:(?:(?::|retry:)[^\r\n]*)?(?:\r\n|\n|\r))*$/
 
-export interface StreamEvent {
-  /** Absent if the event has none, or none that is a number. */
-  id: bigint | undefined
-  /** Whether the event carries no data. */
-  isComment: boolean
+export interface StreamEvent extends PositionedEvent {
   /** The event with its separator. */
   bytes: Buffer
 }
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -4,6 +4,7 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
 import { stallTimeoutMs } from '../policy/streamPatience.js'
+import { StreamPosition } from '../policy/streamPosition.js'
 import { hasGoneOn } from '../policy/partQuarantine.js'
 import { AttemptSample } from './attemptSample.js'
 import type { BackendConnection, ExchangeFailure } from './backendConnection.js'
@@ -95,6 +96,8 @@
   /** Time at which the last event was sent to the client. */
   lastEventAtMs: number | undefined
   lastEventId: bigint | undefined
+  /** What the client has of the stream. */
+  readonly position: StreamPosition<StreamEvent>
   /** Whether the last attempt that brought anything ended in order, or fell silent, after a whole event: its client may have the whole stream. */
   mayBeAtEnd = false
   /** Reserves a failover target, if there is one or if one becomes free while `isNeeded` holds. */
@@ -117,6 +120,7 @@
     this.onGoneOn = onGoneOn
     this.learned = learned
     this.request = request
+    this.position = new StreamPosition(request.metadata.lastEventId)
     this.writer = writer
     this.codecs = codecs
     this.clock = clock
@@ -208,8 +212,6 @@
   private connection: BackendConnection | undefined
   private head: ResponseHead | undefined
   private isStreaming = false
-  /** Whether the response continues a stream that another attempt has started. */
-  private isContinuation = false
   private readonly body = new ByteBuffer()
   private readonly splitter = new EventSplitter()
   /** Bytes received since the last new event. */
@@ -293,8 +295,9 @@
     if (isSuccess && (!metadata.isSigned || metadata.isEncoded)) return this.reject('the successful response is not signed or its body is encoded')
     const isSentAtOnce = this.forwarder.hasResponseStarted || !head.endsWithConnection || isEventStream(head)
     this.isStreaming = isSuccess && request.route.kind === 'stream' && isSentAtOnce
-    if (!this.isStreaming || !this.forwarder.hasResponseStarted) return
-    this.isContinuation = true
+    if (!this.isStreaming) return
+    this.forwarder.position.begin({ isContinuation: this.forwarder.hasResponseStarted })
+    if (!this.forwarder.hasResponseStarted) return
     const contentType = mediaTypeOf(head)
     if (contentType !== this.forwarder.contentType) this.reject(`the content type ${contentType} does not continue the stream`)
   }
@@ -306,8 +309,9 @@
       return this.bufferBody(data)
     }
     this.staleBytes += data.length
-    this.onEvents(this.splitter.push(data))
-    if (!this.hold(this.splitter.pendingBytes)) this.onNoRoom()
+    const events = this.splitter.push(data)
+    if (events.length > 0) this.forward(events.flatMap(event => this.forwarder.position.take(event)))
+    if (!this.hold(this.forwarder.position.hasHeld ? this.staleBytes : this.splitter.pendingBytes)) this.onNoRoom()
     if (this.staleBytes > maxStaleBytes) this.reject('too many bytes were received without a new event')
   }
 
@@ -344,39 +348,26 @@
     else buffered.resize(heldBytes, 0)
   }
 
-  /** Sends the new events to the client, in one write because a chunk may hold thousands. Ends the attempt at a gap in their IDs. */
-  private onEvents (events: readonly StreamEvent[]): void {
+  /** Sends events to the client, in one write because a chunk may hold thousands. */
+  private forward (events: readonly StreamEvent[]): void {
     const { forwarder } = this
-    const forwarded: Buffer[] = []
-    let gap: string | undefined
-    for (const { id, isComment, bytes } of events) {
-      if (id !== undefined) {
-        const last = forwarder.lastEventId ?? forwarder.request.metadata.lastEventId
-        if (last !== undefined && id <= last) continue
-        if (last !== undefined && id !== last + 1n) {
-          gap = `event ${id} follows event ${last}`
-          break
-        }
-        forwarder.lastEventId = id
-        this.staleBytes = 0
-        this.recordProgress()
-        this.recordFirstByte()
-        forwarder.onEventForwarded()
-        this.sample?.onEvent()
-        this.events++
-        this.firstEventAtMs ??= forwarder.clock.nowMs()
-        if (hasGoneOn({ events: this.events, writingMs: this.writingMs })) this.recordGoneOn()
-      } else if (!isComment) {
-        if (this.isContinuation) {
-          gap = 'an event without an ID does not continue the stream'
-          break
-        }
-        this.hasEventsWithoutId = true
+    if (events.length === 0) return
+    for (const { id, isComment } of events) {
+      if (id === undefined) {
+        if (!isComment) this.hasEventsWithoutId = true
+        continue
       }
-      forwarded.push(bytes)
+      forwarder.lastEventId = id
+      this.staleBytes = 0
+      this.recordProgress()
+      this.recordFirstByte()
+      forwarder.onEventForwarded()
+      this.sample?.onEvent()
+      this.events++
+      this.firstEventAtMs ??= forwarder.clock.nowMs()
+      if (hasGoneOn({ events: this.events, writingMs: this.writingMs })) this.recordGoneOn()
     }
-    if (forwarded.length > 0) this.write(forwarded.length === 1 ? forwarded[0]! : Buffer.concat(forwarded))
-    if (gap !== undefined) this.reject(gap)
+    this.write(events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes)))
   }
 
   private get writingMs (): number | undefined {
@@ -423,6 +414,7 @@
       return this.finish({ kind: 'done' })
     }
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
+    if (!forwarder.position.isInPlaceAtEnd) return this.finish({ kind: 'unknown', reason: 'events without an ID do not continue the stream' })
     if (!this.hasBroughtEnd) return this.finish({ kind: 'unknown', reason: 'the stream ended without an event and without a length or chunks' })
     if (!forwarder.hasResponseStarted) this.write(Buffer.alloc(0))
     if (!forwarder.writer.mayEndAfter(this.head!)) return this.finish({ kind: 'unknown', reason: 'nothing states the end of the stream', isEndUnproved: this.events > 0 })
@@ -501,7 +493,7 @@
   private async tryFailover (limitMs: number): Promise<number> {
     // Data that arrived while the event loop was blocked must be read first.
     await ioTurn()
-    const isNeeded = () => !this.isFinished && this.stalledMs() >= limitMs
+    const isNeeded = () => !this.isFinished && this.stalledMs() >= limitMs && this.forwarder.position.mayContinue
     if (!isNeeded()) return 0
     const search = await this.forwarder.reserveMove(isNeeded)
     if (search.kind === 'none') return search.retryAfterMs
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -438,7 +438,7 @@
     if (result.kind === 'unsent') return true
     if (progress.ends >= maxEndsPerRequest || this.isEnding) return false
     const mayHaveRun = result.kind !== 'not-run'
-    if (mayHaveRun && !isRepeatable(request)) return false
+    if (mayHaveRun && !(isRepeatable(request) && forwarder.position.mayContinue)) return false
     // Another server's response would find no room either.
     if (result.kind === 'unknown' && result.isNoRoom) return false
     if (result.kind === 'answer' && result.response.head.status < 500) return false
