Tell a reset from the end of an answer without a length

Callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written.

Cause: a reset that is read in the same turn of the event loop as the last bytes is reported as an orderly end. The engine's process lives, so its answer to the question after the close proved the end.

Change: a socket that has no peer address at its end was reset. After an end with a peer, the answer is complete if the process lives, also if the rest of the upload, which nobody reads, is reset meanwhile; it counted as broken off.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -132,7 +132,8 @@
     this.socket.on('end', () => this.onServerClosed())
     this.socket.on('error', (error: NodeJS.ErrnoException) => {
       this.wasRefused = error.code === 'ECONNREFUSED'
-      this.fail(error.message)
+      // After the server's orderly close, only the rest of the request is lost, which it has not read.
+      if (!this.isConfirming) this.fail(error.message)
     })
     this.socket.on('close', () => { if (!this.isConfirming) this.fail('the connection was closed') })
   }
@@ -270,7 +271,9 @@
 
   private onServerClosed (): void {
     const { active } = this
-    if (active && this.reader.endsWithConnection && !active.endsAtHead) void this.confirmEnd(active)
+    // A reset that arrives together with data, while a request is being written, is reported as an orderly close; the socket then has no peer.
+    if (this.socket.remoteAddress === undefined) this.fail('the connection was reset')
+    else if (active && this.reader.endsWithConnection && !active.endsAtHead) void this.confirmEnd(active)
     else this.fail('the server closed the connection')
   }
 
