--- a/src/serving/clientRequests.ts
+++ b/src/serving/clientRequests.ts
@@ -98,7 +98,7 @@
   logUnfinished (): void {
     for (const { requestId, arrivedAtMs, response } of this.open) {
       this.log('warn', 'connection closed before the end of an answer', {
-        request: requestId, ageMs: Math.round(this.clock.nowMs() - arrivedAtMs), hasBegun: response.headersSent
+        request: requestId, ageMs: Math.round(this.clock.nowMs() - arrivedAtMs), hasBegun: response.headersSent, isChunked: response.chunkedEncoding
       })
     }
   }
