Leave a stream that ends with its connection inside an event until its end

Callers saw streams end as complete in their middle (ORDER): where an engine sends neither a length nor chunks, or the client speaks HTTP/1.0, the end of the connection is the end of the stream, and the kernel of a node that is killed closes it in order.

Cause: between two events the stream stood within a comment, and readers of event streams drop comments. What is left is a stream that ends after a whole event. The same holds for each other way in which the connection is closed in order: by the node's HTTP server after bytes that are no request, after a half-close of the client, or with too many requests.

No comments are added any more.

It needs nothing but what has left the process, so it does not depend on who closes the connection, nor on whether a client tells a reset from an end.

--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -1,13 +1,14 @@
 /** The responses to a client's request. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { CancelTimer, Clock } from '../base/clock.js'
+import { lineEndHoldMs, StreamTail } from '../policy/streamTail.js'
+import type { StreamBlock } from '../policy/streamTail.js'
 import type { ResponseHead } from './responseReader.js'
 
 /** Limits of reading on after a refusal. */
 export interface LingerLimits { lingerMs: number, lingerBytes: number }
 
-const defaultLinger: LingerLimits = { lingerMs: 1000, lingerBytes: 1024 * 1024 }
-
 /**
  * Closes the connection only some time after the response: a connection that is closed with unread bytes is reset, which takes the
  * response from a client that is still sending. What arrives until then is discarded.
@@ -39,13 +40,6 @@
  * this process does not cut it short in order.
  */
 export const maxUnframedBytes = 128 * 1024
-/**
- * A stream that ends with its connection always stands within a comment until its end. If this process is killed, its kernel closes
- * the connection in order, and the stream ends inside an event, which shows that it was broken off.
- */
-const commentStart = Buffer.from(':')
-const commentEnd = Buffer.from('\n\n')
-
 /**
  * Sends responses to a client. Only this class states where they end, and it states the end of a backend server's response only if the
  * server did, with a length or chunks. Otherwise the response ends as it came, with its connection.
@@ -53,11 +47,11 @@
 export class ResponseWriter {
   /** How a backend server's response is sent, once it has begun. */
   framing: ClientFraming | undefined
-  /** Whether a stream ends with its connection and can hold comments. */
-  private hasComments = false
-  private isInComment = false
+  /** Present for a stream that ends with its connection: if this process ends, its kernel closes the connection in order. */
+  private tail: StreamTail | undefined
+  private cancelRelease: CancelTimer | undefined
 
-  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly linger = defaultLinger) {}
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly options: { clock: Clock, limits: LingerLimits }) {}
 
   sendError (status: number, reason: string, retryAfterMs?: number): void {
     if (this.response.destroyed) return
@@ -67,7 +61,7 @@
     // The rest of an unread body would be parsed as the next request.
     if (!this.request.complete) {
       headers.push('Connection', 'close')
-      lingerAfterResponse(this.request, this.linger)
+      lingerAfterResponse(this.request, this.options.limits)
     }
     this.response.writeHead(status, headers)
     this.response.end(body)
@@ -84,16 +78,32 @@
   beginStream (head: ResponseHead, headers: string[]): void {
     // Clients of HTTP/1.0 can't read chunks.
     this.framing = head.endsWithConnection || !this.response.useChunkedEncodingByDefault ? 'connection' : 'chunks'
-    this.hasComments = this.framing === 'connection' && isEventStream(head)
+    if (this.framing === 'connection' && isEventStream(head)) this.tail = new StreamTail()
     this.writeHead(head, headers)
   }
 
   /** Sends whole events. Returns false if the client should be given time to read. */
-  writeEvents (events: Buffer): boolean {
-    if (!this.hasComments || events.length === 0) return this.response.write(events)
-    const parts = this.isInComment ? [commentEnd, events, commentStart] : [events, commentStart]
-    this.isInComment = true
-    return this.response.write(Buffer.concat(parts))
+  writeEvents (events: readonly StreamBlock[]): boolean {
+    const { tail } = this
+    const bytes = tail ? tail.push(events) : joined(events)
+    this.write(bytes)
+    if (tail && bytes.length > 0) this.stopRelease()
+    if (tail?.isHolding) this.cancelRelease ??= this.options.clock.setTimer(lineEndHoldMs, () => this.releaseHeld(tail))
+    return !this.response.writableNeedDrain
+  }
+
+  private releaseHeld (tail: StreamTail): void {
+    this.stopRelease()
+    this.write(tail.release())
+  }
+
+  private stopRelease (): void {
+    this.cancelRelease?.()
+    this.cancelRelease = undefined
+  }
+
+  private write (bytes: Buffer): void {
+    if (bytes.length > 0 && !this.response.destroyed) this.response.write(bytes)
   }
 
   /** Whether the stream that has begun may end after a response with this head. */
@@ -102,13 +112,15 @@
   }
 
   endStream (): void {
-    this.response.end(this.isInComment ? commentEnd : undefined)
+    this.stopRelease()
+    this.response.end(this.tail?.end())
   }
 
   /** Closes the client's connection, so that a partial response does not look complete. */
   abort (): void {
     const { response } = this
     const { socket } = response
+    this.stopRelease()
     // The orderly close of the connection would be the end of the response. What was written leaves this process before the reset.
     if (socket && response.headersSent && !response.chunkedEncoding) setImmediate(() => socket.resetAndDestroy())
     else response.destroy()
@@ -124,6 +136,11 @@
   }
 }
 
+/** One write, because a chunk may hold thousands of events. */
+function joined (events: readonly StreamBlock[]): Buffer {
+  return events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes))
+}
+
 /** The content type without its parameters, in lower case; `undefined` without one. */
 export function mediaTypeOf ({ headers }: ResponseHead): string | undefined {
   return headers.get('content-type')?.split(';')[0]!.trim().toLowerCase()
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -348,7 +348,7 @@
     else buffered.resize(heldBytes, 0)
   }
 
-  /** Sends events to the client, in one write because a chunk may hold thousands. */
+  /** Sends events to the client. */
   private forward (events: readonly StreamEvent[]): void {
     const { forwarder } = this
     if (events.length === 0) return
@@ -367,7 +367,7 @@
       this.firstEventAtMs ??= forwarder.clock.nowMs()
       if (hasGoneOn({ events: this.events, writingMs: this.writingMs })) this.recordGoneOn()
     }
-    this.write(events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes)))
+    this.write(events)
   }
 
   private get writingMs (): number | undefined {
@@ -380,7 +380,7 @@
     this.forwarder.onGoneOn(this.startedAtMs)
   }
 
-  private write (bytes: Buffer): void {
+  private write (events: readonly StreamEvent[]): void {
     const { forwarder } = this
     const { writer } = forwarder
     if (!forwarder.hasResponseStarted) {
@@ -389,7 +389,7 @@
       forwarder.contentType = mediaTypeOf(this.head!)
       writer.beginStream(this.head!, forwarder.codecs.returnHeaders(this.head!))
     }
-    if (!writer.writeEvents(bytes)) this.sample?.onPaused()
+    if (!writer.writeEvents(events)) this.sample?.onPaused()
     // The server's connection is read on for a slow client: a server cuts off a response that remains unread for some seconds.
     if (!forwarder.countUnread()) this.abandon({ kind: 'client-left', reason: 'the client reads too slowly, and this node holds too much for its clients' })
   }
@@ -416,7 +416,7 @@
     if (this.splitter.remainder.length > 0) return this.finish({ kind: 'unknown', reason: 'the stream ended within an event' })
     if (!forwarder.position.isInPlaceAtEnd) return this.finish({ kind: 'unknown', reason: 'events without an ID do not continue the stream' })
     if (!this.hasBroughtEnd) return this.finish({ kind: 'unknown', reason: 'the stream ended without an event and without a length or chunks' })
-    if (!forwarder.hasResponseStarted) this.write(Buffer.alloc(0))
+    if (!forwarder.hasResponseStarted) this.write([])
     if (!forwarder.writer.mayEndAfter(this.head!)) return this.finish({ kind: 'unknown', reason: 'nothing states the end of the stream', isEndUnproved: this.events > 0 })
     forwarder.writer.endStream()
     forwarder.onResponseEnded()
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -182,7 +182,7 @@
     } catch (error) {
       const { requestId } = this.options.codecs.readRequest(request.headers)
       this.options.log('error', 'request handling failed', { request: requestId, error: messageOf(error), stack: (error as Error).stack })
-      const writer = new ResponseWriter(request, response, this.memory.limits)
+      const writer = new ResponseWriter(request, response, this.memory)
       if (response.headersSent) writer.abort()
       else writer.sendError(502, 'the request could not be handled')
     }
@@ -233,7 +233,7 @@
     }
     if (this.clients.discardIfClosed(socket, open)) return
     if (this.isClosing) this.clients.announceClose(open)
-    const writer = new ResponseWriter(request, response, this.memory.limits)
+    const writer = new ResponseWriter(request, response, this.memory)
     const { deployment } = this
     if (this.isRefusing) return writer.sendError(503, 'this node is shutting down', 0)
     if (!deployment) return refuseEarly(writer, 503, 'this node has not received its configuration yet', startingRetryAfterMs)
