Reset answers that a node breaks off at the end of its grace time

Callers of streams that last longer than what is left of the grace time saw their connection end in order, which is the end of a stream without a length or chunks (ORDER). The node closed all connections with an orderly close, although its process still runs and can reset those whose answer has begun.

The resets happen before the last reading of what has arrived, so that nothing is read between it and the closing of the other connections.

--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -118,12 +118,8 @@
 
   /** Closes the client's connection, so that a partial response does not look complete. */
   abort (): void {
-    const { response } = this
-    const { socket } = response
     this.stopRelease()
-    // The orderly close of the connection would be the end of the response. What was written leaves this process before the reset.
-    if (socket && response.headersSent && !response.chunkedEncoding) setImmediate(() => socket.resetAndDestroy())
-    else response.destroy()
+    breakOff(this.response)
   }
 
   private writeHead ({ status, statusText }: ResponseHead, headers: string[]): void {
@@ -136,6 +132,14 @@
   }
 }
 
+/** Closes the connection of a response so that what the client has of it does not look complete. */
+export function breakOff (response: ServerResponse): void {
+  const { socket } = response
+  // The orderly close of the connection would be the end of the response. What was written leaves this process before the reset.
+  if (socket && response.headersSent && !response.chunkedEncoding) setImmediate(() => socket.resetAndDestroy())
+  else response.destroy()
+}
+
 /** One write, because a chunk may hold thousands of events. */
 function joined (events: readonly StreamBlock[]): Buffer {
   return events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(({ bytes }) => bytes))
--- a/src/serving/clientRequests.ts
+++ b/src/serving/clientRequests.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net'
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
+import { breakOff } from './clientExchange.js'
 
 /** A client request whose response is not complete. */
 export interface OpenRequest {
@@ -103,6 +104,11 @@
     }
   }
 
+  /** Closes the connections of responses that have begun, so that what their clients have of them does not look complete. */
+  breakOffBegun (): void {
+    for (const { response } of this.open) if (response.headersSent) breakOff(response)
+  }
+
   private connectionOf (socket: Socket): ClientConnection {
     const existing = this.connections.get(socket)
     if (existing) return existing
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -399,10 +399,13 @@
     }
     this.requestProxy.abandonRequests()
     await sleep(clock, finalAnswersMs)
+    const { clients } = this.requestProxy
+    const count = clients.active
+    clients.logUnfinished()
+    clients.breakOffBegun()
     // Requests that have arrived meanwhile, as while the process was paused, are refused before their connections are closed.
     lastRead = await this.readWhatArrived()
-    log('info', 'requests in progress at the end', { count: this.requestProxy.clients.active, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
-    this.requestProxy.clients.logUnfinished()
+    log('info', 'requests in progress at the end', { count, ...lastRead, afterMs: Math.round(elapsedMs()), closed: this.openConnections })
     this.storeView.stop()
     this.cancelReports()
     this.cancelParts?.()
--- a/tests/streamEnds.spec.ts
+++ b/tests/streamEnds.spec.ts
@@ -7,6 +7,7 @@
 import type { StreamOptions } from './fixtures/streamingNode.js'
 
 const streams = 12
+/** Lasts longer than the grace time after SIGTERM. */
 const longStream = 2000
 const eventsBeforeEnd = 10
 
@@ -54,6 +55,11 @@
       expect((await readUntil('SIGKILL', form)).filter(looksWhole)).to.deep.equal([])
     })
 
+    // Guards against a node that closes them in order at the end of its grace time.
+    it(`are reset when the node stops before their end: ${name}`, async () => {
+      expect((await readUntil('SIGTERM', form)).filter(({ isOrderly }) => isOrderly)).to.deep.equal([])
+    })
+
     // Guards against sound streams that are changed or broken off because others must be seen to be.
     it(`are whole: ${name}`, async () => {
       const ends = await Promise.all(Array.from({ length: streams }, () => node.read({ ...form, events: 20 })))
