Buffer streams without events for clients that read no chunks

A stream that is no text/event-stream, for a client of HTTP/1.0, was passed on piece by piece without a length.

Such an answer is now sent as a plain one is: whole, with a length, once the engine has stated its end. unstatedEnds.spec 'give a client without chunks a length if the stream has no events' fails before, with no length.

--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -76,12 +76,16 @@
   }
 
   beginStream (head: ResponseHead, headers: string[]): void {
-    // Clients of HTTP/1.0 can't read chunks.
-    this.framing = head.endsWithConnection || !this.response.useChunkedEncodingByDefault ? 'connection' : 'chunks'
+    this.framing = head.endsWithConnection || !this.canChunk ? 'connection' : 'chunks'
     if (this.framing === 'connection' && isEventStream(head)) this.tail = new StreamTail()
     this.writeHead(head, headers)
   }
 
+  /** Clients of HTTP/1.0 can't read chunks. */
+  get canChunk (): boolean {
+    return this.response.useChunkedEncodingByDefault
+  }
+
   /** Sends whole events. Returns false if the client should be given time to read. */
   writeEvents (events: readonly StreamBlock[]): boolean {
     const { tail } = this
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -293,7 +293,8 @@
     this.server.onNotice(metadata)
     const isSuccess = head.status >= 200 && head.status < 300
     if (isSuccess && (!metadata.isSigned || metadata.isEncoded)) return this.reject('the successful response is not signed or its body is encoded')
-    const isSentAtOnce = this.forwarder.hasResponseStarted || !head.endsWithConnection || isEventStream(head)
+    const { hasResponseStarted, writer } = this.forwarder
+    const isSentAtOnce = hasResponseStarted || (!head.endsWithConnection && writer.canChunk) || isEventStream(head)
     this.isStreaming = isSuccess && request.route.kind === 'stream' && isSentAtOnce
     if (!this.isStreaming) return
     this.forwarder.position.begin({ isContinuation: this.forwarder.hasResponseStarted })
--- a/tests/unstatedEnds.spec.ts
+++ b/tests/unstatedEnds.spec.ts
@@ -199,6 +199,17 @@
     expect(readEvents(bodyOf(text()))).to.deep.equal({ events: events(1, 1), rest: 'i' })
   })
 
+  // Guards against a body without events whose reader can't tell where it was cut.
+  it('give a client without chunks a length if the stream has no events', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1 })])
+    await fixture.addServer('a', (socket, head) => { socket.write(`HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head), 'Transfer-Encoding: chunked\r\n')}\r\n${chunk('a\n\n')}${chunk('b\n\n')}0\r\n\r\n`) })
+    const { socket, text } = fixture.connect()
+    socket.write('POST / HTTP/1.0\r\nHost: h\r\nX-Attempt-Id: id1\r\nContent-Length: 0\r\n\r\n')
+    await once(socket, 'end')
+    expect(text()).to.match(/^content-length: 6\r$/im)
+    expect(bodyOf(text())).to.equal('a\n\nb\n\n')
+  })
+
   // Guards against a length of 0 that the node gives to answers that have no body of their own.
   for (const [method, status, headers, expected] of [
     ['HEAD', '200 OK', 'Content-Length: 80000\r\n', '80000'], ['HEAD', '200 OK', '', undefined], ['POST', '204 No Content', '', undefined], ['POST', '304 Not Modified', 'Content-Length: 80000\r\n', '80000']
