Keep nothing of an event that has been sent

The first byte of a stream's last event was a view of the whole event, which stayed in memory until the next one, counted by no limit.

--- a/src/policy/streamTail.ts
+++ b/src/policy/streamTail.ts
@@ -50,7 +50,8 @@
     const sent = this.afterSentAhead(pending.subarray(0, sentBytes))
     this.sentAhead = undefined
     this.held = pending.subarray(sentBytes)
-    this.firstByte = fieldStart.test(bytes.toString('latin1', 0, 1)) ? bytes.subarray(0, 1) : usualFirstByte
+    // A copy, since a view would keep the whole event in memory until the next one.
+    this.firstByte = fieldStart.test(bytes.toString('latin1', 0, 1)) ? Buffer.of(bytes[0]!) : usualFirstByte
     // Its arrival is what the objective of a stream is measured by.
     return isFirst ? Buffer.concat([sent, this.release()]) : sent
   }
--- a/tests/streamTail.spec.ts
+++ b/tests/streamTail.spec.ts
@@ -56,6 +56,14 @@
     expect(sentOf(['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'])).to.deep.equal({ writes: ['id: 1\ndata: a\n\ni', 'd: 2\ndata: b\n'], end: '\n' })
   })
 
+  // Guards against streams that keep their last event in memory, which no limit counts.
+  it('keeps nothing of an event that has been sent', () => {
+    const tail = new StreamTail()
+    tail.push(blocks(`id: 1\ndata: ${'x'.repeat(100_000)}\n\n`))
+    const [kept] = Object.values(tail).filter(value => Buffer.isBuffer(value) && value.length === 1) as Buffer[]
+    expect(kept!.buffer.byteLength).to.be.below(100_000)
+  })
+
   it('sends a late line end with the first byte of the next event, which another event follows as a field without a meaning', () => {
     const { writes, end } = sentOf(['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', null, 'data: c\n\n', null])
     expect([...writes, end]).to.deep.equal(['id: 1\ndata: a\n\nid: 2\ndata: b\n', '\ni', '\ndata: c\n', '\nd', '\n\n'])
