--- a/src/policy/streamTail.ts
+++ b/src/policy/streamTail.ts
@@ -42,7 +42,7 @@
       this.held = pending
       return empty
     }
-    const isFirst = !this.hasEvents && lastEvent === 0
+    const isFirst = !this.hasEvents && blocks.findIndex(({ isComment }) => !isComment) === lastEvent
     this.hasEvents = true
     const { bytes } = blocks[lastEvent]!
     const commentBytes = blocks.slice(lastEvent + 1).reduce((sum, block) => sum + block.bytes.length, 0)
--- a/tests/streamTail.spec.ts
+++ b/tests/streamTail.spec.ts
@@ -56,6 +56,11 @@
     expect(sentOf(['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'])).to.deep.equal({ writes: ['id: 1\ndata: a\n\ni', 'd: 2\ndata: b\n'], end: '\n' })
   })
 
+  // Guards against a first event that is late by the hold time because a comment came with it.
+  it('sends the first event at once if comments come with it', () => {
+    expect(sentOf([': c\n\nid: 1\ndata: a\n\n: c\n\n']).writes).to.deep.equal([': c\n\nid: 1\ndata: a\n\n: c\n\ni'])
+  })
+
   // Guards against streams that keep their last event in memory, which no limit counts.
   it('keeps nothing of an event that has been sent', () => {
     const tail = new StreamTail()
