Show the peak of the resident memory, the heap and the buffers in metrics

Operators had resident memory, which a scrape reads between two peaks, and the bytes that the node counts. Whether more is taken for buffers than is counted, or held by the allocator, could not be told.

--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -13,6 +13,7 @@
 const secondsBuckets = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.8, 1.5, 3, 6, 12, 30]
 const eventLoopResolutionMs = 20
 const nanosecondsPerSecond = 1e9
+const bytesPerKib = 1024
 
 export class ServingMetrics {
   private readonly registry = new Registry()
@@ -44,6 +45,10 @@
       return seconds
     })
     this.gauge('teaselrill_resident_memory_bytes', 'Resident memory of the process', () => process.memoryUsage.rss())
+    // A scrape misses a peak of some milliseconds.
+    this.gauge('teaselrill_resident_memory_peak_bytes', 'Most resident memory of the process since its start', () => process.resourceUsage().maxRSS * bytesPerKib)
+    this.gauge('teaselrill_heap_memory_bytes', 'Memory of the heap of JavaScript objects', () => process.memoryUsage().heapTotal)
+    this.gauge('teaselrill_buffer_memory_bytes', 'Memory of buffers, also of those that are not collected yet', () => process.memoryUsage().arrayBuffers)
   }
 
   onFinished ({ kind, outcome, status, durationMs, firstByteMs, longestGapMs, waitedMs, attempts, unframed, framing }: RequestRecord): void {
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -8,6 +8,7 @@
 import { clientMemoryLimits } from '../src/policy/clientMemory.js'
 import { ClientBody } from '../src/serving/clientBody.js'
 import { ClientMemory } from '../src/serving/clientMemory.js'
+import { ServingMetrics } from '../src/serving/servingMetrics.js'
 import { chunk, requestIdOf, responseTo, RequestProxyFixture, route, streamHead } from './fixtures/requestProxyFixture.js'
 import { settingsText } from './soak/nodeProcess.js'
 
@@ -22,6 +23,17 @@
     expect(clientLimits).to.deep.equal({ heldBytes: 3 * 1024 * 1024, pipelinedRequests: 5 })
   })
 
+  it('metrics show the peak of the resident memory, and buffers apart from the heap', async () => {
+    // Guards against a peak between two scrapes that nothing shows, and buffers that are not counted and look like any other memory.
+    const metrics = new ServingMetrics('n')
+    const valueOf = async (name: string) => Number(new RegExp(`^teaselrill_${name}\\{.*\\} (\\S+)$`, 'm').exec(await metrics.text())?.[1])
+    const [bufferBytes, buffer] = [await valueOf('buffer_memory_bytes'), Buffer.alloc(50_000_000, 'x')]
+    expect(await valueOf('buffer_memory_bytes') - bufferBytes).to.be.within(40_000_000, 60_000_000)
+    expect(await valueOf('resident_memory_peak_bytes')).to.be.at.least(buffer.length)
+    expect(await valueOf('heap_memory_bytes')).to.be.within(1_000_000, await valueOf('resident_memory_peak_bytes'))
+    metrics.stop()
+  })
+
   it('stalled bodies make room, and only after a time without progress', async () => {
     // Guards against a body that keeps its share as long as its client wants, and against one that is given up while it comes.
     const clock = new VirtualClock(0)
