Pass client bodies on in blocks instead of joining them

Operators saw: complete chunked bodies took twice their size when they were joined for the request.

Change: what is sent on, and the digest that knows a request again, read the blocks in order. All blocks of a request are still written at once.

--- a/src/base/byteBlocks.ts
+++ b/src/base/byteBlocks.ts
@@ -1,7 +1,7 @@
 /**
- * Bytes that are collected from pieces and read once. Large pieces are kept as they are: copies that double in size are garbage of up to
- * twice the bytes, and its many sizes leave free memory that the allocator can't use. Takes at most about twice the bytes, whatever the
- * pieces, which must not be changed afterwards.
+ * Bytes that are collected from pieces and passed on in blocks. Large pieces are kept as they are: copies that double in size are garbage
+ * of up to twice the bytes, and its many sizes leave free memory that the allocator can't use. Takes at most about twice the bytes,
+ * whatever the pieces, which must not be changed afterwards.
  */
 
 const firstBlockBytes = 1024
@@ -10,7 +10,7 @@
 const minKeptBytes = 16 * 1024
 
 export class ByteBlocks {
-  private blocks: Uint8Array[] = []
+  private blocks: Buffer[] = []
   private blocksBytes = 0
   /** Memory of `blocks` and `last`. */
   private takenBytes: number
@@ -29,14 +29,14 @@
   }
 
   /** Bytes that it takes with `piece`. */
-  capacityWith (piece: Uint8Array): number {
+  capacityWith (piece: Buffer): number {
     if (this.hasSpaceFor(piece)) return this.takenBytes
     if (isKept(piece)) return this.takenBytes + piece.buffer.byteLength
     const grownBytes = this.grownBytes(piece)
     return grownBytes <= fullBlockBytes ? this.takenBytes - this.last.length + grownBytes : this.takenBytes + Math.max(piece.length, fullBlockBytes)
   }
 
-  push (piece: Uint8Array): void {
+  push (piece: Buffer): void {
     if (!this.hasSpaceFor(piece)) {
       const takenBytes = this.capacityWith(piece)
       if (isKept(piece)) {
@@ -58,12 +58,12 @@
     this.lastUsedBytes += piece.length
   }
 
-  /** Returns all bytes and holds none of them any more. */
-  take (): Buffer {
-    const used = this.last.subarray(0, this.lastUsedBytes)
-    const bytes = this.blocks.length === 0 ? used : Buffer.concat([...this.blocks, used])
+  /** Returns all bytes, in order, and holds none of them any more. */
+  take (): readonly Buffer[] {
+    this.startBlock(0)
+    const { blocks } = this
     this.clear()
-    return bytes
+    return blocks
   }
 
   clear (): void {
@@ -72,12 +72,12 @@
     this.blocksBytes = this.lastUsedBytes = this.takenBytes = 0
   }
 
-  private hasSpaceFor (piece: Uint8Array): boolean {
+  private hasSpaceFor (piece: Buffer): boolean {
     return this.lastUsedBytes + piece.length <= this.last.length
   }
 
   /** Size of the last block if it grows for `piece`. */
-  private grownBytes (piece: Uint8Array): number {
+  private grownBytes (piece: Buffer): number {
     return Math.max(this.lastUsedBytes + piece.length, 2 * this.last.length, firstBlockBytes)
   }
 
@@ -92,6 +92,6 @@
 }
 
 /** Whether a piece is worth more than its objects, and is not a small part of memory that would be kept with it. */
-function isKept ({ length, buffer }: Uint8Array): boolean {
+function isKept ({ length, buffer }: Buffer): boolean {
   return length >= minKeptBytes && buffer.byteLength <= 2 * length
 }
--- a/src/policy/partEvidence.ts
+++ b/src/policy/partEvidence.ts
@@ -77,8 +77,10 @@
  * Identity of a request, by which it is known again when it is sent again: a digest of all that a server gets of it apart from its ID and
  * times. It stands beside the parts of its prompt, none of which has a colon in its ID.
  */
-export function requestIdentity (content: string, body: Uint8Array): string {
-  return identityPrefix + createHash('sha256').update(content).update('\n').update(body).digest('hex').slice(0, digestChars)
+export function requestIdentity (content: string, body: readonly Uint8Array[]): string {
+  const hash = createHash('sha256').update(content).update('\n')
+  for (const block of body) hash.update(block)
+  return identityPrefix + hash.digest('hex').slice(0, digestChars)
 }
 
 export function isIdentity (key: string): boolean {
--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -14,14 +14,14 @@
 
 /** A request's head and body, counted from its arrival until `release`. */
 export class ClientBody {
-  /** The complete body, or why there is none. The rest of a body that failed is not read. */
-  readonly result: Promise<Buffer | BodyFailure>
+  /** The complete body, in blocks, or why there is none. The rest of a body that failed is not read. */
+  readonly result: Promise<readonly Buffer[] | BodyFailure>
   private storage = new ByteBlocks()
   private readonly maxBytes: number
   private readonly requestId: string | undefined
   private readonly headBytes: number
   private receivedBytes = 0
-  private resolve: (result: Buffer | BodyFailure) => void = () => {}
+  private resolve: (result: readonly Buffer[] | BodyFailure) => void = () => {}
   private isSettled = false
   private stopWatching = () => {}
   private readonly upload: ActiveUpload
@@ -91,7 +91,7 @@
     return isHeld
   }
 
-  private settle (result: Buffer | BodyFailure): void {
+  private settle (result: readonly Buffer[] | BodyFailure): void {
     if (this.isSettled) return
     this.isSettled = true
     this.stopWatching()
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -560,9 +560,10 @@
 function encodeRequest ({ method, path, body }: ProxiedRequest, headers: readonly string[]): Buffer[] {
   let head = `${method} ${path} HTTP/1.1\r\n`
   for (let index = 0; index < headers.length; index += 2) head += `${headers[index]}: ${headers[index + 1]}\r\n`
-  if (body.length > 0 || !bodilessMethods.has(method)) head += `Content-Length: ${body.length}\r\n`
+  const bodyBytes = body.reduce((sum, { length }) => sum + length, 0)
+  if (bodyBytes > 0 || !bodilessMethods.has(method)) head += `Content-Length: ${bodyBytes}\r\n`
   const encodedHead = Buffer.from(`${head}\r\n`, 'latin1')
-  return body.length <= copiedBodyBytes ? [Buffer.concat([encodedHead, body])] : [encodedHead, body]
+  return bodyBytes <= copiedBodyBytes ? [Buffer.concat([encodedHead, ...body])] : [encodedHead, ...body]
 }
 
 /** Up to this size, one write costs less than two. */
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -117,7 +117,7 @@
   method: string
   path: string
   rawHeaders: readonly string[]
-  body: Buffer
+  body: readonly Buffer[]
   /** By which the request is known when it is sent again. Computed at the first call. */
   identity: () => string
   arrivedAtMs: number
--- a/tests/byteBlocks.spec.ts
+++ b/tests/byteBlocks.spec.ts
@@ -3,7 +3,7 @@
 
 const bytesPerMb = 1024 * 1024
 
-function collect (pieces: Iterable<Uint8Array>, blocks = new ByteBlocks()): { blocks: ByteBlocks, takenBytes: number } {
+function collect (pieces: Iterable<Buffer>, blocks = new ByteBlocks()): { blocks: ByteBlocks, takenBytes: number } {
   let takenBytes = 0
   for (const piece of pieces) {
     takenBytes = blocks.capacityWith(piece)
@@ -25,7 +25,7 @@
       const expected = Buffer.concat(pieces)
       expect(blocks.length).to.equal(expected.length)
       expect(takenBytes).to.be.within(expected.length, 2 * expected.length + 2048)
-      expect(blocks.take().equals(expected)).to.equal(true)
+      expect(Buffer.concat(blocks.take()).equals(expected)).to.equal(true)
       expect(blocks.length).to.equal(0)
       expect(blocks.capacityWith(Buffer.alloc(1))).to.equal(1024)
     })
@@ -51,6 +51,6 @@
     // Guards against twice the memory for bodies that declare their length.
     const { blocks, takenBytes } = collect(piecesOf([65_473], 60 * 65_473), new ByteBlocks(60 * 65_473))
     expect(takenBytes).to.equal(60 * 65_473)
-    expect(blocks.take().buffer.byteLength).to.equal(60 * 65_473)
+    expect(blocks.take().map(({ buffer }) => buffer.byteLength)).to.deep.equal([60 * 65_473])
   })
 })
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -95,9 +95,10 @@
       await new Promise(resolve => setImmediate(resolve))
     }
     expect(memory.budget.bytes).to.be.within(4_194_272, 4_400_000)
-    expect(process.memoryUsage().arrayBuffers - beforeBytes).to.be.below(1.25 * memory.budget.bytes)
     request.end()
-    expect(await body.result).to.have.length(4_194_272)
+    const blocks = await body.result
+    expect(process.memoryUsage().arrayBuffers - beforeBytes).to.be.below(1.25 * memory.budget.bytes)
+    expect([...blocks].reduce((sum, { length }) => sum + length, 0)).to.equal(4_194_272)
     body.release()
     expect(memory.budget.bytes).to.equal(0)
   })
