Count what clients make a node read: bytes, pieces of bodies, requests

Long turns of the event loop had no cause in metrics: nothing told bodies in small chunks from other work. Four gauges count since the start; their differences between two scrapes give bytes for each piece and each request.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -20,6 +20,7 @@
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
 import { ClientMemory } from './clientMemory.js'
+import { ClientWork } from './clientWork.js'
 import { DispatchClient } from './dispatchClient.js'
 import { EngineClient, livenessQuestion } from './engineClient.js'
 import { FleetSize } from './fleetSize.js'
@@ -91,6 +92,7 @@
 export class ServingNode {
   private readonly options: ServingNodeOptions
   private readonly memory: ClientMemory
+  private readonly work = new ClientWork()
   private readonly fleet: FleetView
   private readonly requestProxy: RequestProxy
   private readonly storeView: StoreView
@@ -342,6 +344,10 @@
     metrics.gauge('teaselrill_store_era', 'Era of the store to which the view belongs, directly or through the leader; -1 without a view', () => this.storeView.currentEra ?? -1)
     metrics.gauge('teaselrill_requests_in_progress', 'Requests in progress', () => this.requestProxy.clients.active)
     metrics.gauge('teaselrill_client_held_bytes', 'Bytes that the node holds for clients: requests, and responses that are not read', () => this.memory.budget.bytes)
+    metrics.gauge('teaselrill_client_read_bytes', 'Bytes read from clients since the start', () => [...this.sockets].reduce((sum, { bytesRead }) => sum + bytesRead, this.closedBytes))
+    metrics.gauge('teaselrill_client_body_bytes', 'Bytes of bodies read from clients since the start', () => this.work.contentBytes)
+    metrics.gauge('teaselrill_client_body_pieces', 'Pieces in which bodies have been read from clients since the start', () => this.work.pieces)
+    metrics.gauge('teaselrill_client_requests', 'Requests read from clients since the start', () => this.requestProxy.clients.arrivals)
     metrics.gauge('teaselrill_client_connections', 'Open connections of clients', () => this.sockets.size)
     metrics.gauge('teaselrill_requests_waiting', 'Requests that wait for a model', () => this.demand.waitingModels().reduce((sum, { waiting }) => sum + waiting, 0))
     metrics.gauge('teaselrill_backends_usable', 'Backend servers that accept requests', () => [...this.fleet.servers.values()].filter(server => server.isUsable).length)
@@ -458,6 +464,7 @@
     const { connections } = this.memory.limits
     const server = createServer({ maxHeaderSize: parsedHeadBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
       void this.requestProxy.handle(request, response)
+      this.work.watch(request)
     })
     server.maxConnections = connections + spareConnections
     server.requestTimeout = 0
@@ -478,6 +485,7 @@
       const isRefused = Number(request.headers['content-length'] ?? 0) > maxBodyBytes || isHeadTooLarge(request, maxHeaderBytes)
       if (!isRefused) response.writeContinue()
       void this.requestProxy.handle(request, response)
+      this.work.watch(request)
     })
     return server
   }
