Stop parsing a connection at the request that is too many

Callers saw: the process ended (SIGABRT, heap limit) while 120 clients each sent 64 KiB of tiny pipelined requests at once, and all that it had accepted was lost.

Cause: Node.js reads 64 KiB and parses all of it before anything else runs. A read held up to 3,600 requests, each with its request and response objects, also after the connection had been closed at the 33rd. Requests that Node.js refuses by itself (no Host, unknown Expect) were not counted.

Change: the server's request class ends the parsing at the first request of a read beyond the limit on requests in progress. None of them can have been answered before the next one is parsed, so no client inside the limit is concerned.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -20,6 +20,7 @@
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
 import { ClientMemory } from './clientMemory.js'
+import { RequestsPerRead, stoppableMessage } from './clientMessage.js'
 import { ClientWork } from './clientWork.js'
 import { DispatchClient } from './dispatchClient.js'
 import { EngineClient, livenessQuestion } from './engineClient.js'
@@ -461,8 +462,16 @@
   }
 
   private createClientsServer (): Server {
-    const { connections } = this.memory.limits
-    const server = createServer({ maxHeaderSize: parsedHeadBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
+    const { connections, pipelinedRequests } = this.memory.limits
+    const perRead = new RequestsPerRead()
+    const message = stoppableMessage(socket => {
+      // None of the requests of one read has been answered before the next one is parsed.
+      if (perRead.count(socket) <= pipelinedRequests) return true
+      this.memory.onLimit('pipelined')
+      socket.destroy()
+      return false
+    })
+    const server = createServer({ IncomingMessage: message, maxHeaderSize: parsedHeadBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
       void this.requestProxy.handle(request, response)
       this.work.watch(request)
     })
