Hold the first event of a stream back for 20 ms instead of sending a byte ahead

A stream of one event always got an ignored field at its end, and one whose second event begins with another letter got one between the two, although both came in time (found by the review, byte for byte).

The log line of a cut answer names its framing, which isChunked did not tell.

--- a/src/policy/streamTail.ts
+++ b/src/policy/streamTail.ts
@@ -1,6 +1,6 @@
 /**
- * Decides which bytes of an event stream may be sent when, so that a stream without a length or chunks that is cut anywhere ends inside
- * an event, for readers that drop comments too. The line end that completes an event is held back until what follows it is known, or
+ * Decides which bytes of an event stream may be sent when, so that a stream without a length or chunks that is cut after any write ends
+ * inside an event, for readers that drop comments too. The line end that completes an event is held back until what follows it is known, or
  * until it must be sent to be on time; the first byte of the next event then goes with it.
  */
 
@@ -12,6 +12,8 @@
 
 /** Longest time for which a line end is held back. Streams are late if an event takes some 250 ms or more to pass a node. */
 export const lineEndHoldMs = 100
+/** The same until the second event: the objective of a stream is measured by its first one. */
+export const firstLineEndHoldMs = 20
 
 const empty: Buffer = Buffer.alloc(0)
 const lineFeed = Buffer.from('\n')
@@ -27,13 +29,18 @@
   private firstByte: Buffer = usualFirstByte
   /** First byte of an event that has not arrived, if it has been sent. */
   private sentAhead: Buffer | undefined
-  private hasEvents = false
+  private events = 0
 
   /** Whether bytes are held back. */
   get isHolding (): boolean {
     return this.held.length > 0
   }
 
+  /** Time after which what is held back must be released. */
+  get holdMs (): number {
+    return this.events > 1 ? lineEndHoldMs : firstLineEndHoldMs
+  }
+
   /** Returns what to send of what is held back and `blocks`. */
   push (blocks: readonly StreamBlock[]): Buffer {
     const lastEvent = blocks.findLastIndex(({ isComment }) => !isComment)
@@ -42,8 +49,7 @@
       this.held = pending
       return empty
     }
-    const isFirst = !this.hasEvents && blocks.findIndex(({ isComment }) => !isComment) === lastEvent
-    this.hasEvents = true
+    this.events += blocks.filter(({ isComment }) => !isComment).length
     const { bytes } = blocks[lastEvent]!
     const commentBytes = blocks.slice(lastEvent + 1).reduce((sum, block) => sum + block.bytes.length, 0)
     const sentBytes = pending.length - commentBytes - lineEndBytes(bytes)
@@ -52,8 +58,7 @@
     this.held = pending.subarray(sentBytes)
     // A copy, since a view would keep the whole event in memory until the next one.
     this.firstByte = fieldStart.test(bytes.toString('latin1', 0, 1)) ? Buffer.of(bytes[0]!) : usualFirstByte
-    // Its arrival is what the objective of a stream is measured by.
-    return isFirst ? Buffer.concat([sent, this.release()]) : sent
+    return sent
   }
 
   /** Returns all that is held back, and the first byte of the next event. */
--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CancelTimer, Clock } from '../base/clock.js'
-import { lineEndHoldMs, StreamTail } from '../policy/streamTail.js'
+import { StreamTail } from '../policy/streamTail.js'
 import type { StreamBlock } from '../policy/streamTail.js'
 import type { ResponseHead } from './responseReader.js'
 
@@ -86,13 +86,13 @@
     return this.response.useChunkedEncodingByDefault
   }
 
-  /** Sends whole events. Returns false if the client should be given time to read. */
+  /** Sends events, up to what the tail of the stream holds back. Returns false if the client should be given time to read. */
   writeEvents (events: readonly StreamBlock[]): boolean {
     const { tail } = this
     const bytes = tail ? tail.push(events) : joined(events)
     this.write(bytes)
     if (tail && bytes.length > 0) this.stopRelease()
-    if (tail?.isHolding) this.cancelRelease ??= this.options.clock.setTimer(lineEndHoldMs, () => this.releaseHeld(tail))
+    if (tail?.isHolding) this.cancelRelease ??= this.options.clock.setTimer(tail.holdMs, () => this.releaseHeld(tail))
     return !this.response.writableNeedDrain
   }
 
@@ -139,7 +139,7 @@
 /** Closes the connection of a response so that what the client has of it does not look complete. */
 export function breakOff (response: ServerResponse): void {
   const { socket } = response
-  // The orderly close of the connection would be the end of the response. What was written leaves this process before the reset.
+  // The orderly close of the connection would be the end of the response. What the kernel accepts leaves this process before the reset.
   if (socket && response.headersSent && !response.chunkedEncoding) setImmediate(() => socket.resetAndDestroy())
   else response.destroy()
 }
--- a/src/serving/clientRequests.ts
+++ b/src/serving/clientRequests.ts
@@ -102,9 +102,9 @@
 
   /** Logs every request whose connection is about to be closed before its response is complete. */
   logUnfinished (): void {
-    for (const { requestId, arrivedAtMs, response } of this.open) {
+    for (const { requestId, arrivedAtMs, response, writer } of this.open) {
       this.log('warn', 'connection closed before the end of an answer', {
-        request: requestId, ageMs: Math.round(this.clock.nowMs() - arrivedAtMs), hasBegun: response.headersSent, isChunked: response.chunkedEncoding
+        request: requestId, ageMs: Math.round(this.clock.nowMs() - arrivedAtMs), hasBegun: response.headersSent, framing: writer?.framing
       })
     }
   }
