Close connections whose small chunks cost far more than they bring

Callers saw: beside 120 clients that send endless bodies in chunks of one byte, no caller was answered within 5 s; one was answered after 15 s, and callers still waited when the crowd had left.

Cause: each chunk is an object and a callback. A read of 64 KiB holds 10,900 one-byte chunks; a byte in one costs 150 to 250 times one in a large chunk. 120 such connections made turns of the event loop of 2.0 to 2.6 s (99th percentile), and one connection is accepted in each turn. Only the body limit ended them, after 4 MiB of content in 24 MiB.

Change: policy/clientOverhead.ts counts 64 bytes for each chunk of a connection, which content, time and requests make up for, and closes it beyond 256 KiB ([clients] overhead_kb, overhead_kb_per_s; limit 'overhead' in metric and log). The request class counts as the parser finds chunks, also those read on after a refusal, and drops what follows in the same read. Chunks of 64 bytes and more, and up to 500 smaller ones a second, never reach the limit; bodies with a length are not concerned.

--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -46,7 +46,9 @@
     body_stall_without_room_ms: positive.optional(),
     response_stall_ms: positive.optional(),
     linger_ms: positive.optional(),
-    linger_mb: positive.optional()
+    linger_mb: positive.optional(),
+    overhead_kb: positive.optional(),
+    overhead_kb_per_s: positive.optional()
   }).default({}),
   bounds: z.object({
     grace_s: positive.default(8),
@@ -110,7 +112,9 @@
       bodyStallWithoutRoomMs: clients.body_stall_without_room_ms,
       responseStallMs: clients.response_stall_ms,
       lingerMs: clients.linger_ms,
-      lingerBytes: bytesOf(clients.linger_mb)
+      lingerBytes: bytesOf(clients.linger_mb),
+      overheadBytes: kilobytes(clients.overhead_kb),
+      overheadBytesPerS: kilobytes(clients.overhead_kb_per_s)
     })
   }
 }
@@ -119,6 +123,10 @@
   return megabytes === undefined ? undefined : megabytes * 1024 * 1024
 }
 
+function kilobytes (value: number | undefined): number | undefined {
+  return value === undefined ? undefined : value * 1024
+}
+
 function withoutAbsent<T extends object> (values: T): { [Key in keyof T]?: Exclude<T[Key], undefined> } {
   return Object.fromEntries(Object.entries(values).filter(([, value]) => value !== undefined)) as { [Key in keyof T]?: Exclude<T[Key], undefined> }
 }
--- a/src/policy/clientMemory.ts
+++ b/src/policy/clientMemory.ts
@@ -1,4 +1,6 @@
-/** Limits on what a node holds for clients, derived from its machine's memory and descriptors. */
+/** Limits on what a node holds and reads for clients, those on memory derived from its machine's memory and descriptors. */
+
+import type { OverheadLimits } from './clientOverhead.js'
 
 const bytesPerMb = 1024 * 1024
 /** Share of the memory for heads, bodies and responses. The process itself takes about 100 MB, of 250 at the least. */
@@ -12,7 +14,7 @@
 const reservedDescriptors = 1200
 const fewestConnections = 50
 
-export interface ClientMemoryLimits {
+export interface ClientMemoryLimits extends OverheadLimits {
   /** Bytes held for all clients from which a request or response of more than 64 KiB may not grow. */
   heldBytes: number
   /** The same for smaller ones. */
@@ -46,6 +48,8 @@
     responseStallMs: 30_000,
     lingerMs: 1000,
     lingerBytes: bytesPerMb,
+    overheadBytes: 256 * 1024,
+    overheadBytesPerS: 32 * 1024,
     ...settings
   }
 }
--- a/src/serving/clientMemory.ts
+++ b/src/serving/clientMemory.ts
@@ -7,7 +7,7 @@
 import { ByteBudget } from './byteBudget.js'
 
 /** A limit that has acted, as the metric and the log name it. */
-export type ClientLimit = 'head-size' | 'body-size' | 'memory' | 'body-stall' | 'response-memory' | 'response-stall' | 'connections' | 'pipelined'
+export type ClientLimit = 'head-size' | 'body-size' | 'memory' | 'body-stall' | 'response-memory' | 'response-stall' | 'connections' | 'pipelined' | 'overhead'
 
 const stallCheckMs = 500
 /** One log line for each limit in this time, with the number of times that it has acted since. */
--- a/src/serving/clientMessage.ts
+++ b/src/serving/clientMessage.ts
@@ -1,40 +1,21 @@
-/** Bounds the requests that one read of a client's connection brings. */
+/** The class of clients' requests. It counts what the parser of Node.js makes of each read, and leaves the rest alone beyond a limit. */
 
 import { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import type { ClientWork } from './clientWork.js'
 
-/** Counts the requests of a read. A read is parsed to its end before anything else is read. */
-export class RequestsPerRead {
-  private socket: Socket | undefined
-  private bytesRead = 0
-  private requests = 0
-
-  /** Returns the number of requests of the current read, with the one that is counted. */
-  count (socket: Socket): number {
-    if (socket !== this.socket || socket.bytesRead !== this.bytesRead) {
-      this.socket = socket
-      this.bytesRead = socket.bytesRead
-      this.requests = 0
-    }
-    return ++this.requests
-  }
-}
-
-/**
- * The class of messages for a server that stops parsing a connection at the first request that `isAllowed` refuses, and emits nothing for
- * it. Otherwise Node.js creates the objects of all requests that a read of 64 KiB brings, also on a connection that has been closed.
- */
-export function stoppableMessage (isAllowed: (socket: Socket) => boolean): typeof IncomingMessage {
+export function clientMessageClass (work: ClientWork): typeof IncomingMessage {
   return class extends IncomingMessage {
     private readonly isStopped: boolean
     private isUpgrade: boolean | null = null
+    private onPiece: ((bytes: number) => boolean) | undefined
 
     constructor (socket: Socket) {
       super(socket)
-      this.isStopped = !isAllowed(socket)
+      this.isStopped = !work.onHead(socket)
     }
 
-    /** An upgrade is the only answer to a head at which the parser leaves the rest of a read alone. */
+    /** An upgrade is the only answer to a head at which the parser leaves the rest of a read alone; no handler is called for it. */
     get upgrade (): boolean | null {
       return this.isStopped || this.isUpgrade
     }
@@ -42,5 +23,12 @@
     set upgrade (value: boolean | null) {
       this.isUpgrade = value
     }
+
+    /** Called by the parser for each chunk of a body that a read brings, and with `null` at its end. */
+    override push (piece: Buffer | null): boolean {
+      if (piece === null) return super.push(piece)
+      this.onPiece ??= work.counterOf(this)
+      return this.onPiece(piece.length) ? super.push(piece) : true
+    }
   }
 }
--- a/src/serving/clientWork.ts
+++ b/src/serving/clientWork.ts
@@ -1,19 +1,83 @@
-/** Counts what clients make the HTTP parser do. */
+/** Counts what clients make the HTTP parser do, and closes connections whose work is out of proportion to what they bring. */
 
 import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Clock } from '../base/clock.js'
+import { OverheadBudget, pieceCostBytes, requestCreditBytes } from '../policy/clientOverhead.js'
+import type { OverheadLimits } from '../policy/clientOverhead.js'
+
+/** Counts the requests of a read. A read is parsed to its end before anything else is read. */
+class RequestsPerRead {
+  private socket: Socket | undefined
+  private bytesRead = 0
+  private requests = 0
+
+  /** Returns the number of requests of the current read, with the one that is counted. */
+  count (socket: Socket): number {
+    if (socket !== this.socket || socket.bytesRead !== this.bytesRead) {
+      this.socket = socket
+      this.bytesRead = socket.bytesRead
+      this.requests = 0
+    }
+    return ++this.requests
+  }
+}
+
+export interface ClientWorkOptions {
+  clock: Clock
+  limits: OverheadLimits & { pipelinedRequests: number }
+  /** Called before a connection is closed. */
+  onExcess: (limit: 'pipelined' | 'overhead', request?: IncomingMessage) => void
+}
 
 export class ClientWork {
   /** Pieces of bodies since the start: one for each chunk, and one for each read of a longer one. */
   pieces = 0
   /** Their bytes. */
   contentBytes = 0
+  private readonly budgets = new WeakMap<Socket, OverheadBudget>()
+  private readonly perRead = new RequestsPerRead()
+
+  constructor (private readonly options: ClientWorkOptions) {}
 
-  /** Counts a request's body, also what comes after a refusal. Whoever reads the body must have begun: this does not start it. */
-  watch (request: IncomingMessage): void {
-    if (request.socket.destroyed) return
-    request.on('data', (piece: Buffer) => {
+  /** Counts a request whose head is complete. Returns false if its connection has been closed instead. */
+  onHead (socket: Socket): boolean {
+    // None of the requests of one read has been answered before the next one is parsed.
+    if (this.perRead.count(socket) > this.options.limits.pipelinedRequests) {
+      this.close(socket, 'pipelined')
+      return false
+    }
+    this.budgetOf(socket).add(this.options.clock.nowMs(), { overheadBytes: 0, contentBytes: requestCreditBytes })
+    return true
+  }
+
+  /** Returns a function that counts a piece of the request's body, and returns false if the connection has been closed. */
+  counterOf (request: IncomingMessage): (bytes: number) => boolean {
+    const { socket } = request
+    const budget = this.budgetOf(socket)
+    // The pieces of a body with a length are what each read brings.
+    const overheadBytes = request.headers['transfer-encoding'] === undefined ? 0 : pieceCostBytes
+    return contentBytes => {
+      // The parser goes on with what it has read from a connection that has been closed.
+      if (socket.destroyed) return false
       this.pieces++
-      this.contentBytes += piece.length
-    })
+      this.contentBytes += contentBytes
+      if (budget.add(this.options.clock.nowMs(), { overheadBytes, contentBytes })) return true
+      this.close(socket, 'overhead', request)
+      return false
+    }
+  }
+
+  private close (socket: Socket, limit: 'pipelined' | 'overhead', request?: IncomingMessage): void {
+    this.options.onExcess(limit, request)
+    socket.destroy()
+  }
+
+  private budgetOf (socket: Socket): OverheadBudget {
+    const known = this.budgets.get(socket)
+    if (known) return known
+    const budget = new OverheadBudget(this.options.clock.nowMs(), this.options.limits)
+    this.budgets.set(socket, budget)
+    return budget
   }
 }
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -20,7 +20,7 @@
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { BackendEntry, Deployment } from './deployment.js'
 import { ClientMemory } from './clientMemory.js'
-import { RequestsPerRead, stoppableMessage } from './clientMessage.js'
+import { clientMessageClass } from './clientMessage.js'
 import { ClientWork } from './clientWork.js'
 import { DispatchClient } from './dispatchClient.js'
 import { EngineClient, livenessQuestion } from './engineClient.js'
@@ -93,7 +93,7 @@
 export class ServingNode {
   private readonly options: ServingNodeOptions
   private readonly memory: ClientMemory
-  private readonly work = new ClientWork()
+  private readonly work: ClientWork
   private readonly fleet: FleetView
   private readonly requestProxy: RequestProxy
   private readonly storeView: StoreView
@@ -154,6 +154,7 @@
     this.options = options
     const { settings, codecs, store, clock, random, log } = options
     this.memory = new ClientMemory({ clock, log, limits: clientMemoryLimits(settings, settings.clientLimits), onLimit: limit => options.metrics?.onClientLimit(limit) })
+    this.work = new ClientWork({ clock, limits: this.memory.limits, onExcess: (limit, request) => this.memory.onLimit(limit, request && codecs.readRequest(request.headers).requestId) })
     this.fleet = new FleetView({
       clock,
       log,
@@ -462,18 +463,9 @@
   }
 
   private createClientsServer (): Server {
-    const { connections, pipelinedRequests } = this.memory.limits
-    const perRead = new RequestsPerRead()
-    const message = stoppableMessage(socket => {
-      // None of the requests of one read has been answered before the next one is parsed.
-      if (perRead.count(socket) <= pipelinedRequests) return true
-      this.memory.onLimit('pipelined')
-      socket.destroy()
-      return false
-    })
-    const server = createServer({ IncomingMessage: message, maxHeaderSize: parsedHeadBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
+    const { connections } = this.memory.limits
+    const server = createServer({ IncomingMessage: clientMessageClass(this.work), maxHeaderSize: parsedHeadBytes, noDelay: true, connectionsCheckingInterval: requestCheckMs }, (request, response) => {
       void this.requestProxy.handle(request, response)
-      this.work.watch(request)
     })
     server.maxConnections = connections + spareConnections
     server.requestTimeout = 0
@@ -494,7 +486,6 @@
       const isRefused = Number(request.headers['content-length'] ?? 0) > maxBodyBytes || isHeadTooLarge(request, maxHeaderBytes)
       if (!isRefused) response.writeContinue()
       void this.requestProxy.handle(request, response)
-      this.work.watch(request)
     })
     return server
   }
--- a/tests/clientProcessor.spec.ts
+++ b/tests/clientProcessor.spec.ts
@@ -1,10 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'chai'
 import type { ShapeName } from './fixtures/crowd.js'
-import { LimitedNode } from './fixtures/limitedNode.js'
+import { Flood } from './fixtures/flood.js'
+import { LimitedNode, maxBodyBytes } from './fixtures/limitedNode.js'
 
 const crowd = 120
 const pipelinedRequests = 32
+/** Includes the buffers of both sockets. The body limit alone is reached at six times its size. */
+const mostBytes = 3 * maxBodyBytes
 /** What the crowd occupies is occupied by then. */
 const settleMs = 1000
 
@@ -44,4 +47,22 @@
     // Guards against the same for requests that Node.js refuses by itself.
     await expectServed('expectations')
   })
+
+  it('closes a connection whose body comes in chunks of one byte', async () => {
+    // Guards against chunks that cost the processor far more than the bytes that they bring.
+    const flood = new Flood(node.open(''), 'POST /order/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n', '1\r\nx\r\n')
+    await flood.closed
+    expect(flood.acceptedBytes, 'bytes sent until the close').to.be.below(mostBytes)
+  })
+
+  it('serves the largest body in chunks of 64 bytes', async () => {
+    // Guards against a limit on chunks that refuses what the stated limits allow.
+    const chunk = `40\r\n${'x'.repeat(64)}\r\n`
+    expect(await node.upload({ pieces: [Buffer.from(`${chunk.repeat(maxBodyBytes / 64)}0\r\n\r\n`)], awaitsAnswer: true })).to.equal(200)
+  })
+
+  it('serves beside a crowd that sends bodies in chunks of one byte', async () => {
+    // Guards against bodies whose chunks occupy the processor, so that new connections are not accepted.
+    await expectServed('oneByteChunks')
+  })
 })
