Limit what is read on after a refusal by a declared length

Operators saw: a client whose declared length was refused could bring any volume in the second after its refusal, although linger_mb says 1 MB.

Cause: Node.js discards the body of a request that nobody has begun to read when the response ends, without an event for it, so nothing was counted.

Change: the read is begun before the response ends.

--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -16,6 +16,8 @@
 function lingerAfterResponse (request: IncomingMessage, { lingerMs, lingerBytes }: LingerLimits): void {
   const { socket } = request
   const bytesBefore = socket.bytesRead
+  // Node.js reads on, past all listeners, what nobody has begun to read when the response ends.
+  request.read(0)
   // Node.js calls it after the last response of a connection.
   socket.destroySoon = () => {
     const timer = setTimeout(() => socket.destroy(), lingerMs)
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -1,12 +1,15 @@
 import { PassThrough } from 'node:stream'
+import { createServer } from 'node:http'
 import type { IncomingMessage } from 'node:http'
-import type { Socket } from 'node:net'
+import { connect } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { expect } from 'chai'
-import { VirtualClock } from '../src/base/clock.js'
+import { SystemClock, VirtualClock } from '../src/base/clock.js'
 import { silentLog } from '../src/base/log.js'
 import { readSettingsFile } from '../src/platform/settingsFile.js'
 import { clientMemoryLimits } from '../src/policy/clientMemory.js'
 import { ClientBody } from '../src/serving/clientBody.js'
+import { ResponseWriter } from '../src/serving/clientExchange.js'
 import { ClientMemory } from '../src/serving/clientMemory.js'
 import { ServingMetrics } from '../src/serving/servingMetrics.js'
 import { chunk, requestIdOf, responseTo, RequestProxyFixture, route, streamHead } from './fixtures/requestProxyFixture.js'
@@ -174,6 +177,32 @@
     }
   })
 
+  for (const [name, clients, replaced] of [['a refusal', 1, { lingerBytes: 256 * 1024 }]] as const) {
+    it(`what is read on after ${name} has a limit, and each client gets its refusal`, async () => {
+      // Guards against bytes of refused bodies that are discarded without a limit.
+      const memory = new ClientMemory({ clock: new SystemClock(), log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, replaced) })
+      const refused: IncomingMessage[] = []
+      const server = createServer((request, response) => {
+        refused.push(request.pause())
+        new ResponseWriter(request, response, memory).sendError(413, 'the request body is too large')
+      })
+      await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+      const statuses = await Promise.all(Array.from({ length: clients }, () => new Promise<string>(resolve => {
+        const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+        socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n')
+        socket.write(Buffer.alloc(2_000_000))
+        socket.on('error', () => {})
+        socket.once('data', data => resolve(String(data).slice(9, 12)))
+      })))
+      await new Promise(resolve => setTimeout(resolve, 300))
+      expect(statuses).to.deep.equal(statuses.map(() => '413'))
+      // What was read before a connection was paused comes on top: up to 64 KiB at a time.
+      expect(refused.reduce((sum, { socket }) => sum + socket.bytesRead, 0)).to.be.below(256 * 1024 + clients * 3 * 64 * 1024)
+      server.close()
+      server.closeAllConnections()
+    })
+  }
+
   it('a refusal keeps the connection of a request that has arrived whole', async () => {
     // Guards against pipelined requests that are lost, and connections that are opened anew, after a request that matches no route.
     const fixture = new RequestProxyFixture()
