Limit what is read on after refusals over all connections

Operators saw: crowds that are refused bring 1 MiB each to be discarded, 62 MB for 60 clients within some 100 ms.

Change: linger_all_mb, 2% of the memory and at least 1 MB, for all connections within linger_ms. Beyond it, a refused connection stays open for that time without being read, and the metric and the log name the limit `linger`.

--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -49,7 +49,8 @@
     linger_mb: positive.optional(),
     overhead_kb: positive.optional(),
     overhead_kb_per_s: positive.optional(),
-    costly_connections: positive.optional()
+    costly_connections: positive.optional(),
+    linger_all_mb: positive.optional()
   }).default({}),
   bounds: z.object({
     grace_s: positive.default(8),
@@ -116,7 +117,8 @@
       lingerBytes: bytesOf(clients.linger_mb),
       overheadBytes: kilobytes(clients.overhead_kb),
       overheadBytesPerS: kilobytes(clients.overhead_kb_per_s),
-      costlyConnections: clients.costly_connections
+      costlyConnections: clients.costly_connections,
+      lingerAllBytes: bytesOf(clients.linger_all_mb)
     })
   }
 }
--- a/src/policy/clientMemory.ts
+++ b/src/policy/clientMemory.ts
@@ -10,6 +10,8 @@
 /** Share for heads under way, of which Node.js keeps up to 64 KiB for each connection. */
 const headsShare = 0.2
 const maxHeadBytes = 64 * 1024
+/** Share for what is read on after refusals within `lingerMs`. It is discarded, and takes memory until it is collected. */
+const lingerShare = 0.02
 /** Descriptors not available to clients: backend servers, peers, the store and files. */
 const reservedDescriptors = 1200
 const fewestConnections = 50
@@ -31,6 +33,8 @@
   /** Limits of reading on after a refusal, so that it reaches a client that is still sending. */
   lingerMs: number
   lingerBytes: number
+  /** The same over all connections, within `lingerMs`. */
+  lingerAllBytes: number
 }
 
 /** The limits for a machine. What `settings` names replaces the default. */
@@ -51,10 +55,29 @@
     overheadBytes: 256 * 1024,
     overheadBytesPerS: 32 * 1024,
     costlyConnections: 4,
+    lingerAllBytes: Math.max(bytesPerMb, memoryBytes * lingerShare),
     ...settings
   }
 }
 
+/** Decides whether what clients send after their refusals is read on, over all connections. */
+export class LingerAllowance {
+  private sinceMs = -Infinity
+  private readBytes = 0
+
+  constructor (private readonly limits: Pick<ClientMemoryLimits, 'lingerMs' | 'lingerAllBytes'>) {}
+
+  /** Counts bytes that have been read. Returns whether more may be read. */
+  take (bytes: number, nowMs: number): boolean {
+    if (nowMs - this.sinceMs >= this.limits.lingerMs) {
+      this.sinceMs = nowMs
+      this.readBytes = 0
+    }
+    this.readBytes += bytes
+    return this.readBytes < this.limits.lingerAllBytes
+  }
+}
+
 /** Bytes that a body must bring to count as progress, so that single bytes do not keep its share of the memory. */
 export const progressBytes = 4096
 
--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -6,15 +6,19 @@
 import type { StreamBlock } from '../policy/streamTail.js'
 import type { ResponseHead } from './responseReader.js'
 
-/** Limits of reading on after a refusal. */
-export interface LingerLimits { lingerMs: number, lingerBytes: number }
+/** Limits of reading on after a refusal: for one connection, and for all. */
+export interface Linger {
+  limits: { lingerMs: number, lingerBytes: number }
+  mayReadOn: (bytes: number) => boolean
+}
 
 /**
  * Closes the connection only some time after the response: a connection that is closed with unread bytes is reset, which takes the
  * response from a client that is still sending. What arrives until then is discarded.
  */
-function lingerAfterResponse (request: IncomingMessage, { lingerMs, lingerBytes }: LingerLimits): void {
+function lingerAfterResponse (request: IncomingMessage, linger: Linger): void {
   const { socket } = request
+  const { lingerMs, lingerBytes } = linger.limits
   const bytesBefore = socket.bytesRead
   // Node.js reads on, past all listeners, what nobody has begun to read when the response ends.
   request.read(0)
@@ -22,8 +26,14 @@
   socket.destroySoon = () => {
     const timer = setTimeout(() => socket.destroy(), lingerMs)
     socket.once('close', () => clearTimeout(timer))
-    request.on('data', () => { if (socket.bytesRead - bytesBefore > lingerBytes) request.pause() })
-    request.resume()
+    let countedBytes = socket.bytesRead
+    const mayReadOn = () => {
+      const bytes = socket.bytesRead - countedBytes
+      countedBytes = socket.bytesRead
+      return linger.mayReadOn(bytes) && socket.bytesRead - bytesBefore <= lingerBytes
+    }
+    request.on('data', () => { if (!mayReadOn()) request.pause() })
+    if (mayReadOn()) request.resume()
     socket.end()
   }
 }
@@ -53,7 +63,7 @@
   private tail: StreamTail | undefined
   private cancelRelease: CancelTimer | undefined
 
-  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly options: { clock: Clock, limits: LingerLimits }) {}
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly options: Linger & { clock: Clock }) {}
 
   sendError (status: number, reason: string, retryAfterMs?: number): void {
     if (this.response.destroyed) return
@@ -63,7 +73,7 @@
     // The rest of an unread body would be parsed as the next request.
     if (!this.request.complete) {
       headers.push('Connection', 'close')
-      lingerAfterResponse(this.request, this.options.limits)
+      lingerAfterResponse(this.request, this.options)
     }
     this.response.writeHead(status, headers)
     this.response.end(body)
--- a/src/serving/clientMemory.ts
+++ b/src/serving/clientMemory.ts
@@ -2,12 +2,12 @@
 
 import type { CancelTimer, Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
-import { abandonedUploads, clientMemoryLimits, uploadsForRoom } from '../policy/clientMemory.js'
+import { abandonedUploads, clientMemoryLimits, LingerAllowance, uploadsForRoom } from '../policy/clientMemory.js'
 import type { ClientMemoryLimits, Upload } from '../policy/clientMemory.js'
 import { ByteBudget } from './byteBudget.js'
 
 /** A limit that has acted, as the metric and the log name it. */
-export type ClientLimit = 'head-size' | 'body-size' | 'memory' | 'body-stall' | 'response-memory' | 'response-stall' | 'connections' | 'pipelined' | 'overhead'
+export type ClientLimit = 'head-size' | 'body-size' | 'memory' | 'body-stall' | 'response-memory' | 'response-stall' | 'connections' | 'pipelined' | 'overhead' | 'linger'
 
 const stallCheckMs = 500
 /** One log line for each limit in this time, with the number of times that it has acted since. */
@@ -33,11 +33,13 @@
   private readonly uploads = new Set<ActiveUpload>()
   private readonly unlogged = new Map<ClientLimit, number>()
   private cancelCheck: CancelTimer | undefined
+  private readonly linger: LingerAllowance
 
   constructor (private readonly options: ClientMemoryOptions) {
     const { clock, limits = clientMemoryLimits({ memoryMb: 350, maxFileDescriptors: 4100 }), budget = new ByteBudget(limits) } = options
     this.clock = clock
     this.limits = limits
+    this.linger = new LingerAllowance(limits)
     this.budget = budget
     budget.releaseStalled = neededBytes => {
       for (const { giveUp } of uploadsForRoom(this.uploads, neededBytes, clock.nowMs(), limits.bodyStallWithoutRoomMs)) giveUp()
@@ -51,6 +53,13 @@
     return () => { this.uploads.delete(upload) }
   }
 
+  /** Counts bytes that were read on after a refusal. Returns whether more may be read. */
+  mayReadOn (bytes: number): boolean {
+    const isAllowed = this.linger.take(bytes, this.clock.nowMs())
+    if (!isAllowed) this.onLimit('linger')
+    return isAllowed
+  }
+
   /** Counts and logs that a limit has acted. The first line of a series names the request. */
   onLimit (limit: ClientLimit, request?: string): void {
     this.options.onLimit?.(limit)
--- a/tests/clientMemory.spec.ts
+++ b/tests/clientMemory.spec.ts
@@ -177,9 +177,9 @@
     }
   })
 
-  for (const [name, clients, replaced] of [['a refusal', 1, { lingerBytes: 256 * 1024 }]] as const) {
+  for (const [name, clients, replaced] of [['a refusal', 1, { lingerBytes: 256 * 1024 }], ['all refusals', 8, { lingerAllBytes: 256 * 1024 }]] as const) {
     it(`what is read on after ${name} has a limit, and each client gets its refusal`, async () => {
-      // Guards against bytes of refused bodies that are discarded without a limit.
+      // Guards against bytes of refused bodies that are discarded without a limit, for one client or for a crowd.
       const memory = new ClientMemory({ clock: new SystemClock(), log: silentLog, limits: clientMemoryLimits({ memoryMb: 250, maxFileDescriptors: 4100 }, replaced) })
       const refused: IncomingMessage[] = []
       const server = createServer((request, response) => {
