--- a/src/serving/clientWork.ts
+++ b/src/serving/clientWork.ts
@@ -54,8 +54,7 @@
       this.close(socket, 'pipelined')
       return false
     }
-    this.budgets.add(socket, this.options.clock.nowMs(), { overheadBytes: 0, contentBytes: requestCreditBytes })
-    return true
+    return this.record(socket, { overheadBytes: 0, contentBytes: requestCreditBytes })
   }
 
   /** Returns a function that counts a piece of the request's body, and returns false if the connection has been closed. */
@@ -68,11 +67,16 @@
       if (socket.destroyed) return false
       this.pieces++
       this.contentBytes += contentBytes
-      for (const costly of this.budgets.add(socket, this.options.clock.nowMs(), { overheadBytes, contentBytes })) this.close(costly, 'overhead', costly === socket ? request : undefined)
-      return !socket.destroyed
+      return this.record(socket, { overheadBytes, contentBytes }, request)
     }
   }
 
+  /** Returns false if the connection has been closed. */
+  private record (socket: Socket, read: { overheadBytes: number, contentBytes: number }, request?: IncomingMessage): boolean {
+    for (const costly of this.budgets.add(socket, this.options.clock.nowMs(), read)) this.close(costly, 'overhead', costly === socket ? request : undefined)
+    return !socket.destroyed
+  }
+
   private close (socket: Socket, limit: 'pipelined' | 'overhead', request?: IncomingMessage): void {
     this.options.onExcess(limit, request)
     socket.destroy()
