Close each costly connection while a crowd comes back

clientOverhead.spec 'each one that exceeds its limit is closed while a crowd comes back' fails before.

--- a/src/policy/clientOverhead.ts
+++ b/src/policy/clientOverhead.ts
@@ -5,7 +5,7 @@
   overheadBytes: number
   /** Overhead that time makes up for, so that small chunks now and then are no reason to close a connection. */
   overheadBytesPerS: number
-  /** Connections that may exceed it at the same time: small chunks are read as long as few clients send such. Beyond it, all are closed. */
+  /** Connections that may exceed it at the same time: small chunks are read as long as few clients send such. Beyond it, all that do are closed. */
   costlyConnections: number
 }
 
@@ -33,6 +33,8 @@
   }
 }
 
+/** After too many connections have exceeded their limit, each one that does is closed, until none has for this time. */
+const crowdMs = 10_000
 const none: readonly never[] = []
 
 /** The overhead of all connections of a node. */
@@ -40,10 +42,11 @@
   private readonly budgets = new WeakMap<Connection, OverheadBudget>()
   /** Connections beyond their limit. */
   private readonly costly = new Set<Connection>()
+  private crowdedUntilMs = -Infinity
 
   constructor (private readonly limits: OverheadLimits) {}
 
-  /** Adds what has been read from a connection. Returns the connections to close: none, or all costly ones if they have become too many. */
+  /** Adds what has been read from a connection. Returns the connections to close. */
   add (connection: Connection, nowMs: number, read: { overheadBytes: number, contentBytes: number }): readonly Connection[] {
     const budget = this.budgetOf(connection, nowMs)
     budget.add(nowMs, read)
@@ -53,8 +56,11 @@
     }
     if (this.costly.has(connection)) return none
     this.costly.add(connection)
-    if (this.costly.size > this.limits.costlyConnections) this.removeQuiet(nowMs)
-    if (this.costly.size <= this.limits.costlyConnections) return none
+    if (nowMs >= this.crowdedUntilMs) {
+      if (this.costly.size > this.limits.costlyConnections) this.removeQuiet(nowMs)
+      if (this.costly.size <= this.limits.costlyConnections) return none
+    }
+    this.crowdedUntilMs = nowMs + crowdMs
     const closing = [...this.costly]
     this.costly.clear()
     return closing
--- a/tests/clientOverhead.spec.ts
+++ b/tests/clientOverhead.spec.ts
@@ -50,4 +50,15 @@
     others.onClosed(closing)
     expect(others.add(own, 0, exceeding)).to.deep.equal([])
   })
+
+  it('each one that exceeds its limit is closed while a crowd comes back', () => {
+    // Guards against a crowd of which a few are read on each time, so that callers wait for them.
+    const budgets = crowded()
+    budgets.add(own, 0, exceeding)
+    for (let atMs = 1000; atMs < 60_000; atMs += 1000) {
+      const returned = {}
+      expect(budgets.add(returned, atMs, exceeding)).to.deep.equal([returned])
+    }
+    expect(budgets.add({}, 80_000, exceeding)).to.deep.equal([])
+  })
 })
