--- a/src/policy/streamTail.ts
+++ b/src/policy/streamTail.ts
@@ -78,7 +78,7 @@
     return rest
   }
 
-  /** `bytes` without the byte that has been sent ahead, or after a line end, which makes of it a field without a meaning. */
+  /** `bytes` without the byte that has been sent ahead, or after a line end, which turns that byte into a field that readers ignore. */
   private afterSentAhead (bytes: Buffer): Buffer {
     if (!this.sentAhead) return bytes
     return bytes[0] === this.sentAhead[0] ? bytes.subarray(1) : Buffer.concat([lineFeed, bytes])
--- a/src/serving/clientExchange.ts
+++ b/src/serving/clientExchange.ts
@@ -52,6 +52,7 @@
  * this process does not cut it short in order.
  */
 export const maxUnframedBytes = 128 * 1024
+
 /**
  * Sends responses to a client. Only this class states where they end, and it states the end of a backend server's response only if the
  * server did, with a length or chunks. Otherwise the response ends as it came, with its connection.
