--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -70,9 +70,9 @@
     if (!mustHeal) return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd: NaN }
     if (world.accounts) world.accounts.isFlooding = false
     await sleep(healMs)
-    const servedAtEnd = await world.traffic(performance.now() + calmMs)
-    if (servedAtEnd < healedShare) world.ledger.violation('RECOVER', `${(servedAtEnd * 100).toFixed(1)}% are served ${healMs} ms after the last fault`)
-    return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd }
+    const { servedShare, unserved } = await world.traffic(performance.now() + calmMs)
+    if (servedShare < healedShare) world.ledger.violation('RECOVER', `${(servedShare * 100).toFixed(1)}% are served ${healMs} ms after the last fault; not served: ${unserved.join(', ')}`)
+    return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd: servedShare }
   } finally {
     await world.stop()
   }
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -7,6 +7,7 @@
 import type { Call } from './clients.js'
 import type { FaultProxy } from './faultProxy.js'
 import { configMs, Condition, gapObjectiveMs, Ledger, objectiveMs } from './ledger.js'
+import type { Outcome } from './ledger.js'
 import { NodeProcess } from './nodeProcess.js'
 import { sleep, StoreStandIn } from './storeStandIn.js'
 import type { StoreCopy } from './storeStandIn.js'
@@ -36,6 +37,8 @@
 const absenceSpreadMs = 1500
 /** Clients' connections to each node; where there are only streams, none waits for another to end. */
 const connectionsEach = 8
+/** Part of an answer's body that a violation shows. */
+const longestBodyChars = 100
 
 export interface WorldOptions {
   random: () => number
@@ -50,6 +53,12 @@
   hasAccounts?: boolean | undefined
 }
 
+export interface Traffic {
+  servedShare: number
+  /** Requests that were not served, each with its node, its kind and its end. */
+  unserved: string[]
+}
+
 interface Change { version: number, atMs: number }
 
 export class World {
@@ -179,18 +188,19 @@
     this.store.put('op/config', configOf(this.changes.slice(-versionsKept).map(({ version }) => version), this.version, this.models, this.accounts?.tenants()))
   }
 
-  /** Sends requests of all kinds until `untilMs` or until `isOver`. Returns the share that was served. */
-  async traffic (untilMs: number, isOver = () => false): Promise<number> {
-    const answers: Promise<boolean>[] = []
+  /** Sends requests of all kinds until `untilMs` or until `isOver`. */
+  async traffic (untilMs: number, isOver = () => false): Promise<Traffic> {
+    const ends: Promise<string | undefined>[] = []
     while (performance.now() < untilMs && !isOver()) {
-      if (this.clients.pending < maxPending) answers.push(this.sendOne())
+      if (this.clients.pending < maxPending) ends.push(this.sendOne())
       await sleep(requestGapMs * 2 * this.random())
     }
-    const served = (await Promise.all(answers)).filter(Boolean).length
-    return served / Math.max(1, answers.length)
+    const unserved = (await Promise.all(ends)).filter(text => text !== undefined)
+    return { servedShare: ends.length === 0 ? 0 : 1 - unserved.length / ends.length, unserved }
   }
 
-  private async sendOne (): Promise<boolean> {
+  /** Resolves with how the request ended if it was not served. */
+  private async sendOne (): Promise<string | undefined> {
     const node = this.pick(this.nodes)
     const kind = this.onlyStreams ? 1 : this.random()
     if (kind < 0.2) return await this.probe(node)
@@ -205,22 +215,23 @@
     if (outcome?.status === 404) this.ledger.violation('DENIED', `${node.name} answers 404 to ${call.path}`)
     // Callers with a removed key are owed nothing.
     const isServed = (outcome?.status === 200 && outcome.isComplete) || this.isRemoved(access)
-    if (call.kind !== 'stream') return isServed
-    if (deadly === undefined && neighbourOf !== undefined) this.ledger.onNeighbour(neighbourOf, { sentAtMs, isServed })
+    if (call.kind === 'stream' && deadly === undefined && neighbourOf !== undefined) this.ledger.onNeighbour(neighbourOf, { sentAtMs, isServed })
     // Callers of deadly prompts are owed nothing but an end.
-    return isServed || deadly !== undefined
+    return isServed || deadly !== undefined ? undefined : unservedText(node, call, outcome)
   }
 
   /** Asks for a route of one version, which shows the configuration that is in force at the node. */
-  private async probe (node: NodeProcess): Promise<boolean> {
+  private async probe (node: NodeProcess): Promise<string | undefined> {
     // A node that takes up nothing still serves the first route, long after it was dropped.
     const change = this.random() < 0.5 ? this.changes[0]! : this.pick(this.changes.slice(-versionsKept - 1))
     const { incarnation } = node
     const access = this.accounts?.pickAccess()
     const sentAtMs = performance.now()
-    const outcome = await this.clients.send(node, { kind: 'safe', path: `/v${change.version}/1`, access })
+    const call: Call = { kind: 'safe', path: `/v${change.version}/1` }
+    const outcome = await this.clients.send(node, { ...call, access })
     if (outcome && incarnation === node.incarnation) this.judge(node, change, outcome.status, sentAtMs)
-    return outcome !== undefined && (outcome.status === 200 || outcome.status === 404 || this.isRemoved(access))
+    const isServed = outcome !== undefined && (outcome.status === 200 || outcome.status === 404 || this.isRemoved(access))
+    return isServed ? undefined : unservedText(node, call, outcome)
   }
 
   private isRemoved (access: Access | undefined): boolean {
@@ -255,6 +266,11 @@
   }
 }
 
+function unservedText ({ name }: NodeProcess, { kind, path, model = path }: Call, outcome: Outcome | undefined): string {
+  const end = outcome ? `${outcome.status}${outcome.isComplete ? '' : ' cut'} ${JSON.stringify(outcome.body.slice(0, longestBodyChars))}` : 'no answer'
+  return `${name} ${kind} ${model}: ${end}`
+}
+
 function configOf (versions: readonly number[], version: number, models: readonly string[], tenants?: object[]): object {
   const route = (name: string, kind: string, service: string, changes = {}) => ({
     name, host, path_prefix: `/${name}/`, kind, service, timeout_ms: kind === 'streaming' ? timeoutMs.stream : timeoutMs.safe, goal_ms: objectiveMs, priority: 1, max_attempts: 2, ...changes
