Count no models of engines that answer no state queries

What callers saw: requests for one model got 503 after 1.9 s, "all engines with m0 are full", for as long as an engine that nobody reached was listed with it.

Cause: the planner counted what an engine was last known to hold, whether or not the engine answered. Such a copy hid the shortage and made the only copy in reach a surplus one, which gave way to another model. The leader drew no conclusion from state queries without an answer, and sent none to an engine for which it had no command.

Now an engine that has answered no state query for 2 s is left out when models are planned and when the leader tells how soon one can be ready, and a node that finds an engine out of reach makes the leader ask it.

--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -310,6 +310,8 @@
   /** The server does not accept connections or is unresponsive: ejects it for a while. */
   onUnreachable (): void {
     this.onFailed()
+    // An engine that nobody reaches may have the only copy of a model.
+    this.hasStateMismatch = true
     this.ejectedUntilMs = this.clock.nowMs() + Math.min(maxEjectionMs, firstEjectionMs * 2 ** this.ejections++)
     this.pool.closeIdle()
   }
--- a/src/serving/controlledEngine.ts
+++ b/src/serving/controlledEngine.ts
@@ -18,6 +18,8 @@
   /** Whether the engine's models and adapters are known. */
   isSynced: boolean
   isSyncing: boolean
+  /** Time of the first state query without an answer since the last one with an answer. */
+  unansweredSinceMs: number | undefined
   /** Incremented when the engine has accepted other commands than assumed, which voids earlier decisions. */
   generation: number
   /** Adapters whose load is planned and whose command has not ended, by `MODEL/ADAPTER`. */
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -4,6 +4,7 @@
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
+import { isOutOfReach } from '../policy/engineReach.js'
 import { planReplicas } from '../policy/replicaPlanning.js'
 import type { ReplicaEngine, ReplicaMove, ReplicaDemand } from '../policy/replicaPlanning.js'
 import { LoadRate } from '../policy/loadRate.js'
@@ -163,6 +164,7 @@
         queue: Promise.resolve(),
         isSynced: false,
         isSyncing: false,
+        unansweredSinceMs: undefined,
         generation: 0,
         pendingAdapters: new Set(),
         retryAtMs: 0,
@@ -195,9 +197,11 @@
     if (!report) {
       // Whether a command without a response took effect is unknown until the engine reports.
       control.isSynced = false
+      control.unansweredSinceMs ??= this.options.clock.nowMs()
       control.retryAtMs = this.options.clock.nowMs() + stateRetryMs
       return false
     }
+    control.unansweredSinceMs = undefined
     this.options.log('info', 'engine state', {
       engine: server.entry.id, orders: report.orderCount, assumedOrders: server.commandCount, isBusy: report.isBusy, models: report.models.map(({ name }) => name)
     })
@@ -223,7 +227,8 @@
   }
 
   private planService (service: Service, engine: EngineType): void {
-    const controls = this.enginesOf(service.name)
+    const nowMs = this.options.clock.nowMs()
+    const controls = this.enginesOf(service.name).filter(({ unansweredSinceMs }) => !isOutOfReach(unansweredSinceMs, nowMs))
     const running = this.runningByEngine()
     const moves = planReplicas({
       engines: controls.map(control => this.replicaEngine(control, engine, running.get(control.server.entry.id) ?? new Map())),
@@ -560,10 +565,11 @@
     if (!engine?.models.some(({ name }) => name === model)) return 0
     let soonestMs = Infinity
     for (const server of fleet.ofService(service)) {
-      if (server.isGoing || nowMs >= server.removalAtMs) continue
+      const control = this.engines.get(server.entry.id)
+      if (server.isGoing || nowMs >= server.removalAtMs || isOutOfReach(control?.unansweredSinceMs, nowMs)) continue
       const state = server.replicas.get(model)
       // It may be loading the model by a command of the last leader, or by one without a response.
-      if (!state && server.isPresent && this.engines.get(server.entry.id)?.isSynced !== true) return 0
+      if (!state && server.isPresent && control?.isSynced !== true) return 0
       // An engine that is only unreachable for a while, or whose unload may yet be given up, has it.
       if (state && !(state.isLoading && state.readyAtMs !== Infinity)) return 0
       soonestMs = Math.min(soonestMs, state ? Math.max(0, state.readyAtMs - nowMs) : loadSource(server, engine, model).loadMs)
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -181,6 +181,63 @@
     stop()
   })
 
+  // Guards against a model that stays out of reach because an engine that answers nobody is listed with it.
+  it('loads a model elsewhere when the only engine that is listed with it does not answer', async () => {
+    const { clock, engines, lead, ask, stop } = world(1)
+    engines.get('e0')!.isReachable = false
+    const { leader } = lead(5)
+    await clock.advance(5000)
+    expect(leader.soonestReadyMs('s', 'm0')).to.equal(2400)
+    ask({ waiting: [['s', 'm0', 2, 0]] })
+    await clock.advance(10_000)
+    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(true)
+    stop()
+  })
+
+  // The same where the engine ceases to answer later and the leader has no command for it.
+  it('loads a model elsewhere when nodes no longer reach the only engine with it', async () => {
+    const { clock, engines, lead, ask, stop } = world(1)
+    const { fleet } = lead(5)
+    await clock.advance(3000)
+    engines.get('e0')!.isReachable = false
+    fleet.servers.get('e0')!.onUnreachable()
+    ask({ waiting: [['s', 'm0', 2, 0]] })
+    await clock.advance(10_000)
+    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(true)
+    stop()
+  })
+
+  // Guards against the unload of a model's only copy in reach as a surplus one.
+  it('keeps the last copy of a model that an engine which answers has', async () => {
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m8'] })
+    engines.get('e2')!.restart(['m6', 'm7', 'm0'], 0)
+    await clock.advance(300)
+    engines.get('e0')!.isReachable = false
+    lead(5)
+    ask({ running: [['e2', 'm0', 1, 0]] })
+    await clock.advance(5000)
+    ask({ running: [], waiting: [['s', 'm8', 20, 0]] })
+    await clock.advance(10_000)
+    expect(['e1', 'e2'].filter(id => engines.get(id)!.models.has('m8'))).to.have.length(1)
+    expect(engines.get('e2')!.models.has('m0')).to.equal(true)
+    stop()
+  })
+
+  // Guards against moves for each short interruption: a load displaces another model.
+  it('waits for an engine that does not answer for a moment', async () => {
+    const { clock, engines, lead, ask, stop } = world(1)
+    const { fleet } = lead(5)
+    await clock.advance(3000)
+    engines.get('e0')!.isReachable = false
+    fleet.servers.get('e0')!.onUnreachable()
+    ask({ waiting: [['s', 'm0', 2, 0]] })
+    await clock.advance(1200)
+    engines.get('e0')!.isReachable = true
+    await clock.advance(10_000)
+    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(false)
+    stop()
+  })
+
   it('loads an adapter, and evicts only ones that no request uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1)
     lead(5)
