Close connections whose reads bring too many fields in pipelined heads

Callers saw connections refused: 120 clients that pipeline heads of 930 short fields ended a node of 200 MB (SIGABRT, heap limit); 60 of them took 268 MB.

Cause: a read of 64 KiB holds ten such heads, and the objects of a head's fields take 95 to 119 bytes a field (930 fields, Node.js 20), about 100 KB for a head of 6 KB. The limit on the requests of one read is 32, so it did not act, and what the requests hold is counted only after it has been made, at as many connections as are readable in one turn of the event loop.

Change: the fields of a read are counted with its requests. At the first request beyond 64 fields for each request that a connection may have in progress, the connection is closed and the parser stops, before Node.js makes `headers` of the fields. A single head is never concerned, nor are 32 requests of 64 fields.

Evidence: clientProcessor.spec, 'closes a connection that pipelines heads of many fields' and 'serves beside a crowd that pipelines heads of many fields' fail without the change ('the process has ended').

--- a/src/serving/clientMessage.ts
+++ b/src/serving/clientMessage.ts
@@ -1,22 +1,20 @@
 /** The class of clients' requests. It counts what the parser of Node.js makes of each read, and leaves the rest alone beyond a limit. */
 
 import { IncomingMessage } from 'node:http'
-import type { Socket } from 'node:net'
 import type { ClientWork } from './clientWork.js'
 
 export function clientMessageClass (work: ClientWork): typeof IncomingMessage {
   return class extends IncomingMessage {
-    private readonly isStopped: boolean
+    private isStopped: boolean | undefined
     private isUpgrade: boolean | null = null
     private onPiece: ((bytes: number) => boolean) | undefined
 
-    constructor (socket: Socket) {
-      super(socket)
-      this.isStopped = !work.onHead(socket)
-    }
-
-    /** An upgrade is the only answer to a head at which the parser leaves the rest of a read alone; no handler is called for it. */
+    /**
+     * An upgrade is the only answer to a head at which the parser leaves the rest of a read alone; no handler is called for it. Node.js asks
+     * for it first when a head is complete, before it makes `headers` of the fields.
+     */
     get upgrade (): boolean | null {
+      this.isStopped ??= !work.onHead(this.socket, this.rawHeaders.length / 2)
       return this.isStopped || this.isUpgrade
     }
 
--- a/src/serving/clientWork.ts
+++ b/src/serving/clientWork.ts
@@ -6,23 +6,27 @@
 import { OverheadBudgets, pieceCostBytes, requestCreditBytes } from '../policy/clientOverhead.js'
 import type { OverheadLimits } from '../policy/clientOverhead.js'
 
-/** Counts the requests of a read. A read is parsed to its end before anything else is read. */
+/** Counts the requests of a read, and the fields of their heads. A read is parsed to its end before anything else is read. */
 class RequestsPerRead {
   private socket: Socket | undefined
   private bytesRead = 0
-  private requests = 0
+  requests = 0
+  fields = 0
 
-  /** Returns the number of requests of the current read, with the one that is counted. */
-  count (socket: Socket): number {
+  count (socket: Socket, fields: number): void {
     if (socket !== this.socket || socket.bytesRead !== this.bytesRead) {
       this.socket = socket
       this.bytesRead = socket.bytesRead
-      this.requests = 0
+      this.requests = this.fields = 0
     }
-    return ++this.requests
+    this.requests++
+    this.fields += fields
   }
 }
 
+/** Fields for each request that a connection may have in progress. Beyond it, the objects of a read's heads cost far more than those of its requests. */
+const fieldsPerRequest = 64
+
 export interface ClientWorkOptions {
   clock: Clock
   limits: OverheadLimits & { pipelinedRequests: number }
@@ -47,10 +51,12 @@
     this.budgets.onClosed(socket)
   }
 
-  /** Counts a request whose head is complete. Returns false if its connection has been closed instead. */
-  onHead (socket: Socket): boolean {
+  /** Counts a request whose head, of `fields` fields, is complete. Returns false if its connection has been closed instead. */
+  onHead (socket: Socket, fields: number): boolean {
+    const { perRead, options: { limits: { pipelinedRequests } } } = this
+    perRead.count(socket, fields)
     // None of the requests of one read has been answered before the next one is parsed.
-    if (this.perRead.count(socket) > this.options.limits.pipelinedRequests) {
+    if (perRead.requests > pipelinedRequests || (perRead.requests > 1 && perRead.fields > pipelinedRequests * fieldsPerRequest)) {
       this.close(socket, 'pipelined')
       return false
     }
--- a/tests/clientProcessor.spec.ts
+++ b/tests/clientProcessor.spec.ts
@@ -6,6 +6,9 @@
 
 const crowd = 120
 const pipelinedRequests = 32
+const manyFields = 900
+/** So many heads of so many fields are less than one read. */
+const largeHeads = 14
 const floods = 12
 /** Connections with such bodies that are read on at the same time. */
 const costlyConnections = 4
@@ -34,7 +37,7 @@
   it('serves as many requests of one read as a connection may have in progress', async () => {
     // Guards against stopping the parser for clients inside the limit, or for a request for an upgrade, which is served as any other.
     const upgrade = 'Connection: upgrade\r\nUpgrade: x\r\n'
-    for (const [count, headers] of [[pipelinedRequests, ''], [1, upgrade]] as const) {
+    for (const [count, headers] of [[pipelinedRequests, ''], [pipelinedRequests, 'x:y\r\n'.repeat(60)], [1, 'x:y\r\n'.repeat(manyFields)], [1, upgrade]] as const) {
       let text = ''
       const socket = node.open(`POST /order/1 HTTP/1.1\r\nHost: h\r\n${headers}Content-Length: 0\r\n\r\n`.repeat(count)).on('data', data => { text += String(data) })
       while (text.split(' 200 OK').length <= count && !socket.destroyed) await sleep(20)
@@ -52,6 +55,20 @@
     await expectServed('expectations')
   })
 
+  it('closes a connection that pipelines heads of many fields', async () => {
+    // Guards against fields that cost the processor far more than their bytes.
+    let text = ''
+    const request = `GET /none HTTP/1.1\r\nHost: h\r\n${'a:b\r\n'.repeat(manyFields)}\r\n`
+    const socket = node.open(request.repeat(largeHeads)).on('data', data => { text += String(data) })
+    while (!socket.destroyed && text.split(' 404 ').length <= largeHeads) await sleep(20)
+    expect(socket.destroyed).to.equal(true)
+  })
+
+  it('serves beside a crowd that pipelines heads of many fields', async () => {
+    // Guards against the objects of a head's fields, which take ten times its bytes, at many connections in one turn of the event loop.
+    await expectServed('headsOfManyFields')
+  })
+
   it('closes connections whose bodies come in chunks of one byte, but for a few', async () => {
     // Guards against chunks that cost the processor far more than the bytes that they bring.
     const sent = await Promise.all(Array.from({ length: floods }, async () => {
