Drop the trailers of clients' requests

Callers waited for more than 2 s beside 120 clients that pipeline bodies with 930 short trailers, and the node took 258 and 259 MB of 200 MB.

Cause: Node.js keeps the strings of trailers, about 60 bytes a field, with the request until it is answered. Nothing reads them, and nothing counts them.

Change: the class of clients' requests drops them at the end of the body.

--- a/src/serving/clientMessage.ts
+++ b/src/serving/clientMessage.ts
@@ -24,7 +24,11 @@
 
     /** Called by the parser for each chunk of a body that a read brings, and with `null` at its end. */
     override push (piece: Buffer | null): boolean {
-      if (piece === null) return super.push(piece)
+      if (piece === null) {
+        // Nothing reads the trailers, and the objects of their fields would stay as long as the request.
+        this.rawTrailers = []
+        return super.push(piece)
+      }
       this.onPiece ??= work.counterOf(this)
       return this.onPiece(piece.length) ? super.push(piece) : true
     }
--- a/tests/clientProcessor.spec.ts
+++ b/tests/clientProcessor.spec.ts
@@ -76,6 +76,11 @@
     await expectServed('headsOfManyFields')
   })
 
+  it('serves beside a crowd that pipelines bodies with trailers of many fields', async () => {
+    // Guards against the objects of trailers, which nothing reads, in requests that are complete.
+    await expectServed('trailersOfManyFields')
+  })
+
   it('closes connections whose bodies come in chunks of one byte, but for a few', async () => {
     // Guards against chunks that cost the processor far more than the bytes that they bring.
     const sent = await Promise.all(Array.from({ length: floods }, async () => {
