Make room for connections also among unfinished bodies, and by age

Callers got no answer beside 700 clients that send one byte of a body, or one answered request and a part of the next, and stay: their connections were closed when they were accepted, as long as the others stayed (up to header_timeout_ms, or the deadline of the route).

Cause: room was made only by closing a connection without a request, or an idle one. One with a body under way was neither. Among idle ones, the same was chosen again until it had been closed. A connection that had just been accepted counted as one without a request and was closed for the next one, before its request was read.

Change: the connection goes that has waited longest for its client. Those with a body or a later head under way are closed, too, but only if none is idle, and never while the first request on the connection is being served. An idle connection is chosen once.

--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -53,6 +53,11 @@
     }
   }
 
+  /** Time of the last progress; `undefined` unless the body is under way. */
+  get waitsSinceMs (): number | undefined {
+    return this.isSettled ? undefined : this.upload.progressAtMs
+  }
+
   /** Gives the memory back. */
   release (): void {
     this.settle('left')
--- a/src/serving/clientRequests.ts
+++ b/src/serving/clientRequests.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net'
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
+import type { ClientBody } from './clientBody.js'
 import { breakOff } from './clientExchange.js'
 import type { ResponseWriter } from './clientExchange.js'
 
@@ -14,6 +15,8 @@
   response: ServerResponse
   /** Absent until the request's turn on its connection. */
   writer?: ResponseWriter
+  /** Absent until the request has been counted. */
+  body?: Pick<ClientBody, 'waitsSinceMs'>
   /** Whether the request arrived before the end of an earlier response on its connection. */
   isPipelined: boolean
   /** Whether the client asked for a persistent connection. */
@@ -28,6 +31,7 @@
   open: Set<OpenRequest>
   /** Value of `socket.bytesRead` when the last response was completed. */
   bytesReadAtLastResponse: number | undefined
+  lastResponseAtMs: number
 }
 
 export class ClientRequests {
@@ -52,6 +56,7 @@
       this.open.delete(open)
       connection.open.delete(open)
       connection.bytesReadAtLastResponse = socket.bytesRead
+      connection.lastResponseAtMs = this.clock.nowMs()
       onFinished()
     }
     const open: OpenRequest = { requestId, isPipelined: connection.open.size > 0, arrivedAtMs: this.clock.nowMs(), response, isKeepAlive: response.shouldKeepAlive, finished, end }
@@ -81,6 +86,13 @@
     return connection !== undefined && connection.open.size === 0 && connection.bytesReadAtLastResponse === socket.bytesRead
   }
 
+  /** Time since when a connection on which a request has arrived waits for its client to send more; `undefined` if it does not. */
+  waitsSinceMs (socket: Socket): number | undefined {
+    const { open, lastResponseAtMs } = this.connectionOf(socket)
+    const [earliest] = open
+    return earliest ? earliest.body?.waitsSinceMs : lastResponseAtMs
+  }
+
   /** Adds `Connection: close` to the response, unless it has started or a later request arrived on the connection. */
   announceClose (open: OpenRequest): void {
     const { response } = open
@@ -120,7 +132,7 @@
   private connectionOf (socket: Socket): ClientConnection {
     const existing = this.connections.get(socket)
     if (existing) return existing
-    const connection: ClientConnection = { open: new Set(), bytesReadAtLastResponse: undefined }
+    const connection: ClientConnection = { open: new Set(), bytesReadAtLastResponse: undefined, lastResponseAtMs: 0 }
     this.connections.set(socket, connection)
     // Node.js does not emit `close` on the response to a pipelined request while it waits behind another one.
     socket.once('close', () => { for (const { end } of [...connection.open]) end() })
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -211,6 +211,7 @@
       deadlineAtMs: arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route?.timeoutMs ?? 0),
       requestId: metadata.requestId
     })
+    open.body = incoming
     // Its objects would stay, uncounted, until earlier responses are complete.
     if (earlier && !incoming.isHeadHeld) {
       socket.destroy()
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -102,6 +102,9 @@
   private readonly demand: ModelDemand
   private readonly clients: Server
   private readonly sockets = new Set<Socket>()
+  private readonly acceptedAtMs = new WeakMap<Socket, number>()
+  /** Idle connections that are being closed to make room, each for another one. */
+  private readonly makingRoom = new WeakSet<Socket>()
   private connectionsAccepted = 0
   /** Bytes read on connections that have been closed since. */
   private closedBytes = 0
@@ -472,6 +475,7 @@
     server.on('connection', (socket: Socket) => {
       this.connectionsAccepted++
       this.sockets.add(socket)
+      this.acceptedAtMs.set(socket, this.options.clock.nowMs())
       if (this.sockets.size > connections) this.makeRoomFor(socket)
       socket.once('close', () => {
         this.sockets.delete(socket)
@@ -491,16 +495,25 @@
     return server
   }
 
-  /** Closes another connection for `socket`: the oldest one without a request, or else an idle one. Without either, `socket` is closed. */
+  /**
+   * Closes the connection that has waited longest for its client to send something, if it has had no request, or else an idle one, or
+   * else the longest again. Without any, `socket` is closed. By age, so that one that has just been accepted is read first.
+   */
   private makeRoomFor (socket: Socket): void {
     const { clients } = this.requestProxy
     this.memory.onLimit('connections')
-    const open = [...this.sockets].filter(other => other !== socket && !other.destroyed)
-    const unused = open.find(other => clients.isUnused(other))
-    const idle = unused ?? open.find(other => clients.isIdle(other))
-    if (unused) unused.destroy()
-    else if (idle) void this.closeUnlessRead(idle)
-    else socket.destroy()
+    const open = [...this.sockets].filter(other => other !== socket && !other.destroyed && !this.makingRoom.has(other))
+    const idle = open.find(other => clients.isIdle(other))
+    let longest: { socket: Socket, sinceMs: number } | undefined
+    for (const other of open) {
+      const sinceMs = clients.isUnused(other) ? this.acceptedAtMs.get(other) : clients.waitsSinceMs(other)
+      if (sinceMs !== undefined && (!longest || sinceMs < longest.sinceMs)) longest = { socket: other, sinceMs }
+    }
+    if (longest && (!idle || clients.isUnused(longest.socket))) longest.socket.destroy()
+    else if (idle) {
+      this.makingRoom.add(idle)
+      void this.closeUnlessRead(idle).then(() => this.makingRoom.delete(idle))
+    } else socket.destroy()
   }
 
   private onItems (items: readonly StoreItem[], { isReturn }: { isReturn: boolean }): void {
--- a/tests/clientProcessor.spec.ts
+++ b/tests/clientProcessor.spec.ts
@@ -7,6 +7,8 @@
 const crowd = 120
 /** Nearly as many as the node accepts. */
 const largeCrowd = 600
+/** More than that. */
+const tooLargeCrowd = 700
 const pipelinedRequests = 32
 const manyFields = 900
 /** So many heads of so many fields are less than one read. */
@@ -62,6 +64,16 @@
     await expectServed('pipelinedOnce', largeCrowd)
   })
 
+  it('serves beside more bodies that stop short of their end than connections are accepted', async () => {
+    // Guards against connections that keep all others out as long as they stay open.
+    await expectServed('openBodies', tooLargeCrowd)
+  })
+
+  it('serves beside more second heads that stop short of their end than connections are accepted', async () => {
+    // Guards against the same after a request that has been answered.
+    await expectServed('openSecondHeads', tooLargeCrowd)
+  })
+
   it('closes a connection that pipelines heads of many fields', async () => {
     // Guards against fields that cost the processor far more than their bytes.
     let text = ''
