Keep connections whose costly body is complete

A client that had sent its whole body in small chunks, alone and spared, lost the answer of its request, which may have run, when others exceeded the limit on overhead within the next 8 s.

Cause: a connection counted as costly until time had made up for its overhead, and all costly ones are closed together, also those that send nothing any more.

Change: at the end of its body, a connection still counts, so that crowds of many short bodies are found as before, but it is closed only if it brings a further body while it is beyond its limit. The head of a request never closes.

Evidence: clientWork.spec 'keeps a connection whose body is complete when others become too many' fails without the change (closed without an answer). The crowd tests of clientProcessor.spec pass.

--- a/src/policy/clientOverhead.ts
+++ b/src/policy/clientOverhead.ts
@@ -42,6 +42,8 @@
   private readonly budgets = new WeakMap<Connection, OverheadBudget>()
   /** Connections beyond their limit. */
   private readonly costly = new Set<Connection>()
+  /** Those whose body has ended since. They count, but to close them would only take the answer from their request. */
+  private readonly ended = new Set<Connection>()
   private crowdedUntilMs = -Infinity
 
   constructor (private readonly limits: OverheadLimits) {}
@@ -51,14 +53,15 @@
     const budget = this.budgetOf(connection, nowMs)
     budget.add(nowMs, read)
     if (!budget.isExceeded) {
-      this.costly.delete(connection)
+      this.forget(connection)
       return none
     }
-    if (this.costly.has(connection)) return none
+    if (this.costly.has(connection) || read.overheadBytes === 0) return none
+    this.ended.delete(connection)
     this.costly.add(connection)
     if (nowMs >= this.crowdedUntilMs) {
-      if (this.costly.size > this.limits.costlyConnections) this.removeQuiet(nowMs)
-      if (this.costly.size <= this.limits.costlyConnections) return none
+      if (this.isCrowded) this.removeQuiet(nowMs)
+      if (!this.isCrowded) return none
     }
     this.crowdedUntilMs = nowMs + crowdMs
     const closing = [...this.costly]
@@ -66,15 +69,29 @@
     return closing
   }
 
+  /** To be called at the end of each body. */
+  onBodyEnd (connection: Connection): void {
+    if (this.costly.delete(connection)) this.ended.add(connection)
+  }
+
   onClosed (connection: Connection): void {
+    this.forget(connection)
+  }
+
+  private forget (connection: Connection): void {
     this.costly.delete(connection)
+    this.ended.delete(connection)
+  }
+
+  private get isCrowded (): boolean {
+    return this.costly.size + this.ended.size > this.limits.costlyConnections
   }
 
   private removeQuiet (nowMs: number): void {
-    for (const connection of this.costly) {
+    for (const connection of [...this.costly, ...this.ended]) {
       const budget = this.budgetOf(connection, nowMs)
       budget.add(nowMs, { overheadBytes: 0, contentBytes: 0 })
-      if (!budget.isExceeded) this.costly.delete(connection)
+      if (!budget.isExceeded) this.forget(connection)
     }
   }
 
--- a/src/serving/clientMessage.ts
+++ b/src/serving/clientMessage.ts
@@ -27,6 +27,7 @@
       if (piece === null) {
         // Nothing reads the trailers, and the objects of their fields would stay as long as the request.
         this.rawTrailers = []
+        work.onBodyEnd(this.socket)
         return super.push(piece)
       }
       this.onPiece ??= work.counterOf(this)
--- a/src/serving/clientWork.ts
+++ b/src/serving/clientWork.ts
@@ -51,6 +51,11 @@
     this.budgets.onClosed(socket)
   }
 
+  /** To be called when the body of a request on the connection is complete. */
+  onBodyEnd (socket: Socket): void {
+    this.budgets.onBodyEnd(socket)
+  }
+
   /** Counts a request whose head, of `fields` fields, is complete. Returns false if its connection has been closed instead. */
   onHead (socket: Socket, fields: number): boolean {
     const { perRead, options: { limits: { pipelinedRequests } } } = this
