--- a/src/serving/clientBody.ts
+++ b/src/serving/clientBody.ts
@@ -18,8 +18,6 @@
 export class ClientBody {
   /** The complete body, in blocks, or why there is none. The rest of a body that failed is not read. */
   readonly result: Promise<readonly Buffer[] | BodyFailure>
-  /** Whether there was room for the head when it arrived. */
-  readonly isHeadHeld: boolean
   private storage = new ByteBlocks()
   private readonly maxBytes: number
   private readonly requestId: string | undefined
@@ -34,19 +32,21 @@
   /** Until `deadlineAtMs`, the body may come slowly while there is room. */
   constructor (
     private readonly request: IncomingMessage, private readonly memory: ClientMemory,
-    { maxBytes, deadlineAtMs, requestId }: { maxBytes: number, deadlineAtMs: number, requestId?: string | undefined }
+    { maxBytes, deadlineAtMs, open }: { maxBytes: number, deadlineAtMs: number, open?: { requestId: string | undefined, isPipelined: boolean } }
   ) {
     const nowMs = memory.clock.nowMs()
     this.maxBytes = maxBytes
-    this.requestId = requestId
+    this.requestId = open?.requestId
     this.upload = { progressAtMs: nowMs, receivedAtMs: nowMs, deadlineAtMs, heldBytes: 0, giveUp: () => this.settle('stalled') }
     this.result = new Promise(resolve => { this.resolve = resolve })
     this.headBytes = requestBytes + headTextBytes(request) + request.rawHeaders.length / 2 * fieldBytes
-    this.isHeadHeld = this.hold(this.headBytes)
+    const isHeadHeld = this.hold(this.headBytes)
+    // A refusal would wait for the earlier responses on the connection, and meanwhile nothing counts the request's objects.
+    if (!isHeadHeld && open?.isPipelined) request.socket.destroy()
     const declaredBytes = Number(request.headers['content-length'] ?? 0)
     if (declaredBytes > maxBytes) this.settle('too-large')
     // Taken at once, so that bodies that have begun can be completed.
-    else if (!this.isHeadHeld || !this.hold(this.headBytes + declaredBytes)) this.settle('no-room')
+    else if (!isHeadHeld || !this.hold(this.headBytes + declaredBytes)) this.settle('no-room')
     else {
       this.storage = new ByteBlocks(declaredBytes)
       this.read()
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -206,17 +206,11 @@
     const hasLargeHead = isHeadTooLarge(request, this.deployment?.limits.maxHeaderBytes ?? Infinity)
     // Read at once: what waits in the request's own queue takes an object for each chunk.
     const route = this.routes.find(request.headers.host ?? '', request.url ?? '/')
-    const incoming = new ClientBody(request, this.memory, {
+    const incoming = open.body = new ClientBody(request, this.memory, {
       maxBytes: this.deployment?.limits.maxBodyBytes ?? unconfiguredBodyBytes,
       deadlineAtMs: arrivedAtMs + Math.min(metadata.deadlineMs ?? Infinity, route?.timeoutMs ?? 0),
-      requestId: metadata.requestId
+      open
     })
-    open.body = incoming
-    // Its objects would stay, uncounted, until earlier responses are complete.
-    if (earlier && !incoming.isHeadHeld) {
-      socket.destroy()
-      return
-    }
     try {
       await this.answerInTurn(request, response, { metadata, arrivedAtMs, earlier, isFirst, open, incoming, hasLargeHead })
     } finally {
