--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -11,6 +11,8 @@
 import type { Random } from '../base/random.js'
 import type { DispatchRequest, DispatchDecision } from '../policy/dispatcher.js'
 import { clientMemoryLimits } from '../policy/clientMemory.js'
+import { connectionToClose } from '../policy/connectionRoom.js'
+import type { ConnectionUse } from '../policy/connectionRoom.js'
 import { mayTryAlone, PartQuarantine } from '../policy/partQuarantine.js'
 import type { Verdict } from '../policy/partQuarantine.js'
 import { AccountCheck } from './accountCheck.js'
@@ -495,25 +497,23 @@
     return server
   }
 
-  /**
-   * Closes the connection that has waited longest for its client to send something, if it has had no request, or else an idle one, or
-   * else the longest again. Without any, `socket` is closed. By age, so that one that has just been accepted is read first.
-   */
+  /** Closes another connection for `socket`, or `socket` itself if a request is being served on each. */
   private makeRoomFor (socket: Socket): void {
-    const { clients } = this.requestProxy
     this.memory.onLimit('connections')
-    const open = [...this.sockets].filter(other => other !== socket && !other.destroyed && !this.makingRoom.has(other))
-    const idle = open.find(other => clients.isIdle(other))
-    let longest: { socket: Socket, sinceMs: number } | undefined
-    for (const other of open) {
-      const sinceMs = clients.isUnused(other) ? this.acceptedAtMs.get(other) : clients.waitsSinceMs(other)
-      if (sinceMs !== undefined && (!longest || sinceMs < longest.sinceMs)) longest = { socket: other, sinceMs }
+    const others = [...this.sockets].filter(other => other !== socket && !other.destroyed && !this.makingRoom.has(other))
+    const chosen = connectionToClose(others.map(other => this.useOf(other)))
+    if (chosen?.state !== 'idle') {
+      (chosen?.connection ?? socket).destroy()
+      return
     }
-    if (longest && (!idle || clients.isUnused(longest.socket))) longest.socket.destroy()
-    else if (idle) {
-      this.makingRoom.add(idle)
-      void this.closeUnlessRead(idle).then(() => this.makingRoom.delete(idle))
-    } else socket.destroy()
+    this.makingRoom.add(chosen.connection)
+    void this.closeUnlessRead(chosen.connection).then(() => this.makingRoom.delete(chosen.connection))
+  }
+
+  private useOf (connection: Socket): ConnectionUse<Socket> {
+    const { clients } = this.requestProxy
+    if (clients.isUnused(connection)) return { connection, state: 'unused', waitsSinceMs: this.acceptedAtMs.get(connection) }
+    return { connection, state: clients.isIdle(connection) ? 'idle' : 'active', waitsSinceMs: clients.waitsSinceMs(connection) }
   }
 
   private onItems (items: readonly StoreItem[], { isReturn }: { isReturn: boolean }): void {
