Continue a move at an engine that a node failed to reach once

What callers see: one failed connection to an engine ends the move in progress there. The model that makes room takes requests again, and the one for which requests wait starts over 0.8 s later, with up to 8 s until the other is drained.

Now a command for such an engine asks first, and is sent if the answer shows no other commands than assumed.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -452,8 +452,12 @@
   private sendCommand (control: ControlledEngine, generation: number, action: 'load' | 'unload', model: string, adapter?: string): Promise<CommandOutcome> {
     return this.enqueue(control, async () => {
       if (control.generation !== generation) return 'conflict'
-      // The engine's state has become unknown since the decision.
-      if (!control.isSynced) return 'unknown'
+      // The engine's state has become unknown since the decision: a node may have failed to reach the engine once.
+      if (!control.isSynced) {
+        await this.queryState(control)
+        if (!control.isSynced) return 'unknown'
+        if (control.generation !== generation) return 'conflict'
+      }
       // The engine restarted under the same ID: decisions for its earlier incarnation are void.
       if (this.engines.get(control.server.entry.id) !== control) return 'gone'
       const { server } = control
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -238,6 +238,29 @@
     stop()
   })
 
+  // Guards against a failed request that aborts a move at an engine which answers: the model that makes room takes requests again, and must be drained once more.
+  it('continues a move at an engine that a node briefly failed to reach', async () => {
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
+    // No engine has room for m0.
+    engines.get('e0')!.restart(['m1', 'm2', 'm3'], 0)
+    for (const engine of engines.values()) for (const model of engine.models.keys()) engine.running.set(model, 1)
+    await clock.advance(300)
+    const { fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 40, 0]], running: oneOnEach(engines) })
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    const id = announcedOn(fleet, 'm0')!
+    const leaving = [...fleet.servers.get(id)!.replicas].find(([, { isUnloading }]) => isUnloading)![0]
+    await clock.advance(2000)
+    fleet.servers.get(id)!.onUnreachable()
+    for (const engine of engines.values()) engine.running.clear()
+    ask({ running: [] })
+    await clock.advance(1000)
+    expect(fleet.servers.get(id)!.replicas.get(leaving)?.isUnloading ?? true).to.equal(true)
+    await clock.advance(2000)
+    expect(engines.get(id)!.models.has('m0')).to.equal(true)
+    stop()
+  })
+
   it('loads an adapter, and evicts only ones that no request uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1)
     lead(5)
