Ask engines for their state while this node has ejected them

What callers see: a model at an engine that answers again is loaded elsewhere, in place of another one.

One lost query was enough.

Evidence: the new test of placementLeader.spec fails before; the other tests of that spec pass.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -175,7 +175,10 @@
       this.engines.set(server.entry.id, control)
     }
     for (const control of this.engines.values()) {
-      if (control.isSynced || control.isSyncing || this.options.clock.nowMs() < control.retryAtMs || !control.server.isPresent) continue
+      const { isGoing, removalAtMs } = control.server
+      const nowMs = this.options.clock.nowMs()
+      // An engine that this node has ejected is asked too: otherwise one query without an answer would count for as long as the ejection.
+      if (control.isSynced || control.isSyncing || nowMs < control.retryAtMs || isGoing || nowMs >= removalAtMs) continue
       control.isSyncing = true
       void this.enqueue(control, () => this.queryState(control)).finally(() => { control.isSyncing = false })
     }
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -261,6 +261,23 @@
     stop()
   })
 
+  // Guards against moves on the evidence of one query: an engine that this node has ejected was asked no more.
+  it('counts an engine that answers again while requests to it are held back', async () => {
+    const { clock, engines, lead, ask, stop } = world(1)
+    const { fleet } = lead(5)
+    await clock.advance(3000)
+    const server = fleet.servers.get('e0')!
+    engines.get('e0')!.isReachable = false
+    server.onUnreachable()
+    ask({ waiting: [['s', 'm0', 2, 0]] })
+    await clock.advance(900)
+    for (let failure = 0; failure < 4; failure++) server.onUnreachable()
+    engines.get('e0')!.isReachable = true
+    await clock.advance(10_000)
+    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(false)
+    stop()
+  })
+
   it('loads an adapter, and evicts only ones that no request uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1)
     lead(5)
