Take no lapse of time for an engine that does not answer

What callers see: after a pause of the leader's process a model is loaded on a second engine, in place of another one, though its engine answers.

Now the last query without an answer must have been sent 2 s after the first.

Evidence: the new test of placementLeader.spec (clock set 3 s ahead while the second query is in progress) fails before; all other tests of that spec pass.

--- a/src/serving/controlledEngine.ts
+++ b/src/serving/controlledEngine.ts
@@ -1,5 +1,6 @@
 /** What the placement leader knows about an engine that it controls. */
 
+import type { UnansweredQueries } from '../policy/engineReach.js'
 import type { BackendServer } from './backendServer.js'
 
 /** Delay before the next command to an engine that rejected one. */
@@ -18,8 +19,8 @@
   /** Whether the engine's models and adapters are known. */
   isSynced: boolean
   isSyncing: boolean
-  /** Time of the first state query without an answer since the last one with an answer. */
-  unansweredSinceMs: number | undefined
+  /** Times of the state queries without an answer since the last one with an answer. */
+  unanswered: UnansweredQueries | undefined
   /** Incremented when the engine has accepted other commands than assumed, which voids earlier decisions. */
   generation: number
   /** Adapters whose load is planned and whose command has not ended, by `MODEL/ADAPTER`. */
--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -164,7 +164,7 @@
         queue: Promise.resolve(),
         isSynced: false,
         isSyncing: false,
-        unansweredSinceMs: undefined,
+        unanswered: undefined,
         generation: 0,
         pendingAdapters: new Set(),
         retryAtMs: 0,
@@ -195,16 +195,17 @@
   /** Queries the engine's state. Returns false if it did not report one or this term has ended. */
   private async queryState (control: ControlledEngine): Promise<boolean> {
     const { server } = control
+    const askedAtMs = this.options.clock.nowMs()
     const report = await this.options.engineClient.queryState(server)
     if (this.isStopped) return false
     if (!report) {
       // Whether a command without a response took effect is unknown until the engine reports.
       control.isSynced = false
-      control.unansweredSinceMs ??= this.options.clock.nowMs()
+      control.unanswered = { firstAtMs: control.unanswered?.firstAtMs ?? askedAtMs, lastAtMs: askedAtMs }
       control.retryAtMs = this.options.clock.nowMs() + stateRetryMs
       return false
     }
-    control.unansweredSinceMs = undefined
+    control.unanswered = undefined
     this.options.log('info', 'engine state', {
       engine: server.entry.id, orders: report.orderCount, assumedOrders: server.commandCount, isBusy: report.isBusy, models: report.models.map(({ name }) => name)
     })
@@ -230,8 +231,7 @@
   }
 
   private planService (service: Service, engine: EngineType): void {
-    const nowMs = this.options.clock.nowMs()
-    const controls = this.enginesOf(service.name).filter(({ unansweredSinceMs }) => !isOutOfReach(unansweredSinceMs, nowMs))
+    const controls = this.enginesOf(service.name).filter(({ unanswered }) => !isOutOfReach(unanswered))
     const running = this.runningByEngine()
     const moves = planReplicas({
       engines: controls.map(control => this.replicaEngine(control, engine, running.get(control.server.entry.id) ?? new Map())),
@@ -573,7 +573,7 @@
     let soonestMs = Infinity
     for (const server of fleet.ofService(service)) {
       const control = this.engines.get(server.entry.id)
-      if (server.isGoing || nowMs >= server.removalAtMs || isOutOfReach(control?.unansweredSinceMs, nowMs)) continue
+      if (server.isGoing || nowMs >= server.removalAtMs || isOutOfReach(control?.unanswered)) continue
       const state = server.replicas.get(model)
       // It may be loading the model by a command of the last leader, or by one without a response.
       if (!state && server.isPresent && control?.isSynced !== true) return 0
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -278,6 +278,23 @@
     stop()
   })
 
+  // Guards against moves on the evidence of one query: this process was paused after it.
+  it('counts an engine that answers after a pause of this process', async () => {
+    const { clock, engines, lead, ask, stop } = world(1)
+    const { fleet } = lead(5)
+    await clock.advance(3000)
+    engines.get('e0')!.isReachable = false
+    fleet.servers.get('e0')!.onUnreachable()
+    ask({ waiting: [['s', 'm0', 2, 0]] })
+    // The first query has got no answer, and the second one is in progress.
+    await clock.advance(900)
+    engines.get('e0')!.isReachable = true
+    Object.assign(clock, { currentMs: clock.nowMs() + 3000 })
+    await clock.advance(10_000)
+    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(false)
+    stop()
+  })
+
   it('loads an adapter, and evicts only ones that no request uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1)
     lead(5)
