Refuse no requests for their model while the leader reaches no engine

What callers see: where nodes share servers, each request that has to wait is refused at once with 'no-engine' while the leader alone is cut off from the engines, though other nodes reach them.

Evidence: the new test of placementLeader.spec fails before (Infinity instead of 0); all other tests of that spec pass. The refusal itself was read, not run.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -571,9 +571,14 @@
     const engine = deployment()?.services.find(({ name }) => name === service)?.engine
     if (!engine?.models.some(({ name }) => name === model)) return 0
     let soonestMs = Infinity
+    let isAnyOutOfReach = false
     for (const server of fleet.ofService(service)) {
+      if (server.isGoing || nowMs >= server.removalAtMs) continue
       const control = this.engines.get(server.entry.id)
-      if (server.isGoing || nowMs >= server.removalAtMs || isOutOfReach(control?.unanswered)) continue
+      if (isOutOfReach(control?.unanswered)) {
+        isAnyOutOfReach = true
+        continue
+      }
       const state = server.replicas.get(model)
       // It may be loading the model by a command of the last leader, or by one without a response.
       if (!state && server.isPresent && control?.isSynced !== true) return 0
@@ -581,7 +586,8 @@
       if (state && !(state.isLoading && state.readyAtMs !== Infinity)) return 0
       soonestMs = Math.min(soonestMs, state ? Math.max(0, state.readyAtMs - nowMs) : loadSource(server, engine, model).loadMs)
     }
-    return soonestMs
+    // If this node reaches no engine, it may be the one that is cut off, and other nodes may reach them.
+    return soonestMs === Infinity && isAnyOutOfReach ? 0 : soonestMs
   }
 
   private replicaRow (server: BackendServer): LeaderReport['hosting'][number] {
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -295,6 +295,20 @@
     stop()
   })
 
+  // Guards against requests that are refused because the leader alone is cut off from the engines, which other nodes reach.
+  it('does not know when a model is ready while it reaches no engine', async () => {
+    const { clock, engines, lead, stop } = world(1)
+    const { leader, fleet } = lead(5)
+    await clock.advance(3000)
+    for (const [id, engine] of engines) {
+      engine.isReachable = false
+      fleet.servers.get(id)!.onUnreachable()
+    }
+    await clock.advance(5000)
+    expect(leader.soonestReadyMs('s', 'm0')).to.equal(0)
+    stop()
+  })
+
   it('loads an adapter, and evicts only ones that no request uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1)
     lead(5)
