Count no load of an engine that ceases to answer during it

What callers see: a model whose engine goes silent while it loads it is loaded nowhere else for 14 s after the expected end of the load.

Evidence: the new test of placementLeader.spec (copy elsewhere within 8.9 s) fails before; all other tests of that spec pass.

--- a/src/serving/placementLeader.ts
+++ b/src/serving/placementLeader.ts
@@ -12,7 +12,7 @@
 import type { BackendServer, ReplicaState } from './backendServer.js'
 import { occupiedAdapterSlots, conflictDelayMs } from './controlledEngine.js'
 import type { ControlledEngine } from './controlledEngine.js'
-import type { Deployment, EngineType, CommandOutcome, Service } from './deployment.js'
+import type { Deployment, EngineReport, EngineType, CommandOutcome, Service } from './deployment.js'
 import type { EngineClient } from './engineClient.js'
 import type { FleetView } from './fleetView.js'
 import type { LeaderReport, NodeReport } from './peerMessages.js'
@@ -192,20 +192,25 @@
     return result
   }
 
+  /** The engine's report, or `undefined` without an answer, which is recorded. */
+  private async readReport (control: ControlledEngine): Promise<EngineReport | undefined> {
+    const askedAtMs = this.options.clock.nowMs()
+    const report = await this.options.engineClient.queryState(control.server)
+    control.unanswered = report ? undefined : { firstAtMs: control.unanswered?.firstAtMs ?? askedAtMs, lastAtMs: askedAtMs }
+    return report
+  }
+
   /** Queries the engine's state. Returns false if it did not report one or this term has ended. */
   private async queryState (control: ControlledEngine): Promise<boolean> {
     const { server } = control
-    const askedAtMs = this.options.clock.nowMs()
-    const report = await this.options.engineClient.queryState(server)
+    const report = await this.readReport(control)
     if (this.isStopped) return false
     if (!report) {
       // Whether a command without a response took effect is unknown until the engine reports.
       control.isSynced = false
-      control.unanswered = { firstAtMs: control.unanswered?.firstAtMs ?? askedAtMs, lastAtMs: askedAtMs }
       control.retryAtMs = this.options.clock.nowMs() + stateRetryMs
       return false
     }
-    control.unanswered = undefined
     this.options.log('info', 'engine state', {
       engine: server.entry.id, orders: report.orderCount, assumedOrders: server.commandCount, isBusy: report.isBusy, models: report.models.map(({ name }) => name)
     })
@@ -434,7 +439,7 @@
     while (clock.nowMs() < confirmAtMs && !isShown()) await sleep(clock, planIntervalMs)
     if (isShown()) return true
     for (let tries = 0; tries < confirmQueries && !this.isStopped && this.options.fleet.servers.get(server.entry.id) === server; tries++) {
-      const report = await this.options.engineClient.queryState(server)
+      const report = await this.readReport(control)
       if (this.isStopped) return false
       if (report?.models.some(({ name }) => name === model)) {
         expect(0, false)
--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -309,6 +309,21 @@
     stop()
   })
 
+  // Guards against a load that counts for 14 s after its end although the engine answers nothing.
+  it('loads a model elsewhere when an engine no longer answers while it loads it', async () => {
+    const { clock, engines, lead, ask, stop } = world(1, { without: ['m0'] })
+    const { fleet } = lead(5)
+    ask({ waiting: [['s', 'm0', 2, 0]] })
+    while (announcedOn(fleet, 'm0') === undefined) await clock.advance(10)
+    const id = announcedOn(fleet, 'm0')!
+    await clock.advance(500)
+    engines.get(id)!.isReachable = false
+    // The rest of the load, 2 s without an answer, and a load elsewhere.
+    await clock.advance(2400 + 3500 + 3000)
+    expect([...engines].some(([other, { models }]) => other !== id && models.has('m0'))).to.equal(true)
+    stop()
+  })
+
   it('loads an adapter, and evicts only ones that no request uses', async () => {
     const { clock, engines, lead, ask, stop } = world(1)
     lead(5)
