Tests: share the set-up of an engine that is cut off

The set-up and the question whether another engine has the model stood in placementLeader.spec up to five times.

--- a/tests/placementLeader.spec.ts
+++ b/tests/placementLeader.spec.ts
@@ -70,6 +70,8 @@
 }
 
 const holds = (engines: Map<string, FakeEngine>, model: string) => [...engines.values()].some(({ models }) => models.has(model))
+/** Whether another engine than `id` has the model. */
+const holdsElsewhere = (engines: Map<string, FakeEngine>, model: string, id: string) => [...engines].some(([other, { models }]) => other !== id && models.has(model))
 const overloads = (engines: Map<string, FakeEngine>) => [...engines.values()].flatMap(({ overloads }) => overloads)
 
 /** One request on each replica. */
@@ -77,6 +79,12 @@
 /** ID of the engine for which a load of `model` is announced. */
 const announcedOn = (fleet: FleetView, model: string) => [...fleet.servers].find(([, { replicas }]) => replicas.get(model)?.isLoading)?.[0]
 
+/** The engine answers nothing any more, and the node has found that out. */
+function cutOff (engines: Map<string, FakeEngine>, fleet: FleetView, id: string): void {
+  engines.get(id)!.isReachable = false
+  fleet.servers.get(id)!.onUnreachable()
+}
+
 /** Replicas on the engines that the node does not use. */
 function unused (engines: Map<string, FakeEngine>, fleet: FleetView): string[] {
   return [...engines].flatMap(([id, { models }]) => [...models.keys()].filter(model => !fleet.servers.get(id)!.serves(model, undefined)).map(model => `${model} on ${id}`))
@@ -190,7 +198,7 @@
     expect(leader.soonestReadyMs('s', 'm0')).to.equal(2400)
     ask({ waiting: [['s', 'm0', 2, 0]] })
     await clock.advance(10_000)
-    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(true)
+    expect(holdsElsewhere(engines, 'm0', 'e0')).to.equal(true)
     stop()
   })
 
@@ -199,11 +207,10 @@
     const { clock, engines, lead, ask, stop } = world(1)
     const { fleet } = lead(5)
     await clock.advance(3000)
-    engines.get('e0')!.isReachable = false
-    fleet.servers.get('e0')!.onUnreachable()
+    cutOff(engines, fleet, 'e0')
     ask({ waiting: [['s', 'm0', 2, 0]] })
     await clock.advance(10_000)
-    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(true)
+    expect(holdsElsewhere(engines, 'm0', 'e0')).to.equal(true)
     stop()
   })
 
@@ -228,13 +235,12 @@
     const { clock, engines, lead, ask, stop } = world(1)
     const { fleet } = lead(5)
     await clock.advance(3000)
-    engines.get('e0')!.isReachable = false
-    fleet.servers.get('e0')!.onUnreachable()
+    cutOff(engines, fleet, 'e0')
     ask({ waiting: [['s', 'm0', 2, 0]] })
     await clock.advance(1200)
     engines.get('e0')!.isReachable = true
     await clock.advance(10_000)
-    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(false)
+    expect(holdsElsewhere(engines, 'm0', 'e0')).to.equal(false)
     stop()
   })
 
@@ -274,7 +280,7 @@
     for (let failure = 0; failure < 4; failure++) server.onUnreachable()
     engines.get('e0')!.isReachable = true
     await clock.advance(10_000)
-    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(false)
+    expect(holdsElsewhere(engines, 'm0', 'e0')).to.equal(false)
     stop()
   })
 
@@ -283,15 +289,14 @@
     const { clock, engines, lead, ask, stop } = world(1)
     const { fleet } = lead(5)
     await clock.advance(3000)
-    engines.get('e0')!.isReachable = false
-    fleet.servers.get('e0')!.onUnreachable()
+    cutOff(engines, fleet, 'e0')
     ask({ waiting: [['s', 'm0', 2, 0]] })
     // The first query has got no answer, and the second one is in progress.
     await clock.advance(900)
     engines.get('e0')!.isReachable = true
     Object.assign(clock, { currentMs: clock.nowMs() + 3000 })
     await clock.advance(10_000)
-    expect(['e1', 'e2'].some(id => engines.get(id)!.models.has('m0'))).to.equal(false)
+    expect(holdsElsewhere(engines, 'm0', 'e0')).to.equal(false)
     stop()
   })
 
@@ -300,10 +305,7 @@
     const { clock, engines, lead, stop } = world(1)
     const { leader, fleet } = lead(5)
     await clock.advance(3000)
-    for (const [id, engine] of engines) {
-      engine.isReachable = false
-      fleet.servers.get(id)!.onUnreachable()
-    }
+    for (const id of engines.keys()) cutOff(engines, fleet, id)
     await clock.advance(5000)
     expect(leader.soonestReadyMs('s', 'm0')).to.equal(0)
     stop()
@@ -320,7 +322,7 @@
     engines.get(id)!.isReachable = false
     // The rest of the load, 2 s without an answer, and a load elsewhere.
     await clock.advance(2400 + 3500 + 3000)
-    expect([...engines].some(([other, { models }]) => other !== id && models.has('m0'))).to.equal(true)
+    expect(holdsElsewhere(engines, 'm0', id)).to.equal(true)
     stop()
   })
 
