Soak: let servers that leave by plan exit in order

The log of its node shows all 12 events from i-3, then ECONNRESET; i-3 was draining and ended at that moment ('backend server ended', 54.029). The stand-in reset all its connections once its last handler had returned, before the end of the last stream had left it: it broke off its own answer, which the rule excuses, while the ledger counted it as sound. A process that exits by itself closes its connections in order after what it has written.

--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -18,6 +18,8 @@
 const loadMs = 500
 const adapterMs = 20
 const pausePollMs = 10
+/** Time in which the last answers of a server that exits leave it. */
+const exitMs = 200
 /** Share of the answers that have neither a length nor chunks, and the pause within a plain one. */
 const unframedShare = 0.3
 const partPauseMs = 20
@@ -134,7 +136,7 @@
     this.options.ledger.onDraining(this.options.id)
     await sleep(drainMs)
     while (this.active > 0) await sleep(50)
-    this.crash()
+    await this.exit()
     this.options.store.remove(`servers/${this.options.id}`)
   }
 
@@ -143,7 +145,15 @@
     this.isLeaving = true
     await sleep(serveMs)
     while (this.active > 0) await sleep(50)
-    this.crash()
+    await this.exit()
+  }
+
+  /** Ends as a process that exits by itself: its connections end in order after the last answer. */
+  private async exit (): Promise<void> {
+    this.end()
+    for (const socket of this.sockets) socket.end()
+    await sleep(exitMs)
+    this.proxy.close()
   }
 
   crash (): void {
