Keep earlier responses out of the middle of others

Cause: repeated responses were looked for only where a response is due. In a body, HTTP tells them from the body in chunks alone.

On a connection that has carried anything before, the data of a chunk is now passed on when the chunk's end has shown that nothing else is in it. Streams of a service that is not known to send chunks get a connection on which nothing was sent. Other bodies are searched for the head of a response; one that is found breaks the attempt off, and the next attempt gets an unused connection.

--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -101,6 +101,7 @@
   private readonly requestIds: string[] = []
   /** Requests and calls sent on this connection. */
   private exchanges = 0
+  private calls = 0
   private heldBytes = 0
   private readonly socket: Socket
   private readonly reader: ResponseReader
@@ -151,6 +152,21 @@
     return this.active !== undefined
   }
 
+  /** Whether nothing was sent on this connection, so that no earlier response can arrive on it. */
+  get isUnused (): boolean {
+    return this.exchanges === 0
+  }
+
+  /** Whether more than the exchange in progress took place on this connection: its server may repeat an earlier response. */
+  get isReused (): boolean {
+    return this.exchanges > 1
+  }
+
+  /** Whether a call was sent on this connection; responses to calls name no request. */
+  get hasCarriedCalls (): boolean {
+    return this.calls > 0
+  }
+
   /**
    * Whether a response to the request may still arrive on this connection: a server that repeats an earlier response could answer
    * another attempt of the same request with it.
@@ -199,8 +215,9 @@
 
   private begin (method: string, exchange: Pick<ActiveExchange, 'handler' | 'bytes' | 'isRequest' | 'endsAtHead'>): ActiveExchange {
     this.exchanges++
+    if (!exchange.isRequest) this.calls++
     this.active = { ...exchange, isWritten: false, sentAt: Infinity }
-    this.reader.expect(method)
+    this.reader.expect(method, { mayHoldOthers: this.isReused })
     return this.active
   }
 
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -5,7 +5,8 @@
 import type { RequestedPause, ResponseMetadata } from './codecs.js'
 import { ConnectionPool } from './connectionPool.js'
 import type { BackendEntry, EngineReport, LoadedModel } from './deployment.js'
-import type { FramingRecord, LivenessQuestion } from './processEvidence.js'
+import { FramingRecord } from './processEvidence.js'
+import type { LivenessQuestion } from './processEvidence.js'
 
 /** Weight of a new sample in the moving averages of failure share and delay. */
 const smoothing = 0.25
@@ -72,6 +73,8 @@
   heldTokens = 0
   /** Bytes of responses that this node holds, shared by all servers. */
   readonly buffered: ByteBudget
+  /** How the responses of the servers of its service are framed. */
+  readonly framing: FramingRecord
   /** Requests of the other nodes in progress, from the leader's last update. */
   runningElsewhere = 0
   replicas = new Map<string, ReplicaState>()
@@ -100,8 +103,9 @@
   private sampledAtMs: number
 
   constructor (public entry: BackendEntry, readonly region: string, private readonly clock: Clock, private readonly options: BackendServerOptions = {}) {
-    const { onOpened, questionOf, buffered = new ByteBudget(), framing } = options
+    const { onOpened, questionOf, buffered = new ByteBudget(), framing = new FramingRecord(clock) } = options
     this.buffered = buffered
+    this.framing = framing
     this.pool = new ConnectionPool({ address: entry.address, clock, onOpened, buffered, framing, questionOf: questionOf && (() => questionOf(this.entry)) })
     this.sampledAtMs = clock.nowMs()
     this.applyModels(entry.models)
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -59,10 +59,13 @@
     return this.idle.filter(connection => connection !== reserved)
   }
 
-  /** Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one. */
-  acquire (requestId?: string): BackendConnection {
+  /**
+   * Returns the most recently used idle connection that has not carried the request yet, or a new one, if need be in place of an idle one.
+   * With `isUnused`, only one that has carried nothing.
+   */
+  acquire (requestId?: string, { isUnused = false } = {}): BackendConnection {
     this.closeExpired()
-    const pooled = this.unreserved.findLast(connection => requestId === undefined || !connection.hasCarried(requestId))
+    const pooled = this.unreserved.findLast(connection => isUnused ? connection.isUnused : requestId === undefined || !connection.hasCarried(requestId))
     if (pooled && this.claim(pooled)) return pooled
     this.closeOldestIdle()
     return this.openConnection()
--- a/src/serving/processEvidence.ts
+++ b/src/serving/processEvidence.ts
@@ -22,6 +22,8 @@
 const unframedMemoryMs = 600_000
 /** Successful responses with a length or chunks until they count as ones that send none, if there was none. */
 const minFramedResponses = 20
+/** Streams in chunks until the others are expected to come so, too. */
+const minChunkedStreams = 8
 
 /** A call that every server answers at once, whatever its state. */
 export interface LivenessQuestion {
@@ -46,6 +48,8 @@
 export class FramingRecord {
   private lastUnframedAtMs = -Infinity
   private framedResponses = 0
+  private chunkedStreams = 0
+  private lastUnchunkedStreamAtMs = -Infinity
 
   constructor (private readonly clock: Clock) {}
 
@@ -57,6 +61,16 @@
     this.lastUnframedAtMs = this.clock.nowMs()
   }
 
+  onStream ({ isChunked }: Pick<ResponseHead, 'isChunked'>): void {
+    if (isChunked) this.chunkedStreams++
+    else this.lastUnchunkedStreamAtMs = this.clock.nowMs()
+  }
+
+  /** Whether streams come in chunks, as far as is known. */
+  get hasChunkedStreams (): boolean {
+    return this.chunkedStreams >= minChunkedStreams && this.clock.nowMs() - this.lastUnchunkedStreamAtMs > unframedMemoryMs
+  }
+
   get hasUnframed (): boolean {
     return this.clock.nowMs() - this.lastUnframedAtMs <= unframedMemoryMs
   }
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -3,6 +3,7 @@
 import { ByteBuffer } from '../base/byteBuffer.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
 import { ioTurn } from '../base/ioTurn.js'
+import { hasForeignHead } from '../policy/foreignHead.js'
 import { stallTimeoutMs } from '../policy/streamPatience.js'
 import { StreamPosition } from '../policy/streamPosition.js'
 import { hasGoneOn } from '../policy/partQuarantine.js'
@@ -108,6 +109,8 @@
   /** Takes samples of the servers; absent where capacity is not learned. */
   readonly learned: LearnedCapacity | undefined
   readonly memory: ClientMemory
+  /** Whether a server has sent another response in the middle of this request's. */
+  hasFoundForeignHead = false
   private current: Attempt | undefined
   /** Bytes of a stream that wait in this process for the client to read. */
   private unreadBytes = 0
@@ -249,7 +252,7 @@
       reservationId: this.reservation?.holdId,
       account: request.account?.name
     })
-    this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire(request.metadata.requestId)
+    this.connection = this.reservation?.claimConnection() ?? this.server.pool.acquire(request.metadata.requestId, { isUnused: this.needsUnusedConnection })
     const { learned, hasResponseStarted: isContinuation } = this.forwarder
     if (learned) this.sample = new AttemptSample({ clock, learned, server: this.server, request, priorMs: this.priorMs, isContinuation })
     this.server.heldTokens += this.tokens + request.metadata.outputTokens
@@ -265,6 +268,12 @@
     }, { requestId: request.metadata.requestId, isRepeatable: isRepeatable(request) })
   }
 
+  /** Whether an earlier response in the middle of this one might not be noticed. */
+  private get needsUnusedConnection (): boolean {
+    const { hasFoundForeignHead, request } = this.forwarder
+    return hasFoundForeignHead || (request.route.kind === 'stream' && !this.server.framing.hasChunkedStreams)
+  }
+
   onClientLeft (): void {
     this.abandon({ kind: 'client-left' })
   }
@@ -296,6 +305,7 @@
     const { hasResponseStarted, writer } = this.forwarder
     const isSentAtOnce = hasResponseStarted || (!head.endsWithConnection && writer.canChunk) || isEventStream(head)
     this.isStreaming = isSuccess && request.route.kind === 'stream' && isSentAtOnce
+    if (isSuccess && request.route.kind === 'stream') this.server.framing.onStream(head)
     if (!this.isStreaming) return
     this.forwarder.position.begin({ isContinuation: this.forwarder.hasResponseStarted })
     if (!this.forwarder.hasResponseStarted) return
@@ -311,12 +321,31 @@
     }
     this.staleBytes += data.length
     const events = this.splitter.push(data)
+    if (events.some(({ bytes }) => this.holdsForeignHead(bytes))) return this.onForeignHead()
     if (events.length > 0) this.forward(events.flatMap(event => this.forwarder.position.take(event)))
     const undecidedBytes = this.forwarder.position.hasHeld ? this.staleBytes : this.splitter.pendingBytes
     if (!this.hold(undecidedBytes + this.forwarder.writer.heldBytes)) this.onNoRoom()
     if (this.staleBytes > maxStaleBytes) this.reject('too many bytes were received without a new event')
   }
 
+  /** Whether another response begins in `bytes` of this one. What comes in chunks needs no search. */
+  private holdsForeignHead (bytes: Buffer): boolean {
+    const { head, connection } = this
+    const { isReused = false, hasCarriedCalls = false } = connection ?? {}
+    if (head!.isChunked || !(isReused || head!.endsWithConnection)) return false
+    return hasForeignHead(bytes, {
+      namesRequest: headers => this.forwarder.codecs.readResponse({ ...head!, headers: new Map(headers) }).requestId !== undefined,
+      mayNameNone: isReused && hasCarriedCalls,
+      // A cut copy of this response itself leaves a stream inside an event.
+      mayBeCut: isReused || !this.isStreaming
+    })
+  }
+
+  private onForeignHead (): void {
+    this.forwarder.hasFoundForeignHead = true
+    this.reject('another response begins in the middle of the response')
+  }
+
   /** Buffers a part of a response that is sent to the client when it is complete. */
   private bufferBody (data: Buffer): void {
     const bytes = this.body.length + data.length
@@ -406,6 +435,7 @@
         this.server.onFailed()
         return this.finish({ kind: 'unknown', reason: `the backend server responded with ${status} without stating that it did not run the request` })
       }
+      if (this.holdsForeignHead(this.body.bytes)) return this.onForeignHead()
       if (status >= 500) this.server.onFailed()
       else this.server.onResponse(forwarder.clock.nowMs() - this.startedAtMs)
       const backendResponse = { head: this.head!, body: this.body.bytes }
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -1,5 +1,6 @@
 /** Incremental HTTP/1.1 response parser. Unlike a client library, it reports how a response ended. */
 
+import { ByteBuffer } from '../base/byteBuffer.js'
 import { isFinalStatus, isInterimStatus } from '../base/httpStatus.js'
 
 /** Larger response heads and trailers are rejected. */
@@ -22,6 +23,8 @@
   keepsAlive: boolean
   /** Whether the body has no length and is delimited by the close of the connection. */
   endsWithConnection: boolean
+  /** Whether the body comes in chunks. */
+  isChunked: boolean
   /** Whether there is no body, whatever length the head states. */
   isBodiless: boolean
 }
@@ -53,11 +56,16 @@
   /** Whether the current response was not accepted by `accepts`. */
   private isSkipping = false
   private extraBytes = 0
+  /** Whether the data of a chunk is held back until its end has shown that nothing else is in it. */
+  private verifiesChunks = false
+  private chunk = new ByteBuffer()
 
   constructor (private readonly sink: ResponseSink) {}
 
-  /** Prepares for the response to a request of `method`. */
-  expect (method: string): void {
+  /** Prepares for the response to a request of `method`. With `mayHoldOthers`, the server may send an earlier response in its middle. */
+  expect (method: string, { mayHoldOthers = false } = {}): void {
+    this.verifiesChunks = mayHoldOthers
+    this.chunk.clear()
     this.state = 'head'
     this.pending = empty
     this.withoutBody = method === 'HEAD'
@@ -70,9 +78,9 @@
     return this.state === 'until-close' && !this.isSkipping
   }
 
-  /** Bytes of an incomplete head, chunk line or trailer. */
+  /** Bytes of an incomplete head, chunk line or trailer, and of a chunk that is held back. */
   get pendingBytes (): number {
-    return this.pending.length
+    return this.pending.length + this.chunk.length
   }
 
   push (input: Buffer): void {
@@ -125,6 +133,7 @@
     const framing = framingOf(head, this.withoutBody)
     if (typeof framing === 'string') return this.invalid(framing)
     if (framing.state === 'done') head.isBodiless = true
+    if (framing.state === 'chunk-line') head.isChunked = true
     if (framing.state === 'until-close') Object.assign(head, { keepsAlive: false, endsWithConnection: true })
     this.state = framing.state
     this.remainingBytes = framing.bytes
@@ -142,7 +151,8 @@
     const isLast = this.remainingBytes === 0
     const wasChunk = this.state === 'chunk-data'
     if (isLast && wasChunk) this.state = 'chunk-end'
-    if (!this.onData(part)) return undefined
+    if (wasChunk && this.verifiesChunks && !this.isSkipping) this.chunk.push(part)
+    else if (!this.onData(part)) return undefined
     return isLast && !wasChunk ? this.finish(rest) : rest
   }
 
@@ -162,6 +172,11 @@
     if (data.length < 2) return data
     if (data[0] !== 13 || data[1] !== 10) return this.invalid('a chunk is not followed by CRLF')
     this.state = 'chunk-line'
+    if (this.chunk.length > 0) {
+      const { bytes } = this.chunk
+      this.chunk = new ByteBuffer()
+      this.sink.onData(bytes)
+    }
     return data.subarray(2)
   }
 
@@ -224,7 +239,7 @@
   }
   const connection = (headers.get('connection') ?? '').toLowerCase()
   const keepsAlive = match[1] === '1' ? !/\bclose\b/.test(connection) : /\bkeep-alive\b/.test(connection)
-  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive, endsWithConnection: false, isBodiless: false }
+  return { status: Number(match[2]), statusText: match[3] ?? '', rawHeaders, headers, keepsAlive, endsWithConnection: false, isChunked: false, isBodiless: false }
 }
 
 function framingOf (head: ResponseHead, withoutBody: boolean): { state: State, bytes: number } | string {
--- a/tests/backendConnection.spec.ts
+++ b/tests/backendConnection.spec.ts
@@ -10,7 +10,7 @@
   it('is read on while the client reads nothing, and carries the next request', async () => {
     // Guards against an engine that cuts off what remains unread, and against a pooled connection on which reading stays paused.
     const fixture = new RequestProxyFixture()
-    await fixture.start([route({ kind: 'stream' })])
+    await fixture.start([route({ kind: 'stream' }), route({ name: 'plain', kind: 'idempotent', pathPrefix: '/plain/' })])
     const sockets = new Set<Socket>()
     let isRead = false
     await fixture.addServer('a', (socket, head, count) => {
@@ -25,7 +25,7 @@
     expect(isRead).to.equal(true)
     expect(fixture.records[0]).to.include({ outcome: 'done', status: 200 })
     expect(fixture.fleet.buffered.bytes).to.be.above(0)
-    expect(await fixture.send('next')).to.include({ status: 404, body: 'ok' })
+    expect(await fixture.send('next', { path: '/plain/' })).to.include({ status: 404, body: 'ok' })
     expect(sockets.size).to.equal(1)
     fixture.stop()
   })
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -27,7 +27,7 @@
 function head (status: number, rawHeaders: string[]): ResponseHead {
   const headers = new Map<string, string>()
   for (let index = 0; index < rawHeaders.length; index += 2) headers.set(rawHeaders[index]!.toLowerCase(), rawHeaders[index + 1]!)
-  return { status, statusText: '', rawHeaders, headers, keepsAlive: true, endsWithConnection: false, isBodiless: false }
+  return { status, statusText: '', rawHeaders, headers, keepsAlive: true, endsWithConnection: false, isChunked: false, isBodiless: false }
 }
 
 describe('platform adapter', () => {
--- a/tests/serverNotices.spec.ts
+++ b/tests/serverNotices.spec.ts
@@ -36,7 +36,7 @@
 
 /** What the response head with these headers says, as the node reads it. */
 function noticeOf (status: number, headers: Record<string, string>) {
-  return codecs.readResponse({ status, statusText: '', rawHeaders: [], headers: new Map(Object.entries(headers)), keepsAlive: true, endsWithConnection: false, isBodiless: false })
+  return codecs.readResponse({ status, statusText: '', rawHeaders: [], headers: new Map(Object.entries(headers)), keepsAlive: true, endsWithConnection: false, isChunked: false, isBodiless: false })
 }
 
 describe('server notices', () => {
