Test copies of the answer in progress, chunk interiors and quoted heads

- the answer in progress once more, in its middle, on a new connection: its head goes to the client, for a length and plain answers as complete
- a copy between the size line of a chunk and its data passes for data where one of its line ends stands at the end of the chunk
- a byte order mark at the start of a run that continues a stream
- a plain answer with a status line and CRLF, at a route without a second attempt, gets a 502

--- a/tests/answerBytes.spec.ts
+++ b/tests/answerBytes.spec.ts
@@ -191,4 +191,138 @@
       else expect(status).to.equal(502)
     })
   }
+
+  /** A response of `head` whose parts are written 40 ms apart. */
+  async function sendParts (socket: Socket, parts: string[]): Promise<void> {
+    for (const part of parts) {
+      if (socket.destroyed) return
+      socket.write(part)
+      await sleep(40)
+    }
+  }
+
+  const half = (text: string) => text.indexOf('id: 7')
+
+  for (const framing of ['a length', 'chunks'] as const) {
+    // Guards against an engine that writes the answer in progress a second time, from its head, before it is complete.
+    it(`are not those of the same answer once more, in its middle, on a new connection, in a stream with ${framing}`, async () => {
+      await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 5000 })])
+      const text = textOf('id1')
+      await fixture.addServer('a', (socket, requestHead) => {
+        const head = headFor(requestHead, framing)
+        if (framing === 'a length') return sendParts(socket, [head + text.slice(0, half(text)), head + text, text.slice(half(text))])
+        const size = `${text.length.toString(16)}\r\n`
+        return sendParts(socket, [head + size + text.slice(0, half(text)), `${head}${size}${text}\r\n0\r\n\r\n`, `${text.slice(half(text))}\r\n0\r\n\r\n`])
+      })
+      const { body, isComplete } = await fixture.send('id1')
+      expect(text.startsWith(body), JSON.stringify(body)).to.equal(true)
+      if (isComplete) expect(body).to.equal(text)
+    })
+  }
+
+  // Guards against the same in a plain answer, which a client would get as whole.
+  it('are not those of the same answer once more, in its middle, on a new connection, in a plain answer', async () => {
+    await fixture.start([route({ kind: 'idempotent', maxAttempts: 1 })])
+    const answer = responseTo('id1', 'y'.repeat(400))
+    await fixture.addServer('a', socket => { void sendParts(socket, [answer.slice(0, -200), answer, answer.slice(-200)]) })
+    const { status, body } = await fixture.send('id1')
+    if (status === 200) expect(body).to.equal('y'.repeat(400))
+    else expect(status).to.equal(502)
+  })
+
+  // Guards against a copy between a chunk's size line and its data, of which a line end stands where the chunk is to end.
+  it('are not those of an earlier answer that comes between the size line of a chunk and its data', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 5000 })])
+    let earlier = ''
+    await fixture.addServer('a', async (socket, requestHead, count) => {
+      const head = headFor(requestHead, 'chunks')
+      const text = textOf(requestIdOf(requestHead))
+      if (count <= streamsBefore) {
+        earlier = `${head}${chunk(text.slice(0, half(text)))}${chunk(text.slice(half(text)))}0\r\n\r\n`
+        return socket.write(earlier)
+      }
+      // As long as the copy up to the end of its first chunk.
+      const size = earlier.lastIndexOf('\r\n', earlier.lastIndexOf('\r\n', earlier.indexOf('id: 7')) - 1)
+      const own = text.padEnd(size - 2, ' ').slice(0, size - 2) + '\n\n'
+      await sendParts(socket, [`${head}${size.toString(16)}\r\n`, earlier, `${own}\r\n0\r\n\r\n`])
+    })
+    for (let count = 1; count <= streamsBefore; count++) await fixture.send(`before${count}`)
+    const { status, body, isComplete } = await fixture.send('id1')
+    expect(body).to.not.include('HTTP/1.1')
+    expect(status === 502 || !isComplete).to.equal(true)
+  })
+
+  // Guards against the loss of an event's first field, which readers don't know with a byte order mark before it.
+  it('have no byte order mark in the middle of a stream that another run continues', async () => {
+    await fixture.start([route({ kind: 'stream', resumable: true, maxAttempts: 2, timeoutMs: 5000 })])
+    const text = textOf('id1')
+    let runs = 0
+    for (const id of ['a', 'b']) {
+      await fixture.addServer(id, (socket, head) => {
+        if (++runs > 1) return socket.write(`${headFor(head, 'chunks')}${chunk(`\ufeff${text.slice(half(text))}`)}0\r\n\r\n`)
+        socket.write(`${headFor(head, 'chunks')}${chunk(`\ufeff${text.slice(0, half(text))}`)}`)
+        setTimeout(() => socket.destroy(), 50)
+      })
+    }
+    expect((await fixture.send('id1')).body).to.equal(`\ufeff${text}`)
+  })
+
+  const quotations: Record<string, string> = {
+    'a batch of responses': '--b\r\nContent-Type: application/http\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}\r\n--b--\r\n',
+    'a status line in prose': 'The server answers\r\nHTTP/1.1 404 Not Found\r\nand closes.\r\n'
+  }
+  for (const [name, body] of Object.entries(quotations)) {
+    // Guards against a sound answer that is refused for what it quotes: requests of this kind have no other attempt.
+    it(`are passed on where the answer is ${name}`, async () => {
+      await fixture.start([route({ kind: 'unsafe', maxAttempts: 1 })])
+      await fixture.addServer('a', (socket, head) => { socket.write(responseTo(requestIdOf(head), body)) })
+      for (const id of ['id0', 'id1']) expect(await fixture.send(id)).to.include({ status: 200, body })
+    })
+  }
+
+  // Guards against events that wait for the end of a chunk that holds several, written as they come.
+  it('are passed on as they come in a large chunk of a connection that was used before', async () => {
+    await fixture.start([route({ kind: 'stream', maxAttempts: 1, timeoutMs: 5000 })])
+    const text = textOf('id1')
+    await fixture.addServer('a', async (socket, head, count) => {
+      if (count <= streamsBefore) return socket.write(`${headFor(head, 'chunks')}${chunk(textOf(requestIdOf(head)))}0\r\n\r\n`)
+      socket.write(`${headFor(head, 'chunks')}${text.length.toString(16)}\r\n`)
+      for (let index = 1; index <= pieces; index++) {
+        socket.write(pieceOf('id1', index))
+        await sleep(100)
+      }
+      socket.write('\r\n0\r\n\r\n')
+    })
+    for (let count = 1; count <= streamsBefore; count++) await fixture.send(`before${count}`)
+    const start = Date.now()
+    let firstMs = Infinity
+    const { body } = await fixture.send('id1', { onResponse: response => response.once('data', () => { firstMs = Date.now() - start }) })
+    expect(body).to.equal(text)
+    expect(firstMs).to.be.below(500)
+  })
+
+  // Guards against a second run of a plain request whose answer comes, but in one chunk that takes long.
+  it('are read as they come in a large chunk of a plain answer on a connection that was used before', async () => {
+    await fixture.start([route({ kind: 'idempotent', objectiveMs: 50, timeoutMs: 5000 })])
+    const body = 'y'.repeat(2000)
+    for (const id of ['a', 'b']) {
+      const served = new Set<Socket>()
+      await fixture.addServer(id, async (socket, head) => {
+        if (!served.has(socket)) {
+          served.add(socket)
+          return socket.write(responseTo(requestIdOf(head), body))
+        }
+        socket.write(`HTTP/1.1 200 OK\r\n${signedHeaders(requestIdOf(head), 'Transfer-Encoding: chunked\r\n')}\r\n${body.length.toString(16)}\r\n`)
+        for (let index = 0; index < 20; index++) {
+          socket.write(body.slice(0, 100))
+          await sleep(50)
+        }
+        socket.write('\r\n0\r\n\r\n')
+      })
+    }
+    await Promise.all(['id0', 'id1', 'id2', 'id3'].map(id => fixture.send(id)))
+    const before = fixture.received.length
+    expect(await fixture.send('id4')).to.include({ status: 200, body })
+    expect(fixture.received.length - before).to.equal(1)
+  })
 })
--- a/tests/foreignHead.spec.ts
+++ b/tests/foreignHead.spec.ts
@@ -37,5 +37,30 @@
       'GET / HTTP/1.1\r\nHost: h\r\n\r\n', '{"text":"HTTP/1.1 200 OK\\r\\nX-Attempt-Id: id0\\r\\n"}'
     ]
     for (const text of texts) expect(holds(text), text).to.equal(false)
+    // Where a call was answered before, a head that names no request must state its framing: the connection could not go on otherwise.
+    const quoted = ['data: HTTP/1.1 200 OK\r\n\r\n', 'data: HTTP/1.1 200 OK\r\ndata: <html>\r\n\r\n', 'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}']
+    for (const text of quoted) expect(holds(text, { mayNameNone: true }), text).to.equal(false)
+    for (const head of ['204 No Content\r\n', '200 OK\r\nTransfer-Encoding: chunked\r\n']) expect(holds(`HTTP/1.1 ${head}\r\n`, { mayNameNone: true }), head).to.equal(true)
+  })
+
+  // Guards against a body that blocks the event loop: these took seconds to a minute when each status line was read up to the next line end.
+  it('is looked for in time in proportion to the body', () => {
+    const texts = [
+      `${'x'.repeat(1000)}HTTP/1.1 200 OK`.repeat(8000), 'HTTP/1.1 200 OK '.repeat(500_000), 'x: HTTP/1.1 200 OK\r\n'.repeat(400_000),
+      `HTTP/1.1 200 OK\r\n${Array.from({ length: 400_000 }, (_, index) => `a${index}: b\r\n`).join('')}`
+    ]
+    for (const text of texts) {
+      const start = process.cpuUsage()
+      expect(holds(text)).to.equal(false)
+      const { user, system } = process.cpuUsage(start)
+      expect((user + system) / 1000, text.slice(0, 40)).to.be.below(2000)
+    }
+  })
+
+  // Guards against a copy that is missed since another head was read just before it.
+  it('is found after a head that breaks off, or that names no request', () => {
+    fc.assert(fc.property(fc.array(fc.constantFrom('HTTP/1.1 200 OK', '\r\n', '\n', 'a: b', 'HTTP/1.1 '), { maxLength: 12 }), parts => {
+      expect(holds(`${parts.join('')}${head}`)).to.equal(true)
+    }))
   })
 })
