Look for heads of responses in linear time

A head that names no request counts only if it states its framing, since the connection of a call could not go on otherwise. A quoted status line in a CRLF stream on a connection that has carried calls is no longer taken for one.

--- a/src/policy/foreignHead.ts
+++ b/src/policy/foreignHead.ts
@@ -5,7 +5,7 @@
 
 /** What distinguishes a head that does not belong where it is from a text that quotes one. */
 export interface ForeignHeadRules {
-  /** Whether a head with these headers (lower-case names) names the request that it answers, as servers' responses do. */
+  /** Whether a header (lower-case name) names the request that is answered, as those of servers' responses do. */
   namesRequest: (headers: ReadonlyMap<string, string>) => boolean
   /** Whether a head that names none may be a response, as those to calls are. */
   mayNameNone: boolean
@@ -14,28 +14,66 @@
 }
 
 const protocolName = 'HTTP/1.'
-const statusLine = /HTTP\/1\.[01] \d{3}[^\r\n]*\r\n/g
+const statusLine = /HTTP\/1\.[01] (\d{3})/y
+const lineEndByte = /[\r\n]/g
 const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[\t ]*([\t\x20-\x7e\x80-\xff]*)$/
+/** Statuses of responses without a body. */
+const bodilessStatuses = new Set(['204', '304'])
 
+/** Header lines that follow a status line. */
+interface HeaderBlock {
+  /** End of the line that is no header line. */
+  end: number
+  namesRequest: boolean
+  statesFraming: boolean
+  /** Whether an empty line ends it. */
+  isWhole: boolean
+}
+
+/** Takes time in proportion to the length of the body: no line is read for more than one status line. */
 export function hasForeignHead (body: Buffer, rules: ForeignHeadRules): boolean {
   if (!body.includes(protocolName)) return false
   const text = body.toString('latin1')
-  for (const { 0: line, index } of text.matchAll(statusLine)) {
-    if (isForeign(text, index + line.length, rules)) return true
+  let lineEnd = -1
+  let block: HeaderBlock | undefined
+  for (let start = text.indexOf(protocolName); start !== -1; start = text.indexOf(protocolName, start + 1)) {
+    statusLine.lastIndex = start
+    const status = statusLine.exec(text)?.[1]
+    if (status === undefined) continue
+    if (start >= lineEnd) lineEnd = endOfLine(text, start)
+    if (!text.startsWith('\r\n', lineEnd)) continue
+    // What follows a status line within the block has been read with it.
+    if (!block || lineEnd >= block.end) block = readHeaders(text, lineEnd + 2, rules)
+    if (isForeign(status, block, rules)) return true
   }
   return false
 }
 
-/** Whether the header lines from `start` are those of a response. */
-function isForeign (text: string, start: number, { namesRequest, mayNameNone, mayBeCut }: ForeignHeadRules): boolean {
-  const headers = new Map<string, string>()
+function endOfLine (text: string, start: number): number {
+  lineEndByte.lastIndex = start
+  return lineEndByte.exec(text)?.index ?? text.length
+}
+
+function readHeaders (text: string, start: number, { namesRequest }: ForeignHeadRules): HeaderBlock {
+  const block: HeaderBlock = { end: text.length, namesRequest: false, statesFraming: false, isWhole: false }
   for (let from = start; ;) {
     const end = text.indexOf('\r\n', from)
-    if (end === from) return mayNameNone
-    const header = end === -1 ? null : headerLine.exec(text.slice(from, end))
-    if (!header) return mayBeCut
-    headers.set(header[1]!.toLowerCase(), header[2]!)
-    if (namesRequest(headers)) return true
+    if (end === -1) return block
+    const header = headerLine.exec(text.slice(from, end))
+    if (!header) return { ...block, end, isWhole: end === from }
+    const name = header[1]!.toLowerCase()
+    block.namesRequest ||= namesRequest(new Map([[name, header[2]!]]))
+    block.statesFraming ||= name === 'content-length' || name === 'transfer-encoding'
     from = end + 2
   }
 }
+
+/**
+ * Whether the status and the headers are those of a response. One that names no request states its framing, since nothing could follow it
+ * on its connection otherwise; a quoted status line rarely does.
+ */
+function isForeign (status: string, block: HeaderBlock, { mayNameNone, mayBeCut }: ForeignHeadRules): boolean {
+  if (block.namesRequest) return true
+  if (!block.isWhole) return mayBeCut
+  return mayNameNone && (block.statesFraming || bodilessStatuses.has(status))
+}
