--- a/src/serving/eventStream.ts
+++ b/src/serving/eventStream.ts
@@ -26,6 +26,8 @@
   /** ID of the event that is not complete. */
   private id: bigint | undefined
   private isAtStart = true
+  /** Whether the stream continues another one, within which a byte order mark would belong to the name of a field. */
+  dropsByteOrderMark = false
   /** Whether a line has ended with CR alone, so that a CR need not be the first half of CRLF. */
   private endsLinesWithReturn = false
   /** Whether an LF that comes next belongs to the last line end. */
@@ -34,8 +36,8 @@
   /** Returns the events that `data` completes. */
   push (data: Buffer): StreamEvent[] {
     this.pending.push(data)
+    if (this.isAtStart && !this.skipByteOrderMark(this.pending.bytes)) return []
     const { bytes } = this.pending
-    if (this.isAtStart && !this.skipByteOrderMark(bytes)) return []
     const events: StreamEvent[] = []
     let start = 0
     for (let end = this.nextLineEnd(bytes); end !== undefined; end = this.nextLineEnd(bytes)) {
@@ -77,8 +79,12 @@
   /** Returns false if more bytes are needed to tell whether there is one. */
   private skipByteOrderMark (bytes: Buffer): boolean {
     const prefix = bytes.subarray(0, byteOrderMark.length)
-    if (prefix.equals(byteOrderMark)) this.searched = this.lineStart = byteOrderMark.length
-    else if (byteOrderMark.subarray(0, prefix.length).equals(prefix)) return false
+    if (prefix.equals(byteOrderMark)) {
+      if (this.dropsByteOrderMark) {
+        this.pending = new ByteBuffer()
+        this.pending.push(bytes.subarray(prefix.length))
+      } else this.searched = this.lineStart = prefix.length
+    } else if (byteOrderMark.subarray(0, prefix.length).equals(prefix)) return false
     this.isAtStart = false
     return true
   }
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -310,6 +310,7 @@
     this.forwarder.position.begin({ isContinuation: this.forwarder.hasResponseStarted })
     if (!this.forwarder.hasResponseStarted) return
     const contentType = mediaTypeOf(head)
+    this.splitter.dropsByteOrderMark = true
     if (contentType !== this.forwarder.contentType) this.reject(`the content type ${contentType} does not continue the stream`)
   }
 
