Hold back no chunks of responses that are passed on whole

On a used connection a chunk was read without progress until its end: a plain answer in one slow chunk counted as stalled and was run a second time, and its bytes were held and counted twice. A broken chunk ends such an attempt before anything is sent.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -262,6 +262,7 @@
     this.connection.send(request.method, encodeRequest(request, headers), {
       accepts: (head, { isFirst }) => this.accepts(head, isFirst),
       onHead: head => this.onHead(head),
+      isBuffered: () => !this.isStreaming,
       onData: data => this.onData(data),
       onEnd: () => this.onEnd(),
       onFailure: failure => this.onConnectionFailure(failure)
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -33,6 +33,8 @@
   /** Returns whether the response belongs to the request; others are skipped. */
   accepts? (head: ResponseHead): boolean
   onHead (head: ResponseHead): void
+  /** Whether nothing of the body is passed on before its end, so that no chunk needs to be held back. */
+  isBuffered? (): boolean
   onData (data: Buffer): void
   /** The response is complete. `leftover` are the bytes after it, which belong to no request. */
   onEnd (leftover: Buffer): void
@@ -151,7 +153,7 @@
     const isLast = this.remainingBytes === 0
     const wasChunk = this.state === 'chunk-data'
     if (isLast && wasChunk) this.state = 'chunk-end'
-    if (wasChunk && this.verifiesChunks && !this.isSkipping) this.chunk.push(part)
+    if (wasChunk && this.verifiesChunks && !this.isSkipping && !this.sink.isBuffered?.()) this.chunk.push(part)
     else if (!this.onData(part)) return undefined
     return isLast && !wasChunk ? this.finish(rest) : rest
   }
