Look for a second response on new connections and in chunks, too

A server may also repeat the response in progress, in its middle. With a length or chunks on a new connection its head went to the client, as part of a complete response. In chunks, a copy between a size line and its data passes for data where one of its line ends stands at the end of the chunk; such a head is now looked for where it names a request.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -310,8 +310,8 @@
     if (!this.isStreaming) return
     this.forwarder.position.begin({ isContinuation: this.forwarder.hasResponseStarted })
     if (!this.forwarder.hasResponseStarted) return
-    const contentType = mediaTypeOf(head)
     this.splitter.dropsByteOrderMark = true
+    const contentType = mediaTypeOf(head)
     if (contentType !== this.forwarder.contentType) this.reject(`the content type ${contentType} does not continue the stream`)
   }
 
@@ -330,16 +330,19 @@
     if (this.staleBytes > maxStaleBytes) this.reject('too many bytes were received without a new event')
   }
 
-  /** Whether another response begins in `bytes` of this one. What comes in chunks needs no search. */
+  /**
+   * Whether another response begins in `bytes` of this one: an earlier one, or this one once more. A copy between the size line of a chunk
+   * and its data passes for data up to where a line end stands for that of the chunk.
+   */
   private holdsForeignHead (bytes: Buffer): boolean {
     const { head, connection } = this
     const { isReused = false, hasCarriedCalls = false } = connection ?? {}
-    if (head!.isChunked || !(isReused || head!.endsWithConnection)) return false
+    const { isChunked, endsWithConnection } = head!
     return hasForeignHead(bytes, {
       namesRequest: headers => this.forwarder.codecs.readResponse({ ...head!, headers: new Map(headers) }).requestId !== undefined,
-      mayNameNone: isReused && hasCarriedCalls,
-      // A cut copy of this response itself leaves a stream inside an event.
-      mayBeCut: isReused || !this.isStreaming
+      mayNameNone: !isChunked && isReused && hasCarriedCalls,
+      // A cut copy of this response itself leaves a stream without a length inside an event. Chunks show one that is cut.
+      mayBeCut: !isChunked && (isReused || (endsWithConnection && !this.isStreaming))
     })
   }
 
