--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -306,7 +306,7 @@
     const { hasResponseStarted, writer } = this.forwarder
     const isSentAtOnce = hasResponseStarted || (!head.endsWithConnection && writer.canChunk) || isEventStream(head)
     this.isStreaming = isSuccess && request.route.kind === 'stream' && isSentAtOnce
-    if (isSuccess && request.route.kind === 'stream') this.server.framing.onStream(head)
+    if (isSuccess && request.route.kind === 'stream' && !head.isBodiless) this.server.framing.onStream(head)
     if (!this.isStreaming) return
     this.forwarder.position.begin({ isContinuation: this.forwarder.hasResponseStarted })
     if (!this.forwarder.hasResponseStarted) return
