Keep the software versions of streams in the store

Nodes have no disk, so the version that began a stream must be in the store when all of them are killed. Markers are written before a version's first stream, records only in services with several versions, through the leader.

--- a/scripts/checkPlatformNames.js
+++ b/scripts/checkPlatformNames.js
@@ -6,7 +6,7 @@
 const platformNames = [
   'x-attempt-id', 'x-server-stamp', 'x-deadline-ms', 'x-prompt-prefix', 'x-token-count', 'x-length-hint', 'x-not-executed', 'x-expect-instance',
   'x-instance-id', 'server-leaving', 'x-request-urgency', 'x-weight-versions', 'x-kv-backup', 'kv-txn', 'kv-watch', 'kv-range', 'kv-lease', 'kv-keep', 'op/config',
-  'servers/', 'path_prefix', 'max_conns', 'goal_ms', 'loads_per_s', 'fence_required', 'TEASELRILL_NODE_FILE', 'x-api-key', 'x-tenant'
+  'servers/', 'path_prefix', 'max_conns', 'goal_ms', 'loads_per_s', 'fence_required', 'TEASELRILL_NODE_FILE', 'x-api-key', 'x-tenant', "'resumes'"
 ]
 
 function sourceFiles (dir) {
--- a/src/platform/httpCodecs.ts
+++ b/src/platform/httpCodecs.ts
@@ -9,6 +9,8 @@
 const requestIdHeader = 'x-attempt-id'
 const deadlineHeader = 'x-deadline-ms'
 const lastEventIdHeader = 'last-event-id'
+// Names the request whose answer brought the first event of the stream that the client takes up.
+const resumesHeader = 'resumes'
 const expectedBackendHeader = 'x-expect-instance'
 // 0 to 9; 0 runs first.
 const urgencyHeader = 'x-request-urgency'
@@ -62,6 +64,8 @@
     statedTokens: promptTokens === undefined && maxOutputTokens === undefined ? undefined : (promptTokens ?? 0) + (maxOutputTokens ?? 0),
     sharedParts: sharedPartsOf(firstValue(headers['x-prompt-prefix'])),
     lastEventId: parseEventId(firstValue(headers[lastEventIdHeader])),
+    resumes: firstValue(headers[resumesHeader]) || undefined,
+    isTakeUp: headers[resumesHeader] !== undefined || headers[lastEventIdHeader] !== undefined,
     key: firstValue(headers[keyHeader]) || undefined
   }
 }
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -26,6 +26,8 @@
   region: z.string(),
   port_range: z.tuple([z.number().int(), z.number().int()]),
   zones: z.record(z.string(), z.string()),
+  // Whether no process of the system has run before.
+  first_start: z.boolean().default(false),
   // Parts of the platform's rules that are in force.
   contracts: z.array(z.string()).default([]),
   listen: z.object({ front: addressSchema, ready: addressSchema }),
@@ -89,6 +91,7 @@
     availabilityZone: own.zone,
     region: own.region,
     regionOfZone: own.zones,
+    isFirstStart: own.first_start,
     clientsAddress: listen.front,
     readinessAddress: listen.ready,
     peersPort: own.port_range[0],
--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -361,7 +361,12 @@
   }
 }
 
+/** Version of the software that a backend server runs; empty if its entry names none. */
+export function versionOf ({ softwareVersion }: Pick<BackendEntry, 'softwareVersion'>): string {
+  return softwareVersion ?? ''
+}
+
 /** Service and version of the software that a backend server runs. */
-export function softwareOf ({ service, softwareVersion }: BackendEntry): string {
-  return `${service}/${softwareVersion ?? ''}`
+export function softwareOf (entry: BackendEntry): string {
+  return `${entry.service}/${versionOf(entry)}`
 }
--- a/src/serving/codecs.ts
+++ b/src/serving/codecs.ts
@@ -22,6 +22,10 @@
   /** Prompt parts that are shared with other requests, in order. */
   sharedParts: PromptPart[]
   lastEventId: bigint | undefined
+  /** ID of the request whose answer brought the first event of the stream that this one takes up, if the client names it. */
+  resumes: string | undefined
+  /** Whether the client has events of a stream and wants its rest. */
+  isTakeUp: boolean
   /** Key of the client's account, which must not be logged. */
   key: string | undefined
 }
--- a/src/serving/fleetView.ts
+++ b/src/serving/fleetView.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from '../base/clock.js'
 import type { Log } from '../base/log.js'
-import { BackendServer } from './backendServer.js'
+import { BackendServer, versionOf } from './backendServer.js'
 import { ByteBudget } from './byteBudget.js'
 import type { BackendEntry } from './deployment.js'
 import { FramingRecord } from './processEvidence.js'
@@ -70,7 +70,7 @@
       this.options.log('info', 'older backend entry ignored', { backend: entry.id, writes: entry.writes })
       return false
     }
-    if (known && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address) {
+    if (known && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address && versionOf(known.entry) === versionOf(entry)) {
       if (entry.isDraining && !known.entry.isDraining) this.options.log('info', 'backend server draining', { backend: entry.id })
       known.update(entry)
       known.removalAtMs = Infinity
@@ -174,6 +174,13 @@
     }
   }
 
+  /** Software versions of the servers of a service. */
+  versionsOf (service: string): Set<string> {
+    const versions = new Set<string>()
+    for (const { entry } of this.servers.values()) if (entry.service === service) versions.add(versionOf(entry))
+    return versions
+  }
+
   ofService (service: string): BackendServer[] {
     const result: BackendServer[] = []
     for (const server of this.servers.values()) if (server.entry.service === service) result.push(server)
--- a/src/serving/peerMessages.ts
+++ b/src/serving/peerMessages.ts
@@ -136,7 +136,24 @@
 })
 export type QuotaReply = z.infer<typeof quotaReplySchema>
 
-export const nodeMessageSchema = z.union([quotaAskSchema, dispatchRequestSchema, slotCancelSchema, nodeReportSchema])
+/** Limits on the records of one message. */
+const maxRecordRows = 1000
+const maxDigestsLength = 1024 * 1024
+
+/** Records of streams that the leader writes to the store for a node. */
+export const streamBatchSchema = z.object({
+  /** Number of the batch, which the reply repeats. */
+  streamBatch: z.number(),
+  /** Service, version, digests one after the other. */
+  rows: z.array(z.tuple([z.string(), z.string(), z.string().max(maxDigestsLength)])).max(maxRecordRows)
+})
+export type StreamBatch = z.infer<typeof streamBatchSchema>
+
+/** The leader has written a batch of records. */
+export const streamBatchWrittenSchema = z.object({ writtenBatch: z.number() })
+export type StreamBatchWritten = z.infer<typeof streamBatchWrittenSchema>
+
+export const nodeMessageSchema = z.union([quotaAskSchema, dispatchRequestSchema, slotCancelSchema, streamBatchSchema, nodeReportSchema])
 export type NodeMessage = z.infer<typeof nodeMessageSchema>
 
 /** The leader's reply to a dispatch request. */
@@ -267,5 +284,5 @@
 })
 export type Confirmation = z.infer<typeof confirmationSchema>
 
-export const leaderMessageSchema = z.union([quotaReplySchema, dispatchReplySchema, leaderReportSchema, confirmationSchema])
+export const leaderMessageSchema = z.union([quotaReplySchema, dispatchReplySchema, leaderReportSchema, confirmationSchema, streamBatchWrittenSchema])
 export type LeaderMessage = z.infer<typeof leaderMessageSchema>
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -26,6 +26,9 @@
   private readonly clientLimits = this.counter('teaselrill_client_limits_total', 'Times that a limit on what the node holds for clients has acted', ['limit'])
   private readonly connections = this.counter('teaselrill_backend_connections_total', 'Connections opened to backend servers', [])
   private readonly keyRefusals = this.counter('teaselrill_key_refusals_total', 'Requests refused for their key: unknown-key with 401, stale with 503 since the configuration may be too old', ['reason'])
+  private readonly streamsBegun = this.counter('teaselrill_streams_begun_total', 'Resumable streams whose answer began at this node, also those that clients took up, by service and software version', ['service', 'version'])
+  private readonly streamLookups = this.counter('teaselrill_stream_lookups_total', 'Streams that clients took up, by how their software version was known, or why it was not', ['result'])
+  private readonly takeUpRefusals = this.counter('teaselrill_take_up_refusals_total', 'Streams that clients took up and that were refused with 503, by reason', ['reason'])
   private readonly firstByte = this.histogram('teaselrill_first_byte_seconds', 'Time from arrival to the first byte of the response')
   private readonly duration = this.histogram('teaselrill_request_duration_seconds', 'Time from arrival to the end of the response')
   private readonly longestGap = this.histogram('teaselrill_longest_event_gap_seconds', 'Longest pause between events of a stream')
@@ -94,6 +97,19 @@
     this.connections.inc()
   }
 
+  /** The servers' entries bound the number of versions. */
+  onStreamBegun (service: string, version: string): void {
+    this.streamsBegun.inc({ service, version })
+  }
+
+  onStreamLookup (result: string): void {
+    this.streamLookups.inc({ result })
+  }
+
+  onTakeUpRefused (reason: string): void {
+    this.takeUpRefusals.inc({ reason })
+  }
+
   onKeyRefused (reason: string): void {
     this.keyRefusals.inc({ reason })
   }
--- a/src/serving/settings.ts
+++ b/src/serving/settings.ts
@@ -8,6 +8,8 @@
   availabilityZone: string
   region: string
   regionOfZone: Record<string, string>
+  /** Whether no process of the system has run before, so that no stream of an earlier one is alive. Absent: there may have been. */
+  isFirstStart?: boolean
   /** IP:PORT on which client connections are accepted. */
   clientsAddress: string
   /** IP:PORT for the load balancer's health checks. */
