Continue streams only at engines of the version that began them

A retry, a reservation, a queued slot, the leader's choice and the question for the rest could send a stream on to an engine of another software version. The version is fixed when the answer begins, and what a client takes up is decided before an engine is chosen. A request whose stream cannot go on gets 503 at once.

--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -105,6 +105,8 @@
   lastAnswer: AnswerSummary = { sentAtMs: 0, hasBegun: false, events: 0, writingMs: undefined, isUnframed: false }
   /** Called once for each attempt whose answer has gone on beyond its beginning, with the time at which it was sent. */
   readonly onGoneOn: (sentAtMs: number) => void
+  /** Called before the first byte of a stream is sent to the client, with the server that brought it. */
+  readonly onBegun: (server: BackendServer) => void
   /** Takes samples of the servers; absent where capacity is not learned. */
   readonly learned: LearnedCapacity | undefined
   readonly memory: ClientMemory
@@ -113,11 +115,12 @@
   private unreadBytes = 0
 
   constructor (
-    { request, writer, codecs, clock, memory, reserveMove, onGoneOn, learned }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'memory' | 'reserveMove' | 'onGoneOn' | 'learned'>
+    { request, writer, codecs, clock, memory, reserveMove, onGoneOn, onBegun, learned }: Pick<RequestForwarder, 'request' | 'writer' | 'codecs' | 'clock' | 'memory' | 'reserveMove' | 'onGoneOn' | 'onBegun' | 'learned'>
   ) {
     this.memory = memory
     this.reserveMove = reserveMove
     this.onGoneOn = onGoneOn
+    this.onBegun = onBegun
     this.learned = learned
     this.request = request
     this.position = new StreamPosition(request.metadata.lastEventId)
@@ -386,6 +389,7 @@
     const { writer } = forwarder
     if (!forwarder.hasResponseStarted) {
       forwarder.hasResponseStarted = true
+      forwarder.onBegun(this.server)
       forwarder.firstByteMs = forwarder.clock.nowMs() - forwarder.request.arrivedAtMs
       forwarder.contentType = mediaTypeOf(this.head!)
       writer.beginStream(this.head!, forwarder.codecs.returnHeaders(this.head!))
--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -17,7 +17,7 @@
 import { RetryBudget } from '../policy/retry.js'
 import { decideWait } from '../policy/waitForEngine.js'
 import type { WaitConditions } from '../policy/waitForEngine.js'
-import { softwareOf } from './backendServer.js'
+import { softwareOf, versionOf } from './backendServer.js'
 import type { AccountCheck } from './accountCheck.js'
 import type { BackendServer } from './backendServer.js'
 import { ClientBody } from './clientBody.js'
@@ -29,7 +29,7 @@
 import type { Account, Deployment, Route, Service } from './deployment.js'
 import { EngineClient } from './engineClient.js'
 import { isRepeatable, RequestForwarder } from './requestForwarder.js'
-import type { AttemptResult, FailoverSearch, FailoverTarget } from './requestForwarder.js'
+import type { AttemptResult, FailoverSearch } from './requestForwarder.js'
 import type { LearnedCapacity } from './learnedCapacity.js'
 import { incarnationKey, incarnationOf } from './fleetView.js'
 import type { FleetView } from './fleetView.js'
@@ -41,8 +41,12 @@
 import type { AttemptTrace, RequestRecord } from './requestRecord.js'
 import { Reservation } from './reservation.js'
 import type { QueuedSlot } from './queuedSlot.js'
-import { identified, maxServers, minimumAttemptMs, ServerSelection, slotCheckMs, waitPollMs } from './serverSelection.js'
-import type { Assignment, Progress, QueueWait, Selection } from './serverSelection.js'
+import { foundAt, foundBy, once, reasonOf, refuseEarly, shuttingDown, waitOf } from './serverSearch.js'
+import type { Search } from './serverSearch.js'
+import { identified, isResumable, maxServers, minimumAttemptMs, ServerSelection, slotCheckMs, waitPollMs } from './serverSelection.js'
+import type { Progress, Selection } from './serverSelection.js'
+import { refusalText } from './streamVersions.js'
+import type { StreamVersions, TakeUp } from './streamVersions.js'
 
 /** Delay before a request that servers rejected is retried: an immediate retry would reach the same full servers. */
 const busyRetryAfterMs = 250
@@ -66,6 +70,7 @@
 const retryBudgetShare = 0.7
 /** A request is not sent again after so many engines have ended when they began to answer it. */
 const maxEndsPerRequest = 2
+const maxLoggedIdChars = 100
 /** A cut request does not wait longer for the check whether its server has ended; a refused connection takes one round trip. */
 const maxExitCheckMs = 250
 
@@ -102,6 +107,8 @@
   /** Absent where capacity is not learned. */
   learned?: LearnedCapacity | undefined
   random?: Random
+  /** Which software versions may begin and continue resumable streams; absent where all fit together. */
+  streams?: Pick<StreamVersions, 'mayBegin' | 'takeUpOf' | 'onBegun' | 'onNotServed'>
   onFinished?: (record: RequestRecord) => void
 }
 
@@ -126,15 +133,6 @@
   deadlineAtMs: number
 }
 
-type Search =
-  | { kind: 'found', server: BackendServer, reservation?: Reservation, chosenBy: AttemptTrace['chosenBy'], trial?: string | undefined, priorMs?: number | undefined, assignment?: Assignment | undefined }
-  /** With `verdict`, the request has prompt parts in quarantine. */
-  | { kind: 'refused', reason: string, retryAfterMs: number, verdict?: Verdict }
-  | { kind: 'left' }
-
-/** Requests whose answer has not started are not sent on a node that is about to end. */
-const shuttingDown: Search = { kind: 'refused', reason: 'this node is shutting down', retryAfterMs: 0 }
-
 export class RequestProxy {
   private readonly options: RequestProxyOptions
   private readonly clock: Clock
@@ -260,7 +258,8 @@
       await ioTurn()
       if (this.clients.discardIfClosed(socket, open)) return
     }
-    const serviceName = serviceOf(route, metadata.requestId ?? '')
+    // A stream that is taken up goes on at the service that began it.
+    const serviceName = serviceOf(route, metadata.resumes ?? metadata.requestId ?? '')
     const service = serviceName === undefined ? undefined : this.services.get(serviceName)
     if (!service) {
       const reason = serviceName === undefined ? 'no target of the split has a weight' : `unknown service ${JSON.stringify(serviceName)}`
@@ -291,7 +290,7 @@
 
   private async serve (request: ProxiedRequest, writer: ResponseWriter): Promise<void> {
     const { clock, codecs } = this.options
-    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [], slots: [] }
+    const progress: Progress = { sends: 0, waitedMs: 0, tried: new Set(), retryableFromMs: new Map(), wasMisdirected: false, ends: 0, attempts: [], slots: [], version: undefined, hasBegun: false }
     const forwarder: RequestForwarder = new RequestForwarder({
       request,
       writer,
@@ -300,13 +299,22 @@
       learned: this.options.learned,
       memory: this.memory,
       reserveMove: isNeeded => this.reserveFailover(request, forwarder, progress, isNeeded),
-      onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs)
+      onGoneOn: sentAtMs => this.options.quarantine.recordSurvival(identified(request), sentAtMs),
+      onBegun: ({ entry }) => {
+        progress.version = versionOf(entry)
+        progress.hasBegun = true
+        if (isResumable(request)) this.options.streams?.onBegun(request, progress.version)
+      }
     })
     this.forwarders.add(forwarder)
     let quota: QuotaResult | undefined
     try {
       quota = await this.options.takeQuota?.(request)
       if (quota?.kind === 'refused') return this.refuseOverQuota(request, writer, forwarder, progress, quota)
+      progress.takeUp = request.metadata.isTakeUp && isResumable(request) ? await this.options.streams?.takeUpOf(request) : undefined
+      if (forwarder.hasClientLeft) return this.finish(request, forwarder, progress, { outcome: 'client-left', status: 0 })
+      if (progress.takeUp?.kind === 'refused') return this.refuseTakeUp(request, writer, forwarder, progress, progress.takeUp)
+      progress.version = progress.takeUp?.version
       this.budgetOf(request.service.name).onRequest()
       await this.attemptUntilDone(request, writer, forwarder, progress)
     } finally {
@@ -323,6 +331,13 @@
     this.finish(request, forwarder, progress, { outcome: 'over-quota', status: 429, reason })
   }
 
+  /** Nothing has run. */
+  private refuseTakeUp (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress, takeUp: Extract<TakeUp, { kind: 'refused' }>): void {
+    const reason = refusalText(takeUp)
+    writer.sendError(503, reason, takeUp.retryAfterMs)
+    this.finish(request, forwarder, progress, { outcome: 'not-continued', status: 503, reason })
+  }
+
   private async attemptUntilDone (request: ProxiedRequest, writer: ResponseWriter, forwarder: RequestForwarder, progress: Progress): Promise<void> {
     let result: AttemptResult | undefined
     let hasReservedRetry = false
@@ -356,7 +371,7 @@
     const { server, chosenBy, waitMs, trial, priorMs, assignment } = await this.selection.selectMove(request, progress, waitOf(request, forwarder), isNeeded)
     if (trial !== undefined) this.options.quarantine.endTrial(trial)
     // Several dispatch replies that arrive together may name the same free slot, so capacity is checked again.
-    const isFree = server && ((assignment && this.selection.waitsInQueue(request)) || this.selection.availableServers(request).includes(server))
+    const isFree = server && ((assignment && this.selection.waitsInQueue(request)) || this.selection.availableServers(request, progress).includes(server))
     // Taken only now: while requests wait for another engine, retries that can be made at once need the budget.
     const hasRetry = isFree && budget.tryRetry()
     const reservation = isFree && hasRetry && await this.reserve(request, server)
@@ -370,7 +385,7 @@
       assignment?.cancel()
       budget.returnRetry()
     }
-    return { kind: 'reserved', target: { reservation, chosenBy, priorMs, assignment, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected(), release } }
+    return { kind: 'reserved', target: { reservation, chosenBy, priorMs, assignment, isUsable: () => reservation.isUsable && isInTime() && isUnsuspected() && this.selection.mayAnswer(request, progress, server), release } }
   }
 
   private reserve ({ metadata, rank, service }: ProxiedRequest, server: BackendServer): Promise<Reservation | undefined> {
@@ -387,7 +402,7 @@
       chosenBy,
       running: server.running,
       runningElsewhere: server.runningElsewhere,
-      alternatives: this.selection.availableServers(request).length - 1,
+      alternatives: this.selection.availableServers(request, progress).length - 1,
       ...this.options.learned?.traceOf(server, model),
       result: 'in progress'
     }
@@ -501,6 +516,9 @@
     // Asked before, the leader would reserve the time of a prefill that does not take place.
     const { service: { engine }, metadata, route } = request
     if (engine && !fitsTokens(metadata, 0, engine.cacheTokens)) return { kind: 'refused', reason: 'the prompt is larger than the memory of an engine', retryAfterMs: route.timeoutMs }
+    const isLost = () => !forwarder.hasResponseStarted && !this.selection.isVersionServed(request, progress)
+    const notServed = (): Search => ({ kind: 'refused', reason: refusalText({ reason: 'version-not-served' }), retryAfterMs: this.options.streams?.onNotServed() ?? busyRetryAfterMs })
+    if (isLost()) return notServed()
     const wait = waitOf(request, forwarder)
     let selection = await this.selection.select(request, progress, { isFirst: !isRetry, isLate: false, wait })
     if (forwarder.hasClientLeft) return this.leaveWith(selection)
@@ -537,6 +555,7 @@
           const reason = decision.reason === 'full' ? `all engines with ${name} are full` : `no engine is ready with ${name}`
           return { kind: 'refused', reason, retryAfterMs: decision.retryAfterMs }
         }
+        if (isLost()) return notServed()
         // Once the response has started, the request cannot be rejected.
         if (this.isRefusing && !forwarder.hasResponseStarted) return shuttingDown
         // A request whose response has started has priority over requests that can still be rejected.
@@ -603,7 +622,8 @@
       framing: forwarder.writer.framing
     }
     this.options.onFinished?.(record)
-    const isPlain = outcome === 'done' && progress.sends === 1 && record.unframed === 0 && record.waitedMs < waitPollMs &&
+    const { takeUp } = progress
+    const isPlain = outcome === 'done' && !takeUp && progress.sends === 1 && record.unframed === 0 && record.waitedMs < waitPollMs &&
       (record.firstByteMs ?? 0) <= request.route.objectiveMs && record.longestGapMs <= (request.route.gapObjectiveMs ?? Infinity)
     if (isPlain && this.plainRequests++ % plainRequestsPerLogLine !== 0) return
     this.options.log('info', isPlain ? 'request served (sample)' : 'request ended', {
@@ -624,39 +644,11 @@
       silentMs: forwarder.sinceLastEventMs === undefined ? undefined : Math.round(forwarder.sinceLastEventMs),
       loopDelayMs: Math.round(this.options.loopDelayMs?.() ?? 0),
       isStopping: this.isClosing,
+      resumes: request.metadata.resumes?.slice(0, maxLoggedIdChars),
+      streamVersion: progress.version,
+      ...(takeUp ? { takeUp: takeUp.kind === 'version' ? takeUp.by : takeUp.reason } : {}),
       reason,
       searchEnd
     })
   }
 }
-
-/**
- * Refuses a request whose body has not been awaited. The parser first reads on in what has arrived, since only the connection of a
- * complete request is kept.
- */
-async function refuseEarly (writer: ResponseWriter, status: number, reason: string, retryAfterMs?: number): Promise<void> {
-  await ioTurn()
-  writer.sendError(status, reason, retryAfterMs)
-}
-
-/** Calls `compute` at the first call and returns its result at each. */
-function once<T> (compute: () => T): () => T {
-  let result: { value: T } | undefined
-  return () => (result ??= { value: compute() }).value
-}
-
-function waitOf (request: ProxiedRequest, { lastEventAtMs, hasResponseStarted }: RequestForwarder): QueueWait {
-  return { lastProgressAtMs: lastEventAtMs ?? request.arrivedAtMs, hasBegun: hasResponseStarted }
-}
-
-function foundAt ({ reservation, chosenBy, priorMs, assignment }: FailoverTarget): Search {
-  return { kind: 'found', server: reservation.server, reservation, chosenBy, priorMs, assignment }
-}
-
-function foundBy (server: BackendServer, { chosenBy, trial, priorMs, assignment }: Selection): Extract<Search, { kind: 'found' }> {
-  return { kind: 'found', server, chosenBy, trial, priorMs, assignment }
-}
-
-function reasonOf (result: AttemptResult | undefined): string | undefined {
-  return result && 'reason' in result ? result.reason : undefined
-}
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -8,10 +8,12 @@
 import { lateAtMs, maxStatedWaitMs, waitUntilMs } from '../policy/waitForEngine.js'
 import { trialPollMs } from '../policy/partQuarantine.js'
 import type { PartCheck, SuspectCheck } from '../policy/partQuarantine.js'
+import { versionOf } from './backendServer.js'
 import type { BackendServer } from './backendServer.js'
 import type { QueuedSlot } from './queuedSlot.js'
 import type { ProxiedRequest, RequestProxyOptions } from './requestProxy.js'
 import type { AttemptTrace } from './requestRecord.js'
+import type { TakeUp } from './streamVersions.js'
 
 /** Interval at which a waiting request looks for an engine again. */
 export const waitPollMs = 25
@@ -48,6 +50,12 @@
   attempts: AttemptTrace[]
   /** Requests for a slot in the placement leader's queue. */
   slots: QueuedSlot[]
+  /** The only software version whose servers may still answer; `undefined` while any may. */
+  version: string | undefined
+  /** Whether the answer to the client has begun. */
+  hasBegun: boolean
+  /** What was found out about the stream that the request takes up. */
+  takeUp?: TakeUp | undefined
 }
 
 /** A search that waits in the placement leader's queue. */
@@ -88,7 +96,7 @@
   heldBy?: Exclude<PartCheck, { kind: 'clear' }>
 }
 
-export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch' | 'requestSlot' | 'learned' | 'random'>
+export type ServerSelectionOptions = Pick<RequestProxyOptions, 'clock' | 'fleet' | 'quarantine' | 'mayTryAlone' | 'settings' | 'nodeCount' | 'requestDispatch' | 'requestSlot' | 'learned' | 'random' | 'streams'>
 
 export class ServerSelection {
   private readonly options: ServerSelectionOptions
@@ -100,7 +108,7 @@
   /** Servers that may be tried next. */
   candidates (request: ProxiedRequest, progress: Progress): BackendServer[] {
     const { sends, tried, retryableFromMs } = progress
-    const availableServers = this.availableServers(request)
+    const availableServers = this.availableServers(request, progress)
     const untried = sends < maxServers(request, progress) ? availableServers.filter(({ entry }) => !tried.has(entry.id)) : []
     if (untried.length > 0) return untried
     // A server that rejected the request may have free capacity again, and an unresponsive one may have recovered. A server that failed is not tried twice.
@@ -113,7 +121,7 @@
     const { sends, tried, retryableFromMs } = progress
     const nowMs = this.options.clock.nowMs()
     const mayTryOthers = sends < maxServers(request, progress)
-    return this.reachableServers(request).filter(({ entry: { id } }) => tried.has(id) ? nowMs >= (retryableFromMs.get(id) ?? Infinity) : mayTryOthers)
+    return this.reachableServers(request, progress).filter(({ entry: { id } }) => tried.has(id) ? nowMs >= (retryableFromMs.get(id) ?? Infinity) : mayTryOthers)
   }
 
   /** Selects a server by the leader's dispatch decision, or locally if there is none. With `wait`, the request waits in the leader's queue if there is one. */
@@ -276,7 +284,7 @@
     // Clients name models: for others than those of the configuration, the leader would keep state that nobody needs.
     if (model === undefined || !service.engine?.models.some(({ name }) => name === model)) return undefined
     const { region, availabilityZone } = this.options.settings
-    const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable)
+    const failing = this.options.fleet.ofService(service.name).filter(server => server.failureShare > failingShare || !server.isUsable || !this.mayAnswer(request, progress, server))
     const candidateIds = new Set(candidates.map(({ entry }) => entry.id))
     const tried = [...progress.tried].filter(id => !candidateIds.has(id))
     const excluded = [...new Set([...tried, ...failing.map(({ entry }) => entry.id)])]
@@ -314,14 +322,30 @@
   }
 
   /** Servers that can accept the request now. */
-  availableServers (request: ProxiedRequest): BackendServer[] {
-    return this.reachableServers(request).filter(server => hasCapacity(request, server))
+  availableServers (request: ProxiedRequest, progress: Progress): BackendServer[] {
+    return this.reachableServers(request, progress).filter(server => hasCapacity(request, server))
   }
 
   /** Servers that serve the request's model and to which this node has a connection, or may open one. */
-  private reachableServers (request: ProxiedRequest): BackendServer[] {
+  private reachableServers (request: ProxiedRequest, progress: Progress): BackendServer[] {
     const { model, adapter } = request.metadata
-    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server))
+    return this.options.fleet.ofService(request.service.name).filter(server => server.isUsable && server.serves(model, adapter) && this.hasConnection(request, server) && this.mayAnswer(request, progress, server))
+  }
+
+  /** Whether the server's software version may answer the request: what two versions write does not fit together. */
+  mayAnswer (request: ProxiedRequest, { version, hasBegun }: Progress, { entry }: BackendServer): boolean {
+    if (version !== undefined && version !== versionOf(entry)) return false
+    return hasBegun || !isResumable(request) || (this.options.streams?.mayBegin(request.service.name, versionOf(entry)) ?? true)
+  }
+
+  /** Whether a server of the only version that may answer holds the request's model or is loading it. */
+  isVersionServed (request: ProxiedRequest, { version }: Progress): boolean {
+    const { model } = request.metadata
+    if (version === undefined) return true
+    return this.options.fleet.ofService(request.service.name).some(server => {
+      const isLoaded = model === undefined || !request.service.engine || server.replicas.get(model)?.isUnloading === false
+      return isLoaded && server.isPresent && versionOf(server.entry) === version
+    })
   }
 
   /** Whether an engine has token memory for the request, as far as this node knows. The leader's own choices rest on newer values. */
@@ -355,6 +379,11 @@
   return service.engine !== undefined && metadata.model !== undefined
 }
 
+/** Whether clients may take up the request's answer after it was cut. */
+export function isResumable ({ route }: ProxiedRequest): boolean {
+  return route.kind === 'stream' && route.resumable
+}
+
 /** Maximum number of servers that may be tried. A server that turned out not to hold the model does not count. */
 export function maxServers ({ route }: ProxiedRequest, { wasMisdirected }: Progress): number {
   return route.maxAttempts + (wasMisdirected ? 1 : 0)
--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -49,6 +49,7 @@
 import type { ServingSettings } from './settings.js'
 import { quarantineKey, StoredQuarantine } from './storedQuarantine.js'
 import { StoreView } from './storeView.js'
+import { StreamVersions } from './streamVersions.js'
 
 /** The load balancer removes a node after two failed checks, one a second; new connections may still be on their way then. */
 const readinessDelayMs = 2300
@@ -137,6 +138,7 @@
   private readonly loopDelay: LoopDelay
   private readonly quarantine: PartQuarantine
   private readonly storedQuarantine: StoredQuarantine
+  private readonly streams: StreamVersions
   /** Set while this node leads. */
   private leaderTerm: LeaderTerm | undefined
   /** Number of nodes in the store. */
@@ -228,6 +230,24 @@
       onRefused: reason => options.metrics?.onKeyRefused(reason),
       onStale: () => this.requestConfirmation()
     })
+    this.streams = new StreamVersions({
+      store,
+      clock,
+      random,
+      log,
+      fleet: this.fleet,
+      prefix: codecs.keys.own,
+      node: settings.node,
+      isFirstStart: settings.isFirstStart ?? false,
+      nodeCount: () => this.size.value,
+      viewAgeMs: () => this.storeView.ageMs,
+      isLeader: () => this.leaderTerm !== undefined,
+      hasLeader: () => this.link.hasAnswered,
+      send: message => this.link.sendIfConnected(message),
+      onLookup: result => options.metrics?.onStreamLookup(result),
+      onRefused: reason => options.metrics?.onTakeUpRefused(reason),
+      onBegun: (service, version) => options.metrics?.onStreamBegun(service, version)
+    })
     this.requestProxy = new RequestProxy({
       clock,
       log,
@@ -249,6 +269,7 @@
       loopDelayMs: () => this.loopDelay.recentMs,
       requestDispatch: ask => this.dispatchForAll(ask),
       ...(settings.sharesServers ? { requestSlot: (ask: DispatchRequest, place: QueuePlace, timeoutMs: number) => this.requestSlot(ask, place, timeoutMs) } : {}),
+      streams: this.streams,
       takeQuota: ({ account, metadata }) => account?.quota && this.quotas.take(account, metadata),
       onFinished: record => options.metrics?.onFinished(record)
     })
@@ -274,6 +295,10 @@
       log,
       onMessage: (message, reply) => {
         if ('cancel' in message) return this.leaderTerm?.onSlotCancel(message, reply)
+        if ('streamBatch' in message) {
+          if (this.leaderTerm) this.streams.onBatch(message, () => reply({ writtenBatch: message.streamBatch }))
+          return
+        }
         if ('quotaAsk' in message) {
           if (this.quotaDeputy.onQuotaAsk(message, reply)) return
           if (!this.leaderTerm && message.spent) this.earlySpending.add(reply, this.nameOf(reply), message.spent)
@@ -313,6 +338,7 @@
       },
       onLost: () => {
         this.dispatch.onLost()
+        this.streams.onLeaderLost()
         this.forgetAssignments()
         this.quotas.onLost()
         clock.setTimer(deputyDelayMs, () => this.followDeputy())
@@ -367,6 +393,7 @@
     metrics.gauge('teaselrill_dispatch_timeouts', 'Dispatch requests to the placement leader without a reply in time, since the start', () => this.dispatch.timeouts)
     metrics.gauge('teaselrill_slots_queued', 'Requests of all nodes that wait for an engine in the queue of this node as placement leader', () => this.leaderTerm?.slots.size ?? 0)
     this.learned?.addGauges(metrics)
+    this.streams.addGauges(metrics)
     metrics.gauge('teaselrill_follows_leader', '1 if the node receives store changes through the placement leader', () => this.storeView.isFedByLeader ? 1 : 0)
     metrics.gauge('teaselrill_placement_leader', '1 if this node sends the commands to engines', () => this.leaderTerm ? 1 : 0)
   }
@@ -380,6 +407,7 @@
     await this.peers.listen(ip, peersPort)
     void this.storeView.run()
     void this.leadership.run()
+    this.streams.start()
     this.cancelReports = repeat(this.options.clock, reportMs, () => this.exchangeReports())
     await listen(this.clients, clientsAddress)
     await listen(this.readiness, readinessAddress)
@@ -411,7 +439,7 @@
       this.closeIdle()
     }
     this.requestProxy.abandonRequests()
-    await sleep(clock, finalAnswersMs)
+    await Promise.all([sleep(clock, finalAnswersMs), this.streams.stop(finalAnswersMs)])
     const { clients } = this.requestProxy
     const count = clients.active
     clients.logUnfinished()
@@ -522,6 +550,7 @@
     this.fleet.replaceAll(backends.filter(entry => entry !== undefined))
     this.hasBackends = true
     this.leadership.onItems(items.filter(({ key }) => key.startsWith(keys.own)))
+    this.streams.onItems(items, this.storeView.currentEra ?? 0)
     for (const item of items) if (!item.key.startsWith(keys.backends)) this.onChange(item, { isReturn })
     // What the leader must write again.
     const present = new Set(items.map(({ key }) => key))
@@ -531,6 +560,7 @@
 
   private onChange (change: StoreChange, { isReturn = false } = {}): void {
     const { keys } = this.options.codecs
+    if (this.streams.isRecord(change.key)) return
     if (change.key === keys.deployment && change.value !== undefined) this.onDeployment(change.value)
     else if (change.key.startsWith(keys.backends)) {
       if (!this.onBackend(change)) return
@@ -542,6 +572,7 @@
   private onOwnKey (change: StoreChange, { isReturn }: { isReturn: boolean }): void {
     if (change.key === this.sizeKey) return this.onStoredSize(change.value)
     this.leadership.onChange(change)
+    this.streams.onChange(change)
     const verdicts = this.storedQuarantine.onChange(change)
     if (verdicts instanceof Error) this.options.log('warn', 'stored quarantine ignored', { key: change.key, error: verdicts.message })
     else if (verdicts && !isReturn) this.quarantine.merge({ ends: [], survivals: [], verdicts, endedTrials: [] }, { isNews: false })
@@ -724,6 +755,7 @@
   private onLeaderMessage (message: LeaderMessage): void {
     if ('stamp' in message) return this.storeView.onConfirmation(message)
     if ('quotaAsk' in message) return this.quotas.onReply(message)
+    if ('writtenBatch' in message) return this.streams.onBatchWritten(message.writtenBatch)
     if (!('ask' in message)) return this.onLeaderReport(message)
     if (this.options.settings.sharesServers && this.dispatch.onSlotReply(message.ask, decodeSlotReply(message))) return
     this.dispatch.onReply(message.ask, decodeDispatchDecision(message))
@@ -870,6 +902,7 @@
     if (deployment.version !== this.deployment?.version) log('info', 'configuration in force', { version: deployment.version, routes: deployment.routes.length })
     this.deployment = deployment
     this.requestProxy.setDeployment(deployment)
+    this.streams.setDeployment(deployment)
     this.quotas.setAccounts(deployment.accounts ?? [])
     this.clients.keepAliveTimeout = deployment.limits.idleTimeoutMs
     this.clients.headersTimeout = deployment.limits.headerTimeoutMs
