--- a/tests/streamOrigins.spec.ts
+++ b/tests/streamOrigins.spec.ts
@@ -66,7 +66,7 @@
   // Guards against streams that begin while nothing in the store says so, and against markers of others that are forgotten with a return.
   it('lets streams begin under a marker of this era, and announces what may have been lost', () => {
     const clock = new VirtualClock()
-    let viewAgeMs = 0
+    const viewAgeMs = 0
     const markersOf = (isFirstStart: boolean) => new SoftwareMarkers({ clock, isFirstStart, viewAgeMs: () => viewAgeMs, versionsOf: () => new Set() })
     for (const isFirstStart of [true, false]) {
       const markers = markersOf(isFirstStart)
--- a/tests/streamRecords.spec.ts
+++ b/tests/streamRecords.spec.ts
@@ -93,11 +93,10 @@
   }
 
   async takeUp (process: Process, id: string | undefined): Promise<TakeUp> {
-    const result = process.streams.takeUpOf(requestOf('next', id))
-    let taken: TakeUp | undefined
-    void result.then(value => { taken = value })
-    for (let tries = 0; !taken && tries < 100; tries++) await this.clock.advance(10)
-    return taken!
+    const taken: TakeUp[] = []
+    void process.streams.takeUpOf(requestOf('next', id)).then(takeUp => taken.push(takeUp))
+    for (let tries = 0; taken.length === 0 && tries < 100; tries++) await this.clock.advance(10)
+    return taken[0]!
   }
 
   restart (index: number): void {
