--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -37,9 +37,17 @@
 const fleetEvents = new Set([
   'store lost', 'store regained', 'store history lost', 'configuration in force', 'placement leader is this node',
   'no longer placement leader', 'placement leader silent', 'connection to the placement leader lost', 'prompt parts quarantined', 'prompt parts released', 'account over its quota', 'account below its quota again', 'graceful shutdown', 'log lines left out', 'client limit reached',
-  'configuration too old for keys', 'configuration recent enough for keys'
+  'configuration too old for keys', 'configuration recent enough for keys', 'store came back from a copy',
+  'software marker written', 'software marker not written', 'stream records not written yet', 'stream records given up', 'streams could not be looked up'
 ])
 
+/** How the software version of a stream was known that a client takes up. */
+const knownBy: Record<string, string> = {
+  'own-record': 'a record of this node',
+  record: 'a record in the store',
+  'only-marker': 'the only software marker of the service'
+}
+
 function parse (text: string): Line | undefined {
   // Collectors put a time or the name of the machine before the line.
   const start = text.indexOf('{')
@@ -92,6 +100,7 @@
     atMs: startMs,
     text: `${line.node} took request ${line.request}${account} on route ${String(line.route)} (${String(line.kind)}, rank ${String(line.rank)})${model}, with ${String(line.deadlineMs)} ms to its deadline and configuration ${String(line.configVersion)}.`
   }]
+  if (typeof line.takeUp === 'string') sentences.push({ atMs: startMs, text: takeUpSentence(line, line.takeUp) })
   for (const send of line.sends ?? []) {
     sentences.push({
       atMs: startMs + send.afterMs,
@@ -108,6 +117,13 @@
   return sentences
 }
 
+function takeUpSentence ({ resumes, streamVersion }: Line, takeUp: string): string {
+  const stream = resumes === undefined ? 'a stream, without naming the attempt that began it' : `the stream that attempt ${String(resumes)} began`
+  const by = knownBy[takeUp]
+  if (by === undefined) return `It takes up ${stream}. No engine was asked: ${takeUp}.`
+  return `It takes up ${stream}. Only engines of software version ${JSON.stringify(streamVersion)} may go on with it, as ${by} says.`
+}
+
 function chooserOf (chosenBy: string | undefined): string {
   if (chosenBy === 'queue') return ', assigned from the placement leader\'s queue'
   if (chosenBy === 'leader') return ', chosen by the placement leader'
--- a/tests/explainLogs.spec.ts
+++ b/tests/explainLogs.spec.ts
@@ -72,4 +72,17 @@
     const ended = { ...line, event: 'request ended', kind: 'stream', rank: 1, deadlineMs: 100, outcome: 'done', durationMs: 10 }
     indexOf(explainFromLogs([JSON.stringify(ended)], 'id'), /n1 took request id of account a on route r/)
   })
+
+  it('says how the software version of a stream was known, or why it was not continued', () => {
+    // Guards against a client that is refused a stream, or gets none of its events, and nobody can tell why.
+    const line = { time: '2026-12-07T10:00:00.000Z', level: 'info', event: 'request ended', node: 'n1', request: 'b', route: 'r', kind: 'stream', rank: 0, outcome: 'done', status: 200, durationMs: 100, deadlineMs: 5000, configVersion: 1, sends: [], resumes: 'a', streamVersion: 'v1.1', takeUp: 'record' }
+    const written = { time: '2026-12-07T09:59:59.000Z', level: 'info', event: 'software marker written', node: 'n1', service: 's', version: 'v2', withUnknown: true }
+    const sentences = explainFromLogs([written, line].map(fields => JSON.stringify(fields)), 'b')
+    indexOf(sentences, /takes up the stream that attempt a began\. Only engines of software version "v1\.1" may go on with it, as a record in the store says/)
+    indexOf(sentences, /software marker written \(service s, version v2/)
+    const refused = { ...line, outcome: 'not-continued', status: 503, streamVersion: undefined, takeUp: 'unknown-stream', reason: 'the software version that began the stream is not known' }
+    const why = explainFromLogs([JSON.stringify(refused)], 'b')
+    indexOf(why, /No engine was asked: unknown-stream/)
+    expect(why.at(-1)).to.match(/not-continued with status 503 .*software version that began the stream is not known/)
+  })
 })
