Look streams up in what a node has listed at its start

After all nodes are killed, each of them read all records again for each group of take-ups: at the largest deployments 1.7 MB at a time.

--- a/src/policy/streamContinuation.ts
+++ b/src/policy/streamContinuation.ts
@@ -25,9 +25,7 @@
   return { kind: 'version', version: marker.version, by: 'only-marker' }
 }
 
-/** Decides by the versions that records name for the stream. */
-export function continueByRecords (versions: ReadonlySet<string>): Continuation {
-  const [version] = versions
-  if (versions.size > 1) return { kind: 'refused', reason: 'ambiguous-stream' }
-  return version === undefined ? { kind: 'refused', reason: 'unknown-stream' } : { kind: 'version', version, by: 'record' }
+/** Decides by the record of the stream, which without a version stands for streams of several ones. */
+export function continueByRecord (version: string | undefined, by: 'own-record' | 'record' = 'record'): Continuation {
+  return version === undefined ? { kind: 'refused', reason: 'ambiguous-stream' } : { kind: 'version', version, by }
 }
--- a/src/serving/streamLookup.ts
+++ b/src/serving/streamLookup.ts
@@ -5,11 +5,11 @@
 import type { Clock } from '../base/clock.js'
 import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
-import { continueByMarkers, continueByRecords } from '../policy/streamContinuation.js'
+import { continueByMarkers, continueByRecord } from '../policy/streamContinuation.js'
 import type { Continuation } from '../policy/streamContinuation.js'
-import type { CoordinationStore } from './coordination.js'
+import type { CoordinationStore, StoreItem } from './coordination.js'
+import { unpackRows } from './streamKeys.js'
 import type { StreamKeys } from './streamKeys.js'
-import { digestChars } from './streamKeys.js'
 import { eraOf } from './storePosition.js'
 
 /** A take-up does not wait longer for the store. */
@@ -19,9 +19,13 @@
 const readIntervalPerNodeMs = 0.5
 /** Limit on the take-ups that wait for a read. */
 const maxWaiting = 1000
+/** Records that are remembered of what was read, the oldest ones first to go: what the largest deployments write within a record's lifetime. */
+const maxKnown = 120_000
 
 const recordSchema = z.array(z.tuple([z.string(), z.string(), z.string()]))
 
+type RecordItem = Pick<StoreItem, 'key' | 'value'>
+
 interface Waiting {
   service: string
   /** Absent if the client does not name the stream. */
@@ -42,13 +46,25 @@
   private readonly waiting = new Set<Waiting>()
   private isReading = false
   private lastFailedAtMs = -Infinity
+  /** Versions by digest, of the records that were read. What a record says stays true. */
+  private readonly known = new Map<string, string | undefined>()
+  /** Records of the last list of all keys, which are parsed when the first stream is looked up. */
+  private unparsed: readonly RecordItem[] = []
 
   constructor (options: StreamLookupOptions) {
     this.options = options
   }
 
-  /** Reads that began before this call are not used. */
+  /** The store was listed, as when this node started: the records of streams of killed nodes are among them. */
+  onItems (items: readonly StoreItem[]): void {
+    this.unparsed = items.filter(({ key }) => key.startsWith(this.options.keys.records))
+  }
+
+  /** Decides by what was read before, or else by a read that begins after this call. */
   lookUp (service: string, digest: string | undefined): Promise<Continuation> {
+    this.parse(this.unparsed)
+    this.unparsed = []
+    if (digest !== undefined && this.known.has(digest)) return Promise.resolve(continueByRecord(this.known.get(digest)))
     if (this.waiting.size >= maxWaiting) return Promise.resolve({ kind: 'refused', reason: 'too-many-lookups' })
     return new Promise(resolve => {
       const waiting: Waiting = {
@@ -88,8 +104,8 @@
         if (decided) one.answer(decided)
         else undecided.push(one)
       }
-      const versions = undecided.some(({ digest }) => digest !== undefined) ? await this.versionsOf(undecided) : new Map<string, Set<string>>()
-      for (const one of undecided) one.answer(continueByRecords(versions.get(one.digest ?? '') ?? new Set()))
+      if (undecided.some(({ digest }) => digest !== undefined)) this.parse((await store.list(keys.records)).items)
+      for (const { digest, answer } of undecided) answer(digest !== undefined && this.known.has(digest) ? continueByRecord(this.known.get(digest)) : { kind: 'refused', reason: 'unknown-stream' })
     } catch (error) {
       if (clock.nowMs() - this.lastFailedAtMs > 1000) log('warn', 'streams could not be looked up', { takeUps: waiting.length, error: messageOf(error) })
       this.lastFailedAtMs = clock.nowMs()
@@ -97,19 +113,18 @@
     }
   }
 
-  /** Versions by digest, of the streams that are looked for. A digest includes the service. */
-  private async versionsOf (wanted: readonly Waiting[]): Promise<Map<string, Set<string>>> {
-    const { store, keys, log } = this.options
-    const found = new Map(wanted.flatMap(({ digest }) => digest === undefined ? [] : [[digest, new Set<string>()]]))
-    const { items } = await store.list(keys.records)
-    for (const { key, value } of items) {
+  private parse (records: readonly RecordItem[]): void {
+    const { known } = this
+    for (const { key, value } of records) {
       const rows = parseRecord(value)
-      if (!rows) log('warn', 'stream record ignored', { key })
-      for (const [, version, digests] of rows ?? []) {
-        for (let at = 0; at + digestChars <= digests.length; at += digestChars) found.get(digests.slice(at, at + digestChars))?.add(version)
-      }
+      if (!rows) this.options.log('warn', 'stream record ignored', { key })
+      // A digest includes the service.
+      for (const { version, digest } of unpackRows(rows ?? [])) known.set(digest, known.has(digest) && known.get(digest) !== version ? undefined : version)
+    }
+    for (const digest of known.keys()) {
+      if (known.size <= maxKnown) return
+      known.delete(digest)
     }
-    return found
   }
 }
 
--- a/src/serving/streamVersions.ts
+++ b/src/serving/streamVersions.ts
@@ -8,6 +8,7 @@
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import { SoftwareMarkers } from '../policy/softwareMarkers.js'
+import { continueByRecord } from '../policy/streamContinuation.js'
 import type { Continuation, ContinuationRefusal } from '../policy/streamContinuation.js'
 import { StreamOrigins } from '../policy/streamOrigins.js'
 import type { UnwrittenRow } from '../policy/streamOrigins.js'
@@ -156,6 +157,7 @@
 
   /** The store was listed. */
   onItems (items: readonly StoreItem[], era: number): void {
+    this.lookup.onItems(items)
     const markers = items.map(({ key, value }) => this.keys.readMarker(key, value)).filter(marker => marker !== undefined)
     if (!this.markers.onList(markers, era)) return
     // What was written since the copy is lost, also what the leader acknowledges from now on.
@@ -178,7 +180,7 @@
   async takeUpOf ({ service: { name: service }, account, metadata: { resumes } }: ProxiedRequest): Promise<TakeUp> {
     const digest = resumes === undefined ? undefined : streamDigest(service, account?.name, resumes)
     const own = digest === undefined ? undefined : this.origins.find(service, digest)
-    const continuation = own ? ownContinuation(own) : await this.lookup.lookUp(service, digest)
+    const continuation = own ? continueByRecord(own.version, 'own-record') : await this.lookup.lookUp(service, digest)
     this.options.onLookup?.(continuation.kind === 'version' ? continuation.by : continuation.reason)
     if (continuation.kind === 'version') return continuation
     const { reason } = continuation
@@ -262,7 +264,3 @@
     for (const { digest } of rows) this.inFlight.delete(digest)
   }
 }
-
-function ownContinuation ({ version }: { version: string | undefined }): Continuation {
-  return version === undefined ? { kind: 'refused', reason: 'ambiguous-stream' } : { kind: 'version', version, by: 'own-record' }
-}
--- a/tests/streamOrigins.spec.ts
+++ b/tests/streamOrigins.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { VirtualClock } from '../src/base/clock.js'
 import { markerRenewalMs, SoftwareMarkers } from '../src/policy/softwareMarkers.js'
-import { continueByMarkers, continueByRecords } from '../src/policy/streamContinuation.js'
+import { continueByMarkers, continueByRecord } from '../src/policy/streamContinuation.js'
 import { StreamOrigins } from '../src/policy/streamOrigins.js'
 import { packRows, StreamKeys, streamDigest, unpackRows } from '../src/serving/streamKeys.js'
 
@@ -40,7 +40,7 @@
     const origins = new StreamOrigins()
     for (const version of ['v1', 'v2', 'v2']) origins.record({ service: 's', version, digest: 'a' }, 1000)
     expect(origins.find('s', 'a')).to.deep.equal({ service: 's', version: undefined, endsAtMs: 1000 })
-    expect(continueByRecords(new Set(['v1', 'v2']))).to.deep.equal({ kind: 'refused', reason: 'ambiguous-stream' })
+    expect(continueByRecord(origins.find('s', 'a')?.version)).to.deep.equal({ kind: 'refused', reason: 'ambiguous-stream' })
   })
 
   // Guards against a version that is taken for another one because of how its name is written into a key, and against client text in keys.
--- a/tests/streamRecords.spec.ts
+++ b/tests/streamRecords.spec.ts
@@ -170,6 +170,19 @@
     expect(world.clock.nowMs() - startedAtMs).to.be.at.most(320)
   })
 
+  // Guards against nodes that all read the store again and again after they were killed, although they have just listed it.
+  it('are taken from the list of all keys that a node reads at its start', async () => {
+    const world = new World(9)
+    world.versions = new Set(['v1', 'v2'])
+    await world.clock.advance(1000)
+    world.begin(world.processes[1]!, 'v2', 'a')
+    await world.clock.advance(1000)
+    for (const index of [0, 1, 2]) world.restart(index)
+    await world.clock.advance(500)
+    for (const { store } of world.processes) store.fault = 'silent'
+    expect(await world.takeUp(world.processes[0]!, 'a')).to.deep.equal({ kind: 'version', version: 'v2', by: 'record' })
+  })
+
   // Guards against a service that gets no streams while the store is down.
   it('are not needed to begin streams during an outage', async () => {
     const world = new World(5)
