Do not continue a stream at an engine that may have restarted

An engine that comes back at its address with another software version answers requests before the nodes know its new entry.

--- a/src/serving/requestProxy.ts
+++ b/src/serving/requestProxy.ts
@@ -108,7 +108,7 @@
   learned?: LearnedCapacity | undefined
   random?: Random
   /** Which software versions may begin and continue resumable streams; absent where all fit together. */
-  streams?: Pick<StreamVersions, 'mayBegin' | 'takeUpOf' | 'onBegun' | 'onNotServed'>
+  streams?: Pick<StreamVersions, 'mayBegin' | 'mayHaveRestarted' | 'takeUpOf' | 'onBegun' | 'onNotServed'>
   onFinished?: (record: RequestRecord) => void
 }
 
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -333,8 +333,9 @@
   }
 
   /** Whether the server's software version may answer the request: what two versions write does not fit together. */
-  mayAnswer (request: ProxiedRequest, { version, hasBegun }: Progress, { entry }: BackendServer): boolean {
-    if (version !== undefined && version !== versionOf(entry)) return false
+  mayAnswer (request: ProxiedRequest, { version, hasBegun }: Progress, server: BackendServer): boolean {
+    const { entry } = server
+    if (version !== undefined && !this.isOfVersion(server, version)) return false
     return hasBegun || !isResumable(request) || (this.options.streams?.mayBegin(request.service.name, versionOf(entry)) ?? true)
   }
 
@@ -344,10 +345,14 @@
     if (version === undefined) return true
     return this.options.fleet.ofService(request.service.name).some(server => {
       const isLoaded = model === undefined || !request.service.engine || server.replicas.get(model)?.isUnloading === false
-      return isLoaded && server.isPresent && versionOf(server.entry) === version
+      return isLoaded && server.isPresent && this.isOfVersion(server, version)
     })
   }
 
+  private isOfVersion (server: BackendServer, version: string): boolean {
+    return versionOf(server.entry) === version && !(this.options.streams?.mayHaveRestarted(server) ?? false)
+  }
+
   /** Whether an engine has token memory for the request, as far as this node knows. The leader's own choices rest on newer values. */
   private hasTokenMemory ({ service: { engine }, metadata }: ProxiedRequest, server: BackendServer): boolean {
     const { learned } = this.options
--- a/src/serving/streamVersions.ts
+++ b/src/serving/streamVersions.ts
@@ -12,6 +12,7 @@
 import type { Continuation, ContinuationRefusal } from '../policy/streamContinuation.js'
 import { StreamOrigins } from '../policy/streamOrigins.js'
 import type { UnwrittenRow } from '../policy/streamOrigins.js'
+import type { BackendServer } from './backendServer.js'
 import type { CoordinationStore, StoreChange, StoreItem } from './coordination.js'
 import type { Deployment } from './deployment.js'
 import type { FleetView } from './fleetView.js'
@@ -34,6 +35,8 @@
 /** Time without a leader after which a node writes its records itself. */
 const maxLeaderlessMs = 1000
 const maxRowsPerBatch = 4000
+/** A process that follows another one at its address has written its entry, or the earlier entry has ended, this long after a connection was refused. */
+const restartMs = 4000
 /** `Retry-After` where another attempt soon may find the store, or a server of the version. */
 const retryAfterMs = 250
 
@@ -176,6 +179,11 @@
     return this.markers.mayBegin(service, version)
   }
 
+  /** Whether a process of another version may answer at the server's address, of whose entry this node does not know yet. */
+  mayHaveRestarted ({ lastRefusedAtMs }: Pick<BackendServer, 'lastRefusedAtMs'>): boolean {
+    return this.options.clock.nowMs() - this.options.viewAgeMs() < lastRefusedAtMs + restartMs
+  }
+
   /** The version that may continue a stream, which a client takes up with `request`. */
   async takeUpOf ({ service: { name: service }, account, metadata: { resumes } }: ProxiedRequest): Promise<TakeUp> {
     const digest = resumes === undefined ? undefined : streamDigest(service, account?.name, resumes)
--- a/tests/streamVersions.spec.ts
+++ b/tests/streamVersions.spec.ts
@@ -117,7 +117,7 @@
   })
 
   const streamsWith = (takeUp: TakeUp, mayBegin = (_service: string, _version: string) => true): NonNullable<RequestProxyOptions['streams']> =>
-    ({ mayBegin, takeUpOf: async () => takeUp, onBegun: (request, version) => begun.push([request.metadata.requestId!, version]), onNotServed: () => 250 })
+    ({ mayBegin, mayHaveRestarted: ({ lastRefusedAtMs }) => lastRefusedAtMs > 0, takeUpOf: async () => takeUp, onBegun: (request, version) => begun.push([request.metadata.requestId!, version]), onNotServed: () => 250 })
   let begun: [string, string][] = []
   const takeUp = { headers: { ...forModel.headers, resumes: 'id0', 'last-event-id': '3' } }
 
@@ -131,6 +131,17 @@
     expect(fixture.proxyLines.at(-1)!.fields).to.include({ resumes: 'id0', streamVersion: 'v1', takeUp: 'record' })
   })
 
+  // Guards against an engine that is down and comes back with another version, before its new entry is known.
+  it('are not expected of an engine that has refused a connection', async () => {
+    await start({ c: ['v1', whole('v1')] }, { streams: streamsWith({ kind: 'version', version: 'v1', by: 'record' }) })
+    const [port] = fixture.endServers()
+    expect((await fixture.send('id1', takeUp)).status).to.equal(503)
+    await sleep(1000)
+    await fixture.restartAt(port!, whole('v2'))
+    expect((await fixture.send('id2', takeUp)).status).to.equal(503)
+    expect(fixture.received).to.have.length(0)
+  })
+
   // Guards against clients that wait for a deadline where nothing can go on.
   for (const [name, decided] of [
     ['its version is not known', { kind: 'refused', reason: 'unknown-stream', retryAfterMs: undefined }],
