--- a/src/serving/streamVersions.ts
+++ b/src/serving/streamVersions.ts
@@ -27,6 +27,8 @@
 /** Interval at which due markers are looked for and new records are sent. */
 const markerCheckMs = 50
 const sendMs = 100
+/** The same for each node of the deployment if that is longer, since the leader reads the batches of all of them. */
+const sendPerNodeMs = 1
 const sweepMs = 1000
 /** A record is kept for this time, or for the longest timeout of resumable routes if that is longer. */
 const minRecordLifetimeMs = 30_000
@@ -96,6 +98,7 @@
   private readonly batches = new Map<number, { rows: UnwrittenRow[], sentAtMs: number }>()
   private readonly inFlight = new Set<string>()
   private leaderSeenAtMs: number
+  private sentAtMs = -Infinity
   private isStopping = false
   private timers: CancelTimer[] = []
 
@@ -238,12 +241,14 @@
   }
 
   private sendRecords (): void {
-    const { clock, isLeader, hasLeader, send } = this.options
+    const { clock, isLeader, hasLeader, nodeCount, send } = this.options
     const nowMs = clock.nowMs()
     if (isLeader() || hasLeader()) this.leaderSeenAtMs = nowMs
+    if (!this.isStopping && nowMs - this.sentAtMs < nodeCount() * sendPerNodeMs) return
     for (const [id, { rows, sentAtMs }] of this.batches) if (nowMs - sentAtMs > ackTimeoutMs) this.release(id, rows)
     const rows = this.origins.unwrittenRows(service => this.markers.isShared(service), digest => !this.inFlight.has(digest), maxRowsPerBatch)
     if (rows.length === 0) return
+    this.sentAtMs = nowMs
     if (!isLeader() && hasLeader() && !this.isStopping) {
       const id = this.nextBatch++
       if (!send({ streamBatch: id, rows: packRows(rows) })) return
