Begin no resumable stream at an engine that may have restarted

A stream that begins at a process whose entry is not known yet would be recorded with the version of the process before.

--- a/src/serving/backendServer.ts
+++ b/src/serving/backendServer.ts
@@ -94,8 +94,6 @@
   private outcomes = { answered: 0, failed: 0 }
   /** Whether the process of this incarnation was found to have ended. */
   private hasExited = false
-  /** Time at which a connection could not be opened: the process may have ended, and another one may follow it at the address. */
-  lastRefusedAtMs = -Infinity
   private exitCheck: Promise<boolean> | undefined
   private failures = 0
   private delayMs = 0
@@ -216,7 +214,6 @@
     const running = this.running
     this.exitCheck ??= this.pool.isRefused().finally(() => { this.exitCheck = undefined })
     const isRefused = await this.exitCheck
-    if (isRefused) this.onRefused()
     if (isRefused && !this.hasExited) {
       this.hasExited = true
       this.options.onExited?.(running)
@@ -224,11 +221,6 @@
     return this.hasExited
   }
 
-  /** The machine has refused a connection, or did not accept it in time. */
-  onRefused (): void {
-    this.lastRefusedAtMs = this.clock.nowMs()
-  }
-
   serves (model: string | undefined, adapter: string | undefined): boolean {
     if (model === undefined) return true
     const state = this.replicas.get(model)
--- a/src/serving/connectionPool.ts
+++ b/src/serving/connectionPool.ts
@@ -26,6 +26,8 @@
   lastReceivedAtMs: number
   readonly idle: BackendConnection[] = []
   readonly open = new Set<BackendConnection>()
+  /** Time at which the server's machine last refused a connection: the process had ended, and another one may follow it at the address. */
+  lastRefusedAtMs = -Infinity
   private readonly evidence: ProcessEvidence
   private readonly buffered: ByteBudget
   private readonly address: string
@@ -131,6 +133,7 @@
         this.closeExpired()
       },
       onClosed: closed => {
+        if (closed.wasRefused) this.lastRefusedAtMs = this.clock.nowMs()
         this.remove(closed)
         onFailed?.()
       },
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -440,10 +440,8 @@
 
   private onConnectionFailure ({ wasSent, isUnreachable, reason, isEndUnproved = false, isNoRoom = false }: ExchangeFailure): void {
     if (isNoRoom) return this.onNoRoom(reason)
-    if (isUnreachable) {
-      this.server.onRefused()
-      this.server.onUnreachable()
-    } else this.server.onFailed()
+    if (isUnreachable) this.server.onUnreachable()
+    else this.server.onFailed()
     if (!wasSent) return this.finish({ kind: 'unsent', reason })
     const result = this.failure(reason)
     this.finish(result.kind === 'unknown' ? { ...result, isConnectionLost: true, isEndUnproved } : result)
--- a/src/serving/serverSelection.ts
+++ b/src/serving/serverSelection.ts
@@ -336,7 +336,10 @@
   mayAnswer (request: ProxiedRequest, { version, hasBegun }: Progress, server: BackendServer): boolean {
     const { entry } = server
     if (version !== undefined && !this.isOfVersion(server, version)) return false
-    return hasBegun || !isResumable(request) || (this.options.streams?.mayBegin(request.service.name, versionOf(entry)) ?? true)
+    const { streams } = this.options
+    if (hasBegun || !streams || !isResumable(request)) return true
+    // A stream that begins there would be recorded with the version of the entry.
+    return streams.mayBegin(request.service.name, versionOf(entry)) && !streams.mayHaveRestarted(server)
   }
 
   /** Whether a server of the only version that may answer holds the request's model or is loading it. */
--- a/src/serving/streamVersions.ts
+++ b/src/serving/streamVersions.ts
@@ -183,8 +183,8 @@
   }
 
   /** Whether a process of another version may answer at the server's address, of whose entry this node does not know yet. */
-  mayHaveRestarted ({ lastRefusedAtMs }: Pick<BackendServer, 'lastRefusedAtMs'>): boolean {
-    return this.options.clock.nowMs() - this.options.viewAgeMs() < lastRefusedAtMs + restartMs
+  mayHaveRestarted ({ pool }: BackendServer): boolean {
+    return this.options.clock.nowMs() - this.options.viewAgeMs() < pool.lastRefusedAtMs + restartMs
   }
 
   /** The version that may continue a stream, which a client takes up with `request`. */
--- a/tests/streamVersions.spec.ts
+++ b/tests/streamVersions.spec.ts
@@ -117,7 +117,7 @@
   })
 
   const streamsWith = (takeUp: TakeUp, mayBegin = (_service: string, _version: string) => true): NonNullable<RequestProxyOptions['streams']> =>
-    ({ mayBegin, mayHaveRestarted: ({ lastRefusedAtMs }) => lastRefusedAtMs > 0, takeUpOf: async () => takeUp, onBegun: (request, version) => begun.push([request.metadata.requestId!, version]), onNotServed: () => 250 })
+    ({ mayBegin, mayHaveRestarted: ({ pool }) => pool.lastRefusedAtMs > 0, takeUpOf: async () => takeUp, onBegun: (request, version) => begun.push([request.metadata.requestId!, version]), onNotServed: () => 250 })
   let begun: [string, string][] = []
   const takeUp = { headers: { ...forModel.headers, resumes: 'id0', 'last-event-id': '3' } }
 
@@ -138,7 +138,7 @@
     expect((await fixture.send('id1', takeUp)).status).to.equal(503)
     await sleep(1000)
     await fixture.restartAt(port!, whole('v2'))
-    expect((await fixture.send('id2', takeUp)).status).to.equal(503)
+    for (const request of [takeUp, forModel]) expect((await fixture.send('id2', request)).status).to.equal(503)
     expect(fixture.received).to.have.length(0)
   })
 
