Soak: engines of several versions, and clients that take streams up

Clients take a broken stream up at another node within their deadline, with Resumes and Last-Event-Id, and begin anew after a 503. The fault "killAll" ends all nodes at once.

Events of engines name the version. The ledger reports ORDER when a stream holds events of two versions, in one answer or over its requests, at any node, and LOST when of 12 or more streams that are taken up at calm nodes, while two engines of their version serve, fewer go on than half of the share of new streams that begin.

--- a/tests/soak/backendStandIn.ts
+++ b/tests/soak/backendStandIn.ts
@@ -15,6 +15,7 @@
 const beatMs = 400
 const workMs = 60
 const usualEventMs = 25
+const usualVersion = 'v1'
 const loadMs = 500
 const adapterMs = 20
 const pausePollMs = 10
@@ -34,6 +35,8 @@
 export interface BackendOptions {
   id: string
   service: string
+  /** Version of its software, which its events name; `v1` if absent. */
+  version?: string | undefined
   slots: number
   /** Engines only: the models that it holds at its start. */
   models?: string[]
@@ -108,6 +111,10 @@
     this.proxy.target = target
   }
 
+  get version (): string {
+    return this.options.version ?? usualVersion
+  }
+
   get isGone (): boolean {
     return this.isDead
   }
@@ -178,7 +185,7 @@
     const { store, id, service, slots, models } = this.options
     if (this.isDead || store.mode !== 'up') return store.mode === 'up'
     store.put(`servers/${id}`, {
-      service, address: this.address, zone: 'z1', version: 1, slots, state: this.state, cold_left_ms: 0, seq: ++this.beats, born: this.born, ...(models ? { stage: 'combined', models: this.hosted() } : {})
+      service, address: this.address, zone: 'z1', version: this.version, slots, state: this.state, cold_left_ms: 0, seq: ++this.beats, born: this.born, ...(models ? { stage: 'combined', models: this.hosted() } : {})
     })
     return true
   }
@@ -304,7 +311,7 @@
       while (performance.now() < this.pausedUntilMs && !response.destroyed) await sleep(pausePollMs)
       if (response.destroyed) return
       if (event >= stopsBefore) return this.stopStream(response, id, event)
-      response.write(`id: ${event}\ndata: ${id}.${event}\n\n`)
+      response.write(`id: ${event}\ndata: ${id}.${event} ${this.version}\n\n`)
       await sleep(eventMs)
       if (this.options.random() < this.lostShare / streamEvents) {
         // The end of an answer without a length would not show that it was lost.
--- a/tests/soak/clients.ts
+++ b/tests/soak/clients.ts
@@ -6,7 +6,7 @@
 import { costOf } from './accounts.js'
 import type { Access } from './accounts.js'
 import { streamEvents } from './backendStandIn.js'
-import type { Kind, Ledger, Outcome } from './ledger.js'
+import type { Kind, Ledger, Outcome, TakeUp } from './ledger.js'
 import type { NodeProcess } from './nodeProcess.js'
 
 export const host = 'soak.example'
@@ -23,6 +23,10 @@
   /** Shared prompt parts, in order; the last part of a prompt is always the request's own. */
   parts?: readonly string[]
   access?: Access | undefined
+  /** The part of a stream that the client already has. */
+  takeUp?: TakeUp | undefined
+  /** Time that the client has left; that of the route if absent. */
+  deadlineMs?: number
 }
 
 export class Clients {
@@ -37,14 +41,15 @@
   }
 
   /** Resolves with the answer, or with `undefined` if none came. */
-  send (node: NodeProcess, { kind, path, model, parts = [], access }: Call): Promise<Outcome | undefined> {
+  send (node: NodeProcess, { kind, path, model, parts = [], access, takeUp, deadlineMs = timeoutMs[kind] }: Call): Promise<Outcome | undefined> {
     const id = `${node.name}.${++this.nextId}`
     const method = kind === 'safe' ? 'GET' : 'POST'
     const body = kind === 'safe' ? '' : `body of ${id}`
-    this.ledger.onSent(id, kind, node.name, `${method} ${path} ${body}`, { key: access?.key, tokens: costOf(access?.tokens ?? (model === undefined ? undefined : streamTokens)), isPublic: isPublic(path) })
+    this.ledger.onSent(id, kind, node.name, `${method} ${path} ${body}`, { key: access?.key, tokens: costOf(access?.tokens ?? (model === undefined ? undefined : streamTokens)), isPublic: isPublic(path) }, takeUp)
     this.pending++
     return new Promise<Outcome | undefined>(resolve => {
-      const headers: Record<string, string> = { Host: host, 'X-Attempt-Id': id, 'X-Deadline-Ms': String(timeoutMs[kind]) }
+      const headers: Record<string, string> = { Host: host, 'X-Attempt-Id': id, 'X-Deadline-Ms': String(Math.round(deadlineMs)) }
+      if (takeUp) Object.assign(headers, { Resumes: takeUp.stream, 'Last-Event-Id': String(takeUp.lastEventId) })
       if (model !== undefined) Object.assign(headers, { 'X-Model': model, 'X-Token-Count': `${streamTokens.prompt},${streamTokens.output}`, 'X-Prompt-Prefix': [...parts, `e${this.nextId.toString(16)}`].map(part => `${part}:10`).join() })
       if (access) Object.assign(headers, { 'X-Api-Key': access.key })
       if (access?.tokens) Object.assign(headers, { 'X-Token-Count': `${access.tokens.prompt},${access.tokens.output}` })
@@ -57,11 +62,11 @@
         if (isOver) return
         isOver = true
         clearInterval(heldTimer)
-        if (outcome) this.ledger.onAnswer(id, outcome, { events: streamEvents, timeoutMs: timeoutMs[kind] })
+        if (outcome) this.ledger.onAnswer(id, outcome, { events: streamEvents, timeoutMs: deadlineMs })
         resolve(outcome)
       }
       const heldTimer = setInterval(() => {
-        if (!this.ledger.onHeld(id, timeoutMs[kind])) return
+        if (!this.ledger.onHeld(id, deadlineMs)) return
         finish(undefined)
         request.destroy()
       }, heldPollMs)
@@ -79,7 +84,7 @@
         response.on('close', () => {
           const { events, rest } = isUnframedStream(response.headers) ? readEvents(text) : { events: text, rest: '' }
           // Without a length or chunks, Node.js counts a response as complete, whatever ends its connection.
-          finish({ status: response.statusCode!, isComplete: response.complete && !hasFailed && rest === '', isFramed: hasFraming, headers: response.headers, body: events + rest, silentMs: performance.now() - lastPartAtMs })
+          finish({ id, status: response.statusCode!, isComplete: response.complete && !hasFailed && rest === '', isFramed: hasFraming, headers: response.headers, body: events + rest, silentMs: performance.now() - lastPartAtMs })
         })
       })
       // A socket whose connection is refused is not connecting any more either.
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -166,6 +166,43 @@
   keyRemovalUnseen: (world, durationMs) => removeKeyUnseen(world, durationMs, 'cutAll')
 }
 
+/** Shortest time between two engines of a release, and how long those that drain go on. */
+const shortestStepMs = 300
+const releaseDrainMs = 3000
+
+/** Replaces engines one after the other by those of another version: all that have another one, or the older half of them. */
+async function release (world: World, durationMs: number): Promise<void> {
+  if (world.isReleasing) return
+  world.isReleasing = true
+  const version = world.pickRelease()
+  const others = world.engines.filter(engine => engine.version !== version)
+  const replaced = world.random() < 0.5 ? others : others.slice(0, Math.ceil(others.length / 2))
+  const drains = world.random() < 0.5
+  const ends: Promise<void>[] = []
+  for (const engine of replaced) {
+    // Another fault may have ended it meanwhile.
+    if (engine.isGone) continue
+    await world.replaceBackend(engine, version)
+    await sleep(shortestStepMs + durationMs / replaced.length)
+    if (drains) ends.push(engine.drain(releaseDrainMs))
+    else if (!engine.isGone) engine.crash()
+  }
+  await Promise.all(ends)
+  world.isReleasing = false
+}
+
+/** Faults of deployments whose engines have several versions. */
+export const releaseFaults: Record<string, Fault> = {
+  release,
+  killAll: async world => {
+    for (const node of world.nodes) {
+      node.condition.begin('herd')
+      node.signal('SIGKILL')
+      node.condition.end('herd')
+    }
+  }
+}
+
 export const faults: Record<string, Fault> = {
   kill: world => disturbNode(world, 'kill', async node => node.signal('SIGKILL')),
   killSeries: (world, durationMs) => disturbNode(world, 'kill series', async node => {
--- a/tests/soak/ledger.ts
+++ b/tests/soak/ledger.ts
@@ -35,6 +35,11 @@
 const fewestJudged = 20
 const leastServedShare = 0.5
 
+/** Streams that are taken up while so many engines of their version serve: the least number to judge, and the share that must go on, of the share of new streams that begin. */
+const enginesOfVersion = 2
+const fewestTakenUp = 12
+const leastGoingOnShare = 0.5
+
 const promises = new Set([408, 421, 429, 503])
 
 /** Something that may be under a fault; promises with a time bound hold only without. */
@@ -74,6 +79,13 @@
   }
 }
 
+/** What a client that takes a broken stream up has of it. */
+export interface TakeUp {
+  /** ID of the request that brought the first event. */
+  stream: string
+  lastEventId: number
+}
+
 interface Sent {
   kind: Kind
   node: string
@@ -82,12 +94,15 @@
   runs: string[]
   status: number | undefined
   account: SentAccount
+  takeUp: TakeUp | undefined
 }
 
 /** What a request sent of its account, and what it costs. */
 interface SentAccount { key: string | undefined, tokens: number, isPublic: boolean }
 
 export interface Outcome {
+  /** ID of the request. */
+  id: string
   status: number
   /** Whether the connection ended as an answer that is complete does. */
   isComplete: boolean
@@ -126,6 +141,14 @@
   private readonly deadlyArrivals = new Map<string, number>()
   /** Sound requests that share the other parts of deadly ones, after the time in which those must have been found. */
   private readonly neighbours = { sent: 0, served: 0 }
+  /** Versions of the software of engines, with the time of their start. */
+  private readonly engines = new Map<string, { version: string, startedAtMs: number }>()
+  /** Version of the first event of each stream, by the request that brought it. */
+  private readonly versionOfStream = new Map<string, string>()
+  /** Streams that were taken up at nodes in touch, and whether the last take-up of each went on. */
+  private readonly takenUp = new Map<string, boolean>()
+  /** New streams at nodes in touch. */
+  private readonly newStreams = { sent: 0, begun: 0 }
   private readonly fences = new Map<string, Map<number, string>>()
   /** Highest fence of all orders, and what it was when each node was elected last. */
   private highestFence = 0
@@ -145,8 +168,8 @@
     this.counts[name] = (this.counts[name] ?? 0) + 1
   }
 
-  onSent (id: string, kind: Kind, node: string, content: string, account: SentAccount): void {
-    this.sent.set(id, { account, kind, node, content, sentAtMs: performance.now(), runs: [], status: undefined })
+  onSent (id: string, kind: Kind, node: string, content: string, account: SentAccount, takeUp?: TakeUp): void {
+    this.sent.set(id, { account, takeUp, kind, node, content, sentAtMs: performance.now(), runs: [], status: undefined })
   }
 
   onUnframedRun (id: string): void {
@@ -231,6 +254,41 @@
     if (sent > 0) this.counts['neighbours served in 100'] = Math.round(100 * served / sent)
   }
 
+  onEngine (id: string, version: string): void {
+    this.engines.set(id, { version, startedAtMs: performance.now() })
+  }
+
+  /** A stream, or the rest of one that is taken up, has begun or has not. A request under a fault of its node or of the store counts for nothing. */
+  private judgeStream (id: string, { kind, takeUp, sentAtMs, node }: Sent, hasBegun: boolean): void {
+    if (kind !== 'stream') return
+    if (takeUp) this.count(`take-ups that ${hasBegun ? 'go' : 'do not go'} on`)
+    if (!this.store.wasCalmSince(sentAtMs) || !this.nodes.get(node)?.wasCalmSince(sentAtMs)) return
+    if (!takeUp) {
+      this.newStreams.sent++
+      if (hasBegun) this.newStreams.begun++
+      return
+    }
+    const version = this.versionOfStream.get(takeUp.stream)
+    const serving = [...this.engines].filter(([engine, entry]) => entry.version === version && this.servesSince(engine, entry, sentAtMs))
+    if (serving.length < enginesOfVersion) return
+    this.takenUp.set(takeUp.stream, hasBegun)
+  }
+
+  /** Whether an engine was known, sound and not about to leave since `sinceMs`. */
+  private servesSince (engine: string, { startedAtMs }: { startedAtMs: number }, sinceMs: number): boolean {
+    const isLeaving = this.drainingAtMs.has(engine) || [...this.leavingAtMs.keys()].some(key => key.endsWith(`/${engine}`))
+    return startedAtMs < sinceMs - contactMs && !isLeaving && this.backends.get(engine)!.wasCalmSince(sinceMs)
+  }
+
+  /** Checks at the end of a run that streams of versions that are served went on where clients took them up. */
+  checkTakeUps (): void {
+    const goingOn = [...this.takenUp.values()].filter(Boolean).length
+    const { sent, begun } = this.newStreams
+    if (this.takenUp.size > 0) Object.assign(this.counts, { 'streams taken up and judged': this.takenUp.size, 'of them go on': goingOn })
+    if (this.takenUp.size < fewestTakenUp || goingOn / this.takenUp.size >= leastGoingOnShare * begun / sent) return
+    this.violation('LOST', `of ${this.takenUp.size} streams that were taken up while ${enginesOfVersion} engines of their version served ${goingOn} went on, and of ${sent} new ones ${begun} began`)
+  }
+
   onArrival (id: string, backend: string): void {
     const request = this.sent.get(id)
     if (request) this.checkNotices(id, backend, request)
@@ -317,6 +375,7 @@
     const request = this.sent.get(id)!
     request.status = status
     if (status === 401) this.checkDenied(id, request)
+    this.judgeStream(id, request, status === 200 && (isComplete || body !== ''))
     // An earlier run had begun the response with chunks, and no server states the end of the last one.
     const isEndUnstated = isFramed && this.unstated.has(id)
     if (status === 200 && !isComplete && !this.stopped.has(id) && !isEndUnstated) this.onBrokenOff(id, request, outcome, timeoutMs)
@@ -325,7 +384,7 @@
       if (!headers['x-server-stamp'] || headers['x-attempt-id'] !== id) this.violation('MIXED', `${id} is answered without its stamp or with another ID`)
       // What a server ended in order without a length or chunks may reach its client in this way, too.
       const mayBePart = this.stopped.has(id) && !isFramed
-      if (request.kind === 'stream') this.checkEvents(id, body, isComplete && !mayBePart, events)
+      if (request.kind === 'stream') this.checkEvents(id, request, body, { isComplete: isComplete && !mayBePart, expected: events })
       else if (isComplete && !mayBePart && !isWhole(body, id, headers['x-server-stamp'])) this.violation('MIXED', `${id} gets ${body.slice(0, 80)}`)
     }
     if (promises.has(status) && request.kind === 'unsafe' && request.runs.length > 0) this.violation('REFUSED', `${id} gets ${status} and ran at ${request.runs.join()}`)
@@ -351,6 +410,7 @@
     const request = this.sent.get(id)!
     const { kind, node, sentAtMs, runs } = request
     this.count(`${kind} lost`)
+    this.judgeStream(id, request, false)
     if (this.isNodeToBlame(request) && ++this.unanswered > mostUnanswered) {
       this.violation('LOST', `${node} closes the connection of ${id} without an answer though ${runs.at(-1)} is sound, the ${this.unanswered}th such request: at most ${mostUnanswered} are excused`)
     }
@@ -368,13 +428,30 @@
     return true
   }
 
-  private checkEvents (id: string, body: string, isComplete: boolean, expected: number): void {
+  private checkEvents (id: string, { takeUp }: Sent, body: string, { isComplete, expected }: { isComplete: boolean, expected: number }): void {
     const blocks = body.split('\n\n')
     const rest = blocks.pop()!
-    const wrong = blocks.findIndex((block, index) => block !== `id: ${index + 1}\ndata: ${id}.${index + 1}`)
-    if (wrong !== -1) this.violation('ORDER', `${id}: event ${wrong + 1} is ${JSON.stringify(blocks[wrong])}`)
-    if (isComplete && (blocks.length !== expected || rest !== '')) this.violation('ORDER', `${id} ends as complete after ${blocks.length} of ${expected} events`)
+    const { stream, lastEventId } = takeUp ?? { stream: id, lastEventId: 0 }
+    const versions = blocks.map((block, index) => versionOf(block, id, lastEventId + index + 1))
+    const wrong = versions.indexOf(undefined)
+    if (wrong !== -1) this.violation('ORDER', `${id}: event ${lastEventId + wrong + 1} is ${JSON.stringify(blocks[wrong])}`)
+    if (isComplete && (lastEventId + blocks.length !== expected || rest !== '')) this.violation('ORDER', `${id} ends as complete after ${lastEventId + blocks.length} of ${expected} events`)
+    this.checkVersions(id, stream, { versions, lastEventId })
   }
+
+  /** Checks that all events of a stream are of the version that began it. */
+  private checkVersions (id: string, stream: string, { versions, lastEventId }: { versions: (string | undefined)[], lastEventId: number }): void {
+    if (!this.versionOfStream.has(stream) && versions[0] !== undefined) this.versionOfStream.set(stream, versions[0])
+    const begunBy = this.versionOfStream.get(stream)
+    const other = versions.findIndex(version => version !== undefined && version !== begunBy)
+    if (other !== -1) this.violation('ORDER', `${id}: event ${lastEventId + other + 1} is of version ${versions[other]}, and ${begunBy} began the stream ${stream}`)
+  }
+}
+
+/** Version that wrote an event, or `undefined` if it is not event `number` of the request. */
+function versionOf (block: string, id: string, number: number): string | undefined {
+  const start = `id: ${number}\ndata: ${id}.${number} `
+  return block.startsWith(start) ? /^\w+$/.exec(block.slice(start.length))?.[0] : undefined
 }
 
 function isWhole (body: string, id: string, stamp: string | string[] | undefined): boolean {
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -1,4 +1,4 @@
-/** `npm run soak -- [--seed N] [--seeds N] [--seconds N] [--nodes N] [--only FAULT,...] [--streams] [--accounts] [--sabotage NAME]` */
+/** `npm run soak -- [--seed N] [--seeds N] [--seconds N] [--nodes N] [--only FAULT,...] [--streams] [--accounts] [--releases] [--sabotage NAME]` */
 
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -13,6 +13,7 @@
     nodes: { type: 'string', default: '4' },
     streams: { type: 'boolean' },
     accounts: { type: 'boolean' },
+    releases: { type: 'boolean' },
     only: { type: 'string' },
     sabotage: { type: 'string' }
   }
@@ -23,7 +24,7 @@
   const seed = firstSeed + index
   const directory = join(tmpdir(), `teaselrill-soak-${process.pid}-${seed}`)
   const { violations, counts, played, servedAtEnd } = await runSoak({
-    seed, directory, durationMs: Number(values.seconds) * 1000, nodeCount: Number(values.nodes), only: values.only?.split(','), sabotage: values.sabotage, onlyStreams: values.streams, hasAccounts: values.accounts
+    seed, directory, durationMs: Number(values.seconds) * 1000, nodeCount: Number(values.nodes), only: values.only?.split(','), sabotage: values.sabotage, onlyStreams: values.streams, hasAccounts: values.accounts, hasReleases: values.releases
   })
   console.log(`seed ${seed}: ${violations.length} violations, ${(servedAtEnd * 100).toFixed(1)}% served at the end, ${JSON.stringify(counts)}`)
   if (violations.length === 0) continue
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -1,7 +1,7 @@
 /** One seeded run: real nodes, overlapping faults, then a calm end in which everything must be served again. */
 
 import { createRandom } from '../fixtures/seeds.js'
-import { accountFaults, faults } from './faults.js'
+import { accountFaults, faults, releaseFaults } from './faults.js'
 import { sleep } from './storeStandIn.js'
 import { World } from './world.js'
 
@@ -15,6 +15,8 @@
 const longestFaultMs = 4000
 /** Share of the faults that replace keys, where there are accounts. */
 const keyRemovalShare = 0.3
+/** Share of the faults that are releases, where versions change. */
+const releaseShare = 0.3
 
 export interface SoakOptions {
   seed: number
@@ -34,6 +36,8 @@
   onlyStreams?: boolean | undefined
   /** The deployment has client accounts, and keys are replaced. */
   hasAccounts?: boolean | undefined
+  /** Versions of engines change, and clients ask for streams alone and take broken ones up. */
+  hasReleases?: boolean | undefined
 }
 
 export interface SoakResult {
@@ -45,9 +49,9 @@
   servedAtEnd: number
 }
 
-export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, until, service, only, sabotage, onlyStreams, hasAccounts }: SoakOptions): Promise<SoakResult> {
+export async function runSoak ({ seed, directory, durationMs, mustHeal = true, nodeCount, until, service, only, sabotage, onlyStreams, hasAccounts, hasReleases }: SoakOptions): Promise<SoakResult> {
   const random = createRandom(seed)
-  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, service, sabotage, onlyStreams, hasAccounts })
+  const world = new World({ random: createRandom(seed + 1_000_000), nodeCount, directory, service, sabotage, onlyStreams, hasAccounts, hasReleases })
   const played: string[] = []
   const names = only ?? Object.keys(faults)
   await world.start()
@@ -60,13 +64,16 @@
     const running: Promise<void>[] = []
     while (performance.now() < untilMs && !isFound()) {
       // A run that looks for the violation of a rule plays only the faults that lead to it.
-      const name = hasAccounts && !until && random() < keyRemovalShare ? 'keyRemoval' : names[Math.floor(random() * names.length)]!
+      const name = hasAccounts && !until && random() < keyRemovalShare
+        ? 'keyRemoval'
+        : hasReleases && !until && random() < releaseShare ? 'release' : names[Math.floor(random() * names.length)]!
       played.push(`${((performance.now() - startedAtMs) / 1000).toFixed(1)} ${name}`)
-      running.push((faults[name] ?? accountFaults[name]!)(world, 300 + random() * longestFaultMs))
+      running.push((faults[name] ?? accountFaults[name] ?? releaseFaults[name]!)(world, 300 + random() * longestFaultMs))
       await sleep(200 + random() * 1800)
     }
     await Promise.all([traffic, ...running])
     world.ledger.checkNeighbours()
+    world.ledger.checkTakeUps()
     if (!mustHeal) return { seed, violations: world.ledger.violations, counts: world.ledger.counts, played, servedAtEnd: NaN }
     if (world.accounts) world.accounts.isFlooding = false
     await sleep(healMs)
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -2,12 +2,12 @@
 
 import { Accounts } from './accounts.js'
 import type { Access } from './accounts.js'
-import { BackendStandIn, engineMb, adapterSlots, modelMb } from './backendStandIn.js'
+import { BackendStandIn, engineMb, adapterSlots, modelMb, streamEvents } from './backendStandIn.js'
 import { Clients, host, timeoutMs } from './clients.js'
 import type { Call } from './clients.js'
 import type { FaultProxy } from './faultProxy.js'
 import { configMs, Condition, gapObjectiveMs, Ledger, objectiveMs } from './ledger.js'
-import type { Outcome } from './ledger.js'
+import type { Outcome, TakeUp } from './ledger.js'
 import { NodeProcess } from './nodeProcess.js'
 import { sleep, StoreStandIn } from './storeStandIn.js'
 import type { StoreCopy } from './storeStandIn.js'
@@ -20,6 +20,12 @@
 /** Routes of the newest configurations that stay; older ones are dropped. */
 const versionsKept = 2
 const engines = 3
+/** Versions of the engines at the start of a run in which they change. */
+const firstVersions = ['v1', 'v1', 'v2', 'v2']
+/** Share of the releases that go back to the version before the newest one. */
+const rollbackShare = 0.3
+/** Pause of a client before it takes a stream up, and the time that it must have left for it. */
+const takeUpMs = { pause: 100, leastLeft: 500 }
 const plainServers = 3
 const requestGapMs = 25
 export const leaderKey = 'teaselrill/leader'
@@ -51,6 +57,8 @@
   onlyStreams?: boolean | undefined
   /** The deployment has client accounts. */
   hasAccounts?: boolean | undefined
+  /** Versions of engines change, and clients take broken streams up. */
+  hasReleases?: boolean | undefined
 }
 
 export interface Traffic {
@@ -85,9 +93,14 @@
   private readonly service: string | undefined
   private readonly models: readonly string[]
   private readonly onlyStreams: boolean
+  private readonly hasReleases: boolean
+  private newestVersion = firstVersions.at(-1)!
+  /** One release at a time, as operators make them. */
+  isReleasing = false
 
-  constructor ({ random, nodeCount, directory, service, sabotage, onlyStreams = false, hasAccounts = false }: WorldOptions) {
+  constructor ({ random, nodeCount, directory, service, sabotage, hasReleases = false, onlyStreams = hasReleases, hasAccounts = false }: WorldOptions) {
     this.random = random
+    this.hasReleases = hasReleases
     this.accounts = this.ledger.accounts = hasAccounts ? new Accounts(random) : undefined
     this.onlyStreams = onlyStreams
     this.clients = new Clients(this.ledger, onlyStreams ? maxPending : connectionsEach)
@@ -101,7 +114,8 @@
 
   async start (): Promise<void> {
     await this.store.listen()
-    for (let index = 0; index < engines; index++) await this.addBackend('models', [this.models[index % this.models.length]!, this.models[(index + 1) % this.models.length]!])
+    const versions = this.hasReleases ? firstVersions : Array<undefined>(engines).fill(undefined)
+    for (const [index, version] of versions.entries()) await this.addBackend('models', [this.models[index % this.models.length]!, this.models[(index + 1) % this.models.length]!], { version })
     for (let index = 0; index < plainServers; index++) await this.addBackend('orders')
     this.changeConfig()
     await Promise.all(this.nodes.map(node => node.start()))
@@ -128,16 +142,24 @@
     return [...this.backends.values()].filter(({ isGone, isEngine }) => !isGone && isEngine)
   }
 
-  async replaceBackend ({ options: { service, models: held } }: BackendStandIn): Promise<void> {
-    await this.addBackend(service, held)
+  async replaceBackend ({ options, version: earlier }: BackendStandIn, version = earlier): Promise<void> {
+    await this.addBackend(options.service, options.models, { version })
+  }
+
+  /** Version of the next release: a newer one, or the one before the newest. */
+  pickRelease (): string {
+    const newest = Number(this.newestVersion.slice(1))
+    if (this.random() < rollbackShare) return `v${newest - 1}`
+    this.newestVersion = `v${newest + 1}`
+    return this.newestVersion
   }
 
   /** Another process takes the address of a server that has ended: the same server, or one that nobody has seen yet. */
   async takeAddress (backend: BackendStandIn, { isSame }: { isSame: boolean }): Promise<void> {
-    const { id, service, models: held } = backend.options
+    const { version, options: { id, service, models: held } } = backend
     backend.isBack = isSame
     if (isSame) this.ledger.onReborn(id)
-    await this.addBackend(service, held, { id: isSame ? id : undefined, proxy: backend.proxy })
+    await this.addBackend(service, held, { id: isSame ? id : undefined, version, proxy: backend.proxy })
   }
 
   /** Sends prompts with a part that ends engines for `durationMs`, unless as many such parts as may be are in play. */
@@ -211,7 +233,7 @@
     const call: Call = kind < 0.4
       ? { kind: 'unsafe', path: '/order/1' }
       : kind < 0.65 ? { kind: 'safe', path: '/stock/1' } : { kind: 'stream', path: '/chat/1', parts: this.partsOfPrompt(deadly), model: this.pick(this.models) + (this.random() < 0.2 ? `/a${1 + Math.floor(this.random() * 4)}` : '') }
-    const outcome = await this.clients.send(node, { ...call, access })
+    const outcome = this.hasReleases ? await this.follow(node, { ...call, access }) : await this.clients.send(node, { ...call, access })
     if (outcome?.status === 404) this.ledger.violation('DENIED', `${node.name} answers 404 to ${call.path}`)
     // Callers with a removed key are owed nothing.
     const isServed = (outcome?.status === 200 && outcome.isComplete) || this.isRemoved(access)
@@ -220,6 +242,23 @@
     return isServed || deadly !== undefined ? undefined : unservedText(node, call, outcome)
   }
 
+  /** Takes a broken stream up at other nodes while its deadline lasts, and begins it anew where it can't go on. Resolves with the last answer. */
+  private async follow (firstNode: NodeProcess, call: Call): Promise<Outcome | undefined> {
+    const untilMs = performance.now() + timeoutMs[call.kind]
+    let node = firstNode
+    let outcome = await this.clients.send(node, call)
+    let takeUp = nextTakeUp(outcome)
+    // Requests that never began are not tried again, as in the other runs.
+    if (!takeUp) return outcome
+    while (!isOver(outcome, takeUp) && performance.now() < untilMs - takeUpMs.leastLeft) {
+      await sleep(takeUpMs.pause)
+      node = this.pick(this.nodes.filter(other => other !== node))
+      outcome = await this.clients.send(node, { ...call, takeUp, deadlineMs: untilMs - performance.now() })
+      takeUp = nextTakeUp(outcome, takeUp)
+    }
+    return outcome
+  }
+
   /** Asks for a route of one version, which shows the configuration that is in force at the node. */
   private async probe (node: NodeProcess): Promise<string | undefined> {
     // A node that takes up nothing still serves the first route, long after it was dropped.
@@ -256,16 +295,30 @@
     return sentAtMs > atMs + configMs && this.ledger.store.wasCalmSince(atMs) && node.condition.wasCalmSince(atMs)
   }
 
-  private async addBackend (service: string, held?: string[], { id = `i-${++this.nextBackend}`, proxy }: { id?: string | undefined, proxy?: FaultProxy } = {}): Promise<void> {
+  private async addBackend (service: string, held?: string[], { id = `i-${++this.nextBackend}`, version, proxy }: { id?: string | undefined, version?: string | undefined, proxy?: FaultProxy } = {}): Promise<void> {
     const { store, ledger, random } = this
-    const backend = new BackendStandIn({ id, service, slots: held ? 12 : 8, store, ledger, random, ...(proxy ? { proxy } : {}), ...(held ? { models: held, deadlyParts: this.deadlyParts, onKilled: killed => { void this.replaceKilled(killed) } } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
+    const backend = new BackendStandIn({ id, service, version, slots: held ? 12 : 8, store, ledger, random, ...(proxy ? { proxy } : {}), ...(held ? { models: held, deadlyParts: this.deadlyParts, onKilled: killed => { void this.replaceKilled(killed) } } : {}), ...(this.onlyStreams ? { eventMs: longEventMs } : {}) })
     if (!ledger.backends.has(id)) ledger.backends.set(id, new Condition())
     ledger.backends.get(id)!.end('gone')
+    if (held) ledger.onEngine(id, backend.version)
     this.backends.set(id, backend)
     await backend.start()
   }
 }
 
+/** What a client has of its stream after an answer: nothing if it must begin anew. */
+function nextTakeUp (outcome: Outcome | undefined, takeUp?: TakeUp): TakeUp | undefined {
+  if (takeUp && outcome?.status === 503) return undefined
+  const events = outcome?.status === 200 ? outcome.body.split('\n\n').length - 1 : 0
+  if (events === 0) return takeUp
+  return { stream: takeUp?.stream ?? outcome!.id, lastEventId: (takeUp?.lastEventId ?? 0) + events }
+}
+
+/** Whether the stream is whole: its answer has ended, or its client has the last event. */
+function isOver (outcome: Outcome | undefined, takeUp: TakeUp | undefined): boolean {
+  return takeUp !== undefined ? takeUp.lastEventId >= streamEvents : outcome?.status === 200 && outcome.isComplete
+}
+
 function unservedText ({ name }: NodeProcess, { kind, path, model = path }: Call, outcome: Outcome | undefined): string {
   const end = outcome ? `${outcome.status}${outcome.isComplete ? '' : ' cut'} ${JSON.stringify(outcome.body.slice(0, longestBodyChars))}` : 'no answer'
   return `${name} ${kind} ${model}: ${end}`
