Soak: show that the check of versions can fail

The sabotage "versions" lets nodes read the same software version from every backend server's entry, so it needs no name of the product's constraint. It is reported as ORDER.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -164,3 +164,17 @@
     expect(violations.join('\n')).to.match(/^KEY .* after its key was removed$/m)
   })
 })
+
+describe('soak of releases', () => {
+  it('keeps streams to the version that began them', async () => {
+    // A node continues a stream, or takes up one of another node, at an engine of another version (ORDER), or refuses all that are taken up (LOST).
+    const { violations, counts } = await run({ seed: 1, nodeCount: 5, durationMs: 25_000, hasReleases: true, only: ['kill', 'herdKill', 'killAll', 'backendCrash'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['streams taken up and judged']).to.be.at.least(12)
+  })
+
+  it('reports streams that go on at another version', async () => {
+    const { violations } = await sabotage('versions', 'ORDER', 'models', ['kill', 'killAll'], { hasReleases: true })
+    expect(violations.join('\n')).to.match(/^ORDER .* is of version v\d+, and v\d+ began the stream/m)
+  })
+})
