--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -164,3 +164,24 @@
     expect(violations.join('\n')).to.match(/^KEY .* after its key was removed$/m)
   })
 })
+
+describe('soak of releases', () => {
+  it('keeps streams to the version that began them, also when all nodes end', async () => {
+    // A node continues a stream, or takes up one of a node that has ended, at an engine of another version (ORDER).
+    const { violations, counts } = await run({ seed: 1, nodeCount: 5, durationMs: 20_000, hasReleases: true, only: ['kill', 'killAll', 'backendCrash'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['take-up 200']).to.be.above(20)
+  })
+
+  it('lets streams go on while engines of their version serve', async () => {
+    // A node refuses streams that began at a node that has ended (LOST).
+    const { violations, counts } = await run({ seed: 1, nodeCount: 6, durationMs: 30_000, hasReleases: true, only: ['kill'] })
+    expect(violations).to.deep.equal([])
+    expect(counts['streams taken up and judged']).to.be.at.least(12)
+  })
+
+  it('reports streams that go on at another version', async () => {
+    const { violations } = await sabotage('versions', 'ORDER', 'models', ['kill', 'killAll'], { hasReleases: true })
+    expect(violations.join('\n')).to.match(/^ORDER .* is of version v\d+, and v\d+ began the stream/m)
+  })
+})
