Soak: show that the check of streams that are taken up can fail

The sabotage "takeUps" lets nodes read an unknown ID in Resumes. A product that keeps versions apart then refuses these streams, which must be reported as LOST.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -184,4 +184,9 @@
     const { violations } = await sabotage('versions', 'ORDER', 'models', ['kill', 'killAll'], { hasReleases: true })
     expect(violations.join('\n')).to.match(/^ORDER .* is of version v\d+, and v\d+ began the stream/m)
   })
+
+  it('reports that streams do not go on', async () => {
+    const { violations } = await sabotage('takeUps', 'LOST', 'models', ['kill'], { nodeCount: 6, durationMs: 30_000, hasReleases: true })
+    expect(violations.join('\n')).to.match(/^LOST .* that were taken up while/m)
+  })
 })
