Escape versions that are not well-formed Unicode; log errors of the record timers

An entry's version may hold half a surrogate pair, for which no key could be escaped, and the markers of all other versions would not have been written. 33 tests pass (streamVersions, streamRecords, streamNodes, streamOrigins.spec).

--- a/src/serving/streamKeys.ts
+++ b/src/serving/streamKeys.ts
@@ -27,8 +27,8 @@
   }
 
   markerKey ({ service, version }: Pick<SoftwareMarker, 'service' | 'version'>): string {
-    const part = version === undefined ? unknownPart : encodeURIComponent(version) || emptyPart
-    return `${this.markers}${encodeURIComponent(service)}/${part}`
+    const part = version === undefined ? unknownPart : escape(version) || emptyPart
+    return `${this.markers}${escape(service)}/${part}`
   }
 
   /** The marker that a key of the store stands for, with the era that is its value; `undefined` if it is none. */
@@ -45,6 +45,11 @@
   }
 }
 
+/** Text that is not well-formed Unicode, which an entry may have, cannot be escaped as it is. */
+function escape (text: string): string {
+  return encodeURIComponent(Buffer.from(text).toString())
+}
+
 /** Service, version, digests one after the other. */
 export type RecordRows = [service: string, version: string, digests: string][]
 
--- a/src/serving/streamVersions.ts
+++ b/src/serving/streamVersions.ts
@@ -5,6 +5,7 @@
 
 import { repeat, sleep } from '../base/clock.js'
 import type { CancelTimer, Clock } from '../base/clock.js'
+import { messageOf } from '../base/errors.js'
 import type { Log } from '../base/log.js'
 import type { Random } from '../base/random.js'
 import { SoftwareMarkers } from '../policy/softwareMarkers.js'
@@ -121,11 +122,12 @@
   }
 
   start (): void {
-    const { clock } = this.options
+    const { clock, log } = this.options
+    const onError = (error: unknown) => log('error', 'records of streams not handled', { error: messageOf(error) })
     this.timers = [
-      repeat(clock, markerCheckMs, () => this.checkMarkers()),
-      repeat(clock, sendMs, () => this.sendRecords()),
-      repeat(clock, sweepMs, () => this.origins.sweep(clock.nowMs()))
+      repeat(clock, markerCheckMs, () => this.checkMarkers(), { onError }),
+      repeat(clock, sendMs, () => this.sendRecords(), { onError }),
+      repeat(clock, sweepMs, () => this.origins.sweep(clock.nowMs()), { onError })
     ]
   }
 
--- a/tests/streamOrigins.spec.ts
+++ b/tests/streamOrigins.spec.ts
@@ -49,6 +49,7 @@
     fc.assert(fc.property(word.filter(service => service !== ''), fc.option(word, { nil: undefined }), fc.nat(99), (service, version, era) => {
       expect(keys.readMarker(keys.markerKey({ service, version }), String(era))).to.deep.equal({ service, version, era })
     }))
+    expect(keys.readMarker(keys.markerKey({ service: 's', version: '\ud800' }), '1')).to.deep.equal({ service: 's', version: '\ufffd', era: 1 })
     const rows = ['v1', 'v2', 'v1'].map((version, index) => ({ service: 's', version, digest: streamDigest('s', 'account', `id/${index}`) }))
     expect(unpackRows(packRows(rows))).to.have.deep.members(rows)
     expect(streamDigest('s', 'other', 'id/0')).to.not.equal(rows[0]!.digest)
