Decide about software markers by a view of the era in which they are written

A marker written by what was listed in an earlier era told the version of all streams although the marker of another version was lost with the return of the store. A young marker counted again after a minute without a view of the store. The earlier test let a marker that had been seen for 40 s count as old; copies may be 60 s old, so it now waits until the marker was seen for a minute.

--- a/src/policy/softwareMarkers.ts
+++ b/src/policy/softwareMarkers.ts
@@ -63,6 +63,11 @@
     this.options = options
   }
 
+  /** Era of the store in which it was listed last. */
+  get currentEra (): number | undefined {
+    return this.era
+  }
+
   /** The store was listed in `era`. Returns whether it has come back from a copy since the last time. */
   onList (markers: readonly SoftwareMarker[], era: number): boolean {
     const isReturn = this.era !== undefined && era !== this.era
@@ -105,8 +110,10 @@
   mayBegin (service: string, version: string): boolean {
     const marker = this.markers.get(service)?.get(version)
     if (!marker || this.era === undefined || marker.era < this.era) return false
-    const isYoung = this.options.clock.nowMs() - marker.knownSinceMs < youngMarkerMs
-    return !isYoung || this.options.viewAgeMs() < maxBlindMs || !this.isShared(service)
+    const viewAgeMs = this.options.viewAgeMs()
+    // Without a view, a marker does not get older: the store may have come back without it right after the view ended.
+    const isYoung = this.options.clock.nowMs() - viewAgeMs - marker.knownSinceMs < youngMarkerMs
+    return !isYoung || viewAgeMs < maxBlindMs || !this.isShared(service)
   }
 
   /**
--- a/src/serving/softwareMarkerWriter.ts
+++ b/src/serving/softwareMarkerWriter.ts
@@ -58,8 +58,11 @@
     const { store, clock, random, log, keys, markers, recordLifetimeMs } = this.options
     const key = keys.markerKey({ service, version })
     const isNew = !markers.mayBegin(service, version)
+    const { currentEra } = markers
     try {
       const lease = await store.grantLease(markerLeaseMs)
+      // Whether other markers may be lost was decided by what was listed in an earlier era.
+      if (lease.era !== currentEra) throw new Error('the store came back from a copy and has not been listed since')
       const unknownLease = withUnknown ? await store.grantLease(unknownMarkerMs(recordLifetimeMs())) : undefined
       const written: SoftwareMarker[] = [{ service, version, era: lease.era }, ...(unknownLease ? [{ service, version: undefined, era: unknownLease.era }] : [])]
       const writes = written.map(marker => ({ key: keys.markerKey(marker), value: String(marker.era), lease: marker.version === undefined ? unknownLease! : lease }))
--- a/tests/streamOrigins.spec.ts
+++ b/tests/streamOrigins.spec.ts
@@ -1,10 +1,14 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { VirtualClock } from '../src/base/clock.js'
+import { silentLog } from '../src/base/log.js'
+import { SeededRandom } from '../src/base/random.js'
 import { markerRenewalMs, SoftwareMarkers } from '../src/policy/softwareMarkers.js'
 import { continueByMarkers, continueByRecord } from '../src/policy/streamContinuation.js'
 import { StreamOrigins } from '../src/policy/streamOrigins.js'
+import { SoftwareMarkerWriter } from '../src/serving/softwareMarkerWriter.js'
 import { packRows, StreamKeys, streamDigest, unpackRows } from '../src/serving/streamKeys.js'
+import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 
 const word = fc.constantFrom('', 'v1', 'v1.1', '?', '%', 'a/b', '100%')
 
@@ -91,10 +95,50 @@
     await clock.advance(markerRenewalMs)
     expect(markers.dueWrite('s', 'v1', { isLeader: true })).to.deep.equal({ withUnknown: false })
     expect(markers.dueWrite('s', 'v1', { isLeader: false })).to.equal(undefined)
+    await clock.advance(20_000)
     viewAgeMs = 20_000
     expect(markers.dueWrite('s', 'v1', { isLeader: true })).to.equal(undefined)
-    // A marker that was written right before the view ended may be lost with a return of the store; an older one is in every copy.
+    // A marker that was written right before the view ended may be lost with a return of the store; one that was seen for a minute is in every copy.
     markers.onWritten({ service: 's', version: 'v2', era: 0 })
     expect([markers.mayBegin('s', 'v1'), markers.mayBegin('s', 'v2')]).to.deep.equal([true, false])
   })
+
+  // Guards against a node that is cut off for a minute and then begins streams under a marker that the store lost right after the cut.
+  it('does not take a young marker for an old one because time passes without a view of the store', async () => {
+    const clock = new VirtualClock()
+    let viewAgeMs = 0
+    const markers = new SoftwareMarkers({ clock, isFirstStart: true, viewAgeMs: () => viewAgeMs, versionsOf: () => new Set(['v1', 'v2']) })
+    markers.onList([{ service: 's', version: 'v1', era: 0 }, { service: 's', version: 'v2', era: 0 }], 0)
+    await clock.advance(5000)
+    for (let cutMs = 15_000; cutMs <= 180_000; cutMs += 5000) {
+      viewAgeMs = cutMs
+      await clock.advance(cutMs === 15_000 ? 15_000 : 5000)
+      expect(markers.mayBegin('s', 'v2'), `${cutMs} ms after the cut`).to.equal(false)
+    }
+  })
+
+  // Guards against a marker of the current era without that of unknown versions, which would then tell the version of all streams.
+  for (const [name, listed] of [['a renewal', [{ service: 's', version: 'v1', era: 0 }]], ['the first write', []]] as const) {
+    it(`does not write a marker by what was listed before the store came back from a copy: ${name}`, async () => {
+      const clock = new VirtualClock()
+      const state = new StoreState(clock)
+      const keys = new StreamKeys('own/')
+      const markers = new SoftwareMarkers({ clock, isFirstStart: true, viewAgeMs: () => 0, versionsOf: () => new Set(['v1']) })
+      const writer = new SoftwareMarkerWriter({
+        store: new MemoryStore(state), clock, random: new SeededRandom(1), log: silentLog, keys, markers, nodeCount: () => 1, isLeader: () => true, recordLifetimeMs: () => 30_000
+      })
+      markers.onList(listed, 0)
+      await clock.advance(markerRenewalMs)
+      // What another node wrote since the copy is lost: the marker of v2.
+      state.restore(state.copy())
+      writer.check('s', 'v1')
+      await clock.advance(100)
+      expect([...state.items.keys()]).to.deep.equal([])
+      markers.onList([], 1)
+      await clock.advance(1000)
+      writer.check('s', 'v1')
+      await clock.advance(100)
+      expect([...state.items.keys()]).to.deep.equal(['own/software/s/v1', 'own/software/s/?'])
+    })
+  }
 })
