Renew software markers that were only listed

Each list of the store counted as a renewal, so that a marker close to its end was not renewed for a minute by a leader that had just started.

--- a/src/policy/softwareMarkers.ts
+++ b/src/policy/softwareMarkers.ts
@@ -75,7 +75,12 @@
     this.firstEra ??= era
     const earlier = this.markers
     this.markers = new Map()
-    for (const marker of markers) this.put(marker, earlier.get(marker.service)?.get(marker.version))
+    const nowMs = this.options.clock.nowMs()
+    for (const marker of markers) {
+      const known = earlier.get(marker.service)?.get(marker.version)
+      // A list does not tell when a marker was written, and it may soon end: the leader renews one that is new to it at once.
+      this.put(marker, known, known?.era === marker.era ? known.writtenAtMs : nowMs - markerRenewalMs)
+    }
     return isReturn
   }
 
@@ -88,12 +93,12 @@
     this.markers.get(service)?.delete(version)
   }
 
-  private put ({ service, version, era }: SoftwareMarker, known: KnownMarker | undefined): void {
+  private put ({ service, version, era }: SoftwareMarker, known: KnownMarker | undefined, writtenAtMs = this.options.clock.nowMs()): void {
     const nowMs = this.options.clock.nowMs()
     const ofService = this.markers.get(service) ?? new Map<string | undefined, KnownMarker>()
     this.markers.set(service, ofService)
     this.marked.add(service)
-    ofService.set(version, { era, knownSinceMs: known?.era === era ? known.knownSinceMs : nowMs, writtenAtMs: nowMs })
+    ofService.set(version, { era, knownSinceMs: known?.era === era ? known.knownSinceMs : nowMs, writtenAtMs })
   }
 
   /** Number of markers of a service, also those of unknown versions. */
--- a/tests/streamOrigins.spec.ts
+++ b/tests/streamOrigins.spec.ts
@@ -141,4 +141,19 @@
       expect([...state.items.keys()]).to.deep.equal(['own/software/s/v1', 'own/software/s/?'])
     })
   }
+
+  // Guards against a marker that ends under live streams because each list of the store counts as its renewal.
+  it('renews a marker that was only listed, however often the store is listed', async () => {
+    const clock = new VirtualClock()
+    const markers = new SoftwareMarkers({ clock, isFirstStart: false, viewAgeMs: () => 0, versionsOf: () => new Set(['v1']) })
+    markers.onList([{ service: 's', version: 'v1', era: 0 }], 0)
+    expect(markers.dueWrite('s', 'v1', { isLeader: true })).to.deep.equal({ withUnknown: false })
+    expect(markers.dueWrite('s', 'v1', { isLeader: false })).to.equal(undefined)
+    markers.onWritten({ service: 's', version: 'v1', era: 0 })
+    for (let lists = 0; lists < 4; lists++) {
+      await clock.advance(markerRenewalMs / 4)
+      markers.onList([{ service: 's', version: 'v1', era: 0 }], 0)
+    }
+    expect(markers.dueWrite('s', 'v1', { isLeader: true })).to.deep.equal({ withUnknown: false })
+  })
 })
