--- a/src/serving/streamRecordWriter.ts
+++ b/src/serving/streamRecordWriter.ts
@@ -17,6 +17,9 @@
 /** Largest number of records under one key, which keeps its value below half of the store's limit of 1 MB. */
 const maxRowsPerKey = 20_000
 
+/** Beyond this number of waiting records, further ones are refused: while the store is away, nodes send the same ones again and again. */
+const maxPendingRows = 120_000
+
 export interface StreamRecordWriterOptions {
   store: CoordinationStore
   clock: Clock
@@ -44,8 +47,9 @@
     this.options = options
   }
 
-  /** Writes records with the next commit. `onEnded` says whether they are in the store, or the store stayed away until they had ended. */
+  /** Writes records with the next commit. `onEnded` says later whether they are in the store, or there was no room, or the store stayed away until they had ended. */
   add (rows: readonly OriginRow[], onEnded: (isWritten: boolean) => void): void {
+    if (this.pending.rows.length >= maxPendingRows) return queueMicrotask(() => onEnded(false))
     for (const row of rows) this.pending.rows.push(row)
     this.pending.onEnded.push(onEnded)
     if (!this.isWriting) void this.run()
