--- a/src/policy/softwareMarkers.ts
+++ b/src/policy/softwareMarkers.ts
@@ -116,6 +116,8 @@
     const marker = this.markers.get(service)?.get(version)
     if (!marker || this.era === undefined || marker.era < this.era) return false
     const viewAgeMs = this.options.viewAgeMs()
+    // Nobody has renewed it for long, as its version was away: it may end before its first streams do. With a view it is renewed at once.
+    if (viewAgeMs <= maxRenewalViewAgeMs && this.options.clock.nowMs() - marker.writtenAtMs > markerLeaseMs / 2) return false
     // Without a view, a marker does not get older: the store may have come back without it right after the view ended.
     const isYoung = this.options.clock.nowMs() - viewAgeMs - marker.knownSinceMs < youngMarkerMs
     return !isYoung || viewAgeMs < maxBlindMs || !this.isShared(service)
