--- a/src/policy/softwareMarkers.ts
+++ b/src/policy/softwareMarkers.ts
@@ -63,6 +63,11 @@
     this.options = options
   }
 
+  /** Era of the store in which it was listed last. */
+  get currentEra (): number | undefined {
+    return this.era
+  }
+
   /** The store was listed in `era`. Returns whether it has come back from a copy since the last time. */
   onList (markers: readonly SoftwareMarker[], era: number): boolean {
     const isReturn = this.era !== undefined && era !== this.era
@@ -70,7 +75,12 @@
     this.firstEra ??= era
     const earlier = this.markers
     this.markers = new Map()
-    for (const marker of markers) this.put(marker, earlier.get(marker.service)?.get(marker.version))
+    const nowMs = this.options.clock.nowMs()
+    for (const marker of markers) {
+      const known = earlier.get(marker.service)?.get(marker.version)
+      // A list does not tell when a marker was written, and it may soon end: the leader renews one that is new to it at once.
+      this.put(marker, known, known?.era === marker.era ? known.writtenAtMs : nowMs - markerRenewalMs)
+    }
     return isReturn
   }
 
@@ -83,12 +93,12 @@
     this.markers.get(service)?.delete(version)
   }
 
-  private put ({ service, version, era }: SoftwareMarker, known: KnownMarker | undefined): void {
+  private put ({ service, version, era }: SoftwareMarker, known: KnownMarker | undefined, writtenAtMs = this.options.clock.nowMs()): void {
     const nowMs = this.options.clock.nowMs()
     const ofService = this.markers.get(service) ?? new Map<string | undefined, KnownMarker>()
     this.markers.set(service, ofService)
     this.marked.add(service)
-    ofService.set(version, { era, knownSinceMs: known?.era === era ? known.knownSinceMs : nowMs, writtenAtMs: nowMs })
+    ofService.set(version, { era, knownSinceMs: known?.era === era ? known.knownSinceMs : nowMs, writtenAtMs })
   }
 
   /** Number of markers of a service, also those of unknown versions. */
@@ -105,8 +115,12 @@
   mayBegin (service: string, version: string): boolean {
     const marker = this.markers.get(service)?.get(version)
     if (!marker || this.era === undefined || marker.era < this.era) return false
-    const isYoung = this.options.clock.nowMs() - marker.knownSinceMs < youngMarkerMs
-    return !isYoung || this.options.viewAgeMs() < maxBlindMs || !this.isShared(service)
+    const viewAgeMs = this.options.viewAgeMs()
+    // Nobody has renewed it for long, as its version was away: it may end before its first streams do. With a view it is renewed at once.
+    if (viewAgeMs <= maxRenewalViewAgeMs && this.options.clock.nowMs() - marker.writtenAtMs > markerLeaseMs / 2) return false
+    // Without a view, a marker does not get older: the store may have come back without it right after the view ended.
+    const isYoung = this.options.clock.nowMs() - viewAgeMs - marker.knownSinceMs < youngMarkerMs
+    return !isYoung || viewAgeMs < maxBlindMs || !this.isShared(service)
   }
 
   /**
