--- a/tests/streamRecords.spec.ts
+++ b/tests/streamRecords.spec.ts
@@ -282,7 +282,7 @@
     world.versions = new Set(['v1'])
     late.store.fault = 'none'
     await world.clock.advance(1500)
-    expect(versionOf(await world.takeUp(late, 'a'))).to.equal('unknown-stream')
+    expect(versionOf(await world.takeUp(late, 'a')), 'version of a take-up').to.equal('unknown-stream')
   })
 
   // Guards against a version that comes back when its marker is about to end: its first streams are alive without one.
--- a/tests/streamVersions.spec.ts
+++ b/tests/streamVersions.spec.ts
@@ -52,7 +52,7 @@
       await start({ a: ['v1', cut('v1')], b: ['v2', whole('v2')], c: ['v1', whole('v1')] })
       fixture.leaderDecision = { kind: 'engine', id: 'a' }
       const response = fixture.send('id1', forModel)
-      await sleep(10)
+      while (fixture.received.length === 0) await sleep(1)
       fixture.leaderDecision = decision
       expect(await response).to.include({ body: eventsOf('v1', 1, 6), isComplete: true })
       expect(servers()).to.deep.equal(['a', 'c'])
