Pass changes of an engine's software version on in the leader's feed

A node that follows the leader kept the version that an engine's entry named before, where an entry changes nothing else that routing depends on: it could continue a stream at that engine by the old version (ORDER).

Cause: routingKey decides which changes of entries the feed carries. Since routing depends on the software version, FleetView.put counts it, and routingKey did not.

Evidence: streamNodes.spec 'reach nodes that follow the leader when the entry of an engine names another one' failed before (the second node had not learned of the version after 10 s) and passes, 3 of 3.

--- a/src/serving/servingNode.ts
+++ b/src/serving/servingNode.ts
@@ -912,8 +912,8 @@
 }
 
 /** The part of an entry that decides whether and where requests are sent. */
-function routingKey ({ service, address, availabilityZone, slots, isDraining, bornAtMs }: BackendEntry): string {
-  return JSON.stringify([service, address, availabilityZone, slots, isDraining, bornAtMs])
+function routingKey ({ service, address, availabilityZone, slots, isDraining, bornAtMs, softwareVersion }: BackendEntry): string {
+  return JSON.stringify([service, address, availabilityZone, slots, isDraining, bornAtMs, softwareVersion])
 }
 
 function listen (server: Server, address: string): Promise<void> {
--- a/tests/streamNodes.spec.ts
+++ b/tests/streamNodes.spec.ts
@@ -208,6 +208,20 @@
     await expectContinued(other, attempts)
   })
 
+  // Guards against nodes that follow the leader and take an engine for one of the version that its entry named before.
+  it('reach nodes that follow the leader when the entry of an engine names another one', async () => {
+    await startEngine('i1', 'v1')
+    const first = await startNode(0)
+    await until(() => first.isLeader, 'leader')
+    const second = await startNode(1)
+    await until(async () => /teaselrill_follows_leader\{[^}]*\} 1/.test(await second.metrics.text()), 'feed of the leader')
+    // A watch of its own that has begun before still brings changes.
+    await sleep(2500)
+    const entry = JSON.parse(state.items.get('servers/i1')!.value)
+    state.write('servers/i1', JSON.stringify({ ...entry, version: 'v2', seq: 2 }))
+    await until(() => second.lines.filter(({ event }) => event === 'backend server taken in').length === 2, 'the other version')
+  })
+
   // Guards against a service of one version that writes a record of each stream.
   it('write nothing but one marker while there is one', async () => {
     await startEngine('i1', 'v1')
