--- a/src/serving/backendConnection.ts
+++ b/src/serving/backendConnection.ts
@@ -101,7 +101,8 @@
   private readonly requestIds: string[] = []
   /** Requests and calls sent on this connection. */
   private exchanges = 0
-  private calls = 0
+  /** Whether a call was sent on this connection; responses to calls name no request. */
+  hasCarriedCalls = false
   private heldBytes = 0
   private readonly socket: Socket
   private readonly reader: ResponseReader
@@ -162,11 +163,6 @@
     return this.exchanges > 1
   }
 
-  /** Whether a call was sent on this connection; responses to calls name no request. */
-  get hasCarriedCalls (): boolean {
-    return this.calls > 0
-  }
-
   /**
    * Whether a response to the request may still arrive on this connection: a server that repeats an earlier response could answer
    * another attempt of the same request with it.
@@ -215,7 +211,7 @@
 
   private begin (method: string, exchange: Pick<ActiveExchange, 'handler' | 'bytes' | 'isRequest' | 'endsAtHead'>): ActiveExchange {
     this.exchanges++
-    if (!exchange.isRequest) this.calls++
+    if (!exchange.isRequest) this.hasCarriedCalls = true
     this.active = { ...exchange, isWritten: false, sentAt: Infinity }
     this.reader.expect(method)
     return this.active
