Check header fields in one place

foreignHead.ts had the patterns of responseReader.ts once more, in one expression, and copied the headers for each line that it asked about. Both now call base/httpHeader.ts. The same values are accepted: a name, then tabs, spaces and visible characters, and foreignHead does not trim before it checks.

--- a/src/policy/foreignHead.ts
+++ b/src/policy/foreignHead.ts
@@ -3,10 +3,12 @@
  * is on the connection. Chunks show it where the next one is then malformed; a length and the end of the connection don't.
  */
 
+import { isHeaderName, isHeaderText } from '../base/httpHeader.js'
+
 /** What distinguishes a head that does not belong where it is from a text that quotes one. */
 export interface ForeignHeadRules {
   /** Whether a header (lower-case name) names the request that is answered, as those of servers' responses do. */
-  namesRequest: (headers: ReadonlyMap<string, string>) => boolean
+  namesRequest: (headers: Map<string, string>) => boolean
   /** Whether a head that names none may be a response, as those to calls are. */
   mayNameNone: boolean
   /** Where a head that breaks off may be one of a response that was cut; nowhere if absent. */
@@ -16,7 +18,6 @@
 const protocolName = 'HTTP/1.'
 const statusLine = /HTTP\/1\.[01] (\d{3})/y
 const lineEndByte = /[\r\n]/g
-const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[\t ]*([\t\x20-\x7e\x80-\xff]*)$/
 /** Statuses of responses without a body. */
 const bodilessStatuses = new Set(['204', '304'])
 
@@ -60,11 +61,13 @@
   for (let from = start; ;) {
     const end = text.indexOf('\r\n', from)
     if (end === -1) return block
-    const header = headerLine.exec(text.slice(from, end))
-    if (!header) return { ...block, end, isWhole: end === from }
-    const name = header[1]!.toLowerCase()
+    const line = text.slice(from, end)
+    const colon = line.indexOf(':')
+    const name = line.slice(0, Math.max(0, colon)).toLowerCase()
+    const value = line.slice(colon + 1)
+    if (!isHeaderName(name) || !isHeaderText(value)) return { ...block, end, isWhole: end === from }
     block.hasHeaders = true
-    block.namesRequest ||= namesRequest(new Map([[name, header[2]!]]))
+    block.namesRequest ||= namesRequest(new Map([[name, value.replace(/^[\t ]+/, '')]]))
     block.statesFraming ||= name === 'content-length' || name === 'transfer-encoding'
     from = end + 2
   }
--- a/src/serving/requestForwarder.ts
+++ b/src/serving/requestForwarder.ts
@@ -343,7 +343,7 @@
     // Prose may follow a quoted status line; the lines of an event have the form of headers.
     const mayHoldCutCopy = endsWithConnection || (isReused && !isChunked)
     return hasForeignHead(bytes, {
-      namesRequest: headers => this.forwarder.codecs.readResponse({ ...head!, headers: new Map(headers) }).requestId !== undefined,
+      namesRequest: headers => this.forwarder.codecs.readResponse({ ...head!, headers }).requestId !== undefined,
       mayNameNone: !isChunked && isReused && hasCarriedCalls,
       mayBeCutAfter: this.isStreaming ? 'status line' : mayHoldCutCopy ? 'header' : undefined
     })
--- a/src/serving/responseReader.ts
+++ b/src/serving/responseReader.ts
@@ -1,5 +1,6 @@
 /** Incremental HTTP/1.1 response parser. Unlike a client library, it reports how a response ended. */
 
+import { isHeaderName, isHeaderText } from '../base/httpHeader.js'
 import { isFinalStatus, isInterimStatus } from '../base/httpStatus.js'
 
 /** Larger response heads and trailers are rejected. */
@@ -42,10 +43,6 @@
 type State = 'head' | 'length' | 'chunk-line' | 'chunk-data' | 'chunk-end' | 'trailers' | 'until-close' | 'done'
 
 const empty = Buffer.alloc(0)
-// Node.js refuses to write other characters in a response head to the client.
-const headerName = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
-const headerText = /^[\t\x20-\x7e\x80-\xff]*$/
-
 /** Parses the responses of one connection, one after the other. */
 export class ResponseReader {
   private state: State = 'head'
@@ -212,14 +209,14 @@
 function parseHead (text: string): ResponseHead | string {
   const lines = text.split('\r\n')
   const match = /^HTTP\/1\.([01]) (\d{3})(?: (.*))?$/.exec(lines[0]!)
-  if (!match || !headerText.test(match[3] ?? '')) return 'the status line is invalid'
+  if (!match || !isHeaderText(match[3] ?? '')) return 'the status line is invalid'
   const rawHeaders: string[] = []
   const headers = new Map<string, string>()
   for (const line of lines.slice(1)) {
     const colon = line.indexOf(':')
     const name = line.slice(0, Math.max(0, colon))
     const value = line.slice(colon + 1).trim()
-    if (!headerName.test(name) || !headerText.test(value)) return 'a header line is invalid'
+    if (!isHeaderName(name) || !isHeaderText(value)) return 'a header line is invalid'
     rawHeaders.push(name, value)
     const key = name.toLowerCase()
     const earlier = headers.get(key)
