--- a/tests/accountNodes.spec.ts
+++ b/tests/accountNodes.spec.ts
@@ -14,6 +14,7 @@
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 import { freePort } from './fixtures/freePort.js'
 import { responseTo, requestIdOf } from './fixtures/requestProxyFixture.js'
+import { until } from './fixtures/until.js'
 
 const clock = new SystemClock()
 const config = (version: number, keys: string[], quota = {}) => JSON.stringify({
@@ -24,14 +25,6 @@
   tenants: [{ name: 'acme', keys, ...quota }]
 })
 
-async function until (condition: () => Promise<boolean> | boolean, what: string): Promise<void> {
-  for (let tries = 0; tries < 400; tries++) {
-    if (await condition()) return
-    await new Promise(resolve => setTimeout(resolve, 25))
-  }
-  expect.fail(`not observed: ${what}`)
-}
-
 function get (port: number, headers: Record<string, string> = {}): Promise<number> {
   return new Promise((resolve, reject) => {
     httpRequest({ host: '127.0.0.1', port, path: '/', headers: { host: 'h', 'x-attempt-id': 'id', ...headers }, agent: false }, response => {
--- a/tests/sharedQueue.spec.ts
+++ b/tests/sharedQueue.spec.ts
@@ -12,6 +12,7 @@
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 import { freePort } from './fixtures/freePort.js'
 import { requestIdOf, responseTo } from './fixtures/requestProxyFixture.js'
+import { until } from './fixtures/until.js'
 
 const slots = 2
 const config = {
@@ -24,14 +25,6 @@
 /** The status of the engine that does no work: it holds the model and loads nothing. */
 const report = JSON.stringify({ models: [{ name: 'm' }], seq: 1 })
 
-async function until (condition: () => boolean | Promise<boolean>, what: string): Promise<void> {
-  for (let tries = 0; tries < 400; tries++) {
-    if (await condition()) return
-    await sleep(25)
-  }
-  expect.fail(`not in time: ${what}`)
-}
-
 describe('queue shared by nodes', () => {
   let engine: Server
   let running = 0
--- a/tests/storeReturn.spec.ts
+++ b/tests/storeReturn.spec.ts
@@ -14,6 +14,7 @@
 import { liftWrite } from '../src/serving/storedQuarantine.js'
 import { freePort } from './fixtures/freePort.js'
 import { requestIdOf, responseTo } from './fixtures/requestProxyFixture.js'
+import { until } from './fixtures/until.js'
 import { StoreStandIn } from './soak/storeStandIn.js'
 import type { StoreCopy } from './soak/storeStandIn.js'
 
@@ -24,14 +25,6 @@
   limits: { max_header_bytes: 16384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
 })
 
-async function until (condition: () => unknown, what: string): Promise<void> {
-  for (let tries = 0; tries < 400; tries++) {
-    if (await condition()) return
-    await sleep(25)
-  }
-  expect.fail(`not in time: ${what}`)
-}
-
 class Node {
   readonly lines: { event: string, fields: LogFields }[] = []
   readonly store: StoreClient
--- a/tests/streamNodes.spec.ts
+++ b/tests/streamNodes.spec.ts
@@ -11,6 +11,7 @@
 import { MemoryStore, StoreState } from './fixtures/coordinationStore.js'
 import { freePort } from './fixtures/freePort.js'
 import { chunk, streamHead } from './fixtures/requestProxyFixture.js'
+import { until } from './fixtures/until.js'
 
 const config = JSON.stringify({
   version: 1,
@@ -19,14 +20,6 @@
   limits: { max_header_bytes: 16_384, max_body_bytes: 1000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
 })
 
-async function until (condition: () => unknown, what: string): Promise<void> {
-  for (let tries = 0; tries < 400; tries++) {
-    if (await condition()) return
-    await sleep(25)
-  }
-  expect.fail(`not in time: ${what}`)
-}
-
 class Node {
   readonly store: MemoryStore
   readonly lines: { event: string, fields: Record<string, unknown> }[] = []
